Add the design page and the base modules

The repository was empty. The page records the requirements, module boundaries, protocols and failure handling; status, kernel, timer, log, counter and YAML tree are the modules every other part uses.

Not measured yet: nothing runs besides the build.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,115 @@
+# Targets: all, demo, check, proofs, bench, format, format-check, lint, gen,
+# clean. "make deps" installs the Debian packages the project declares.
+
+PACKAGES = build-essential pkg-config clang-format clang-tidy \
+	libuv1-dev libh2o-dev libhttp-parser-dev libglib2.0-dev libyaml-dev \
+	libjansson-dev libssl-dev libtirpc-dev rpcsvc-proto check
+
+CC ?= cc
+LIBS = libuv libh2o glib-2.0 yaml-0.1 jansson openssl libtirpc
+WARN = -Wall -Wextra -Wstrict-prototypes -Wmissing-prototypes -Wvla \
+	-Wno-unused-parameter
+BASE_CFLAGS = -std=gnu11 -D_GNU_SOURCE $(WARN) -I. -Igen \
+	$(shell pkg-config --cflags $(LIBS) | sed 's/-I/-isystem /g')
+LDLIBS = $(shell pkg-config --libs $(LIBS)) -lhttp_parser -lm
+CHECK_LIBS = $(shell pkg-config --libs check)
+
+# build/release is the product. build/test has the sanitizers and the switches
+# that turn single mechanisms off. build/proof has the switches only.
+VARIANT ?= release
+CFLAGS_release = -O2 -g
+CFLAGS_proof = -O2 -g -DME_SWITCHES
+CFLAGS_test = -O1 -g -DME_SWITCHES -fno-omit-frame-pointer \
+	-fsanitize=address,undefined -fno-sanitize-recover=all
+LDFLAGS_test = -fsanitize=address,undefined
+OUT = build/$(VARIANT)
+ALL_CFLAGS = $(BASE_CFLAGS) $(CFLAGS_$(VARIANT)) $(CFLAGS)
+
+SRCS = $(filter-out jackdawworks.c,$(wildcard *.c))
+GEN_SRCS = $(wildcard gen/*.c)
+LIB_OBJS = $(SRCS:%.c=$(OUT)/%.o) $(GEN_SRCS:%.c=$(OUT)/%.o)
+# Programs of the test tree: tool_*.c stand-ins and load tool, test_*.c checks.
+TOOL_SRCS = $(wildcard tests/tool_*.c)
+TOOLS = $(TOOL_SRCS:tests/%.c=$(OUT)/%)
+TEST_SRCS = $(wildcard tests/test_*.c)
+TESTS = $(TEST_SRCS:tests/%.c=$(OUT)/%)
+FORMATTED = $(wildcard *.[ch] tests/*.[ch])
+
+all: build/jackdawworks
+
+build/jackdawworks: release
+	@ln -sf release/jackdawworks $@
+
+release proof test:
+	+@$(MAKE) --no-print-directory VARIANT=$@ variant
+
+variant: $(OUT)/jackdawworks $(TOOLS) $(TESTS)
+
+$(OUT)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo "  CC $@"
+	@$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
+
+$(OUT)/gen/%.o: gen/%.c
+	@mkdir -p $(@D)
+	@echo "  CC $@"
+	@$(CC) $(ALL_CFLAGS) -w -MMD -MP -c -o $@ $<
+
+$(OUT)/libjackdawworks.a: $(LIB_OBJS)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(OUT)/jackdawworks: $(OUT)/jackdawworks.o $(OUT)/libjackdawworks.a
+	@$(CC) $(LDFLAGS_$(VARIANT)) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(OUT)/tool_%: $(OUT)/tests/tool_%.o $(OUT)/libjackdawworks.a
+	@$(CC) $(LDFLAGS_$(VARIANT)) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(OUT)/test_%: $(OUT)/tests/test_%.o $(OUT)/libjackdawworks.a
+	@$(CC) $(LDFLAGS_$(VARIANT)) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
+
+.PRECIOUS: $(OUT)/%.o $(OUT)/tests/%.o
+
+deps:
+	@missing=; for p in $(PACKAGES); do \
+		dpkg -s $$p 2>/dev/null | grep -q '^Status: install ok' || \
+		missing="$$missing $$p"; done; \
+	if test -n "$$missing"; then \
+		apt-get update && \
+		DEBIAN_FRONTEND=noninteractive apt-get install -y $$missing; fi
+
+demo: release
+	tests/demo.sh build/release
+
+check: test
+	tests/check.sh build/test
+
+proofs: proof
+	tests/proofs.sh build/proof
+
+bench: release
+	tests/bench.sh build/release
+
+format:
+	clang-format -i $(FORMATTED)
+
+format-check:
+	clang-format --dry-run --Werror $(FORMATTED)
+
+lint:
+	@printf '%s\n' $(wildcard *.c tests/*.c) | \
+		xargs -P 8 -n 1 -I{} clang-tidy --quiet {} -- $(BASE_CFLAGS) \
+		-DME_SWITCHES 2>build/lint.err || { cat build/lint.err; exit 1; }
+
+gen:
+	cd gen && rm -f peer_rpc.h peer_rpc_xdr.c && \
+	rpcgen -h -o peer_rpc.h ../peer_rpc.x && \
+	rpcgen -c -o peer_rpc_xdr.c ../peer_rpc.x
+
+clean:
+	rm -rf build
+
+-include $(wildcard $(OUT)/*.d $(OUT)/gen/*.d $(OUT)/tests/*.d)
+
+.PHONY: all release proof test variant deps demo check proofs bench format \
+	format-check lint gen clean
--- /dev/null
+++ b/mechanism.h
@@ -0,0 +1,49 @@
+#ifndef MECHANISM_H
+#define MECHANISM_H
+
+#include <stdbool.h>
+
+/*
+ * Mechanisms that a proof run can switch off one at a time.
+ *
+ * Builds with ME_SWITCHES read the names to switch off from the environment
+ * variable JACKDAWWORKS_OFF (comma separated). In the product every mechanism
+ * is always on and the check costs nothing.
+ */
+#define ME_LIST(X)                                 \
+	X(MEASURING_BUDGET, "measuring-budget")    \
+	X(CLOSE_LATE, "close-late-connections")    \
+	X(NOT_RUN_TABLE, "not-run-table")          \
+	X(SEND_ONCE, "send-once")                  \
+	X(ORDER_CLAIM, "order-claim")              \
+	X(LEAVING, "leaving-signs")                \
+	X(GRACEFUL_STOP, "graceful-stop")          \
+	X(GENERATION_ORDER, "generation-order")    \
+	X(GENERATION_GOSSIP, "generation-gossip")  \
+	X(CONDITIONAL_ACCEPT, "conditional-accept") \
+	X(READ_BACK, "read-back")                  \
+	X(FENCING, "fencing-token")                \
+	X(REPLAY_PROTECTION, "replay-protection")  \
+	X(RETRY_BUDGET, "retry-budget")            \
+	X(FAIL_FAST, "fail-fast-guard")            \
+	X(DIGEST_CHECK, "digest-check")
+
+enum me_kind {
+#define X(id, name) ME_##id,
+	ME_LIST(X)
+#undef X
+		ME_COUNT
+};
+
+#ifdef ME_SWITCHES
+/* me_on - whether a mechanism is active. Source: mechanism.c */
+bool me_on(enum me_kind kind);
+#else
+static inline bool me_on(enum me_kind kind)
+{
+	(void)kind;
+	return true;
+}
+#endif
+
+#endif
