--- /dev/null
+++ b/admin.h
@@ -0,0 +1,31 @@
+#ifndef ADMIN_H
+#define ADMIN_H
+
+#include "control.h"
+#include "gateway.h"
+#include "httpd.h"
+
+/*
+ * Operators' listener. Every path except /health needs the token of the
+ * settings as "authorization: Bearer TOKEN".
+ */
+struct ad_admin {
+	struct hd_server http;
+	struct cp_control *control;
+	struct gw_gateway *gateway;
+	struct pf_client *platform;
+	const struct se_settings *settings;
+	void (*drain)(void *ctx);
+	void *drain_ctx;
+};
+
+/* ad_init - DRAIN is called when an operator asks for a graceful stop. */
+enum st_kind ad_init(struct ad_admin *admin, uv_loop_t *loop,
+		     struct cp_control *control, struct gw_gateway *gateway,
+		     struct pf_client *platform,
+		     const struct se_settings *settings,
+		     void (*drain)(void *ctx), void *drain_ctx,
+		     struct st_status *status);
+void ad_free(struct ad_admin *admin);
+
+#endif
--- a/counter.c
+++ b/counter.c
@@ -28,9 +28,8 @@
 				       ct_rows[i].name, ct_rows[i].help);
 		g_string_append_printf(out, "# TYPE jackdawworks_%s counter\n",
 				       ct_rows[i].name);
-		g_string_append_printf(out,
-				       "jackdawworks_%s %" G_GUINT64_FORMAT
-				       "\n",
-				       ct_rows[i].name, ct_values[i]);
+		g_string_append_printf(
+			out, "jackdawworks_%s %" G_GUINT64_FORMAT "\n",
+			ct_rows[i].name, ct_values[i]);
 	}
 }
--- a/counter.h
+++ b/counter.h
@@ -8,31 +8,39 @@
  * Counters of the process, in one closed list. Exposition uses the usual
  * "name{label} value" text lines.
  */
-#define CT_LIST(X)                                                         \
-	X(CALLS, "calls_total", "Calls that arrived")                      \
-	X(COMPLETED, "calls_completed_total", "Calls answered by a server") \
-	X(REFUSED, "calls_refused_total", "Calls refused, not run")        \
-	X(UNKNOWN, "calls_unknown_total", "Calls ended, outcome unknown")  \
-	X(BROKEN, "calls_broken_total", "Answers broken off")              \
-	X(GONE, "calls_gone_total", "Callers that left before the answer") \
-	X(ATTEMPTS, "attempts_total", "Attempts sent to servers")          \
-	X(RETRIES, "retries_total", "Attempts after the first")            \
-	X(HEDGES, "hedges_total", "Attempts beside a running one")         \
-	X(CANCELS, "cancels_total", "Attempts cancelled")                  \
-	X(CONNECTS, "connects_total", "Connections opened to servers")     \
-	X(LATE, "late_connections_total", "Connections closed with an answer pending") \
-	X(PROBES, "probes_total", "Probes sent to servers")                \
-	X(PROBE_BYTES, "probe_bytes_total", "Bytes of probes, both ways")  \
-	X(PROBE_CROSS_BYTES, "probe_cross_zone_bytes_total", "Bytes of probes to other zones") \
-	X(REPORT_BYTES, "report_bytes_total", "Bytes of load reports on answers") \
-	X(REPORT_CROSS_BYTES, "report_cross_zone_bytes_total", "Bytes of load reports from other zones") \
-	X(PLATFORM_READS, "platform_reads_total", "Reads at the platform") \
+#define CT_LIST(X)                                                            \
+	X(CALLS, "calls_total", "Calls that arrived")                         \
+	X(COMPLETED, "calls_completed_total", "Calls answered by a server")   \
+	X(REFUSED, "calls_refused_total", "Calls refused, not run")           \
+	X(UNKNOWN, "calls_unknown_total", "Calls ended, outcome unknown")     \
+	X(BROKEN, "calls_broken_total", "Answers broken off")                 \
+	X(GONE, "calls_gone_total", "Callers that left before the answer")    \
+	X(ATTEMPTS, "attempts_total", "Attempts sent to servers")             \
+	X(RETRIES, "retries_total", "Attempts after the first")               \
+	X(HEDGES, "hedges_total", "Attempts beside a running one")            \
+	X(CANCELS, "cancels_total", "Attempts cancelled")                     \
+	X(CONNECTS, "connects_total", "Connections opened to servers")        \
+	X(LATE, "late_connections_total",                                     \
+	  "Connections closed with an answer pending")                        \
+	X(PROBES, "probes_total", "Probes sent to servers")                   \
+	X(PROBE_BYTES, "probe_bytes_total", "Bytes of probes, both ways")     \
+	X(PROBE_CROSS_BYTES, "probe_cross_zone_bytes_total",                  \
+	  "Bytes of probes to other zones")                                   \
+	X(REPORT_BYTES, "report_bytes_total",                                 \
+	  "Bytes of load reports on answers")                                 \
+	X(REPORT_CROSS_BYTES, "report_cross_zone_bytes_total",                \
+	  "Bytes of load reports from other zones")                           \
+	X(PLATFORM_READS, "platform_reads_total", "Reads at the platform")    \
 	X(PLATFORM_WRITES, "platform_writes_total", "Writes at the platform") \
-	X(PLATFORM_ERRORS, "platform_errors_total", "Failed platform requests") \
-	X(PEER_SENT, "peer_messages_sent_total", "Messages to entry hosts") \
-	X(PEER_SENT_BYTES, "peer_sent_bytes_total", "Bytes sent to entry hosts") \
-	X(PEER_RECEIVED, "peer_messages_received_total", "Messages accepted from entry hosts") \
-	X(PEER_REJECTED, "peer_messages_rejected_total", "Messages dropped as forged, replayed or malformed")
+	X(PLATFORM_ERRORS, "platform_errors_total",                           \
+	  "Failed platform requests")                                         \
+	X(PEER_SENT, "peer_messages_sent_total", "Messages to entry hosts")   \
+	X(PEER_SENT_BYTES, "peer_sent_bytes_total",                           \
+	  "Bytes sent to entry hosts")                                        \
+	X(PEER_RECEIVED, "peer_messages_received_total",                      \
+	  "Messages accepted from entry hosts")                               \
+	X(PEER_REJECTED, "peer_messages_rejected_total",                      \
+	  "Messages dropped as forged, replayed or malformed")
 
 enum ct_id {
 #define X(id, name, help) CT_##id,
--- /dev/null
+++ b/document.c
@@ -0,0 +1,494 @@
+#include "document.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	DOC_MAX_DEADLINE_MS = 600000,
+	DOC_MAX_SLOTS = 4096,
+	DOC_MAX_CONNECTIONS = 65535,
+	DOC_MAX_QUEUE = 100000,
+	DOC_MAX_RATE = 1000000000,
+	DOC_DEFAULT_DEADLINE_MS = 1000,
+	DOC_DEFAULT_QUEUE = 200,
+	DOC_DEFAULT_RETRY_PERCENT = 10,
+	DOC_DEFAULT_LATENCY_WEIGHT = 50,
+	DOC_MAX_WEIGHT = 1000
+};
+
+static bool doc_name_char(char c)
+{
+	return g_ascii_isalnum(c) || c == '-' || c == '_' || c == '.';
+}
+
+static void doc_check_name(struct ym_errors *errors, const struct ym_node *at,
+			   const char *field, const char *name)
+{
+	if (strlen(name) >= DOC_NAME_BYTES)
+		ym_error(errors, at, field, "longer than %d characters",
+			 DOC_NAME_BYTES - 1);
+	for (const char *p = name; *p; p++) {
+		if (doc_name_char(*p))
+			continue;
+		ym_error(
+			errors, at, field,
+			"\"%.40s\" may only have letters, digits, '-', '_' and '.'",
+			name);
+		return;
+	}
+}
+
+static void doc_read_name(struct ym_node *map, const char *field, char *out,
+			  struct ym_errors *errors)
+{
+	const char *name = ym_string(map, field, NULL, errors);
+
+	doc_check_name(errors, ym_get(map, field), field, name);
+	g_strlcpy(out, name, DOC_NAME_BYTES);
+}
+
+/* Names that were taken already, per kind of object. */
+static void doc_unique(GHashTable *taken, const char *name,
+		       const struct ym_node *at, const char *field,
+		       struct ym_errors *errors)
+{
+	if (*name && !g_hash_table_add(taken, g_strdup(name)))
+		ym_error(errors, at, field, "\"%s\" is used twice", name);
+}
+
+static GHashTable *doc_name_set(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static bool doc_is_map(struct ym_node *node, const char *field,
+		       struct ym_errors *errors)
+{
+	if (node->type == YM_MAPPING)
+		return true;
+	ym_error(errors, node, field, "every entry must be a mapping");
+	return false;
+}
+
+static struct ym_node *doc_list(struct ym_node *map, const char *field,
+				bool required, uint32_t max,
+				struct ym_errors *errors)
+{
+	struct ym_node *list;
+
+	if (required)
+		list = ym_need(map, field, YM_SEQUENCE, errors);
+	else
+		list = ym_optional(map, field, YM_SEQUENCE, errors);
+	if (!list)
+		return NULL;
+	if (required && !list->children->len)
+		ym_error(errors, list, field, "must not be empty");
+	if (list->children->len <= max)
+		return list;
+	ym_error(errors, list, field, "more than %u entries", max);
+	return NULL;
+}
+
+static void doc_read_zones(struct ym_node *root, struct doc_document *document,
+			   struct ym_errors *errors)
+{
+	struct ym_node *list =
+		doc_list(root, "zones", true, DOC_MAX_ZONES, errors);
+
+	for (guint i = 0; list && i < list->children->len; i++) {
+		struct ym_node *item = g_ptr_array_index(list->children, i);
+		const char *name = item->value ? item->value : "";
+
+		if (!*name)
+			ym_error(errors, item, "zones", "must be names");
+		doc_check_name(errors, item, "zones", name);
+		if (*name && doc_zone(document, name) != DOC_NO_INDEX)
+			ym_error(errors, item, "zones", "\"%s\" is used twice",
+				 name);
+		g_strlcpy(document->zones[i], name, DOC_NAME_BYTES);
+		document->zone_count = i + 1;
+	}
+}
+
+static void doc_read_callers(struct ym_node *root,
+			     struct doc_document *document,
+			     struct ym_errors *errors)
+{
+	struct ym_node *list =
+		doc_list(root, "callers", false, DOC_MAX_CALLERS, errors);
+	GHashTable *taken = doc_name_set();
+
+	if (list) {
+		document->caller_count = list->children->len;
+		document->callers =
+			g_new0(struct doc_caller, list->children->len);
+	}
+	for (guint i = 0; i < document->caller_count; i++) {
+		struct ym_node *map = g_ptr_array_index(list->children, i);
+		struct doc_caller *caller = &document->callers[i];
+
+		if (!doc_is_map(map, "callers", errors))
+			continue;
+		doc_read_name(map, "name", caller->name, errors);
+		doc_unique(taken, caller->name, map, "name", errors);
+		caller->weight = (uint32_t)ym_uint(map, "weight", 1,
+						   DOC_MAX_WEIGHT, 1, errors);
+		ym_check_unused(map, errors);
+	}
+	g_hash_table_destroy(taken);
+}
+
+static void doc_read_server(struct ym_node *map,
+			    const struct doc_document *document,
+			    struct doc_server *server, struct ym_errors *errors)
+{
+	const char *address;
+	const char *zone;
+
+	doc_read_name(map, "name", server->name, errors);
+	address = ym_string(map, "address", NULL, errors);
+	if (*address && !nt_parse(address, &server->address))
+		ym_error(errors, ym_get(map, "address"), "address",
+			 "\"%.60s\" is not an IP address with a port", address);
+	zone = ym_string(map, "zone", NULL, errors);
+	server->zone = doc_zone(document, zone);
+	if (*zone && server->zone == DOC_NO_INDEX)
+		ym_error(errors, ym_get(map, "zone"), "zone",
+			 "zone \"%.60s\" does not exist", zone);
+	server->slots =
+		(uint32_t)ym_need_uint(map, "slots", 1, DOC_MAX_SLOTS, errors);
+	server->connections = (uint32_t)ym_need_uint(
+		map, "connections", 1, DOC_MAX_CONNECTIONS, errors);
+	if (server->connections < server->slots)
+		ym_error(errors, map, "connections",
+			 "%u connections cannot fill %u slots",
+			 server->connections, server->slots);
+	server->leaving = ym_bool(map, "leaving", false, errors);
+	ym_check_unused(map, errors);
+}
+
+/* Names and addresses of servers are unique over all services. */
+struct doc_taken {
+	GHashTable *names;
+	GHashTable *addresses;
+	uint32_t servers;
+};
+
+static void doc_read_servers(struct ym_node *map, struct doc_taken *taken,
+			     const struct doc_document *document,
+			     struct doc_service *service,
+			     struct ym_errors *errors)
+{
+	struct ym_node *list =
+		doc_list(map, "servers", true, DOC_MAX_SERVERS, errors);
+
+	if (!list)
+		return;
+	service->server_count = list->children->len;
+	service->servers = g_new0(struct doc_server, list->children->len);
+	taken->servers += service->server_count;
+	if (taken->servers > DOC_MAX_SERVERS)
+		ym_error(errors, list, "servers",
+			 "more than %d servers over all services",
+			 DOC_MAX_SERVERS);
+	for (guint i = 0; i < list->children->len; i++) {
+		struct ym_node *item = g_ptr_array_index(list->children, i);
+		struct doc_server *server = &service->servers[i];
+
+		if (!doc_is_map(item, "servers", errors))
+			continue;
+		doc_read_server(item, document, server, errors);
+		doc_unique(taken->names, server->name, item, "name", errors);
+		doc_unique(taken->addresses, server->address.text, item,
+			   "address", errors);
+	}
+}
+
+static void doc_check_path(struct ym_node *map, const char *field,
+			   const char *path, struct ym_errors *errors)
+{
+	struct ym_node *at = ym_get(map, field);
+
+	if (*path && *path != '/')
+		ym_error(errors, at, field, "must begin with '/'");
+	if (strlen(path) >= DOC_ROUTE_BYTES)
+		ym_error(errors, at, field, "longer than %d characters",
+			 DOC_ROUTE_BYTES - 1);
+	for (const char *p = path; *p; p++)
+		if (!g_ascii_isgraph(*p) || *p == '?' || *p == '#') {
+			ym_error(errors, at, field,
+				 "has a character that no path has");
+			return;
+		}
+}
+
+static void doc_read_rule(struct ym_node *map,
+			  const struct doc_service *service,
+			  struct doc_rule *rule, struct ym_errors *errors)
+{
+	const char *path = ym_string(map, "path", service->route, errors);
+	const char *method = ym_string(map, "method", "", errors);
+
+	doc_check_path(map, "path", path, errors);
+	if (!g_str_has_prefix(path, service->route))
+		ym_error(errors, ym_get(map, "path"), "path",
+			 "not under the route \"%s\" of its service",
+			 service->route);
+	g_strlcpy(rule->path, path, sizeof(rule->path));
+	if (strlen(method) >= sizeof(rule->method))
+		ym_error(errors, ym_get(map, "method"), "method", "too long");
+	for (const char *p = method; *p; p++)
+		if (!g_ascii_isupper(*p)) {
+			ym_error(errors, ym_get(map, "method"), "method",
+				 "must be in capital letters");
+			break;
+		}
+	g_strlcpy(rule->method, method, sizeof(rule->method));
+	rule->idempotent = ym_bool(map, "idempotent", false, errors);
+	rule->deadline_ms = (uint32_t)ym_uint(map, "deadline_ms", 1,
+					      service->longest_deadline_ms,
+					      service->deadline_ms, errors);
+	ym_check_unused(map, errors);
+}
+
+static void doc_read_rules(struct ym_node *map, struct doc_service *service,
+			   struct ym_errors *errors)
+{
+	struct ym_node *list =
+		doc_list(map, "rules", false, DOC_MAX_RULES, errors);
+
+	if (!list)
+		return;
+	service->rule_count = list->children->len;
+	service->rules = g_new0(struct doc_rule, list->children->len);
+	for (guint i = 0; i < list->children->len; i++) {
+		struct ym_node *item = g_ptr_array_index(list->children, i);
+
+		if (doc_is_map(item, "rules", errors))
+			doc_read_rule(item, service, &service->rules[i],
+				      errors);
+	}
+}
+
+static void doc_read_policy(struct ym_node *map, struct doc_service *service,
+			    struct ym_errors *errors)
+{
+	const char *name =
+		ym_string(map, "policy", core_policy_name(CORE_SHARES), errors);
+
+	for (int i = 0; i < CORE_POLICY_COUNT; i++)
+		if (!strcmp(name, core_policy_name((enum core_policy)i))) {
+			service->policy = (enum core_policy)i;
+			return;
+		}
+	ym_error(errors, ym_get(map, "policy"), "policy",
+		 "policy \"%.40s\" does not exist", name);
+}
+
+static void doc_read_measuring(struct ym_node *map, struct doc_budget *budget,
+			       struct ym_errors *errors)
+{
+	struct ym_node *item = ym_need(map, "measuring", YM_MAPPING, errors);
+
+	if (!item)
+		return;
+	budget->requests_per_s = (uint32_t)ym_need_uint(
+		item, "requests_per_s", 0, DOC_MAX_RATE, errors);
+	budget->bytes_per_s = (uint32_t)ym_need_uint(item, "bytes_per_s", 0,
+						     DOC_MAX_RATE, errors);
+	budget->cross_zone_bytes_per_s = (uint32_t)ym_need_uint(
+		item, "cross_zone_bytes_per_s", 0, DOC_MAX_RATE, errors);
+	if (budget->cross_zone_bytes_per_s > budget->bytes_per_s)
+		ym_error(errors, item, "cross_zone_bytes_per_s",
+			 "larger than bytes_per_s");
+	ym_check_unused(item, errors);
+}
+
+static void doc_read_service(struct ym_node *map, struct doc_taken *taken,
+			     const struct doc_document *document,
+			     struct doc_service *service,
+			     struct ym_errors *errors)
+{
+	const char *route = ym_string(map, "route", NULL, errors);
+
+	doc_read_name(map, "name", service->name, errors);
+	doc_check_path(map, "route", route, errors);
+	g_strlcpy(service->route, route, sizeof(service->route));
+	service->longest_deadline_ms = (uint32_t)ym_uint(
+		map, "longest_deadline_ms", 1, DOC_MAX_DEADLINE_MS,
+		DOC_DEFAULT_DEADLINE_MS, errors);
+	service->deadline_ms = (uint32_t)ym_uint(
+		map, "deadline_ms", 1, service->longest_deadline_ms,
+		service->longest_deadline_ms, errors);
+	service->queue_limit =
+		(uint32_t)ym_uint(map, "queue_limit", 0, DOC_MAX_QUEUE,
+				  DOC_DEFAULT_QUEUE, errors);
+	service->retry_percent =
+		(uint32_t)ym_uint(map, "retry_percent", 0, 100,
+				  DOC_DEFAULT_RETRY_PERCENT, errors);
+	doc_read_policy(map, service, errors);
+	doc_read_measuring(map, &service->measuring, errors);
+	doc_read_servers(map, taken, document, service, errors);
+	doc_read_rules(map, service, errors);
+	ym_check_unused(map, errors);
+}
+
+static void doc_read_services(struct ym_node *root,
+			      struct doc_document *document,
+			      struct ym_errors *errors)
+{
+	struct ym_node *list =
+		doc_list(root, "services", true, DOC_MAX_SERVICES, errors);
+	GHashTable *names = doc_name_set();
+	GHashTable *routes = doc_name_set();
+	struct doc_taken taken = { doc_name_set(), doc_name_set(), 0 };
+
+	if (list) {
+		document->service_count = list->children->len;
+		document->services =
+			g_new0(struct doc_service, list->children->len);
+	}
+	for (guint i = 0; i < document->service_count; i++) {
+		struct ym_node *map = g_ptr_array_index(list->children, i);
+		struct doc_service *service = &document->services[i];
+
+		if (!doc_is_map(map, "services", errors))
+			continue;
+		doc_read_service(map, &taken, document, service, errors);
+		doc_unique(names, service->name, map, "name", errors);
+		doc_unique(routes, service->route, map, "route", errors);
+	}
+	g_hash_table_destroy(names);
+	g_hash_table_destroy(routes);
+	g_hash_table_destroy(taken.names);
+	g_hash_table_destroy(taken.addresses);
+}
+
+static void doc_read_root(struct ym_node *root, struct doc_document *document,
+			  struct ym_errors *errors)
+{
+	doc_read_name(root, "deployment", document->deployment, errors);
+	document->latency_weight_percent =
+		(uint32_t)ym_uint(root, "latency_weight_percent", 0, 100,
+				  DOC_DEFAULT_LATENCY_WEIGHT, errors);
+	doc_read_zones(root, document, errors);
+	doc_read_callers(root, document, errors);
+	doc_read_services(root, document, errors);
+	ym_check_unused(root, errors);
+}
+
+struct doc_document *doc_parse(const char *text, size_t text_bytes,
+			       struct ym_errors *errors)
+{
+	uint32_t before = errors->count;
+	struct ym_node *root = ym_parse(text, text_bytes, errors);
+	struct doc_document *document;
+
+	if (!root)
+		return NULL;
+	document = g_new0(struct doc_document, 1);
+	document->refs = 1;
+	document->text = g_strndup(text, text_bytes);
+	document->text_bytes = text_bytes;
+	doc_digest(text, text_bytes, document->digest);
+	doc_read_root(root, document, errors);
+	ym_free(root);
+	if (errors->count == before)
+		return document;
+	doc_unref(document);
+	return NULL;
+}
+
+struct doc_document *doc_ref(struct doc_document *document)
+{
+	document->refs++;
+	return document;
+}
+
+void doc_unref(struct doc_document *document)
+{
+	if (!document || --document->refs)
+		return;
+	for (uint32_t i = 0; i < document->service_count; i++) {
+		g_free(document->services[i].servers);
+		g_free(document->services[i].rules);
+	}
+	g_free(document->services);
+	g_free(document->callers);
+	g_free(document->text);
+	g_free(document);
+}
+
+void doc_digest(const char *text, size_t text_bytes,
+		char digest[DOC_DIGEST_BYTES])
+{
+	char *hex = g_compute_checksum_for_data(
+		G_CHECKSUM_SHA256, (const guchar *)text, text_bytes);
+
+	g_strlcpy(digest, hex, DOC_DIGEST_BYTES);
+	g_free(hex);
+}
+
+static bool doc_prefix(const char *prefix, const char *path, size_t path_bytes)
+{
+	size_t len = strlen(prefix);
+
+	return len <= path_bytes && !memcmp(prefix, path, len);
+}
+
+uint32_t doc_route(const struct doc_document *document, const char *path,
+		   size_t path_bytes)
+{
+	uint32_t best = DOC_NO_INDEX;
+	size_t best_bytes = 0;
+
+	for (uint32_t i = 0; i < document->service_count; i++) {
+		const char *route = document->services[i].route;
+
+		if (strlen(route) <= best_bytes ||
+		    !doc_prefix(route, path, path_bytes))
+			continue;
+		best = i;
+		best_bytes = strlen(route);
+	}
+	return best;
+}
+
+const struct doc_rule *doc_rule(const struct doc_service *service,
+				const char *method, size_t method_bytes,
+				const char *path, size_t path_bytes)
+{
+	for (uint32_t i = 0; i < service->rule_count; i++) {
+		const struct doc_rule *rule = &service->rules[i];
+		size_t len = strlen(rule->method);
+
+		if (len &&
+		    (len != method_bytes || memcmp(rule->method, method, len)))
+			continue;
+		if (doc_prefix(rule->path, path, path_bytes))
+			return rule;
+	}
+	return NULL;
+}
+
+uint32_t doc_zone(const struct doc_document *document, const char *name)
+{
+	for (uint32_t i = 0; i < document->zone_count; i++)
+		if (!strcmp(document->zones[i], name))
+			return i;
+	return DOC_NO_INDEX;
+}
+
+uint32_t doc_caller(const struct doc_document *document, const char *name,
+		    size_t name_bytes)
+{
+	for (uint32_t i = 0; i < document->caller_count; i++) {
+		const char *known = document->callers[i].name;
+
+		if (strlen(known) == name_bytes &&
+		    !memcmp(known, name, name_bytes))
+			return i;
+	}
+	return DOC_NO_INDEX;
+}
--- /dev/null
+++ b/document.h
@@ -0,0 +1,115 @@
+#ifndef DOCUMENT_H
+#define DOCUMENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "core.h"
+#include "net.h"
+#include "status.h"
+#include "yaml_tree.h"
+
+enum {
+	DOC_NAME_BYTES = 64,
+	DOC_ROUTE_BYTES = 128,
+	DOC_DIGEST_BYTES = 65,
+	DOC_MAX_ZONES = 32,
+	DOC_MAX_SERVICES = 2048,
+	DOC_MAX_SERVERS = 16384,
+	DOC_MAX_CALLERS = 4096,
+	DOC_MAX_RULES = 64,
+	DOC_NO_INDEX = UINT32_MAX
+};
+
+struct doc_server {
+	char name[DOC_NAME_BYTES];
+	struct nt_address address;
+	uint32_t zone;
+	uint32_t slots;
+	uint32_t connections; /* over all entry hosts */
+	bool leaving;
+};
+
+/* Says how calls with that method and path prefix are treated. */
+struct doc_rule {
+	char method[16]; /* empty: every method */
+	char path[DOC_ROUTE_BYTES];
+	bool idempotent;
+	uint32_t deadline_ms;
+};
+
+/* Limits of what measuring may add, per service over all entry hosts. */
+struct doc_budget {
+	uint32_t requests_per_s;
+	uint32_t bytes_per_s;
+	uint32_t cross_zone_bytes_per_s;
+};
+
+struct doc_service {
+	char name[DOC_NAME_BYTES];
+	char route[DOC_ROUTE_BYTES];
+	uint32_t deadline_ms;
+	uint32_t longest_deadline_ms;
+	uint32_t queue_limit; /* per entry host */
+	uint32_t retry_percent;
+	enum core_policy policy;
+	struct doc_budget measuring;
+	struct doc_server *servers;
+	uint32_t server_count;
+	struct doc_rule *rules;
+	uint32_t rule_count;
+};
+
+struct doc_caller {
+	char name[DOC_NAME_BYTES];
+	uint32_t weight;
+};
+
+/* A checked document. Immutable; shared by reference count. */
+struct doc_document {
+	uint32_t refs;
+	uint64_t generation; /* 0 until it is accepted */
+	char digest[DOC_DIGEST_BYTES];
+	char *text;
+	size_t text_bytes;
+	char deployment[DOC_NAME_BYTES];
+	uint32_t latency_weight_percent;
+	char zones[DOC_MAX_ZONES][DOC_NAME_BYTES];
+	uint32_t zone_count;
+	struct doc_service *services;
+	uint32_t service_count;
+	struct doc_caller *callers;
+	uint32_t caller_count;
+};
+
+/*
+ * doc_parse - read and check a document as a whole. All inconsistencies are
+ * put in ERRORS with line and field; then the result is NULL.
+ * Source: document.c
+ */
+struct doc_document *doc_parse(const char *text, size_t text_bytes,
+			       struct ym_errors *errors);
+struct doc_document *doc_ref(struct doc_document *document);
+void doc_unref(struct doc_document *document);
+
+/* doc_digest - SHA-256 of a text as lower-case hexadecimal. */
+void doc_digest(const char *text, size_t text_bytes,
+		char digest[DOC_DIGEST_BYTES]);
+
+/* doc_route - the service whose route is the longest prefix of PATH. */
+uint32_t doc_route(const struct doc_document *document, const char *path,
+		   size_t path_bytes);
+
+/* doc_rule - the first rule that matches, or NULL. */
+const struct doc_rule *doc_rule(const struct doc_service *service,
+				const char *method, size_t method_bytes,
+				const char *path, size_t path_bytes);
+
+/* doc_zone, doc_caller - index by name or DOC_NO_INDEX. */
+uint32_t doc_zone(const struct doc_document *document, const char *name);
+uint32_t doc_caller(const struct doc_document *document, const char *name,
+		    size_t name_bytes);
+
+#endif
--- /dev/null
+++ b/gateway.h
@@ -0,0 +1,57 @@
+#ifndef GATEWAY_H
+#define GATEWAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "core.h"
+#include "document.h"
+#include "httpd.h"
+#include "kernel.h"
+#include "settings.h"
+#include "timer.h"
+
+/*
+ * Callers' listener: turns requests into events of the decision core, carries
+ * out its actions and streams answers back. Registered as "gateway".
+ */
+struct gw_gateway {
+	struct kn_kernel *kernel;
+	struct tm_service *timers;
+	const struct se_settings *settings;
+	struct kn_task task;
+	struct hd_server http;
+	struct core *core;
+	GRand *random;
+	struct doc_document *document;
+	GPtrArray *servers; /* struct gw_server by core id */
+	GPtrArray *services; /* names by core id */
+	GHashTable *server_ids; /* "name address" to id */
+	uint32_t *service_map; /* index in the document to core id */
+	GHashTable *calls; /* by id */
+	uint64_t last_call;
+	uint64_t incarnation;
+	GArray *events; /* queued for the core */
+	bool handling;
+	struct tm_sub core_timer;
+	struct tm_sub sweep;
+	bool stopping;
+	uint32_t in_flight;
+};
+
+/* gw_init, gw_free - gateway task on caller-owned memory. Source: gateway.c */
+enum st_kind gw_init(struct gw_gateway *gateway, struct kn_kernel *kernel,
+		     struct tm_service *timers,
+		     const struct se_settings *settings,
+		     struct st_status *status);
+void gw_free(struct gw_gateway *gateway);
+
+/* gw_announce_stop - health checks fail, answers close their connections. */
+void gw_announce_stop(struct gw_gateway *gateway);
+/* gw_stop_listening - take no new connections. */
+void gw_stop_listening(struct gw_gateway *gateway);
+/* gw_idle - no call is in flight. */
+bool gw_idle(const struct gw_gateway *gateway);
+
+#endif
--- /dev/null
+++ b/httpc.c
@@ -0,0 +1,560 @@
+#include "httpc.h"
+
+#include <string.h>
+
+#include <http_parser.h>
+
+#include "counter.h"
+#include "mechanism.h"
+#include "timer.h"
+
+enum { HC_DEFAULT_IDLE_US = 20 * 1000 * 1000 };
+
+/* Names and values are kept as offsets because the text may move. */
+struct hc_span {
+	uint32_t name_at;
+	uint32_t name_bytes;
+	uint32_t value_at;
+	uint32_t value_bytes;
+};
+
+struct hc_conn {
+	struct hc_pool *pool;
+	struct hc_conn *next_idle;
+	struct hc_conn *next;
+	struct hc_conn **prev_next;
+	struct hc_request *request; /* NULL when idle or closing */
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_write_t write;
+	GString *out;
+	http_parser parser;
+	GString *text;
+	struct hc_span spans[HC_MAX_HEADERS];
+	uint32_t span_count;
+	bool in_value;
+	bool connected;
+	bool writing;
+	bool complete;
+	bool closing;
+	bool reading;
+	uint64_t idle_since_us;
+};
+
+static void hc_conn_read(uv_stream_t *stream, ssize_t nread,
+			 const uv_buf_t *buf);
+
+/* One loop per process: reads are parsed before the next one starts. */
+static char hc_read_buffer[HC_READ_BYTES];
+
+static void hc_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	*buf = uv_buf_init(hc_read_buffer, sizeof(hc_read_buffer));
+}
+
+static void hc_pool_check_closed(struct hc_pool *pool)
+{
+	if (pool->closing && !pool->open && pool->closed)
+		pool->closed(pool->ctx);
+}
+
+static void hc_conn_closed(uv_handle_t *handle)
+{
+	struct hc_conn *conn = handle->data;
+	struct hc_pool *pool = conn->pool;
+
+	*conn->prev_next = conn->next;
+	if (conn->next)
+		conn->next->prev_next = conn->prev_next;
+	if (conn->out)
+		g_string_free(conn->out, TRUE);
+	g_string_free(conn->text, TRUE);
+	g_free(conn);
+	pool->open--;
+	hc_pool_check_closed(pool);
+}
+
+static void hc_idle_remove(struct hc_conn *conn)
+{
+	struct hc_conn **p = &conn->pool->idle;
+
+	while (*p && *p != conn)
+		p = &(*p)->next_idle;
+	if (*p)
+		*p = conn->next_idle;
+	conn->next_idle = NULL;
+}
+
+static void hc_conn_close(struct hc_conn *conn)
+{
+	if (conn->closing)
+		return;
+	conn->closing = true;
+	if (conn->request)
+		conn->request->conn = NULL;
+	conn->request = NULL;
+	hc_idle_remove(conn);
+	uv_close((uv_handle_t *)&conn->tcp, hc_conn_closed);
+}
+
+/* Ends the request of a connection that can no longer be used. */
+static void hc_conn_fail(struct hc_conn *conn, const char *msg)
+{
+	struct hc_request *request = conn->request;
+	enum hc_end end = HC_NOT_SENT;
+
+	hc_conn_close(conn);
+	if (!request)
+		return;
+	if (request->state == HC_SENT)
+		end = HC_NO_ANSWER;
+	else if (request->state == HC_ANSWER_BEGUN)
+		end = HC_BROKEN;
+	request->state = HC_DONE;
+	request->handler->done(request, end, msg);
+}
+
+static int hc_on_begin(http_parser *parser)
+{
+	struct hc_conn *conn = parser->data;
+
+	conn->span_count = 0;
+	conn->in_value = false;
+	g_string_truncate(conn->text, 0);
+	return conn->request ? 0 : -1;
+}
+
+static int hc_text_add(struct hc_conn *conn, const char *at, size_t len)
+{
+	if (conn->text->len + len > HC_MAX_HEAD_BYTES)
+		return -1;
+	g_string_append_len(conn->text, at, (gssize)len);
+	return 0;
+}
+
+static int hc_on_field(http_parser *parser, const char *at, size_t len)
+{
+	struct hc_conn *conn = parser->data;
+	struct hc_span *span;
+
+	if (conn->in_value || !conn->span_count) {
+		if (conn->span_count == HC_MAX_HEADERS)
+			return -1;
+		span = &conn->spans[conn->span_count++];
+		memset(span, 0, sizeof(*span));
+		span->name_at = (uint32_t)conn->text->len;
+		conn->in_value = false;
+	}
+	conn->spans[conn->span_count - 1].name_bytes += (uint32_t)len;
+	return hc_text_add(conn, at, len);
+}
+
+static int hc_on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct hc_conn *conn = parser->data;
+	struct hc_span *span = &conn->spans[conn->span_count - 1];
+
+	if (!conn->in_value) {
+		span->value_at = (uint32_t)conn->text->len;
+		conn->in_value = true;
+	}
+	span->value_bytes += (uint32_t)len;
+	return hc_text_add(conn, at, len);
+}
+
+static bool hc_has_length(const http_parser *parser, bool head_method)
+{
+	int status = (int)parser->status_code;
+
+	if (head_method || status == 204 || status == 304)
+		return true;
+	if (parser->flags & F_CHUNKED)
+		return true;
+	return parser->content_length != ULLONG_MAX;
+}
+
+static void hc_fill_head(struct hc_conn *conn, struct hc_header *headers,
+			 struct hc_head *head)
+{
+	for (uint32_t i = 0; i < conn->span_count; i++) {
+		const struct hc_span *span = &conn->spans[i];
+
+		headers[i].name = conn->text->str + span->name_at;
+		headers[i].name_bytes = span->name_bytes;
+		headers[i].value = conn->text->str + span->value_at;
+		headers[i].value_bytes = span->value_bytes;
+	}
+	head->status = (int)conn->parser.status_code;
+	head->headers = headers;
+	head->header_count = conn->span_count;
+	head->content_length = conn->parser.flags & F_CHUNKED ?
+				       UINT64_MAX :
+				       conn->parser.content_length;
+}
+
+static int hc_on_headers(http_parser *parser)
+{
+	struct hc_conn *conn = parser->data;
+	struct hc_request *request = conn->request;
+	struct hc_header headers[HC_MAX_HEADERS];
+	struct hc_head head;
+
+	if (!request || parser->upgrade)
+		return -1;
+	if (parser->status_code < 200)
+		return 0;
+	if (!hc_has_length(parser, request->head_method))
+		return -1;
+	request->state = HC_ANSWER_BEGUN;
+	hc_fill_head(conn, headers, &head);
+	if (request->handler->head)
+		request->handler->head(request, &head);
+	if (!conn->request)
+		return -1;
+	return request->head_method;
+}
+
+static int hc_on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct hc_conn *conn = parser->data;
+	struct hc_request *request = conn->request;
+
+	if (!request)
+		return -1;
+	if (request->handler->body)
+		request->handler->body(request, at, len);
+	return conn->request ? 0 : -1;
+}
+
+static int hc_on_complete(http_parser *parser)
+{
+	struct hc_conn *conn = parser->data;
+
+	if (parser->status_code < 200)
+		return 0;
+	conn->complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings hc_settings = {
+	.on_message_begin = hc_on_begin,
+	.on_header_field = hc_on_field,
+	.on_header_value = hc_on_value,
+	.on_headers_complete = hc_on_headers,
+	.on_body = hc_on_body,
+	.on_message_complete = hc_on_complete,
+};
+
+static void hc_conn_release(struct hc_conn *conn, bool reusable)
+{
+	struct hc_pool *pool = conn->pool;
+
+	conn->request->conn = NULL;
+	conn->request = NULL;
+	if (!reusable || pool->closing) {
+		hc_conn_close(conn);
+		return;
+	}
+	conn->idle_since_us = tm_now_us();
+	conn->next_idle = pool->idle;
+	pool->idle = conn;
+	if (!conn->reading)
+		uv_read_start((uv_stream_t *)&conn->tcp, hc_alloc,
+			      hc_conn_read);
+	conn->reading = true;
+}
+
+static void hc_conn_complete(struct hc_conn *conn, bool rest)
+{
+	struct hc_request *request = conn->request;
+	bool keep = http_should_keep_alive(&conn->parser);
+
+	request->state = HC_DONE;
+	hc_conn_release(conn, keep && !rest && !conn->writing);
+	request->handler->done(request, HC_COMPLETE, "");
+}
+
+static void hc_conn_parse(struct hc_conn *conn, const char *data, size_t len)
+{
+	size_t used =
+		http_parser_execute(&conn->parser, &hc_settings, data, len);
+
+	if (conn->closing)
+		return;
+	if (conn->complete)
+		hc_conn_complete(conn, used < len);
+	else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
+		hc_conn_fail(conn, http_errno_description(
+					   HTTP_PARSER_ERRNO(&conn->parser)));
+}
+
+static void hc_conn_read(uv_stream_t *stream, ssize_t nread,
+			 const uv_buf_t *buf)
+{
+	struct hc_conn *conn = stream->data;
+
+	if (conn->closing || !nread)
+		return;
+	/* Nothing may arrive on an idle connection but its end. */
+	if (!conn->request) {
+		if (nread > 0)
+			ct_add(CT_LATE, 1);
+		hc_conn_close(conn);
+		return;
+	}
+	if (nread < 0)
+		hc_conn_fail(conn, uv_strerror((int)nread));
+	else
+		hc_conn_parse(conn, buf->base, (size_t)nread);
+}
+
+static void hc_conn_written(uv_write_t *write, int error)
+{
+	struct hc_conn *conn = write->data;
+
+	conn->writing = false;
+	if (conn->closing)
+		return;
+	g_string_free(conn->out, TRUE);
+	conn->out = NULL;
+	/* The answer may still be readable; the read callback reports. */
+	if (error && !conn->request)
+		hc_conn_close(conn);
+}
+
+static void hc_conn_send(struct hc_conn *conn)
+{
+	struct hc_request *request = conn->request;
+	uv_buf_t buf = uv_buf_init(conn->out->str, (unsigned)conn->out->len);
+
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+	conn->complete = false;
+	request->state = HC_SENT;
+	conn->writing = true;
+	conn->write.data = conn;
+	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
+		     hc_conn_written)) {
+		conn->writing = false;
+		hc_conn_fail(conn, "write failed");
+		return;
+	}
+	if (!conn->reading)
+		uv_read_start((uv_stream_t *)&conn->tcp, hc_alloc,
+			      hc_conn_read);
+	conn->reading = true;
+	if (request->handler->sent)
+		request->handler->sent(request);
+}
+
+static void hc_conn_connected(uv_connect_t *connect, int error)
+{
+	struct hc_conn *conn = connect->data;
+
+	if (conn->closing)
+		return;
+	if (error) {
+		hc_conn_fail(conn, uv_strerror(error));
+		return;
+	}
+	conn->connected = true;
+	uv_tcp_nodelay(&conn->tcp, 1);
+	hc_conn_send(conn);
+}
+
+static struct hc_conn *hc_conn_new(struct hc_pool *pool)
+{
+	struct hc_conn *conn = g_new0(struct hc_conn, 1);
+
+	conn->pool = pool;
+	conn->text = g_string_sized_new(512);
+	uv_tcp_init(pool->loop, &conn->tcp);
+	conn->tcp.data = conn;
+	conn->connect.data = conn;
+	conn->next = pool->all;
+	conn->prev_next = &pool->all;
+	if (pool->all)
+		pool->all->prev_next = &conn->next;
+	pool->all = conn;
+	pool->open++;
+	return conn;
+}
+
+static struct hc_conn *hc_take_idle(struct hc_pool *pool)
+{
+	uint64_t now_us = tm_now_us();
+	struct hc_conn *conn;
+
+	while ((conn = pool->idle)) {
+		pool->idle = conn->next_idle;
+		conn->next_idle = NULL;
+		if (now_us - conn->idle_since_us <= pool->max_idle_us)
+			return conn;
+		hc_conn_close(conn);
+	}
+	return NULL;
+}
+
+void hc_pool_init(struct hc_pool *pool, uv_loop_t *loop,
+		  const struct nt_address *address, uint32_t max_connections)
+{
+	memset(pool, 0, sizeof(*pool));
+	pool->loop = loop;
+	pool->address = *address;
+	pool->max_connections = max_connections;
+	pool->max_idle_us = HC_DEFAULT_IDLE_US;
+}
+
+void hc_pool_close(struct hc_pool *pool, void (*closed)(void *ctx), void *ctx)
+{
+	pool->closing = true;
+	pool->closed = closed;
+	pool->ctx = ctx;
+	while (pool->idle)
+		hc_conn_close(pool->idle);
+	hc_pool_check_closed(pool);
+}
+
+static bool hc_connect(struct hc_conn *conn)
+{
+	const struct sockaddr *addr =
+		(const struct sockaddr *)&conn->pool->address.addr;
+
+	ct_add(CT_CONNECTS, 1);
+	return !uv_tcp_connect(&conn->connect, &conn->tcp, addr,
+			       hc_conn_connected);
+}
+
+static bool hc_start_new(struct hc_pool *pool, struct hc_request *request,
+			 GString *out)
+{
+	struct hc_conn *conn = NULL;
+
+	/* An idle connection makes room for a fresh one at the limit. */
+	if (pool->open >= pool->max_connections && pool->idle)
+		hc_conn_close(pool->idle);
+	else if (pool->open >= pool->max_connections)
+		return false;
+	conn = hc_conn_new(pool);
+	conn->out = out;
+	conn->request = request;
+	request->conn = conn;
+	request->state = HC_CONNECTING;
+	if (hc_connect(conn))
+		return true;
+	conn->out = NULL;
+	hc_conn_close(conn);
+	return false;
+}
+
+bool hc_start(struct hc_pool *pool, struct hc_request *request, GString *out)
+{
+	struct hc_conn *conn = NULL;
+
+	request->conn = NULL;
+	request->state = HC_NEW;
+	if (!pool->closing && !request->fresh)
+		conn = hc_take_idle(pool);
+	if (conn) {
+		conn->out = out;
+		conn->request = request;
+		request->conn = conn;
+		hc_conn_send(conn);
+		return true;
+	}
+	if (!pool->closing && hc_start_new(pool, request, out))
+		return true;
+	g_string_free(out, TRUE);
+	return false;
+}
+
+void hc_cancel(struct hc_request *request)
+{
+	struct hc_conn *conn = request->conn;
+
+	request->state = HC_DONE;
+	if (!conn)
+		return;
+	ct_add(CT_LATE, 1);
+	if (me_on(ME_CLOSE_LATE) || !conn->connected) {
+		hc_conn_close(conn);
+		return;
+	}
+	/* Proof run only: reuse a connection with a pending answer. */
+	hc_conn_release(conn, true);
+}
+
+void hc_pause(struct hc_request *request)
+{
+	if (!request->conn || !request->conn->reading)
+		return;
+	uv_read_stop((uv_stream_t *)&request->conn->tcp);
+	request->conn->reading = false;
+}
+
+void hc_resume(struct hc_request *request)
+{
+	if (!request->conn || request->conn->reading)
+		return;
+	uv_read_start((uv_stream_t *)&request->conn->tcp, hc_alloc,
+		      hc_conn_read);
+	request->conn->reading = true;
+}
+
+GString *hc_head_begin(const char *method, size_t method_bytes,
+		       const char *path, size_t path_bytes, const char *host)
+{
+	GString *out = g_string_sized_new(512);
+
+	g_string_append_len(out, method, (gssize)method_bytes);
+	g_string_append_c(out, ' ');
+	g_string_append_len(out, path, (gssize)path_bytes);
+	g_string_append(out, " HTTP/1.1\r\nhost: ");
+	g_string_append(out, host);
+	g_string_append(out, "\r\n");
+	return out;
+}
+
+static bool hc_plain(const char *text, size_t bytes)
+{
+	for (size_t i = 0; i < bytes; i++)
+		if ((unsigned char)text[i] < ' ' && text[i] != '\t')
+			return false;
+	return true;
+}
+
+void hc_head_add(GString *out, const char *name, size_t name_bytes,
+		 const char *value, size_t value_bytes)
+{
+	if (!hc_plain(name, name_bytes) || !hc_plain(value, value_bytes))
+		return;
+	g_string_append_len(out, name, (gssize)name_bytes);
+	g_string_append(out, ": ");
+	g_string_append_len(out, value, (gssize)value_bytes);
+	g_string_append(out, "\r\n");
+}
+
+void hc_head_end(GString *out, const char *body, size_t body_bytes)
+{
+	if (body)
+		g_string_append_printf(out, "content-length: %zu\r\n",
+				       body_bytes);
+	g_string_append(out, "\r\n");
+	if (body_bytes)
+		g_string_append_len(out, body, (gssize)body_bytes);
+}
+
+const struct hc_header *hc_find(const struct hc_head *head, const char *name)
+{
+	size_t len = strlen(name);
+
+	for (uint32_t i = 0; i < head->header_count; i++) {
+		const struct hc_header *h = &head->headers[i];
+
+		if (h->name_bytes == len &&
+		    !g_ascii_strncasecmp(h->name, name, len))
+			return h;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/httpc.h
@@ -0,0 +1,125 @@
+#ifndef HTTPC_H
+#define HTTPC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <glib.h>
+#include <uv.h>
+
+#include "net.h"
+
+/*
+ * HTTP/1.1 client on libuv.
+ *
+ * A pool holds the connections to one address. A request knows whether its
+ * first byte was written, which decides whether it may have run. Answers
+ * without a length (neither content-length nor chunked) are treated as
+ * broken, because their end cannot be told from a break.
+ */
+
+enum {
+	HC_MAX_HEAD_BYTES = 32 * 1024,
+	HC_MAX_HEADERS = 100,
+	HC_READ_BYTES = 64 * 1024
+};
+
+enum hc_state { HC_NEW, HC_CONNECTING, HC_SENT, HC_ANSWER_BEGUN, HC_DONE };
+
+/* How a request ended. */
+enum hc_end {
+	HC_COMPLETE,
+	HC_NOT_SENT, /* no connection; nothing was written */
+	HC_NO_ANSWER, /* written, closed before the head was complete */
+	HC_BROKEN /* the answer broke off or was malformed */
+};
+
+struct hc_header {
+	const char *name;
+	const char *value;
+	size_t name_bytes;
+	size_t value_bytes;
+};
+
+/* Head of an answer; valid during the callback only. */
+struct hc_head {
+	int status;
+	const struct hc_header *headers;
+	uint32_t header_count;
+	uint64_t content_length; /* UINT64_MAX: chunked */
+};
+
+struct hc_request;
+
+/* Callbacks of a request; SENT, HEAD and BODY may be NULL. */
+struct hc_handler {
+	void (*sent)(struct hc_request *request);
+	void (*head)(struct hc_request *request, const struct hc_head *head);
+	void (*body)(struct hc_request *request, const char *data,
+		     size_t data_bytes);
+	/* Last callback; the request may be reused or freed in it. */
+	void (*done)(struct hc_request *request, enum hc_end end,
+		     const char *msg);
+};
+
+/* Owned by the caller; must stay valid until DONE or hc_cancel. */
+struct hc_request {
+	const struct hc_handler *handler;
+	void *ctx;
+	bool head_method; /* the answer has no body */
+	bool fresh; /* do not reuse an idle connection */
+	/* Below: the client's own. */
+	enum hc_state state;
+	struct hc_conn *conn;
+};
+
+struct hc_pool {
+	uv_loop_t *loop;
+	struct nt_address address;
+	uint32_t max_connections;
+	uint32_t open;
+	uint64_t max_idle_us;
+	struct hc_conn *idle; /* most recently used first */
+	struct hc_conn *all;
+	bool closing;
+	void (*closed)(void *ctx);
+	void *ctx;
+};
+
+/*
+ * hc_pool_init - a pool of at most MAX_CONNECTIONS connections.
+ * hc_pool_close - cancel nothing, refuse new requests, close idle connections;
+ * CLOSED is called when no connection is left. The pool's memory must stay
+ * valid until then. Source: httpc.c
+ */
+void hc_pool_init(struct hc_pool *pool, uv_loop_t *loop,
+		  const struct nt_address *address, uint32_t max_connections);
+void hc_pool_close(struct hc_pool *pool, void (*closed)(void *ctx), void *ctx);
+
+/*
+ * hc_start - send a request. OUT holds head and body and is taken over.
+ * Returns false, without any callback, when no connection can be had.
+ */
+bool hc_start(struct hc_pool *pool, struct hc_request *request, GString *out);
+
+/* hc_cancel - close the connection of a running request; no callback. */
+void hc_cancel(struct hc_request *request);
+
+/* hc_pause, hc_resume - stop and restart reading the answer. */
+void hc_pause(struct hc_request *request);
+void hc_resume(struct hc_request *request);
+
+/*
+ * hc_head_begin, hc_head_add, hc_head_end - compose a request.
+ * hc_head_add drops a header whose name or value has control characters.
+ */
+GString *hc_head_begin(const char *method, size_t method_bytes,
+		       const char *path, size_t path_bytes, const char *host);
+void hc_head_add(GString *out, const char *name, size_t name_bytes,
+		 const char *value, size_t value_bytes);
+void hc_head_end(GString *out, const char *body, size_t body_bytes);
+
+/* hc_find - value of a header of an answer, or NULL. */
+const struct hc_header *hc_find(const struct hc_head *head, const char *name);
+
+#endif
--- /dev/null
+++ b/httpd.c
@@ -0,0 +1,242 @@
+#include "httpd.h"
+
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+#include <sys/socket.h>
+
+enum { HD_BACKLOG = 1024 };
+
+struct hd_handler {
+	h2o_handler_t super;
+	struct hd_server *server;
+};
+
+/* A connection's libuv handle with its way back to the listener. */
+struct hd_conn {
+	uv_tcp_t tcp;
+	struct hd_server *server;
+};
+
+static int hd_on_req(h2o_handler_t *self, h2o_req_t *req)
+{
+	struct hd_server *server = ((struct hd_handler *)self)->server;
+
+	server->handle(server->ctx, req);
+	return 0;
+}
+
+static void hd_conn_closed(uv_handle_t *handle)
+{
+	struct hd_conn *conn = (struct hd_conn *)handle;
+
+	conn->server->connections--;
+	g_free(conn);
+}
+
+static void hd_on_accept(uv_stream_t *listener, int error)
+{
+	struct hd_server *server = listener->data;
+	struct hd_conn *conn;
+	h2o_socket_t *sock;
+
+	if (error)
+		return;
+	conn = g_new0(struct hd_conn, 1);
+	conn->server = server;
+	uv_tcp_init(server->loop, &conn->tcp);
+	server->connections++;
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) ||
+	    server->connections > server->max_connections) {
+		uv_close((uv_handle_t *)&conn->tcp, hd_conn_closed);
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+	sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp, hd_conn_closed);
+	h2o_accept(&server->accept, sock);
+}
+
+static void hd_configure(struct hd_server *server)
+{
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	struct hd_handler *handler;
+
+	h2o_config_init(&server->conf);
+	server->conf.max_request_entity_size = HD_MAX_BODY_BYTES;
+	server->conf.server_name = h2o_iovec_init(H2O_STRLIT("jackdawworks"));
+	host = h2o_config_register_host(
+		&server->conf, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+	path = h2o_config_register_path(host, "/", 0);
+	handler =
+		(struct hd_handler *)h2o_create_handler(path, sizeof(*handler));
+	handler->super.on_req = hd_on_req;
+	handler->server = server;
+}
+
+enum st_kind hd_init(struct hd_server *server, uv_loop_t *loop,
+		     const struct nt_address *address,
+		     void (*handle)(void *ctx, h2o_req_t *req), void *ctx,
+		     struct st_status *status)
+{
+	int error;
+
+	memset(server, 0, sizeof(*server));
+	server->loop = loop;
+	server->handle = handle;
+	server->ctx = ctx;
+	server->max_connections = HD_MAX_CONNECTIONS;
+	hd_configure(server);
+	h2o_context_init(&server->context, loop, &server->conf);
+	server->accept.ctx = &server->context;
+	server->accept.hosts = server->conf.hosts;
+	uv_tcp_init(loop, &server->listener);
+	server->listener.data = server;
+	error = uv_tcp_bind(&server->listener,
+			    (const struct sockaddr *)&address->addr, 0);
+	if (!error)
+		error = uv_listen((uv_stream_t *)&server->listener, HD_BACKLOG,
+				  hd_on_accept);
+	server->listening = !error;
+	if (error)
+		return st_set(status, ST_IO, "cannot listen on %s: %s",
+			      address->text, uv_strerror(error));
+	return ST_OK;
+}
+
+void hd_announce_stop(struct hd_server *server)
+{
+	h2o_context_request_shutdown(&server->context);
+}
+
+void hd_stop_listening(struct hd_server *server)
+{
+	if (!server->listening)
+		return;
+	server->listening = false;
+	uv_close((uv_handle_t *)&server->listener, NULL);
+	hd_announce_stop(server);
+}
+
+void hd_free(struct hd_server *server)
+{
+	h2o_context_dispose(&server->context);
+	h2o_config_dispose(&server->conf);
+}
+
+h2o_iovec_t hd_header(h2o_req_t *req, const char *name)
+{
+	ssize_t i =
+		h2o_find_header_by_str(&req->headers, name, strlen(name), -1);
+
+	if (i < 0)
+		return h2o_iovec_init(NULL, 0);
+	return req->headers.entries[i].value;
+}
+
+bool hd_path_is(const h2o_req_t *req, const char *path)
+{
+	return h2o_memis(req->path_normalized.base, req->path_normalized.len,
+			 path, strlen(path));
+}
+
+bool hd_method_is(const h2o_req_t *req, const char *method)
+{
+	return h2o_memis(req->method.base, req->method.len, method,
+			 strlen(method));
+}
+
+char *hd_query(const h2o_req_t *req, const char *name)
+{
+	char *query;
+	char **parts;
+	char *value = NULL;
+	size_t len = strlen(name);
+
+	if (req->query_at == SIZE_MAX)
+		return NULL;
+	query = g_strndup(req->path.base + req->query_at + 1,
+			  req->path.len - req->query_at - 1);
+	parts = g_strsplit(query, "&", 0);
+	for (char **p = parts; *p && !value; p++)
+		if (!strncmp(*p, name, len) && (*p)[len] == '=')
+			value = g_uri_unescape_string(*p + len + 1, NULL);
+	g_strfreev(parts);
+	g_free(query);
+	return value;
+}
+
+void hd_add_header(h2o_req_t *req, const char *name, const char *value,
+		   size_t value_bytes)
+{
+	h2o_iovec_t copy = h2o_strdup(&req->pool, value, value_bytes);
+	h2o_iovec_t key = h2o_strdup(&req->pool, name, strlen(name));
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers, key.base, key.len,
+			      1, NULL, copy.base, copy.len);
+}
+
+void hd_release(struct hd_hold *hold)
+{
+	if (!--hold->refs)
+		g_free(hold);
+}
+
+static void hd_on_dropped(void *ptr)
+{
+	struct hd_hold **link = ptr;
+
+	(*link)->req = NULL;
+	hd_release(*link);
+}
+
+struct hd_hold *hd_hold(h2o_req_t *req)
+{
+	struct hd_hold *hold = g_new0(struct hd_hold, 1);
+	struct hd_hold **link =
+		h2o_mem_alloc_shared(&req->pool, sizeof(*link), hd_on_dropped);
+
+	hold->req = req;
+	hold->refs = 2;
+	*link = hold;
+	return hold;
+}
+
+bool hd_peer_left(h2o_req_t *req)
+{
+	h2o_socket_t *sock;
+	char byte;
+
+	if (req->version >= 0x200)
+		return false;
+	sock = req->conn->callbacks->get_socket(req->conn);
+	return !recv(h2o_socket_get_fd(sock), &byte, 1,
+		     MSG_PEEK | MSG_DONTWAIT);
+}
+
+void hd_reply(h2o_req_t *req, int status, const char *content_type,
+	      const char *body, size_t body_bytes)
+{
+	static h2o_generator_t generator;
+	h2o_iovec_t buf = h2o_strdup(&req->pool, body, body_bytes);
+
+	req->res.status = status;
+	req->res.reason = status < 400 ? "OK" : "Error";
+	req->res.content_length = body_bytes;
+	hd_add_header(req, "content-type", content_type, strlen(content_type));
+	h2o_start_response(req, &generator);
+	h2o_send(req, &buf, 1, H2O_SEND_STATE_FINAL);
+}
+
+void hd_reply_status(h2o_req_t *req, const struct st_status *status)
+{
+	json_t *object = json_pack("{s:s, s:s}", "error", st_name(status->kind),
+				   "message", status->msg);
+	char *text = json_dumps(object, JSON_COMPACT);
+
+	hd_reply(req, st_http(status->kind), "application/json", text,
+		 strlen(text));
+	free(text);
+	json_decref(object);
+}
--- /dev/null
+++ b/jackdawworks.c
@@ -0,0 +1,84 @@
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "command.h"
+#include "status.h"
+
+const char *argp_program_version = "jackdawworks 0.1.0";
+
+struct command {
+	const char *name;
+	const char *help;
+	int (*run)(int argc, char **argv);
+};
+
+static const struct command commands[] = {
+#define X(name, help) { #name, help, cmd_##name },
+	CMD_LIST(X)
+#undef X
+};
+
+enum { COMMAND_COUNT = sizeof(commands) / sizeof(commands[0]) };
+
+static const char doc[] =
+	"Load balancer for servers whose load changes within milliseconds.";
+
+struct choice {
+	const struct command *command;
+	int first; /* index of the command's own arguments */
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct choice *choice = state->input;
+
+	if (key == ARGP_KEY_NO_ARGS)
+		argp_usage(state);
+	if (key != ARGP_KEY_ARG)
+		return ARGP_ERR_UNKNOWN;
+	for (int i = 0; i < COMMAND_COUNT; i++)
+		if (!strcmp(commands[i].name, arg))
+			choice->command = &commands[i];
+	if (!choice->command)
+		argp_error(state, "\"%s\" is not a command", arg);
+	choice->first = state->next - 1;
+	state->next = state->argc;
+	return 0;
+}
+
+static char *list_commands(int key, const char *text, void *input)
+{
+	char *out;
+	size_t out_bytes;
+	FILE *f;
+
+	if (key != ARGP_KEY_HELP_POST_DOC)
+		return (char *)text;
+	f = open_memstream(&out, &out_bytes);
+	if (!f)
+		return NULL;
+	fprintf(f, "Commands:\n");
+	for (int i = 0; i < COMMAND_COUNT; i++)
+		fprintf(f, "  %-10s %s\n", commands[i].name, commands[i].help);
+	fprintf(f, "\nEach command has its own --help. Exit codes: 0 done, 1 "
+		   "failed, 2 usage,\n3 invalid document or settings, 4 "
+		   "conflict, 5 platform unavailable,\n6 replay differs.");
+	fclose(f);
+	return out;
+}
+
+int main(int argc, char **argv)
+{
+	struct choice choice = { 0 };
+	struct argp argp = { .parser = parse,
+			     .args_doc = "COMMAND [ARGUMENT...]",
+			     .doc = doc,
+			     .help_filter = list_commands };
+
+	argp_err_exit_status = st_exit(ST_USAGE);
+	if (argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &choice))
+		return st_exit(ST_USAGE);
+	return choice.command->run(argc - choice.first, argv + choice.first);
+}
--- a/kernel.h
+++ b/kernel.h
@@ -14,10 +14,10 @@
  */
 
 /* Closed list of message kinds: identifier, structure of the message. */
-#define KN_MSGS(X)                          \
-	X(DOCUMENT, kn_msg_document)        \
-	X(GENERATION, kn_msg_generation)    \
-	X(HOSTS, kn_msg_hosts)              \
+#define KN_MSGS(X)                           \
+	X(DOCUMENT, kn_msg_document)         \
+	X(GENERATION, kn_msg_generation)     \
+	X(HOSTS, kn_msg_hosts)               \
 	X(SERVER_STATE, kn_msg_server_state) \
 	X(STOP, kn_msg)
 
--- a/mechanism.h
+++ b/mechanism.h
@@ -10,22 +10,22 @@
  * variable JACKDAWWORKS_OFF (comma separated). In the product every mechanism
  * is always on and the check costs nothing.
  */
-#define ME_LIST(X)                                 \
-	X(MEASURING_BUDGET, "measuring-budget")    \
-	X(CLOSE_LATE, "close-late-connections")    \
-	X(NOT_RUN_TABLE, "not-run-table")          \
-	X(SEND_ONCE, "send-once")                  \
-	X(ORDER_CLAIM, "order-claim")              \
-	X(LEAVING, "leaving-signs")                \
-	X(GRACEFUL_STOP, "graceful-stop")          \
-	X(GENERATION_ORDER, "generation-order")    \
-	X(GENERATION_GOSSIP, "generation-gossip")  \
+#define ME_LIST(X)                                  \
+	X(MEASURING_BUDGET, "measuring-budget")     \
+	X(CLOSE_LATE, "close-late-connections")     \
+	X(NOT_RUN_TABLE, "not-run-table")           \
+	X(SEND_ONCE, "send-once")                   \
+	X(ORDER_CLAIM, "order-claim")               \
+	X(LEAVING, "leaving-signs")                 \
+	X(GRACEFUL_STOP, "graceful-stop")           \
+	X(GENERATION_ORDER, "generation-order")     \
+	X(GENERATION_GOSSIP, "generation-gossip")   \
 	X(CONDITIONAL_ACCEPT, "conditional-accept") \
-	X(READ_BACK, "read-back")                  \
-	X(FENCING, "fencing-token")                \
-	X(REPLAY_PROTECTION, "replay-protection")  \
-	X(RETRY_BUDGET, "retry-budget")            \
-	X(FAIL_FAST, "fail-fast-guard")            \
+	X(READ_BACK, "read-back")                   \
+	X(FENCING, "fencing-token")                 \
+	X(REPLAY_PROTECTION, "replay-protection")   \
+	X(RETRY_BUDGET, "retry-budget")             \
+	X(FAIL_FAST, "fail-fast-guard")             \
 	X(DIGEST_CHECK, "digest-check")
 
 enum me_kind {
--- /dev/null
+++ b/settings.c
@@ -0,0 +1,164 @@
+#include "settings.h"
+
+#include <string.h>
+
+enum { SE_MIN_SECRET_CHARS = 16, SE_MAX_GRACE_MS = 60000 };
+
+static void se_address(struct ym_node *map, const char *key,
+		       struct nt_address *address, struct ym_errors *errors)
+{
+	const char *text = ym_string(map, key, NULL, errors);
+
+	if (*text && !nt_parse(text, address))
+		ym_error(errors, ym_get(map, key), key,
+			 "\"%.60s\" is not an IP address with a port", text);
+}
+
+static void se_copy(struct ym_node *map, const char *key, char *out,
+		    size_t out_bytes, const char *fallback,
+		    struct ym_errors *errors)
+{
+	const char *text = ym_string(map, key, fallback, errors);
+
+	if (strlen(text) >= out_bytes)
+		ym_error(errors, ym_get(map, key), key,
+			 "longer than %zu characters", out_bytes - 1);
+	g_strlcpy(out, text, out_bytes);
+}
+
+static void se_secret(struct ym_node *map, const char *key, char *out,
+		      struct ym_errors *errors)
+{
+	se_copy(map, key, out, SE_SECRET_BYTES, NULL, errors);
+	if (*out && strlen(out) < SE_MIN_SECRET_CHARS)
+		ym_error(errors, ym_get(map, key), key,
+			 "must have at least %d characters",
+			 SE_MIN_SECRET_CHARS);
+}
+
+static void se_callers(struct ym_node *root, struct se_settings *settings,
+		       struct ym_errors *errors)
+{
+	struct ym_node *map = ym_need(root, "callers", YM_MAPPING, errors);
+
+	if (!map)
+		return;
+	se_address(map, "address", &settings->callers, errors);
+	ym_check_unused(map, errors);
+}
+
+static void se_operators(struct ym_node *root, struct se_settings *settings,
+			 struct ym_errors *errors)
+{
+	struct ym_node *map = ym_need(root, "operators", YM_MAPPING, errors);
+
+	if (!map)
+		return;
+	se_address(map, "address", &settings->operators, errors);
+	se_secret(map, "token", settings->operator_token, errors);
+	ym_check_unused(map, errors);
+}
+
+static void se_seeds(struct ym_node *map, struct se_settings *settings,
+		     struct ym_errors *errors)
+{
+	struct ym_node *list = ym_optional(map, "seeds", YM_SEQUENCE, errors);
+
+	if (!list)
+		return;
+	if (list->children->len > SE_MAX_SEEDS) {
+		ym_error(errors, list, "seeds", "more than %d addresses",
+			 SE_MAX_SEEDS);
+		return;
+	}
+	for (guint i = 0; i < list->children->len; i++) {
+		struct ym_node *item = g_ptr_array_index(list->children, i);
+
+		if (item->type != YM_SCALAR ||
+		    !nt_parse(item->value, &settings->seeds[i]))
+			ym_error(errors, item, "seeds",
+				 "not an IP address with a port");
+	}
+	settings->seed_count = list->children->len;
+}
+
+static void se_peers(struct ym_node *root, struct se_settings *settings,
+		     struct ym_errors *errors)
+{
+	struct ym_node *map = ym_need(root, "peers", YM_MAPPING, errors);
+
+	if (!map)
+		return;
+	se_address(map, "address", &settings->peers, errors);
+	se_secret(map, "key", settings->peer_key, errors);
+	se_seeds(map, settings, errors);
+	ym_check_unused(map, errors);
+}
+
+static void se_platform(struct ym_node *root, struct se_settings *settings,
+			struct ym_errors *errors)
+{
+	struct ym_node *map = ym_need(root, "platform", YM_MAPPING, errors);
+
+	if (!map)
+		return;
+	se_address(map, "address", &settings->platform, errors);
+	ym_check_unused(map, errors);
+}
+
+static void se_trace(struct ym_node *root, struct se_settings *settings,
+		     struct ym_errors *errors)
+{
+	struct ym_node *map = ym_optional(root, "trace", YM_MAPPING, errors);
+
+	if (!map)
+		return;
+	se_copy(map, "file", settings->trace_file, sizeof(settings->trace_file),
+		NULL, errors);
+	settings->trace_max_bytes =
+		ym_uint(map, "max_bytes", 1024, 1 << 30, 16 << 20, errors);
+	ym_check_unused(map, errors);
+}
+
+static void se_root(struct ym_node *root, struct se_settings *settings,
+		    struct ym_errors *errors)
+{
+	se_copy(root, "host", settings->host, sizeof(settings->host), NULL,
+		errors);
+	se_copy(root, "zone", settings->zone, sizeof(settings->zone), NULL,
+		errors);
+	se_copy(root, "log_level", settings->log_level,
+		sizeof(settings->log_level), "info", errors);
+	settings->random_seed =
+		ym_uint(root, "random_seed", 0, UINT64_MAX, 0, errors);
+	settings->stop_grace_ms = ym_uint(root, "stop_grace_ms", 0,
+					  SE_MAX_GRACE_MS, 3000, errors);
+	se_callers(root, settings, errors);
+	se_operators(root, settings, errors);
+	se_peers(root, settings, errors);
+	se_platform(root, settings, errors);
+	se_trace(root, settings, errors);
+	ym_check_unused(root, errors);
+}
+
+enum st_kind se_read(const char *path, struct se_settings *settings,
+		     struct ym_errors *errors)
+{
+	GError *error = NULL;
+	char *text;
+	gsize text_bytes;
+	struct ym_node *root;
+
+	memset(settings, 0, sizeof(*settings));
+	if (!g_file_get_contents(path, &text, &text_bytes, &error)) {
+		ym_error(errors, NULL, NULL, "%s", error->message);
+		g_error_free(error);
+		return ST_IO;
+	}
+	root = ym_parse(text, text_bytes, errors);
+	if (root)
+		se_root(root, settings, errors);
+	ym_free(root);
+	g_free(text);
+	return errors->count ? ST_INVALID : ST_OK;
+}
--- /dev/null
+++ b/settings.h
@@ -0,0 +1,39 @@
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "net.h"
+#include "status.h"
+#include "yaml_tree.h"
+
+enum { SE_NAME_BYTES = 64, SE_MAX_SEEDS = 64, SE_SECRET_BYTES = 128 };
+
+/* Settings of one process, read from a YAML file. */
+struct se_settings {
+	char host[SE_NAME_BYTES];
+	char zone[SE_NAME_BYTES];
+	char log_level[16];
+	uint64_t random_seed; /* 0: taken from the system */
+	struct nt_address callers;
+	struct nt_address operators;
+	struct nt_address peers;
+	struct nt_address platform;
+	char operator_token[SE_SECRET_BYTES];
+	char peer_key[SE_SECRET_BYTES];
+	struct nt_address seeds[SE_MAX_SEEDS];
+	uint32_t seed_count;
+	char trace_file[256]; /* empty: no trace */
+	uint64_t trace_max_bytes;
+	uint64_t stop_grace_ms; /* serve on after the stop was announced */
+};
+
+/*
+ * se_read - read and check settings. Every error is put in ERRORS with line
+ * and field. Returns ST_OK, ST_INVALID or ST_IO. Source: settings.c
+ */
+enum st_kind se_read(const char *path, struct se_settings *settings,
+		     struct ym_errors *errors);
+
+#endif
--- /dev/null
+++ b/tests/check.sh
@@ -0,0 +1,64 @@
+#!/bin/bash
+# Runs every check program and every failure run of the test tree. A failure
+# that KNOWN-RED.txt lists by name is printed and passed over; anything else
+# fails the run.
+set -u
+BIN=${1:?directory of the built programs}
+cd "$(dirname "$0")/.." || exit 1
+export CK_FORK=${CK_FORK:-yes} CK_DEFAULT_TIMEOUT=${CK_DEFAULT_TIMEOUT:-60}
+export G_SLICE=always-malloc
+OUT=$(mktemp -d)
+trap 'rm -rf "$OUT"' EXIT
+passed=0
+failed=0
+known=0
+
+# Lines of KNOWN-RED.txt that begin with "test:" hold the names.
+is_known() {
+	test -f KNOWN-RED.txt && grep -qxF "test: $1" KNOWN-RED.txt
+}
+
+report() { # NAME STATUS FILE
+	if test "$2" = 0; then
+		passed=$((passed + 1))
+	elif is_known "$1"; then
+		known=$((known + 1))
+		printf 'KNOWN RED %s\n' "$1"
+	else
+		failed=$((failed + 1))
+		printf 'FAILED %s\n' "$1"
+		tail -40 "$3"
+	fi
+}
+
+# Check programs print one line a test: file:line:RESULT:case:test:iteration:
+check_program() {
+	name=$(basename "$1")
+	CK_VERBOSITY=verbose "$1" >"$OUT/$name" 2>&1
+	status=$?
+	count=0
+	while IFS=: read -r _ _ result case test _; do
+		count=$((count + 1))
+		report "$name:$case:$test" "$(test "$result" = P; echo $?)" \
+			"$OUT/$name"
+	done < <(grep -E '^[^:]+:[0-9]+:[PFE]:' "$OUT/$name")
+	# A crash outside a test leaves no line of its own.
+	if test $count = 0 || { test $status != 0 &&
+		! grep -qE ':[0-9]+:[FE]:' "$OUT/$name"; }; then
+		report "$name" 1 "$OUT/$name"
+	fi
+}
+
+for program in "$BIN"/test_*; do
+	case $program in *.*) continue ;; esac
+	test -x "$program" && check_program "$program"
+done
+for run in tests/run_*.sh; do
+	test -e "$run" || continue
+	name=$(basename "$run" .sh)
+	timeout 120 "$run" "$BIN" >"$OUT/$name" 2>&1
+	report "$name" $? "$OUT/$name"
+done
+printf '%d passed, %d failed\n' $passed $failed
+test $known = 0 || printf 'known red: %d, see KNOWN-RED.txt\n' $known
+test $failed = 0
--- /dev/null
+++ b/tests/lib.sh
@@ -0,0 +1,139 @@
+# Functions that start the processes of a run on loopback. Sourced by the demo,
+# the bench and the failure runs. Every process started here is ended by
+# stop_all, by its own id.
+
+BIN=${1:?directory of the built programs}
+PORT_BASE=${PORT_BASE:-21000}
+WORK=$(mktemp -d)
+PIDS=
+TOKEN=operator-token-for-tests
+
+platform_address=127.0.0.1:$PORT_BASE
+servers_port=$((PORT_BASE + 100))
+callers_port=$((PORT_BASE + 300))
+operators_port=$((PORT_BASE + 400))
+peers_port=$((PORT_BASE + 500))
+
+say() { printf '%s\n' "$*"; }
+
+stop_all() {
+	for pid in $PIDS; do kill -9 "$pid" 2>/dev/null; done
+	for pid in $PIDS; do wait "$pid" 2>/dev/null; done
+	rm -rf "$WORK"
+}
+trap stop_all EXIT
+
+# start NAME COMMAND...: runs in the background, sets PID and pid_NAME.
+start() {
+	name=$1
+	shift
+	"$@" >"$WORK/$name.out" 2>"$WORK/$name.log" &
+	PID=$!
+	PIDS="$PIDS $PID"
+	eval "pid_$name=$PID"
+}
+
+# wait_http ADDRESS PATH: until it answers with status 200, 10 s at most.
+wait_http() {
+	for _ in $(seq 200); do
+		test "$(curl -s -o /dev/null -w '%{http_code}' "$1$2")" = 200 &&
+			return 0
+		sleep 0.05
+	done
+	say "no answer from $1$2" >&2
+	return 1
+}
+
+start_platform() {
+	start platform "$BIN/tool_platform" "$platform_address"
+	wait_http "$platform_address" /hosts
+}
+
+platform_fault() { curl -s -o /dev/null -d "$1" "$platform_address/fault"; }
+
+# start_servers NAME FIRST COUNT SLOTS ZONES MEAN_US: FIRST is an offset.
+start_servers() {
+	start "$1" "$BIN/tool_server" "127.0.0.1:$((servers_port + $2))" "$3" \
+		"$4" "$5" "$6" "$WORK/$1.runs"
+	wait_http "127.0.0.1:$((servers_port + $2))" /stats
+}
+
+# server_control OFFSET JSON
+server_control() {
+	curl -s -o /dev/null -d "$2" "127.0.0.1:$((servers_port + $1))/control"
+}
+
+# write_settings I ZONE SEED-COUNT [EXTRA-LINES]
+write_settings() {
+	{
+		cat <<-END
+		host: entry-$1
+		zone: $2
+		log_level: ${LOG_LEVEL:-info}
+		random_seed: $((1000 + $1))
+		stop_grace_ms: ${STOP_GRACE_MS:-500}
+		callers: {address: "127.0.0.1:$((callers_port + $1))"}
+		operators:
+		  address: "127.0.0.1:$((operators_port + $1))"
+		  token: $TOKEN
+		peers:
+		  address: "127.0.0.1:$((peers_port + $1))"
+		  key: peer-key-for-tests
+		  seeds:
+		END
+		for i in $(seq 0 $(($3 - 1))); do
+			say "    - \"127.0.0.1:$((peers_port + i))\""
+		done
+		say "platform: {address: \"$platform_address\"}"
+		test -z "${4:-}" || say "$4"
+	} >"$WORK/entry$1.yaml"
+}
+
+# start_host I ZONE HOST-COUNT [EXTRA-SETTINGS]
+start_host() {
+	write_settings "$@"
+	start "entry$1" "$BIN/jackdawworks" serve "$WORK/entry$1.yaml"
+}
+
+# jdw I COMMAND...: a command against the operators' listener of host I.
+jdw() {
+	host=$1
+	command=$2
+	shift 2
+	JACKDAWWORKS_TOKEN=$TOKEN "$BIN/jackdawworks" "$command" \
+		--host "127.0.0.1:$((operators_port + host))" "$@"
+}
+
+# service NAME ROUTE FIRST COUNT SLOTS CONNECTIONS ZONES POLICY RULES
+service() {
+	cat <<-END
+	  - name: $1
+	    route: $2
+	    deadline_ms: ${DEADLINE_MS:-1000}
+	    longest_deadline_ms: ${LONGEST_MS:-5000}
+	    policy: $8
+	    measuring: {requests_per_s: 200, bytes_per_s: 400000, cross_zone_bytes_per_s: 100000}
+	    rules:
+	$9
+	    servers:
+	END
+	zone_count=$(say "$7" | tr , '\n' | wc -l)
+	for i in $(seq 0 $(($4 - 1))); do
+		zone=$(say "$7" | cut -d, -f$((i % zone_count + 1)))
+		say "      - {name: $1-$i, address: \"127.0.0.1:$((servers_port + $3 + i))\", zone: $zone, slots: $5, connections: $6}"
+	done
+}
+
+# caller_list COUNT: the callers' addresses of the first COUNT hosts.
+caller_list() {
+	for i in $(seq 0 $(($1 - 1))); do
+		printf '127.0.0.1:%d,' $((callers_port + i))
+	done | sed 's/,$//'
+}
+
+# wait_document HOST-COUNT: until every host has a document in force.
+wait_document() {
+	for i in $(seq 0 $(($1 - 1))); do
+		wait_http "127.0.0.1:$((callers_port + i))" /health || return 1
+	done
+}
--- /dev/null
+++ b/tests/test_base.c
@@ -0,0 +1,167 @@
+/* Base modules: kernel, timers, YAML tree, addresses, settings. */
+#include <check.h>
+#include <stdlib.h>
+
+#include "kernel.h"
+#include "net.h"
+#include "status.h"
+#include "timer.h"
+#include "yaml_tree.h"
+
+struct order_log {
+	struct kn_kernel *kernel;
+	uint32_t kinds[8];
+	uint32_t count;
+	bool inside;
+};
+
+static void log_message(void *ctx, const struct kn_msg *msg)
+{
+	struct order_log *log = ctx;
+	struct kn_msg stop = { KN_STOP, sizeof(stop) };
+
+	ck_assert(!log->inside);
+	log->inside = true;
+	log->kinds[log->count++] = msg->kind;
+	if (log->count == 1)
+		kn_send(log->kernel, "log", &stop);
+	log->inside = false;
+}
+
+/* A message sent from within a handler must not re-enter the handler. */
+START_TEST(kernel_delivery_is_not_reentrant)
+{
+	struct kn_kernel kernel;
+	struct order_log log = { .kernel = &kernel };
+	struct kn_task task = { "log", log_message, &log };
+	struct kn_msg msg = { KN_HOSTS, sizeof(msg) };
+	struct st_status status;
+
+	kn_init(&kernel, uv_default_loop());
+	ck_assert_int_eq(kn_register(&kernel, &task, &status), ST_OK);
+	ck_assert_int_eq(kn_register(&kernel, &task, &status), ST_INTERNAL);
+	kn_send(&kernel, "log", &msg);
+	kn_send(&kernel, "unknown", &msg);
+	ck_assert_uint_eq(log.count, 2);
+	ck_assert_uint_eq(log.kinds[0], KN_HOSTS);
+	ck_assert_uint_eq(log.kinds[1], KN_STOP);
+	kn_free(&kernel);
+}
+END_TEST
+
+static int fired[4];
+static int fired_count;
+
+static void note_fired(void *ctx)
+{
+	fired[fired_count++] = *(int *)ctx;
+}
+
+/* Timers must fire in the order of their times, cancelled ones never. */
+START_TEST(timers_fire_in_order)
+{
+	struct tm_service timers;
+	int ids[] = { 0, 1, 2 };
+	struct tm_sub subs[3] = { { .fire = note_fired, .ctx = &ids[0] },
+				  { .fire = note_fired, .ctx = &ids[1] },
+				  { .fire = note_fired, .ctx = &ids[2] } };
+	uint64_t now_us = tm_now_us();
+
+	tm_init(&timers, uv_default_loop());
+	tm_subscribe(&timers, &subs[0], now_us + 9000);
+	tm_subscribe(&timers, &subs[1], now_us + 3000);
+	tm_subscribe(&timers, &subs[2], now_us + 5000);
+	tm_subscribe(&timers, &subs[1], now_us + 7000);
+	tm_cancel(&timers, &subs[0]);
+	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+	ck_assert_int_eq(fired_count, 2);
+	ck_assert_int_eq(fired[0], 2);
+	ck_assert_int_eq(fired[1], 1);
+	ck_assert(tm_now_us() >= now_us + 7000);
+	tm_free(&timers);
+	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+}
+END_TEST
+
+static const char *const bad_yaml[] = {
+	"a: [1, 2",
+	"a: 1\na: 2\n",
+	"- a\n- b\n",
+	"a: &x 1\nb: *x\n",
+	"a: 1\n---\nb: 2\n",
+	"",
+	"a: {b: {c: {d: {e: {f: {g: {h: {i: {j: {k: {l: {m: {n: {o: {p: {q: 1}}}}}}}}}}}}}}}}",
+};
+
+/* Text that is not one plain YAML mapping must be an error, not a crash. */
+START_TEST(yaml_rejects_bad_text)
+{
+	struct ym_errors errors;
+	const char *text = bad_yaml[_i];
+
+	ym_errors_init(&errors);
+	ck_assert_ptr_null(ym_parse(text, strlen(text), &errors));
+	ck_assert_uint_gt(errors.count, 0);
+	ym_errors_free(&errors);
+}
+END_TEST
+
+/* Errors must name the line and the field. */
+START_TEST(yaml_errors_name_line_and_field)
+{
+	const char *text = "a: 1\nb: many\nc: x\n";
+	struct ym_errors errors;
+	struct ym_node *root;
+
+	ym_errors_init(&errors);
+	root = ym_parse(text, strlen(text), &errors);
+	ck_assert_uint_eq(ym_uint(root, "a", 0, 9, 5, &errors), 1);
+	ck_assert_uint_eq(ym_uint(root, "b", 0, 9, 5, &errors), 5);
+	ym_check_unused(root, &errors);
+	ck_assert_uint_eq(errors.count, 2);
+	ck_assert_uint_eq(errors.rows[0].line, 2);
+	ck_assert_str_eq(errors.rows[0].field, "b");
+	ck_assert_uint_eq(errors.rows[1].line, 3);
+	ck_assert_str_eq(errors.rows[1].field, "c");
+	ym_free(root);
+	ym_errors_free(&errors);
+}
+END_TEST
+
+/* Host names and bad ports must be refused, numeric addresses accepted. */
+START_TEST(addresses_are_numeric)
+{
+	struct nt_address address;
+
+	ck_assert(nt_parse("127.0.0.1:80", &address));
+	ck_assert(nt_is_loopback(&address));
+	ck_assert(nt_parse("[::1]:8080", &address));
+	ck_assert(nt_is_loopback(&address));
+	ck_assert(!nt_parse("localhost:80", &address));
+	ck_assert(!nt_parse("127.0.0.1", &address));
+	ck_assert(!nt_parse("127.0.0.1:0", &address));
+	ck_assert(!nt_parse("127.0.0.1:99999", &address));
+	ck_assert(!nt_parse("127.0.0.1:80x", &address));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("base");
+	TCase *tcase = tcase_create("base");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, kernel_delivery_is_not_reentrant);
+	tcase_add_test(tcase, timers_fire_in_order);
+	tcase_add_loop_test(tcase, yaml_rejects_bad_text, 0,
+			    sizeof(bad_yaml) / sizeof(bad_yaml[0]));
+	tcase_add_test(tcase, yaml_errors_name_line_and_field);
+	tcase_add_test(tcase, addresses_are_numeric);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/tool_server.c
@@ -0,0 +1,404 @@
+/*
+ * Test double of upstream servers: slots, queue, load reports that lag, drain,
+ * cold start, shedding, stragglers, fail-fast and cancellation. One process
+ * plays COUNT servers on consecutive ports.
+ *
+ * usage: tool_server FIRST-ADDRESS COUNT SLOTS ZONES MEAN-US [RUN-LOG]
+ * ZONES is a comma-separated list; server i is in zone i modulo their count.
+ * POST /control on a server's port sets "factor" (service time multiplier),
+ * "draining", "fail_fast", "shed_queue", "cold_ms", "report_lag_ms".
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "httpd.h"
+#include "timer.h"
+
+enum {
+	US_PER_MS = 1000,
+	ZONE_DELAY_US = 4000,
+	PROBE_US = 6000,
+	SWEEP_US = 20 * 1000,
+	MAX_SERVERS = 64,
+	COLD_FACTOR = 4
+};
+
+struct server {
+	struct hd_server http;
+	char name[32];
+	const char *zone;
+	uint32_t slots;
+	uint32_t in_flight;
+	GQueue queue; /* of struct job */
+	double factor;
+	int draining;
+	int fail_fast;
+	int64_t shed_queue;
+	int64_t report_lag_ms;
+	uint64_t cold_since_us;
+	uint64_t cold_until_us;
+	/* Load as it was when the last report was taken. */
+	uint32_t reported_in_flight;
+	uint32_t reported_queued;
+	uint64_t reported_us;
+	uint64_t runs;
+	uint64_t probes;
+	uint64_t cancelled;
+};
+
+enum job_state { JOB_ARRIVING, JOB_QUEUED, JOB_RUNNING, JOB_LEAVING };
+
+struct job {
+	struct server *server;
+	struct hd_hold *hold;
+	enum job_state state;
+	struct tm_sub timer;
+	bool remote;
+	char echo[64];
+	size_t bytes;
+	GList link;
+};
+
+static uv_loop_t loop;
+static struct tm_service timers;
+static struct tm_sub sweep;
+static struct server servers[MAX_SERVERS];
+static uint32_t server_count;
+static GQueue jobs; /* all */
+static GRand *rng;
+static double mean_us;
+static FILE *run_log;
+
+static void start_next(struct server *server);
+
+static void add_load(struct server *server, h2o_req_t *req)
+{
+	uint64_t now_us = tm_now_us();
+	char text[64];
+	int len;
+
+	if (now_us - server->reported_us >=
+	    (uint64_t)server->report_lag_ms * US_PER_MS) {
+		server->reported_us = now_us;
+		server->reported_in_flight = server->in_flight;
+		server->reported_queued = g_queue_get_length(&server->queue);
+	}
+	len = snprintf(text, sizeof(text), "in_flight=%u queued=%u slots=%u",
+		       server->reported_in_flight, server->reported_queued,
+		       server->slots);
+	hd_add_header(req, "x-load", text, (size_t)len);
+	if (server->draining)
+		hd_add_header(req, "x-draining", "1", 1);
+}
+
+static void free_job(struct job *job)
+{
+	tm_cancel(&timers, &job->timer);
+	g_queue_unlink(&jobs, &job->link);
+	hd_release(job->hold);
+	g_free(job);
+}
+
+static void reply(struct job *job, int status)
+{
+	struct server *server = job->server;
+	GString *body = g_string_new(NULL);
+
+	g_string_append_printf(body, "echo=%s server=%s\n", job->echo,
+			       server->name);
+	while (body->len < job->bytes)
+		g_string_append_c(body, (char)('a' + body->len % 26));
+	add_load(server, job->hold->req);
+	hd_reply(job->hold->req, status, "text/plain", body->str, body->len);
+	g_string_free(body, TRUE);
+}
+
+static void refuse(struct server *server, h2o_req_t *req)
+{
+	add_load(server, req);
+	hd_add_header(req, "x-not-run", "1", 1);
+	hd_reply(req, 503, "text/plain", "busy\n", 5);
+}
+
+static double draw_service_us(struct server *server)
+{
+	double u = g_rand_double_range(rng, 1e-9, 1);
+	double us = -log(u) * mean_us * server->factor;
+	uint64_t now_us = tm_now_us();
+
+	if (now_us < server->cold_until_us) {
+		double left =
+			(double)(server->cold_until_us - now_us) /
+			(double)(server->cold_until_us - server->cold_since_us);
+
+		us *= 1 + (COLD_FACTOR - 1) * left;
+	}
+	return us;
+}
+
+static void on_left(void *ctx)
+{
+	struct job *job = ctx;
+
+	if (job->hold->req)
+		reply(job, 200);
+	free_job(job);
+}
+
+static void leave(struct job *job)
+{
+	job->state = JOB_LEAVING;
+	job->timer.fire = on_left;
+	if (job->remote)
+		tm_subscribe(&timers, &job->timer, tm_now_us() + ZONE_DELAY_US);
+	else
+		on_left(job);
+}
+
+static void on_served(void *ctx)
+{
+	struct job *job = ctx;
+	struct server *server = job->server;
+
+	server->in_flight--;
+	leave(job);
+	start_next(server);
+}
+
+static void start(struct job *job)
+{
+	struct server *server = job->server;
+
+	job->state = JOB_RUNNING;
+	server->in_flight++;
+	server->runs++;
+	if (run_log) {
+		fprintf(run_log, "run %s %s\n", job->echo, server->name);
+		fflush(run_log);
+	}
+	job->timer.fire = on_served;
+	tm_subscribe(&timers, &job->timer,
+		     tm_now_us() + (uint64_t)draw_service_us(server));
+}
+
+static void start_next(struct server *server)
+{
+	while (server->in_flight < server->slots) {
+		struct job *job = g_queue_pop_head(&server->queue);
+
+		if (!job)
+			return;
+		start(job);
+	}
+}
+
+static void arrive(void *ctx)
+{
+	struct job *job = ctx;
+	struct server *server = job->server;
+
+	if (!job->hold->req) {
+		free_job(job);
+	} else if (server->fail_fast) {
+		reply(job, 500);
+		free_job(job);
+	} else if (server->in_flight >= server->slots &&
+		   g_queue_get_length(&server->queue) >= server->shed_queue) {
+		refuse(server, job->hold->req);
+		free_job(job);
+	} else {
+		job->state = JOB_QUEUED;
+		g_queue_push_tail(&server->queue, job);
+		start_next(server);
+	}
+}
+
+/* The client closed its connection: the request is cancelled. */
+static void cancel(struct job *job)
+{
+	struct server *server = job->server;
+
+	server->cancelled++;
+	if (job->state == JOB_QUEUED)
+		g_queue_remove(&server->queue, job);
+	if (job->state == JOB_RUNNING)
+		server->in_flight--;
+	free_job(job);
+	start_next(server);
+}
+
+static void on_sweep(void *ctx)
+{
+	GList *next;
+
+	for (GList *l = jobs.head; l; l = next) {
+		struct job *job = l->data;
+
+		next = l->next;
+		if (job->state != JOB_LEAVING &&
+		    (!job->hold->req || hd_peer_left(job->hold->req)))
+			cancel(job);
+	}
+	tm_subscribe(&timers, &sweep, tm_now_us() + SWEEP_US);
+}
+
+static void on_work(struct server *server, h2o_req_t *req)
+{
+	struct job *job = g_new0(struct job, 1);
+	h2o_iovec_t echo = hd_header(req, "x-echo");
+	h2o_iovec_t zone = hd_header(req, "x-entry-zone");
+	char *bytes = hd_query(req, "bytes");
+
+	job->server = server;
+	job->hold = hd_hold(req);
+	job->link.data = job;
+	g_queue_push_tail_link(&jobs, &job->link);
+	if (echo.base)
+		g_strlcpy(job->echo, echo.base,
+			  MIN(echo.len + 1, sizeof(job->echo)));
+	job->bytes = bytes ? strtoul(bytes, NULL, 10) : 0;
+	g_free(bytes);
+	job->remote = zone.base && !h2o_memis(zone.base, zone.len, server->zone,
+					      strlen(server->zone));
+	job->timer.fire = arrive;
+	job->timer.ctx = job;
+	if (job->remote)
+		tm_subscribe(&timers, &job->timer, tm_now_us() + ZONE_DELAY_US);
+	else
+		arrive(job);
+}
+
+struct probe {
+	struct server *server;
+	struct hd_hold *hold;
+	struct tm_sub timer;
+};
+
+static void on_probe_over(void *ctx)
+{
+	struct probe *probe = ctx;
+
+	if (probe->hold->req) {
+		add_load(probe->server, probe->hold->req);
+		hd_reply(probe->hold->req, 200, "text/plain", "ok\n", 3);
+	}
+	hd_release(probe->hold);
+	g_free(probe);
+}
+
+static void on_probe(struct server *server, h2o_req_t *req)
+{
+	struct probe *probe = g_new0(struct probe, 1);
+
+	probe->server = server;
+	probe->hold = hd_hold(req);
+	probe->timer.fire = on_probe_over;
+	probe->timer.ctx = probe;
+	server->probes++;
+	tm_subscribe(&timers, &probe->timer, tm_now_us() + PROBE_US);
+}
+
+static void on_control(struct server *server, h2o_req_t *req)
+{
+	json_t *object = json_loadb(req->entity.base, req->entity.len, 0, NULL);
+	int64_t cold_ms = 0;
+
+	if (object)
+		json_unpack(object, "{s?F, s?b, s?b, s?I, s?I, s?I}", "factor",
+			    &server->factor, "draining", &server->draining,
+			    "fail_fast", &server->fail_fast, "shed_queue",
+			    &server->shed_queue, "cold_ms", &cold_ms,
+			    "report_lag_ms", &server->report_lag_ms);
+	if (cold_ms) {
+		server->cold_since_us = tm_now_us();
+		server->cold_until_us =
+			server->cold_since_us + (uint64_t)cold_ms * US_PER_MS;
+	}
+	hd_reply(req, object ? 200 : 400, "text/plain", "ok\n", 3);
+	json_decref(object);
+}
+
+static void on_stats(struct server *server, h2o_req_t *req)
+{
+	char text[128];
+	int len = snprintf(text, sizeof(text),
+			   "{\"runs\":%" G_GUINT64_FORMAT
+			   ",\"probes\":%" G_GUINT64_FORMAT
+			   ",\"cancelled\":%" G_GUINT64_FORMAT "}\n",
+			   server->runs, server->probes, server->cancelled);
+
+	hd_reply(req, 200, "application/json", text, (size_t)len);
+}
+
+static void on_request(void *ctx, h2o_req_t *req)
+{
+	struct server *server = ctx;
+
+	if (hd_path_is(req, "/load") || hd_path_is(req, "/health"))
+		on_probe(server, req);
+	else if (hd_path_is(req, "/control"))
+		on_control(server, req);
+	else if (hd_path_is(req, "/stats"))
+		on_stats(server, req);
+	else
+		on_work(server, req);
+}
+
+static bool start_server(uint32_t i, const struct nt_address *first,
+			 uint32_t slots, char **zones)
+{
+	struct server *server = &servers[i];
+	const char *colon = strrchr(first->text, ':');
+	uint32_t port = (uint32_t)strtoul(colon + 1, NULL, 10) + i;
+	char text[NT_TEXT_BYTES];
+	struct nt_address address;
+	struct st_status status;
+
+	snprintf(text, sizeof(text), "%.*s:%u", (int)(colon - first->text),
+		 first->text, port);
+	if (!nt_parse(text, &address))
+		return false;
+	snprintf(server->name, sizeof(server->name), "%u", port);
+	server->slots = slots;
+	server->factor = 1;
+	server->shed_queue = 1000;
+	server->zone = zones[i % g_strv_length(zones)];
+	if (hd_init(&server->http, &loop, &address, on_request, server,
+		    &status) == ST_OK)
+		return true;
+	fprintf(stderr, "%s\n", status.msg);
+	return false;
+}
+
+int main(int argc, char **argv)
+{
+	struct nt_address first;
+	char **zones;
+
+	if (argc < 6 || !nt_parse(argv[1], &first)) {
+		fprintf(stderr, "usage: tool_server FIRST-ADDRESS COUNT SLOTS "
+				"ZONES MEAN-US [RUN-LOG]\n");
+		return 2;
+	}
+	server_count = (uint32_t)strtoul(argv[2], NULL, 10);
+	zones = g_strsplit(argv[4], ",", 0);
+	mean_us = strtod(argv[5], NULL);
+	if (argc > 6)
+		run_log = fopen(argv[6], "a");
+	rng = g_rand_new_with_seed(1);
+	uv_loop_init(&loop);
+	tm_init(&timers, &loop);
+	for (uint32_t i = 0; i < server_count && i < MAX_SERVERS; i++)
+		if (!start_server(i, &first,
+				  (uint32_t)strtoul(argv[3], NULL, 10), zones))
+			return 1;
+	sweep.fire = on_sweep;
+	on_sweep(NULL);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	return 0;
+}
--- a/yaml_tree.h
+++ b/yaml_tree.h
@@ -19,9 +19,9 @@
 struct ym_node {
 	enum ym_type type;
 	uint32_t line;
-	char *key;   /* name within a mapping, else NULL */
+	char *key; /* name within a mapping, else NULL */
 	char *value; /* of a scalar */
-	bool used;   /* a reader has asked for it */
+	bool used; /* a reader has asked for it */
 	GPtrArray *children;
 };
 
