Bound the data path and end stops without cutting calls

Broken answers, ambiguous lengths, slow readers and servers that do not accept were not covered, and a stopping host ended with idle connections open and memory allocated.

Requests with several lengths, oversized heads or unprintable paths are refused. Connecting is limited to 200 ms, callers that do not take their answer lose the connection at the deadline, and the answer to an HTTP/1.0 caller breaks off with a reset. Servers that name a transfer coding other than chunked count as broken. Bodies are no longer sent to HEAD requests. Connections per server are divided by the number of entry hosts. A stopping host ends idle connections after what they received, waits for the rest, closes every part and frees its memory.

--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -17,7 +17,13 @@
 #include "settings.h"
 #include "timer.h"
 
-enum { SV_CHECK_IDLE_US = 20 * 1000, SV_US_PER_MS = 1000 };
+enum {
+	SV_CHECK_IDLE_US = 20 * 1000,
+	SV_US_PER_MS = 1000,
+	/* HTTP/2 callers get two notices a second apart before they close. */
+	SV_LINGER_US = 2000 * 1000,
+	SV_CLOSE_US = 1000 * 1000
+};
 
 /* All parts of one entry host. */
 struct sv_host {
@@ -31,14 +37,18 @@
 	struct ad_admin admin;
 	uv_signal_t signals[2];
 	struct tm_sub stop_timer;
+	uint64_t linger_until_us;
 	bool stopping;
+	bool at_once;
 };
 
 static void sv_on_idle_check(void *ctx)
 {
 	struct sv_host *host = ctx;
 
-	if (gw_idle(&host->gateway) || !me_on(ME_GRACEFUL_STOP)) {
+	hd_close_idle(&host->gateway.http);
+	if (gw_idle(&host->gateway) && (!host->gateway.http.connections ||
+					tm_now_us() >= host->linger_until_us)) {
 		uv_stop(&host->loop);
 		return;
 	}
@@ -52,6 +62,7 @@
 	struct sv_host *host = ctx;
 
 	gw_stop_listening(&host->gateway);
+	host->linger_until_us = tm_now_us() + SV_LINGER_US;
 	host->stop_timer.fire = sv_on_idle_check;
 	sv_on_idle_check(host);
 }
@@ -65,6 +76,11 @@
 	if (host->stopping)
 		return;
 	host->stopping = true;
+	if (!me_on(ME_GRACEFUL_STOP)) {
+		host->at_once = true;
+		uv_stop(&host->loop);
+		return;
+	}
 	lg_info("stop", "graceful stop begins");
 	kn_broadcast(&host->kernel, &msg);
 	gw_announce_stop(&host->gateway);
@@ -77,10 +93,12 @@
 {
 	struct sv_host *host = handle->data;
 
-	if (host->stopping)
-		uv_stop(&host->loop);
-	else
+	if (!host->stopping) {
 		sv_stop(host);
+		return;
+	}
+	host->at_once = true;
+	uv_stop(&host->loop);
 }
 
 static void sv_watch_signals(struct sv_host *host)
@@ -115,6 +133,34 @@
 	return kind;
 }
 
+/* Runs the loop until the connections of both listeners are closed. */
+static void sv_close(struct sv_host *host)
+{
+	uint64_t until_us = tm_now_us() + SV_CLOSE_US;
+
+	gw_close(&host->gateway);
+	hd_stop_listening(&host->admin.http);
+	hd_close_all(&host->admin.http);
+	cp_free(&host->control);
+	pf_free(&host->platform);
+	while (host->gateway.http.connections + host->admin.http.connections &&
+	       tm_now_us() < until_us)
+		uv_run(&host->loop, UV_RUN_NOWAIT);
+}
+
+static void sv_free(struct sv_host *host)
+{
+	sv_close(host);
+	gw_free(&host->gateway);
+	ad_free(&host->admin);
+	tm_free(&host->timers);
+	for (size_t i = 0; i < G_N_ELEMENTS(host->signals); i++)
+		uv_close((uv_handle_t *)&host->signals[i], NULL);
+	uv_run(&host->loop, UV_RUN_DEFAULT);
+	kn_free(&host->kernel);
+	uv_loop_close(&host->loop);
+}
+
 static int sv_run(struct sv_host *host)
 {
 	struct st_status status = { 0 };
@@ -130,6 +176,8 @@
 	lg_info("start", "callers %s, operators %s",
 		host->settings.callers.text, host->settings.operators.text);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
+	if (!host->at_once)
+		sv_free(host);
 	lg_info("stop", "ended");
 	return 0;
 }
--- a/gateway.c
+++ b/gateway.c
@@ -11,6 +11,8 @@
 	GW_BUFFER_HIGH_BYTES = 256 * 1024,
 	GW_BUFFER_LOW_BYTES = 64 * 1024,
 	GW_SWEEP_US = 20 * 1000,
+	/* A lost first packet is only repeated after a second. */
+	GW_CONNECT_TIMEOUT_US = 200 * 1000,
 	GW_US_PER_MS = 1000,
 	GW_REQUEST_ID_BYTES = 96
 };
@@ -52,6 +54,7 @@
 	struct gw_attempt *answering;
 	GString *pending; /* answer bytes not yet given to the listener */
 	GString *sending; /* owned by the listener until it proceeds */
+	uint32_t refs; /* one of the core, one of the listener */
 	bool started;
 	bool in_send;
 	bool finished;
@@ -150,6 +153,14 @@
 	return false;
 }
 
+/* To an HTTP/1.0 caller an orderly close is the end of the answer. */
+static void gw_break_visibly(struct gw_call *call)
+{
+	if (call->req->version < 0x101 &&
+	    call->req->res.content_length == SIZE_MAX)
+		hd_reset_on_close(call->req);
+}
+
 static void gw_flush(struct gw_call *call)
 {
 	h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
@@ -168,6 +179,8 @@
 	g_string_truncate(call->pending, 0);
 	call->in_send = true;
 	call->final_sent = call->finished;
+	if (state == H2O_SEND_STATE_ERROR)
+		gw_break_visibly(call);
 	buf = h2o_iovec_init(call->sending->str, call->sending->len);
 	h2o_send(call->req, &buf, 1, state);
 }
@@ -418,6 +431,22 @@
 		ct_add(st_not_run(result) ? CT_REFUSED : CT_UNKNOWN, 1);
 }
 
+/* The caller has not taken its answer by the deadline. */
+static void gw_on_not_taken(void *ctx)
+{
+	struct gw_call *call = ctx;
+
+	hd_abort(call->req);
+}
+
+static void gw_limit_taking(struct gw_call *call)
+{
+	if (!call->req)
+		return;
+	call->timer.fire = gw_on_not_taken;
+	tm_subscribe(call->gateway->timers, &call->timer, call->deadline_us);
+}
+
 static void gw_finish(struct gw_gateway *gateway,
 		      const struct core_action *action)
 {
@@ -435,6 +464,7 @@
 							       action->result);
 	else
 		gw_flush(call);
+	gw_limit_taking(call);
 	gw_call_unref(call);
 }
 
@@ -500,10 +530,11 @@
 
 static void gw_call_unref(struct gw_call *call)
 {
-	if (call->finished && !call->req) {
-		call->gateway->in_flight--;
-		gw_call_free(call);
-	}
+	if (--call->refs)
+		return;
+	tm_cancel(call->gateway->timers, &call->timer);
+	call->gateway->in_flight--;
+	gw_call_free(call);
 }
 
 static void gw_post_gone(struct gw_call *call)
@@ -520,15 +551,13 @@
 	struct gw_call *call = link->call;
 
 	call->req = NULL;
-	if (call->finished) {
-		gw_call_unref(call);
-		return;
-	}
 	/* Nobody reads the answer; let the attempt run to its end. */
 	if (call->paused && call->answering)
 		hc_resume(&call->answering->http);
 	call->paused = false;
-	gw_post_gone(call);
+	if (!call->finished)
+		gw_post_gone(call);
+	gw_call_unref(call);
 }
 
 static void gw_on_call_timer(void *ctx)
@@ -572,6 +601,7 @@
 	call->gateway = gateway;
 	call->id = ++gateway->last_call;
 	call->req = req;
+	call->refs = 2;
 	g_snprintf(call->request_id, sizeof(call->request_id),
 		   "%s-%" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
 		   gateway->settings->host, gateway->incarnation, call->id);
@@ -698,22 +728,33 @@
 
 /* Documents */
 
+/* This host's part of the connections that a server allows. */
+static uint32_t gw_connections(const struct gw_gateway *gateway,
+			       uint32_t of_server)
+{
+	return MAX(of_server / gateway->host_count, 1);
+}
+
 static struct gw_server *gw_server_for(struct gw_gateway *gateway,
 				       const struct doc_server *conf)
 {
 	char *key = g_strdup_printf("%s %s", conf->name, conf->address.text);
+	uint32_t connections = gw_connections(gateway, conf->connections);
 	struct gw_server *server =
 		g_hash_table_lookup(gateway->server_ids, key);
 
 	if (server) {
 		g_free(key);
+		hc_pool_set_limit(&server->pool, connections);
 		return server;
 	}
 	server = g_new0(struct gw_server, 1);
 	server->id = gateway->servers->len;
 	g_strlcpy(server->name, conf->name, sizeof(server->name));
 	hc_pool_init(&server->pool, gateway->kernel->loop, &conf->address,
-		     conf->connections);
+		     connections);
+	hc_pool_set_connect_timeout(&server->pool, gateway->timers,
+				    GW_CONNECT_TIMEOUT_US);
 	g_ptr_array_add(gateway->servers, server);
 	g_hash_table_insert(gateway->server_ids, key, server);
 	return server;
@@ -758,7 +799,8 @@
 		servers[i].id = server->id;
 		servers[i].zone = from->zone;
 		servers[i].slots = from->slots;
-		servers[i].connections = from->connections;
+		servers[i].connections =
+			gw_connections(gateway, from->connections);
 		servers[i].leaving = from->leaving;
 		servers[i].hash = gw_hash(from->name);
 	}
@@ -791,6 +833,16 @@
 	g_free(services);
 }
 
+void gw_set_host_count(struct gw_gateway *gateway, uint32_t count)
+{
+	count = MAX(count, 1);
+	if (count == gateway->host_count)
+		return;
+	gateway->host_count = count;
+	if (gateway->document)
+		gw_configure_core(gateway);
+}
+
 static void gw_on_message(void *ctx, const struct kn_msg *msg)
 {
 	struct gw_gateway *gateway = ctx;
@@ -831,6 +883,7 @@
 	gateway->timers = timers;
 	gateway->settings = settings;
 	gateway->incarnation = (uint64_t)g_get_real_time();
+	gateway->host_count = MAX(settings->seed_count, 1);
 	gw_init_tables(gateway);
 	gateway->core = core_new(&driver);
 	gateway->core_timer.fire = gw_on_core_timer;
@@ -870,11 +923,26 @@
 	return !gateway->in_flight;
 }
 
-void gw_free(struct gw_gateway *gateway)
+void gw_close(struct gw_gateway *gateway)
 {
+	gw_stop_listening(gateway);
+	hd_close_all(&gateway->http);
 	tm_cancel(gateway->timers, &gateway->sweep);
 	tm_cancel(gateway->timers, &gateway->core_timer);
+	for (guint i = 0; i < gateway->servers->len; i++) {
+		struct gw_server *server =
+			g_ptr_array_index(gateway->servers, i);
+
+		hc_pool_close(&server->pool, NULL, NULL);
+	}
+}
+
+void gw_free(struct gw_gateway *gateway)
+{
+	hd_free(&gateway->http);
 	core_free(gateway->core);
+	g_ptr_array_set_free_func(gateway->servers, g_free);
+	g_ptr_array_free(gateway->servers, TRUE);
 	g_ptr_array_free(gateway->services, TRUE);
 	g_hash_table_destroy(gateway->server_ids);
 	g_hash_table_destroy(gateway->calls);
--- a/gateway.h
+++ b/gateway.h
@@ -38,6 +38,7 @@
 	struct tm_sub sweep;
 	bool stopping;
 	uint32_t in_flight;
+	uint32_t host_count; /* live entry hosts, this one included */
 };
 
 /* gw_init, gw_free - gateway task on caller-owned memory. Source: gateway.c */
@@ -47,11 +48,20 @@
 		     struct st_status *status);
 void gw_free(struct gw_gateway *gateway);
 
+/*
+ * gw_set_host_count - number of live entry hosts, which share the connections
+ * that the document allows per server. Until the first call it is the number
+ * of seed peers in the settings.
+ */
+void gw_set_host_count(struct gw_gateway *gateway, uint32_t count);
+
 /* gw_announce_stop - health checks fail, answers close their connections. */
 void gw_announce_stop(struct gw_gateway *gateway);
 /* gw_stop_listening - take no new connections. */
 void gw_stop_listening(struct gw_gateway *gateway);
 /* gw_idle - no call is in flight. */
 bool gw_idle(const struct gw_gateway *gateway);
+/* gw_close - end what is left; the loop must run before gw_free. */
+void gw_close(struct gw_gateway *gateway);
 
 #endif
--- a/httpc.c
+++ b/httpc.c
@@ -3,10 +3,10 @@
 #include <string.h>
 
 #include <http_parser.h>
+#include <sys/socket.h>
 
 #include "counter.h"
 #include "mechanism.h"
-#include "timer.h"
 
 enum { HC_DEFAULT_IDLE_US = 20 * 1000 * 1000 };
 
@@ -39,6 +39,7 @@
 	bool closing;
 	bool reading;
 	uint64_t idle_since_us;
+	struct tm_sub connect_timer;
 };
 
 static void hc_conn_read(uv_stream_t *stream, ssize_t nread,
@@ -54,7 +55,7 @@
 
 static void hc_pool_check_closed(struct hc_pool *pool)
 {
-	if (pool->closing && !pool->open && pool->closed)
+	if (pool->closing && !pool->all && pool->closed)
 		pool->closed(pool->ctx);
 }
 
@@ -70,7 +71,6 @@
 		g_string_free(conn->out, TRUE);
 	g_string_free(conn->text, TRUE);
 	g_free(conn);
-	pool->open--;
 	hc_pool_check_closed(pool);
 }
 
@@ -90,6 +90,9 @@
 	if (conn->closing)
 		return;
 	conn->closing = true;
+	conn->pool->open--;
+	if (conn->connect_timer.slot)
+		tm_cancel(conn->pool->timers, &conn->connect_timer);
 	if (conn->request)
 		conn->request->conn = NULL;
 	conn->request = NULL;
@@ -173,6 +176,16 @@
 	return parser->content_length != ULLONG_MAX;
 }
 
+/* Other codings than chunked would reach the caller without their name. */
+static bool hc_coding_known(const struct hc_head *head)
+{
+	const struct hc_header *h = hc_find(head, "transfer-encoding");
+
+	return !h ||
+	       (h->value_bytes == strlen("chunked") &&
+		!g_ascii_strncasecmp(h->value, "chunked", h->value_bytes));
+}
+
 static void hc_fill_head(struct hc_conn *conn, struct hc_header *headers,
 			 struct hc_head *head)
 {
@@ -205,8 +218,10 @@
 		return 0;
 	if (!hc_has_length(parser, request->head_method))
 		return -1;
-	request->state = HC_ANSWER_BEGUN;
 	hc_fill_head(conn, headers, &head);
+	if (!hc_coding_known(&head))
+		return -1;
+	request->state = HC_ANSWER_BEGUN;
 	if (request->handler->head)
 		request->handler->head(request, &head);
 	if (!conn->request)
@@ -359,6 +374,8 @@
 		return;
 	}
 	conn->connected = true;
+	if (conn->connect_timer.slot)
+		tm_cancel(conn->pool->timers, &conn->connect_timer);
 	uv_tcp_nodelay(&conn->tcp, 1);
 	hc_conn_send(conn);
 }
@@ -381,6 +398,20 @@
 	return conn;
 }
 
+/* A server that closes an idle connection may do so at any moment. */
+static bool hc_idle_usable(struct hc_conn *conn, uint64_t now_us)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (now_us - conn->idle_since_us > conn->pool->max_idle_us)
+		return false;
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd))
+		return false;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       errno == EAGAIN;
+}
+
 static struct hc_conn *hc_take_idle(struct hc_pool *pool)
 {
 	uint64_t now_us = tm_now_us();
@@ -389,7 +420,7 @@
 	while ((conn = pool->idle)) {
 		pool->idle = conn->next_idle;
 		conn->next_idle = NULL;
-		if (now_us - conn->idle_since_us <= pool->max_idle_us)
+		if (hc_idle_usable(conn, now_us))
 			return conn;
 		hc_conn_close(conn);
 	}
@@ -416,14 +447,40 @@
 	hc_pool_check_closed(pool);
 }
 
+void hc_pool_set_connect_timeout(struct hc_pool *pool,
+				 struct tm_service *timers, uint64_t timeout_us)
+{
+	pool->timers = timers;
+	pool->connect_timeout_us = timeout_us;
+}
+
+void hc_pool_set_limit(struct hc_pool *pool, uint32_t max_connections)
+{
+	pool->max_connections = max_connections;
+	while (pool->open > max_connections && pool->idle)
+		hc_conn_close(pool->idle);
+}
+
+static void hc_on_connect_timeout(void *ctx)
+{
+	hc_conn_fail(ctx, "connecting took too long");
+}
+
 static bool hc_connect(struct hc_conn *conn)
 {
+	struct hc_pool *pool = conn->pool;
 	const struct sockaddr *addr =
-		(const struct sockaddr *)&conn->pool->address.addr;
+		(const struct sockaddr *)&pool->address.addr;
 
 	ct_add(CT_CONNECTS, 1);
-	return !uv_tcp_connect(&conn->connect, &conn->tcp, addr,
-			       hc_conn_connected);
+	if (uv_tcp_connect(&conn->connect, &conn->tcp, addr, hc_conn_connected))
+		return false;
+	conn->connect_timer.fire = hc_on_connect_timeout;
+	conn->connect_timer.ctx = conn;
+	if (pool->timers)
+		tm_subscribe(pool->timers, &conn->connect_timer,
+			     tm_now_us() + pool->connect_timeout_us);
+	return true;
 }
 
 static bool hc_start_new(struct hc_pool *pool, struct hc_request *request,
@@ -516,6 +573,16 @@
 	return out;
 }
 
+/* A name with other characters could be read as a different header. */
+static bool hc_token(const char *text, size_t bytes)
+{
+	for (size_t i = 0; i < bytes; i++)
+		if (!text[i] || (!g_ascii_isalnum(text[i]) &&
+				 !strchr("!#$%&'*+-.^_`|~", text[i])))
+			return false;
+	return bytes > 0;
+}
+
 static bool hc_plain(const char *text, size_t bytes)
 {
 	for (size_t i = 0; i < bytes; i++)
@@ -527,7 +594,7 @@
 void hc_head_add(GString *out, const char *name, size_t name_bytes,
 		 const char *value, size_t value_bytes)
 {
-	if (!hc_plain(name, name_bytes) || !hc_plain(value, value_bytes))
+	if (!hc_token(name, name_bytes) || !hc_plain(value, value_bytes))
 		return;
 	g_string_append_len(out, name, (gssize)name_bytes);
 	g_string_append(out, ": ");
--- a/httpc.h
+++ b/httpc.h
@@ -8,6 +8,7 @@
 #include <uv.h>
 
 #include "net.h"
+#include "timer.h"
 
 /*
  * HTTP/1.1 client on libuv.
@@ -79,6 +80,8 @@
 	uint32_t max_connections;
 	uint32_t open;
 	uint64_t max_idle_us;
+	struct tm_service *timers; /* NULL: connecting takes what it takes */
+	uint64_t connect_timeout_us;
 	struct hc_conn *idle; /* most recently used first */
 	struct hc_conn *all;
 	bool closing;
@@ -96,6 +99,17 @@
 		  const struct nt_address *address, uint32_t max_connections);
 void hc_pool_close(struct hc_pool *pool, void (*closed)(void *ctx), void *ctx);
 
+/*
+ * hc_pool_set_connect_timeout - a connection that is not established after
+ * TIMEOUT_US ends its request with HC_NOT_SENT.
+ */
+void hc_pool_set_connect_timeout(struct hc_pool *pool,
+				 struct tm_service *timers,
+				 uint64_t timeout_us);
+
+/* hc_pool_set_limit - change the limit; idle connections above it close. */
+void hc_pool_set_limit(struct hc_pool *pool, uint32_t max_connections);
+
 /*
  * hc_start - send a request. OUT holds head and body and is taken over.
  * Returns false, without any callback, when no connection can be had.
--- a/httpd.c
+++ b/httpd.c
@@ -15,15 +15,106 @@
 
 /* A connection's libuv handle with its way back to the listener. */
 struct hd_conn {
-	uv_tcp_t tcp;
+	uv_tcp_t tcp; /* first: the close callback casts back */
 	struct hd_server *server;
+	struct hd_conn *next;
+	struct hd_conn **prev_next;
+	h2o_socket_t *sock; /* NULL once h2o has closed it */
+	bool http2;
+	bool read_shut; /* no further requests are read */
 };
 
+static struct hd_conn *hd_conn_of(h2o_req_t *req)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+
+	return sock->on_close.data;
+}
+
+static bool hd_is_field(const char *line, size_t bytes, const char *name)
+{
+	size_t len = strlen(name);
+
+	return bytes > len && line[len] == ':' &&
+	       !g_ascii_strncasecmp(line, name, len);
+}
+
+/*
+ * h2o takes the first of several lengths. Another program on the path may take
+ * the last one and see a different request, so such requests are refused.
+ * The head stays at the start of the input until the request is over.
+ */
+static enum st_kind hd_check_http1(const h2o_socket_t *sock)
+{
+	const char *line = sock->input->bytes;
+	const char *end = line + sock->input->size;
+	const char *stop;
+	uint32_t lengths = 0;
+	bool begun = false;
+
+	while ((stop = memchr(line, '\n', (size_t)(end - line)))) {
+		size_t bytes = (size_t)(stop - line);
+
+		if (bytes && line[bytes - 1] == '\r')
+			bytes--;
+		if (!bytes && begun)
+			break;
+		begun |= bytes > 0;
+		lengths += hd_is_field(line, bytes, "content-length") ||
+			   hd_is_field(line, bytes, "transfer-encoding");
+		line = stop + 1;
+	}
+	if (lengths > 1)
+		return ST_INVALID;
+	if (line - sock->input->bytes > HD_MAX_HEAD_BYTES)
+		return ST_TOO_LARGE;
+	return ST_OK;
+}
+
+static enum st_kind hd_check_http2(const h2o_req_t *req)
+{
+	size_t bytes = req->path.len;
+
+	for (size_t i = 0; i < req->headers.size; i++)
+		bytes += req->headers.entries[i].name->len +
+			 req->headers.entries[i].value.len;
+	return bytes > HD_MAX_HEAD_BYTES ? ST_TOO_LARGE : ST_OK;
+}
+
+/* HTTP/2 carries the method and the path as arbitrary bytes. */
+static bool hd_is_visible(h2o_iovec_t text)
+{
+	for (size_t i = 0; i < text.len; i++)
+		if (!g_ascii_isgraph(text.base[i]) && !(text.base[i] & 0x80))
+			return false;
+	return text.len > 0;
+}
+
+static enum st_kind hd_check(struct hd_conn *conn, const h2o_req_t *req)
+{
+	if (!hd_is_visible(req->method) || !hd_is_visible(req->path))
+		return ST_INVALID;
+	conn->http2 = req->version >= 0x200;
+	return conn->http2 ? hd_check_http2(req) : hd_check_http1(conn->sock);
+}
+
 static int hd_on_req(h2o_handler_t *self, h2o_req_t *req)
 {
 	struct hd_server *server = ((struct hd_handler *)self)->server;
+	enum st_kind kind = hd_check(hd_conn_of(req), req);
+	struct st_status status;
 
-	server->handle(server->ctx, req);
+	if (kind == ST_OK) {
+		server->handle(server->ctx, req);
+		return 0;
+	}
+	st_set(&status, kind, "%s",
+	       kind == ST_TOO_LARGE ?
+		       "the head of the request is too large" :
+		       "the length, method or path of the request is ambiguous");
+	req->http1_is_persistent = 0;
+	hd_add_header(req, "x-request-outcome", "not-run", strlen("not-run"));
+	hd_reply_status(req, &status);
 	return 0;
 }
 
@@ -31,30 +122,54 @@
 {
 	struct hd_conn *conn = (struct hd_conn *)handle;
 
+	*conn->prev_next = conn->next;
+	if (conn->next)
+		conn->next->prev_next = conn->prev_next;
 	conn->server->connections--;
 	g_free(conn);
 }
 
+static void hd_sock_closed(void *data)
+{
+	struct hd_conn *conn = data;
+
+	conn->sock = NULL;
+}
+
+static struct hd_conn *hd_conn_new(struct hd_server *server)
+{
+	struct hd_conn *conn = g_new0(struct hd_conn, 1);
+
+	conn->server = server;
+	conn->next = server->conns;
+	conn->prev_next = &server->conns;
+	if (conn->next)
+		conn->next->prev_next = &conn->next;
+	server->conns = conn;
+	server->connections++;
+	uv_tcp_init(server->loop, &conn->tcp);
+	return conn;
+}
+
 static void hd_on_accept(uv_stream_t *listener, int error)
 {
 	struct hd_server *server = listener->data;
 	struct hd_conn *conn;
-	h2o_socket_t *sock;
 
 	if (error)
 		return;
-	conn = g_new0(struct hd_conn, 1);
-	conn->server = server;
-	uv_tcp_init(server->loop, &conn->tcp);
-	server->connections++;
+	conn = hd_conn_new(server);
 	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) ||
 	    server->connections > server->max_connections) {
 		uv_close((uv_handle_t *)&conn->tcp, hd_conn_closed);
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
-	sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp, hd_conn_closed);
-	h2o_accept(&server->accept, sock);
+	conn->sock =
+		h2o_uv_socket_create((uv_stream_t *)&conn->tcp, hd_conn_closed);
+	conn->sock->on_close.cb = hd_sock_closed;
+	conn->sock->on_close.data = conn;
+	h2o_accept(&server->accept, conn->sock);
 }
 
 static void hd_configure(struct hd_server *server)
@@ -119,8 +234,32 @@
 	hd_announce_stop(server);
 }
 
+/* Data that was received before is still read; then reading ends. */
+static void hd_shut_read(struct hd_conn *conn)
+{
+	conn->read_shut = true;
+	shutdown(h2o_socket_get_fd(conn->sock), SHUT_RD);
+}
+
+void hd_close_idle(struct hd_server *server)
+{
+	for (struct hd_conn *c = server->conns; c; c = c->next)
+		if (c->sock && !c->http2 && !c->read_shut &&
+		    !c->sock->input->size)
+			hd_shut_read(c);
+}
+
+void hd_close_all(struct hd_server *server)
+{
+	for (struct hd_conn *c = server->conns; c; c = c->next)
+		if (c->sock)
+			shutdown(h2o_socket_get_fd(c->sock), SHUT_RDWR);
+}
+
 void hd_free(struct hd_server *server)
 {
+	/* The second notice to HTTP/2 callers may still be due. */
+	h2o_timeout_unlink(&server->context.http2._graceful_shutdown_timeout);
 	h2o_context_dispose(&server->context);
 	h2o_config_dispose(&server->conf);
 }
@@ -205,20 +344,36 @@
 
 bool hd_peer_left(h2o_req_t *req)
 {
-	h2o_socket_t *sock;
+	struct hd_conn *conn = hd_conn_of(req);
 	char byte;
 
-	if (req->version >= 0x200)
+	if (conn->http2 || conn->read_shut)
 		return false;
-	sock = req->conn->callbacks->get_socket(req->conn);
-	return !recv(h2o_socket_get_fd(sock), &byte, 1,
+	return !recv(h2o_socket_get_fd(conn->sock), &byte, 1,
 		     MSG_PEEK | MSG_DONTWAIT);
 }
 
+void hd_reset_on_close(h2o_req_t *req)
+{
+	struct hd_conn *conn = hd_conn_of(req);
+	struct linger linger = { .l_onoff = 1 };
+
+	if (!conn->http2)
+		setsockopt(h2o_socket_get_fd(conn->sock), SOL_SOCKET, SO_LINGER,
+			   &linger, sizeof(linger));
+}
+
+void hd_abort(h2o_req_t *req)
+{
+	hd_reset_on_close(req);
+	shutdown(h2o_socket_get_fd(hd_conn_of(req)->sock), SHUT_RDWR);
+}
+
 void hd_reply(h2o_req_t *req, int status, const char *content_type,
 	      const char *body, size_t body_bytes)
 {
 	static h2o_generator_t generator;
+	bool head = hd_method_is(req, "HEAD");
 	h2o_iovec_t buf = h2o_strdup(&req->pool, body, body_bytes);
 
 	req->res.status = status;
@@ -226,7 +381,7 @@
 	req->res.content_length = body_bytes;
 	hd_add_header(req, "content-type", content_type, strlen(content_type));
 	h2o_start_response(req, &generator);
-	h2o_send(req, &buf, 1, H2O_SEND_STATE_FINAL);
+	h2o_send(req, &buf, head ? 0 : 1, H2O_SEND_STATE_FINAL);
 }
 
 void hd_reply_status(h2o_req_t *req, const struct st_status *status)
--- a/httpd.h
+++ b/httpd.h
@@ -13,7 +13,11 @@
  * HTTP listener on h2o and libuv, with one handler for every request.
  */
 
-enum { HD_MAX_BODY_BYTES = 4 << 20, HD_MAX_CONNECTIONS = 4096 };
+enum {
+	HD_MAX_BODY_BYTES = 4 << 20,
+	HD_MAX_HEAD_BYTES = 32 * 1024,
+	HD_MAX_CONNECTIONS = 4096
+};
 
 struct hd_server {
 	h2o_globalconf_t conf;
@@ -21,6 +25,7 @@
 	h2o_accept_ctx_t accept;
 	uv_loop_t *loop;
 	uv_tcp_t listener;
+	struct hd_conn *conns; /* all */
 	uint32_t connections;
 	uint32_t max_connections;
 	bool listening;
@@ -41,7 +46,17 @@
 void hd_stop_listening(struct hd_server *server);
 /* hd_announce_stop - answers close their connections from now on. */
 void hd_announce_stop(struct hd_server *server);
-/* hd_free - after the loop has ended. */
+/*
+ * hd_close_idle - end HTTP/1 connections without a request. A request that was
+ * already received is still served.
+ */
+void hd_close_idle(struct hd_server *server);
+/* hd_close_all - end every connection, interrupting what is in progress. */
+void hd_close_all(struct hd_server *server);
+/*
+ * hd_free - after hd_stop_listening, when no connection is left. The loop must
+ * run once more before the memory goes away.
+ */
 void hd_free(struct hd_server *server);
 
 /* hd_header - value of a request header, or an empty vector. */
@@ -70,6 +85,16 @@
  * h2o does not read while a request is processed, so it cannot tell.
  */
 bool hd_peer_left(h2o_req_t *req);
+/*
+ * hd_reset_on_close - the connection of an HTTP/1 request will end with a reset
+ * instead of an orderly close.
+ */
+void hd_reset_on_close(h2o_req_t *req);
+/*
+ * hd_abort - end the connection of a request whose peer does not take the
+ * answer. The listener drops the request afterwards, not during the call.
+ */
+void hd_abort(h2o_req_t *req);
 /* hd_reply - answer with a copy of BODY. */
 void hd_reply(h2o_req_t *req, int status, const char *content_type,
 	      const char *body, size_t body_bytes);
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -137,3 +137,18 @@
 		wait_http "127.0.0.1:$((callers_port + i))" /health || return 1
 	done
 }
+
+# apply_document HOST FILE BASE
+apply_document() {
+	curl -s -f -o /dev/null -H "authorization: Bearer $TOKEN" \
+		--data-binary "@$2" \
+		"127.0.0.1:$((operators_port + $1))/v1/document?base=$3&author=test"
+}
+
+# stop_host I: graceful stop; its exit status is in STATUS.
+stop_host() {
+	eval "pid=\$pid_entry$1"
+	kill -TERM "$pid"
+	wait "$pid"
+	STATUS=$?
+}
--- /dev/null
+++ b/tests/tool_raw.c
@@ -0,0 +1,309 @@
+/*
+ * Raw sockets for the failures that a proper client or server cannot produce.
+ *
+ * usage: tool_raw server ADDRESS        answers by the last part of the path
+ *        tool_raw deaf ADDRESS          listens, never accepts, queue is full
+ *        tool_raw send ADDRESS SECONDS  sends stdin, prints what comes back
+ *        tool_raw slow ADDRESS SECONDS  sends stdin, does not read
+ *        tool_raw flood ADDRESS COUNT   holds connections, prints closed ones
+ * "send" and "slow" end with a line end=eof, end=reset or end=timeout.
+ */
+#include <errno.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "net.h"
+
+enum { BIG_BYTES = 64 << 20, CHUNK_BYTES = 64 * 1024, SETTLE_MS = 500 };
+enum { DEAF_CONNECTIONS = 16, LARGE_HEAD_BYTES = 40000 };
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+
+/* Answers that are written as they stand; then the connection closes. */
+static const struct {
+	const char *name;
+	const char *text;
+} answers[] = {
+	{ "short-length", OK_HEAD "content-length: 10\r\n\r\n12345" },
+	{ "no-first-byte", OK_HEAD "content-length: 10\r\n\r\n" },
+	{ "short-chunked",
+	  OK_HEAD "transfer-encoding: chunked\r\n\r\n5\r\n12345\r\n" },
+	{ "cut-chunk", OK_HEAD "transfer-encoding: chunked\r\n\r\n9\r\n12345" },
+	{ "bad-chunk",
+	  OK_HEAD "transfer-encoding: chunked\r\n\r\n5\r\n12345\r\nzz\r\n" },
+	{ "no-length", OK_HEAD "\r\n12345" },
+	{ "both-lengths", OK_HEAD "content-length: 5\r\ntransfer-encoding: "
+				  "chunked\r\n\r\n5\r\n12345\r\n0\r\n\r\n" },
+	{ "two-lengths",
+	  OK_HEAD "content-length: 5\r\ncontent-length: 4\r\n\r\n12345" },
+	{ "other-coding", OK_HEAD "transfer-encoding: gzip, chunked\r\n\r\n"
+				  "5\r\n12345\r\n0\r\n\r\n" },
+	{ "garbage", "\x16\x03\x01\x02garbage\r\n\r\n" },
+	{ "nothing", "" },
+	{ "half-head", OK_HEAD "content-le" },
+	{ "switch", "HTTP/1.1 101 Switching\r\nconnection: upgrade\r\n"
+		    "upgrade: x\r\n\r\n" },
+};
+
+/* Answers after which the connection stays open. */
+static const struct {
+	const char *name;
+	const char *text;
+} kept[] = {
+	{ "informational",
+	  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\n"
+	  "a: b\r\n\r\n" OK_HEAD "content-length: 5\r\n\r\nwhole" },
+	{ "status-204", "HTTP/1.1 204 No Content\r\n\r\n" },
+	{ "status-304", "HTTP/1.1 304 Not Modified\r\netag: \"1\"\r\n\r\n" },
+	{ "head-only", OK_HEAD "content-length: 1000\r\n\r\n" },
+	{ "extra", OK_HEAD "content-length: 5\r\n\r\nwhole" OK_HEAD
+			   "content-length: 6\r\n\r\nstolen" },
+};
+
+static void fail(const char *what)
+{
+	perror(what);
+	exit(2);
+}
+
+static bool write_all(int fd, const char *data, size_t bytes)
+{
+	while (bytes) {
+		ssize_t n = send(fd, data, bytes, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return false;
+		data += n;
+		bytes -= (size_t)n;
+	}
+	return true;
+}
+
+static bool write_text(int fd, const char *text)
+{
+	return write_all(fd, text, strlen(text));
+}
+
+static bool write_big(int fd)
+{
+	static char chunk[CHUNK_BYTES];
+	char head[96];
+
+	snprintf(head, sizeof(head), OK_HEAD "content-length: %d\r\n\r\n",
+		 BIG_BYTES);
+	if (!write_text(fd, head))
+		return false;
+	for (int sent = 0; sent < BIG_BYTES; sent += CHUNK_BYTES)
+		if (!write_all(fd, chunk, sizeof(chunk)))
+			return false;
+	return true;
+}
+
+static bool write_large_head(int fd)
+{
+	char *value = g_strnfill(LARGE_HEAD_BYTES, 'a');
+	char *text = g_strdup_printf(OK_HEAD "a: %s\r\ncontent-length: 0\r\n"
+					     "\r\n",
+				     value);
+	bool ok = write_text(fd, text);
+
+	g_free(text);
+	g_free(value);
+	return ok;
+}
+
+/* "late-MS" waits; every other unknown path is answered with itself. */
+static bool write_echo(int fd, const char *path)
+{
+	const char *late = strstr(path, "late-");
+	char head[96];
+
+	if (late)
+		g_usleep(1000 * strtoul(late + strlen("late-"), NULL, 10));
+	snprintf(head, sizeof(head), OK_HEAD "content-length: %zu\r\n\r\n",
+		 strlen(path));
+	return write_text(fd, head) && write_text(fd, path);
+}
+
+/* Returns whether the connection stays open. */
+static bool answer(int fd, const char *path)
+{
+	const char *name = strrchr(path, '/') ? strrchr(path, '/') + 1 : path;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		if (strcmp(answers[i].name, name) != 0)
+			continue;
+		write_text(fd, answers[i].text);
+		return false;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(kept); i++)
+		if (!strcmp(kept[i].name, name))
+			return write_text(fd, kept[i].text);
+	if (!strcmp(name, "big"))
+		return write_big(fd);
+	if (!strcmp(name, "large-head"))
+		return write_large_head(fd);
+	return write_echo(fd, path);
+}
+
+static void *serve_connection(void *arg)
+{
+	int fd = GPOINTER_TO_INT(arg);
+	char head[8192];
+	char path[256];
+	size_t bytes = 0;
+	ssize_t n;
+
+	while ((n = recv(fd, head + bytes, sizeof(head) - 1 - bytes, 0)) > 0) {
+		bytes += (size_t)n;
+		head[bytes] = '\0';
+		if (!strstr(head, "\r\n\r\n"))
+			continue;
+		bytes = 0;
+		if (sscanf(head, "%*s %255s", path) != 1 || !answer(fd, path))
+			break;
+	}
+	close(fd);
+	return NULL;
+}
+
+static int listen_on(const struct nt_address *address, int backlog)
+{
+	int fd = socket(address->addr.ss_family, SOCK_STREAM, 0);
+	int one = 1;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (const struct sockaddr *)&address->addr, nt_size(address)))
+		fail("bind");
+	if (listen(fd, backlog))
+		fail("listen");
+	return fd;
+}
+
+static int connect_to(const struct nt_address *address, int flags)
+{
+	int fd = socket(address->addr.ss_family, SOCK_STREAM | flags, 0);
+
+	if (fd < 0)
+		fail("socket");
+	if (connect(fd, (const struct sockaddr *)&address->addr,
+		    nt_size(address)) &&
+	    errno != EINPROGRESS)
+		fail("connect");
+	return fd;
+}
+
+_Noreturn static void run_server(const struct nt_address *address)
+{
+	int listener = listen_on(address, 128);
+
+	for (;;) {
+		int fd = accept(listener, NULL, NULL);
+		pthread_t thread;
+
+		if (fd < 0)
+			continue;
+		pthread_create(&thread, NULL, serve_connection,
+			       GINT_TO_POINTER(fd));
+		pthread_detach(thread);
+	}
+}
+
+_Noreturn static void run_deaf(const struct nt_address *address)
+{
+	listen_on(address, 0);
+	for (int i = 0; i < DEAF_CONNECTIONS; i++)
+		connect_to(address, SOCK_NONBLOCK);
+	for (;;)
+		pause();
+}
+
+static void send_stdin(int fd)
+{
+	char data[CHUNK_BYTES];
+	ssize_t n;
+
+	while ((n = read(STDIN_FILENO, data, sizeof(data))) > 0)
+		if (!write_all(fd, data, (size_t)n))
+			return;
+}
+
+static const char *print_answer(int fd, int timeout_ms)
+{
+	struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+	char data[CHUNK_BYTES];
+	ssize_t n;
+
+	for (;;) {
+		if (poll(&poll_fd, 1, timeout_ms) <= 0)
+			return "timeout";
+		n = recv(fd, data, sizeof(data), 0);
+		if (n <= 0)
+			return n ? "reset" : "eof";
+		fwrite(data, 1, (size_t)n, stdout);
+	}
+}
+
+/* Nothing is read, so only a reset of the connection can be seen. */
+static const char *wait_for_reset(int fd, int timeout_ms)
+{
+	struct pollfd poll_fd = { .fd = fd };
+
+	return poll(&poll_fd, 1, timeout_ms) > 0 ? "reset" : "timeout";
+}
+
+static int run_client(const struct nt_address *address, int timeout_ms,
+		      bool slow)
+{
+	int fd = connect_to(address, 0);
+	const char *end;
+
+	send_stdin(fd);
+	end = slow ? wait_for_reset(fd, timeout_ms) :
+		     print_answer(fd, timeout_ms);
+	printf("\nend=%s\n", end);
+	return 0;
+}
+
+static int run_flood(const struct nt_address *address, int count)
+{
+	struct pollfd *fds = g_new0(struct pollfd, count);
+	int closed = 0;
+
+	for (int i = 0; i < count; i++) {
+		fds[i].fd = connect_to(address, 0);
+		fds[i].events = POLLIN;
+	}
+	g_usleep(SETTLE_MS * 1000);
+	poll(fds, (nfds_t)count, 0);
+	for (int i = 0; i < count; i++)
+		closed += fds[i].revents != 0;
+	printf("%d\n", closed);
+	g_free(fds);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct nt_address address;
+	int number = argc > 3 ? atoi(argv[3]) : 0;
+
+	if (argc < 3 || !nt_parse(argv[2], &address)) {
+		fprintf(stderr, "usage: tool_raw MODE ADDRESS [NUMBER]\n");
+		return 2;
+	}
+	if (!strcmp(argv[1], "server"))
+		run_server(&address);
+	if (!strcmp(argv[1], "deaf"))
+		run_deaf(&address);
+	if (!strcmp(argv[1], "flood"))
+		return run_flood(&address, number);
+	return run_client(&address, number * 1000, !strcmp(argv[1], "slow"));
+}
