--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -152,3 +152,43 @@
 	wait "$pid"
 	STATUS=$?
 }
+
+# write_document SERVICES: a document of the zones z with that text.
+write_document() {
+	{
+		say "deployment: test"
+		say "latency_weight_percent: 50"
+		say "zones: [$(say "$ZONES" | sed 's/,/, /g')]"
+		say "services:"
+		say "$1"
+	} >"$WORK/document.yaml"
+}
+
+SMALL_SERVERS=6
+SMALL_SLOTS=6
+
+# start_small HOSTS MEAN_US: servers of one service and hosts in one zone.
+start_small() {
+	ZONES=z
+	start_platform || return 1
+	start_servers ordering 0 $SMALL_SERVERS $SMALL_SLOTS z "$2" || return 1
+	for i in $(seq 0 $(($1 - 1))); do start_host "$i" z "$1"; done
+	write_document "$(service ordering / 0 $SMALL_SERVERS $SMALL_SLOTS \
+		240 z "${POLICY:-shares}" "      - {method: GET, path: /, idempotent: true}
+      - {method: POST, path: /, idempotent: false}")"
+	wait_http "127.0.0.1:$operators_port" /health || return 1
+	apply_document 0 "$WORK/document.yaml" 0 || return 1
+	wait_document "$1"
+}
+
+# start_load NAME HOSTS RATE SECONDS [ARGUMENTS...]: the result is in NAME.out.
+start_load() {
+	start "$1" "$BIN/tool_load" -t "$(caller_list "$2")" -r "$3" -s "$4" \
+		--health --orders 20 --timeout-ms 5000 "${@:5}"
+}
+
+# result NAME KEY: a figure of a finished load.
+result() { grep -oE "\"$2\": *[0-9.]+" "$WORK/$1.out" | head -1 | grep -oE '[0-9.]+$'; }
+
+# lost NAME: calls of a finished load that were not answered.
+lost() { say $(($(result "$1" sent) - $(result "$1" completed))); }
--- /dev/null
+++ b/tests/run_stop.sh
@@ -0,0 +1,47 @@
+#!/bin/bash
+# Replaces three entry hosts one after the other under load. No call may be
+# lost, the health check of a stopping host must fail at once, and the host
+# must end with 0, also under the leak checker.
+set -u
+. "$(dirname "$0")/lib.sh"
+
+HOSTS=3
+RATE=${RATE:-250}
+SECONDS_OF_LOAD=12
+MEAN_US=100000
+failures=0
+
+check() { # WHAT COMMAND...
+	what=$1
+	shift
+	"$@" && return
+	say "FAILED: $what"
+	failures=$((failures + 1))
+}
+
+start_small $HOSTS $MEAN_US || exit 1
+start_load load $HOSTS "$RATE" $SECONDS_OF_LOAD
+pid_load=$PID
+sleep 1
+for i in $(seq 0 $((HOSTS - 1))); do
+	address=127.0.0.1:$((callers_port + i))
+	eval "kill -TERM \$pid_entry$i"
+	sleep 0.1
+	curl -s -D "$WORK/head" -o /dev/null "$address/health"
+	check "health of a stopping host" grep -q ' 503' "$WORK/head"
+	curl -s -D "$WORK/head" -o /dev/null "$address/x"
+	check "served in the grace time" grep -q ' 200' "$WORK/head"
+	check "connection: close" grep -qi '^connection: close' "$WORK/head"
+	eval "wait \$pid_entry$i"
+	status=$?
+	check "host $i ended with $status" test $status = 0
+	test $status = 0 || cat "$WORK/entry$i.log"
+	start_host "$i" z $HOSTS
+	wait_http "$address" /health || exit 1
+done
+check "the load ended before the hosts were replaced" kill -0 $pid_load
+wait $pid_load || failures=$((failures + 1))
+cat "$WORK/load.out"
+check "lost calls" test "$(lost load)" = 0
+say "failures: $failures"
+test $failures = 0
--- a/tests/tool_load.c
+++ b/tests/tool_load.c
@@ -1,13 +1,16 @@
 /*
  * Open-loop load tool: sends calls at a constant rate whether or not earlier
  * ones were answered, and measures each from the time it was meant to start.
- * Checks that every answer is the caller's own and whole.
+ * Checks that every answer is the caller's own and whole. The result is JSON,
+ * or a table with --table; "late" is how far the tool itself ran behind.
  */
 #include <argp.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
 
 #include <glib.h>
 #include <jansson.h>
@@ -16,7 +19,8 @@
 #include "timer.h"
 
 enum { US_PER_MS = 1000, US_PER_S = 1000000, MAX_TARGETS = 64 };
-enum { MAX_CONNECTIONS = 512, GRACE_US = 500 * 1000 };
+enum { MAX_CONNECTIONS = 4096, GRACE_US = 500 * 1000 };
+enum { MAX_KINDS = 8, HEALTH_US = 50 * 1000, HEALTH_TIMEOUT_US = 1000 * 1000 };
 
 enum told { TOLD_COMPLETED, TOLD_NOT_RUN, TOLD_UNKNOWN, TOLD_BROKEN };
 
@@ -36,6 +40,8 @@
 	uint32_t timeout_ms;
 	uint32_t seed;
 	size_t bytes;
+	bool health;
+	bool table;
 } options = {
 	.path = "/",
 	.order_path = "/",
@@ -45,11 +51,30 @@
 	.seed = 1,
 };
 
+/* A kind of call in the mix. */
+struct kind {
+	char *path;
+	bool order; /* POST, not idempotent */
+	double weight;
+	size_t bytes; /* smallest size of an answer */
+	uint64_t counts[4];
+	uint64_t in_time;
+	GArray *latencies; /* uint32_t us of calls after the warm-up */
+};
+
+struct target {
+	struct hc_pool pool;
+	struct hc_pool health_pool;
+	struct hc_request health;
+	struct tm_sub timer;
+	bool up;
+};
+
 struct call {
 	struct hc_request request; /* first: callbacks cast back */
+	struct kind *kind;
 	uint64_t due_us;
 	uint64_t number;
-	bool order;
 	char echo[48];
 	enum told told;
 	int status;
@@ -61,19 +86,21 @@
 
 static uv_loop_t loop;
 static struct tm_service timers;
-static struct hc_pool pools[MAX_TARGETS];
-static uint32_t pool_count;
-static struct tm_sub pace;
+static struct target targets[MAX_TARGETS];
+static uint32_t target_count;
+static uint32_t next_target;
+static struct kind kinds[MAX_KINDS];
+static uint32_t kind_count;
+static struct tm_sub end_check;
+static int pace_fd;
+static uv_poll_t pace;
 static GRand *rng;
 static uint64_t begin_us;
 static uint64_t next_due_us;
 static uint64_t sent;
 static uint64_t ended;
-static uint64_t counts[4];
 static uint64_t wrong;
-static uint64_t in_time;
-static uint64_t measured;
-static GArray *latencies; /* uint32_t us of calls after the warm-up */
+static GArray *lateness; /* uint32_t us */
 static FILE *log_file;
 
 static void finish(struct call *call, enum told told)
@@ -81,21 +108,21 @@
 	uint64_t us = tm_now_us() - call->due_us;
 	bool after_warm = call->due_us >=
 			  begin_us + (uint64_t)(options.warm_s * US_PER_S);
+	struct kind *kind = call->kind;
 
 	tm_cancel(&timers, &call->timer);
-	counts[told]++;
+	kind->counts[told]++;
 	ended++;
 	if (after_warm) {
 		uint32_t value = (uint32_t)us;
 
-		measured++;
-		in_time += told == TOLD_COMPLETED && call->status < 500 &&
-			   us <= (uint64_t)options.timeout_ms * US_PER_MS;
-		g_array_append_val(latencies, value);
+		kind->in_time += told == TOLD_COMPLETED && call->status < 500 &&
+				 us <= (uint64_t)options.timeout_ms * US_PER_MS;
+		g_array_append_val(kind->latencies, value);
 	}
 	if (log_file)
 		fprintf(log_file, "%s %s %s %d\n",
-			call->order ? "order" : "inquiry", call->echo,
+			kind->order ? "order" : "inquiry", call->echo,
 			told_names[told], call->status);
 	g_string_free(call->start, TRUE);
 	g_free(call);
@@ -129,7 +156,7 @@
 	char *want = g_strdup_printf("echo=%s ", call->echo);
 
 	if (!g_str_has_prefix(call->start->str, want) ||
-	    call->got < options.bytes) {
+	    call->got < call->kind->bytes) {
 		wrong++;
 		fprintf(stderr,
 			"wrong answer to %s: %.60s (%" G_GUINT64_FORMAT
@@ -171,9 +198,10 @@
 
 static GString *request_text(struct call *call)
 {
-	const char *method = call->order ? "POST" : "GET";
-	const char *base = call->order ? options.order_path : options.path;
-	char *path = g_strdup_printf("%s?bytes=%zu", base, options.bytes);
+	bool order = call->kind->order;
+	const char *method = order ? "POST" : "GET";
+	char *path = g_strdup_printf("%s?bytes=%zu", call->kind->path,
+				     call->kind->bytes);
 	char timeout[16];
 	GString *out = hc_head_begin(method, strlen(method), path, strlen(path),
 				     "load");
@@ -181,22 +209,49 @@
 	g_snprintf(timeout, sizeof(timeout), "%u", options.timeout_ms);
 	hc_head_add(out, "x-echo", 6, call->echo, strlen(call->echo));
 	hc_head_add(out, "x-timeout-ms", 12, timeout, strlen(timeout));
-	if (call->order && options.key_prefix)
+	if (order && options.key_prefix)
 		hc_head_add(out, "idempotency-key", 15, call->echo,
 			    strlen(call->echo));
-	hc_head_end(out, call->order ? "order" : NULL, call->order ? 5 : 0);
+	hc_head_end(out, order ? "order" : NULL, order ? 5 : 0);
 	g_free(path);
 	return out;
 }
 
+static struct kind *draw_kind(void)
+{
+	double total = 0;
+	double at;
+
+	for (uint32_t i = 0; i < kind_count; i++)
+		total += kinds[i].weight;
+	at = g_rand_double(rng) * total;
+	for (uint32_t i = 0; i + 1 < kind_count; i++) {
+		if (at < kinds[i].weight)
+			return &kinds[i];
+		at -= kinds[i].weight;
+	}
+	return &kinds[kind_count - 1];
+}
+
+/* The next target in turn whose health check does not fail. */
+static struct target *take_target(void)
+{
+	for (uint32_t i = 0; i < target_count; i++) {
+		struct target *target = &targets[next_target++ % target_count];
+
+		if (target->up)
+			return target;
+	}
+	return &targets[next_target++ % target_count];
+}
+
 static void start_call(uint64_t due_us)
 {
 	struct call *call = g_new0(struct call, 1);
-	struct hc_pool *pool = &pools[sent % pool_count];
 
+	call->kind = draw_kind();
 	call->due_us = due_us;
 	call->number = sent++;
-	call->order = g_rand_double(rng) * 100 < options.order_percent;
 	g_snprintf(call->echo, sizeof(call->echo), "%s%u-%" G_GUINT64_FORMAT,
 		   options.key_prefix ? options.key_prefix : "c", options.seed,
 		   call->number);
@@ -209,25 +264,91 @@
 	tm_subscribe(&timers, &call->timer,
 		     due_us + (uint64_t)options.timeout_ms * US_PER_MS +
 			     GRACE_US);
-	if (!hc_start(pool, &call->request, request_text(call)))
+	if (!hc_start(&take_target()->pool, &call->request, request_text(call)))
 		finish(call, TOLD_NOT_RUN);
 }
 
-static void on_pace(void *ctx)
+/* The loop's timers have a resolution of 1 ms, which is too coarse here. */
+static void arm_pace(void)
+{
+	struct itimerspec at = { 0 };
+
+	at.it_value.tv_sec = (time_t)(next_due_us / US_PER_S);
+	at.it_value.tv_nsec = (long)(next_due_us % US_PER_S) * 1000;
+	timerfd_settime(pace_fd, TFD_TIMER_ABSTIME, &at, NULL);
+}
+
+static void on_pace(uv_poll_t *handle, int status, int events)
 {
 	uint64_t now_us = tm_now_us();
 	uint64_t end_us = begin_us + (uint64_t)(options.seconds * US_PER_S);
+	uint64_t expirations;
 
+	if (read(pace_fd, &expirations, sizeof(expirations)) < 0)
+		return;
 	while (next_due_us <= now_us && next_due_us < end_us) {
 		double u = g_rand_double_range(rng, 1e-9, 1);
+		uint32_t late_us = (uint32_t)(now_us - next_due_us);
 
+		g_array_append_val(lateness, late_us);
 		start_call(next_due_us);
 		next_due_us += (uint64_t)(-log(u) * US_PER_S / options.rate);
 	}
-	if (next_due_us < end_us || ended < sent)
-		tm_subscribe(&timers, &pace, now_us + US_PER_MS);
-	else
+	if (next_due_us < end_us)
+		arm_pace();
+}
+
+static void on_end_check(void *ctx)
+{
+	uint64_t now_us = tm_now_us();
+	uint64_t end_us = begin_us + (uint64_t)(options.seconds * US_PER_S);
+
+	if (now_us >= end_us && next_due_us >= end_us && ended == sent)
 		uv_stop(&loop);
+	else
+		tm_subscribe(&timers, &end_check, now_us + US_PER_MS);
+}
+
+/* Health checks stand for the balancer in front of the entry hosts. */
+
+static void on_health_head(struct hc_request *request,
+			   const struct hc_head *head)
+{
+	struct target *target = request->ctx;
+
+	target->up = head->status == 200;
+}
+
+static void on_health_done(struct hc_request *request, enum hc_end end,
+			   const char *msg);
+
+static const struct hc_handler health_handler = {
+	.head = on_health_head,
+	.done = on_health_done,
+};
+
+static void check_health(void *ctx)
+{
+	struct target *target = ctx;
+	GString *out = hc_head_begin("GET", 3, "/health", 7, "load");
+
+	hc_cancel(&target->health);
+	target->health.handler = &health_handler;
+	target->health.ctx = target;
+	hc_head_end(out, NULL, 0);
+	tm_subscribe(&timers, &target->timer, tm_now_us() + HEALTH_TIMEOUT_US);
+	if (!hc_start(&target->health_pool, &target->health, out))
+		on_health_done(&target->health, HC_NOT_SENT, "");
+}
+
+static void on_health_done(struct hc_request *request, enum hc_end end,
+			   const char *msg)
+{
+	struct target *target = request->ctx;
+
+	if (end != HC_COMPLETE)
+		target->up = false;
+	tm_subscribe(&timers, &target->timer, tm_now_us() + HEALTH_US);
 }
 
 static int compare_u32(const void *a, const void *b)
@@ -238,38 +359,169 @@
 	return x < y ? -1 : x > y;
 }
 
-static double percentile_ms(double p)
+static double percentile_ms(const GArray *values, double p)
 {
 	guint i;
 
-	if (!latencies->len)
+	if (!values->len)
 		return 0;
-	i = (guint)ceil(p / 100 * latencies->len);
-	return g_array_index(latencies, uint32_t, i ? i - 1 : 0) / 1000.0;
+	i = (guint)ceil(p / 100 * values->len);
+	return g_array_index(values, uint32_t, i ? i - 1 : 0) / 1000.0;
+}
+
+static void sort(GArray *values)
+{
+	qsort(values->data, values->len, sizeof(uint32_t), compare_u32);
+}
+
+/* All kinds together. */
+static struct kind total_of_kinds(void)
+{
+	struct kind total = { .path = "total" };
+
+	total.latencies = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	for (uint32_t i = 0; i < kind_count; i++) {
+		struct kind *kind = &kinds[i];
+
+		for (int k = 0; k < 4; k++)
+			total.counts[k] += kind->counts[k];
+		total.in_time += kind->in_time;
+		if (kind->latencies->len)
+			g_array_append_vals(total.latencies,
+					    kind->latencies->data,
+					    kind->latencies->len);
+	}
+	return total;
+}
+
+static json_t *kind_json(struct kind *kind)
+{
+	const GArray *values = kind->latencies;
+	double in_time = values->len ? (double)kind->in_time / values->len : 0;
+	uint64_t all = 0;
+
+	for (int i = 0; i < 4; i++)
+		all += kind->counts[i];
+	sort(kind->latencies);
+	return json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:f, s:f, s:f, s:f, "
+			 "s:f, s:f}",
+			 "path", kind->path, "sent", (json_int_t)all,
+			 "completed", (json_int_t)kind->counts[TOLD_COMPLETED],
+			 "not_run", (json_int_t)kind->counts[TOLD_NOT_RUN],
+			 "unknown", (json_int_t)kind->counts[TOLD_UNKNOWN],
+			 "broken", (json_int_t)kind->counts[TOLD_BROKEN],
+			 "p50_ms", percentile_ms(values, 50), "p90_ms",
+			 percentile_ms(values, 90), "p99_ms",
+			 percentile_ms(values, 99), "p999_ms",
+			 percentile_ms(values, 99.9), "max_ms",
+			 percentile_ms(values, 100), "in_time", in_time);
+}
+
+static void print_row(const json_t *row)
+{
+	static const char *const counts[] = { "sent", "completed", "not_run",
+					      "unknown", "broken" };
+	static const char *const times[] = { "p50_ms", "p90_ms", "p99_ms",
+					     "p999_ms", "max_ms" };
+
+	printf("%-24s", json_string_value(json_object_get(row, "path")));
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++)
+		printf(" %9" JSON_INTEGER_FORMAT,
+		       json_integer_value(json_object_get(row, counts[i])));
+	for (size_t i = 0; i < G_N_ELEMENTS(times); i++)
+		printf(" %9.2f",
+		       json_real_value(json_object_get(row, times[i])));
+	printf(" %8.3f%%\n",
+	       100 * json_real_value(json_object_get(row, "in_time")));
+}
+
+static void print_table(const json_t *object)
+{
+	const json_t *rows = json_object_get(object, "kinds");
+
+	printf("%-24s %9s %9s %9s %9s %9s %9s %9s %9s %9s %9s %9s\n", "path",
+	       "sent", "completed", "not-run", "unknown", "broken", "p50 ms",
+	       "p90 ms", "p99 ms", "p99.9 ms", "max ms", "in time");
+	for (size_t i = 0; i < json_array_size(rows); i++)
+		print_row(json_array_get(rows, i));
+	print_row(object);
+	printf("wrong answers: %" G_GUINT64_FORMAT
+	       ", the tool ran late by %.2f ms at p99\n",
+	       wrong, percentile_ms(lateness, 99));
 }
 
 static void print_result(void)
 {
-	json_t *object;
-
-	qsort(latencies->data, latencies->len, sizeof(uint32_t), compare_u32);
-	object = json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:f, s:f, s:f}",
-			   "sent", (json_int_t)sent, "completed",
-			   (json_int_t)counts[TOLD_COMPLETED], "not_run",
-			   (json_int_t)counts[TOLD_NOT_RUN], "unknown",
-			   (json_int_t)counts[TOLD_UNKNOWN], "broken",
-			   (json_int_t)counts[TOLD_BROKEN], "wrong",
-			   (json_int_t)wrong, "p50_ms", percentile_ms(50),
-			   "p99_ms", percentile_ms(99), "p999_ms",
-			   percentile_ms(99.9), "in_time",
-			   measured ? (double)in_time / (double)measured : 0.0);
-	json_dumpf(object, stdout,
-		   JSON_PRESERVE_ORDER | JSON_REAL_PRECISION(6));
+	struct kind total = total_of_kinds();
+	json_t *object = kind_json(&total);
+	json_t *rows = json_array();
+
+	for (uint32_t i = 0; i < kind_count; i++)
+		json_array_append_new(rows, kind_json(&kinds[i]));
+	sort(lateness);
+	json_object_set_new(object, "wrong", json_integer((json_int_t)wrong));
+	json_object_set_new(object, "late_p99_ms",
+			    json_real(percentile_ms(lateness, 99)));
+	json_object_set_new(object, "kinds", rows);
+	if (options.table)
+		print_table(object);
+	else
+		json_dumpf(object, stdout,
+			   JSON_PRESERVE_ORDER | JSON_REAL_PRECISION(6));
 	printf("\n");
 	json_decref(object);
+	g_array_free(total.latencies, TRUE);
+}
+
+static struct kind *add_kind(const char *path, double weight, size_t bytes,
+			     bool order)
+{
+	struct kind *kind = &kinds[kind_count++];
+
+	kind->path = g_strdup(path);
+	kind->weight = weight;
+	kind->bytes = bytes;
+	kind->order = order;
+	kind->latencies = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	return kind;
 }
 
-enum { KEY_ORDERS = 256, KEY_ORDER_PATH, KEY_KEYS, KEY_WARM, KEY_BYTES };
+/* PATH,WEIGHT[,BYTES[,POST]] */
+static bool parse_kind(const char *text)
+{
+	char **parts = g_strsplit(text, ",", 4);
+	guint count = g_strv_length(parts);
+	bool ok = count >= 2 && kind_count < MAX_KINDS;
+
+	if (ok)
+		add_kind(parts[0], strtod(parts[1], NULL),
+			 count > 2 ? strtoul(parts[2], NULL, 10) : 0,
+			 count > 3 && !strcmp(parts[3], "POST"));
+	g_strfreev(parts);
+	return ok;
+}
+
+/* Without --call the mix is made of inquiries and orders. */
+static void default_mix(void)
+{
+	if (kind_count)
+		return;
+	add_kind(options.path, 100 - options.order_percent, options.bytes,
+		 false);
+	if (options.order_percent > 0)
+		add_kind(options.order_path, options.order_percent,
+			 options.bytes, true);
+}
+
+enum {
+	KEY_ORDERS = 256,
+	KEY_ORDER_PATH,
+	KEY_KEYS,
+	KEY_WARM,
+	KEY_BYTES,
+	KEY_HEALTH,
+	KEY_TABLE
+};
 
 static const struct argp_option argp_options[] = {
 	{ "targets", 't', "LIST", 0, "addresses, comma separated", 0 },
@@ -277,6 +529,11 @@
 	{ "seconds", 's', "N", 0, "duration", 0 },
 	{ "path", 'p', "PATH", 0, "path of inquiries", 0 },
 	{ "order-path", KEY_ORDER_PATH, "PATH", 0, "path of orders", 0 },
+	{ "call", 'c', "PATH,WEIGHT[,BYTES[,POST]]", 0,
+	  "a kind of call in the mix, repeatable", 0 },
+	{ "health", KEY_HEALTH, NULL, 0, "avoid targets that are not healthy",
+	  0 },
+	{ "table", KEY_TABLE, NULL, 0, "print a table", 0 },
 	{ "orders", KEY_ORDERS, "PERCENT", 0, "part of orders", 0 },
 	{ "keys", KEY_KEYS, "PREFIX", 0, "orders carry idempotency keys", 0 },
 	{ "bytes", KEY_BYTES, "N", 0, "smallest size of an answer", 0 },
@@ -326,40 +583,74 @@
 	case 'l':
 		options.log = arg;
 		break;
+	case 'c':
+		if (!parse_kind(arg))
+			argp_error(state, "\"%s\" is not a kind of call", arg);
+		break;
+	case KEY_HEALTH:
+		options.health = true;
+		break;
+	case KEY_TABLE:
+		options.table = true;
+		break;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
 	return 0;
 }
 
+static bool add_target(const char *text)
+{
+	struct target *target = &targets[target_count++];
+	struct nt_address address;
+
+	if (!nt_parse(text, &address)) {
+		fprintf(stderr, "\"%s\" is not an address\n", text);
+		return false;
+	}
+	hc_pool_init(&target->pool, &loop, &address, MAX_CONNECTIONS);
+	hc_pool_init(&target->health_pool, &loop, &address, 2);
+	target->up = true;
+	target->timer.fire = check_health;
+	target->timer.ctx = target;
+	if (options.health)
+		check_health(target);
+	return true;
+}
+
+static void run(void)
+{
+	rng = g_rand_new_with_seed(options.seed);
+	lateness = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	begin_us = tm_now_us();
+	next_due_us = begin_us;
+	pace_fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+	uv_poll_init(&loop, &pace, pace_fd);
+	uv_poll_start(&pace, UV_READABLE, on_pace);
+	arm_pace();
+	end_check.fire = on_end_check;
+	on_end_check(NULL);
+	uv_run(&loop, UV_RUN_DEFAULT);
+}
+
 int main(int argc, char **argv)
 {
 	struct argp argp = { .options = argp_options, .parser = parse };
-	char **targets;
-	struct nt_address address;
+	char **list;
 
 	if (argp_parse(&argp, argc, argv, 0, NULL, NULL) || !options.targets)
 		return 2;
 	uv_loop_init(&loop);
 	tm_init(&timers, &loop);
-	targets = g_strsplit(options.targets, ",", MAX_TARGETS);
-	for (char **t = targets; *t; t++) {
-		if (!nt_parse(*t, &address)) {
-			fprintf(stderr, "\"%s\" is not an address\n", *t);
+	default_mix();
+	list = g_strsplit(options.targets, ",", MAX_TARGETS);
+	for (char **t = list; *t; t++)
+		if (!add_target(*t))
 			return 2;
-		}
-		hc_pool_init(&pools[pool_count++], &loop, &address,
-			     MAX_CONNECTIONS);
-	}
+	g_strfreev(list);
 	if (options.log)
 		log_file = fopen(options.log, "w");
-	rng = g_rand_new_with_seed(options.seed);
-	latencies = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	begin_us = tm_now_us();
-	next_due_us = begin_us;
-	pace.fire = on_pace;
-	on_pace(NULL);
-	uv_run(&loop, UV_RUN_DEFAULT);
+	run();
 	print_result();
 	if (log_file)
 		fclose(log_file);
