--- a/tests/tool_load.c
+++ b/tests/tool_load.c
@@ -236,13 +236,16 @@
 /* The next target in turn whose health check does not fail. */
 static struct target *take_target(void)
 {
-	for (uint32_t i = 0; i < target_count; i++) {
-		struct target *target = &targets[next_target++ % target_count];
+	struct target *target = targets;
 
+	for (uint32_t i = 0; i < target_count; i++) {
+		target = &targets[next_target];
+		next_target =
+			next_target + 1 < target_count ? next_target + 1 : 0;
 		if (target->up)
-			return target;
+			break;
 	}
-	return &targets[next_target++ % target_count];
+	return target;
 }
 
 static void start_call(uint64_t due_us)
