--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -192,3 +192,19 @@
 
 # lost NAME: calls of a finished load that were not answered.
 lost() { say $(($(result "$1" sent) - $(result "$1" completed))); }
+
+# end_process NAME: at once; used where a run needs fresh processes.
+end_process() {
+	eval "pid=\$pid_$1"
+	kill -9 "$pid" 2>/dev/null
+	wait "$pid" 2>/dev/null
+	PIDS=" $PIDS "
+	PIDS=${PIDS/ $pid / }
+}
+
+# processor_ticks PID...: user and system time in ticks of 10 ms.
+processor_ticks() {
+	for pid in "$@"; do
+		cat "/proc/$pid/stat"
+	done | awk '{ n += $14 + $15 } END { print n }'
+}
