Answer in one write and copy less per call

An answer that arrived whole left in two writes, because its body was flushed before its end was known, and every call formatted its id, copied its method, path and headers separately and its load report three times.

Bodies are now flushed at the end of each read, the request head is built once, ids and times are written without formatted output, and header names are compared by length first.

--- a/gateway.c
+++ b/gateway.c
@@ -14,7 +14,10 @@
 	/* A lost first packet is only repeated after a second. */
 	GW_CONNECT_TIMEOUT_US = 200 * 1000,
 	GW_US_PER_MS = 1000,
-	GW_REQUEST_ID_BYTES = 96
+	GW_REQUEST_ID_BYTES = 128,
+	GW_HEAD_BYTES = 512,
+	GW_ATTEMPT_HEAD_BYTES = 160,
+	GW_DIGITS = 20
 };
 
 /* An upstream server with its connections. */
@@ -44,9 +47,8 @@
 	uint64_t id;
 	char request_id[GW_REQUEST_ID_BYTES];
 	h2o_req_t *req; /* NULL once the listener has dropped it */
-	GString *method;
-	GString *path;
-	GString *headers;
+	bool head_method;
+	GString *head; /* of the request, without what differs per attempt */
 	GString *body;
 	uint64_t deadline_us;
 	struct tm_sub timer;
@@ -124,31 +126,40 @@
 	hd_reply_status(call->req, &status);
 }
 
+#define GW_HOP_HEADERS(X)      \
+	X("connection")        \
+	X("keep-alive")        \
+	X("proxy-connection")  \
+	X("transfer-encoding") \
+	X("content-length")    \
+	X("te")                \
+	X("trailer")           \
+	X("upgrade")           \
+	X("x-load")            \
+	X("x-draining")        \
+	X("x-not-run")         \
+	X("x-request-id")      \
+	X("x-request-outcome") \
+	X("x-timeout-ms")      \
+	X("x-entry-zone")      \
+	X("host")              \
+	X("expect")
+
+/* Headers that concern one connection or that this program sets itself. */
 static bool gw_is_hop_header(const char *name, size_t bytes)
 {
-	static const char *const names[] = {
-		"connection",
-		"keep-alive",
-		"proxy-connection",
-		"transfer-encoding",
-		"content-length",
-		"te",
-		"trailer",
-		"upgrade",
-		"x-load",
-		"x-draining",
-		"x-not-run",
-		"x-request-id",
-		"x-request-outcome",
-		"x-timeout-ms",
-		"x-entry-zone",
-		"host",
-		"expect",
+	static const struct {
+		const char *name;
+		size_t bytes;
+	} rows[] = {
+#define X(name) { name, sizeof(name) - 1 },
+		GW_HOP_HEADERS(X)
+#undef X
 	};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
-		if (strlen(names[i]) == bytes &&
-		    !g_ascii_strncasecmp(names[i], name, bytes))
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		if (rows[i].bytes == bytes &&
+		    !g_ascii_strncasecmp(rows[i].name, name, bytes))
 			return true;
 	return false;
 }
@@ -207,15 +218,20 @@
 
 static void gw_copy_headers(struct gw_call *call, const struct hc_head *head)
 {
+	h2o_mem_pool_t *pool = &call->req->pool;
+
 	for (uint32_t i = 0; i < head->header_count; i++) {
 		const struct hc_header *h = &head->headers[i];
-		char *name;
+		h2o_iovec_t name;
+		h2o_iovec_t value;
 
 		if (gw_is_hop_header(h->name, h->name_bytes))
 			continue;
-		name = g_ascii_strdown(h->name, (gssize)h->name_bytes);
-		hd_add_header(call->req, name, h->value, h->value_bytes);
-		g_free(name);
+		name = h2o_strdup(pool, h->name, h->name_bytes);
+		value = h2o_strdup(pool, h->value, h->value_bytes);
+		h2o_strtolower(name.base, name.len);
+		h2o_add_header_by_str(pool, &call->req->res.headers, name.base,
+				      name.len, 1, NULL, value.base, value.len);
 	}
 }
 
@@ -239,14 +255,15 @@
 
 static uint32_t gw_load_field(const struct hc_header *h, const char *key)
 {
-	char *text = g_strndup(h->value, h->value_bytes);
-	char *at = strstr(text, key);
+	const char *end = h->value + h->value_bytes;
+	const char *at = memmem(h->value, h->value_bytes, key, strlen(key));
 	uint64_t value = 0;
 
-	if (at)
-		value = g_ascii_strtoull(at + strlen(key), NULL, 10);
-	g_free(text);
-	return value > UINT32_MAX ? UINT32_MAX : (uint32_t)value;
+	if (!at)
+		return 0;
+	for (at += strlen(key); at < end && g_ascii_isdigit(*at); at++)
+		value = MIN(value * 10 + (uint64_t)(*at - '0'), UINT32_MAX);
+	return (uint32_t)value;
 }
 
 static void gw_take_report(struct gw_attempt *attempt,
@@ -325,6 +342,16 @@
 	if (call->answering != attempt || !call->req)
 		return;
 	g_string_append_len(call->pending, data, (gssize)data_bytes);
+}
+
+/* A small answer that was received whole leaves in one write. */
+static void gw_on_read_end(struct hc_request *request)
+{
+	struct gw_attempt *attempt = (struct gw_attempt *)request;
+	struct gw_call *call = attempt->call;
+
+	if (call->answering != attempt || !call->req)
+		return;
 	gw_flush(call);
 	if (call->pending->len > GW_BUFFER_HIGH_BYTES && !call->paused) {
 		call->paused = true;
@@ -373,25 +400,41 @@
 	.sent = gw_on_sent,
 	.head = gw_on_head,
 	.body = gw_on_body,
+	.read_end = gw_on_read_end,
 	.done = gw_on_done,
 };
 
+/* Writes VALUE without a terminator and returns the number of digits. */
+static size_t gw_decimal(uint64_t value, char out[GW_DIGITS])
+{
+	char *end = out + GW_DIGITS;
+	char *at = end;
+	size_t bytes;
+
+	do
+		*--at = (char)('0' + value % 10);
+	while (value /= 10);
+	bytes = (size_t)(end - at);
+	memmove(out, at, bytes);
+	return bytes;
+}
+
 static GString *gw_request_text(struct gw_call *call, struct gw_server *server)
 {
 	uint64_t now_us = tm_now_us();
 	uint64_t left_ms = 1;
-	char text[32];
-	GString *out = hc_head_begin(call->method->str, call->method->len,
-				     call->path->str, call->path->len,
-				     server->pool.address.text);
+	char text[GW_DIGITS];
+	GString *out = g_string_sized_new(call->head->len +
+					  (call->body ? call->body->len : 0) +
+					  GW_ATTEMPT_HEAD_BYTES);
 
 	if (call->deadline_us > now_us + GW_US_PER_MS)
 		left_ms = (call->deadline_us - now_us) / GW_US_PER_MS;
-	g_string_append_len(out, call->headers->str,
-			    (gssize)call->headers->len);
-	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, left_ms);
+	g_string_append_len(out, call->head->str, (gssize)call->head->len);
+	hc_head_add(out, "host", strlen("host"), server->pool.address.text,
+		    strlen(server->pool.address.text));
 	hc_head_add(out, "x-timeout-ms", strlen("x-timeout-ms"), text,
-		    strlen(text));
+		    gw_decimal(left_ms, text));
 	hc_head_end(out, call->body ? call->body->str : NULL,
 		    call->body ? call->body->len : 0);
 	return out;
@@ -413,7 +456,7 @@
 	attempt->index = action->attempt;
 	attempt->server = action->server;
 	attempt->http.handler = &gw_handler;
-	attempt->http.head_method = !strcmp(call->method->str, "HEAD");
+	attempt->http.head_method = call->head_method;
 	if (!hc_start(&server->pool, &attempt->http,
 		      gw_request_text(call, server)))
 		gw_post_ended(attempt, CORE_END_NOT_SENT);
@@ -518,9 +561,7 @@
 
 static void gw_call_free(struct gw_call *call)
 {
-	g_string_free(call->method, TRUE);
-	g_string_free(call->path, TRUE);
-	g_string_free(call->headers, TRUE);
+	g_string_free(call->head, TRUE);
 	if (call->body)
 		g_string_free(call->body, TRUE);
 	g_string_free(call->pending, TRUE);
@@ -584,12 +625,12 @@
 		h2o_header_t *h = &req->headers.entries[i];
 
 		if (!gw_is_hop_header(h->name->base, h->name->len))
-			hc_head_add(call->headers, h->name->base, h->name->len,
+			hc_head_add(call->head, h->name->base, h->name->len,
 				    h->value.base, h->value.len);
 	}
-	hc_head_add(call->headers, "x-request-id", strlen("x-request-id"),
+	hc_head_add(call->head, "x-request-id", strlen("x-request-id"),
 		    call->request_id, strlen(call->request_id));
-	hc_head_add(call->headers, "x-entry-zone", strlen("x-entry-zone"), zone,
+	hc_head_add(call->head, "x-entry-zone", strlen("x-entry-zone"), zone,
 		    strlen(zone));
 }
 
@@ -602,13 +643,12 @@
 	call->id = ++gateway->last_call;
 	call->req = req;
 	call->refs = 2;
-	g_snprintf(call->request_id, sizeof(call->request_id),
-		   "%s-%" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
-		   gateway->settings->host, gateway->incarnation, call->id);
-	call->method =
-		g_string_new_len(req->method.base, (gssize)req->method.len);
-	call->path = g_string_new_len(req->path.base, (gssize)req->path.len);
-	call->headers = g_string_sized_new(512);
+	memcpy(call->request_id, gateway->id_prefix, gateway->id_prefix_bytes);
+	gw_decimal(call->id, call->request_id + gateway->id_prefix_bytes);
+	call->head_method = hd_method_is(req, "HEAD");
+	call->head = g_string_sized_new(GW_HEAD_BYTES);
+	hc_head_line(call->head, req->method.base, req->method.len,
+		     req->path.base, req->path.len);
 	call->pending = g_string_new(NULL);
 	call->sending = g_string_new(NULL);
 	if (req->entity.base)
@@ -638,9 +678,9 @@
 	return (uint32_t)MIN(value, service->longest_deadline_ms);
 }
 
-static bool gw_is_safe(const GString *method)
+static bool gw_is_safe(const h2o_req_t *req)
 {
-	return !strcmp(method->str, "GET") || !strcmp(method->str, "HEAD");
+	return hd_method_is(req, "GET") || hd_method_is(req, "HEAD");
 }
 
 static void gw_admit(struct gw_call *call, uint32_t index)
@@ -649,7 +689,7 @@
 	const struct doc_service *service = &gateway->document->services[index];
 	h2o_req_t *req = call->req;
 	const struct doc_rule *rule =
-		doc_rule(service, call->method->str, call->method->len,
+		doc_rule(service, req->method.base, req->method.len,
 			 req->path.base, req->path.len);
 	uint32_t timeout_ms = rule ? rule->deadline_ms : service->deadline_ms;
 	h2o_iovec_t caller = hd_header(req, "x-caller");
@@ -662,8 +702,7 @@
 	event.u.call.caller = doc_caller(
 		gateway->document, caller.base ? caller.base : "", caller.len);
 	event.u.call.deadline_us = call->deadline_us;
-	event.u.call.idempotent =
-		rule ? rule->idempotent : gw_is_safe(call->method);
+	event.u.call.idempotent = rule ? rule->idempotent : gw_is_safe(req);
 	g_hash_table_insert(gateway->calls, &call->id, call);
 	gw_post(gateway, &event);
 }
@@ -884,6 +923,10 @@
 	gateway->settings = settings;
 	gateway->incarnation = (uint64_t)g_get_real_time();
 	gateway->host_count = MAX(settings->seed_count, 1);
+	gateway->id_prefix_bytes = (size_t)g_snprintf(
+		gateway->id_prefix, sizeof(gateway->id_prefix),
+		"%s-%" G_GINT64_MODIFIER "x-", settings->host,
+		gateway->incarnation);
 	gw_init_tables(gateway);
 	gateway->core = core_new(&driver);
 	gateway->core_timer.fire = gw_on_core_timer;
--- a/gateway.h
+++ b/gateway.h
@@ -12,6 +12,8 @@
 #include "settings.h"
 #include "timer.h"
 
+enum { GW_ID_PREFIX_BYTES = SE_NAME_BYTES + 20 };
+
 /*
  * Callers' listener: turns requests into events of the decision core, carries
  * out its actions and streams answers back. Registered as "gateway".
@@ -32,6 +34,8 @@
 	GHashTable *calls; /* by id */
 	uint64_t last_call;
 	uint64_t incarnation;
+	char id_prefix[GW_ID_PREFIX_BYTES]; /* of request ids */
+	size_t id_prefix_bytes;
 	GArray *events; /* queued for the core */
 	bool handling;
 	struct tm_sub core_timer;
--- a/httpc.c
+++ b/httpc.c
@@ -302,6 +302,8 @@
 	else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
 		hc_conn_fail(conn, http_errno_description(
 					   HTTP_PARSER_ERRNO(&conn->parser)));
+	else if (conn->request->handler->read_end)
+		conn->request->handler->read_end(conn->request);
 }
 
 static void hc_conn_read(uv_stream_t *stream, ssize_t nread,
@@ -559,17 +561,22 @@
 	request->conn->reading = true;
 }
 
+void hc_head_line(GString *out, const char *method, size_t method_bytes,
+		  const char *path, size_t path_bytes)
+{
+	g_string_append_len(out, method, (gssize)method_bytes);
+	g_string_append_c(out, ' ');
+	g_string_append_len(out, path, (gssize)path_bytes);
+	g_string_append(out, " HTTP/1.1\r\n");
+}
+
 GString *hc_head_begin(const char *method, size_t method_bytes,
 		       const char *path, size_t path_bytes, const char *host)
 {
 	GString *out = g_string_sized_new(512);
 
-	g_string_append_len(out, method, (gssize)method_bytes);
-	g_string_append_c(out, ' ');
-	g_string_append_len(out, path, (gssize)path_bytes);
-	g_string_append(out, " HTTP/1.1\r\nhost: ");
-	g_string_append(out, host);
-	g_string_append(out, "\r\n");
+	hc_head_line(out, method, method_bytes, path, path_bytes);
+	hc_head_add(out, "host", strlen("host"), host, strlen(host));
 	return out;
 }
 
@@ -577,8 +584,8 @@
 static bool hc_token(const char *text, size_t bytes)
 {
 	for (size_t i = 0; i < bytes; i++)
-		if (!text[i] || (!g_ascii_isalnum(text[i]) &&
-				 !strchr("!#$%&'*+-.^_`|~", text[i])))
+		if (!g_ascii_isalnum(text[i]) && text[i] != '-' &&
+		    (!text[i] || !strchr("!#$%&'*+.^_`|~", text[i])))
 			return false;
 	return bytes > 0;
 }
--- a/httpc.h
+++ b/httpc.h
@@ -52,12 +52,14 @@
 
 struct hc_request;
 
-/* Callbacks of a request; SENT, HEAD and BODY may be NULL. */
+/* Callbacks of a request; all but DONE may be NULL. */
 struct hc_handler {
 	void (*sent)(struct hc_request *request);
 	void (*head)(struct hc_request *request, const struct hc_head *head);
 	void (*body)(struct hc_request *request, const char *data,
 		     size_t data_bytes);
+	/* What was received at once has been passed on; more will follow. */
+	void (*read_end)(struct hc_request *request);
 	/* Last callback; the request may be reused or freed in it. */
 	void (*done)(struct hc_request *request, enum hc_end end,
 		     const char *msg);
@@ -125,10 +127,13 @@
 
 /*
  * hc_head_begin, hc_head_add, hc_head_end - compose a request.
+ * hc_head_line - append the request line only.
  * hc_head_add drops a header whose name or value has control characters.
  */
 GString *hc_head_begin(const char *method, size_t method_bytes,
 		       const char *path, size_t path_bytes, const char *host);
+void hc_head_line(GString *out, const char *method, size_t method_bytes,
+		  const char *path, size_t path_bytes);
 void hc_head_add(GString *out, const char *name, size_t name_bytes,
 		 const char *value, size_t value_bytes);
 void hc_head_end(GString *out, const char *body, size_t body_bytes);
