Leave callers time to take an error at the deadline

A call that ended at its deadline had its connection reset in the same turn of the loop, so the error could be lost on a real link. The caller now has at least 500 ms to take what is left. Answers carried the server's date and server headers beside those of h2o, and a 204 could carry a length; both are dropped. A host that stops while an operator waits for an answer no longer aborts in h2o's clean-up.

--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -133,8 +133,13 @@
 	return kind;
 }
 
+static uint32_t sv_connections(const struct sv_host *host)
+{
+	return host->gateway.http.connections + host->admin.http.connections;
+}
+
 /* Runs the loop until the connections of both listeners are closed. */
-static void sv_close(struct sv_host *host)
+static bool sv_close(struct sv_host *host)
 {
 	uint64_t until_us = tm_now_us() + SV_CLOSE_US;
 
@@ -143,14 +148,16 @@
 	hd_close_all(&host->admin.http);
 	cp_free(&host->control);
 	pf_free(&host->platform);
-	while (host->gateway.http.connections + host->admin.http.connections &&
-	       tm_now_us() < until_us)
+	while (sv_connections(host) && tm_now_us() < until_us)
 		uv_run(&host->loop, UV_RUN_NOWAIT);
+	return !sv_connections(host);
 }
 
 static void sv_free(struct sv_host *host)
 {
-	sv_close(host);
+	/* h2o cannot be freed while an operator waits for an answer. */
+	if (!sv_close(host))
+		return;
 	gw_free(&host->gateway);
 	ad_free(&host->admin);
 	tm_free(&host->timers);
--- a/gateway.c
+++ b/gateway.c
@@ -13,6 +13,8 @@
 	GW_SWEEP_US = 20 * 1000,
 	/* A lost first packet is only repeated after a second. */
 	GW_CONNECT_TIMEOUT_US = 200 * 1000,
+	/* To take what is left of an answer or an error at the deadline. */
+	GW_TAKE_US = 500 * 1000,
 	GW_US_PER_MS = 1000,
 	GW_REQUEST_ID_BYTES = 128,
 	GW_HEAD_BYTES = 512,
@@ -216,6 +218,15 @@
 	call->in_send = true; /* nothing may be sent any more */
 }
 
+/* h2o writes these of its own; a second one would be malformed. */
+static bool gw_is_own_header(const struct hc_header *h)
+{
+	return (h->name_bytes == strlen("date") &&
+		!g_ascii_strncasecmp(h->name, "date", h->name_bytes)) ||
+	       (h->name_bytes == strlen("server") &&
+		!g_ascii_strncasecmp(h->name, "server", h->name_bytes));
+}
+
 static void gw_copy_headers(struct gw_call *call, const struct hc_head *head)
 {
 	h2o_mem_pool_t *pool = &call->req->pool;
@@ -225,7 +236,8 @@
 		h2o_iovec_t name;
 		h2o_iovec_t value;
 
-		if (gw_is_hop_header(h->name, h->name_bytes))
+		if (gw_is_hop_header(h->name, h->name_bytes) ||
+		    gw_is_own_header(h))
 			continue;
 		name = h2o_strdup(pool, h->name, h->name_bytes);
 		value = h2o_strdup(pool, h->value, h->value_bytes);
@@ -242,7 +254,7 @@
 	call->started = true;
 	call->req->res.status = head->status;
 	call->req->res.reason = head->status < 400 ? "OK" : "Error";
-	if (head->content_length != UINT64_MAX)
+	if (head->content_length != UINT64_MAX && head->status != 204)
 		call->req->res.content_length = (size_t)head->content_length;
 	gw_copy_headers(call, head);
 	gw_add_outcome(call, ST_OK);
@@ -474,7 +486,7 @@
 		ct_add(st_not_run(result) ? CT_REFUSED : CT_UNKNOWN, 1);
 }
 
-/* The caller has not taken its answer by the deadline. */
+/* The caller has not taken its answer in time. */
 static void gw_on_not_taken(void *ctx)
 {
 	struct gw_call *call = ctx;
@@ -487,7 +499,8 @@
 	if (!call->req)
 		return;
 	call->timer.fire = gw_on_not_taken;
-	tm_subscribe(call->gateway->timers, &call->timer, call->deadline_us);
+	tm_subscribe(call->gateway->timers, &call->timer,
+		     MAX(call->deadline_us, tm_now_us() + GW_TAKE_US));
 }
 
 static void gw_finish(struct gw_gateway *gateway,
--- a/tests/run_gateway.sh
+++ b/tests/run_gateway.sh
@@ -102,6 +102,10 @@
 	check "HEAD length" grep -qi '^content-length: 1000' "$WORK/body"
 done
 
+check "own date and server" status_is 200 -D "$WORK/head" /raw/dated
+check "one date, one server" test \
+	"$(grep -ciE '^(date|server):' "$WORK/head")" = 2
+
 # Bytes behind an answer must not become the answer to another request.
 for i in 1 2 3 4 5; do
 	check "extra bytes" status_is 200 /raw/extra
@@ -148,6 +152,9 @@
 	'HTTP/1.1 [0-9]+|/raw/[ab]$' "$WORK/raw" | tr '\n' ' ')" = \
 	"2 HTTP/1.1 200 HTTP/1.1 404 HTTP/1.1 200 /raw/b "
 
+check "pipelined bodies" raw_has '^/raw/c$' \
+	"${POST}content-length: 1\r\n\r\nx${POST}transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\nGET /raw/c HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+
 # Slow readers: bounded memory, cut at the deadline, no harm to others.
 before=$(memory_kb)
 for i in $(seq $SLOW_READERS); do
--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -62,6 +62,8 @@
 	  "a: b\r\n\r\n" OK_HEAD "content-length: 5\r\n\r\nwhole" },
 	{ "status-204", "HTTP/1.1 204 No Content\r\n\r\n" },
 	{ "status-304", "HTTP/1.1 304 Not Modified\r\netag: \"1\"\r\n\r\n" },
+	{ "dated", OK_HEAD "date: then\r\nServer: other\r\n"
+			   "content-length: 5\r\n\r\nwhole" },
 	{ "head-only", OK_HEAD "content-length: 1000\r\n\r\n" },
 	{ "extra", OK_HEAD "content-length: 5\r\n\r\nwhole" OK_HEAD
 			   "content-length: 6\r\n\r\nstolen" },
