Release cancelled requests in the test server

The test server dropped a cancelled request without answering it, so h2o kept the connection. Cancelled requests are now answered, which lets h2o close.

run_gateway.sh also checks that calls beyond the limit of connections wait.

--- a/tests/run_gateway.sh
+++ b/tests/run_gateway.sh
@@ -41,7 +41,14 @@
 
 memory_kb() { awk '/VmRSS/ { print $2 }' "/proc/$pid_entry0/status"; }
 
-raw_service() { # NAME ADDRESS...
+# Connections that are open towards a port on loopback.
+open_connections() {
+	awk -v port="$(printf ':%04X' "$1")" \
+		'$3 ~ port "$" && $4 == "01" { n++ } END { print n + 0 }' \
+		/proc/net/tcp
+}
+
+raw_service() { # NAME CONNECTIONS ADDRESS...
 	cat <<-END
 	  - name: $1
 	    route: /$1/
@@ -53,23 +60,25 @@
 	    servers:
 	END
 	n=0
-	for address in "${@:2}"; do
+	for address in "${@:3}"; do
 		n=$((n + 1))
-		say "      - {name: $1-$n, address: \"$address\", zone: z, slots: 200, connections: 200}"
+		say "      - {name: $1-$n, address: \"$address\", zone: z, slots: $2, connections: $2}"
 	done
 }
 
 start_platform || exit 1
 start raw "$BIN/tool_raw" server 127.0.0.1:$((servers_port + 90))
 start raw2 "$BIN/tool_raw" server 127.0.0.1:$((servers_port + 92))
+start raw3 "$BIN/tool_raw" server 127.0.0.1:$((servers_port + 93))
 start deaf "$BIN/tool_raw" deaf 127.0.0.1:$((servers_port + 91))
 start_host 0 z 1
 {
 	say "deployment: test"
 	say "zones: [z]"
 	say "services:"
-	raw_service raw 127.0.0.1:$((servers_port + 90))
-	raw_service deaf 127.0.0.1:$((servers_port + 92)) \
+	raw_service raw 200 127.0.0.1:$((servers_port + 90))
+	raw_service few 5 127.0.0.1:$((servers_port + 93))
+	raw_service deaf 200 127.0.0.1:$((servers_port + 92)) \
 		127.0.0.1:$((servers_port + 91))
 } >"$WORK/document.yaml"
 wait_http "127.0.0.1:$operators_port" /health || exit 1
@@ -125,6 +134,15 @@
 wait "${parallel[@]}"
 check "answers reach other callers" test ! -e "$WORK/foreign"
 
+# A server's connections are limited; calls beyond them wait or go elsewhere.
+for i in $(seq 12); do
+	curl -s -o /dev/null "$HOST/few/late-100" &
+	parallel[i]=$!
+done
+wait "${parallel[@]}"
+opened=$(open_connections $((servers_port + 93)))
+check "$opened connections" test "$opened" -ge 1 -a "$opened" -le 5
+
 # A server that does not accept must cost less than the deadline.
 for i in $(seq 10); do
 	check "deaf server" status_is 200 "/deaf/$i"
--- a/tests/tool_server.c
+++ b/tests/tool_server.c
@@ -228,6 +228,9 @@
 		g_queue_remove(&server->queue, job);
 	if (job->state == JOB_RUNNING)
 		server->in_flight--;
+	/* h2o notices the closed connection only when it writes or reads. */
+	if (job->hold->req)
+		hd_reply(job->hold->req, 503, "text/plain", "", 0);
 	free_job(job);
 	start_next(server);
 }
