Add the console of forms

Operators could submit a document by command line only. The console composes the same document through forms, shows each error beside its field, compares, and submits through cp_submit. The form is written as YAML and checked by doc_parse, so console and command line accept the same documents; the line of each written field leads an error back to it.

Sessions are a signed expiry time, so every host accepts them and none keeps state. Forms carry a token bound to the session.

Measured: tests/run_console.sh passes under the sanitizers (login, forged form, errors beside fields, overtaken operator keeps the input, random bytes). Not run yet: a real browser.

--- a/admin.c
+++ b/admin.c
@@ -140,6 +140,10 @@
 		hd_reply(req, 200, "text/plain", "ok\n", 3);
 		return;
 	}
+	if (cs_handles(req)) {
+		cs_serve(&admin->console, req);
+		return;
+	}
 	if (!ad_authorized(admin, req)) {
 		st_set(&status, ST_UNAUTHORIZED, "missing or wrong token");
 		hd_reply_status(req, &status);
@@ -170,6 +174,7 @@
 	admin->gateway = gateway;
 	admin->platform = platform;
 	admin->settings = settings;
+	cs_init(&admin->console, control, platform, settings);
 	admin->drain = drain;
 	admin->drain_ctx = drain_ctx;
 	return hd_init(&admin->http, loop, &settings->operators, ad_on_request,
--- a/admin.h
+++ b/admin.h
@@ -1,16 +1,19 @@
 #ifndef ADMIN_H
 #define ADMIN_H
 
+#include "console.h"
 #include "control.h"
 #include "gateway.h"
 #include "httpd.h"
 
 /*
- * Operators' listener. Every path except /health needs the token of the
- * settings as "authorization: Bearer TOKEN".
+ * Operators' listener. Every path except /health and the console, which has
+ * its own login, needs the token of the settings as
+ * "authorization: Bearer TOKEN".
  */
 struct ad_admin {
 	struct hd_server http;
+	struct cs_console console;
 	struct cp_control *control;
 	struct gw_gateway *gateway;
 	struct pf_client *platform;
--- /dev/null
+++ b/console.c
@@ -0,0 +1,622 @@
+#include "console.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "form.h"
+#include "httpd.h"
+#include "log.h"
+
+enum {
+	CS_SESSION_S = 8 * 3600,
+	CS_MAX_AUTHOR_BYTES = 64,
+	CS_AUDIT_ROWS = 100,
+	CS_HEX_BYTES = 65
+};
+
+/* What a page of the form shows besides its fields. */
+struct cs_page {
+	const char *notice; /* plain text, may have several lines */
+	bool failed;
+	uint64_t base;
+	const char *author;
+	const char *difference;
+};
+
+/* A submission on its way; the form is kept to show it again. */
+struct cs_submission {
+	struct cs_console *console;
+	struct hd_hold *hold;
+	struct fm_node *form;
+	char *author;
+	uint64_t base;
+};
+
+static const char cs_style[] =
+	"body{font-family:sans-serif;margin:1.5em;max-width:80em}"
+	"nav a{margin-right:1em}"
+	".fields label{display:inline-block;margin:.3em 1em .3em 0}"
+	"fieldset{margin:1em 0}table{border-collapse:collapse}"
+	"td,th{padding:.15em .4em;text-align:left;vertical-align:top}"
+	"input{width:11em}.error{display:block;color:#a00;font-size:85%}"
+	".notice{white-space:pre-wrap;border:1px solid #888;padding:.6em}"
+	".failed{border-color:#a00;background:#fee}"
+	"pre{background:#f4f4f4;padding:.6em;overflow:auto}"
+	".bar{position:sticky;top:0;background:#fff;padding:.5em 0}";
+
+void cs_init(struct cs_console *console, struct cp_control *control,
+	     struct pf_client *platform, const struct se_settings *settings)
+{
+	console->control = control;
+	console->platform = platform;
+	console->settings = settings;
+}
+
+bool cs_handles(const h2o_req_t *req)
+{
+	size_t len = strlen("/console");
+
+	if (req->path_normalized.len < len ||
+	    memcmp(req->path_normalized.base, "/console", len) != 0)
+		return false;
+	return req->path_normalized.len == len ||
+	       req->path_normalized.base[len] == '/';
+}
+
+/* Session and protection against forged requests */
+
+static void cs_sign(const struct cs_console *console, const char *text,
+		    char out[CS_HEX_BYTES])
+{
+	const char *key = console->settings->operator_token;
+	char *hex = g_compute_hmac_for_string(
+		G_CHECKSUM_SHA256, (const guchar *)key, strlen(key), text, -1);
+
+	g_strlcpy(out, hex, CS_HEX_BYTES);
+	g_free(hex);
+}
+
+/* Compares in time that does not depend on where the texts differ. */
+static bool cs_same(const char *a, const char *b)
+{
+	size_t a_bytes = strlen(a);
+	size_t b_bytes = strlen(b);
+	unsigned char differ = a_bytes != b_bytes;
+
+	for (size_t i = 0; i < MIN(a_bytes, b_bytes); i++)
+		differ |= (unsigned char)(a[i] ^ b[i]);
+	return !differ;
+}
+
+static char *cs_cookie(h2o_req_t *req)
+{
+	h2o_iovec_t header = hd_header(req, "cookie");
+	char *text;
+	char **parts;
+	char *found = NULL;
+
+	if (!header.base)
+		return NULL;
+	text = g_strndup(header.base, header.len);
+	parts = g_strsplit(text, ";", 0);
+	for (char **p = parts; *p && !found; p++)
+		if (g_str_has_prefix(g_strstrip(*p), "session="))
+			found = g_strdup(*p + strlen("session="));
+	g_strfreev(parts);
+	g_free(text);
+	return found;
+}
+
+/* A session is "EXPIRY.HMAC", the expiry in seconds since the epoch. */
+static bool cs_session_valid(const struct cs_console *console,
+			     const char *session)
+{
+	char want[CS_HEX_BYTES];
+	char *text;
+	const char *dot = session ? strchr(session, '.') : NULL;
+	bool valid;
+
+	if (!dot)
+		return false;
+	text = g_strdup_printf("session.%.*s", (int)(dot - session), session);
+	cs_sign(console, text, want);
+	g_free(text);
+	valid = cs_same(dot + 1, want);
+	return valid && g_ascii_strtoll(session, NULL, 10) >
+				g_get_real_time() / G_USEC_PER_SEC;
+}
+
+static void cs_form_token(const struct cs_console *console, const char *session,
+			  char out[CS_HEX_BYTES])
+{
+	char *text = g_strconcat("form.", session, NULL);
+
+	cs_sign(console, text, out);
+	g_free(text);
+}
+
+/* Pages */
+
+static void cs_escaped(GString *out, const char *text)
+{
+	char *valid = g_utf8_make_valid(text, -1);
+	char *escaped = g_markup_escape_text(valid, -1);
+
+	g_string_append(out, escaped);
+	g_free(escaped);
+	g_free(valid);
+}
+
+static void cs_reply(h2o_req_t *req, int status, GString *page)
+{
+	static const char policy[] = "default-src 'none'; style-src 'self'; "
+				     "form-action 'self'; "
+				     "frame-ancestors 'none'";
+
+	hd_add_header(req, "content-security-policy", policy, strlen(policy));
+	hd_add_header(req, "cache-control", "no-store", strlen("no-store"));
+	hd_add_header(req, "x-content-type-options", "nosniff",
+		      strlen("nosniff"));
+	hd_reply(req, status, "text/html; charset=utf-8", page->str, page->len);
+	g_string_free(page, TRUE);
+}
+
+static GString *cs_begin(const struct cs_console *console, const char *title)
+{
+	GString *page = g_string_sized_new(16384);
+
+	g_string_append_printf(
+		page,
+		"<!doctype html><html lang=\"en\"><head><meta "
+		"charset=\"utf-8\"><title>%s - jackdawworks</title><link "
+		"rel=\"stylesheet\" href=\"/console/style.css\"></head><body>"
+		"<nav><a href=\"/console\">Document</a><a "
+		"href=\"/console/history\">Audit trail</a></nav><h1>%s</h1>",
+		title, title);
+	return page;
+}
+
+static void cs_end(GString *page)
+{
+	g_string_append(page, "</body></html>\n");
+}
+
+static void cs_show_login(struct cs_console *console, h2o_req_t *req,
+			  int status, const char *notice)
+{
+	GString *page = cs_begin(console, "Log in");
+
+	if (*notice)
+		g_string_append_printf(
+			page, "<p class=\"notice failed\">%s</p>", notice);
+	g_string_append(page,
+			"<form method=\"post\" action=\"/console/login\">"
+			"<label>Operators' token <input type=\"password\" "
+			"name=\"token\" autocomplete=\"off\"></label> "
+			"<button>Log in</button></form>");
+	cs_end(page);
+	cs_reply(req, status, page);
+}
+
+static void cs_hidden(GString *page, const char *name, const char *value)
+{
+	g_string_append_printf(page,
+			       "<input type=\"hidden\" name=\"%s\" "
+			       "value=\"",
+			       name);
+	cs_escaped(page, value);
+	g_string_append(page, "\">");
+}
+
+static void cs_add_notice(GString *page, const struct cs_page *shown)
+{
+	if (shown->notice && *shown->notice) {
+		g_string_append_printf(page,
+				       "<p role=\"status\" "
+				       "class=\"notice%s\">",
+				       shown->failed ? " failed" : "");
+		cs_escaped(page, shown->notice);
+		g_string_append(page, "</p>");
+	}
+	if (shown->difference) {
+		g_string_append(page, "<h2>Difference from the document in "
+				      "force</h2><pre>");
+		cs_escaped(page, *shown->difference ? shown->difference :
+						      "no difference\n");
+		g_string_append(page, "</pre>");
+	}
+}
+
+static void cs_add_bar(GString *page, const struct cs_page *shown,
+		       uint64_t in_force)
+{
+	g_string_append(page, "<div class=\"bar\"><label>Your name <input "
+			      "name=\"author\" value=\"");
+	cs_escaped(page, shown->author);
+	g_string_append(page,
+			"\"></label> <button name=\"action\" value=\"check\">"
+			"Check and compare</button> <button name=\"action\" "
+			"value=\"accept\">Accept</button> ");
+	if (shown->base != in_force)
+		g_string_append_printf(
+			page,
+			"<button name=\"action\" value=\"rebase\">Continue on "
+			"generation %" G_GUINT64_FORMAT "</button> ",
+			in_force);
+	g_string_append_printf(page,
+			       "Written against generation %" G_GUINT64_FORMAT
+			       ", in force: %" G_GUINT64_FORMAT "</div>",
+			       shown->base, in_force);
+}
+
+static uint64_t cs_in_force(const struct cs_console *console)
+{
+	const struct doc_document *document = console->control->document;
+
+	return document ? document->generation : 0;
+}
+
+static void cs_show_form(struct cs_console *console, h2o_req_t *req,
+			 struct fm_node *form, const struct cs_page *shown)
+{
+	GString *page = cs_begin(console, "Document");
+	char *session = cs_cookie(req);
+	char token[CS_HEX_BYTES];
+	char base[32];
+
+	cs_form_token(console, session ? session : "", token);
+	g_free(session);
+	g_snprintf(base, sizeof(base), "%" G_GUINT64_FORMAT, shown->base);
+	cs_add_notice(page, shown);
+	g_string_append(page, "<form method=\"post\" "
+			      "action=\"/console/document\">");
+	cs_hidden(page, "form_token", token);
+	cs_hidden(page, "base", base);
+	cs_add_bar(page, shown, cs_in_force(console));
+	fm_to_html(form, page);
+	g_string_append(page, "</form>");
+	cs_end(page);
+	cs_reply(req, shown->failed ? 422 : 200, page);
+}
+
+/* Requests */
+
+static void cs_get_document(struct cs_console *console, h2o_req_t *req)
+{
+	const struct doc_document *document = console->control->document;
+	struct cs_page shown = { .base = cs_in_force(console), .author = "" };
+	struct ym_errors errors;
+	struct fm_node *form = NULL;
+	GString *text = g_string_new(NULL);
+
+	ym_errors_init(&errors);
+	if (document)
+		form = fm_from_yaml(document->text, document->text_bytes,
+				    &errors);
+	ym_errors_print(&errors, text);
+	if (text->len) {
+		g_string_prepend(text, "The document in force has fields that "
+				       "this form does not know. Change it by "
+				       "the command line.\n");
+		shown.notice = text->str;
+		shown.failed = true;
+	}
+	if (!form)
+		form = fm_new();
+	cs_show_form(console, req, form, &shown);
+	fm_free(form);
+	g_string_free(text, TRUE);
+	ym_errors_free(&errors);
+}
+
+static void cs_submission_free(struct cs_submission *submission)
+{
+	hd_release(submission->hold);
+	fm_free(submission->form);
+	g_free(submission->author);
+	g_free(submission);
+}
+
+static void cs_on_submitted(void *ctx, const struct cp_answer *answer)
+{
+	struct cs_submission *submission = ctx;
+	bool accepted = answer->status.kind == ST_OK;
+	struct cs_page shown = {
+		.failed = !accepted,
+		.author = submission->author,
+		.base = accepted ? answer->generation : submission->base,
+	};
+	char *notice;
+
+	if (accepted)
+		notice = g_strdup_printf(
+			"Accepted as generation %" G_GUINT64_FORMAT ".",
+			answer->generation);
+	else
+		notice = g_strdup_printf("Not accepted: %s\n%s%s",
+					 answer->status.msg,
+					 answer->detail ? answer->detail : "",
+					 answer->status.kind == ST_CONFLICT ?
+						 "\nYour input is kept below." :
+						 "");
+	shown.notice = notice;
+	if (submission->hold->req)
+		cs_show_form(submission->console, submission->hold->req,
+			     submission->form, &shown);
+	g_free(notice);
+	cs_submission_free(submission);
+}
+
+static void cs_accept(struct cs_console *console, h2o_req_t *req,
+		      struct fm_node *form, const struct cs_page *shown,
+		      const GString *text)
+{
+	struct cs_submission *submission = g_new0(struct cs_submission, 1);
+	struct cp_callback callback = { cs_on_submitted, submission };
+
+	submission->console = console;
+	submission->hold = hd_hold(req);
+	submission->form = form;
+	submission->author = g_strdup(shown->author);
+	submission->base = shown->base;
+	cp_submit(console->control, text->str, text->len, shown->base,
+		  shown->author, &callback);
+}
+
+/* Checks the form; returns whether it may be submitted. */
+static bool cs_check(struct fm_node *form, const GString *text, GString *notice)
+{
+	struct ym_errors errors;
+	struct doc_document *document;
+	bool valid;
+
+	ym_errors_init(&errors);
+	document = doc_parse(text->str, text->len, &errors);
+	fm_place_errors(form, &errors, notice);
+	if (errors.count)
+		g_string_prepend(notice, "The document has errors.\n");
+	valid = document;
+	doc_unref(document);
+	ym_errors_free(&errors);
+	return valid;
+}
+
+static void cs_check_and_show(struct cs_console *console, h2o_req_t *req,
+			      struct fm_node *form, struct cs_page *shown,
+			      bool accept)
+{
+	GString *notice = g_string_new(NULL);
+	GString *text = fm_to_yaml(form);
+	bool valid = cs_check(form, text, notice);
+
+	shown->failed = !valid;
+	if (valid && accept && !*shown->author) {
+		g_string_assign(notice, "Your name is missing.");
+		shown->failed = true;
+	} else if (valid && accept) {
+		cs_accept(console, req, form, shown, text);
+		g_string_free(notice, TRUE);
+		g_string_free(text, TRUE);
+		return;
+	} else if (valid) {
+		g_string_assign(notice, "The document is valid.");
+	}
+	shown->notice = notice->str;
+	cs_show_form(console, req, form, shown);
+	g_string_free(notice, TRUE);
+	g_string_free(text, TRUE);
+	fm_free(form);
+}
+
+static void cs_act(struct cs_console *console, h2o_req_t *req,
+		   struct fm_node *form, struct cs_page *shown,
+		   const char *action)
+{
+	bool check = !strcmp(action, "check");
+	bool accept = !strcmp(action, "accept");
+
+	if (check || accept) {
+		cs_check_and_show(console, req, form, shown, accept);
+		return;
+	}
+	if (g_str_has_prefix(action, "add:"))
+		fm_add(form, action + strlen("add:"));
+	else if (g_str_has_prefix(action, "remove:"))
+		fm_remove(form, action + strlen("remove:"));
+	else if (!strcmp(action, "rebase"))
+		shown->base = cs_in_force(console);
+	cs_show_form(console, req, form, shown);
+	fm_free(form);
+}
+
+static GHashTable *cs_params(h2o_req_t *req)
+{
+	const char *body = req->entity.base ? req->entity.base : "";
+
+	return g_uri_parse_params(body, (gssize)req->entity.len, "&",
+				  G_URI_PARAMS_WWW_FORM, NULL);
+}
+
+static const char *cs_param(GHashTable *params, const char *name)
+{
+	const char *value = g_hash_table_lookup(params, name);
+
+	return value ? value : "";
+}
+
+static void cs_fail(h2o_req_t *req, enum st_kind kind, const char *msg)
+{
+	struct st_status status;
+
+	st_set(&status, kind, "%s", msg);
+	hd_reply_status(req, &status);
+}
+
+static bool cs_form_token_valid(const struct cs_console *console,
+				h2o_req_t *req, GHashTable *params)
+{
+	char want[CS_HEX_BYTES];
+	char *session = cs_cookie(req);
+
+	cs_form_token(console, session ? session : "", want);
+	g_free(session);
+	return cs_same(cs_param(params, "form_token"), want);
+}
+
+static void cs_post_document(struct cs_console *console, h2o_req_t *req)
+{
+	GHashTable *params = cs_params(req);
+	struct cs_page shown = { 0 };
+	struct fm_node *form;
+	char author[CS_MAX_AUTHOR_BYTES];
+
+	if (!params) {
+		cs_fail(req, ST_INVALID, "malformed form");
+		return;
+	}
+	form = fm_from_params(params);
+	if (!cs_form_token_valid(console, req, params)) {
+		cs_fail(req, ST_UNAUTHORIZED,
+			"the form is not from this "
+			"session");
+		fm_free(form);
+	} else if (!form) {
+		cs_fail(req, ST_TOO_LARGE, "too many rows");
+	} else {
+		g_strlcpy(author, cs_param(params, "author"), sizeof(author));
+		shown.author = author;
+		shown.base =
+			g_ascii_strtoull(cs_param(params, "base"), NULL, 10);
+		cs_act(console, req, form, &shown, cs_param(params, "action"));
+	}
+	g_hash_table_destroy(params);
+}
+
+static void cs_add_history_row(GString *page, const json_t *row)
+{
+	const json_t *value = json_object_get(row, "value");
+	char *text = json_dumps(value, JSON_COMPACT);
+	const char *key = json_string_value(json_object_get(row, "key"));
+
+	g_string_append(page, "<tr><td>");
+	cs_escaped(page, key ? key : "");
+	g_string_append(page, "</td><td>");
+	cs_escaped(page, text ? text : "");
+	g_string_append(page, "</td></tr>");
+	free(text);
+}
+
+struct cs_history {
+	struct cs_console *console;
+	struct hd_hold *hold;
+};
+
+static void cs_on_history(void *ctx, const struct pf_result *result)
+{
+	struct cs_history *history = ctx;
+	GString *page = cs_begin(history->console, "Audit trail");
+	int status = 200;
+
+	if (result->status.kind != ST_OK) {
+		g_string_append(page, "<p class=\"notice failed\">");
+		cs_escaped(page, result->status.msg);
+		g_string_append(page, "</p>");
+		status = st_http(result->status.kind);
+	}
+	g_string_append(page, "<table><tr><th>Key</th><th>Entry</th></tr>");
+	for (size_t i = 0; i < json_array_size(result->json); i++)
+		cs_add_history_row(page, json_array_get(result->json, i));
+	g_string_append(page, "</table>");
+	cs_end(page);
+	if (history->hold->req)
+		cs_reply(history->hold->req, status, page);
+	else
+		g_string_free(page, TRUE);
+	hd_release(history->hold);
+	g_free(history);
+}
+
+static void cs_get_history(struct cs_console *console, h2o_req_t *req)
+{
+	struct cs_history *history = g_new0(struct cs_history, 1);
+	struct pf_callback callback = { cs_on_history, history };
+
+	history->console = console;
+	history->hold = hd_hold(req);
+	pf_list(console->platform, "audit", "", CS_AUDIT_ROWS, true, &callback);
+}
+
+static void cs_set_session(const struct cs_console *console, h2o_req_t *req)
+{
+	gint64 expiry_s = g_get_real_time() / G_USEC_PER_SEC + CS_SESSION_S;
+	char *text = g_strdup_printf("session.%" G_GINT64_FORMAT, expiry_s);
+	char hmac[CS_HEX_BYTES];
+	char *cookie;
+
+	cs_sign(console, text, hmac);
+	cookie = g_strdup_printf("session=%" G_GINT64_FORMAT
+				 ".%s; HttpOnly; SameSite=Strict; "
+				 "Path=/console; Max-Age=%d",
+				 expiry_s, hmac, CS_SESSION_S);
+	hd_add_header(req, "set-cookie", cookie, strlen(cookie));
+	g_free(cookie);
+	g_free(text);
+}
+
+static void cs_post_login(struct cs_console *console, h2o_req_t *req)
+{
+	GHashTable *params = cs_params(req);
+	bool valid = params && cs_same(cs_param(params, "token"),
+				       console->settings->operator_token);
+
+	if (params)
+		g_hash_table_destroy(params);
+	if (!valid) {
+		lg_warn("console", "login refused");
+		cs_show_login(console, req, 401, "The token is wrong.");
+		return;
+	}
+	cs_set_session(console, req);
+	hd_add_header(req, "location", "/console", strlen("/console"));
+	hd_reply(req, 303, "text/plain", "", 0);
+}
+
+static void cs_get_style(struct cs_console *console, h2o_req_t *req)
+{
+	hd_reply(req, 200, "text/css", cs_style, strlen(cs_style));
+}
+
+static const struct {
+	const char *method;
+	const char *path;
+	bool open; /* needs no session */
+	void (*serve)(struct cs_console *console, h2o_req_t *req);
+} cs_routes[] = {
+	{ "GET", "/console/style.css", true, cs_get_style },
+	{ "POST", "/console/login", true, cs_post_login },
+	{ "GET", "/console", false, cs_get_document },
+	{ "POST", "/console/document", false, cs_post_document },
+	{ "GET", "/console/history", false, cs_get_history },
+};
+
+void cs_serve(struct cs_console *console, h2o_req_t *req)
+{
+	char *session = cs_cookie(req);
+	bool valid = cs_session_valid(console, session);
+
+	g_free(session);
+	for (size_t i = 0; i < G_N_ELEMENTS(cs_routes); i++) {
+		if (!hd_path_is(req, cs_routes[i].path) ||
+		    !hd_method_is(req, cs_routes[i].method))
+			continue;
+		if (valid || cs_routes[i].open)
+			cs_routes[i].serve(console, req);
+		else
+			cs_show_login(console, req, 401, "");
+		return;
+	}
+	cs_fail(req, ST_NOT_FOUND, "no such page");
+}
--- /dev/null
+++ b/form.c
@@ -0,0 +1,709 @@
+#include "form.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core.h"
+
+#define FM_COUNT(a) ((uint32_t)(sizeof(a) / sizeof((a)[0])))
+
+static const struct fm_field fm_rule_fields[] = {
+	{ "method", "Method", FM_TEXT },
+	{ "path", "Path prefix", FM_TEXT },
+	{ "idempotent", "Idempotent", FM_FLAG },
+	{ "deadline_ms", "Deadline, ms", FM_NUMBER },
+};
+
+static const struct fm_field fm_server_fields[] = {
+	{ "name", "Name", FM_TEXT },
+	{ "address", "Address", FM_TEXT },
+	{ "zone", "Zone", FM_TEXT },
+	{ "slots", "Slots", FM_NUMBER },
+	{ "connections", "Connections", FM_NUMBER },
+	{ "leaving", "Leaving", FM_FLAG },
+};
+
+static const struct fm_field fm_service_fields[] = {
+	{ "name", "Name", FM_TEXT },
+	{ "route", "Route", FM_TEXT },
+	{ "policy", "Policy", FM_POLICY },
+	{ "deadline_ms", "Deadline, ms", FM_NUMBER },
+	{ "longest_deadline_ms", "Longest deadline, ms", FM_NUMBER },
+	{ "queue_limit", "Queue limit per host", FM_NUMBER },
+	{ "retry_percent", "Retries, % of calls", FM_NUMBER },
+	{ "measuring.requests_per_s", "Measuring, requests/s", FM_NUMBER },
+	{ "measuring.bytes_per_s", "Measuring, bytes/s", FM_NUMBER },
+	{ "measuring.cross_zone_bytes_per_s", "Measuring, cross-zone bytes/s",
+	  FM_NUMBER },
+};
+
+static const struct fm_field fm_caller_fields[] = {
+	{ "name", "Name", FM_TEXT },
+	{ "weight", "Weight", FM_NUMBER },
+};
+
+static const struct fm_field fm_root_fields[] = {
+	{ "deployment", "Deployment", FM_TEXT },
+	{ "latency_weight_percent", "Weight of tail latency, %", FM_NUMBER },
+	{ "zones", "Zones", FM_NAMES },
+};
+
+static const struct fm_type fm_rule_type = {
+	"rules", "Rules", fm_rule_fields, FM_COUNT(fm_rule_fields), NULL, 0
+};
+
+static const struct fm_type fm_server_type = {
+	"servers", "Servers", fm_server_fields, FM_COUNT(fm_server_fields),
+	NULL,	   0
+};
+
+static const struct fm_type fm_caller_type = {
+	"callers", "Callers", fm_caller_fields, FM_COUNT(fm_caller_fields),
+	NULL,	   0
+};
+
+static const struct fm_type *const fm_service_children[] = {
+	&fm_rule_type,
+	&fm_server_type,
+};
+
+static const struct fm_type fm_service_type = {
+	"services",	     "Services",
+	fm_service_fields,   FM_COUNT(fm_service_fields),
+	fm_service_children, FM_COUNT(fm_service_children),
+};
+
+static const struct fm_type *const fm_root_children[] = {
+	&fm_caller_type,
+	&fm_service_type,
+};
+
+static const struct fm_type fm_root_type = {
+	"",
+	"Document",
+	fm_root_fields,
+	FM_COUNT(fm_root_fields),
+	fm_root_children,
+	FM_COUNT(fm_root_children),
+};
+
+static struct fm_node *fm_node_new(const struct fm_type *type)
+{
+	struct fm_node *node = g_new0(struct fm_node, 1);
+
+	node->type = type;
+	node->values = g_new0(char *, type->field_count);
+	node->errors = g_new0(char *, type->field_count);
+	node->lines = g_new0(uint32_t, type->field_count);
+	node->children = g_new0(GPtrArray *, type->child_count);
+	for (uint32_t i = 0; i < type->field_count; i++)
+		node->values[i] = g_strdup("");
+	for (uint32_t i = 0; i < type->child_count; i++)
+		node->children[i] = g_ptr_array_new();
+	return node;
+}
+
+struct fm_node *fm_new(void)
+{
+	return fm_node_new(&fm_root_type);
+}
+
+void fm_free(struct fm_node *node)
+{
+	if (!node)
+		return;
+	for (uint32_t i = 0; i < node->type->field_count; i++) {
+		g_free(node->values[i]);
+		g_free(node->errors[i]);
+	}
+	for (uint32_t i = 0; i < node->type->child_count; i++) {
+		for (guint k = 0; k < node->children[i]->len; k++)
+			fm_free(g_ptr_array_index(node->children[i], k));
+		g_ptr_array_free(node->children[i], TRUE);
+	}
+	g_free(node->values);
+	g_free(node->errors);
+	g_free(node->lines);
+	g_free(node->children);
+	g_free(node);
+}
+
+static void fm_set(struct fm_node *node, uint32_t field, const char *value)
+{
+	g_free(node->values[field]);
+	node->values[field] = g_strdup(value);
+}
+
+/* Reading a document */
+
+static struct ym_node *fm_yaml_at(struct ym_node *map, const char *key)
+{
+	char **parts = g_strsplit(key, ".", 2);
+	struct ym_node *at = ym_get(map, parts[0]);
+
+	if (at && parts[1])
+		at = at->type == YM_MAPPING ? ym_get(at, parts[1]) : NULL;
+	g_strfreev(parts);
+	return at;
+}
+
+static void fm_read_names(struct fm_node *node, uint32_t field,
+			  const struct ym_node *list)
+{
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < list->children->len; i++) {
+		struct ym_node *item = g_ptr_array_index(list->children, i);
+
+		if (i)
+			g_string_append(text, ", ");
+		if (item->value)
+			g_string_append(text, item->value);
+	}
+	fm_set(node, field, text->str);
+	g_string_free(text, TRUE);
+}
+
+/* A field that no form field holds would be lost when the form is written. */
+static void fm_check_unused(struct ym_node *map, struct ym_errors *errors)
+{
+	ym_check_unused(map, errors);
+	for (guint i = 0; i < map->children->len; i++) {
+		struct ym_node *child = g_ptr_array_index(map->children, i);
+
+		if (child->type == YM_MAPPING)
+			ym_check_unused(child, errors);
+	}
+}
+
+static struct fm_node *fm_read(const struct fm_type *type, struct ym_node *map,
+			       struct ym_errors *errors)
+{
+	struct fm_node *node = fm_node_new(type);
+
+	for (uint32_t i = 0; i < type->field_count; i++) {
+		struct ym_node *at = fm_yaml_at(map, type->fields[i].key);
+
+		if (at && type->fields[i].kind == FM_NAMES)
+			fm_read_names(node, i, at);
+		else if (at && at->value)
+			fm_set(node, i, at->value);
+	}
+	for (uint32_t i = 0; i < type->child_count; i++) {
+		struct ym_node *list = ym_get(map, type->children[i]->name);
+
+		for (guint k = 0; list && k < list->children->len; k++)
+			g_ptr_array_add(
+				node->children[i],
+				fm_read(type->children[i],
+					g_ptr_array_index(list->children, k),
+					errors));
+	}
+	fm_check_unused(map, errors);
+	return node;
+}
+
+struct fm_node *fm_from_yaml(const char *text, size_t text_bytes,
+			     struct ym_errors *errors)
+{
+	uint32_t before = errors->count;
+	struct ym_node *root = ym_parse(text, text_bytes, errors);
+	struct fm_node *form;
+
+	if (!root)
+		return NULL;
+	form = fm_read(&fm_root_type, root, errors);
+	ym_free(root);
+	if (errors->count == before)
+		return form;
+	fm_free(form);
+	return NULL;
+}
+
+/* Reading submitted parameters */
+
+struct fm_params {
+	GHashTable *table;
+	uint32_t nodes;
+};
+
+static struct fm_node *fm_read_params(struct fm_params *params,
+				      const struct fm_type *type,
+				      const char *prefix);
+
+static void fm_read_list(struct fm_params *params, struct fm_node *node,
+			 uint32_t child, const char *prefix)
+{
+	const struct fm_type *type = node->type->children[child];
+
+	for (uint32_t k = 0;; k++) {
+		char *path = g_strdup_printf("%s%s.%u.", prefix, type->name, k);
+		char *mark = g_strconcat(path, "_", NULL);
+		bool present = g_hash_table_contains(params->table, mark);
+
+		g_free(mark);
+		if (present && params->nodes < FM_MAX_NODES)
+			g_ptr_array_add(node->children[child],
+					fm_read_params(params, type, path));
+		g_free(path);
+		if (!present || params->nodes >= FM_MAX_NODES)
+			return;
+	}
+}
+
+static struct fm_node *fm_read_params(struct fm_params *params,
+				      const struct fm_type *type,
+				      const char *prefix)
+{
+	struct fm_node *node = fm_node_new(type);
+
+	params->nodes++;
+	for (uint32_t i = 0; i < type->field_count; i++) {
+		char *name = g_strconcat(prefix, type->fields[i].key, NULL);
+		const char *value = g_hash_table_lookup(params->table, name);
+
+		if (value)
+			fm_set(node, i, value);
+		g_free(name);
+	}
+	for (uint32_t i = 0; i < type->child_count; i++)
+		fm_read_list(params, node, i, prefix);
+	return node;
+}
+
+struct fm_node *fm_from_params(GHashTable *table)
+{
+	struct fm_params params = { table, 0 };
+	struct fm_node *root = fm_read_params(&params, &fm_root_type, "");
+
+	if (params.nodes < FM_MAX_NODES)
+		return root;
+	fm_free(root);
+	return NULL;
+}
+
+/* Writing YAML */
+
+struct fm_writer {
+	GString *out;
+	uint32_t line;
+};
+
+static void fm_newline(struct fm_writer *writer)
+{
+	g_string_append_c(writer->out, '\n');
+	writer->line++;
+}
+
+static bool fm_is_plain(const char *text)
+{
+	if (!g_ascii_isalnum(*text) && *text != '/')
+		return false;
+	for (const char *p = text; *p; p++)
+		if (!g_ascii_isalnum(*p) && !strchr("/-_.", *p))
+			return false;
+	return true;
+}
+
+static void fm_write_scalar(struct fm_writer *writer, const char *text)
+{
+	GString *out = writer->out;
+
+	if (fm_is_plain(text)) {
+		g_string_append(out, text);
+		return;
+	}
+	g_string_append_c(out, '"');
+	for (const unsigned char *p = (const unsigned char *)text; *p; p++) {
+		if (*p == '"' || *p == '\\')
+			g_string_append_printf(out, "\\%c", *p);
+		else if (*p < ' ' || *p == 0x7f)
+			g_string_append_printf(out, "\\x%02x", *p);
+		else
+			g_string_append_c(out, (char)*p);
+	}
+	g_string_append_c(out, '"');
+}
+
+static void fm_write_names(struct fm_writer *writer, const char *text)
+{
+	char **names = g_strsplit(text, ",", 0);
+	bool first = true;
+
+	g_string_append_c(writer->out, '[');
+	for (char **name = names; *name; name++) {
+		g_strstrip(*name);
+		if (!**name)
+			continue;
+		if (!first)
+			g_string_append(writer->out, ", ");
+		first = false;
+		fm_write_scalar(writer, *name);
+	}
+	g_string_append_c(writer->out, ']');
+	g_strfreev(names);
+}
+
+/* Starts a line; the first one of a list entry carries the dash. */
+static void fm_indent(struct fm_writer *writer, struct fm_node *node,
+		      uint32_t depth)
+{
+	bool dash = depth && !node->line;
+
+	if (!node->line)
+		node->line = writer->line;
+	for (uint32_t i = 0; i + (dash ? 1 : 0) < depth; i++)
+		g_string_append(writer->out, "  ");
+	if (dash)
+		g_string_append(writer->out, "- ");
+}
+
+static void fm_write_value(struct fm_writer *writer, struct fm_node *node,
+			   uint32_t field, const char *key)
+{
+	g_string_append_printf(writer->out, "%s: ", key);
+	if (node->type->fields[field].kind == FM_NAMES)
+		fm_write_names(writer, node->values[field]);
+	else
+		fm_write_scalar(writer, node->values[field]);
+	node->lines[field] = writer->line;
+	fm_newline(writer);
+}
+
+static void fm_write_fields(struct fm_writer *writer, struct fm_node *node,
+			    uint32_t depth)
+{
+	char *group = NULL;
+
+	for (uint32_t i = 0; i < node->type->field_count; i++) {
+		const char *key = node->type->fields[i].key;
+		const char *dot = strchr(key, '.');
+		size_t group_len = dot ? (size_t)(dot - key) : 0;
+
+		if (!*node->values[i])
+			continue;
+		if (dot && (!group || strncmp(group, key, group_len) != 0)) {
+			g_free(group);
+			group = g_strndup(key, group_len);
+			fm_indent(writer, node, depth);
+			g_string_append_printf(writer->out, "%s:", group);
+			fm_newline(writer);
+		}
+		fm_indent(writer, node, depth + (dot ? 1 : 0));
+		fm_write_value(writer, node, i, dot ? dot + 1 : key);
+	}
+	g_free(group);
+}
+
+static void fm_write_node(struct fm_writer *writer, struct fm_node *node,
+			  uint32_t depth)
+{
+	node->line = 0;
+	memset(node->lines, 0,
+	       node->type->field_count * sizeof(node->lines[0]));
+	fm_write_fields(writer, node, depth);
+	for (uint32_t i = 0; i < node->type->child_count; i++) {
+		GPtrArray *list = node->children[i];
+
+		if (!list->len)
+			continue;
+		fm_indent(writer, node, depth);
+		g_string_append_printf(writer->out,
+				       "%s:", node->type->children[i]->name);
+		fm_newline(writer);
+		for (guint k = 0; k < list->len; k++)
+			fm_write_node(writer, g_ptr_array_index(list, k),
+				      depth + 2);
+	}
+	if (node->line)
+		return;
+	fm_indent(writer, node, depth);
+	g_string_append(writer->out, "{}");
+	fm_newline(writer);
+}
+
+GString *fm_to_yaml(struct fm_node *root)
+{
+	struct fm_writer writer = { g_string_new(NULL), 1 };
+
+	fm_write_node(&writer, root, 0);
+	return writer.out;
+}
+
+/* Errors */
+
+static const char *fm_last_part(const char *key)
+{
+	const char *dot = strrchr(key, '.');
+
+	return dot ? dot + 1 : key;
+}
+
+static bool fm_error_is_at(const struct fm_node *node, uint32_t field,
+			   const struct ym_error *error)
+{
+	bool named = !strcmp(fm_last_part(node->type->fields[field].key),
+			     error->field);
+
+	if (!error->line)
+		return false;
+	if (node->lines[field] == error->line)
+		return named || !*error->field;
+	return named && node->line == error->line;
+}
+
+static bool fm_place(struct fm_node *node, const struct ym_error *error)
+{
+	for (uint32_t i = 0; i < node->type->field_count; i++) {
+		if (!fm_error_is_at(node, i, error))
+			continue;
+		g_free(node->errors[i]);
+		node->errors[i] = g_strdup(error->msg);
+		return true;
+	}
+	for (uint32_t i = 0; i < node->type->child_count; i++)
+		for (guint k = 0; k < node->children[i]->len; k++)
+			if (fm_place(g_ptr_array_index(node->children[i], k),
+				     error))
+				return true;
+	return false;
+}
+
+void fm_place_errors(struct fm_node *root, const struct ym_errors *errors,
+		     GString *rest)
+{
+	uint32_t shown = MIN(errors->count, YM_MAX_ERRORS);
+
+	for (uint32_t i = 0; i < shown; i++) {
+		const struct ym_error *error = &errors->rows[i];
+
+		if (!fm_place(root, error))
+			g_string_append_printf(rest, "%s%s%s\n", error->field,
+					       *error->field ? ": " : "",
+					       error->msg);
+	}
+	if (errors->count > shown)
+		g_string_append_printf(rest, "and %u more errors\n",
+				       errors->count - shown);
+}
+
+/* Changing lists */
+
+static GPtrArray *fm_list_at(struct fm_node *node, const char *name)
+{
+	for (uint32_t i = 0; i < node->type->child_count; i++)
+		if (!strcmp(node->type->children[i]->name, name))
+			return node->children[i];
+	return NULL;
+}
+
+static const struct fm_type *fm_child_type(const struct fm_node *node,
+					   const char *name)
+{
+	for (uint32_t i = 0; i < node->type->child_count; i++)
+		if (!strcmp(node->type->children[i]->name, name))
+			return node->type->children[i];
+	return NULL;
+}
+
+/*
+ * Follows "name.index.name..." from NODE. Leaves the last list name in PARTS
+ * and returns the node that has this list.
+ */
+static struct fm_node *fm_walk(struct fm_node *node, char ***parts)
+{
+	char **p = *parts;
+
+	while (p[0] && p[1] && p[2]) {
+		GPtrArray *list = fm_list_at(node, p[0]);
+		uint64_t i = g_ascii_strtoull(p[1], NULL, 10);
+
+		if (!list || i >= list->len)
+			return NULL;
+		node = g_ptr_array_index(list, (guint)i);
+		p += 2;
+	}
+	*parts = p;
+	return node;
+}
+
+bool fm_add(struct fm_node *root, const char *path)
+{
+	char **all = g_strsplit(path, ".", 0);
+	char **parts = all;
+	struct fm_node *node = fm_walk(root, &parts);
+	GPtrArray *list = node && parts[0] ? fm_list_at(node, parts[0]) : NULL;
+
+	if (list)
+		g_ptr_array_add(list,
+				fm_node_new(fm_child_type(node, parts[0])));
+	g_strfreev(all);
+	return list;
+}
+
+bool fm_remove(struct fm_node *root, const char *path)
+{
+	char **all = g_strsplit(path, ".", 0);
+	char **parts = all;
+	struct fm_node *node = fm_walk(root, &parts);
+	GPtrArray *list = node && parts[0] ? fm_list_at(node, parts[0]) : NULL;
+	uint64_t i = UINT64_MAX;
+
+	if (list && parts[1])
+		i = g_ascii_strtoull(parts[1], NULL, 10);
+	g_strfreev(all);
+	if (!list || i >= list->len)
+		return false;
+	fm_free(g_ptr_array_index(list, (guint)i));
+	g_ptr_array_remove_index(list, (guint)i);
+	return true;
+}
+
+/* HTML */
+
+static void fm_escaped(GString *out, const char *text)
+{
+	char *escaped = g_markup_escape_text(text, -1);
+
+	g_string_append(out, escaped);
+	g_free(escaped);
+}
+
+static void fm_html_option(GString *out, const char *value, const char *label,
+			   const char *chosen)
+{
+	g_string_append_printf(out, "<option value=\"%s\"%s>%s</option>", value,
+			       strcmp(value, chosen) ? "" : " selected", label);
+}
+
+static void fm_html_choice(GString *out, const struct fm_field *field,
+			   const char *name, const char *value)
+{
+	g_string_append_printf(out, "<select name=\"%s\">", name);
+	fm_html_option(out, "", "default", value);
+	if (field->kind == FM_FLAG) {
+		fm_html_option(out, "true", "yes", value);
+		fm_html_option(out, "false", "no", value);
+	}
+	for (int i = 0; field->kind == FM_POLICY && i < CORE_POLICY_COUNT; i++)
+		fm_html_option(out, core_policy_name((enum core_policy)i),
+			       core_policy_name((enum core_policy)i), value);
+	g_string_append(out, "</select>");
+}
+
+static void fm_html_field(GString *out, const struct fm_node *node,
+			  uint32_t field, const char *prefix)
+{
+	const struct fm_field *f = &node->type->fields[field];
+	char *name = g_strconcat(prefix, f->key, NULL);
+
+	if (f->kind == FM_FLAG || f->kind == FM_POLICY) {
+		fm_html_choice(out, f, name, node->values[field]);
+	} else {
+		g_string_append_printf(out, "<input name=\"%s\" value=\"",
+				       name);
+		fm_escaped(out, node->values[field]);
+		g_string_append_printf(
+			out, "\"%s>",
+			f->kind == FM_NUMBER ? " inputmode=\"numeric\"" : "");
+	}
+	if (node->errors[field]) {
+		g_string_append(out, "<span class=\"error\">");
+		fm_escaped(out, node->errors[field]);
+		g_string_append(out, "</span>");
+	}
+	g_free(name);
+}
+
+static void fm_html_button(GString *out, const char *action, const char *path,
+			   const char *label)
+{
+	g_string_append_printf(
+		out,
+		"<button name=\"action\" value=\"%s:%s\" formnovalidate>%s"
+		"</button>",
+		action, path, label);
+}
+
+static void fm_html_node(GString *out, struct fm_node *node,
+			 const char *prefix);
+
+/* Nodes without children are the rows of one table. */
+static void fm_html_table(GString *out, const struct fm_type *type,
+			  GPtrArray *list, const char *path)
+{
+	g_string_append(out, "<table><tr>");
+	for (uint32_t i = 0; i < type->field_count; i++)
+		g_string_append_printf(out, "<th>%s</th>",
+				       type->fields[i].label);
+	g_string_append(out, "<th></th></tr>");
+	for (guint k = 0; k < list->len; k++) {
+		struct fm_node *node = g_ptr_array_index(list, k);
+		char *row = g_strdup_printf("%s.%u", path, k);
+		char *prefix = g_strconcat(row, ".", NULL);
+
+		g_string_append(out, "<tr>");
+		for (uint32_t i = 0; i < type->field_count; i++) {
+			g_string_append(out, "<td>");
+			fm_html_field(out, node, i, prefix);
+			g_string_append(out, "</td>");
+		}
+		g_string_append_printf(
+			out, "<td><input type=\"hidden\" name=\"%s_\">",
+			prefix);
+		fm_html_button(out, "remove", row, "Remove");
+		g_string_append(out, "</td></tr>");
+		g_free(prefix);
+		g_free(row);
+	}
+	g_string_append(out, "</table>");
+}
+
+static void fm_html_blocks(GString *out, GPtrArray *list, const char *path)
+{
+	for (guint k = 0; k < list->len; k++) {
+		struct fm_node *node = g_ptr_array_index(list, k);
+		char *row = g_strdup_printf("%s.%u", path, k);
+		char *prefix = g_strconcat(row, ".", NULL);
+
+		g_string_append_printf(
+			out,
+			"<fieldset><legend>%u</legend><input type=\"hidden\" "
+			"name=\"%s_\">",
+			k + 1, prefix);
+		fm_html_node(out, node, prefix);
+		fm_html_button(out, "remove", row, "Remove all of this");
+		g_string_append(out, "</fieldset>");
+		g_free(prefix);
+		g_free(row);
+	}
+}
+
+static void fm_html_node(GString *out, struct fm_node *node, const char *prefix)
+{
+	g_string_append(out, "<div class=\"fields\">");
+	for (uint32_t i = 0; i < node->type->field_count; i++) {
+		g_string_append_printf(out, "<label>%s ",
+				       node->type->fields[i].label);
+		fm_html_field(out, node, i, prefix);
+		g_string_append(out, "</label>");
+	}
+	g_string_append(out, "</div>");
+	for (uint32_t i = 0; i < node->type->child_count; i++) {
+		const struct fm_type *type = node->type->children[i];
+		char *path = g_strconcat(prefix, type->name, NULL);
+
+		g_string_append_printf(out, "<h3>%s</h3>", type->title);
+		if (type->child_count)
+			fm_html_blocks(out, node->children[i], path);
+		else
+			fm_html_table(out, type, node->children[i], path);
+		fm_html_button(out, "add", path, "Add");
+		g_free(path);
+	}
+}
+
+void fm_to_html(struct fm_node *root, GString *out)
+{
+	fm_html_node(out, root, "");
+}
--- /dev/null
+++ b/tests/run_console.sh
@@ -0,0 +1,99 @@
+#!/bin/bash
+# The console of forms over HTTP: login, errors beside their fields, forged
+# forms, acceptance, and an operator who was overtaken and keeps the input.
+set -u
+PORT_BASE=${PORT_BASE:-27000}
+. "$(dirname "$0")/lib.sh"
+
+url=127.0.0.1:$operators_port/console
+jar=$WORK/jar
+page=$WORK/page
+fail() { say "FAILED: $*"; exit 1; }
+# fetch EXPECTED-STATUS CURL-ARGUMENTS...
+fetch() {
+	want=$1
+	shift
+	got=$(curl -s -b "$jar" -c "$jar" -o "$page" -w '%{http_code}' "$@")
+	test "$got" = "$want" || fail "status $got instead of $want: $*"
+}
+shows() { grep -qF -- "$1" "$page" || fail "page lacks: $1"; }
+token() { sed -n 's/.*name="form_token" value="\([0-9a-f]*\)".*/\1/p' "$page"; }
+
+start_platform || exit 1
+start_host 0 gs-a 1
+wait_http "127.0.0.1:$operators_port" /health || exit 1
+
+# Without a session nothing is shown, and a wrong token gives none.
+fetch 401 "$url"
+fetch 401 -d token=wrong "$url/login"
+fetch 401 "$url/history"
+fetch 303 --data-urlencode "token=$TOKEN" "$url/login"
+fetch 200 "$url"
+shows 'name="deployment"'
+
+form=$(token)
+post() { # EXPECTED-STATUS ACTION FIELD=VALUE...
+	want=$1
+	action=$2
+	shift 2
+	args=()
+	for field in "$@"; do args+=(--data-urlencode "$field"); done
+	fetch "$want" --data-urlencode "form_token=$form" \
+		--data-urlencode "action=$action" "${args[@]}" "$url/document"
+}
+fields=(author=nia base=0 deployment=tri-parish zones=gs-a services.0._=
+	services.0.name=ordering services.0.route=/ordering/
+	services.0.measuring.requests_per_s=10
+	services.0.measuring.bytes_per_s=1000
+	services.0.measuring.cross_zone_bytes_per_s=100
+	services.0.servers.0._= services.0.servers.0.name=ord-1
+	services.0.servers.0.address=127.0.0.1:9 services.0.servers.0.zone=gs-a
+	services.0.servers.0.slots=6 services.0.servers.0.connections=260)
+
+# A form without the session's token is forged.
+form=0000
+post 401 accept "${fields[@]}"
+form=$(fetch 200 "$url"; token)
+test -n "$form" || fail "no form token"
+
+# Errors stand beside their field, input is kept, markup is escaped.
+post 422 accept "${fields[@]}" 'services.0.servers.0.zone=gs-x"><b>'
+shows 'value="gs-x&quot;&gt;&lt;b&gt;"><span class="error">zone'
+shows 'value="127.0.0.1:9"'
+post 422 accept "${fields[@]}" services.0.servers.0.slots=many
+shows 'value="many" inputmode="numeric"><span class="error">&quot;many&quot; is not'
+post 422 accept "${fields[@]}" services.0.servers.0.address=
+shows '<span class="error">missing</span>'
+
+# Lists grow and shrink without losing what was typed.
+post 200 add:services.0.servers "${fields[@]}"
+shows 'name="services.0.servers.1.name"'
+shows 'value="ord-1"'
+post 200 remove:services.0.servers.0 "${fields[@]}"
+grep -q 'value="ord-1"' "$page" && fail "removed row is still shown"
+
+post 200 check "${fields[@]}"
+shows 'The document is valid.'
+post 200 accept "${fields[@]}"
+shows 'Accepted as generation 1.'
+
+# Another operator was faster: the input stays and can be carried over.
+post 422 accept "${fields[@]}" deployment=tri-parish-2
+shows 'Not accepted'
+shows 'Continue on generation 1'
+shows 'value="tri-parish-2"'
+post 200 rebase "${fields[@]}" deployment=tri-parish-2
+shows 'name="base" value="1"'
+post 200 accept "${fields[@]}" deployment=tri-parish-2 base=1
+shows 'Accepted as generation 2.'
+
+fetch 200 "$url/history"
+shows 'nia'
+grep -q "$TOKEN" "$page" "$WORK/entry0.log" && fail "the token leaked"
+
+# Bad input must not end the process.
+fetch 400 -d 'a=%zz' "$url/document"
+head -c 200000 /dev/urandom >"$WORK/random"
+curl -s -o /dev/null -b "$jar" --data-binary "@$WORK/random" "$url/document"
+fetch 200 "$url"
+say passed
