Serve callers and operators over TLS

Requests, tokens and the console's session crossed the network in plain text. Each listener now takes a certificate and a key from its settings; plaintext needs an explicit setting and a loopback address. A changed certificate is used for new connections within 5 s without a restart, and a pair that does not match leaves the old one in use.

Conclusion: the listeners are covered.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 
 PACKAGES = build-essential pkg-config clang-format clang-tidy \
 	libuv1-dev libh2o-dev libhttp-parser-dev libglib2.0-dev libyaml-dev \
-	libjansson-dev libssl-dev libtirpc-dev rpcsvc-proto check
+	libjansson-dev libssl-dev libtirpc-dev rpcsvc-proto check \
+	curl openssl
 
 CC ?= cc
 LIBS = libuv libh2o glib-2.0 yaml-0.1 jansson openssl libtirpc
--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -16,6 +16,7 @@
 #include "platform.h"
 #include "settings.h"
 #include "timer.h"
+#include "tls.h"
 
 enum { SV_CHECK_IDLE_US = 20 * 1000, SV_US_PER_MS = 1000 };
 
@@ -29,6 +30,8 @@
 	struct cp_control control;
 	struct gw_gateway gateway;
 	struct ad_admin admin;
+	struct tl_listener callers_tls;
+	struct tl_listener operators_tls;
 	uv_signal_t signals[2];
 	struct tm_sub stop_timer;
 	bool stopping;
@@ -95,6 +98,18 @@
 	signal(SIGPIPE, SIG_IGN);
 }
 
+static enum st_kind sv_start_tls(struct sv_host *host, struct st_status *status)
+{
+	enum st_kind kind;
+
+	kind = tl_listen(&host->callers_tls, &host->gateway.http,
+			 &host->settings.callers_tls, &host->timers, status);
+	if (kind != ST_OK)
+		return kind;
+	return tl_listen(&host->operators_tls, &host->admin.http,
+			 &host->settings.operators_tls, &host->timers, status);
+}
+
 static enum st_kind sv_start(struct sv_host *host, struct st_status *status)
 {
 	enum st_kind kind;
@@ -112,7 +127,7 @@
 		kind = ad_init(&host->admin, &host->loop, &host->control,
 			       &host->gateway, &host->platform, &host->settings,
 			       sv_stop, host, status);
-	return kind;
+	return kind == ST_OK ? sv_start_tls(host, status) : kind;
 }
 
 static int sv_run(struct sv_host *host)
@@ -157,6 +172,22 @@
 	}
 }
 
+static bool sv_read_settings(struct sv_host *host, const char *path)
+{
+	struct ym_errors errors;
+	GString *text = g_string_new(NULL);
+	enum st_kind kind;
+
+	ym_errors_init(&errors);
+	kind = se_read(path, &host->settings, &errors);
+	ym_errors_print(&errors, text);
+	if (kind != ST_OK)
+		fprintf(stderr, "%s:\n%s", path, text->str);
+	g_string_free(text, TRUE);
+	ym_errors_free(&errors);
+	return kind == ST_OK;
+}
+
 int cmd_serve(int argc, char **argv)
 {
 	static struct sv_host host;
@@ -166,22 +197,11 @@
 		.args_doc = "SETTINGS",
 		.doc = "Runs an entry host with a settings file."
 	};
-	struct ym_errors errors;
-	enum st_kind kind;
 
 	if (argp_parse(&argp, argc, argv, 0, NULL, &options))
 		return st_exit(ST_USAGE);
-	ym_errors_init(&errors);
-	kind = se_read(options.settings, &host.settings, &errors);
-	if (kind != ST_OK) {
-		GString *text = g_string_new(NULL);
-
-		ym_errors_print(&errors, text);
-		fprintf(stderr, "%s:\n%s", options.settings, text->str);
-		g_string_free(text, TRUE);
+	if (!sv_read_settings(&host, options.settings))
 		return st_exit(ST_INVALID);
-	}
-	ym_errors_free(&errors);
 	lg_init(host.settings.host, host.settings.log_level);
 	return sv_run(&host);
 }
--- a/console.c
+++ b/console.c
@@ -551,16 +551,17 @@
 
 static void cs_set_session(const struct cs_console *console, h2o_req_t *req)
 {
+	const struct se_tls *tls = &console->settings->operators_tls;
 	gint64 expiry_s = g_get_real_time() / G_USEC_PER_SEC + CS_SESSION_S;
 	char *text = g_strdup_printf("session.%" G_GINT64_FORMAT, expiry_s);
 	char hmac[CS_HEX_BYTES];
 	char *cookie;
 
 	cs_sign(console, text, hmac);
-	cookie = g_strdup_printf("session=%" G_GINT64_FORMAT
-				 ".%s; HttpOnly; SameSite=Strict; "
-				 "Path=/console; Max-Age=%d",
-				 expiry_s, hmac, CS_SESSION_S);
+	cookie = g_strdup_printf(
+		"session=%" G_GINT64_FORMAT ".%s; HttpOnly; SameSite=Strict; "
+		"Path=/console; Max-Age=%d%s",
+		expiry_s, hmac, CS_SESSION_S, tls->plaintext ? "" : "; Secure");
 	hd_add_header(req, "set-cookie", cookie, strlen(cookie));
 	g_free(cookie);
 	g_free(text);
--- a/settings.c
+++ b/settings.c
@@ -36,6 +36,29 @@
 			 SE_MIN_SECRET_CHARS);
 }
 
+static void se_plaintext(struct ym_node *map, const struct nt_address *address,
+			 struct se_tls *tls, struct ym_errors *errors)
+{
+	tls->plaintext = ym_bool(map, "plaintext", false, errors);
+	if (tls->plaintext && address->addr.ss_family &&
+	    !nt_is_loopback(address))
+		ym_error(errors, ym_get(map, "plaintext"), "plaintext",
+			 "only a loopback address may go without TLS");
+}
+
+/* TLS of a listener: certificate and key, or plaintext on loopback. */
+static void se_listener(struct ym_node *map, struct nt_address *address,
+			struct se_tls *tls, struct ym_errors *errors)
+{
+	se_address(map, "address", address, errors);
+	se_plaintext(map, address, tls, errors);
+	if (tls->plaintext)
+		return;
+	se_copy(map, "certificate", tls->certificate, SE_PATH_BYTES, NULL,
+		errors);
+	se_copy(map, "key", tls->key, SE_PATH_BYTES, NULL, errors);
+}
+
 static void se_callers(struct ym_node *root, struct se_settings *settings,
 		       struct ym_errors *errors)
 {
@@ -43,7 +66,7 @@
 
 	if (!map)
 		return;
-	se_address(map, "address", &settings->callers, errors);
+	se_listener(map, &settings->callers, &settings->callers_tls, errors);
 	ym_check_unused(map, errors);
 }
 
@@ -54,7 +77,8 @@
 
 	if (!map)
 		return;
-	se_address(map, "address", &settings->operators, errors);
+	se_listener(map, &settings->operators, &settings->operators_tls,
+		    errors);
 	se_secret(map, "token", settings->operator_token, errors);
 	ym_check_unused(map, errors);
 }
@@ -103,6 +127,10 @@
 	if (!map)
 		return;
 	se_address(map, "address", &settings->platform, errors);
+	se_plaintext(map, &settings->platform, &settings->platform_tls, errors);
+	if (!settings->platform_tls.plaintext)
+		se_copy(map, "ca", settings->platform_tls.ca, SE_PATH_BYTES,
+			NULL, errors);
 	ym_check_unused(map, errors);
 }
 
--- a/settings.h
+++ b/settings.h
@@ -10,6 +10,16 @@
 
 enum { SE_NAME_BYTES = 64, SE_MAX_SEEDS = 64, SE_SECRET_BYTES = 128 };
 
+enum { SE_PATH_BYTES = 256 };
+
+/* TLS of one address. PLAINTEXT is allowed on loopback addresses only. */
+struct se_tls {
+	bool plaintext;
+	char certificate[SE_PATH_BYTES];
+	char key[SE_PATH_BYTES];
+	char ca[SE_PATH_BYTES]; /* of the other side, for the platform */
+};
+
 /* Settings of one process, read from a YAML file. */
 struct se_settings {
 	char host[SE_NAME_BYTES];
@@ -17,9 +27,12 @@
 	char log_level[16];
 	uint64_t random_seed; /* 0: taken from the system */
 	struct nt_address callers;
+	struct se_tls callers_tls;
 	struct nt_address operators;
+	struct se_tls operators_tls;
 	struct nt_address peers;
 	struct nt_address platform;
+	struct se_tls platform_tls;
 	char operator_token[SE_SECRET_BYTES];
 	char peer_key[SE_SECRET_BYTES];
 	struct nt_address seeds[SE_MAX_SEEDS];
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -72,9 +72,10 @@
 		log_level: ${LOG_LEVEL:-info}
 		random_seed: $((1000 + $1))
 		stop_grace_ms: ${STOP_GRACE_MS:-500}
-		callers: {address: "127.0.0.1:$((callers_port + $1))"}
+		callers: {address: "127.0.0.1:$((callers_port + $1))", ${CALLERS_TLS:-plaintext: true}}
 		operators:
 		  address: "127.0.0.1:$((operators_port + $1))"
+		  ${OPERATORS_TLS:-plaintext: true}
 		  token: $TOKEN
 		peers:
 		  address: "127.0.0.1:$((peers_port + $1))"
@@ -84,7 +85,7 @@
 		for i in $(seq 0 $(($3 - 1))); do
 			say "    - \"127.0.0.1:$((peers_port + i))\""
 		done
-		say "platform: {address: \"$platform_address\"}"
+		say "platform: {address: \"$platform_address\", ${PLATFORM_TLS:-plaintext: true}}"
 		test -z "${4:-}" || say "$4"
 	} >"$WORK/entry$1.yaml"
 }
--- /dev/null
+++ b/tests/run_tls.sh
@@ -0,0 +1,65 @@
+#!/bin/bash
+# TLS of the listeners: callers and operators are served over TLS, plaintext is
+# refused away from loopback, and a renewed certificate is used without a
+# restart while a broken one is not.
+set -u
+PORT_BASE=${PORT_BASE:-29000}
+. "$(dirname "$0")/lib.sh"
+
+fail() { say "FAILED: $*"; exit 1; }
+certificate() { # NAME
+	openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj "/CN=$1" \
+		-addext "subjectAltName=IP:127.0.0.1" \
+		-keyout "$WORK/new.key" -out "$WORK/new.pem" 2>/dev/null
+	cp "$WORK/new.pem" "$WORK/$1.ca"
+	mv "$WORK/new.key" "$WORK/host.key"
+	mv "$WORK/new.pem" "$WORK/host.pem"
+}
+# over_tls CA ADDRESS PATH: status of a request that trusts only CA.
+over_tls() {
+	curl -s --cacert "$WORK/$1.ca" -o /dev/null -w '%{http_code}' \
+		"https://$2$3"
+}
+
+certificate first
+CALLERS_TLS="certificate: $WORK/host.pem, key: $WORK/host.key"
+OPERATORS_TLS="certificate: $WORK/host.pem
+  key: $WORK/host.key"
+start_platform || exit 1
+start_host 0 gs-a 1
+callers=127.0.0.1:$callers_port
+operators=127.0.0.1:$operators_port
+for _ in $(seq 100); do
+	test "$(over_tls first "$operators" /health)" = 200 && break
+	sleep 0.05
+done
+test "$(over_tls first "$operators" /health)" = 200 || fail "operators"
+test "$(over_tls first "$callers" /health)" = 503 || fail "callers"
+curl -s -o /dev/null "http://$callers/health" && fail "plaintext was answered"
+
+certificate second
+for _ in $(seq 300); do
+	test "$(over_tls second "$callers" /health)" = 503 && break
+	sleep 0.05
+done
+test "$(over_tls second "$callers" /health)" = 503 || fail "not renewed"
+test "$(over_tls first "$callers" /health)" = 000 || fail "old one still used"
+
+# A key that does not match must not replace the certificate in use.
+cp "$WORK/host.key" "$WORK/good.key"
+sleep 0.1
+say broken >"$WORK/host.key"
+for _ in $(seq 300); do
+	grep -q '"event":"tls".*host.key' "$WORK/entry0.log" && break
+	sleep 0.05
+done
+grep -q '"event":"tls".*host.key' "$WORK/entry0.log" || fail "not noticed"
+test "$(over_tls second "$callers" /health)" = 503 || fail "broken key in use"
+
+write_settings 1 gs-a 1
+sed -i "s/address: \"127.0.0.1:$((callers_port + 1))\"/address: \"192.0.2.1:80\"/
+	s/certificate: [^,]*, key: [^}]*/plaintext: true/" "$WORK/entry1.yaml"
+timeout 10 "$BIN/jackdawworks" serve "$WORK/entry1.yaml" 2>"$WORK/refused"
+status=$?; test $status = 3 || { cat "$WORK/entry1.yaml" "$WORK/refused"; fail "plaintext on an outside address was accepted ($status)"; }
+grep -q 'plaintext: only a loopback' "$WORK/refused" || fail "no clear error"
+say passed
--- /dev/null
+++ b/tls.c
@@ -0,0 +1,143 @@
+#include "tls.h"
+
+#include <string.h>
+
+#include <h2o.h>
+#include <h2o/http2.h>
+#include <openssl/err.h>
+#include <sys/stat.h>
+
+#include "log.h"
+
+enum { TL_CHECK_US = 5 * 1000 * 1000 };
+
+#define TL_NS_PER_S 1000000000LL
+
+static const char *tl_reason(void)
+{
+	const char *reason = ERR_reason_error_string(ERR_peek_last_error());
+
+	ERR_clear_error();
+	return reason ? reason : "unknown reason";
+}
+
+static int64_t tl_modified_ns(const char *path)
+{
+	struct stat st;
+
+	if (stat(path, &st))
+		return 0;
+	return st.st_mtim.tv_sec * TL_NS_PER_S + st.st_mtim.tv_nsec;
+}
+
+static int64_t tl_newest_ns(const struct se_tls *files)
+{
+	int64_t certificate_ns = tl_modified_ns(files->certificate);
+	int64_t key_ns = tl_modified_ns(files->key);
+
+	return certificate_ns > key_ns ? certificate_ns : key_ns;
+}
+
+static SSL_CTX *tl_load(const struct se_tls *files, struct st_status *status)
+{
+	SSL_CTX *ctx = SSL_CTX_new(TLS_server_method());
+	const char *step = NULL;
+
+	SSL_CTX_set_min_proto_version(ctx, TLS1_2_VERSION);
+	if (SSL_CTX_use_certificate_chain_file(ctx, files->certificate) != 1)
+		step = files->certificate;
+	else if (SSL_CTX_use_PrivateKey_file(ctx, files->key,
+					     SSL_FILETYPE_PEM) != 1)
+		step = files->key;
+	else if (SSL_CTX_check_private_key(ctx) != 1)
+		step = "certificate and key do not match";
+	if (!step) {
+		h2o_ssl_register_alpn_protocols(ctx, h2o_http2_alpn_protocols);
+		return ctx;
+	}
+	st_set(status, ST_INVALID, "TLS: %s: %s", step, tl_reason());
+	SSL_CTX_free(ctx);
+	return NULL;
+}
+
+static void tl_use(struct tl_listener *tls, SSL_CTX *ctx)
+{
+	/* Open connections hold their own reference to the old context. */
+	SSL_CTX_free(tls->ctx);
+	tls->ctx = ctx;
+	tls->http->accept.ssl_ctx = ctx;
+}
+
+static void tl_schedule(struct tl_listener *tls)
+{
+	tm_subscribe(tls->timers, &tls->timer, tm_now_us() + TL_CHECK_US);
+}
+
+static void tl_on_check(void *ctx)
+{
+	struct tl_listener *tls = ctx;
+	int64_t changed_ns = tl_newest_ns(tls->files);
+	struct st_status status;
+	SSL_CTX *loaded;
+
+	tl_schedule(tls);
+	if (changed_ns == tls->changed_ns)
+		return;
+	/*
+	 * A half-written pair fails here and is read again at the next check;
+	 * the old certificate stays in use until then.
+	 */
+	loaded = tl_load(tls->files, &status);
+	if (!loaded) {
+		lg_warn("tls", "%s", status.msg);
+		return;
+	}
+	tls->changed_ns = changed_ns;
+	tl_use(tls, loaded);
+	lg_info("tls", "certificate %s renewed", tls->files->certificate);
+}
+
+enum st_kind tl_listen(struct tl_listener *tls, struct hd_server *http,
+		       const struct se_tls *files, struct tm_service *timers,
+		       struct st_status *status)
+{
+	SSL_CTX *ctx;
+
+	memset(tls, 0, sizeof(*tls));
+	tls->http = http;
+	tls->files = files;
+	tls->timers = timers;
+	tls->timer.fire = tl_on_check;
+	tls->timer.ctx = tls;
+	if (files->plaintext)
+		return ST_OK;
+	tls->changed_ns = tl_newest_ns(files);
+	ctx = tl_load(files, status);
+	if (!ctx)
+		return ST_INVALID;
+	tl_use(tls, ctx);
+	tl_schedule(tls);
+	return ST_OK;
+}
+
+void tl_free(struct tl_listener *tls)
+{
+	if (!tls->timers)
+		return;
+	tm_cancel(tls->timers, &tls->timer);
+	SSL_CTX_free(tls->ctx);
+	tls->ctx = NULL;
+}
+
+SSL_CTX *tl_client(const char *ca_file, struct st_status *status)
+{
+	SSL_CTX *ctx = SSL_CTX_new(TLS_client_method());
+
+	SSL_CTX_set_min_proto_version(ctx, TLS1_2_VERSION);
+	SSL_CTX_set_verify(ctx, SSL_VERIFY_PEER, NULL);
+	if (SSL_CTX_load_verify_file(ctx, ca_file) == 1)
+		return ctx;
+	st_set(status, ST_INVALID, "TLS: %s: %s", ca_file, tl_reason());
+	SSL_CTX_free(ctx);
+	return NULL;
+}
--- /dev/null
+++ b/tls.h
@@ -0,0 +1,42 @@
+#ifndef TLS_H
+#define TLS_H
+
+#include <stdbool.h>
+#include <openssl/ssl.h>
+
+#include "httpd.h"
+#include "settings.h"
+#include "status.h"
+#include "timer.h"
+
+/*
+ * TLS from the files that the settings name. A listener looks at its files
+ * regularly and takes a changed certificate for new connections without a
+ * restart; connections that are open keep the old one.
+ */
+struct tl_listener {
+	struct hd_server *http;
+	const struct se_tls *files;
+	struct tm_service *timers;
+	struct tm_sub timer;
+	SSL_CTX *ctx; /* NULL: plaintext */
+	int64_t changed_ns; /* newest modification time of the files in use */
+};
+
+/*
+ * tl_listen - serve TLS on HTTP, or plaintext when the settings say so.
+ * Errors: ST_INVALID when certificate or key cannot be used.
+ * tl_free - stop watching and release the context. Source: tls.c
+ */
+enum st_kind tl_listen(struct tl_listener *tls, struct hd_server *http,
+		       const struct se_tls *files, struct tm_service *timers,
+		       struct st_status *status);
+void tl_free(struct tl_listener *tls);
+
+/*
+ * tl_client - context that trusts only the authorities in the CA file.
+ * Returns NULL and sets STATUS when the file cannot be used.
+ */
+SSL_CTX *tl_client(const char *ca_file, struct st_status *status);
+
+#endif
