--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -18,7 +18,13 @@
 #include "timer.h"
 #include "tls.h"
 
-enum { SV_CHECK_IDLE_US = 20 * 1000, SV_US_PER_MS = 1000 };
+enum {
+	SV_CHECK_IDLE_US = 20 * 1000,
+	SV_US_PER_MS = 1000,
+	/* HTTP/2 callers get two notices a second apart before they close. */
+	SV_LINGER_US = 2000 * 1000,
+	SV_CLOSE_US = 1000 * 1000
+};
 
 /* All parts of one entry host. */
 struct sv_host {
@@ -34,14 +40,18 @@
 	struct tl_listener operators_tls;
 	uv_signal_t signals[2];
 	struct tm_sub stop_timer;
+	uint64_t linger_until_us;
 	bool stopping;
+	bool at_once;
 };
 
 static void sv_on_idle_check(void *ctx)
 {
 	struct sv_host *host = ctx;
 
-	if (gw_idle(&host->gateway) || !me_on(ME_GRACEFUL_STOP)) {
+	hd_close_idle(&host->gateway.http);
+	if (gw_idle(&host->gateway) && (!host->gateway.http.connections ||
+					tm_now_us() >= host->linger_until_us)) {
 		uv_stop(&host->loop);
 		return;
 	}
@@ -55,6 +65,7 @@
 	struct sv_host *host = ctx;
 
 	gw_stop_listening(&host->gateway);
+	host->linger_until_us = tm_now_us() + SV_LINGER_US;
 	host->stop_timer.fire = sv_on_idle_check;
 	sv_on_idle_check(host);
 }
@@ -68,6 +79,11 @@
 	if (host->stopping)
 		return;
 	host->stopping = true;
+	if (!me_on(ME_GRACEFUL_STOP)) {
+		host->at_once = true;
+		uv_stop(&host->loop);
+		return;
+	}
 	lg_info("stop", "graceful stop begins");
 	kn_broadcast(&host->kernel, &msg);
 	gw_announce_stop(&host->gateway);
@@ -80,10 +96,12 @@
 {
 	struct sv_host *host = handle->data;
 
-	if (host->stopping)
-		uv_stop(&host->loop);
-	else
+	if (!host->stopping) {
 		sv_stop(host);
+		return;
+	}
+	host->at_once = true;
+	uv_stop(&host->loop);
 }
 
 static void sv_watch_signals(struct sv_host *host)
@@ -130,6 +148,34 @@
 	return kind == ST_OK ? sv_start_tls(host, status) : kind;
 }
 
+/* Runs the loop until the connections of both listeners are closed. */
+static void sv_close(struct sv_host *host)
+{
+	uint64_t until_us = tm_now_us() + SV_CLOSE_US;
+
+	gw_close(&host->gateway);
+	hd_stop_listening(&host->admin.http);
+	hd_close_all(&host->admin.http);
+	cp_free(&host->control);
+	pf_free(&host->platform);
+	while (host->gateway.http.connections + host->admin.http.connections &&
+	       tm_now_us() < until_us)
+		uv_run(&host->loop, UV_RUN_NOWAIT);
+}
+
+static void sv_free(struct sv_host *host)
+{
+	sv_close(host);
+	gw_free(&host->gateway);
+	ad_free(&host->admin);
+	tm_free(&host->timers);
+	for (size_t i = 0; i < G_N_ELEMENTS(host->signals); i++)
+		uv_close((uv_handle_t *)&host->signals[i], NULL);
+	uv_run(&host->loop, UV_RUN_DEFAULT);
+	kn_free(&host->kernel);
+	uv_loop_close(&host->loop);
+}
+
 static int sv_run(struct sv_host *host)
 {
 	struct st_status status = { 0 };
@@ -145,6 +191,8 @@
 	lg_info("start", "callers %s, operators %s",
 		host->settings.callers.text, host->settings.operators.text);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
+	if (!host->at_once)
+		sv_free(host);
 	lg_info("stop", "ended");
 	return 0;
 }
