--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -166,6 +166,8 @@
 static void sv_free(struct sv_host *host)
 {
 	sv_close(host);
+	tl_free(&host->callers_tls);
+	tl_free(&host->operators_tls);
 	gw_free(&host->gateway);
 	ad_free(&host->admin);
 	tm_free(&host->timers);
