Reach the platform over TLS

Documents, claims and audit rows crossed the network in plain text. The HTTP client can now speak TLS over memory BIOs: it trusts one CA file, checks the certificate against the IP address, and counts a failed handshake as not sent, so nothing can have run.

Conclusion: callers, operators and platform are covered; the operator commands still need a CA option.

--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -38,6 +38,7 @@
 	struct ad_admin admin;
 	struct tl_listener callers_tls;
 	struct tl_listener operators_tls;
+	SSL_CTX *platform_tls;
 	uv_signal_t signals[2];
 	struct tm_sub stop_timer;
 	uint64_t linger_until_us;
@@ -136,6 +137,13 @@
 	tm_init(&host->timers, &host->loop);
 	pf_init(&host->platform, &host->loop, &host->timers,
 		&host->settings.platform);
+	if (!host->settings.platform_tls.plaintext) {
+		host->platform_tls =
+			tl_client(host->settings.platform_tls.ca, status);
+		if (!host->platform_tls)
+			return ST_INVALID;
+	}
+	hc_pool_set_tls(&host->platform.pool, host->platform_tls);
 	kind = gw_init(&host->gateway, &host->kernel, &host->timers,
 		       &host->settings, status);
 	if (kind == ST_OK)
@@ -168,6 +176,7 @@
 	sv_close(host);
 	tl_free(&host->callers_tls);
 	tl_free(&host->operators_tls);
+	SSL_CTX_free(host->platform_tls);
 	gw_free(&host->gateway);
 	ad_free(&host->admin);
 	tm_free(&host->timers);
--- a/httpc.c
+++ b/httpc.c
@@ -3,10 +3,12 @@
 #include <string.h>
 
 #include <http_parser.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include "counter.h"
 #include "mechanism.h"
+#include "tls_stream.h"
 
 enum { HC_DEFAULT_IDLE_US = 20 * 1000 * 1000 };
 
@@ -40,10 +42,18 @@
 	bool reading;
 	uint64_t idle_since_us;
 	struct tm_sub connect_timer;
+	struct ts_stream tls; /* in use when its SSL is set */
+};
+
+/* A write of handshake bytes, which no request waits for. */
+struct hc_flush {
+	uv_write_t write;
+	GString *bytes;
 };
 
 static void hc_conn_read(uv_stream_t *stream, ssize_t nread,
 			 const uv_buf_t *buf);
+static void hc_conn_send(struct hc_conn *conn);
 
 /* One loop per process: reads are parsed before the next one starts. */
 static char hc_read_buffer[HC_READ_BYTES];
@@ -70,6 +80,7 @@
 	if (conn->out)
 		g_string_free(conn->out, TRUE);
 	g_string_free(conn->text, TRUE);
+	ts_free(&conn->tls);
 	g_free(conn);
 	hc_pool_check_closed(pool);
 }
@@ -304,6 +315,69 @@
 					   HTTP_PARSER_ERRNO(&conn->parser)));
 }
 
+static void hc_flush_written(uv_write_t *write, int error)
+{
+	struct hc_flush *flush = (struct hc_flush *)write;
+
+	g_string_free(flush->bytes, TRUE);
+	g_free(flush);
+}
+
+/* Sends what the TLS stream has to say on its own. */
+static void hc_conn_flush(struct hc_conn *conn)
+{
+	GString *bytes = ts_take(&conn->tls);
+	struct hc_flush *flush;
+	uv_buf_t buf;
+
+	if (!bytes)
+		return;
+	flush = g_new0(struct hc_flush, 1);
+	flush->bytes = bytes;
+	buf = uv_buf_init(bytes->str, (unsigned)bytes->len);
+	if (uv_write(&flush->write, (uv_stream_t *)&conn->tcp, &buf, 1,
+		     hc_flush_written))
+		hc_flush_written(&flush->write, 0);
+}
+
+static void hc_conn_handshake(struct hc_conn *conn)
+{
+	const char *msg = "";
+	bool ok = ts_handshake(&conn->tls, &msg);
+
+	hc_conn_flush(conn);
+	if (!ok)
+		hc_conn_fail(conn, msg);
+	else if (conn->tls.established)
+		hc_conn_send(conn);
+}
+
+static void hc_conn_decrypt(struct hc_conn *conn)
+{
+	static char plain[HC_READ_BYTES];
+	int got;
+
+	while (!conn->closing &&
+	       (got = ts_read(&conn->tls, plain, sizeof(plain))) != 0) {
+		if (got < 0 || !conn->request) {
+			hc_conn_fail(conn, "TLS stream ended");
+			return;
+		}
+		hc_conn_parse(conn, plain, (size_t)got);
+	}
+	if (!conn->closing)
+		hc_conn_flush(conn);
+}
+
+static void hc_conn_read_tls(struct hc_conn *conn, const char *data, size_t len)
+{
+	ts_feed(&conn->tls, data, len);
+	if (!conn->tls.established)
+		hc_conn_handshake(conn);
+	if (!conn->closing && conn->tls.established)
+		hc_conn_decrypt(conn);
+}
+
 static void hc_conn_read(uv_stream_t *stream, ssize_t nread,
 			 const uv_buf_t *buf)
 {
@@ -311,6 +385,10 @@
 
 	if (conn->closing || !nread)
 		return;
+	if (conn->tls.ssl && nread > 0) {
+		hc_conn_read_tls(conn, buf->base, (size_t)nread);
+		return;
+	}
 	/* Nothing may arrive on an idle connection but its end. */
 	if (!conn->request) {
 		if (nread > 0)
@@ -338,11 +416,41 @@
 		hc_conn_close(conn);
 }
 
+/* Replaces the request's text by its encrypted form. */
+static bool hc_conn_encrypt(struct hc_conn *conn)
+{
+	GString *plain = conn->out;
+	bool ok = ts_write(&conn->tls, plain->str, plain->len);
+
+	conn->out = ok ? ts_take(&conn->tls) : NULL;
+	if (!conn->out) {
+		conn->out = plain;
+		return false;
+	}
+	g_string_free(plain, TRUE);
+	return true;
+}
+
+static void hc_conn_start_reading(struct hc_conn *conn)
+{
+	if (!conn->reading)
+		uv_read_start((uv_stream_t *)&conn->tcp, hc_alloc,
+			      hc_conn_read);
+	conn->reading = true;
+}
+
 static void hc_conn_send(struct hc_conn *conn)
 {
 	struct hc_request *request = conn->request;
-	uv_buf_t buf = uv_buf_init(conn->out->str, (unsigned)conn->out->len);
+	uv_buf_t buf;
 
+	if (conn->connect_timer.slot)
+		tm_cancel(conn->pool->timers, &conn->connect_timer);
+	if (conn->tls.ssl && !hc_conn_encrypt(conn)) {
+		hc_conn_fail(conn, "encryption failed");
+		return;
+	}
+	buf = uv_buf_init(conn->out->str, (unsigned)conn->out->len);
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	conn->complete = false;
@@ -355,14 +463,28 @@
 		hc_conn_fail(conn, "write failed");
 		return;
 	}
-	if (!conn->reading)
-		uv_read_start((uv_stream_t *)&conn->tcp, hc_alloc,
-			      hc_conn_read);
-	conn->reading = true;
+	hc_conn_start_reading(conn);
 	if (request->handler->sent)
 		request->handler->sent(request);
 }
 
+static void hc_conn_start_tls(struct hc_conn *conn)
+{
+	char ip[INET6_ADDRSTRLEN];
+	const struct sockaddr_storage *addr = &conn->pool->address.addr;
+
+	if (addr->ss_family == AF_INET6)
+		uv_ip6_name((const struct sockaddr_in6 *)addr, ip, sizeof(ip));
+	else
+		uv_ip4_name((const struct sockaddr_in *)addr, ip, sizeof(ip));
+	if (!ts_init(&conn->tls, conn->pool->tls, ip)) {
+		hc_conn_fail(conn, "TLS cannot be started");
+		return;
+	}
+	hc_conn_start_reading(conn);
+	hc_conn_handshake(conn);
+}
+
 static void hc_conn_connected(uv_connect_t *connect, int error)
 {
 	struct hc_conn *conn = connect->data;
@@ -374,10 +496,11 @@
 		return;
 	}
 	conn->connected = true;
-	if (conn->connect_timer.slot)
-		tm_cancel(conn->pool->timers, &conn->connect_timer);
 	uv_tcp_nodelay(&conn->tcp, 1);
-	hc_conn_send(conn);
+	if (conn->pool->tls)
+		hc_conn_start_tls(conn);
+	else
+		hc_conn_send(conn);
 }
 
 static struct hc_conn *hc_conn_new(struct hc_pool *pool)
@@ -454,6 +577,11 @@
 	pool->connect_timeout_us = timeout_us;
 }
 
+void hc_pool_set_tls(struct hc_pool *pool, SSL_CTX *ctx)
+{
+	pool->tls = ctx;
+}
+
 void hc_pool_set_limit(struct hc_pool *pool, uint32_t max_connections)
 {
 	pool->max_connections = max_connections;
--- a/httpc.h
+++ b/httpc.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <glib.h>
+#include <openssl/ssl.h>
 #include <uv.h>
 
 #include "net.h"
@@ -82,6 +83,7 @@
 	uint64_t max_idle_us;
 	struct tm_service *timers; /* NULL: connecting takes what it takes */
 	uint64_t connect_timeout_us;
+	SSL_CTX *tls; /* NULL: plaintext; not owned */
 	struct hc_conn *idle; /* most recently used first */
 	struct hc_conn *all;
 	bool closing;
@@ -107,6 +109,12 @@
 				 struct tm_service *timers,
 				 uint64_t timeout_us);
 
+/*
+ * hc_pool_set_tls - new connections use TLS and check the certificate against
+ * the pool's address. CTX must outlive the pool.
+ */
+void hc_pool_set_tls(struct hc_pool *pool, SSL_CTX *ctx);
+
 /* hc_pool_set_limit - change the limit; idle connections above it close. */
 void hc_pool_set_limit(struct hc_pool *pool, uint32_t max_connections);
 
