Start the distrusting host while its own key is valid

The check of an untrusted platform ran after the host's own key had been broken, so that host never started and the check read nothing; the earlier form passed for that reason. It now runs before, and requires that every platform request of that host failed. A request on its way made the two counters differ once, so the check waits for them to agree.

--- a/tests/run_tls.sh
+++ b/tests/run_tls.sh
@@ -63,6 +63,24 @@
 test "$(over_tls second "$callers" /health)" = 200 || fail "not renewed"
 test "$(over_tls first "$callers" /health)" = 000 || fail "old one still used"
 
+# A platform with a certificate of another authority is not trusted.
+PLATFORM_TLS="ca: $WORK/second.ca"
+start_host 2 gs-a 1
+count() { sed -n "s/^jackdawworks_$1 //p" "$WORK/metrics"; }
+# One answered request would make the two counters differ for good; a request
+# on its way makes them differ for a moment.
+for _ in $(seq 100); do
+	curl -s --cacert "$WORK/second.ca" -H "authorization: Bearer $TOKEN" \
+		"https://127.0.0.1:$((operators_port + 2))/metrics" \
+		>"$WORK/metrics"
+	failed=$(count platform_errors_total)
+	test "${failed:-0}" -gt 1 &&
+		test "$failed" = "$(count platform_reads_total)" && break
+	failed=
+	sleep 0.05
+done
+test -n "$failed" || fail "an untrusted platform was used"
+
 # A key that does not match must not replace the certificate in use.
 cp "$WORK/host.key" "$WORK/good.key"
 sleep 0.1
@@ -74,17 +92,6 @@
 grep -q '"event":"tls".*host.key' "$WORK/entry0.log" || fail "not noticed"
 test "$(over_tls second "$callers" /health)" = 200 || fail "broken key in use"
 
-# A platform with a certificate of another authority is not trusted.
-PLATFORM_TLS="ca: $WORK/second.ca"
-start_host 2 gs-a 1
-sleep 2
-curl -s --cacert "$WORK/second.ca" -H "authorization: Bearer $TOKEN" \
-	"https://127.0.0.1:$((operators_port + 2))/metrics" >"$WORK/metrics"
-count() { sed -n "s/^jackdawworks_$1 //p" "$WORK/metrics"; }
-test "$(count platform_reads_total)" -gt 0 || fail "no platform requests"
-test "$(count platform_errors_total)" = "$(count platform_reads_total)" ||
-	fail "an untrusted platform was used"
-
 write_settings 1 gs-a 1
 sed -i "s/address: \"127.0.0.1:$((callers_port + 1))\"/address: \"192.0.2.1:80\"/
 	s/certificate: [^,]*, key: [^}]*/plaintext: true/" "$WORK/entry1.yaml"
