--- a/admin.c
+++ b/admin.c
@@ -5,9 +5,14 @@
 #include <jansson.h>
 
 #include "counter.h"
+#include "json_text.h"
 #include "log.h"
 
-enum { AD_AUDIT_ROWS = 100 };
+enum {
+	AD_AUDIT_ROWS = 100,
+	AD_MAX_AUDIT_ROWS = 1000,
+	AD_MAX_QUERY_BYTES = 1024
+};
 
 struct ad_route {
 	const char *method;
@@ -17,7 +22,7 @@
 
 static void ad_reply_json(h2o_req_t *req, int status, json_t *object)
 {
-	char *text = json_dumps(object, JSON_COMPACT);
+	char *text = jt_dump(object);
 
 	if (req)
 		hd_reply(req, status, "application/json", text, strlen(text));
@@ -25,46 +30,203 @@
 	json_decref(object);
 }
 
+static void ad_reply_error(h2o_req_t *req, enum st_kind kind, const char *msg)
+{
+	struct st_status status;
+
+	st_set(&status, kind, "%s", msg);
+	hd_reply_status(req, &status);
+}
+
+/* Reads a number of the query. Answers with an error and returns false. */
+static bool ad_number(h2o_req_t *req, const char *name, uint64_t fallback,
+		      uint64_t max, uint64_t *out)
+{
+	char *text = hd_query(req, name);
+	struct st_status status;
+	guint64 value = fallback;
+	bool ok = true;
+
+	if (text)
+		ok = g_ascii_string_to_unsigned(text, 10, 0, max, &value, NULL);
+	g_free(text);
+	*out = value;
+	if (ok)
+		return true;
+	st_set(&status, ST_USAGE,
+	       "\"%s\" must be a whole number up to %" G_GUINT64_FORMAT, name,
+	       max);
+	hd_reply_status(req, &status);
+	return false;
+}
+
+static json_t *ad_document(uint64_t generation, const char *digest,
+			   const char *text, size_t text_bytes)
+{
+	return json_pack("{s:I, s:s, s:o}", "generation",
+			 (json_int_t)generation, "digest", digest, "text",
+			 jt_string_n(text, text_bytes));
+}
+
+/* An older generation on its way from the object store. */
+struct ad_lookup {
+	struct hd_hold *hold;
+	struct ad_admin *admin;
+	uint64_t generation;
+	char digest[DOC_DIGEST_BYTES];
+};
+
+static void ad_end_lookup(struct ad_lookup *lookup, enum st_kind kind,
+			  const char *msg)
+{
+	if (kind != ST_OK && lookup->hold->req)
+		ad_reply_error(lookup->hold->req, kind, msg);
+	hd_release(lookup->hold);
+	g_free(lookup);
+}
+
+static void ad_on_old_body(void *ctx, const struct pf_result *result)
+{
+	struct ad_lookup *lookup = ctx;
+	char digest[DOC_DIGEST_BYTES];
+
+	if (result->status.kind != ST_OK) {
+		ad_end_lookup(lookup, result->status.kind,
+			      result->status.kind == ST_NOT_FOUND ?
+				      "the body is not in the object store" :
+				      result->status.msg);
+		return;
+	}
+	doc_digest(result->body, result->body_bytes, digest);
+	if (strcmp(digest, lookup->digest) != 0) {
+		ad_end_lookup(lookup, ST_IO,
+			      "the body does not match its digest");
+		return;
+	}
+	if (lookup->hold->req)
+		ad_reply_json(lookup->hold->req, 200,
+			      ad_document(lookup->generation, digest,
+					  result->body, result->body_bytes));
+	ad_end_lookup(lookup, ST_OK, "");
+}
+
+static void ad_on_old_row(void *ctx, const struct pf_result *result)
+{
+	struct ad_lookup *lookup = ctx;
+	struct pf_callback callback = { ad_on_old_body, lookup };
+	const char *digest = jt_get(result->json, "digest");
+
+	if (result->status.kind == ST_NOT_FOUND) {
+		ad_end_lookup(lookup, ST_NOT_FOUND, "no such generation");
+	} else if (result->status.kind != ST_OK) {
+		ad_end_lookup(lookup, result->status.kind, result->status.msg);
+	} else if (!cp_is_digest(digest)) {
+		ad_end_lookup(lookup, ST_IO, "malformed row of the generation");
+	} else {
+		g_strlcpy(lookup->digest, digest, sizeof(lookup->digest));
+		pf_get_object(lookup->admin->platform, digest, &callback);
+	}
+}
+
+static void ad_show_old(struct ad_admin *admin, h2o_req_t *req,
+			uint64_t generation)
+{
+	struct ad_lookup *lookup = g_new0(struct ad_lookup, 1);
+	struct pf_callback callback = { ad_on_old_row, lookup };
+	char key[32];
+
+	lookup->admin = admin;
+	lookup->hold = hd_hold(req);
+	lookup->generation = generation;
+	cp_generation_key(generation, key);
+	pf_get(admin->platform, "generation", key, &callback);
+}
+
 static void ad_show(struct ad_admin *admin, h2o_req_t *req)
 {
 	const struct doc_document *document = admin->control->document;
-	struct st_status status;
+	uint64_t generation;
 
+	if (!ad_number(req, "generation", 0, INT64_MAX, &generation))
+		return;
+	if (generation && (!document || generation != document->generation)) {
+		ad_show_old(admin, req, generation);
+		return;
+	}
 	if (!document) {
-		st_set(&status, ST_NOT_FOUND, "no document in force");
-		hd_reply_status(req, &status);
+		ad_reply_error(req, ST_NOT_FOUND, "no document in force");
 		return;
 	}
 	ad_reply_json(req, 200,
-		      json_pack("{s:I, s:s, s:s}", "generation",
-				(json_int_t)document->generation, "digest",
-				document->digest, "text", document->text));
+		      ad_document(document->generation, document->digest,
+				  document->text, document->text_bytes));
 }
 
 static void ad_on_submitted(void *ctx, const struct cp_answer *answer)
 {
 	struct hd_hold *hold = ctx;
+	json_t *changes =
+		answer->changes ? json_incref(answer->changes) : json_array();
 
 	ad_reply_json(hold->req, st_http(answer->status.kind),
-		      json_pack("{s:s, s:s, s:I, s:s, s:s}", "result",
+		      json_pack("{s:s, s:o, s:I, s:s, s:s, s:o, s:o}", "result",
 				st_name(answer->status.kind), "message",
-				answer->status.msg, "generation",
+				jt_string(answer->status.msg), "generation",
 				(json_int_t)answer->generation, "digest",
-				answer->digest, "detail", answer->detail));
+				answer->digest, "submission",
+				answer->submission, "detail",
+				jt_string(answer->detail), "changes", changes));
 	hd_release(hold);
 }
 
 static void ad_submit(struct ad_admin *admin, h2o_req_t *req)
 {
-	char *base = hd_query(req, "base");
-	char *author = hd_query(req, "author");
-	struct cp_callback callback = { ad_on_submitted, hd_hold(req) };
+	struct cp_request request = {
+		.text = req->entity.base ? req->entity.base : "",
+		.text_bytes = req->entity.len,
+	};
+	struct cp_callback callback = { ad_on_submitted, NULL };
+	char *author;
+	char *submission;
 
-	cp_submit(admin->control, req->entity.base ? req->entity.base : "",
-		  req->entity.len, base ? g_ascii_strtoull(base, NULL, 10) : 0,
-		  author ? author : "unknown", &callback);
-	g_free(base);
+	if (!ad_number(req, "base", 0, INT64_MAX - 1, &request.base))
+		return;
+	callback.ctx = hd_hold(req);
+	author = hd_query(req, "author");
+	submission = hd_query(req, "submission");
+	request.author = author ? author : "unknown";
+	request.submission = submission;
+	cp_submit(admin->control, &request, &callback);
 	g_free(author);
+	g_free(submission);
+}
+
+/* Checks a document without submitting it and says what it would change. */
+static void ad_check(struct ad_admin *admin, h2o_req_t *req)
+{
+	const char *text = req->entity.base ? req->entity.base : "";
+	struct doc_document *document;
+	struct ym_errors errors;
+	GString *detail = g_string_new(NULL);
+	json_t *changes = NULL;
+
+	ym_errors_init(&errors);
+	document = doc_parse(text, req->entity.len, &errors);
+	ym_errors_print(&errors, detail);
+	if (document) {
+		GPtrArray *list = doc_diff(admin->control->document, document);
+
+		changes = doc_diff_json(list);
+		g_ptr_array_unref(list);
+	}
+	ad_reply_json(req, document ? 200 : st_http(ST_INVALID),
+		      json_pack("{s:s, s:o, s:o}", "result",
+				st_name(document ? ST_OK : ST_INVALID),
+				"detail", jt_string(detail->str), "changes",
+				changes ? changes : json_array()));
+	g_string_free(detail, TRUE);
+	ym_errors_free(&errors);
+	doc_unref(document);
 }
 
 static void ad_on_audit(void *ctx, const struct pf_result *result)
@@ -80,9 +242,37 @@
 
 static void ad_audit(struct ad_admin *admin, h2o_req_t *req)
 {
-	struct pf_callback callback = { ad_on_audit, hd_hold(req) };
+	struct pf_callback callback = { ad_on_audit, NULL };
+	uint64_t limit;
+
+	if (!ad_number(req, "limit", AD_AUDIT_ROWS, AD_MAX_AUDIT_ROWS, &limit))
+		return;
+	callback.ctx = hd_hold(req);
+	pf_list(admin->platform, "audit", "", (uint32_t)limit, true, &callback);
+}
+
+/* Figures of this host; the counters have the names of the exposition. */
+static void ad_status(struct ad_admin *admin, h2o_req_t *req)
+{
+	const struct doc_document *document = admin->control->document;
+	json_t *counters = json_object();
 
-	pf_list(admin->platform, "audit", "", AD_AUDIT_ROWS, true, &callback);
+#define X(id, name, help)                   \
+	json_object_set_new(counters, name, \
+			    json_integer((json_int_t)ct_get(CT_##id)));
+	CT_LIST(X)
+#undef X
+	ad_reply_json(
+		req, 200,
+		json_pack("{s:o, s:o, s:I, s:s, s:b, s:I, s:b, s:o}", "host",
+			  jt_string(admin->settings->host), "zone",
+			  jt_string(admin->settings->zone), "generation",
+			  (json_int_t)(document ? document->generation : 0),
+			  "digest", document ? document->digest : "",
+			  "platform_answers", !admin->control->read_failed,
+			  "in_flight", (json_int_t)admin->gateway->in_flight,
+			  "stopping", admin->gateway->stopping, "counters",
+			  counters));
 }
 
 static void ad_metrics(struct ad_admin *admin, h2o_req_t *req)
@@ -103,7 +293,9 @@
 static const struct ad_route ad_routes[] = {
 	{ "GET", "/v1/document", ad_show },
 	{ "POST", "/v1/document", ad_submit },
+	{ "POST", "/v1/check", ad_check },
 	{ "GET", "/v1/audit", ad_audit },
+	{ "GET", "/v1/status", ad_status },
 	{ "GET", "/metrics", ad_metrics },
 	{ "POST", "/v1/drain", ad_drain },
 };
@@ -134,15 +326,18 @@
 static void ad_on_request(void *ctx, h2o_req_t *req)
 {
 	struct ad_admin *admin = ctx;
-	struct st_status status;
 
 	if (hd_path_is(req, "/health")) {
 		hd_reply(req, 200, "text/plain", "ok\n", 3);
 		return;
 	}
 	if (!ad_authorized(admin, req)) {
-		st_set(&status, ST_UNAUTHORIZED, "missing or wrong token");
-		hd_reply_status(req, &status);
+		ad_reply_error(req, ST_UNAUTHORIZED, "missing or wrong token");
+		return;
+	}
+	if (req->path.len > AD_MAX_QUERY_BYTES) {
+		ad_reply_error(req, ST_USAGE,
+			       "the path and query are too long");
 		return;
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(ad_routes); i++) {
@@ -154,8 +349,7 @@
 			return;
 		}
 	}
-	st_set(&status, ST_NOT_FOUND, "no such resource");
-	hd_reply_status(req, &status);
+	ad_reply_error(req, ST_NOT_FOUND, "no such resource");
 }
 
 enum st_kind ad_init(struct ad_admin *admin, uv_loop_t *loop,
--- a/cmd_operator.c
+++ b/cmd_operator.c
@@ -1,4 +1,5 @@
 #include <argp.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,18 +11,68 @@
 #include "command.h"
 #include "document.h"
 #include "httpc.h"
+#include "json_text.h"
 #include "timer.h"
 
-enum { CO_TIMEOUT_US = 30 * 1000 * 1000, CO_KEY_BASE = 256, CO_KEY_AUTHOR };
+enum {
+	CO_TIMEOUT_US = 30 * 1000 * 1000,
+	CO_MAX_ANSWER_BYTES = 64 << 20,
+	CO_MAX_HOSTS = 256,
+	CO_READ_BYTES = 64 * 1024
+};
+
+/* Options: identifier, key, name, argument, help. */
+#define CO_OPTIONS(X)                                                      \
+	X(HOST, 'H', "host", "ADDRESS",                                    \
+	  "operators' address of an entry host; status takes several")     \
+	X(TOKEN, 't', "token-file", "FILE",                                \
+	  "file with the operators' token; without it the token is taken " \
+	  "from the environment variable JACKDAWWORKS_TOKEN")              \
+	X(BASE, 'b', "base", "GENERATION",                                 \
+	  "generation the document was written against")                   \
+	X(FORCE, 'F', "force-base", NULL,                                  \
+	  "replace whatever is in force when the command starts")          \
+	X(AUTHOR, 'a', "author", "NAME",                                   \
+	  "name for the audit trail; the login name without it")           \
+	X(SUBMISSION, 's', "submission", "ID",                             \
+	  "repeat an earlier submission whose outcome is not known")       \
+	X(GENERATION, 'g', "generation", "N",                              \
+	  "an older generation instead of the one in force")               \
+	X(LIMIT, 'n', "limit", "N", "number of rows, newest first")        \
+	X(JSON, 'j', "json", NULL, "print JSON")
+
+enum co_option {
+#define X(id, key, name, arg, help) CO_##id,
+	CO_OPTIONS(X)
+#undef X
+		CO_OPTION_COUNT
+};
+
+static const struct argp_option co_argp_options[] = {
+#define X(id, key, name, arg, help) { name, key, arg, 0, help, 0 },
+	CO_OPTIONS(X)
+#undef X
+};
+
+/* What a command takes. */
+struct co_command {
+	const char *args_doc;
+	const char *doc; /* after '\v': examples */
+	uint32_t options; /* bits by enum co_option */
+	uint32_t min_files;
+	uint32_t max_files;
+};
+
+#define CO_BIT(id) (UINT32_C(1) << CO_##id)
+#define CO_CONTACT (CO_BIT(HOST) | CO_BIT(TOKEN) | CO_BIT(JSON))
 
 struct co_options {
-	const char *host;
-	const char *token;
-	const char *file;
-	const char *base;
-	const char *author;
-	bool wants_file;
-	bool json;
+	const struct co_command *command;
+	const char *values[CO_OPTION_COUNT];
+	const char *hosts[CO_MAX_HOSTS];
+	uint32_t host_count;
+	const char *files[2];
+	uint32_t file_count;
 };
 
 /* One request to an entry host's operator listener. */
@@ -34,64 +85,73 @@
 	int status;
 	GString *body;
 	bool ok;
+	bool ended;
+	bool too_large;
 	char msg[128];
 };
 
-static const struct argp_option co_argp_options[] = {
-	{ "host", 'H', "ADDRESS", 0, "operators' address of an entry host", 0 },
-	{ "token-file", 't', "FILE", 0, "file with the operators' token", 0 },
-	{ "base", CO_KEY_BASE, "GENERATION", 0,
-	  "generation the document was written against", 0 },
-	{ "author", CO_KEY_AUTHOR, "NAME", 0, "name for the audit trail", 0 },
-	{ "json", 'j', NULL, 0, "print JSON", 0 },
-	{ 0 }
-};
+static error_t co_add_host(struct co_options *options, char *arg,
+			   struct argp_state *state)
+{
+	if (options->host_count == CO_MAX_HOSTS)
+		argp_error(state, "more than %d hosts", CO_MAX_HOSTS);
+	options->hosts[options->host_count++] = arg;
+	return 0;
+}
+
+static error_t co_add_file(struct co_options *options, char *arg,
+			   struct argp_state *state)
+{
+	if (options->file_count == options->command->max_files)
+		argp_usage(state);
+	options->files[options->file_count++] = arg;
+	return 0;
+}
 
 static error_t co_parse(int key, char *arg, struct argp_state *state)
 {
 	struct co_options *options = state->input;
 
-	switch (key) {
-	case 'H':
-		options->host = arg;
-		return 0;
-	case 't':
-		options->token = arg;
-		return 0;
-	case 'j':
-		options->json = true;
-		return 0;
-	case CO_KEY_BASE:
-		options->base = arg;
-		return 0;
-	case CO_KEY_AUTHOR:
-		options->author = arg;
-		return 0;
-	case ARGP_KEY_ARG:
-		if (!options->wants_file || options->file)
-			argp_usage(state);
-		options->file = arg;
-		return 0;
-	case ARGP_KEY_END:
-		if (options->wants_file && !options->file)
-			argp_usage(state);
-		return 0;
-	default:
-		return ARGP_ERR_UNKNOWN;
+	if (key == ARGP_KEY_ARG)
+		return co_add_file(options, arg, state);
+	if (key == ARGP_KEY_END &&
+	    options->file_count < options->command->min_files)
+		argp_usage(state);
+	for (int i = 0; i < CO_OPTION_COUNT; i++) {
+		if (co_argp_options[i].key != key)
+			continue;
+		options->values[i] = arg ? arg : "";
+		return i == CO_HOST ? co_add_host(options, arg, state) : 0;
 	}
+	return ARGP_ERR_UNKNOWN;
 }
 
-static bool co_read_options(int argc, char **argv, const char *doc,
+/* Each command knows only the options that it uses. */
+static bool co_read_options(int argc, char **argv,
+			    const struct co_command *command,
 			    struct co_options *options)
 {
-	struct argp argp = { .options = co_argp_options,
+	struct argp_option known[CO_OPTION_COUNT + 1] = { 0 };
+	struct argp argp = { .options = known,
 			     .parser = co_parse,
-			     .args_doc = options->wants_file ? "FILE" : NULL,
-			     .doc = doc };
-
+			     .args_doc = command->args_doc,
+			     .doc = command->doc };
+	int count = 0;
+
+	for (int i = 0; i < CO_OPTION_COUNT; i++)
+		if (command->options & (UINT32_C(1) << i))
+			known[count++] = co_argp_options[i];
+	memset(options, 0, sizeof(*options));
+	options->command = command;
 	return !argp_parse(&argp, argc, argv, 0, NULL, options);
 }
 
+static void co_stop(struct co_exchange *exchange, const char *msg)
+{
+	g_strlcpy(exchange->msg, msg, sizeof(exchange->msg));
+	uv_stop(&exchange->loop);
+}
+
 static void co_on_head(struct hc_request *request, const struct hc_head *head)
 {
 	((struct co_exchange *)request)->status = head->status;
@@ -102,7 +162,10 @@
 {
 	struct co_exchange *exchange = (struct co_exchange *)request;
 
-	g_string_append_len(exchange->body, data, (gssize)data_bytes);
+	if (exchange->body->len + data_bytes > CO_MAX_ANSWER_BYTES)
+		exchange->too_large = true;
+	else
+		g_string_append_len(exchange->body, data, (gssize)data_bytes);
 }
 
 static void co_on_done(struct hc_request *request, enum hc_end end,
@@ -110,17 +173,15 @@
 {
 	struct co_exchange *exchange = (struct co_exchange *)request;
 
-	exchange->ok = end == HC_COMPLETE;
-	g_strlcpy(exchange->msg, msg, sizeof(exchange->msg));
-	uv_stop(&exchange->loop);
+	exchange->ended = true;
+	exchange->ok = end == HC_COMPLETE && !exchange->too_large;
+	co_stop(exchange,
+		exchange->too_large ? "the answer is too large" : msg);
 }
 
 static void co_on_timeout(void *ctx)
 {
-	struct co_exchange *exchange = ctx;
-
-	g_strlcpy(exchange->msg, "timeout", sizeof(exchange->msg));
-	uv_stop(&exchange->loop);
+	co_stop(ctx, "no answer within 30 s");
 }
 
 static const struct hc_handler co_handler = {
@@ -131,53 +192,92 @@
 
 static char *co_token(const struct co_options *options)
 {
+	const char *file = options->values[CO_TOKEN];
 	char *text = NULL;
 
-	if (options->token &&
-	    !g_file_get_contents(options->token, &text, NULL, NULL))
-		fprintf(stderr, "cannot read %s\n", options->token);
-	if (!text)
+	if (!file)
 		text = g_strdup(getenv("JACKDAWWORKS_TOKEN"));
-	return text ? g_strstrip(text) : NULL;
+	else if (!g_file_get_contents(file, &text, NULL, NULL))
+		fprintf(stderr, "cannot read %s\n", file);
+	if (text)
+		return g_strstrip(text);
+	fprintf(stderr, "the operators' token is missing: give --token-file or "
+			"set JACKDAWWORKS_TOKEN\n");
+	return NULL;
 }
 
-static bool co_run(struct co_exchange *exchange,
-		   const struct co_options *options, const char *method,
-		   const char *path, const char *body, size_t body_bytes)
+static void co_open(struct co_exchange *exchange,
+		    const struct nt_address *address)
 {
-	struct nt_address address;
-	char *token = co_token(options);
-	char *value;
-	GString *out;
-
-	if (!options->host || !nt_parse(options->host, &address)) {
-		fprintf(stderr, "--host must be an IP address with a port\n");
-		g_free(token);
-		return false;
-	}
 	memset(exchange, 0, sizeof(*exchange));
 	exchange->body = g_string_new(NULL);
 	uv_loop_init(&exchange->loop);
 	tm_init(&exchange->timers, &exchange->loop);
-	hc_pool_init(&exchange->pool, &exchange->loop, &address, 1);
+	hc_pool_init(&exchange->pool, &exchange->loop, address, 1);
 	exchange->request.handler = &co_handler;
 	exchange->timer.fire = co_on_timeout;
 	exchange->timer.ctx = exchange;
 	tm_subscribe(&exchange->timers, &exchange->timer,
 		     tm_now_us() + CO_TIMEOUT_US);
-	out = hc_head_begin(method, strlen(method), path, strlen(path),
-			    address.text);
-	value = g_strconcat("Bearer ", token ? token : "", NULL);
+}
+
+/* Releases everything except the body. */
+static void co_close(struct co_exchange *exchange)
+{
+	if (!exchange->ended)
+		hc_cancel(&exchange->request);
+	hc_pool_close(&exchange->pool, NULL, NULL);
+	tm_cancel(&exchange->timers, &exchange->timer);
+	tm_free(&exchange->timers);
+	uv_run(&exchange->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&exchange->loop);
+}
+
+static void co_send(struct co_exchange *exchange, const char *token,
+		    const char *method, const char *path, const char *body,
+		    size_t body_bytes)
+{
+	char *value = g_strconcat("Bearer ", token, NULL);
+	GString *out = hc_head_begin(method, strlen(method), path, strlen(path),
+				     exchange->pool.address.text);
+
 	hc_head_add(out, "authorization", strlen("authorization"), value,
 		    strlen(value));
 	hc_head_end(out, body, body_bytes);
-	if (hc_start(&exchange->pool, &exchange->request, out))
-		uv_run(&exchange->loop, UV_RUN_DEFAULT);
 	g_free(value);
+	if (hc_start(&exchange->pool, &exchange->request, out)) {
+		uv_run(&exchange->loop, UV_RUN_DEFAULT);
+		return;
+	}
+	exchange->ended = true;
+	g_strlcpy(exchange->msg, "no connection", sizeof(exchange->msg));
+}
+
+/* One request. The caller frees the body when the result is true. */
+static bool co_run(struct co_exchange *exchange,
+		   const struct co_options *options, const char *host,
+		   const char *method, const char *path, const char *body,
+		   size_t body_bytes)
+{
+	struct nt_address address;
+	char *token;
+
+	if (!host || !nt_parse(host, &address)) {
+		fprintf(stderr, "--host must be an IP address with a port\n");
+		return false;
+	}
+	token = co_token(options);
+	if (!token)
+		return false;
+	co_open(exchange, &address);
+	co_send(exchange, token, method, path, body, body_bytes);
+	co_close(exchange);
 	g_free(token);
-	if (!exchange->ok)
-		fprintf(stderr, "%s: %s\n", options->host, exchange->msg);
-	return exchange->ok;
+	if (exchange->ok)
+		return true;
+	fprintf(stderr, "%s: %s\n", host, exchange->msg);
+	g_string_free(exchange->body, TRUE);
+	return false;
 }
 
 static json_t *co_json(const struct co_exchange *exchange)
@@ -185,172 +285,607 @@
 	return json_loadb(exchange->body->str, exchange->body->len, 0, NULL);
 }
 
-static const char *co_text(const json_t *object, const char *key)
+/* Text of an answer without control characters other than line ends. */
+static void co_print(FILE *f, const char *text)
 {
-	const char *text = json_string_value(json_object_get(object, key));
+	for (const char *p = text; *p; p++)
+		fputc(g_ascii_iscntrl(*p) && *p != '\n' && *p != '\t' ? '?' :
+									*p,
+		      f);
+}
 
-	return text ? text : "";
+static long long co_integer(const json_t *object, const char *key)
+{
+	return (long long)json_integer_value(json_object_get(object, key));
 }
 
 /* Exit code for the "error" or "result" name of an answer. */
 static int co_exit(const json_t *object)
 {
-	const char *name = co_text(object, "result");
+	const char *name = jt_get(object, "result");
 
 	if (!*name)
-		name = co_text(object, "error");
-	if (!*name)
-		return 0;
+		name = jt_get(object, "error");
 	for (int i = 0; i < ST_KIND_COUNT; i++)
 		if (!strcmp(name, st_name((enum st_kind)i)))
 			return st_exit((enum st_kind)i);
-	return 0;
+	return st_exit(ST_INTERNAL);
 }
 
-static int co_print_failure(const json_t *object)
+static int co_print_failure(const struct co_exchange *exchange,
+			    const json_t *object)
 {
-	fprintf(stderr, "%s%s: %s\n%s", co_text(object, "result"),
-		co_text(object, "error"), co_text(object, "message"),
-		co_text(object, "detail"));
-	return co_exit(object) ? co_exit(object) : 1;
+	int code = co_exit(object);
+
+	if (!object) {
+		fprintf(stderr, "the host answered with status %d\n",
+			exchange->status);
+		return st_exit(ST_IO);
+	}
+	co_print(stderr, jt_get(object, "result"));
+	co_print(stderr, jt_get(object, "error"));
+	fputs(": ", stderr);
+	co_print(stderr, jt_get(object, "message"));
+	fputc('\n', stderr);
+	co_print(stderr, jt_get(object, "detail"));
+	return code ? code : st_exit(ST_IO);
 }
 
-static bool co_load(const char *file, char **text, gsize *text_bytes)
+/*
+ * Runs a request to the first host and reads the answer. On failure the code
+ * for the exit is set and NULL returned.
+ */
+static json_t *co_ask(const struct co_options *options, const char *method,
+		      const char *path, const char *body, size_t body_bytes,
+		      int *code)
 {
-	GError *error = NULL;
+	struct co_exchange exchange;
+	json_t *answer;
 
-	if (g_file_get_contents(file, text, text_bytes, &error))
-		return true;
-	fprintf(stderr, "%s\n", error->message);
-	g_error_free(error);
-	return false;
+	*code = st_exit(ST_IO);
+	if (!co_run(&exchange, options, options->hosts[0], method, path, body,
+		    body_bytes))
+		return NULL;
+	answer = co_json(&exchange);
+	if (options->values[CO_JSON])
+		printf("%s\n", exchange.body->str);
+	g_string_free(exchange.body, TRUE);
+	if (exchange.status == 200 && answer) {
+		*code = 0;
+		return answer;
+	}
+	*code = co_print_failure(&exchange, answer);
+	json_decref(answer);
+	return NULL;
 }
 
-int cmd_check(int argc, char **argv)
+/* Reads at most the size of a document, so that devices do no harm. */
+static GString *co_read(FILE *f)
+{
+	GString *text = g_string_new(NULL);
+	char buf[CO_READ_BYTES];
+	size_t n;
+
+	while (text->len <= YM_MAX_TEXT_BYTES &&
+	       (n = fread(buf, 1, sizeof(buf), f)) > 0)
+		g_string_append_len(text, buf, (gssize)n);
+	return text;
+}
+
+/* Reads a document file; "-" is the standard input. Sets CODE on failure. */
+static GString *co_load(const char *file, int *code)
+{
+	bool is_stdin = !strcmp(file, "-");
+	FILE *f = is_stdin ? stdin : fopen(file, "rb");
+	GString *text;
+	int error;
+
+	*code = st_exit(ST_IO);
+	if (!f) {
+		fprintf(stderr, "%s: %s\n", file, strerror(errno));
+		return NULL;
+	}
+	errno = 0;
+	text = co_read(f);
+	error = ferror(f) ? errno : 0;
+	if (!is_stdin)
+		fclose(f);
+	if (error) {
+		fprintf(stderr, "%s: %s\n", file, strerror(error));
+	} else if (text->len > YM_MAX_TEXT_BYTES) {
+		fprintf(stderr, "%s: larger than %d bytes\n", file,
+			YM_MAX_TEXT_BYTES);
+		*code = st_exit(ST_INVALID);
+	} else {
+		return text;
+	}
+	g_string_free(text, TRUE);
+	return NULL;
+}
+
+/* Loads and checks a file. Prints its errors; sets CODE on failure. */
+static struct doc_document *co_load_document(const char *file, int *code)
 {
-	struct co_options options = { .wants_file = true };
 	struct doc_document *document;
 	struct ym_errors errors;
-	char *text;
-	gsize text_bytes;
+	GString *text = co_load(file, code);
 	GString *out;
 
-	if (!co_read_options(argc, argv, "Checks a document.", &options))
-		return st_exit(ST_USAGE);
-	if (!co_load(options.file, &text, &text_bytes))
-		return st_exit(ST_IO);
-	ym_errors_init(&errors);
-	document = doc_parse(text, text_bytes, &errors);
+	if (!text)
+		return NULL;
 	out = g_string_new(NULL);
+	ym_errors_init(&errors);
+	document = doc_parse(text->str, text->len, &errors);
 	ym_errors_print(&errors, out);
-	fputs(out->str, stderr);
-	if (document)
-		printf("%s: %u services, digest %s\n", options.file,
+	if (errors.count) {
+		fprintf(stderr, "%s:\n", file);
+		co_print(stderr, out->str);
+	}
+	ym_errors_free(&errors);
+	g_string_free(out, TRUE);
+	g_string_free(text, TRUE);
+	*code = document ? 0 : st_exit(ST_INVALID);
+	return document;
+}
+
+static const struct co_command co_check = {
+	.args_doc = "FILE",
+	.doc = "Checks a document as a whole without contacting a host.\v"
+	       "Every error is printed with its line and field. \"-\" reads "
+	       "the standard input.\n\nExample:\n"
+	       "  jackdawworks check tri-parish.yaml",
+	.options = CO_BIT(JSON),
+	.min_files = 1,
+	.max_files = 1,
+};
+
+int cmd_check(int argc, char **argv)
+{
+	struct co_options options;
+	struct doc_document *document;
+	int code;
+
+	if (!co_read_options(argc, argv, &co_check, &options))
+		return st_exit(ST_USAGE);
+	document = co_load_document(options.files[0], &code);
+	if (!document) {
+		if (options.values[CO_JSON])
+			printf("{\"result\":\"%s\"}\n",
+			       st_name(code == st_exit(ST_INVALID) ?
+					       ST_INVALID :
+					       ST_IO));
+		return code;
+	}
+	if (options.values[CO_JSON])
+		printf("{\"result\":\"ok\",\"services\":%u,"
+		       "\"digest\":\"%s\"}\n",
+		       document->service_count, document->digest);
+	else
+		printf("%s: %u services, digest %s\n", options.files[0],
 		       document->service_count, document->digest);
+	doc_unref(document);
+	return 0;
+}
+
+static int co_print_diff(const struct co_options *options,
+			 const struct doc_document *old,
+			 const struct doc_document *new)
+{
+	GPtrArray *changes = doc_diff(old, new);
+	GString *out = g_string_new(NULL);
+
+	if (options->values[CO_JSON]) {
+		json_t *list = doc_diff_json(changes);
+		char *text = jt_dump(list);
+
+		g_string_append_printf(out, "%s\n", text);
+		free(text);
+		json_decref(list);
+	} else if (changes->len) {
+		doc_diff_print(changes, changes->len, out);
+	} else {
+		g_string_append(out, "no difference\n");
+	}
+	co_print(stdout, out->str);
 	g_string_free(out, TRUE);
+	g_ptr_array_unref(changes);
+	return 0;
+}
+
+/* The document in force at the host. Sets CODE on failure. */
+static struct doc_document *co_in_force(const struct co_options *options,
+					int *code)
+{
+	struct co_options quiet = *options;
+	struct doc_document *document;
+	struct ym_errors errors;
+	const char *text;
+	json_t *answer;
+
+	quiet.values[CO_JSON] = NULL;
+	answer = co_ask(&quiet, "GET", "/v1/document", NULL, 0, code);
+	if (!answer)
+		return NULL;
+	text = jt_get(answer, "text");
+	ym_errors_init(&errors);
+	document = doc_parse(text, strlen(text), &errors);
+	if (!document) {
+		fprintf(stderr, "the document in force has errors for this "
+				"version of the program\n");
+		*code = st_exit(ST_INVALID);
+	}
 	ym_errors_free(&errors);
-	g_free(text);
-	doc_unref(document);
-	return document ? 0 : st_exit(ST_INVALID);
+	json_decref(answer);
+	return document;
+}
+
+static const struct co_command co_diff = {
+	.args_doc = "[OLD] NEW",
+	.doc = "Shows what a document changes by service, server, rule and "
+	       "field.\v"
+	       "With one file it is compared with the document in force at "
+	       "--host, with two files no host is contacted.\n\nExamples:\n"
+	       "  jackdawworks diff old.yaml new.yaml\n"
+	       "  jackdawworks diff --host 10.0.0.7:9400 new.yaml",
+	.options = CO_CONTACT,
+	.min_files = 1,
+	.max_files = 2,
+};
+
+int cmd_diff(int argc, char **argv)
+{
+	struct co_options options;
+	struct doc_document *old;
+	struct doc_document *new;
+	int code;
+
+	if (!co_read_options(argc, argv, &co_diff, &options))
+		return st_exit(ST_USAGE);
+	new = co_load_document(options.files[options.file_count - 1], &code);
+	if (!new)
+		return code;
+	if (options.file_count == 2)
+		old = co_load_document(options.files[0], &code);
+	else
+		old = co_in_force(&options, &code);
+	if (old)
+		code = co_print_diff(&options, old, new);
+	doc_unref(old);
+	doc_unref(new);
+	return code;
+}
+
+static const char co_header[] = "# generation ";
+
+/*
+ * Takes the line that "show" prints first off the text and returns the
+ * generation in it, or 0 when there is no such line.
+ */
+static uint64_t co_take_header(GString *text)
+{
+	char *end = strchr(text->str, '\n');
+	char *digits = text->str + strlen(co_header);
+	uint64_t generation;
+
+	if (!end || !g_str_has_prefix(text->str, co_header))
+		return 0;
+	generation = g_ascii_strtoull(digits, &digits, 10);
+	if (!g_str_has_prefix(digits, ", digest "))
+		return 0;
+	g_string_erase(text, 0, end + 1 - text->str);
+	return generation;
+}
+
+/* Generation in force at the host, 0 when there is none. */
+static bool co_current(const struct co_options *options, uint64_t *generation,
+		       int *code)
+{
+	struct co_options quiet = *options;
+	json_t *answer;
+
+	quiet.values[CO_JSON] = NULL;
+	answer = co_ask(&quiet, "GET", "/v1/status", NULL, 0, code);
+	if (!answer)
+		return false;
+	*generation = (uint64_t)co_integer(answer, "generation");
+	json_decref(answer);
+	return true;
+}
+
+static bool co_base(const struct co_options *options, GString *text,
+		    uint64_t *base, int *code)
+{
+	uint64_t header = co_take_header(text);
+	const char *given = options->values[CO_BASE];
+	guint64 value = header;
+
+	*code = st_exit(ST_USAGE);
+	if (given && options->values[CO_FORCE]) {
+		fprintf(stderr, "--base and --force-base exclude each other\n");
+		return false;
+	}
+	if (options->values[CO_FORCE])
+		return co_current(options, base, code);
+	if (given && !g_ascii_string_to_unsigned(given, 10, 0, INT64_MAX - 1,
+						 &value, NULL)) {
+		fprintf(stderr, "--base must be a generation\n");
+		return false;
+	}
+	*base = value;
+	return true;
+}
+
+static char *co_apply_path(const struct co_options *options, uint64_t base)
+{
+	const char *author = options->values[CO_AUTHOR];
+	const char *submission = options->values[CO_SUBMISSION];
+	char *name = g_uri_escape_string(author ? author : g_get_user_name(),
+					 NULL, FALSE);
+	char *id =
+		g_uri_escape_string(submission ? submission : "", NULL, FALSE);
+	char *path = g_strdup_printf(
+		"/v1/document?base=%" G_GUINT64_FORMAT "&author=%s%s%s", base,
+		name, submission ? "&submission=" : "", id);
+
+	g_free(name);
+	g_free(id);
+	return path;
 }
 
+static const struct co_command co_apply = {
+	.args_doc = "FILE",
+	.doc = "Submits a document to an entry host.\v"
+	       "The document is accepted only if the generation that it was "
+	       "written against (the base) is still in force; otherwise the "
+	       "command prints what changed since then and exits with 4. The "
+	       "base is the one of --base, else the one in the first line of "
+	       "FILE, as \"show\" prints it, else 0, which only the first "
+	       "document can have. --force-base reads the generation in force "
+	       "when the command starts and replaces it, without regard to "
+	       "what it holds; a change accepted after that is still not "
+	       "overwritten.\n\n"
+	       "When the outcome is not known (exit code 5), repeat the "
+	       "command with the --submission ID it printed: a submission is "
+	       "never accepted twice.\n\nExamples:\n"
+	       "  jackdawworks show --host 10.0.0.7:9400 >doc.yaml\n"
+	       "  jackdawworks apply --host 10.0.0.7:9400 doc.yaml\n"
+	       "  jackdawworks apply --host 10.0.0.7:9400 --base 12 doc.yaml",
+	.options = CO_CONTACT | CO_BIT(BASE) | CO_BIT(FORCE) | CO_BIT(AUTHOR) |
+		   CO_BIT(SUBMISSION),
+	.min_files = 1,
+	.max_files = 1,
+};
+
 int cmd_apply(int argc, char **argv)
 {
-	struct co_options options = { .wants_file = true };
-	static struct co_exchange exchange;
-	char *text;
-	char *path;
-	char *author;
-	gsize text_bytes;
+	struct co_options options;
+	GString *text;
+	uint64_t base;
 	json_t *answer;
+	char *path;
 	int code;
 
-	if (!co_read_options(argc, argv, "Submits a document.", &options))
+	if (!co_read_options(argc, argv, &co_apply, &options))
 		return st_exit(ST_USAGE);
-	if (!co_load(options.file, &text, &text_bytes))
-		return st_exit(ST_IO);
-	author = g_uri_escape_string(options.author ? options.author :
-						      g_get_user_name(),
-				     NULL, FALSE);
-	path = g_strdup_printf("/v1/document?base=%s&author=%s",
-			       options.base ? options.base : "0", author);
-	if (!co_run(&exchange, &options, "POST", path, text, text_bytes))
-		return st_exit(ST_IO);
-	answer = co_json(&exchange);
-	code = co_exit(answer);
-	if (code || exchange.status != 200)
-		return co_print_failure(answer);
-	printf("accepted as generation %lld, digest %s\n",
-	       json_integer_value(json_object_get(answer, "generation")),
-	       co_text(answer, "digest"));
-	return 0;
+	text = co_load(options.files[0], &code);
+	if (!text)
+		return code;
+	if (!co_base(&options, text, &base, &code)) {
+		g_string_free(text, TRUE);
+		return code;
+	}
+	path = co_apply_path(&options, base);
+	answer = co_ask(&options, "POST", path, text->str, text->len, &code);
+	if (answer && !options.values[CO_JSON])
+		printf("%s as generation %lld, digest %s\n",
+		       g_str_has_prefix(jt_get(answer, "message"),
+					"unchanged") ?
+			       "unchanged" :
+			       "accepted",
+		       co_integer(answer, "generation"),
+		       jt_get(answer, "digest"));
+	if (code == st_exit(ST_CONFLICT) && !options.values[CO_BASE])
+		fprintf(stderr,
+			"the base was %" G_GUINT64_FORMAT
+			", see --base and --force-base\n",
+			base);
+	json_decref(answer);
+	g_free(path);
+	g_string_free(text, TRUE);
+	return code;
 }
 
+static const struct co_command co_show = {
+	.doc = "Prints the document in force.\v"
+	       "The first line names generation and digest; \"apply\" takes "
+	       "the base from it.\n\nExamples:\n"
+	       "  jackdawworks show --host 10.0.0.7:9400 >doc.yaml\n"
+	       "  jackdawworks show --host 10.0.0.7:9400 --generation 11",
+	.options = CO_CONTACT | CO_BIT(GENERATION),
+};
+
 int cmd_show(int argc, char **argv)
 {
-	struct co_options options = { 0 };
-	static struct co_exchange exchange;
+	struct co_options options;
 	json_t *answer;
+	char *path;
+	int code;
 
-	if (!co_read_options(argc, argv, "Prints the document in force.",
-			     &options))
+	if (!co_read_options(argc, argv, &co_show, &options))
 		return st_exit(ST_USAGE);
-	if (!co_run(&exchange, &options, "GET", "/v1/document", NULL, 0))
-		return st_exit(ST_IO);
-	answer = co_json(&exchange);
-	if (exchange.status != 200)
-		return co_print_failure(answer);
-	if (options.json)
-		printf("%s\n", exchange.body->str);
-	else
-		printf("# generation %lld, digest %s\n%s",
-		       json_integer_value(
-			       json_object_get(answer, "generation")),
-		       co_text(answer, "digest"), co_text(answer, "text"));
-	return 0;
+	path = g_strdup("/v1/document");
+	if (options.values[CO_GENERATION]) {
+		char *value = g_uri_escape_string(options.values[CO_GENERATION],
+						  NULL, FALSE);
+
+		g_free(path);
+		path = g_strconcat("/v1/document?generation=", value, NULL);
+		g_free(value);
+	}
+	answer = co_ask(&options, "GET", path, NULL, 0, &code);
+	if (answer && !options.values[CO_JSON]) {
+		printf("%s%lld, digest %s\n", co_header,
+		       co_integer(answer, "generation"),
+		       jt_get(answer, "digest"));
+		fputs(jt_get(answer, "text"), stdout);
+	}
+	json_decref(answer);
+	g_free(path);
+	return code;
 }
 
+/* Reasons of several lines are continued with an indent. */
 static void co_print_audit_row(const json_t *row)
 {
 	const json_t *value = json_object_get(row, "value");
-
-	printf("%s  generation %lld  %s  %.12s\n", co_text(row, "key"),
-	       json_integer_value(json_object_get(value, "generation")),
-	       co_text(value, "author"), co_text(value, "digest"));
+	char **lines = g_strsplit(jt_get(value, "reason"), "\n", 0);
+
+	co_print(stdout, jt_get(value, "time"));
+	printf("  %-9s ", jt_get(value, "result"));
+	printf(" generation %lld  base %lld  ", co_integer(value, "generation"),
+	       co_integer(value, "base"));
+	co_print(stdout, jt_get(value, "author"));
+	printf("  %.12s  %s\n", jt_get(value, "digest"), jt_get(row, "key"));
+	for (char **line = lines; *line; line++)
+		if (**line) {
+			fputs("    ", stdout);
+			co_print(stdout, *line);
+			fputc('\n', stdout);
+		}
+	g_strfreev(lines);
 }
 
+static const struct co_command co_history = {
+	.doc = "Prints the audit trail, newest first.\v"
+	       "Refused submissions are listed with their reason.\n\n"
+	       "Example:\n"
+	       "  jackdawworks history --host 10.0.0.7:9400 --limit 20",
+	.options = CO_CONTACT | CO_BIT(LIMIT),
+};
+
 int cmd_history(int argc, char **argv)
 {
-	struct co_options options = { 0 };
-	static struct co_exchange exchange;
+	struct co_options options;
 	json_t *answer;
+	char *limit;
+	char *path;
+	int code;
 
-	if (!co_read_options(argc, argv, "Prints the audit trail.", &options))
+	if (!co_read_options(argc, argv, &co_history, &options))
 		return st_exit(ST_USAGE);
-	if (!co_run(&exchange, &options, "GET", "/v1/audit", NULL, 0))
-		return st_exit(ST_IO);
-	answer = co_json(&exchange);
-	if (exchange.status != 200)
-		return co_print_failure(answer);
-	if (options.json)
-		printf("%s\n", exchange.body->str);
-	for (size_t i = 0; !options.json && i < json_array_size(answer); i++)
-		co_print_audit_row(json_array_get(answer, i));
-	return 0;
+	limit = g_uri_escape_string(
+		options.values[CO_LIMIT] ? options.values[CO_LIMIT] : "100",
+		NULL, FALSE);
+	path = g_strconcat("/v1/audit?limit=", limit, NULL);
+	answer = co_ask(&options, "GET", path, NULL, 0, &code);
+	if (!options.values[CO_JSON])
+		for (size_t i = 0; i < json_array_size(answer); i++)
+			co_print_audit_row(json_array_get(answer, i));
+	json_decref(answer);
+	g_free(limit);
+	g_free(path);
+	return code;
 }
 
+static const struct co_command co_drain = {
+	.doc = "Stops an entry host gracefully.\v"
+	       "Calls in flight are finished.\n\nExample:\n"
+	       "  jackdawworks drain --host 10.0.0.7:9400",
+	.options = CO_CONTACT,
+};
+
 int cmd_drain(int argc, char **argv)
 {
-	struct co_options options = { 0 };
-	static struct co_exchange exchange;
+	struct co_options options;
+	json_t *answer;
+	int code;
 
-	if (!co_read_options(argc, argv, "Stops an entry host gracefully.",
-			     &options))
+	if (!co_read_options(argc, argv, &co_drain, &options))
 		return st_exit(ST_USAGE);
-	if (!co_run(&exchange, &options, "POST", "/v1/drain", "", 0))
-		return st_exit(ST_IO);
-	if (exchange.status != 200)
-		return co_print_failure(co_json(&exchange));
-	printf("draining\n");
-	return 0;
+	answer = co_ask(&options, "POST", "/v1/drain", "", 0, &code);
+	if (answer && !options.values[CO_JSON])
+		printf("draining\n");
+	json_decref(answer);
+	return code;
+}
+
+/* Figures of the status table: width, heading, counter. */
+#define CO_FIGURES(X)                                       \
+	X(10, "refused", "calls_refused_total")             \
+	X(10, "retries", "retries_total")                   \
+	X(10, "hedges", "hedges_total")                     \
+	X(10, "probes", "probes_total")                     \
+	X(12, "probe-B", "probe_bytes_total")               \
+	X(12, "probe-cz-B", "probe_cross_zone_bytes_total") \
+	X(12, "report-B", "report_bytes_total")             \
+	X(12, "report-cz-B", "report_cross_zone_bytes_total")
+
+static void co_print_status(const json_t *answer)
+{
+	const json_t *counters = json_object_get(answer, "counters");
+
+	printf("%-16s %-12s %10lld %9lld", jt_get(answer, "host"),
+	       jt_get(answer, "zone"), co_integer(answer, "generation"),
+	       co_integer(answer, "in_flight"));
+#define X(width, heading, counter) \
+	printf(" %*lld", width, co_integer(counters, counter));
+	CO_FIGURES(X)
+#undef X
+	printf("%s%s\n",
+	       json_is_true(json_object_get(answer, "platform_answers")) ?
+		       "" :
+		       "  no platform",
+	       json_is_true(json_object_get(answer, "stopping")) ?
+		       "  stopping" :
+		       "");
+}
+
+static void co_print_status_heading(void)
+{
+	printf("%-16s %-12s %10s %9s", "host", "zone", "generation",
+	       "in-flight");
+#define X(width, heading, counter) printf(" %*s", width, heading);
+	CO_FIGURES(X)
+#undef X
+	printf("\n");
+}
+
+static const struct co_command co_status = {
+	.doc = "Prints figures of entry hosts, one line each.\v"
+	       "Refused calls, retries, hedges and the cost of measuring "
+	       "(probes, bytes of probes and of load reports; cz: over zone "
+	       "borders) are counted since the host started. With --json one "
+	       "object a line.\n\nExample:\n"
+	       "  jackdawworks status -H 10.0.0.7:9400 -H 10.0.1.7:9400",
+	.options = CO_CONTACT,
+};
+
+/* A host that does not answer does not hide the others. */
+int cmd_status(int argc, char **argv)
+{
+	struct co_options options;
+	int code = 0;
+
+	if (!co_read_options(argc, argv, &co_status, &options))
+		return st_exit(ST_USAGE);
+	if (!options.host_count) {
+		fprintf(stderr, "--host is missing\n");
+		return st_exit(ST_USAGE);
+	}
+	if (!options.values[CO_JSON])
+		co_print_status_heading();
+	for (uint32_t i = 0; i < options.host_count; i++) {
+		struct co_options one = options;
+		json_t *answer;
+		int failure;
+
+		one.hosts[0] = options.hosts[i];
+		answer = co_ask(&one, "GET", "/v1/status", NULL, 0, &failure);
+		if (answer && !options.values[CO_JSON])
+			co_print_status(answer);
+		if (!answer)
+			code = failure;
+		json_decref(answer);
+	}
+	return code;
 }
--- a/command.h
+++ b/command.h
@@ -8,9 +8,11 @@
 #define CMD_LIST(X)                                            \
 	X(serve, "run an entry host")                          \
 	X(check, "check a document without contacting a host") \
+	X(diff, "show what a document changes")                \
 	X(apply, "submit a document to an entry host")         \
-	X(show, "print the document in force")                 \
+	X(show, "print the document in force or an older one") \
 	X(history, "print the audit trail")                    \
+	X(status, "print figures of entry hosts")              \
 	X(drain, "ask an entry host to stop gracefully")
 
 #define X(name, help) int cmd_##name(int argc, char **argv);
--- a/control.c
+++ b/control.c
@@ -2,38 +2,87 @@
 
 #include <string.h>
 
+#include "control_accept.h"
 #include "log.h"
-
-enum { CP_POLL_US = 1000 * 1000 };
-
-/* A submission on its way through check, object store and table. */
-struct cp_submission {
-	struct cp_control *control;
-	struct cp_callback callback;
-	struct doc_document *document;
-	uint64_t base;
-	uint64_t row_version;
-	char *author;
-	char audit_key[96];
+#include "mechanism.h"
+
+enum {
+	/* All hosts together make about ten reads a second. */
+	CP_POLL_US_PER_HOST = 100 * 1000,
+	CP_MIN_POLL_US = 250 * 1000,
+	CP_POLL_JITTER_PERCENT = 10,
+	CP_FETCH_BACKOFF_US = 100 * 1000,
+	CP_MAX_FETCH_BACKOFF_US = 3 * 1000 * 1000,
+	CP_MAX_BACKOFF_SHIFT = 8,
+	/*
+	 * After so many failures a lower generation may be wanted again: a peer
+	 * may have named a document that exists nowhere.
+	 */
+	CP_GIVE_UP_FAILURES = 6,
+	CP_PEER_MAX_AGE_US = 10 * 1000 * 1000,
+	CP_DIGEST_CHARS = DOC_DIGEST_BYTES - 1
 };
 
 static void cp_read_row(struct cp_control *control);
 
-static void cp_schedule(struct cp_control *control)
+uint64_t cp_backoff_us(GRand *random, uint32_t failures, uint64_t first_us,
+		       uint64_t max_us)
+{
+	uint32_t shift = MIN(failures, CP_MAX_BACKOFF_SHIFT);
+	uint64_t delay_us = MIN(first_us << shift, max_us);
+
+	return (uint64_t)((double)delay_us *
+			  g_rand_double_range(random, 0.5, 1.0));
+}
+
+bool cp_is_digest(const char *text)
 {
-	tm_subscribe(control->timers, &control->poll, tm_now_us() + CP_POLL_US);
+	for (const char *p = text; *p; p++)
+		if (!g_ascii_isxdigit(*p) || g_ascii_isupper(*p))
+			return false;
+	return strlen(text) == CP_DIGEST_CHARS;
 }
 
-static void cp_put_in_force(struct cp_control *control,
-			    struct doc_document *document)
+bool cp_decode_row(const json_t *row, struct cp_target *target)
+{
+	const json_t *generation = json_object_get(row, "generation");
+	const char *digest = json_string_value(json_object_get(row, "digest"));
+
+	if (!json_is_integer(generation) ||
+	    json_integer_value(generation) <= 0 || !digest ||
+	    !cp_is_digest(digest))
+		return false;
+	target->generation = (uint64_t)json_integer_value(generation);
+	g_strlcpy(target->digest, digest, sizeof(target->digest));
+	return true;
+}
+
+void cp_generation_key(uint64_t generation, char key[32])
+{
+	g_snprintf(key, 32, "%020" G_GUINT64_FORMAT, generation);
+}
+
+static uint64_t cp_in_force(const struct cp_control *control)
+{
+	return control->document ? control->document->generation : 0;
+}
+
+/* Whether a generation may replace the one in force. */
+static bool cp_replaces(const struct cp_control *control, uint64_t generation)
+{
+	if (!me_on(ME_GENERATION_ORDER))
+		return generation != cp_in_force(control);
+	return generation > cp_in_force(control);
+}
+
+void cp_put_in_force(struct cp_control *control, struct doc_document *document)
 {
 	struct kn_msg_document msg = {
 		.msg = { KN_DOCUMENT, sizeof(msg) },
 		.document = document,
 	};
 
-	if (control->document &&
-	    control->document->generation >= document->generation) {
+	if (!cp_replaces(control, document->generation)) {
 		doc_unref(document);
 		return;
 	}
@@ -44,73 +93,313 @@
 	kn_broadcast(control->kernel, &msg.msg);
 }
 
-static void cp_take_body(struct cp_control *control, const char *body,
-			 size_t body_bytes)
+struct doc_document *cp_read_body(const struct cp_target *target,
+				  const char *body, size_t body_bytes)
 {
 	char digest[DOC_DIGEST_BYTES];
 	struct ym_errors errors;
 	struct doc_document *document;
 
 	doc_digest(body, body_bytes, digest);
-	if (strcmp(digest, control->wanted_digest)) {
+	if (strcmp(digest, target->digest) && me_on(ME_DIGEST_CHECK)) {
 		lg_error("document", "body does not match digest %s",
-			 control->wanted_digest);
-		return;
+			 target->digest);
+		return NULL;
 	}
 	ym_errors_init(&errors);
 	document = doc_parse(body, body_bytes, &errors);
+	if (!document)
+		lg_error("document", "document %s has errors: line %u: %s",
+			 target->digest, errors.rows[0].line,
+			 errors.rows[0].msg);
 	ym_errors_free(&errors);
-	if (!document) {
-		lg_error("document", "accepted document %s cannot be read",
-			 control->wanted_digest);
-		return;
-	}
-	document->generation = control->wanted_generation;
+	if (document)
+		document->generation = target->generation;
+	return document;
+}
+
+static bool cp_take_body(struct cp_control *control,
+			 const struct cp_target *target, const char *body,
+			 size_t body_bytes)
+{
+	struct doc_document *document = cp_read_body(target, body, body_bytes);
+
+	if (!document)
+		return false;
 	cp_put_in_force(control, document);
+	return true;
+}
+
+static bool cp_same(const struct cp_target *a, const struct cp_target *b)
+{
+	return a->generation == b->generation && !strcmp(a->digest, b->digest);
+}
+
+static bool cp_is_missing(const struct cp_control *control)
+{
+	return control->wanted.generation &&
+	       cp_replaces(control, control->wanted.generation);
+}
+
+static void cp_on_body(void *ctx, const struct pf_result *result);
+
+static void cp_fetch(struct cp_control *control)
+{
+	struct pf_callback callback = { cp_on_body, control };
+
+	if (control->fetching || !cp_is_missing(control))
+		return;
+	tm_cancel(control->timers, &control->refetch);
+	control->fetching = true;
+	control->fetched = control->wanted;
+	pf_get_object(control->platform, control->fetched.digest, &callback);
+}
+
+static void cp_on_refetch(void *ctx)
+{
+	cp_fetch(ctx);
 }
 
 static void cp_on_body(void *ctx, const struct pf_result *result)
 {
 	struct cp_control *control = ctx;
+	bool taken = result->status.kind == ST_OK;
+	uint64_t delay_us;
 
 	control->fetching = false;
-	if (result->status.kind == ST_OK)
-		cp_take_body(control, result->body, result->body_bytes);
+	if (taken)
+		taken = cp_take_body(control, &control->fetched, result->body,
+				     result->body_bytes);
+	if (taken || !cp_same(&control->fetched, &control->wanted)) {
+		control->fetch_failures = 0;
+		cp_fetch(control);
+		return;
+	}
+	delay_us = cp_backoff_us(control->random, control->fetch_failures,
+				 CP_FETCH_BACKOFF_US, CP_MAX_FETCH_BACKOFF_US);
+	control->fetch_failures++;
+	tm_subscribe(control->timers, &control->refetch,
+		     tm_now_us() + delay_us);
 }
 
-static void cp_want(struct cp_control *control, uint64_t generation,
-		    const char *digest)
+/* Whether TARGET should be fetched in place of what is wanted so far. */
+static bool cp_prefers(const struct cp_control *control,
+		       const struct cp_target *target, bool from_row)
 {
-	struct pf_callback callback = { cp_on_body, control };
+	if (!cp_replaces(control, target->generation) ||
+	    cp_same(target, &control->wanted))
+		return false;
+	if (target->generation > control->wanted.generation)
+		return true;
+	if (target->generation == control->wanted.generation)
+		return from_row;
+	return control->fetch_failures >= CP_GIVE_UP_FAILURES ||
+	       !me_on(ME_GENERATION_ORDER);
+}
 
-	if (control->document && control->document->generation >= generation)
+static void cp_want(struct cp_control *control, const struct cp_target *target,
+		    bool from_row)
+{
+	if (cp_prefers(control, target, from_row)) {
+		control->wanted = *target;
+		control->fetch_failures = 0;
+		tm_cancel(control->timers, &control->refetch);
+	}
+	if (!control->refetch.slot)
+		cp_fetch(control);
+}
+
+bool cp_wants(const struct cp_control *control, uint64_t *generation,
+	      char digest[DOC_DIGEST_BYTES])
+{
+	if (!cp_is_missing(control))
+		return false;
+	*generation = control->wanted.generation;
+	g_strlcpy(digest, control->wanted.digest, DOC_DIGEST_BYTES);
+	return true;
+}
+
+/* Seed peers without this host itself. */
+static uint32_t cp_seed_count(const struct se_settings *settings)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < settings->seed_count; i++)
+		count += strcmp(settings->seeds[i].text,
+				settings->peers.text) != 0;
+	return count;
+}
+
+/* The highest generation when more than half of the seed peers answered. */
+static const struct cp_target *cp_majority(const struct cp_control *control)
+{
+	const struct cp_target *highest = NULL;
+	uint64_t now_us = tm_now_us();
+	uint32_t answered = 0;
+
+	for (uint32_t i = 0; i < control->peer_count; i++) {
+		const struct cp_peer *peer = &control->peers[i];
+
+		if (!peer->target.generation ||
+		    now_us - peer->at_us > CP_PEER_MAX_AGE_US)
+			continue;
+		answered++;
+		if (!highest || peer->target.generation > highest->generation)
+			highest = &peer->target;
+	}
+	if (answered * 2 <= cp_seed_count(control->settings))
+		return NULL;
+	return highest;
+}
+
+/* A fresh host has neither a document nor read the current row. */
+static bool cp_is_fresh(const struct cp_control *control)
+{
+	return !control->document && !control->row_read;
+}
+
+static void cp_begin_from_peers(struct cp_control *control)
+{
+	const struct cp_target *highest;
+
+	if (!cp_is_fresh(control) || !control->read_failed)
 		return;
-	if (control->fetching)
+	highest = cp_majority(control);
+	if (highest)
+		cp_want(control, highest, false);
+}
+
+static struct cp_peer *cp_find_peer(struct cp_control *control,
+				    const char *host)
+{
+	struct cp_peer *peer;
+
+	for (uint32_t i = 0; i < control->peer_count; i++)
+		if (!strcmp(control->peers[i].host, host))
+			return &control->peers[i];
+	if (control->peer_count == SE_MAX_SEEDS)
+		return NULL;
+	peer = &control->peers[control->peer_count++];
+	memset(peer, 0, sizeof(*peer));
+	g_strlcpy(peer->host, host, sizeof(peer->host));
+	return peer;
+}
+
+static void cp_note_peer(struct cp_control *control, const char *host,
+			 const struct cp_target *target, uint64_t age_us)
+{
+	struct cp_peer *peer = cp_find_peer(control, host);
+	uint64_t now_us = tm_now_us();
+	uint64_t at_us = age_us < now_us ? now_us - age_us : 0;
+
+	if (!peer || at_us < peer->at_us)
 		return;
-	control->fetching = true;
-	control->wanted_generation = generation;
-	g_strlcpy(control->wanted_digest, digest,
-		  sizeof(control->wanted_digest));
-	pf_get_object(control->platform, digest, &callback);
+	peer->target = *target;
+	peer->at_us = at_us;
+}
+
+void cp_peer_generation(struct cp_control *control, const char *host,
+			uint64_t generation, const char *digest,
+			uint64_t age_us)
+{
+	struct cp_target target = { .generation = generation };
+
+	if (!strcmp(host, control->settings->host))
+		return;
+	if (generation && !cp_is_digest(digest)) {
+		lg_warn("document", "host %s sent a malformed digest", host);
+		return;
+	}
+	g_strlcpy(target.digest, digest, sizeof(target.digest));
+	if (cp_is_fresh(control)) {
+		cp_note_peer(control, host, &target, age_us);
+		cp_begin_from_peers(control);
+	} else if (generation) {
+		cp_want(control, &target, false);
+	}
+}
+
+/* A fresh host must not begin with less than it knows to be accepted. */
+static bool cp_may_take(const struct cp_control *control,
+			const struct cp_target *target)
+{
+	const struct cp_target *highest;
+
+	if (!cp_replaces(control, target->generation))
+		return false;
+	if (target->generation == control->wanted.generation &&
+	    strcmp(target->digest, control->wanted.digest) != 0)
+		return false;
+	if (control->document)
+		return true;
+	if (control->row_read)
+		return target->generation >= control->row_generation;
+	highest = control->read_failed ? cp_majority(control) : NULL;
+	return highest && target->generation >= highest->generation;
+}
+
+bool cp_offer_body(struct cp_control *control, uint64_t generation,
+		   const char *digest, const char *body, size_t body_bytes)
+{
+	struct cp_target target = { .generation = generation };
+
+	if (!cp_is_digest(digest))
+		return false;
+	g_strlcpy(target.digest, digest, sizeof(target.digest));
+	return cp_may_take(control, &target) &&
+	       cp_take_body(control, &target, body, body_bytes);
+}
+
+void cp_set_host_count(struct cp_control *control, uint32_t count)
+{
+	control->host_count = MAX(count, 1);
+}
+
+uint64_t cp_poll_interval_us(const struct cp_control *control)
+{
+	uint64_t interval_us =
+		(uint64_t)control->host_count * CP_POLL_US_PER_HOST;
+
+	return MAX(interval_us, CP_MIN_POLL_US);
+}
+
+static void cp_schedule(struct cp_control *control)
+{
+	double jitter = CP_POLL_JITTER_PERCENT / 100.0;
+	double interval_us =
+		(double)cp_poll_interval_us(control) *
+		g_rand_double_range(control->random, 1 - jitter, 1 + jitter);
+
+	if (me_on(ME_ROW_READING))
+		tm_subscribe(control->timers, &control->poll,
+			     tm_now_us() + (uint64_t)interval_us);
 }
 
 static void cp_on_row(void *ctx, const struct pf_result *result)
 {
 	struct cp_control *control = ctx;
-	json_int_t generation;
-	const char *digest;
+	struct cp_target target;
 
 	control->reading = false;
 	cp_schedule(control);
-	if (result->status.kind != ST_OK)
+	control->read_failed = result->status.kind != ST_OK &&
+			       result->status.kind != ST_NOT_FOUND;
+	if (control->read_failed) {
+		cp_begin_from_peers(control);
 		return;
-	if (json_unpack(result->json, "{s:I, s:s}", "generation", &generation,
-			"digest", &digest)) {
+	}
+	if (result->status.kind == ST_NOT_FOUND) {
+		control->row_read = true;
+		return;
+	}
+	if (!cp_decode_row(result->json, &target)) {
 		lg_error("document", "malformed row of the current document");
 		return;
 	}
-	control->row_version = result->version;
-	cp_want(control, (uint64_t)generation, digest);
+	control->row_read = true;
+	control->row_generation =
+		MAX(control->row_generation, target.generation);
+	cp_want(control, &target, true);
 }
 
 static void cp_read_row(struct cp_control *control)
@@ -134,7 +423,8 @@
 	const struct kn_msg_generation *peer = (const void *)msg;
 
 	if (msg->kind == KN_GENERATION)
-		cp_want(control, peer->generation, peer->digest);
+		cp_peer_generation(control, peer->host, peer->generation,
+				   peer->digest, 0);
 }
 
 enum st_kind cp_init(struct cp_control *control, struct kn_kernel *kernel,
@@ -152,6 +442,13 @@
 	control->task.ctx = control;
 	control->poll.fire = cp_on_poll;
 	control->poll.ctx = control;
+	control->refetch.fire = cp_on_refetch;
+	control->refetch.ctx = control;
+	control->random =
+		settings->random_seed ?
+			g_rand_new_with_seed((guint32)settings->random_seed) :
+			g_rand_new();
+	cp_set_host_count(control, settings->seed_count);
 	cp_read_row(control);
 	return kn_register(kernel, &control->task, status);
 }
@@ -159,125 +456,9 @@
 void cp_free(struct cp_control *control)
 {
 	tm_cancel(control->timers, &control->poll);
+	tm_cancel(control->timers, &control->refetch);
+	cp_end_submissions(control);
 	doc_unref(control->document);
 	control->document = NULL;
-}
-
-static void cp_answer_submission(struct cp_submission *submission,
-				 enum st_kind kind, const char *msg,
-				 const char *detail)
-{
-	struct cp_answer answer = { .detail = detail };
-
-	st_set(&answer.status, kind, "%s", msg);
-	if (submission->document) {
-		answer.generation = submission->document->generation;
-		g_strlcpy(answer.digest, submission->document->digest,
-			  sizeof(answer.digest));
-	}
-	submission->callback.done(submission->callback.ctx, &answer);
-	doc_unref(submission->document);
-	g_free(submission->author);
-	g_free(submission);
-}
-
-static void cp_on_written(void *ctx, const struct pf_result *result)
-{
-	struct cp_submission *submission = ctx;
-	struct cp_control *control = submission->control;
-
-	if (result->status.kind != ST_OK) {
-		cp_answer_submission(submission, result->status.kind,
-				     result->status.msg, "");
-		return;
-	}
-	submission->document->generation = submission->base + 1;
-	cp_put_in_force(control, doc_ref(submission->document));
-	cp_answer_submission(submission, ST_OK, "accepted", "");
-}
-
-static json_t *cp_row(const struct cp_submission *submission)
-{
-	return json_pack("{s:I, s:s, s:s}", "generation",
-			 (json_int_t)submission->base + 1, "digest",
-			 submission->document->digest, "author",
-			 submission->author);
-}
-
-static void cp_write_row(struct cp_submission *submission)
-{
-	struct pf_callback callback = { cp_on_written, submission };
-	json_t *conditions = json_array();
-	json_t *writes = json_array();
-
-	pf_condition(conditions, "document", "current",
-		     submission->row_version);
-	pf_write(writes, "document", "current", cp_row(submission));
-	pf_write(writes, "audit", submission->audit_key, cp_row(submission));
-	pf_txn(submission->control->platform, conditions, writes, &callback);
-}
-
-static void cp_on_base(void *ctx, const struct pf_result *result)
-{
-	struct cp_submission *submission = ctx;
-	json_int_t generation = 0;
-
-	if (result->status.kind == ST_OK)
-		json_unpack(result->json, "{s:I}", "generation", &generation);
-	else if (result->status.kind != ST_NOT_FOUND) {
-		cp_answer_submission(submission, ST_PLATFORM,
-				     result->status.msg, "");
-		return;
-	}
-	if ((uint64_t)generation != submission->base) {
-		cp_answer_submission(submission, ST_CONFLICT,
-				     "the base was replaced", "");
-		return;
-	}
-	submission->row_version = result->version;
-	cp_write_row(submission);
-}
-
-static void cp_on_object(void *ctx, const struct pf_result *result)
-{
-	struct cp_submission *submission = ctx;
-	struct pf_callback callback = { cp_on_base, submission };
-
-	if (result->status.kind != ST_OK) {
-		cp_answer_submission(submission, ST_PLATFORM,
-				     result->status.msg, "");
-		return;
-	}
-	pf_get(submission->control->platform, "document", "current", &callback);
-}
-
-void cp_submit(struct cp_control *control, const char *text, size_t text_bytes,
-	       uint64_t base, const char *author,
-	       const struct cp_callback *callback)
-{
-	struct cp_submission *submission = g_new0(struct cp_submission, 1);
-	struct pf_callback put = { cp_on_object, submission };
-	struct ym_errors errors;
-
-	submission->control = control;
-	submission->callback = *callback;
-	submission->base = base;
-	submission->author = g_strdup(author);
-	g_snprintf(submission->audit_key, sizeof(submission->audit_key),
-		   "%020" G_GINT64_FORMAT "-%s", g_get_real_time(),
-		   control->settings->host);
-	ym_errors_init(&errors);
-	submission->document = doc_parse(text, text_bytes, &errors);
-	if (submission->document) {
-		pf_put_object(control->platform, submission->document->digest,
-			      text, text_bytes, &put);
-	} else {
-		GString *detail = g_string_new(NULL);
-
-		ym_errors_print(&errors, detail);
-		cp_answer_submission(submission, ST_INVALID,
-				     "the document has errors", detail->str);
-		g_string_free(detail, TRUE);
-	}
-	ym_errors_free(&errors);
+	g_rand_free(control->random);
 }
--- a/control.h
+++ b/control.h
@@ -2,6 +2,7 @@
 #define CONTROL_H
 
 #include <stdint.h>
+#include <glib.h>
 
 #include "document.h"
 #include "kernel.h"
@@ -13,7 +14,32 @@
  * Control task: follows the accepted document, accepts new ones and writes the
  * audit trail. Registered as "control". Sends KN_DOCUMENT to every task when
  * a document comes into force; a lower generation never does.
+ *
+ * Rows in the platform's table service:
+ *	document/current	generation and digest in force
+ *	generation/N		the digest of every accepted generation
+ *	audit/SUBMISSION	every submission with its result
  */
+enum {
+	CP_SUBMISSION_BYTES = 96,
+	CP_AUTHOR_BYTES = 65,
+	CP_MAX_SUBMISSIONS = 16,
+	CP_MAX_CHANGE_LINES = 100
+};
+
+/* A document that is wanted or fetched. */
+struct cp_target {
+	uint64_t generation;
+	char digest[DOC_DIGEST_BYTES];
+};
+
+/* What a seed peer said last. */
+struct cp_peer {
+	char host[KN_NAME_BYTES];
+	struct cp_target target;
+	uint64_t at_us;
+};
+
 struct cp_control {
 	struct kn_kernel *kernel;
 	struct tm_service *timers;
@@ -21,12 +47,23 @@
 	const struct se_settings *settings;
 	struct kn_task task;
 	struct tm_sub poll;
+	struct tm_sub refetch;
+	GRand *random;
 	struct doc_document *document; /* in force, or NULL */
-	uint64_t row_version; /* of the current row that was read last */
-	uint64_t wanted_generation;
-	char wanted_digest[DOC_DIGEST_BYTES];
-	bool fetching;
+	uint32_t host_count;
 	bool reading;
+	bool row_read; /* the current row was read at least once */
+	bool read_failed; /* the newest read of the row failed */
+	uint64_t row_generation; /* highest that was read from the row */
+	struct cp_target wanted; /* newest known, maybe not yet in force */
+	struct cp_target fetched; /* being fetched */
+	bool fetching;
+	uint32_t fetch_failures; /* in a row */
+	struct cp_peer peers[SE_MAX_SEEDS];
+	uint32_t peer_count;
+	struct cp_submission *submissions;
+	uint32_t submission_count;
+	uint32_t last_submission;
 };
 
 /* Answer to a submission; valid during the callback only. */
@@ -34,7 +71,9 @@
 	struct st_status status;
 	uint64_t generation; /* accepted, or in force when refused */
 	char digest[DOC_DIGEST_BYTES];
+	const char *submission; /* its id, for a repetition */
 	const char *detail; /* check errors or what changed, may be "" */
+	json_t *changes; /* of a conflict, doc_diff_json; may be NULL */
 };
 
 struct cp_callback {
@@ -42,7 +81,10 @@
 	void *ctx;
 };
 
-/* cp_init, cp_free - control task on caller-owned memory. Source: control.c */
+/*
+ * cp_init, cp_free - control task on caller-owned memory. cp_free runs after
+ * pf_free and ends open submissions with ST_STOPPING. Source: control.c
+ */
 enum st_kind cp_init(struct cp_control *control, struct kn_kernel *kernel,
 		     struct tm_service *timers, struct pf_client *platform,
 		     const struct se_settings *settings,
@@ -50,12 +92,76 @@
 void cp_free(struct cp_control *control);
 
 /*
- * cp_submit - check TEXT and accept it if the generation in force is BASE.
- * CALLBACK gets ST_OK, ST_INVALID, ST_CONFLICT or ST_PLATFORM. AUTHOR goes
- * into the audit trail.
+ * cp_set_host_count - number of live entry hosts, this one included. All hosts
+ * together read the current row about ten times a second.
+ * cp_poll_interval_us - the interval that follows from it, without jitter.
+ */
+void cp_set_host_count(struct cp_control *control, uint32_t count);
+uint64_t cp_poll_interval_us(const struct cp_control *control);
+
+/*
+ * cp_peer_generation - a peer has GENERATION with DIGEST in force. AGE_US is
+ * the time since the peer said so. A host that has a document or has read the
+ * current row wants the document if it is newer. A fresh host waits, and when
+ * the platform cannot be read it wants the highest generation as soon as more
+ * than half of the seed peers have answered within the last 10 s. GENERATION 0
+ * (the peer has no document) is not counted, because it says nothing about
+ * which document is accepted. HOST must be a seed peer of the settings until
+ * the host has a document.
  */
-void cp_submit(struct cp_control *control, const char *text, size_t text_bytes,
-	       uint64_t base, const char *author,
+void cp_peer_generation(struct cp_control *control, const char *host,
+			uint64_t generation, const char *digest,
+			uint64_t age_us);
+
+/*
+ * cp_offer_body - a document body that came from a peer. It comes into force
+ * when its digest is DIGEST, GENERATION is wanted or newer, and a fresh host
+ * may begin to serve (see cp_peer_generation). Returns whether the body was
+ * usable.
+ */
+bool cp_offer_body(struct cp_control *control, uint64_t generation,
+		   const char *digest, const char *body, size_t body_bytes);
+
+/*
+ * cp_wants - the newest document that is known and not in force, for a part
+ * that can fetch it from a peer. Returns false when there is none.
+ */
+bool cp_wants(const struct cp_control *control, uint64_t *generation,
+	      char digest[DOC_DIGEST_BYTES]);
+
+/* A submission; the texts are copied. */
+struct cp_request {
+	const char *text;
+	size_t text_bytes;
+	uint64_t base; /* generation that the text was written against */
+	const char *author; /* printable UTF-8, CP_AUTHOR_BYTES with the NUL */
+	const char
+		*submission; /* id of an earlier try, or NULL for a new one */
+};
+
+/*
+ * cp_submit - check a document and accept it if the generation in force is the
+ * base. CALLBACK gets
+ *	ST_OK		accepted, or equal to the document in force
+ *	ST_INVALID	refused by the checks, DETAIL lists the errors
+ *	ST_CONFLICT	another change was accepted, DETAIL says which
+ *	ST_USAGE	bad author or submission id
+ *	ST_KEY_REUSED	the submission id belongs to another text
+ *	ST_PLATFORM	not accepted, the platform does not answer
+ *	ST_PLATFORM_UNKNOWN	a write was not answered and could not be read
+ *			back; repeat under the same submission id
+ *	ST_QUEUE_FULL	CP_MAX_SUBMISSIONS are in progress
+ */
+void cp_submit(struct cp_control *control, const struct cp_request *request,
 	       const struct cp_callback *callback);
 
+/* cp_is_submission - whether TEXT has the form of a submission id. */
+bool cp_is_submission(const char *text);
+
+/* cp_generation_key - key of a generation's row. */
+void cp_generation_key(uint64_t generation, char key[32]);
+
+/* cp_is_digest - whether TEXT is a SHA-256 in lower-case hexadecimal. */
+bool cp_is_digest(const char *text);
+
 #endif
--- a/document.c
+++ b/document.c
@@ -13,7 +13,13 @@
 	DOC_DEFAULT_QUEUE = 200,
 	DOC_DEFAULT_RETRY_PERCENT = 10,
 	DOC_DEFAULT_LATENCY_WEIGHT = 50,
-	DOC_MAX_WEIGHT = 1000
+	DOC_MAX_WEIGHT = 1000,
+	/* A smaller part of the slots than 1/100000 cannot be enforced. */
+	DOC_MAX_WEIGHT_SUM = 100000
+};
+
+static const char *const doc_methods[] = {
+	"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS",
 };
 
 static bool doc_name_char(char c)
@@ -48,12 +54,12 @@
 }
 
 /* Names that were taken already, per kind of object. */
-static void doc_unique(GHashTable *taken, const char *name,
-		       const struct ym_node *at, const char *field,
-		       struct ym_errors *errors)
+static void doc_unique(GHashTable *taken, const char *name, struct ym_node *map,
+		       const char *field, struct ym_errors *errors)
 {
 	if (*name && !g_hash_table_add(taken, g_strdup(name)))
-		ym_error(errors, at, field, "\"%s\" is used twice", name);
+		ym_error(errors, ym_get(map, field), field,
+			 "\"%s\" is used twice", name);
 }
 
 static GHashTable *doc_name_set(void)
@@ -118,6 +124,7 @@
 	struct ym_node *list =
 		doc_list(root, "callers", false, DOC_MAX_CALLERS, errors);
 	GHashTable *taken = doc_name_set();
+	uint64_t weights = 0;
 
 	if (list) {
 		document->caller_count = list->children->len;
@@ -134,8 +141,14 @@
 		doc_unique(taken, caller->name, map, "name", errors);
 		caller->weight = (uint32_t)ym_uint(map, "weight", 1,
 						   DOC_MAX_WEIGHT, 1, errors);
+		weights += caller->weight;
 		ym_check_unused(map, errors);
 	}
+	if (weights > DOC_MAX_WEIGHT_SUM)
+		ym_error(errors, list, "callers",
+			 "weights add up to %" G_GUINT64_FORMAT
+			 ", more than %d",
+			 weights, DOC_MAX_WEIGHT_SUM);
 	g_hash_table_destroy(taken);
 }
 
@@ -151,6 +164,10 @@
 	if (*address && !nt_parse(address, &server->address))
 		ym_error(errors, ym_get(map, "address"), "address",
 			 "\"%.60s\" is not an IP address with a port", address);
+	if (g_str_has_prefix(address, "0.0.0.0:") ||
+	    g_str_has_prefix(address, "[::]:"))
+		ym_error(errors, ym_get(map, "address"), "address",
+			 "\"%.60s\" is not the address of a server", address);
 	zone = ym_string(map, "zone", NULL, errors);
 	server->zone = doc_zone(document, zone);
 	if (*zone && server->zone == DOC_NO_INDEX)
@@ -161,7 +178,7 @@
 	server->connections = (uint32_t)ym_need_uint(
 		map, "connections", 1, DOC_MAX_CONNECTIONS, errors);
 	if (server->connections < server->slots)
-		ym_error(errors, map, "connections",
+		ym_error(errors, ym_get(map, "connections"), "connections",
 			 "%u connections cannot fill %u slots",
 			 server->connections, server->slots);
 	server->leaving = ym_bool(map, "leaving", false, errors);
@@ -215,6 +232,8 @@
 	if (strlen(path) >= DOC_ROUTE_BYTES)
 		ym_error(errors, at, field, "longer than %d characters",
 			 DOC_ROUTE_BYTES - 1);
+	if (strstr(path, "//") || strstr(path, "/./") || strstr(path, "/../"))
+		ym_error(errors, at, field, "has an empty or relative segment");
 	for (const char *p = path; *p; p++)
 		if (!g_ascii_isgraph(*p) || *p == '?' || *p == '#') {
 			ym_error(errors, at, field,
@@ -223,6 +242,18 @@
 		}
 }
 
+static void doc_check_method(struct ym_node *map, const char *method,
+			     struct ym_errors *errors)
+{
+	if (!*method)
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(doc_methods); i++)
+		if (!strcmp(doc_methods[i], method))
+			return;
+	ym_error(errors, ym_get(map, "method"), "method",
+		 "method \"%.20s\" does not exist or is not supported", method);
+}
+
 static void doc_read_rule(struct ym_node *map,
 			  const struct doc_service *service,
 			  struct doc_rule *rule, struct ym_errors *errors)
@@ -236,14 +267,7 @@
 			 "not under the route \"%s\" of its service",
 			 service->route);
 	g_strlcpy(rule->path, path, sizeof(rule->path));
-	if (strlen(method) >= sizeof(rule->method))
-		ym_error(errors, ym_get(map, "method"), "method", "too long");
-	for (const char *p = method; *p; p++)
-		if (!g_ascii_isupper(*p)) {
-			ym_error(errors, ym_get(map, "method"), "method",
-				 "must be in capital letters");
-			break;
-		}
+	doc_check_method(map, method, errors);
 	g_strlcpy(rule->method, method, sizeof(rule->method));
 	rule->idempotent = ym_bool(map, "idempotent", false, errors);
 	rule->deadline_ms = (uint32_t)ym_uint(map, "deadline_ms", 1,
@@ -252,6 +276,36 @@
 	ym_check_unused(map, errors);
 }
 
+/* The first rule that matches is used, so an earlier one can hide RULE. */
+static bool doc_hides(const struct doc_rule *earlier,
+		      const struct doc_rule *rule)
+{
+	return (!*earlier->method || !strcmp(earlier->method, rule->method)) &&
+	       g_str_has_prefix(rule->path, earlier->path);
+}
+
+static void doc_check_hidden(struct ym_node *list,
+			     const struct doc_service *service, uint32_t index,
+			     struct ym_errors *errors)
+{
+	const struct doc_rule *rule = &service->rules[index];
+
+	for (uint32_t i = 0; i < index; i++) {
+		const struct doc_rule *earlier = &service->rules[i];
+		const struct ym_node *at = g_ptr_array_index(list->children, i);
+		bool same = !strcmp(earlier->method, rule->method) &&
+			    !strcmp(earlier->path, rule->path);
+
+		if (!*earlier->path || !doc_hides(earlier, rule))
+			continue;
+		ym_error(errors, g_ptr_array_index(list->children, index),
+			 "rules", "%s the rule on line %u",
+			 same ? "repeats" : "never matches, hidden by",
+			 at->line);
+		return;
+	}
+}
+
 static void doc_read_rules(struct ym_node *map, struct doc_service *service,
 			   struct ym_errors *errors)
 {
@@ -268,6 +322,7 @@
 		if (doc_is_map(item, "rules", errors))
 			doc_read_rule(item, service, &service->rules[i],
 				      errors);
+		doc_check_hidden(list, service, i, errors);
 	}
 }
 
@@ -300,11 +355,80 @@
 	budget->cross_zone_bytes_per_s = (uint32_t)ym_need_uint(
 		item, "cross_zone_bytes_per_s", 0, DOC_MAX_RATE, errors);
 	if (budget->cross_zone_bytes_per_s > budget->bytes_per_s)
-		ym_error(errors, item, "cross_zone_bytes_per_s",
-			 "larger than bytes_per_s");
+		ym_error(errors, ym_get(item, "cross_zone_bytes_per_s"),
+			 "cross_zone_bytes_per_s", "larger than bytes_per_s");
+	if (!budget->requests_per_s != !budget->bytes_per_s)
+		ym_error(errors, item,
+			 budget->bytes_per_s ? "requests_per_s" : "bytes_per_s",
+			 "0 leaves the other limit of the budget without use");
 	ym_check_unused(item, errors);
 }
 
+static void doc_check_policy(struct ym_node *map,
+			     const struct doc_service *service,
+			     struct ym_errors *errors)
+{
+	if (service->policy == CORE_PROBES &&
+	    !service->measuring.requests_per_s)
+		ym_error(errors, ym_get(map, "policy"), "policy",
+			 "\"probes\" needs a measuring budget above 0");
+}
+
+/* Zones that the service does without on purpose. */
+static void doc_read_remote_zones(struct ym_node *map,
+				  const struct doc_document *document,
+				  struct doc_service *service, bool *served,
+				  struct ym_errors *errors)
+{
+	struct ym_node *list =
+		doc_list(map, "remote_zones", false, DOC_MAX_ZONES, errors);
+
+	for (guint i = 0; list && i < list->children->len; i++) {
+		struct ym_node *item = g_ptr_array_index(list->children, i);
+		const char *name = item->value ? item->value : "";
+		uint32_t zone = doc_zone(document, name);
+
+		if (zone == DOC_NO_INDEX)
+			ym_error(errors, item, "remote_zones",
+				 "zone \"%.60s\" does not exist", name);
+		else if (served[zone])
+			ym_error(errors, item, "remote_zones",
+				 "zone \"%.60s\" has a server of the service",
+				 name);
+		else
+			service->remote_zones |= UINT32_C(1) << zone;
+	}
+}
+
+/* Every zone has a server of the service; calls to other zones cost more. */
+static void doc_check_servers(struct ym_node *map,
+			      const struct doc_document *document,
+			      struct doc_service *service,
+			      struct ym_errors *errors)
+{
+	bool served[DOC_MAX_ZONES] = { false };
+	uint32_t staying = 0;
+
+	for (uint32_t i = 0; i < service->server_count; i++) {
+		if (service->servers[i].zone < document->zone_count)
+			served[service->servers[i].zone] = true;
+		staying += !service->servers[i].leaving;
+	}
+	doc_read_remote_zones(map, document, service, served, errors);
+	if (!service->server_count)
+		return;
+	if (!staying)
+		ym_error(errors, ym_get(map, "servers"), "servers",
+			 "every server is leaving");
+	for (uint32_t i = 0; i < document->zone_count; i++)
+		if (!served[i] && *document->zones[i] &&
+		    !(service->remote_zones & (UINT32_C(1) << i)))
+			ym_error(errors, ym_get(map, "servers"), "servers",
+				 "none in zone \"%s\", and it is not in "
+				 "remote_zones",
+				 document->zones[i]);
+}
+
 static void doc_read_service(struct ym_node *map, struct doc_taken *taken,
 			     const struct doc_document *document,
 			     struct doc_service *service,
@@ -329,11 +453,80 @@
 				  DOC_DEFAULT_RETRY_PERCENT, errors);
 	doc_read_policy(map, service, errors);
 	doc_read_measuring(map, &service->measuring, errors);
+	doc_check_policy(map, service, errors);
 	doc_read_servers(map, taken, document, service, errors);
+	doc_check_servers(map, document, service, errors);
 	doc_read_rules(map, service, errors);
 	ym_check_unused(map, errors);
 }
 
+/* A rule under the longer route of another service would never be used. */
+static void doc_check_rule_route(const struct doc_document *document,
+				 uint32_t index, struct ym_node *map,
+				 struct ym_errors *errors)
+{
+	const struct doc_service *service = &document->services[index];
+	struct ym_node *list = ym_get(map, "rules");
+
+	for (uint32_t i = 0; i < service->rule_count; i++) {
+		const char *path = service->rules[i].path;
+		uint32_t owner = doc_route(document, path, strlen(path));
+
+		if (owner == index || owner == DOC_NO_INDEX || !*path)
+			continue;
+		ym_error(errors, g_ptr_array_index(list->children, i), "path",
+			 "\"%s\" is under the route of service \"%s\"", path,
+			 document->services[owner].name);
+	}
+}
+
+/* Routes that differ by a '/' at the end only are mistaken for each other. */
+static void doc_check_route_pairs(const struct doc_document *document,
+				  GHashTable *routes, struct ym_node *list,
+				  struct ym_errors *errors)
+{
+	for (uint32_t i = 0; i < document->service_count; i++) {
+		const struct doc_service *service = &document->services[i];
+		struct ym_node *map = g_ptr_array_index(list->children, i);
+		char *longer = g_strconcat(service->route, "/", NULL);
+
+		if (*service->route && g_hash_table_contains(routes, longer))
+			ym_error(errors, ym_get(map, "route"), "route",
+				 "differs from another route by a '/' only");
+		g_free(longer);
+	}
+}
+
+static void doc_check_routes(const struct doc_document *document,
+			     GHashTable *routes, struct ym_node *list,
+			     struct ym_errors *errors)
+{
+	/* Unreadable entries have errors of their own. */
+	if (!list || errors->count)
+		return;
+	doc_check_route_pairs(document, routes, list, errors);
+	for (uint32_t i = 0; i < document->service_count; i++)
+		doc_check_rule_route(document, i,
+				     g_ptr_array_index(list->children, i),
+				     errors);
+}
+
+static void doc_check_budgets(const struct doc_document *document,
+			      struct ym_node *list, struct ym_errors *errors)
+{
+	uint64_t requests = 0;
+	uint64_t bytes = 0;
+
+	for (uint32_t i = 0; i < document->service_count; i++) {
+		requests += document->services[i].measuring.requests_per_s;
+		bytes += document->services[i].measuring.bytes_per_s;
+	}
+	if (requests > DOC_MAX_RATE || bytes > DOC_MAX_RATE)
+		ym_error(errors, list, "measuring",
+			 "the budgets of all services add up to more than %d",
+			 DOC_MAX_RATE);
+}
+
 static void doc_read_services(struct ym_node *root,
 			      struct doc_document *document,
 			      struct ym_errors *errors)
@@ -359,6 +552,8 @@
 		doc_unique(names, service->name, map, "name", errors);
 		doc_unique(routes, service->route, map, "route", errors);
 	}
+	doc_check_budgets(document, list, errors);
+	doc_check_routes(document, routes, list, errors);
 	g_hash_table_destroy(names);
 	g_hash_table_destroy(routes);
 	g_hash_table_destroy(taken.names);
@@ -378,13 +573,33 @@
 	ym_check_unused(root, errors);
 }
 
+/* YAML may be UTF-16 as well, which JSON answers could not carry. */
+static bool doc_is_text(const char *text, size_t text_bytes,
+			struct ym_errors *errors)
+{
+	struct ym_node at = { .line = 1 };
+	const char *end;
+
+	if (g_utf8_validate_len(text, text_bytes, &end))
+		return true;
+	for (const char *p = text; p < end; p++)
+		at.line += *p == '\n';
+	if (*end)
+		ym_error(errors, &at, NULL, "not valid UTF-8");
+	else
+		ym_error(errors, &at, NULL, "NUL byte: not a text file");
+	return false;
+}
+
 struct doc_document *doc_parse(const char *text, size_t text_bytes,
 			       struct ym_errors *errors)
 {
 	uint32_t before = errors->count;
-	struct ym_node *root = ym_parse(text, text_bytes, errors);
+	struct ym_node *root = NULL;
 	struct doc_document *document;
 
+	if (doc_is_text(text, text_bytes, errors))
+		root = ym_parse(text, text_bytes, errors);
 	if (!root)
 		return NULL;
 	document = g_new0(struct doc_document, 1);
--- a/document.h
+++ b/document.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <glib.h>
+#include <jansson.h>
 
 #include "core.h"
 #include "net.h"
@@ -60,6 +61,7 @@
 	uint32_t server_count;
 	struct doc_rule *rules;
 	uint32_t rule_count;
+	uint32_t remote_zones; /* without servers on purpose; a bit a zone */
 };
 
 struct doc_caller {
@@ -86,7 +88,8 @@
 
 /*
  * doc_parse - read and check a document as a whole. All inconsistencies are
- * put in ERRORS with line and field; then the result is NULL.
+ * put in ERRORS with line and field; then the result is NULL. Checks that
+ * compare services with each other run when every service could be read.
  * Source: document.c
  */
 struct doc_document *doc_parse(const char *text, size_t text_bytes,
@@ -94,6 +97,37 @@
 struct doc_document *doc_ref(struct doc_document *document);
 void doc_unref(struct doc_document *document);
 
+enum doc_change_kind { DOC_ADDED, DOC_REMOVED, DOC_CHANGED };
+
+/*
+ * One difference between two documents. PATH names the object ("service
+ * ordering, server ordering-3"). When a whole object was added or removed,
+ * FIELD is empty and TO or FROM lists its fields.
+ */
+struct doc_change {
+	enum doc_change_kind kind;
+	char *path;
+	char *field;
+	char *from;
+	char *to;
+};
+
+/*
+ * doc_diff - the differences from OLD to NEW by service, server, rule and
+ * field; either may be NULL, which counts as an empty document. Returns an
+ * array of struct doc_change; release it with g_ptr_array_unref.
+ * Source: document_diff.c
+ */
+GPtrArray *doc_diff(const struct doc_document *old,
+		    const struct doc_document *new);
+
+/*
+ * doc_diff_print - append one line a change, at most MAX_LINES.
+ * doc_diff_json - array of {"change","object","field","from","to"}.
+ */
+void doc_diff_print(const GPtrArray *changes, uint32_t max_lines, GString *out);
+json_t *doc_diff_json(const GPtrArray *changes);
+
 /* doc_digest - SHA-256 of a text as lower-case hexadecimal. */
 void doc_digest(const char *text, size_t text_bytes,
 		char digest[DOC_DIGEST_BYTES]);
--- a/httpd.c
+++ b/httpd.c
@@ -6,6 +6,8 @@
 #include <jansson.h>
 #include <sys/socket.h>
 
+#include "json_text.h"
+
 enum { HD_BACKLOG = 1024 };
 
 struct hd_handler {
@@ -231,9 +233,9 @@
 
 void hd_reply_status(h2o_req_t *req, const struct st_status *status)
 {
-	json_t *object = json_pack("{s:s, s:s}", "error", st_name(status->kind),
-				   "message", status->msg);
-	char *text = json_dumps(object, JSON_COMPACT);
+	json_t *object = json_pack("{s:s, s:o}", "error", st_name(status->kind),
+				   "message", jt_string(status->msg));
+	char *text = jt_dump(object);
 
 	hd_reply(req, st_http(status->kind), "application/json", text,
 		 strlen(text));
--- a/log.c
+++ b/log.c
@@ -6,6 +6,8 @@
 
 #include <jansson.h>
 
+#include "json_text.h"
+
 static const struct {
 	const char *name;
 	GLogLevelFlags level;
@@ -49,10 +51,10 @@
 		return G_LOG_WRITER_HANDLED;
 	now = g_date_time_new_now_utc();
 	when = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
-	object = json_pack("{s:s, s:s, s:s, s:s*, s:s*}", "time", when, "level",
+	object = json_pack("{s:s, s:s, s:s, s:s*, s:o}", "time", when, "level",
 			   lg_level_name(level), "host", lg_host, "event",
 			   lg_field(fields, count, "EVENT"), "message",
-			   lg_field(fields, count, "MESSAGE"));
+			   jt_string(lg_field(fields, count, "MESSAGE")));
 	line = object ? json_dumps(object, JSON_COMPACT) : NULL;
 	if (line)
 		fprintf(stderr, "%s\n", line);
--- a/mechanism.h
+++ b/mechanism.h
@@ -19,6 +19,7 @@
 	X(LEAVING, "leaving-signs")                 \
 	X(GRACEFUL_STOP, "graceful-stop")           \
 	X(GENERATION_ORDER, "generation-order")     \
+	X(ROW_READING, "row-reading")               \
 	X(GENERATION_GOSSIP, "generation-gossip")   \
 	X(CONDITIONAL_ACCEPT, "conditional-accept") \
 	X(READ_BACK, "read-back")                   \
--- /dev/null
+++ b/tests/test_document.c
@@ -0,0 +1,426 @@
+/* Documents: checks as a whole, differences, sample documents, bad bytes. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "document.h"
+
+enum { MUTATIONS = 3000, FUZZ_SEED = 20261204, MAX_EDITS = 8 };
+
+/*
+ * A small valid document. Every case of broken documents replaces one line of
+ * it, so that the error has that line's number.
+ */
+static const char *const good_lines[] = {
+	"deployment: test", /* 1 */
+	"latency_weight_percent: 50",
+	"zones: [a, b]", /* 3 */
+	"callers: [{name: clerk, weight: 2}, {name: batch}]",
+	"services:", /* 5 */
+	"  - name: desk",
+	"    route: /desk/", /* 7 */
+	"    deadline_ms: 100",
+	"    longest_deadline_ms: 500", /* 9 */
+	"    policy: shares",
+	"    measuring: {requests_per_s: 5, bytes_per_s: 500, "
+	"cross_zone_bytes_per_s: 50}", /* 11 */
+	"    rules:",
+	"      - {method: GET, path: /desk/, idempotent: true}", /* 13 */
+	"      - {method: POST, path: /desk/orders}",
+	"    servers:", /* 15 */
+	"      - {name: d1, address: \"127.0.0.1:9001\", zone: a, slots: 3, "
+	"connections: 9}",
+	"      - {name: d2, address: \"127.0.0.1:9002\", zone: b, slots: 3, "
+	"connections: 9}", /* 17 */
+	"  - name: files",
+	"    route: /files/", /* 19 */
+	"    remote_zones: [b]",
+	"    measuring: {requests_per_s: 0, bytes_per_s: 0, "
+	"cross_zone_bytes_per_s: 0}", /* 21 */
+	"    servers:",
+	"      - {name: f1, address: \"127.0.0.1:9003\", zone: a, slots: 3, "
+	"connections: 9}", /* 23 */
+};
+
+enum { GOOD_LINES = sizeof(good_lines) / sizeof(good_lines[0]) };
+
+/* The good document with one line replaced; LINE 0 replaces none. */
+static char *make_text(size_t line, const char *replacement)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < GOOD_LINES; i++) {
+		g_string_append(text,
+				i + 1 == line ? replacement : good_lines[i]);
+		g_string_append_c(text, '\n');
+	}
+	return g_string_free(text, FALSE);
+}
+
+static struct doc_document *parse(const char *text, struct ym_errors *errors)
+{
+	ym_errors_init(errors);
+	return doc_parse(text, strlen(text), errors);
+}
+
+#define SERVER(name, port, rest) \
+	"      - {name: " name ", address: \"127.0.0.1:" port "\", " rest "}"
+#define BUDGET(r, b, c)                                               \
+	"    measuring: {requests_per_s: " r ", bytes_per_s: " b ", " \
+	"cross_zone_bytes_per_s: " c "}"
+
+struct bad_case {
+	size_t line; /* replaced */
+	const char *text;
+	size_t error_line;
+	const char *field;
+	const char *message; /* a part of it */
+};
+
+static const struct bad_case bad_cases[] = {
+	{ 1, "deployment: \"\"", 1, "deployment", "must not be empty" },
+	{ 1, "deployment: a b", 1, "deployment", "may only have" },
+	{ 1, "deployment: caf\xe9", 1, "", "not valid UTF-8" },
+	{ 2, "latency_weight_percent: 101", 2, "latency_weight_percent",
+	  "not a whole number from 0 to 100" },
+	{ 2, "latency: 50", 2, "latency", "unknown field" },
+	{ 3, "zones: []", 3, "zones", "must not be empty" },
+	{ 3, "zones: [a, b, a]", 3, "zones", "used twice" },
+	{ 3, "zones: [a, b, c]", 15, "servers", "none in zone \"c\"" },
+	{ 4, "callers: [{name: x}, {name: x}]", 4, "name", "used twice" },
+	{ 4, "callers: [{name: x, weight: 0}]", 4, "weight", "from 1 to" },
+	{ 4, "callers: [x]", 4, "callers", "must be a mapping" },
+	{ 6, "  - name: files", 18, "name", "used twice" },
+	{ 7, "    route: desk/", 7, "route", "must begin with '/'" },
+	{ 7, "    route: /files/", 19, "route", "used twice" },
+	{ 7, "    route: /desk//", 7, "route", "empty or relative segment" },
+	{ 19, "    route: /desk", 19, "route", "differs from another route" },
+	{ 19, "    route: /desk/orders", 14, "path",
+	  "under the route of service \"files\"" },
+	{ 8, "    deadline_ms: 501", 8, "deadline_ms", "from 1 to 500" },
+	{ 8, "    deadline_ms: -1", 8, "deadline_ms", "not a whole number" },
+	{ 9, "    queue_limit: 100001", 9, "queue_limit", "from 0 to" },
+	{ 9, "    retry_percent: 101", 9, "retry_percent", "from 0 to 100" },
+	{ 10, "    policy: best", 10, "policy", "does not exist" },
+	{ 11, BUDGET("5", "500", "501"), 11, "cross_zone_bytes_per_s",
+	  "larger than bytes_per_s" },
+	{ 11, BUDGET("5", "0", "0"), 11, "bytes_per_s", "without use" },
+	{ 11, BUDGET("1000000000", "1000000000", "0"), 0, "", "" },
+	{ 11, "    measuring: {requests_per_s: 5}", 11, "bytes_per_s",
+	  "missing" },
+	{ 11, "    queue_limit: 5", 6, "measuring", "missing" },
+	{ 18, "  - name: files\n    policy: probes", 19, "policy",
+	  "needs a measuring budget" },
+	{ 13, "      - {method: get, path: /desk/}", 13, "method",
+	  "does not exist" },
+	{ 13, "      - {method: GET, path: /other/}", 13, "path",
+	  "not under the route" },
+	{ 13, "      - {path: /desk/}", 14, "rules", "hidden by" },
+	{ 14, "      - {method: GET, path: /desk/x}", 14, "rules",
+	  "hidden by the rule on line 13" },
+	{ 14, "      - {method: GET, path: /desk/}", 14, "rules",
+	  "repeats the rule on line 13" },
+	{ 14, "      - {deadline_ms: 501}", 14, "deadline_ms",
+	  "from 1 to 500" },
+	{ 16, SERVER("d1", "9001", "zone: x, slots: 3, connections: 9"), 16,
+	  "zone", "does not exist" },
+	{ 16, SERVER("d1", "9001", "zone: a, slots: 9, connections: 8"), 16,
+	  "connections", "8 connections cannot fill 9 slots" },
+	{ 16, SERVER("d1", "9001", "zone: a, slots: 0, connections: 8"), 16,
+	  "slots", "from 1 to" },
+	{ 16, SERVER("d1", "99999", "zone: a, slots: 1, connections: 8"), 16,
+	  "address", "not an IP address" },
+	{ 16, SERVER("d2", "9001", "zone: a, slots: 1, connections: 8"), 17,
+	  "name", "used twice" },
+	{ 16, SERVER("d1", "9003", "zone: a, slots: 1, connections: 8"), 23,
+	  "address", "used twice" },
+	{ 16, SERVER("d1", "9001", "zone: b, slots: 1, connections: 8"), 15,
+	  "servers", "none in zone \"a\"" },
+	{ 16,
+	  SERVER("d1", "9001", "zone: a, slots: 1, connections: 8, port: 1"),
+	  16, "port", "unknown field" },
+	{ 23,
+	  SERVER("f1", "9003",
+		 "zone: a, slots: 1, connections: 8, leaving: true"),
+	  22, "servers", "every server is leaving" },
+	{ 20, "    remote_zones: [a, b]", 20, "remote_zones",
+	  "has a server of the service" },
+	{ 20, "    remote_zones: [x]", 20, "remote_zones", "does not exist" },
+	{ 20, "    queue_limit: 5", 22, "servers", "not in remote_zones" },
+	{ 22, "    servers: []\n    rules:", 22, "servers",
+	  "must not be empty" },
+};
+
+/* An inconsistency that is accepted, or reported at the wrong place. */
+START_TEST(inconsistency_is_named_with_line_and_field)
+{
+	const struct bad_case *bad = &bad_cases[_i];
+	char *text = make_text(bad->line, bad->text);
+	struct ym_errors errors;
+	struct doc_document *document = parse(text, &errors);
+	bool found = !bad->error_line && document;
+
+	for (uint32_t i = 0; i < errors.count && !found; i++)
+		found = errors.rows[i].line == bad->error_line &&
+			!strcmp(errors.rows[i].field, bad->field) &&
+			strstr(errors.rows[i].msg, bad->message);
+	ck_assert_msg(found, "case %d \"%s\": first error line %u %s: %s", _i,
+		      bad->text, errors.rows[0].line, errors.rows[0].field,
+		      errors.rows[0].msg);
+	ck_assert(!document == (bad->error_line != 0));
+	ym_errors_free(&errors);
+	doc_unref(document);
+	g_free(text);
+}
+END_TEST
+
+/* Sums that only show over all entries. */
+START_TEST(sums_are_checked)
+{
+	GString *callers = g_string_new("callers: [");
+	struct ym_errors errors;
+	char *text;
+
+	for (int i = 0; i < 101; i++)
+		g_string_append_printf(callers, "{name: c%d, weight: 1000},",
+				       i);
+	g_string_append_c(callers, ']');
+	text = make_text(4, callers->str);
+	ck_assert_ptr_null(parse(text, &errors));
+	ck_assert_uint_eq(errors.rows[0].line, 4);
+	ck_assert_str_eq(errors.rows[0].field, "callers");
+	ym_errors_free(&errors);
+	g_free(text);
+	text = make_text(21, BUDGET("999999999", "1000000000", "0"));
+	ck_assert_ptr_null(parse(text, &errors));
+	ck_assert_str_eq(errors.rows[0].field, "measuring");
+	ym_errors_free(&errors);
+	g_free(text);
+	g_string_free(callers, TRUE);
+}
+END_TEST
+
+static char *diff_text(const char *old_text, const char *new_text)
+{
+	struct ym_errors errors;
+	struct doc_document *old = parse(old_text, &errors);
+	struct doc_document *new;
+	GString *out = g_string_new(NULL);
+	GPtrArray *changes;
+	json_t *json;
+
+	ck_assert_ptr_nonnull(old);
+	ym_errors_free(&errors);
+	new = parse(new_text, &errors);
+	ck_assert_ptr_nonnull(new);
+	ym_errors_free(&errors);
+	changes = doc_diff(old, new);
+	doc_diff_print(changes, 100, out);
+	json = doc_diff_json(changes);
+	ck_assert_uint_eq(json_array_size(json), changes->len);
+	json_decref(json);
+	g_ptr_array_unref(changes);
+	doc_unref(old);
+	doc_unref(new);
+	return g_string_free(out, FALSE);
+}
+
+struct diff_case {
+	uint32_t line;
+	const char *text;
+	const char *lines;
+};
+
+static const struct diff_case diff_cases[] = {
+	{ 0, "", "" },
+	{ 2, "latency_weight_percent: 60",
+	  "document: latency_weight_percent: 50 -> 60\n" },
+	{ 4, "callers: [{name: clerk, weight: 3}]",
+	  "caller batch: removed (weight 1)\n"
+	  "caller clerk: weight: 2 -> 3\n" },
+	{ 14, "      - {method: POST, path: /desk/orders, idempotent: true}",
+	  "service desk, rule POST /desk/orders: idempotent: false -> true\n" },
+	{ 13,
+	  "      - {method: POST, path: /desk/orders}\n"
+	  "      - {method: GET, path: /desk/, idempotent: true}\n#",
+	  NULL },
+	{ 16, SERVER("d1", "9009", "zone: a, slots: 3, connections: 9"),
+	  "service desk, server d1: address: 127.0.0.1:9001 -> "
+	  "127.0.0.1:9009\n" },
+	{ 18, "  - name: sheets",
+	  "service files: removed (route /files/, policy shares, " },
+};
+
+/* A change that the difference leaves out would be overwritten unseen. */
+START_TEST(difference_names_object_and_field)
+{
+	const struct diff_case *one = &diff_cases[_i];
+	char *old = make_text(0, NULL);
+	char *new = make_text(one->line, one->text);
+	char *text;
+
+	if (!one->lines) {
+		/* The second rule of the original must not follow. */
+		char **halves = g_strsplit(new, "      - {method: POST", 3);
+
+		g_free(new);
+		new = g_strconcat(halves[0], "      - {method: POST", halves[1],
+				  strchr(halves[2], '\n') + 1, NULL);
+		g_strfreev(halves);
+	}
+	text = diff_text(old, new);
+	if (one->lines)
+		ck_assert_msg(g_str_has_prefix(text, one->lines) &&
+				      !*text == !*one->lines,
+			      "got \"%s\"", text);
+	else
+		ck_assert_str_eq(text, "service desk: order of rules: "
+				       "GET /desk/; POST /desk/orders -> "
+				       "POST /desk/orders; GET /desk/\n");
+	g_free(text);
+	g_free(old);
+	g_free(new);
+}
+END_TEST
+
+struct sample {
+	const char *path;
+	uint32_t slots;
+	uint32_t connections;
+};
+
+static const struct sample samples[] = {
+	{ "examples/tri-parish.yaml", 6, 260 },
+	{ "examples/blue-mahoe.yaml", 3, 240 },
+};
+
+static struct doc_document *read_sample(const char *path)
+{
+	struct ym_errors errors;
+	struct doc_document *document;
+	char *text;
+	gsize text_bytes;
+
+	ck_assert(g_file_get_contents(path, &text, &text_bytes, NULL));
+	ym_errors_init(&errors);
+	document = doc_parse(text, text_bytes, &errors);
+	ym_errors_free(&errors);
+	g_free(text);
+	return document;
+}
+
+/* A check that refuses the deployments it is made for. */
+START_TEST(samples_have_the_sizes_of_the_deployments)
+{
+	const struct sample *sample = &samples[_i];
+	struct doc_document *document = read_sample(sample->path);
+
+	ck_assert_ptr_nonnull(document);
+	ck_assert_uint_eq(document->zone_count, 3);
+	ck_assert_uint_eq(document->service_count, 2);
+	ck_assert_uint_eq(document->services[0].server_count, 30);
+	ck_assert_uint_eq(document->services[1].server_count, 6);
+	for (uint32_t i = 0; i < 6; i++) {
+		const struct doc_server *server =
+			&document->services[1].servers[i];
+
+		ck_assert_uint_eq(server->slots, sample->slots);
+		ck_assert_uint_eq(server->connections, sample->connections);
+	}
+	doc_unref(document);
+}
+END_TEST
+
+static void mutate(GRand *random, GString *text)
+{
+	static const char *const pieces[] = { "\n",   "- ",  ": ", "{",
+					      "}",    "[",   "\"", "\t",
+					      "\xff", "&a ", "*a", "-1" };
+	gint32 edits = g_rand_int_range(random, 1, MAX_EDITS);
+
+	for (gint32 i = 0; i < edits && text->len > 2; i++) {
+		gint32 at = g_rand_int_range(random, 0, (gint32)text->len - 1);
+		gint32 piece = g_rand_int_range(random, 0,
+						(gint32)G_N_ELEMENTS(pieces));
+
+		switch (g_rand_int_range(random, 0, 4)) {
+		case 0:
+			g_string_erase(text, at, 1);
+			break;
+		case 1:
+			text->str[at] = (char)g_rand_int_range(random, 0, 256);
+			break;
+		case 2:
+			g_string_insert(text, at, pieces[piece]);
+			break;
+		default:
+			g_string_truncate(text, (gsize)at);
+			break;
+		}
+	}
+}
+
+/*
+ * Bytes that make the parser or the checks read out of bounds. A refusal must
+ * name at least one error, and an accepted text must compare with itself.
+ */
+START_TEST(mutated_documents_are_refused_or_read)
+{
+	GRand *random = g_rand_new_with_seed(FUZZ_SEED);
+	int accepted = 0;
+	char *good;
+
+	ck_assert(g_file_get_contents(samples[0].path, &good, NULL, NULL));
+
+	for (int i = 0; i < MUTATIONS; i++) {
+		GString *text = g_string_new(good);
+		struct ym_errors errors;
+		struct doc_document *document;
+		GString *out = g_string_new(NULL);
+
+		mutate(random, text);
+		ym_errors_init(&errors);
+		document = doc_parse(text->str, text->len, &errors);
+		ck_assert(!document == (errors.count > 0));
+		ym_errors_print(&errors, out);
+		if (document) {
+			GPtrArray *changes = doc_diff(document, document);
+
+			accepted++;
+			ck_assert_uint_eq(changes->len, 0);
+			g_ptr_array_unref(changes);
+		}
+		doc_unref(document);
+		ym_errors_free(&errors);
+		g_string_free(out, TRUE);
+		g_string_free(text, TRUE);
+	}
+	ck_assert_int_gt(accepted, 0);
+	ck_assert_int_lt(accepted, MUTATIONS);
+	g_free(good);
+	g_rand_free(random);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("document");
+	TCase *tcase = tcase_create("document");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_loop_test(tcase, inconsistency_is_named_with_line_and_field,
+			    0, G_N_ELEMENTS(bad_cases));
+	tcase_add_test(tcase, sums_are_checked);
+	tcase_add_loop_test(tcase, difference_names_object_and_field, 0,
+			    G_N_ELEMENTS(diff_cases));
+	tcase_add_loop_test(tcase, samples_have_the_sizes_of_the_deployments, 0,
+			    G_N_ELEMENTS(samples));
+	tcase_add_test(tcase, mutated_documents_are_refused_or_read);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
