Submit and compare console forms through the new control interface

cp_submit takes a request structure since submissions can be repeated. The console follows, shows the difference from the document in force after a check, and knows the field for zones without own servers.

--- a/console.c
+++ b/console.c
@@ -12,7 +12,7 @@
 
 enum {
 	CS_SESSION_S = 8 * 3600,
-	CS_MAX_AUTHOR_BYTES = 64,
+	CS_MAX_AUTHOR_BYTES = CP_AUTHOR_BYTES,
 	CS_AUDIT_ROWS = 100,
 	CS_HEX_BYTES = 65
 };
@@ -356,18 +356,33 @@
 {
 	struct cs_submission *submission = g_new0(struct cs_submission, 1);
 	struct cp_callback callback = { cs_on_submitted, submission };
+	struct cp_request request = {
+		.text = text->str,
+		.text_bytes = text->len,
+		.base = shown->base,
+		.author = shown->author,
+	};
 
 	submission->console = console;
 	submission->hold = hd_hold(req);
 	submission->form = form;
 	submission->author = g_strdup(shown->author);
 	submission->base = shown->base;
-	cp_submit(console->control, text->str, text->len, shown->base,
-		  shown->author, &callback);
+	cp_submit(console->control, &request, &callback);
+}
+
+static void cs_compare(const struct cs_console *console,
+		       const struct doc_document *document, GString *difference)
+{
+	GPtrArray *changes = doc_diff(console->control->document, document);
+
+	doc_diff_print(changes, CP_MAX_CHANGE_LINES, difference);
+	g_ptr_array_unref(changes);
 }
 
 /* Checks the form; returns whether it may be submitted. */
-static bool cs_check(struct fm_node *form, const GString *text, GString *notice)
+static bool cs_check(struct cs_console *console, struct fm_node *form,
+		     const GString *text, GString *notice, GString *difference)
 {
 	struct ym_errors errors;
 	struct doc_document *document;
@@ -379,6 +394,8 @@
 	if (errors.count)
 		g_string_prepend(notice, "The document has errors.\n");
 	valid = document;
+	if (document)
+		cs_compare(console, document, difference);
 	doc_unref(document);
 	ym_errors_free(&errors);
 	return valid;
@@ -389,24 +406,27 @@
 			      bool accept)
 {
 	GString *notice = g_string_new(NULL);
+	GString *difference = g_string_new(NULL);
 	GString *text = fm_to_yaml(form);
-	bool valid = cs_check(form, text, notice);
+	bool valid = cs_check(console, form, text, notice, difference);
 
 	shown->failed = !valid;
+	if (valid)
+		shown->difference = difference->str;
 	if (valid && accept && !*shown->author) {
 		g_string_assign(notice, "Your name is missing.");
 		shown->failed = true;
 	} else if (valid && accept) {
 		cs_accept(console, req, form, shown, text);
-		g_string_free(notice, TRUE);
-		g_string_free(text, TRUE);
-		return;
+		form = NULL;
 	} else if (valid) {
 		g_string_assign(notice, "The document is valid.");
 	}
 	shown->notice = notice->str;
-	cs_show_form(console, req, form, shown);
+	if (form)
+		cs_show_form(console, req, form, shown);
 	g_string_free(notice, TRUE);
+	g_string_free(difference, TRUE);
 	g_string_free(text, TRUE);
 	fm_free(form);
 }
--- a/form.c
+++ b/form.c
@@ -26,6 +26,7 @@
 static const struct fm_field fm_service_fields[] = {
 	{ "name", "Name", FM_TEXT },
 	{ "route", "Route", FM_TEXT },
+	{ "remote_zones", "Zones without own servers", FM_NAMES },
 	{ "policy", "Policy", FM_POLICY },
 	{ "deadline_ms", "Deadline, ms", FM_NUMBER },
 	{ "longest_deadline_ms", "Longest deadline, ms", FM_NUMBER },
