Claim orders by their key and send non-idempotent calls once

An order with a key could run twice when its caller tried again at another host, and a call that a retry could not place was told "not-run" although an earlier attempt may have run.

Orders are claimed in the table before the core gets them; the answer is kept when they are done. One table says what follows from the state in which an attempt ended, and the gateway checks it last before sending and before telling the caller. A rejection counts only with "x-not-run: 1". A connection that opens after the deadline of its call, as in a paused process, is not written to.

--- /dev/null
+++ b/attempt.h
@@ -0,0 +1,72 @@
+#ifndef ATTEMPT_H
+#define ATTEMPT_H
+
+#include <stdbool.h>
+
+#include "core.h"
+#include "httpc.h"
+#include "status.h"
+
+/*
+ * The table of attempt states: for each state in which an attempt ended, what
+ * may be done next and what the caller is told when nothing more is tried.
+ */
+
+enum at_next {
+	AT_TRY, /* send the call to another server */
+	AT_FINISH, /* tell the caller */
+	AT_CLOSE, /* close the caller's connection before the answer is whole */
+	AT_PASS /* pass the answer on */
+};
+
+/*
+ * Columns: identifier, state in which the attempt ended, rejected by the
+ * server (x-not-run), the core's name for the end, next step of a
+ * non-idempotent call, next step of an idempotent call, what the caller is
+ * told when the next step cannot be taken. Whether the request may have run
+ * is a column of CORE_ENDS.
+ */
+#define AT_ROWS(X)                                                            \
+	X(NEW, HC_NEW, false, NOT_SENT, TRY, TRY, CONNECT)                    \
+	X(CONNECTING, HC_CONNECTING, false, NOT_SENT, TRY, TRY, CONNECT)      \
+	X(REFUSED, HC_ANSWER_BEGUN, true, REFUSED, TRY, TRY, REFUSED)         \
+	X(REFUSED_DONE, HC_DONE, true, REFUSED, TRY, TRY, REFUSED)            \
+	X(SENT, HC_SENT, false, NO_ANSWER, FINISH, TRY, UNKNOWN)              \
+	X(ANSWER_BEGUN, HC_ANSWER_BEGUN, false, BROKEN, CLOSE, CLOSE, BROKEN) \
+	X(DONE, HC_DONE, false, DONE, PASS, PASS, OK)
+
+struct at_row {
+	enum hc_state state;
+	bool refused;
+	enum core_end end;
+	enum at_next order; /* non-idempotent call */
+	enum at_next inquiry; /* idempotent call */
+	enum st_kind told;
+};
+
+/*
+ * at_row - row of an attempt that ended in STATE. Source: attempt.c
+ * at_state - state in which a request of the HTTP client ended with END.
+ */
+const struct at_row *at_row(enum hc_state state, bool refused);
+enum hc_state at_state(enum hc_end end);
+
+/* at_may_have_run - whether an attempt that ended there may have run. */
+bool at_may_have_run(const struct at_row *row);
+
+/*
+ * at_may_send - whether a call may be sent (again). MAY_HAVE_RUN covers all
+ * its earlier attempts.
+ */
+bool at_may_send(bool idempotent, bool may_have_run);
+
+/*
+ * at_told - kind that the caller is told. A RESULT that claims the request was
+ * not run becomes ST_UNKNOWN when an attempt may have run.
+ */
+enum st_kind at_told(enum st_kind result, bool may_have_run);
+
+/* at_outcome - value of x-request-outcome. */
+const char *at_outcome(enum st_kind told);
+
+#endif
--- a/cmd_operator.c
+++ b/cmd_operator.c
@@ -258,9 +258,9 @@
 {
 	struct co_options options = { .wants_file = true };
 	static struct co_exchange exchange;
-	char *text;
-	char *path;
-	char *author;
+	g_autofree char *text = NULL;
+	g_autofree char *path = NULL;
+	g_autofree char *author = NULL;
 	gsize text_bytes;
 	json_t *answer;
 	int code;
@@ -279,11 +279,14 @@
 	answer = co_json(&exchange);
 	code = co_exit(answer);
 	if (code || exchange.status != 200)
-		return co_print_failure(answer);
-	printf("accepted as generation %lld, digest %s\n",
-	       json_integer_value(json_object_get(answer, "generation")),
-	       co_text(answer, "digest"));
-	return 0;
+		code = co_print_failure(answer);
+	else
+		printf("accepted as generation %lld, digest %s\n",
+		       json_integer_value(
+			       json_object_get(answer, "generation")),
+		       co_text(answer, "digest"));
+	json_decref(answer);
+	return code;
 }
 
 int cmd_show(int argc, char **argv)
--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -13,6 +13,7 @@
 #include "kernel.h"
 #include "log.h"
 #include "mechanism.h"
+#include "order.h"
 #include "platform.h"
 #include "settings.h"
 #include "timer.h"
@@ -26,7 +27,9 @@
 	struct kn_kernel kernel;
 	struct tm_service timers;
 	struct pf_client platform;
+	struct pf_client order_platform;
 	struct cp_control control;
+	struct od_orders orders;
 	struct gw_gateway gateway;
 	struct ad_admin admin;
 	uv_signal_t signals[2];
@@ -105,9 +108,16 @@
 		&host->settings.platform);
 	kind = gw_init(&host->gateway, &host->kernel, &host->timers,
 		       &host->settings, status);
-	if (kind == ST_OK)
-		kind = cp_init(&host->control, &host->kernel, &host->timers,
-			       &host->platform, &host->settings, status);
+	if (kind != ST_OK)
+		return kind;
+	pf_init(&host->order_platform, &host->loop, &host->timers,
+		&host->settings.platform);
+	host->order_platform.timeout_us = OD_PLATFORM_TIMEOUT_US;
+	od_init(&host->orders, &host->order_platform, &host->timers,
+		&host->settings, host->gateway.incarnation);
+	host->gateway.orders = &host->orders;
+	kind = cp_init(&host->control, &host->kernel, &host->timers,
+		       &host->platform, &host->settings, status);
 	if (kind == ST_OK)
 		kind = ad_init(&host->admin, &host->loop, &host->control,
 			       &host->gateway, &host->platform, &host->settings,
--- a/core.c
+++ b/core.c
@@ -308,6 +308,9 @@
 				      .service = call->service,
 				      .result = result };
 
+	/* A retry that finds no server does not undo an earlier attempt. */
+	if (call->may_have_run && st_not_run(result))
+		action.result = ST_UNKNOWN;
 	core_unqueue(core, call);
 	for (uint32_t i = 0; i < call->attempt_count; i++)
 		core_cancel(core, call, i);
--- a/counter.h
+++ b/counter.h
@@ -34,6 +34,13 @@
 	X(PLATFORM_WRITES, "platform_writes_total", "Writes at the platform") \
 	X(PLATFORM_ERRORS, "platform_errors_total",                           \
 	  "Failed platform requests")                                         \
+	X(ORDERS, "orders_claimed_total", "Orders claimed by their key")      \
+	X(ORDER_REPLAYS, "orders_replayed_total", "Kept answers replayed")    \
+	X(ORDER_READS, "order_platform_reads_total",                          \
+	  "Reads at the platform for orders")                                 \
+	X(ORDER_WRITES, "order_platform_writes_total",                        \
+	  "Writes at the platform for orders")                                \
+	X(ORDERS_SWEPT, "orders_swept_total", "Expired order rows removed")   \
 	X(PEER_SENT, "peer_messages_sent_total", "Messages to entry hosts")   \
 	X(PEER_SENT_BYTES, "peer_sent_bytes_total",                           \
 	  "Bytes sent to entry hosts")                                        \
--- a/gateway.c
+++ b/gateway.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "attempt.h"
 #include "counter.h"
 #include "httpc.h"
 #include "log.h"
@@ -11,6 +12,7 @@
 	GW_BUFFER_HIGH_BYTES = 256 * 1024,
 	GW_BUFFER_LOW_BYTES = 64 * 1024,
 	GW_SWEEP_US = 20 * 1000,
+	GW_ORDER_IDLE_US = 1000 * 1000,
 	GW_US_PER_MS = 1000,
 	GW_REQUEST_ID_BYTES = 96
 };
@@ -30,6 +32,7 @@
 	uint32_t server;
 	int status;
 	bool refused;
+	bool ended;
 };
 
 /*
@@ -47,6 +50,12 @@
 	GString *headers;
 	GString *body;
 	uint64_t deadline_us;
+	uint32_t service; /* core id */
+	bool idempotent;
+	bool may_have_run; /* one of the ended attempts */
+	struct od_claim *claim; /* of an order that was claimed */
+	GString *kept; /* answer to be kept with the claim */
+	char *kept_type;
 	struct tm_sub timer;
 	struct gw_attempt attempts[CORE_MAX_ATTEMPTS];
 	struct gw_attempt *answering;
@@ -93,29 +102,25 @@
 
 /* Answers towards the caller */
 
-static const char *gw_outcome(enum st_kind kind)
-{
-	if (kind == ST_OK)
-		return "completed";
-	return st_not_run(kind) ? "not-run" : "unknown";
-}
-
 static void gw_add_outcome(struct gw_call *call, enum st_kind kind)
 {
-	const char *outcome = gw_outcome(kind);
+	const char *outcome = at_outcome(kind);
 
 	hd_add_header(call->req, "x-request-id", call->request_id,
 		      strlen(call->request_id));
 	hd_add_header(call->req, "x-request-outcome", outcome, strlen(outcome));
 }
 
-static void gw_reply_error(struct gw_call *call, enum st_kind kind)
+/* MSG may be NULL. */
+static void gw_reply_error(struct gw_call *call, enum st_kind kind,
+			   const char *msg)
 {
 	struct st_status status;
 
-	st_set(&status, kind, "request %s: %s", call->request_id,
-	       st_not_run(kind) ? "the request was not run" :
-				  "the request may have run");
+	if (!msg)
+		msg = st_not_run(kind) ? "the request was not run" :
+					 "the request may have run";
+	st_set(&status, kind, "request %s: %s", call->request_id, msg);
 	gw_add_outcome(call, kind);
 	call->final_sent = true;
 	hd_reply_status(call->req, &status);
@@ -284,6 +289,33 @@
 	gw_post(attempt->call->gateway, &event);
 }
 
+static bool gw_is_not_run(const struct hc_head *head)
+{
+	const struct hc_header *h = hc_find(head, "x-not-run");
+
+	return h && h->value_bytes == 1 && *h->value == '1';
+}
+
+static void gw_keep_type(struct gw_call *call, const struct hc_head *head)
+{
+	const struct hc_header *type = hc_find(head, "content-type");
+
+	if (call->claim && type)
+		call->kept_type = g_strndup(type->value, type->value_bytes);
+}
+
+/* Keeps the answer to an order, up to the first byte beyond the limit. */
+static void gw_keep_body(struct gw_call *call, const char *data,
+			 size_t data_bytes)
+{
+	size_t room;
+
+	if (!call->claim)
+		return;
+	room = OD_MAX_BODY_BYTES + 1 - call->kept->len;
+	g_string_append_len(call->kept, data, (gssize)MIN(data_bytes, room));
+}
+
 static void gw_on_head(struct hc_request *request, const struct hc_head *head)
 {
 	struct gw_attempt *attempt = (struct gw_attempt *)request;
@@ -291,12 +323,13 @@
 	struct core_event event = { .kind = CORE_EV_ANSWER };
 
 	attempt->status = head->status;
-	attempt->refused = head->status == 503 && hc_find(head, "x-not-run");
+	attempt->refused = head->status == 503 && gw_is_not_run(head);
 	gw_take_report(attempt, head);
 	gw_take_draining(attempt, head);
 	if (attempt->refused)
 		return;
 	call->answering = attempt;
+	gw_keep_type(call, head);
 	event.u.attempt.call = call->id;
 	event.u.attempt.attempt = attempt->index;
 	gw_post(call->gateway, &event);
@@ -309,7 +342,10 @@
 	struct gw_attempt *attempt = (struct gw_attempt *)request;
 	struct gw_call *call = attempt->call;
 
-	if (call->answering != attempt || !call->req)
+	if (call->answering != attempt)
+		return;
+	gw_keep_body(call, data, data_bytes);
+	if (!call->req)
 		return;
 	g_string_append_len(call->pending, data, (gssize)data_bytes);
 	gw_flush(call);
@@ -321,19 +357,21 @@
 
 static enum core_end gw_end(const struct gw_attempt *attempt, enum hc_end end)
 {
-	switch (end) {
-	case HC_NOT_SENT:
-		return CORE_END_NOT_SENT;
-	case HC_NO_ANSWER:
-		return CORE_END_NO_ANSWER;
-	case HC_BROKEN:
-		return CORE_END_BROKEN;
-	default:
-		break;
-	}
-	if (attempt->refused)
-		return CORE_END_REFUSED;
-	return attempt->status >= 500 ? CORE_END_DONE_ERROR : CORE_END_DONE;
+	const struct at_row *row = at_row(at_state(end), attempt->refused);
+
+	if (row->end == CORE_END_DONE && attempt->status >= 500)
+		return CORE_END_DONE_ERROR;
+	return row->end;
+}
+
+/* Remembers whether the call may have run; the core is told separately. */
+static void gw_close_attempt(struct gw_attempt *attempt, enum hc_state state)
+{
+	if (attempt->ended)
+		return;
+	attempt->ended = true;
+	if (at_may_have_run(at_row(state, attempt->refused)))
+		attempt->call->may_have_run = true;
 }
 
 static void gw_post_ended(struct gw_attempt *attempt, enum core_end end)
@@ -353,6 +391,7 @@
 
 	lg_debug("attempt", "%s attempt %u: %s %s", attempt->call->request_id,
 		 attempt->index, core_end_name(gw_end(attempt, end)), msg);
+	gw_close_attempt(attempt, at_state(end));
 	gw_post_ended(attempt, gw_end(attempt, end));
 }
 
@@ -384,6 +423,16 @@
 	return out;
 }
 
+/* Checked last before sending, whatever happened since admission. */
+static bool gw_may_send(const struct gw_call *call)
+{
+	if (!at_may_send(call->idempotent, call->may_have_run))
+		return false;
+	if (call->claim && !od_may_send(call->claim))
+		return false;
+	return tm_now_us() < call->deadline_us;
+}
+
 static void gw_send(struct gw_gateway *gateway,
 		    const struct core_action *action)
 {
@@ -401,9 +450,15 @@
 	attempt->server = action->server;
 	attempt->http.handler = &gw_handler;
 	attempt->http.head_method = !strcmp(call->method->str, "HEAD");
-	if (!hc_start(&server->pool, &attempt->http,
-		      gw_request_text(call, server)))
+	attempt->http.not_after_us = call->deadline_us;
+	/* A server may close an old idle connection at the same moment. */
+	if (!call->idempotent)
+		attempt->http.max_idle_us = GW_ORDER_IDLE_US;
+	if (!gw_may_send(call) || !hc_start(&server->pool, &attempt->http,
+					    gw_request_text(call, server))) {
+		gw_close_attempt(attempt, HC_NEW);
 		gw_post_ended(attempt, CORE_END_NOT_SENT);
+	}
 }
 
 static void gw_count_result(enum st_kind result)
@@ -418,21 +473,40 @@
 		ct_add(st_not_run(result) ? CT_REFUSED : CT_UNKNOWN, 1);
 }
 
+/* Ends the claim of an order; the write goes on after the caller is told. */
+static void gw_end_claim(struct gw_call *call)
+{
+	if (!call->claim)
+		return;
+	if (call->result == ST_OK && call->answering)
+		od_done(call->claim, call->answering->status,
+			call->kept_type ? call->kept_type : "", call->kept->str,
+			call->kept->len, call->kept->len <= OD_MAX_BODY_BYTES);
+	else if (call->may_have_run)
+		od_lost(call->claim);
+	else
+		od_release(call->claim);
+	call->claim = NULL;
+}
+
 static void gw_finish(struct gw_gateway *gateway,
 		      const struct core_action *action)
 {
 	struct gw_call *call =
 		g_hash_table_lookup(gateway->calls, &action->call);
 
-	gw_count_result(action->result);
+	call->result = at_told(action->result, call->may_have_run);
+	gw_count_result(call->result);
 	tm_cancel(gateway->timers, &call->timer);
 	g_hash_table_remove(gateway->calls, &call->id);
 	call->finished = true;
-	call->result = action->result;
+	gw_end_claim(call);
 	call->answering = NULL;
 	if (call->req && !call->started)
-		gw_reply_error(call, action->result == ST_OK ? ST_INTERNAL :
-							       action->result);
+		gw_reply_error(call,
+			       call->result == ST_OK ? ST_INTERNAL :
+						       call->result,
+			       NULL);
 	else
 		gw_flush(call);
 	gw_call_unref(call);
@@ -458,8 +532,11 @@
 	struct gw_call *call =
 		g_hash_table_lookup(gateway->calls, &action->call);
 
+	struct gw_attempt *attempt = &call->attempts[action->attempt];
+
 	ct_add(CT_CANCELS, 1);
-	hc_cancel(&call->attempts[action->attempt].http);
+	gw_close_attempt(attempt, attempt->http.state);
+	hc_cancel(&attempt->http);
 }
 
 static void gw_act(void *ctx, const struct core_action *action)
@@ -495,6 +572,9 @@
 		g_string_free(call->body, TRUE);
 	g_string_free(call->pending, TRUE);
 	g_string_free(call->sending, TRUE);
+	if (call->kept)
+		g_string_free(call->kept, TRUE);
+	g_free(call->kept_type);
 	g_free(call);
 }
 
@@ -613,6 +693,93 @@
 	return !strcmp(method->str, "GET") || !strcmp(method->str, "HEAD");
 }
 
+/* Gives the call to the core. */
+static void gw_place(struct gw_call *call)
+{
+	struct gw_gateway *gateway = call->gateway;
+	h2o_iovec_t caller = hd_header(call->req, "x-caller");
+	struct core_event event = { .kind = CORE_EV_CALL };
+
+	event.u.call.call = call->id;
+	event.u.call.service = call->service;
+	event.u.call.caller = doc_caller(
+		gateway->document, caller.base ? caller.base : "", caller.len);
+	event.u.call.deadline_us = call->deadline_us;
+	event.u.call.idempotent = call->idempotent || !me_on(ME_SEND_ONCE);
+	g_hash_table_insert(gateway->calls, &call->id, call);
+	gw_post(gateway, &event);
+}
+
+static void gw_replay(struct gw_call *call, const struct od_verdict *verdict)
+{
+	const char *type = verdict->content_type;
+
+	gw_add_outcome(call, ST_OK);
+	call->final_sent = true;
+	hd_reply(call->req, verdict->http_status,
+		 *type ? type : "application/octet-stream", verdict->body,
+		 verdict->body_bytes);
+}
+
+/* Ends a call that the core never got. */
+static void gw_end_unplaced(struct gw_call *call,
+			    const struct od_verdict *verdict)
+{
+	gw_count_result(verdict->kind);
+	call->finished = true;
+	call->result = verdict->kind;
+	if (call->req && verdict->kind == ST_OK)
+		gw_replay(call, verdict);
+	else if (call->req)
+		gw_reply_error(call, verdict->kind, verdict->msg);
+	gw_call_unref(call);
+}
+
+static void gw_on_claim(void *ctx, const struct od_verdict *verdict)
+{
+	struct gw_call *call = ctx;
+	struct od_verdict gone = { .kind = ST_GONE };
+
+	if (!verdict->claim) {
+		gw_end_unplaced(call, verdict);
+	} else if (!call->req) {
+		od_release(verdict->claim);
+		gw_end_unplaced(call, &gone);
+	} else {
+		call->claim = verdict->claim;
+		call->kept = g_string_new(NULL);
+		gw_place(call);
+	}
+}
+
+/* An order with a key is claimed before the core gets it. */
+static void gw_claim(struct gw_call *call, const char *service, h2o_iovec_t key)
+{
+	h2o_iovec_t caller = hd_header(call->req, "x-caller");
+	struct od_callback callback = { gw_on_claim, call };
+	struct od_verdict refused = { .kind = ST_INVALID };
+	struct od_request request = {
+		.id = call->request_id,
+		.caller = caller.base ? caller.base : "",
+		.caller_bytes = caller.len,
+		.service = service,
+		.key = key.base,
+		.key_bytes = key.len,
+		.method = call->method->str,
+		.path = call->path->str,
+		.body = call->body ? call->body->str : "",
+		.body_bytes = call->body ? call->body->len : 0,
+		.deadline_us = call->deadline_us,
+	};
+	struct st_status status;
+
+	if (od_claim(call->gateway->orders, &request, &callback, &status) ==
+	    ST_OK)
+		return;
+	refused.msg = status.msg;
+	gw_end_unplaced(call, &refused);
+}
+
 static void gw_admit(struct gw_call *call, uint32_t index)
 {
 	struct gw_gateway *gateway = call->gateway;
@@ -622,20 +789,16 @@
 		doc_rule(service, call->method->str, call->method->len,
 			 req->path.base, req->path.len);
 	uint32_t timeout_ms = rule ? rule->deadline_ms : service->deadline_ms;
-	h2o_iovec_t caller = hd_header(req, "x-caller");
-	struct core_event event = { .kind = CORE_EV_CALL };
+	h2o_iovec_t key = hd_header(req, "idempotency-key");
 
 	timeout_ms = gw_timeout_ms(req, service, timeout_ms);
 	call->deadline_us = tm_now_us() + (uint64_t)timeout_ms * GW_US_PER_MS;
-	event.u.call.call = call->id;
-	event.u.call.service = gateway->service_map[index];
-	event.u.call.caller = doc_caller(
-		gateway->document, caller.base ? caller.base : "", caller.len);
-	event.u.call.deadline_us = call->deadline_us;
-	event.u.call.idempotent =
-		rule ? rule->idempotent : gw_is_safe(call->method);
-	g_hash_table_insert(gateway->calls, &call->id, call);
-	gw_post(gateway, &event);
+	call->service = gateway->service_map[index];
+	call->idempotent = rule ? rule->idempotent : gw_is_safe(call->method);
+	if (key.base && !call->idempotent && me_on(ME_ORDER_CLAIM))
+		gw_claim(call, service->name, key);
+	else
+		gw_place(call);
 }
 
 static void gw_refuse(h2o_req_t *req, enum st_kind kind, const char *msg)
@@ -867,7 +1030,7 @@
 
 bool gw_idle(const struct gw_gateway *gateway)
 {
-	return !gateway->in_flight;
+	return !gateway->in_flight && od_idle(gateway->orders);
 }
 
 void gw_free(struct gw_gateway *gateway)
--- a/gateway.h
+++ b/gateway.h
@@ -9,6 +9,7 @@
 #include "document.h"
 #include "httpd.h"
 #include "kernel.h"
+#include "order.h"
 #include "settings.h"
 #include "timer.h"
 
@@ -32,6 +33,7 @@
 	GHashTable *calls; /* by id */
 	uint64_t last_call;
 	uint64_t incarnation;
+	struct od_orders *orders; /* set after gw_init, before calls arrive */
 	GArray *events; /* queued for the core */
 	bool handling;
 	struct tm_sub core_timer;
--- a/httpc.c
+++ b/httpc.c
@@ -359,6 +359,12 @@
 		return;
 	}
 	conn->connected = true;
+	/* A paused process may find its connection only after the deadline. */
+	if (conn->request->not_after_us &&
+	    tm_now_us() >= conn->request->not_after_us) {
+		hc_conn_fail(conn, "deadline passed while connecting");
+		return;
+	}
 	uv_tcp_nodelay(&conn->tcp, 1);
 	hc_conn_send(conn);
 }
@@ -381,12 +387,15 @@
 	return conn;
 }
 
-static struct hc_conn *hc_take_idle(struct hc_pool *pool)
+static struct hc_conn *hc_take_idle(struct hc_pool *pool, uint64_t max_idle_us)
 {
 	uint64_t now_us = tm_now_us();
 	struct hc_conn *conn;
 
 	while ((conn = pool->idle)) {
+		/* The first one is the youngest. */
+		if (max_idle_us && now_us - conn->idle_since_us > max_idle_us)
+			return NULL;
 		pool->idle = conn->next_idle;
 		conn->next_idle = NULL;
 		if (now_us - conn->idle_since_us <= pool->max_idle_us)
@@ -455,7 +464,7 @@
 	request->conn = NULL;
 	request->state = HC_NEW;
 	if (!pool->closing && !request->fresh)
-		conn = hc_take_idle(pool);
+		conn = hc_take_idle(pool, request->max_idle_us);
 	if (conn) {
 		conn->out = out;
 		conn->request = request;
--- a/httpc.h
+++ b/httpc.h
@@ -68,6 +68,8 @@
 	void *ctx;
 	bool head_method; /* the answer has no body */
 	bool fresh; /* do not reuse an idle connection */
+	uint64_t max_idle_us; /* of a reused connection; 0: the pool's limit */
+	uint64_t not_after_us; /* do not begin to write later; 0: no limit */
 	/* Below: the client's own. */
 	enum hc_state state;
 	struct hc_conn *conn;
--- /dev/null
+++ b/lease.c
@@ -0,0 +1,237 @@
+#include "lease.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "log.h"
+#include "mechanism.h"
+
+enum {
+	LS_RENEWALS = 3, /* per duration */
+	LS_MARGIN_DIVISOR = 10 /* of the duration */
+};
+
+static const char ls_table[] = "leases";
+
+static uint64_t ls_margin_us(const struct ls_lease *lease)
+{
+	return lease->duration_us / LS_MARGIN_DIVISOR;
+}
+
+static void ls_schedule(struct ls_lease *lease)
+{
+	tm_subscribe(lease->timers, &lease->timer,
+		     tm_now_us() + lease->duration_us / LS_RENEWALS);
+}
+
+static void ls_drop(struct ls_lease *lease, const char *reason)
+{
+	if (lease->held)
+		lg_warn("lease", "%s is lost: %s", lease->name, reason);
+	lease->held = false;
+	lease->version = 0;
+	lease->seen_since_us = tm_now_us();
+}
+
+static json_t *ls_row(const struct ls_lease *lease)
+{
+	return json_pack("{s:s, s:I}", "holder", lease->holder, "duration_ms",
+			 (json_int_t)(lease->duration_us / 1000));
+}
+
+/* Runs WRITES with the lease's own row last, whose version is returned. */
+static void ls_txn(struct ls_lease *lease, json_t *writes,
+		   void (*done)(void *ctx, const struct pf_result *result))
+{
+	struct pf_callback callback = { done, lease };
+	json_t *conditions = json_array();
+
+	if (me_on(ME_FENCING))
+		pf_condition(conditions, ls_table, lease->name, lease->version);
+	pf_write(writes, ls_table, lease->name, ls_row(lease));
+	lease->busy = true;
+	lease->sent_us = tm_now_us();
+	pf_txn(lease->platform, conditions, writes, &callback);
+}
+
+static void ls_take_version(struct ls_lease *lease, uint64_t version)
+{
+	lease->held = true;
+	lease->version = version;
+	lease->valid_until_us =
+		lease->sent_us + lease->duration_us - ls_margin_us(lease);
+}
+
+static void ls_see(struct ls_lease *lease, uint64_t version)
+{
+	if (lease->version == version)
+		return;
+	lease->version = version;
+	lease->seen_since_us = tm_now_us();
+}
+
+static bool ls_free_to_take(const struct ls_lease *lease)
+{
+	if (!lease->version)
+		return true;
+	return tm_now_us() >=
+	       lease->seen_since_us + lease->duration_us + ls_margin_us(lease);
+}
+
+static void ls_report(struct ls_lease *lease, const struct pf_result *result)
+{
+	struct pf_callback callback = lease->callback;
+
+	lease->callback.done = NULL;
+	if (callback.done)
+		callback.done(callback.ctx, result);
+}
+
+/* After a lost answer the row tells whether the write took effect. */
+static void ls_on_read_back(void *ctx, const struct pf_result *result)
+{
+	struct ls_lease *lease = ctx;
+	const char *holder =
+		json_string_value(json_object_get(result->json, "holder"));
+
+	lease->busy = false;
+	if (result->status.kind == ST_OK && holder &&
+	    !strcmp(holder, lease->holder)) {
+		/* An unchanged row was not renewed; its end stays. */
+		if (result->version != lease->version)
+			ls_take_version(lease, result->version);
+	} else {
+		ls_drop(lease, "the answer to a renewal was lost");
+	}
+	ls_schedule(lease);
+}
+
+static void ls_read_back(struct ls_lease *lease)
+{
+	struct pf_callback callback = { ls_on_read_back, lease };
+
+	lease->busy = true;
+	pf_get(lease->platform, ls_table, lease->name, &callback);
+}
+
+static void ls_on_acquired(void *ctx, const struct pf_result *result)
+{
+	struct ls_lease *lease = ctx;
+
+	lease->busy = false;
+	if (result->status.kind == ST_PLATFORM_UNKNOWN) {
+		ls_read_back(lease);
+		return;
+	}
+	if (result->status.kind == ST_OK) {
+		ls_take_version(lease,
+				(uint64_t)json_integer_value(json_object_get(
+					result->json, "version")));
+		lg_info("lease", "%s is held, token %" G_GUINT64_FORMAT,
+			lease->name, lease->version);
+	}
+	ls_schedule(lease);
+}
+
+static void ls_on_seen(void *ctx, const struct pf_result *result)
+{
+	struct ls_lease *lease = ctx;
+
+	lease->busy = false;
+	if (result->status.kind == ST_OK) {
+		ls_see(lease, result->version);
+	} else if (result->status.kind == ST_NOT_FOUND) {
+		lease->version = 0;
+	} else {
+		ls_schedule(lease);
+		return;
+	}
+	if (ls_free_to_take(lease))
+		ls_txn(lease, json_array(), ls_on_acquired);
+	else
+		ls_schedule(lease);
+}
+
+static void ls_on_written(void *ctx, const struct pf_result *result)
+{
+	struct ls_lease *lease = ctx;
+	struct pf_result told = *result;
+
+	lease->busy = false;
+	switch (result->status.kind) {
+	case ST_OK:
+		ls_take_version(lease,
+				(uint64_t)json_integer_value(json_object_get(
+					result->json, "version")));
+		ls_schedule(lease);
+		break;
+	case ST_CONFLICT:
+		st_set(&told.status, ST_FENCED, "lease %s was taken over",
+		       lease->name);
+		ls_drop(lease, "another host took it over");
+		ls_schedule(lease);
+		break;
+	case ST_PLATFORM_UNKNOWN:
+		ls_read_back(lease);
+		break;
+	default:
+		ls_schedule(lease);
+	}
+	ls_report(lease, &told);
+}
+
+static void ls_on_timer(void *ctx)
+{
+	struct ls_lease *lease = ctx;
+	struct pf_callback seen = { ls_on_seen, lease };
+
+	if (lease->busy)
+		return;
+	if (lease->held && !ls_held(lease))
+		ls_drop(lease, "it was not renewed in time");
+	if (lease->held) {
+		ls_txn(lease, json_array(), ls_on_written);
+		return;
+	}
+	lease->busy = true;
+	pf_get(lease->platform, ls_table, lease->name, &seen);
+}
+
+void ls_init(struct ls_lease *lease, struct pf_client *platform,
+	     struct tm_service *timers, const char *name, const char *holder,
+	     uint64_t duration_us)
+{
+	memset(lease, 0, sizeof(*lease));
+	lease->platform = platform;
+	lease->timers = timers;
+	g_strlcpy(lease->name, name, sizeof(lease->name));
+	g_strlcpy(lease->holder, holder, sizeof(lease->holder));
+	lease->duration_us = duration_us;
+	lease->timer.fire = ls_on_timer;
+	lease->timer.ctx = lease;
+	ls_schedule(lease);
+}
+
+void ls_free(struct ls_lease *lease)
+{
+	tm_cancel(lease->timers, &lease->timer);
+}
+
+bool ls_held(const struct ls_lease *lease)
+{
+	return lease->held && tm_now_us() < lease->valid_until_us;
+}
+
+bool ls_write(struct ls_lease *lease, json_t *writes,
+	      const struct pf_callback *callback)
+{
+	if (lease->busy || !ls_held(lease)) {
+		json_decref(writes);
+		return false;
+	}
+	tm_cancel(lease->timers, &lease->timer);
+	lease->callback = *callback;
+	ls_txn(lease, writes, ls_on_written);
+	return true;
+}
--- /dev/null
+++ b/order.h
@@ -0,0 +1,152 @@
+#ifndef ORDER_H
+#define ORDER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "lease.h"
+#include "platform.h"
+#include "settings.h"
+#include "status.h"
+#include "timer.h"
+
+/*
+ * Orders: non-idempotent calls with an idempotency key.
+ *
+ * A key is claimed in the table "orders" by a conditional insert before the
+ * call is sent. Only the claim that inserted the row may send. Rows are keyed
+ * by a digest of caller, service and key; a second row in "order_times", in
+ * the same transaction, lists them by deadline for the sweep.
+ */
+
+enum {
+	OD_MAX_KEY_BYTES = 128,
+	OD_MAX_BODY_BYTES = 16 * 1024,
+	OD_DIGEST_BYTES = 65,
+	OD_ID_BYTES = 96,
+	OD_TYPE_BYTES = 128,
+	/* Wall clocks of hosts may differ by so much without early expiry. */
+	OD_SKEW_MS = 1000,
+	OD_SWEEP_ROWS = 500,
+	/*
+	 * Of the client that orders have to themselves: a lost answer leaves
+	 * time to read the claim back before the usual deadline of a second.
+	 */
+	OD_PLATFORM_TIMEOUT_US = 400 * 1000
+};
+
+/* States of a row: identifier, name in the table. */
+#define OD_STATES(X)          \
+	X(CLAIMED, "claimed") \
+	X(DONE, "done")       \
+	X(UNKNOWN, "unknown")
+
+enum od_state {
+#define X(id, name) OD_##id,
+	OD_STATES(X)
+#undef X
+		OD_STATE_COUNT
+};
+
+/* What a call is, as far as its key is concerned. Strings are copied. */
+struct od_request {
+	const char *id; /* unique per call over all hosts and restarts */
+	const char *caller;
+	size_t caller_bytes;
+	const char *service;
+	const char *key;
+	size_t key_bytes;
+	const char *method;
+	const char *path;
+	const char *body;
+	size_t body_bytes;
+	uint64_t deadline_us; /* monotonic */
+};
+
+struct od_claim;
+
+/*
+ * What happens to a call: with CLAIM it is to be sent, and the claim ended by
+ * one of od_done, od_release and od_lost. With KIND ST_OK and no claim the
+ * kept answer is replayed. Otherwise it ends with KIND. Valid during the
+ * callback only, but for the claim.
+ */
+struct od_verdict {
+	enum st_kind kind;
+	struct od_claim *claim;
+	const char *msg; /* for the caller; may be NULL */
+	int http_status;
+	const char *content_type;
+	const char *body;
+	size_t body_bytes;
+};
+
+struct od_callback {
+	void (*done)(void *ctx, const struct od_verdict *verdict);
+	void *ctx;
+};
+
+struct od_orders {
+	struct pf_client *platform;
+	struct tm_service *timers;
+	char host[SE_NAME_BYTES];
+	uint64_t incarnation;
+	int64_t retention_ms;
+	struct od_claim *claims;
+	struct ls_lease lease; /* of the sweep */
+	struct tm_sub sweep;
+	bool sweeping;
+	int64_t (*wall_ms)(void);
+	/*
+	 * Whether a host is live with that incarnation; NULL: every host is
+	 * taken as live, and its claims end at their deadline.
+	 */
+	bool (*live)(void *ctx, const char *host, uint64_t incarnation);
+	void *live_ctx;
+};
+
+/*
+ * od_init, od_free - on caller-owned memory. INCARNATION differs for every
+ * start of a host. Source: order.c
+ */
+void od_init(struct od_orders *orders, struct pf_client *platform,
+	     struct tm_service *timers, const struct se_settings *settings,
+	     uint64_t incarnation);
+void od_free(struct od_orders *orders);
+
+/*
+ * od_claim - claim the key of a call. CALLBACK comes later, once, at the
+ * call's deadline at the latest. Errors, without callback: ST_INVALID when
+ * the key is empty, longer than OD_MAX_KEY_BYTES or has characters other
+ * than printable ASCII without blanks.
+ */
+enum st_kind od_claim(struct od_orders *orders,
+		      const struct od_request *request,
+		      const struct od_callback *callback,
+		      struct st_status *status);
+
+/* od_may_send - whether the claim's deadline has not passed on any clock. */
+bool od_may_send(const struct od_claim *claim);
+
+/*
+ * od_done - keep the answer; KEPT false: only its status.
+ * od_release - the call was not run: remove the claim.
+ * od_lost - the call may have run: record that its outcome is unknown.
+ * Each takes the claim over and retries its write until it is in the table or
+ * an hour has passed.
+ */
+void od_done(struct od_claim *claim, int http_status, const char *content_type,
+	     const char *body, size_t body_bytes, bool kept);
+void od_release(struct od_claim *claim);
+void od_lost(struct od_claim *claim);
+
+/*
+ * od_idle - no result waits to be written, or all of them have waited for
+ * more than 5 s. A graceful stop waits for it.
+ */
+bool od_idle(const struct od_orders *orders);
+
+#endif
--- a/settings.c
+++ b/settings.c
@@ -3,6 +3,13 @@
 #include <string.h>
 
 enum { SE_MIN_SECRET_CHARS = 16, SE_MAX_GRACE_MS = 60000 };
+/*
+ * A shorter retention than an hour would let a host that was paused or has a
+ * wrong clock meet a key whose row is gone.
+ */
+enum { SE_MIN_RETENTION_S = 3600, SE_RETENTION_S = 24 * 3600 };
+enum { SE_MAX_RETENTION_S = 90 * 24 * 3600 };
+enum { SE_MIN_LEASE_MS = 500, SE_LEASE_MS = 15000, SE_MAX_LEASE_MS = 600000 };
 
 static void se_address(struct ym_node *map, const char *key,
 		       struct nt_address *address, struct ym_errors *errors)
@@ -133,6 +140,11 @@
 		ym_uint(root, "random_seed", 0, UINT64_MAX, 0, errors);
 	settings->stop_grace_ms = ym_uint(root, "stop_grace_ms", 0,
 					  SE_MAX_GRACE_MS, 3000, errors);
+	settings->lease_ms = ym_uint(root, "lease_ms", SE_MIN_LEASE_MS,
+				     SE_MAX_LEASE_MS, SE_LEASE_MS, errors);
+	settings->order_retention_s =
+		ym_uint(root, "order_retention_s", SE_MIN_RETENTION_S,
+			SE_MAX_RETENTION_S, SE_RETENTION_S, errors);
 	se_callers(root, settings, errors);
 	se_operators(root, settings, errors);
 	se_peers(root, settings, errors);
--- a/settings.h
+++ b/settings.h
@@ -26,6 +26,8 @@
 	uint32_t seed_count;
 	char trace_file[256]; /* empty: no trace */
 	uint64_t trace_max_bytes;
+	uint64_t lease_ms; /* of a job that one host does alone */
+	uint64_t order_retention_s; /* of order rows after their deadline */
 	uint64_t stop_grace_ms; /* serve on after the stop was announced */
 };
 
--- a/tests/tool_load.c
+++ b/tests/tool_load.c
@@ -361,6 +361,8 @@
 	on_pace(NULL);
 	uv_run(&loop, UV_RUN_DEFAULT);
 	print_result();
+	tm_free(&timers);
+	g_strfreev(targets);
 	if (log_file)
 		fclose(log_file);
 	return wrong ? 1 : 0;
--- a/tests/tool_server.c
+++ b/tests/tool_server.c
@@ -6,15 +6,19 @@
  * usage: tool_server FIRST-ADDRESS COUNT SLOTS ZONES MEAN-US [RUN-LOG]
  * ZONES is a comma-separated list; server i is in zone i modulo their count.
  * POST /control on a server's port sets "factor" (service time multiplier),
- * "draining", "fail_fast", "shed_queue", "cold_ms", "report_lag_ms".
+ * "draining", "fail_fast", "shed_queue", "cold_ms", "report_lag_ms", and for
+ * POST requests "refuse_every", "break_every" (run, then close unanswered) and
+ * "cut_every" (run, then break off the answer), each for one request in N.
  */
 #include <math.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
 #include <jansson.h>
+#include <sys/socket.h>
 
 #include "httpd.h"
 #include "timer.h"
@@ -40,6 +44,10 @@
 	int fail_fast;
 	int64_t shed_queue;
 	int64_t report_lag_ms;
+	int64_t refuse_every;
+	int64_t break_every;
+	int64_t cut_every;
+	int64_t orders;
 	uint64_t cold_since_us;
 	uint64_t cold_until_us;
 	/* Load as it was when the last report was taken. */
@@ -59,6 +67,7 @@
 	enum job_state state;
 	struct tm_sub timer;
 	bool remote;
+	int64_t order; /* number of a POST at its server, or 0 */
 	char echo[64];
 	size_t bytes;
 	GList link;
@@ -118,6 +127,31 @@
 	g_string_free(body, TRUE);
 }
 
+static bool is_nth(const struct job *job, int64_t every)
+{
+	return job->order && every && job->order % every == 0;
+}
+
+static void break_connection(h2o_req_t *req)
+{
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+
+	shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+}
+
+/* Announces a longer answer than it sends. */
+static void cut_answer(h2o_req_t *req)
+{
+	static h2o_generator_t generator;
+	h2o_iovec_t buf = h2o_iovec_init(H2O_STRLIT("echo="));
+
+	req->res.status = 200;
+	req->res.reason = "OK";
+	req->res.content_length = 100;
+	h2o_start_response(req, &generator);
+	h2o_send(req, &buf, 1, H2O_SEND_STATE_ERROR);
+}
+
 static void refuse(struct server *server, h2o_req_t *req)
 {
 	add_load(server, req);
@@ -145,7 +179,11 @@
 {
 	struct job *job = ctx;
 
-	if (job->hold->req)
+	if (job->hold->req && is_nth(job, job->server->break_every))
+		break_connection(job->hold->req);
+	if (job->hold->req && is_nth(job, job->server->cut_every))
+		cut_answer(job->hold->req);
+	else if (job->hold->req)
 		reply(job, 200);
 	free_job(job);
 }
@@ -197,6 +235,16 @@
 	}
 }
 
+static bool is_refused(const struct job *job)
+{
+	struct server *server = job->server;
+
+	if (is_nth(job, server->refuse_every))
+		return true;
+	return server->in_flight >= server->slots &&
+	       g_queue_get_length(&server->queue) >= server->shed_queue;
+}
+
 static void arrive(void *ctx)
 {
 	struct job *job = ctx;
@@ -207,8 +255,7 @@
 	} else if (server->fail_fast) {
 		reply(job, 500);
 		free_job(job);
-	} else if (server->in_flight >= server->slots &&
-		   g_queue_get_length(&server->queue) >= server->shed_queue) {
+	} else if (is_refused(job)) {
 		refuse(server, job->hold->req);
 		free_job(job);
 	} else {
@@ -256,6 +303,7 @@
 
 	job->server = server;
 	job->hold = hd_hold(req);
+	job->order = hd_method_is(req, "POST") ? ++server->orders : 0;
 	job->link.data = job;
 	g_queue_push_tail_link(&jobs, &job->link);
 	if (echo.base)
@@ -309,11 +357,14 @@
 	int64_t cold_ms = 0;
 
 	if (object)
-		json_unpack(object, "{s?F, s?b, s?b, s?I, s?I, s?I}", "factor",
-			    &server->factor, "draining", &server->draining,
-			    "fail_fast", &server->fail_fast, "shed_queue",
-			    &server->shed_queue, "cold_ms", &cold_ms,
-			    "report_lag_ms", &server->report_lag_ms);
+		json_unpack(
+			object, "{s?F, s?b, s?b, s?I, s?I, s?I, s?I, s?I, s?I}",
+			"factor", &server->factor, "draining",
+			&server->draining, "fail_fast", &server->fail_fast,
+			"shed_queue", &server->shed_queue, "cold_ms", &cold_ms,
+			"report_lag_ms", &server->report_lag_ms, "refuse_every",
+			&server->refuse_every, "break_every",
+			&server->break_every, "cut_every", &server->cut_every);
 	if (cold_ms) {
 		server->cold_since_us = tm_now_us();
 		server->cold_until_us =
@@ -391,6 +442,7 @@
 	if (argc > 6)
 		run_log = fopen(argv[6], "a");
 	rng = g_rand_new_with_seed(1);
+	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&loop);
 	tm_init(&timers, &loop);
 	for (uint32_t i = 0; i < server_count && i < MAX_SERVERS; i++)
