Test orders, leases and the attempt table, and prove four mechanisms

The tests use a fake of the platform's client that can hold, lose and refuse operations, so that a paused host, a lost answer and an outage happen at a chosen point. proof_orders turns one mechanism off at a time.

--- a/order.c
+++ b/order.c
@@ -329,7 +329,10 @@
 		lg_error("order", "malformed row of order %s", claim->key);
 		od_end_with(claim, ST_UNKNOWN);
 	} else if (od_is_mine(claim, &row)) {
-		od_own(claim, result->version);
+		if (od_in_state(&row, OD_CLAIMED))
+			od_own(claim, result->version);
+		else
+			od_end_with(claim, ST_DEADLINE_NOT_RUN);
 	} else {
 		claim->seen = true;
 		if (claim->told)
--- /dev/null
+++ b/tests/proof_orders.sh
@@ -0,0 +1,75 @@
+#!/bin/bash
+# Proof of the requirements about orders and answers: each run must fail with
+# its mechanism off and pass with it. Prints one line per mechanism:
+# PROOF name without=fail with=pass figure
+set -u
+. "$(dirname "$0")/orders.sh"
+
+failures=0
+
+# Stops the processes of a run, so that the next one starts afresh.
+restart() { # MECHANISM [MEAN_US]
+	stop_all
+	WORK=$(mktemp -d)
+	PIDS=
+	export JACKDAWWORKS_OFF=$1
+	start_orders "${2:-3000}" >/dev/null 2>&1
+}
+
+# Servers run one order in three and close without an answer. With AGAIN the
+# callers try every key again at another host.
+broken_servers() { # AGAIN [ARGUMENT...]
+	again=$1
+	shift
+	all_servers '{"break_every": 3}'
+	load first 50 "$(targets 0 1 2)" "$@" || return 1
+	if test "$again" = yes; then
+		load first 50 "$(targets 1 2 0)" "$@" || return 1
+	fi
+	sleep 0.5
+	snapshot first
+	judge first
+}
+
+run_order_claim() { broken_servers yes --keys p-; }
+run_send_once() { broken_servers no; }
+run_not_run_table() { broken_servers no; }
+
+# Calls end at their deadline while their answers are still on the way, and
+# new calls follow on the same connections.
+run_close_late_connections() {
+	"$BIN/tool_load" --targets "$(targets 0 1 2)" --rate 600 --seconds 3 \
+		--timeout-ms 20 --seed 60 >"$WORK/late.result" 2>/dev/null
+	status=$?
+	JUDGED=$(grep -o '"sent": [0-9]*\|"wrong": [0-9]*' "$WORK/late.result" |
+		tr -d '":' | tr ' \n' '= ')
+	return $status
+}
+
+run_fencing_token() {
+	JUDGED=$(CK_RUN_CASE=lease CK_VERBOSITY=normal \
+		"$BIN/test_order" 2>/dev/null | grep -o 'Failures: [0-9]*' |
+		sed 's/.*: /stale_writes=/')
+	test "$JUDGED" = stale_writes=0
+}
+
+# prove NAME MECHANISM [MEAN_US]
+prove() {
+	run=run_$(say "$2" | tr - _)
+	restart "$2" "${3:-}"
+	without=pass
+	"$run" || without=fail
+	off=$JUDGED
+	restart "" "${3:-}"
+	with=fail
+	"$run" && with=pass
+	say "PROOF $1 without=$without with=$with $2: off {$off} on {$JUDGED}"
+	test $without$with = failpass || failures=$((failures + 1))
+}
+
+prove at-most-once order-claim
+prove at-most-once send-once
+prove not-run-truth not-run-table
+prove own-answer close-late-connections 30000
+prove fencing fencing-token
+test $failures = 0
--- /dev/null
+++ b/tests/test_order.c
@@ -0,0 +1,637 @@
+/*
+ * Orders, leases and the attempt table, against a fake of the platform's
+ * client that runs its operations when the test says so and can lose them.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "attempt.h"
+#include "order.h"
+
+enum { LIMIT_US = 20 * 1000 * 1000, DEADLINE_US = 2000 * 1000 };
+enum { LEASE_US = 1500 * 1000, DAY_MS = 24 * 3600 * 1000 };
+enum { TIMEOUT_S = 60 };
+
+/* Fake of the platform */
+
+struct operation {
+	struct pf_client *client;
+	char *key; /* "table/key", NULL for a transaction */
+	bool list;
+	json_t *conditions;
+	json_t *writes;
+	struct pf_callback callback;
+};
+
+static struct {
+	json_t *rows; /* by "table/key": [version, value] */
+	uint64_t version;
+	GQueue operations;
+	struct pf_client *held; /* its operations wait */
+	bool down;
+	int lose_answers;
+	int lose_requests;
+} fake;
+
+static void push(struct operation operation, const struct pf_callback *callback)
+{
+	struct operation *copy = g_new(struct operation, 1);
+
+	*copy = operation;
+	copy->callback = *callback;
+	g_queue_push_tail(&fake.operations, copy);
+}
+
+void pf_get(struct pf_client *client, const char *table, const char *key,
+	    const struct pf_callback *callback)
+{
+	char *name = g_strdup_printf("%s/%s", table, key);
+
+	push((struct operation){ .client = client, .key = name }, callback);
+}
+
+void pf_list(struct pf_client *client, const char *table, const char *after,
+	     uint32_t limit, bool reverse, const struct pf_callback *callback)
+{
+	char *prefix = g_strdup_printf("%s/", table);
+
+	push((struct operation){ .client = client,
+				 .key = prefix,
+				 .list = true },
+	     callback);
+}
+
+void pf_txn(struct pf_client *client, json_t *conditions, json_t *writes,
+	    const struct pf_callback *callback)
+{
+	push((struct operation){ .client = client,
+				 .conditions = conditions,
+				 .writes = writes },
+	     callback);
+}
+
+void pf_condition(json_t *conditions, const char *table, const char *key,
+		  uint64_t version)
+{
+	char *name = g_strdup_printf("%s/%s", table, key);
+
+	json_array_append_new(conditions,
+			      json_pack("[s, I]", name, (json_int_t)version));
+	g_free(name);
+}
+
+void pf_write(json_t *writes, const char *table, const char *key, json_t *value)
+{
+	char *name = g_strdup_printf("%s/%s", table, key);
+
+	json_array_append_new(writes, json_pack("[s, o]", name, value));
+	g_free(name);
+}
+
+static uint64_t row_version(const char *name)
+{
+	json_t *row = json_object_get(fake.rows, name);
+
+	return (uint64_t)json_integer_value(json_array_get(row, 0));
+}
+
+static json_t *row_value(const char *name)
+{
+	return json_array_get(json_object_get(fake.rows, name), 1);
+}
+
+static bool conditions_hold(json_t *conditions)
+{
+	size_t i;
+	json_t *item;
+
+	json_array_foreach(conditions, i, item)
+	{
+		const char *name = json_string_value(json_array_get(item, 0));
+
+		if (row_version(name) !=
+		    (uint64_t)json_integer_value(json_array_get(item, 1)))
+			return false;
+	}
+	return true;
+}
+
+static void write_rows(json_t *writes)
+{
+	size_t i;
+	json_t *item;
+
+	json_array_foreach(writes, i, item)
+	{
+		const char *name = json_string_value(json_array_get(item, 0));
+		json_t *value = json_array_get(item, 1);
+
+		if (json_is_null(value))
+			json_object_del(fake.rows, name);
+		else
+			json_object_set_new(
+				fake.rows, name,
+				json_pack("[I, O]", (json_int_t)++fake.version,
+					  value));
+	}
+}
+
+static void run_txn(struct operation *operation, struct pf_result *result)
+{
+	if (fake.down || fake.lose_requests > 0) {
+		fake.lose_requests--;
+		result->status.kind = ST_PLATFORM_UNKNOWN;
+		return;
+	}
+	if (!conditions_hold(operation->conditions)) {
+		result->status.kind = ST_CONFLICT;
+		return;
+	}
+	write_rows(operation->writes);
+	result->json = json_pack("{s:I}", "version", (json_int_t)fake.version);
+	if (fake.lose_answers-- > 0)
+		result->status.kind = ST_PLATFORM_UNKNOWN;
+}
+
+static json_t *list_rows(const char *prefix)
+{
+	json_t *out = json_array();
+	json_t *row;
+	const char *name;
+
+	json_object_foreach(fake.rows, name,
+			    row) if (g_str_has_prefix(name, prefix))
+		json_array_append_new(
+			out, json_pack("{s:s}", "key", name + strlen(prefix)));
+	return out;
+}
+
+static void run_operation(struct operation *operation)
+{
+	struct pf_result result = { 0 };
+
+	if (operation->writes) {
+		run_txn(operation, &result);
+	} else if (fake.down) {
+		result.status.kind = ST_PLATFORM;
+	} else if (operation->list) {
+		result.json = list_rows(operation->key);
+	} else if (row_version(operation->key)) {
+		result.version = row_version(operation->key);
+		result.json = json_incref(row_value(operation->key));
+	} else {
+		result.status.kind = ST_NOT_FOUND;
+	}
+	operation->callback.done(operation->callback.ctx, &result);
+	json_decref(result.json);
+	json_decref(operation->conditions);
+	json_decref(operation->writes);
+	g_free(operation->key);
+	g_free(operation);
+}
+
+/* Runs the operations of clients that are not held, and due timers. */
+static void pump(void)
+{
+	GQueue kept = G_QUEUE_INIT;
+	struct operation *operation;
+
+	while ((operation = g_queue_pop_head(&fake.operations))) {
+		if (operation->client == fake.held)
+			g_queue_push_tail(&kept, operation);
+		else
+			run_operation(operation);
+	}
+	fake.operations = kept;
+	uv_run(uv_default_loop(), UV_RUN_NOWAIT);
+}
+
+static void pump_for(uint64_t us)
+{
+	uint64_t end_us = tm_now_us() + us;
+
+	while (tm_now_us() < end_us)
+		pump();
+}
+
+/* Two entry hosts */
+
+struct outcome {
+	int count;
+	enum st_kind kind;
+	struct od_claim *claim;
+	int status;
+	char body[32];
+	size_t body_bytes;
+};
+
+static struct tm_service timers;
+static struct pf_client clients[2];
+static struct od_orders hosts[2];
+static struct outcome outcomes[8];
+static int64_t wall_now_ms;
+static int calls;
+
+static int64_t wall_ms(void)
+{
+	return wall_now_ms;
+}
+
+static void setup(void)
+{
+	struct se_settings settings = { .order_retention_s = DAY_MS / 1000,
+					.lease_ms = LEASE_US / 1000 };
+
+	fake.rows = json_object();
+	wall_now_ms = 1000000;
+	tm_init(&timers, uv_default_loop());
+	for (int i = 0; i < 2; i++) {
+		g_snprintf(settings.host, sizeof(settings.host), "entry-%d", i);
+		od_init(&hosts[i], &clients[i], &timers, &settings, 7);
+		hosts[i].wall_ms = wall_ms;
+	}
+}
+
+static void on_verdict(void *ctx, const struct od_verdict *verdict)
+{
+	struct outcome *outcome = ctx;
+
+	outcome->count++;
+	outcome->kind = verdict->kind;
+	outcome->claim = verdict->claim;
+	outcome->status = verdict->http_status;
+	outcome->body_bytes = verdict->body_bytes;
+	if (verdict->body)
+		g_strlcpy(outcome->body, verdict->body,
+			  MIN(sizeof(outcome->body), verdict->body_bytes + 1));
+}
+
+static enum st_kind begin(int host, int i, const char *key, const char *caller,
+			  const char *body)
+{
+	struct od_callback callback = { on_verdict, &outcomes[i] };
+	char id[32];
+	struct od_request request = {
+		.id = id,
+		.caller = caller,
+		.caller_bytes = strlen(caller),
+		.service = "ordering",
+		.key = key,
+		.key_bytes = strlen(key),
+		.method = "POST",
+		.path = "/orders",
+		.body = body,
+		.body_bytes = strlen(body),
+		.deadline_us = tm_now_us() + DEADLINE_US,
+	};
+
+	g_snprintf(id, sizeof(id), "call-%d", ++calls);
+	memset(&outcomes[i], 0, sizeof(outcomes[i]));
+	return od_claim(&hosts[host], &request, &callback, NULL);
+}
+
+/* Starts a call and waits until it is told. */
+static struct outcome *ask(int host, int i, const char *key, const char *caller,
+			   const char *body)
+{
+	uint64_t limit_us = tm_now_us() + LIMIT_US;
+
+	ck_assert_int_eq(begin(host, i, key, caller, body), ST_OK);
+	while (!outcomes[i].count && tm_now_us() < limit_us)
+		pump();
+	ck_assert_int_eq(outcomes[i].count, 1);
+	return &outcomes[i];
+}
+
+static void ck_sent(const struct outcome *outcome)
+{
+	ck_assert_ptr_nonnull(outcome->claim);
+}
+
+static void ck_told(const struct outcome *outcome, enum st_kind kind)
+{
+	ck_assert_ptr_null(outcome->claim);
+	ck_assert_str_eq(st_name(outcome->kind), st_name(kind));
+}
+
+/* A retry must get the first answer; another request or caller must not. */
+START_TEST(kept_answer_is_replayed)
+{
+	struct outcome *first = ask(0, 0, "k", "a", "2 mantles");
+	struct outcome *second;
+
+	ck_sent(first);
+	od_done(first->claim, 201, "text/plain", "order 9", 7, true);
+	second = ask(1, 1, "k", "a", "2 mantles");
+	ck_told(second, ST_OK);
+	ck_assert_int_eq(second->status, 201);
+	ck_assert_str_eq(second->body, "order 9");
+	ck_told(ask(1, 2, "k", "a", "3 mantles"), ST_KEY_REUSED);
+	ck_sent(ask(1, 3, "k", "b", "2 mantles"));
+}
+END_TEST
+
+/* An answer beyond the limit must not fill the table nor count as unknown. */
+START_TEST(large_answer_is_not_kept)
+{
+	static char large[OD_MAX_BODY_BYTES + 1];
+	struct outcome *first = ask(0, 0, "k", "a", "x");
+	struct outcome *second;
+
+	od_done(first->claim, 200, "text/plain", large, sizeof(large), false);
+	second = ask(1, 1, "k", "a", "x");
+	ck_told(second, ST_OK);
+	ck_assert_int_eq(second->status, 200);
+	ck_assert_uint_eq(second->body_bytes, 0);
+}
+END_TEST
+
+/* After "not run" the key must be free, after "unknown" it must not. */
+START_TEST(only_a_call_that_was_not_run_frees_its_key)
+{
+	struct outcome *first = ask(0, 0, "k", "a", "x");
+
+	od_release(first->claim);
+	first = ask(1, 1, "k", "a", "x");
+	ck_sent(first);
+	od_lost(first->claim);
+	ck_told(ask(0, 2, "k", "a", "x"), ST_UNKNOWN);
+	pump_for(10 * 1000);
+	ck_told(ask(1, 3, "k", "a", "x"), ST_UNKNOWN);
+}
+END_TEST
+
+/* Of two calls at once, only one may be sent; the other gets its answer. */
+START_TEST(second_call_waits_for_the_first)
+{
+	struct outcome *first = ask(0, 0, "k", "a", "x");
+
+	ck_sent(first);
+	begin(1, 1, "k", "a", "x");
+	pump_for(50 * 1000);
+	ck_assert_int_eq(outcomes[1].count, 0);
+	od_done(first->claim, 200, "", "yes", 3, true);
+	while (!outcomes[1].count)
+		pump();
+	ck_told(&outcomes[1], ST_OK);
+	ck_assert_str_eq(outcomes[1].body, "yes");
+}
+END_TEST
+
+/* A lost answer or request of the claim must not lose or double the order. */
+START_TEST(lost_claim_is_read_back)
+{
+	fake.lose_answers = 1;
+	ck_sent(ask(0, 0, "answer-lost", "a", "x"));
+	fake.lose_answers = 0;
+	fake.lose_requests = 1;
+	ck_sent(ask(0, 1, "request-lost", "a", "x"));
+	ck_told(ask(0, 2, "answer-lost", "a", "x"), ST_DEADLINE_UNKNOWN);
+	ck_told(ask(1, 3, "request-lost", "a", "x"), ST_DEADLINE_UNKNOWN);
+}
+END_TEST
+
+/* A claim whose host died must end as unknown, and a late result must win. */
+START_TEST(expired_claim_is_unknown_until_its_answer_comes)
+{
+	struct outcome *first = ask(0, 0, "k", "a", "x");
+
+	ck_sent(first);
+	wall_now_ms += DEADLINE_US / 1000 + OD_SKEW_MS + 1;
+	ck_told(ask(1, 1, "k", "a", "x"), ST_UNKNOWN);
+	ck_told(ask(1, 2, "k", "a", "x"), ST_UNKNOWN);
+	od_done(first->claim, 200, "", "late", 4, true);
+	pump_for(10 * 1000);
+	ck_told(ask(1, 3, "k", "a", "x"), ST_OK);
+	ck_assert_str_eq(outcomes[3].body, "late");
+}
+END_TEST
+
+/* A clock that is ahead within the tolerance must not end a claim early. */
+START_TEST(skew_within_the_limit_does_not_expire_a_claim)
+{
+	const char *name;
+	json_t *row;
+
+	ck_sent(ask(0, 0, "k", "a", "x"));
+	json_object_foreach(fake.rows, name,
+			    row) if (g_str_has_prefix(name, "orders/"))
+		json_unpack(row_value(name), "{s:I}", "deadline_ms",
+			    &wall_now_ms);
+	wall_now_ms += OD_SKEW_MS;
+	ck_told(ask(1, 1, "k", "a", "x"), ST_DEADLINE_UNKNOWN);
+}
+END_TEST
+
+/*
+ * A call that waits for its claim until after its deadline, as in a paused
+ * host, must not be sent, and its key must be free again.
+ */
+START_TEST(late_claim_is_not_sent)
+{
+	fake.held = &clients[0];
+	ck_told(ask(0, 0, "k", "a", "x"), ST_DEADLINE_NOT_RUN);
+	fake.held = NULL;
+	pump_for(10 * 1000);
+	ck_sent(ask(1, 1, "k", "a", "x"));
+	/* The wall clock counts too: a suspended machine stops the other. */
+	ck_assert(od_may_send(outcomes[1].claim));
+	wall_now_ms += DEADLINE_US / 1000;
+	ck_assert(!od_may_send(outcomes[1].claim));
+}
+END_TEST
+
+/* In an outage orders are refused, and results wait until it is over. */
+START_TEST(outage_refuses_orders_and_keeps_results)
+{
+	struct outcome *first = ask(0, 0, "k", "a", "x");
+	uint64_t limit_us = tm_now_us() + LIMIT_US;
+
+	fake.down = true;
+	od_done(first->claim, 200, "", "yes", 3, true);
+	ck_told(ask(0, 1, "new", "a", "x"), ST_PLATFORM);
+	ck_assert(st_not_run(ST_PLATFORM));
+	pump_for(100 * 1000);
+	ck_assert(!od_idle(&hosts[0]));
+	fake.down = false;
+	while (hosts[0].claims && tm_now_us() < limit_us)
+		pump();
+	ck_told(ask(1, 2, "k", "a", "x"), ST_OK);
+	ck_sent(ask(1, 3, "new", "a", "x"));
+}
+END_TEST
+
+static const char long_key[] =
+	"0123456789012345678901234567890123456789012345678901234567890123"
+	"0123456789012345678901234567890123456789012345678901234567890123x";
+
+static const char *const bad_keys[] = { "", "two words", "line\nbreak",
+					"caf\xc3\xa9", long_key };
+
+/* A key that would not fit the limits must be refused, not cut. */
+START_TEST(bad_key_is_refused)
+{
+	ck_assert_int_eq(begin(0, 0, bad_keys[_i], "a", "x"), ST_INVALID);
+	pump();
+	ck_assert_int_eq(outcomes[0].count, 0);
+}
+END_TEST
+
+/* The sweep must remove what has expired, by one host, and nothing else. */
+START_TEST(sweep_removes_expired_rows_only)
+{
+	uint64_t limit_us = tm_now_us() + LIMIT_US;
+	size_t rows;
+
+	od_done(ask(0, 0, "old", "a", "x")->claim, 200, "", "", 0, true);
+	pump_for(10 * 1000);
+	wall_now_ms += DAY_MS + DEADLINE_US / 1000 + 1;
+	od_done(ask(0, 1, "new", "a", "x")->claim, 200, "", "", 0, true);
+	while (!ls_held(&hosts[0].lease) && !ls_held(&hosts[1].lease) &&
+	       tm_now_us() < limit_us)
+		pump();
+	rows = json_object_size(fake.rows);
+	while (json_object_size(fake.rows) == rows && tm_now_us() < limit_us)
+		pump();
+	ck_assert_uint_eq(json_object_size(fake.rows), rows - 2);
+	ck_told(ask(0, 2, "new", "a", "x"), ST_OK);
+	ck_sent(ask(0, 3, "old", "a", "x"));
+}
+END_TEST
+
+static enum st_kind guarded = ST_KIND_COUNT;
+
+static void on_guarded(void *ctx, const struct pf_result *result)
+{
+	guarded = result->status.kind;
+}
+
+static json_t *guarded_row(const char *by)
+{
+	json_t *writes = json_array();
+
+	pf_write(writes, "jobs", "row", json_string(by));
+	return writes;
+}
+
+/*
+ * A holder that is paused between its check and its write, until another host
+ * has taken over and written, must not write over it.
+ */
+START_TEST(paused_holder_is_fenced)
+{
+	struct pf_callback callback = { on_guarded, NULL };
+	uint64_t limit_us = tm_now_us() + LIMIT_US;
+	struct ls_lease *a = &hosts[0].lease;
+	struct ls_lease *b = &hosts[1].lease;
+
+	fake.held = &clients[1];
+	while (!ls_held(a) && tm_now_us() < limit_us)
+		pump();
+	while (!ls_write(a, guarded_row("a"), &callback) &&
+	       tm_now_us() < limit_us)
+		pump();
+	fake.held = &clients[0];
+	while (!ls_held(b) && tm_now_us() < limit_us)
+		pump();
+	while (!ls_write(b, guarded_row("b"), &callback) &&
+	       tm_now_us() < limit_us)
+		pump();
+	while (guarded == ST_KIND_COUNT && tm_now_us() < limit_us)
+		pump();
+	ck_assert_int_eq(guarded, ST_OK);
+	ck_assert(!ls_held(a));
+	fake.held = NULL;
+	pump();
+	ck_assert_int_eq(guarded, ST_FENCED);
+	ck_assert_str_eq(json_string_value(row_value("jobs/row")), "b");
+}
+END_TEST
+
+/* A lost answer to a renewal must not end the lease while it is unexpired. */
+START_TEST(lost_renewal_is_read_back)
+{
+	uint64_t limit_us = tm_now_us() + LIMIT_US;
+	struct ls_lease *a = &hosts[0].lease;
+	uint64_t token;
+
+	fake.held = &clients[1];
+	while (!ls_held(a) && tm_now_us() < limit_us)
+		pump();
+	token = a->version;
+	fake.lose_answers = 1;
+	while (a->version == token && tm_now_us() < limit_us)
+		pump();
+	ck_assert(a->held);
+}
+END_TEST
+
+/* The table must not send an order again that may have run, nor hide it. */
+START_TEST(attempt_table_is_consistent)
+{
+	static const enum hc_state states[] = { HC_NEW, HC_CONNECTING, HC_SENT,
+						HC_ANSWER_BEGUN, HC_DONE };
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(states); i++) {
+		const struct at_row *row = at_row(states[i / 2], i % 2);
+		bool may_have_run = at_may_have_run(row);
+
+		ck_assert_int_eq(row->order == AT_TRY, !may_have_run);
+		ck_assert_int_eq(st_not_run(row->told), !may_have_run);
+		ck_assert(may_have_run || row->inquiry == AT_TRY);
+	}
+	ck_assert(at_may_have_run(at_row(HC_SENT, false)));
+	ck_assert(!at_may_have_run(at_row(HC_ANSWER_BEGUN, true)));
+	ck_assert(!at_may_send(false, true));
+	ck_assert_int_eq(at_told(ST_QUEUE_FULL, true), ST_UNKNOWN);
+	ck_assert_int_eq(at_told(ST_QUEUE_FULL, false), ST_QUEUE_FULL);
+}
+END_TEST
+
+static TCase *orders_case(void)
+{
+	TCase *tcase = tcase_create("orders");
+
+	tcase_add_checked_fixture(tcase, setup, NULL);
+	tcase_set_timeout(tcase, TIMEOUT_S);
+	tcase_add_test(tcase, kept_answer_is_replayed);
+	tcase_add_test(tcase, large_answer_is_not_kept);
+	tcase_add_test(tcase, only_a_call_that_was_not_run_frees_its_key);
+	tcase_add_test(tcase, second_call_waits_for_the_first);
+	tcase_add_test(tcase, lost_claim_is_read_back);
+	tcase_add_test(tcase, expired_claim_is_unknown_until_its_answer_comes);
+	tcase_add_test(tcase, skew_within_the_limit_does_not_expire_a_claim);
+	tcase_add_test(tcase, late_claim_is_not_sent);
+	tcase_add_test(tcase, outage_refuses_orders_and_keeps_results);
+	tcase_add_loop_test(tcase, bad_key_is_refused, 0,
+			    G_N_ELEMENTS(bad_keys));
+	tcase_add_test(tcase, sweep_removes_expired_rows_only);
+	tcase_add_test(tcase, attempt_table_is_consistent);
+	return tcase;
+}
+
+static TCase *lease_case(void)
+{
+	TCase *tcase = tcase_create("lease");
+
+	tcase_add_checked_fixture(tcase, setup, NULL);
+	tcase_set_timeout(tcase, TIMEOUT_S);
+	tcase_add_test(tcase, paused_holder_is_fenced);
+	tcase_add_test(tcase, lost_renewal_is_read_back);
+	return tcase;
+}
+
+int main(void)
+{
+	Suite *suite = suite_create("order");
+	SRunner *runner;
+	int failed;
+
+	suite_add_tcase(suite, orders_case());
+	suite_add_tcase(suite, lease_case());
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
