--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -13,6 +13,7 @@
 #include "kernel.h"
 #include "log.h"
 #include "mechanism.h"
+#include "order.h"
 #include "platform.h"
 #include "settings.h"
 #include "timer.h"
@@ -33,7 +34,9 @@
 	struct kn_kernel kernel;
 	struct tm_service timers;
 	struct pf_client platform;
+	struct pf_client order_platform;
 	struct cp_control control;
+	struct od_orders orders;
 	struct gw_gateway gateway;
 	struct ad_admin admin;
 	struct tl_listener callers_tls;
@@ -146,9 +149,17 @@
 	hc_pool_set_tls(&host->platform.pool, host->platform_tls);
 	kind = gw_init(&host->gateway, &host->kernel, &host->timers,
 		       &host->settings, status);
-	if (kind == ST_OK)
-		kind = cp_init(&host->control, &host->kernel, &host->timers,
-			       &host->platform, &host->settings, status);
+	if (kind != ST_OK)
+		return kind;
+	pf_init(&host->order_platform, &host->loop, &host->timers,
+		&host->settings.platform);
+	host->order_platform.timeout_us = OD_PLATFORM_TIMEOUT_US;
+	hc_pool_set_tls(&host->order_platform.pool, host->platform_tls);
+	od_init(&host->orders, &host->order_platform, &host->timers,
+		&host->settings, host->gateway.incarnation);
+	host->gateway.orders = &host->orders;
+	kind = cp_init(&host->control, &host->kernel, &host->timers,
+		       &host->platform, &host->settings, status);
 	if (kind == ST_OK)
 		kind = ad_init(&host->admin, &host->loop, &host->control,
 			       &host->gateway, &host->platform, &host->settings,
@@ -164,8 +175,10 @@
 	gw_close(&host->gateway);
 	hd_stop_listening(&host->admin.http);
 	hd_close_all(&host->admin.http);
-	cp_free(&host->control);
 	pf_free(&host->platform);
+	od_free(&host->orders);
+	pf_free(&host->order_platform);
+	cp_free(&host->control);
 	while (host->gateway.http.connections + host->admin.http.connections &&
 	       tm_now_us() < until_us)
 		uv_run(&host->loop, UV_RUN_NOWAIT);
--- a/httpc.c
+++ b/httpc.c
@@ -340,6 +340,17 @@
 		hc_flush_written(&flush->write, 0);
 }
 
+/* A paused process may find its connection only after the deadline. */
+static void hc_conn_ready(struct hc_conn *conn)
+{
+	uint64_t not_after_us = conn->request->not_after_us;
+
+	if (not_after_us && tm_now_us() >= not_after_us)
+		hc_conn_fail(conn, "deadline passed while connecting");
+	else
+		hc_conn_send(conn);
+}
+
 static void hc_conn_handshake(struct hc_conn *conn)
 {
 	const char *msg = "";
@@ -349,7 +360,7 @@
 	if (!ok)
 		hc_conn_fail(conn, msg);
 	else if (conn->tls.established)
-		hc_conn_send(conn);
+		hc_conn_ready(conn);
 }
 
 static void hc_conn_decrypt(struct hc_conn *conn)
@@ -500,7 +511,7 @@
 	if (conn->pool->tls)
 		hc_conn_start_tls(conn);
 	else
-		hc_conn_send(conn);
+		hc_conn_ready(conn);
 }
 
 static struct hc_conn *hc_conn_new(struct hc_pool *pool)
@@ -535,12 +546,15 @@
 	       errno == EAGAIN;
 }
 
-static struct hc_conn *hc_take_idle(struct hc_pool *pool)
+static struct hc_conn *hc_take_idle(struct hc_pool *pool, uint64_t max_idle_us)
 {
 	uint64_t now_us = tm_now_us();
 	struct hc_conn *conn;
 
 	while ((conn = pool->idle)) {
+		/* The first one is the youngest. */
+		if (max_idle_us && now_us - conn->idle_since_us > max_idle_us)
+			return NULL;
 		pool->idle = conn->next_idle;
 		conn->next_idle = NULL;
 		if (hc_idle_usable(conn, now_us))
@@ -640,7 +654,7 @@
 	request->conn = NULL;
 	request->state = HC_NEW;
 	if (!pool->closing && !request->fresh)
-		conn = hc_take_idle(pool);
+		conn = hc_take_idle(pool, request->max_idle_us);
 	if (conn) {
 		conn->out = out;
 		conn->request = request;
