Test document acceptance and following under failures

The control task had no tests of its own. The runs start a platform and three entry hosts and provoke competing operators, a lost answer of the accepting transaction, outages while and after a document is accepted, answers after the time limit, a stale row and a false body in the object store. The stand-in platform can lose the answers of transactions only.

A host that is cut off from the platform depends on the peers, which is not tested here.

--- /dev/null
+++ b/tests/proof_documents.sh
@@ -0,0 +1,29 @@
+#!/bin/bash
+# Proves the requirements on documents: each case must fail without its
+# mechanism and pass with it. Prints one line each:
+# PROOF name without=fail with=pass figure
+set -u
+BIN=${1:?directory of the built programs}
+CASES=$(dirname "$0")/document_cases.sh
+failed=0
+
+# proof NAME MECHANISMS CASE REASON: without the mechanism the case must fail
+# for that reason, so that a run that fails to start proves nothing.
+proof() {
+	without=pass
+	with=fail
+	error=$(JACKDAWWORKS_OFF=$2 "$CASES" "$BIN" "$3" 2>&1 >/dev/null) ||
+		without=fail
+	case $error in *"$4"*) ;; *) without=other ;; esac
+	figure=$("$CASES" "$BIN" "$3" 2>/dev/null) && with=pass
+	printf 'PROOF %s without=%s with=%s %s\n' "$1" $without $with "$figure"
+	test $without$with = failpass || failed=1
+}
+
+proof document-in-force row-reading,generation-gossip document_in_force \
+	'generation 2 is not in force'
+proof conditional-accept conditional-accept conditional_accept 'exit codes 0 0'
+proof read-back read-back read_back 'the outcome is not known'
+proof generation-order generation-order generation_order 'reverted'
+proof digest-check digest-check digest_check 'took a false body'
+exit $failed
--- /dev/null
+++ b/tests/run_documents.sh
@@ -0,0 +1,14 @@
+#!/bin/bash
+# Runs every case of tests/document_cases.sh.
+set -u
+BIN=${1:?directory of the built programs}
+failed=0
+for case in document_in_force conditional_accept read_back generation_order \
+	digest_check platform_down down_after_accept slow_platform refused_rows \
+	repeated_submission show_and_apply bad_input; do
+	"$(dirname "$0")/document_cases.sh" "$BIN" $case || {
+		printf 'FAILED %s\n' $case
+		failed=1
+	}
+done
+exit $failed
--- a/tests/tool_platform.c
+++ b/tests/tool_platform.c
@@ -34,6 +34,7 @@
 	/* Faults. */
 	int64_t delay_ms;
 	int64_t lose_answers;
+	int64_t lose_txn_answers; /* of transactions only */
 	int64_t hosts_lag_ms;
 	int down;
 } platform;
@@ -184,11 +185,11 @@
 }
 
 /* Whether the answer of a write that took effect is to be lost. */
-static bool lose_answer(void)
+static bool lose_answer(int64_t *left)
 {
-	if (platform.lose_answers <= 0)
+	if (*left <= 0)
 		return false;
-	platform.lose_answers--;
+	--*left;
 	return true;
 }
 
@@ -206,7 +207,8 @@
 		reply_json(req, 409, json_pack("{s:i}", "conflict", failed));
 	} else {
 		write_rows(json_object_get(txn, "writes"));
-		if (!lose_answer())
+		if (!lose_answer(&platform.lose_txn_answers) &&
+		    !lose_answer(&platform.lose_answers))
 			reply_json(
 				req, 200,
 				json_pack("{s:I}", "version",
@@ -225,7 +227,7 @@
 		g_hash_table_replace(
 			platform.objects, g_strdup(name),
 			g_bytes_new(req->entity.base, req->entity.len));
-		if (!lose_answer())
+		if (!lose_answer(&platform.lose_answers))
 			reply_json(req, 200, json_object());
 		return;
 	}
@@ -263,9 +265,10 @@
 	json_t *fault = json_loadb(req->entity.base, req->entity.len, 0, NULL);
 
 	if (fault)
-		json_unpack(fault, "{s?I, s?I, s?I, s?b}", "delay_ms",
+		json_unpack(fault, "{s?I, s?I, s?I, s?I, s?b}", "delay_ms",
 			    &platform.delay_ms, "lose_answers",
-			    &platform.lose_answers, "hosts_lag_ms",
+			    &platform.lose_answers, "lose_txn_answers",
+			    &platform.lose_txn_answers, "hosts_lag_ms",
 			    &platform.hosts_lag_ms, "down", &platform.down);
 	reply_json(req, fault ? 200 : 400, json_object());
 	json_decref(fault);
