--- a/control.c
+++ b/control.c
@@ -397,6 +397,7 @@
 		return;
 	}
 	control->row_read = true;
+	control->confirmed_us = tm_now_us();
 	control->row_generation =
 		MAX(control->row_generation, target.generation);
 	cp_want(control, &target, true);
--- a/control.h
+++ b/control.h
@@ -54,6 +54,7 @@
 	bool reading;
 	bool row_read; /* the current row was read at least once */
 	bool read_failed; /* the newest read of the row failed */
+	uint64_t confirmed_us; /* when the row was read last; 0: never */
 	uint64_t row_generation; /* highest that was read from the row */
 	struct cp_target wanted; /* newest known, maybe not yet in force */
 	struct cp_target fetched; /* being fetched */
