Add membership and messages between entry hosts

Entry hosts did not know each other, so the core had no list of live hosts and a document reached a host only through the platform. Hosts now exchange signed ONC RPC heartbeats over UDP with a bounded sample of their member table, push a new generation at once, and fetch bodies from each other over TCP when the platform does not deliver. The gateway hands the live hosts to the core and spreads signs of leaving servers.

--- a/Makefile
+++ b/Makefile
@@ -109,9 +109,10 @@
 		-DME_SWITCHES 2>build/lint.err
 
 gen:
-	cd gen && rm -f peer_rpc.h peer_rpc_xdr.c && \
-	rpcgen -h -o peer_rpc.h ../peer_rpc.x && \
-	rpcgen -c -o peer_rpc_xdr.c ../peer_rpc.x
+	@mkdir -p gen
+	rm -f gen/peer_rpc.h gen/peer_rpc_xdr.c
+	rpcgen -h -o gen/peer_rpc.h peer_rpc.x
+	rpcgen -c -o gen/peer_rpc_xdr.c peer_rpc.x
 
 clean:
 	rm -rf build
--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -13,6 +13,7 @@
 #include "kernel.h"
 #include "log.h"
 #include "mechanism.h"
+#include "peer.h"
 #include "platform.h"
 #include "settings.h"
 #include "timer.h"
@@ -29,6 +30,7 @@
 	struct cp_control control;
 	struct gw_gateway gateway;
 	struct ad_admin admin;
+	struct pr_peer *peer;
 	uv_signal_t signals[2];
 	struct tm_sub stop_timer;
 	bool stopping;
@@ -112,7 +114,12 @@
 		kind = ad_init(&host->admin, &host->loop, &host->control,
 			       &host->gateway, &host->platform, &host->settings,
 			       sv_stop, host, status);
-	return kind;
+	if (kind != ST_OK)
+		return kind;
+	host->peer = pr_new(&host->kernel, &host->timers, &host->platform,
+			    &host->control, &host->settings,
+			    host->gateway.incarnation, status);
+	return host->peer ? ST_OK : status->kind;
 }
 
 static int sv_run(struct sv_host *host)
@@ -130,6 +137,7 @@
 	lg_info("start", "callers %s, operators %s",
 		host->settings.callers.text, host->settings.operators.text);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
+	pr_leave(host->peer);
 	lg_info("stop", "ended");
 	return 0;
 }
--- a/control.c
+++ b/control.c
@@ -44,29 +44,29 @@
 	kn_broadcast(control->kernel, &msg.msg);
 }
 
-static void cp_take_body(struct cp_control *control, const char *body,
-			 size_t body_bytes)
+bool cp_offer_body(struct cp_control *control, uint64_t generation,
+		   const char *digest, const char *body, size_t body_bytes)
 {
-	char digest[DOC_DIGEST_BYTES];
+	char actual[DOC_DIGEST_BYTES];
 	struct ym_errors errors;
 	struct doc_document *document;
 
-	doc_digest(body, body_bytes, digest);
-	if (strcmp(digest, control->wanted_digest)) {
-		lg_error("document", "body does not match digest %s",
-			 control->wanted_digest);
-		return;
+	doc_digest(body, body_bytes, actual);
+	if (strcmp(actual, digest)) {
+		lg_error("document", "body does not match digest %s", digest);
+		return false;
 	}
 	ym_errors_init(&errors);
 	document = doc_parse(body, body_bytes, &errors);
 	ym_errors_free(&errors);
 	if (!document) {
 		lg_error("document", "accepted document %s cannot be read",
-			 control->wanted_digest);
-		return;
+			 digest);
+		return false;
 	}
-	document->generation = control->wanted_generation;
+	document->generation = generation;
 	cp_put_in_force(control, document);
+	return true;
 }
 
 static void cp_on_body(void *ctx, const struct pf_result *result)
@@ -75,7 +75,9 @@
 
 	control->fetching = false;
 	if (result->status.kind == ST_OK)
-		cp_take_body(control, result->body, result->body_bytes);
+		cp_offer_body(control, control->wanted_generation,
+			      control->wanted_digest, result->body,
+			      result->body_bytes);
 }
 
 static void cp_want(struct cp_control *control, uint64_t generation,
@@ -110,6 +112,7 @@
 		return;
 	}
 	control->row_version = result->version;
+	control->confirmed_us = tm_now_us();
 	cp_want(control, (uint64_t)generation, digest);
 }
 
@@ -123,6 +126,14 @@
 	pf_get(control->platform, "document", "current", &callback);
 }
 
+void cp_peer_generation(struct cp_control *control, const char *host,
+			uint64_t generation, const char *digest,
+			uint64_t age_us)
+{
+	if (generation)
+		cp_want(control, generation, digest);
+}
+
 static void cp_on_poll(void *ctx)
 {
 	cp_read_row(ctx);
@@ -134,7 +145,8 @@
 	const struct kn_msg_generation *peer = (const void *)msg;
 
 	if (msg->kind == KN_GENERATION)
-		cp_want(control, peer->generation, peer->digest);
+		cp_peer_generation(control, peer->host, peer->generation,
+				   peer->digest, 0);
 }
 
 enum st_kind cp_init(struct cp_control *control, struct kn_kernel *kernel,
--- a/control.h
+++ b/control.h
@@ -1,6 +1,7 @@
 #ifndef CONTROL_H
 #define CONTROL_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "document.h"
@@ -25,6 +26,7 @@
 	uint64_t row_version; /* of the current row that was read last */
 	uint64_t wanted_generation;
 	char wanted_digest[DOC_DIGEST_BYTES];
+	uint64_t confirmed_us; /* when the platform last told the current row */
 	bool fetching;
 	bool reading;
 };
@@ -58,4 +60,20 @@
 	       uint64_t base, const char *author,
 	       const struct cp_callback *callback);
 
+/*
+ * cp_peer_generation - HOST has GENERATION with DIGEST in force, and said so
+ * AGE_US ago.
+ */
+void cp_peer_generation(struct cp_control *control, const char *host,
+			uint64_t generation, const char *digest,
+			uint64_t age_us);
+
+/*
+ * cp_offer_body - a document body that came from a peer. It comes into force
+ * when it matches DIGEST and GENERATION is higher than the one in force.
+ * Returns whether the body was usable.
+ */
+bool cp_offer_body(struct cp_control *control, uint64_t generation,
+		   const char *digest, const char *body, size_t body_bytes);
+
 #endif
--- a/gateway.c
+++ b/gateway.c
@@ -6,6 +6,7 @@
 #include "httpc.h"
 #include "log.h"
 #include "mechanism.h"
+#include "peer.h"
 
 enum {
 	GW_BUFFER_HIGH_BYTES = 256 * 1024,
@@ -20,9 +21,17 @@
 	char name[DOC_NAME_BYTES];
 	uint32_t id;
 	uint32_t zone;
+	bool document_leaving; /* says the document */
 	struct hc_pool pool;
 };
 
+/* A live entry host. */
+struct gw_host {
+	uint64_t hash;
+	char zone[DOC_NAME_BYTES];
+	bool draining;
+};
+
 struct gw_attempt {
 	struct hc_request http; /* first: callbacks cast back */
 	struct gw_call *call;
@@ -265,13 +274,22 @@
 static void gw_take_draining(struct gw_attempt *attempt,
 			     const struct hc_head *head)
 {
+	struct gw_gateway *gateway = attempt->call->gateway;
+	const struct gw_server *server =
+		g_ptr_array_index(gateway->servers, attempt->server);
 	struct core_event event = { .kind = CORE_EV_SERVER };
+	struct kn_msg_server_state msg = {
+		.msg = { KN_SERVER_STATE, sizeof(msg) },
+		.leaving = true,
+	};
 
 	if (!hc_find(head, "x-draining") || !me_on(ME_LEAVING))
 		return;
 	event.u.server.server = attempt->server;
 	event.u.server.leaving = true;
-	gw_post(attempt->call->gateway, &event);
+	gw_post(gateway, &event);
+	g_strlcpy(msg.server, server->name, sizeof(msg.server));
+	kn_send(gateway->kernel, "peer", &msg.msg);
 }
 
 static void gw_on_sent(struct hc_request *request)
@@ -755,6 +773,7 @@
 		struct gw_server *server = gw_server_for(gateway, from);
 
 		server->zone = from->zone;
+		server->document_leaving = from->leaving;
 		servers[i].id = server->id;
 		servers[i].zone = from->zone;
 		servers[i].slots = from->slots;
@@ -764,17 +783,36 @@
 	}
 }
 
+static struct core_host_conf *gw_conf_hosts(const struct gw_gateway *gateway)
+{
+	struct core_host_conf *hosts =
+		g_new0(struct core_host_conf, gateway->hosts->len);
+
+	for (guint i = 0; i < gateway->hosts->len; i++) {
+		const struct gw_host *host =
+			&g_array_index(gateway->hosts, struct gw_host, i);
+
+		hosts[i].hash = host->hash;
+		hosts[i].zone = doc_zone(gateway->document, host->zone);
+		hosts[i].draining = host->draining;
+	}
+	return hosts;
+}
+
 static void gw_configure_core(struct gw_gateway *gateway)
 {
 	struct doc_document *document = gateway->document;
 	struct core_service_conf *services =
 		g_new0(struct core_service_conf, document->service_count);
+	struct core_host_conf *hosts = gw_conf_hosts(gateway);
 	struct core_conf conf = {
 		.host_hash = gw_hash(gateway->settings->host),
 		.zone = doc_zone(document, gateway->settings->zone),
 		.latency_weight_percent = document->latency_weight_percent,
 		.services = services,
 		.service_count = document->service_count,
+		.hosts = hosts,
+		.host_count = gateway->hosts->len,
 	};
 	struct core_event event = { .kind = CORE_EV_CONF };
 
@@ -789,24 +827,99 @@
 	for (uint32_t i = 0; i < document->service_count; i++)
 		g_free((void *)services[i].servers);
 	g_free(services);
+	g_free(hosts);
+}
+
+static bool gw_same_hosts(const GArray *a, const GArray *b)
+{
+	if (a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++) {
+		const struct gw_host *first =
+			&g_array_index(a, struct gw_host, i);
+		const struct gw_host *second =
+			&g_array_index(b, struct gw_host, i);
+
+		if (first->hash != second->hash ||
+		    first->draining != second->draining ||
+		    strcmp(first->zone, second->zone) != 0)
+			return false;
+	}
+	return true;
+}
+
+static void gw_take_hosts(struct gw_gateway *gateway,
+			  const struct pr_hosts *hosts)
+{
+	GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct gw_host));
+
+	g_array_set_size(rows, hosts->count);
+	for (uint32_t i = 0; i < hosts->count; i++) {
+		struct gw_host *row = &g_array_index(rows, struct gw_host, i);
+
+		row->hash = gw_hash(hosts->rows[i].name);
+		row->draining = hosts->rows[i].draining;
+		g_strlcpy(row->zone, hosts->rows[i].zone, sizeof(row->zone));
+	}
+	if (gw_same_hosts(rows, gateway->hosts)) {
+		g_array_free(rows, TRUE);
+		return;
+	}
+	g_array_free(gateway->hosts, TRUE);
+	gateway->hosts = rows;
+	if (gateway->document)
+		gw_configure_core(gateway);
+}
+
+/* A sign from the platform or from another host. */
+static void gw_take_server_state(struct gw_gateway *gateway,
+				 const struct kn_msg_server_state *state)
+{
+	struct core_event event = { .kind = CORE_EV_SERVER };
+
+	if (!me_on(ME_LEAVING))
+		return;
+	for (guint i = 0; i < gateway->servers->len; i++) {
+		const struct gw_server *server =
+			g_ptr_array_index(gateway->servers, i);
+
+		if (strcmp(server->name, state->server) != 0)
+			continue;
+		event.u.server.server = server->id;
+		event.u.server.leaving =
+			state->leaving || server->document_leaving;
+		gw_post(gateway, &event);
+	}
 }
 
 static void gw_on_message(void *ctx, const struct kn_msg *msg)
 {
 	struct gw_gateway *gateway = ctx;
 	const struct kn_msg_document *document = (const void *)msg;
+	const struct kn_msg_hosts *hosts = (const void *)msg;
 
-	if (msg->kind != KN_DOCUMENT)
-		return;
-	doc_unref(gateway->document);
-	gateway->document = doc_ref(document->document);
-	gw_configure_core(gateway);
+	switch (msg->kind) {
+	case KN_DOCUMENT:
+		doc_unref(gateway->document);
+		gateway->document = doc_ref(document->document);
+		gw_configure_core(gateway);
+		break;
+	case KN_HOSTS:
+		gw_take_hosts(gateway, hosts->hosts);
+		break;
+	case KN_SERVER_STATE:
+		gw_take_server_state(gateway, (const void *)msg);
+		break;
+	default:
+		break;
+	}
 }
 
 static void gw_init_tables(struct gw_gateway *gateway)
 {
 	gateway->servers = g_ptr_array_new();
 	gateway->services = g_ptr_array_new_with_free_func(g_free);
+	gateway->hosts = g_array_new(FALSE, TRUE, sizeof(struct gw_host));
 	gateway->server_ids =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	gateway->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -876,6 +989,7 @@
 	tm_cancel(gateway->timers, &gateway->core_timer);
 	core_free(gateway->core);
 	g_ptr_array_free(gateway->services, TRUE);
+	g_array_free(gateway->hosts, TRUE);
 	g_hash_table_destroy(gateway->server_ids);
 	g_hash_table_destroy(gateway->calls);
 	g_array_free(gateway->events, TRUE);
--- a/gateway.h
+++ b/gateway.h
@@ -28,6 +28,7 @@
 	GPtrArray *servers; /* struct gw_server by core id */
 	GPtrArray *services; /* names by core id */
 	GHashTable *server_ids; /* "name address" to id */
+	GArray *hosts; /* struct gw_host, the live entry hosts */
 	uint32_t *service_map; /* index in the document to core id */
 	GHashTable *calls; /* by id */
 	uint64_t last_call;
--- /dev/null
+++ b/peer_fetch.c
@@ -0,0 +1,410 @@
+#include "peer_fetch.h"
+
+#include <string.h>
+
+#include "counter.h"
+#include "log.h"
+#include "mechanism.h"
+
+enum {
+	PR_BACKLOG = 64,
+	PR_MARK_BYTES =
+		4, /* record mark: last fragment, bytes of the fragment */
+	PR_READ_BYTES = 16 * 1024,
+	PR_MAX_CALL_BYTES = 1024
+};
+
+static const uint32_t PR_LAST_FRAGMENT = UINT32_C(1) << 31;
+
+/* A TCP connection, of a call that is served or of the running fetch. */
+struct pr_conn {
+	uv_tcp_t tcp; /* first: handles cast back */
+	struct pr_fetch *fetch;
+	GString *input; /* not yet parsed */
+	GString *record; /* fragments so far */
+	size_t max_record_bytes;
+	struct tm_sub idle;
+	uv_connect_t connect;
+	bool server;
+};
+
+struct pr_write {
+	uv_write_t req; /* first: requests cast back */
+	char data[PR_MARK_BYTES + PR_MAX_RECORD_BYTES];
+};
+
+static void pr_on_closed(uv_handle_t *handle)
+{
+	struct pr_conn *conn = (struct pr_conn *)handle;
+
+	if (conn->server)
+		conn->fetch->served--;
+	g_string_free(conn->input, TRUE);
+	g_string_free(conn->record, TRUE);
+	g_free(conn);
+}
+
+static void pr_conn_close(struct pr_conn *conn)
+{
+	struct pr_fetch *fetch = conn->fetch;
+
+	if (uv_is_closing((uv_handle_t *)&conn->tcp))
+		return;
+	tm_cancel(fetch->timers, &conn->idle);
+	uv_close((uv_handle_t *)&conn->tcp, pr_on_closed);
+}
+
+/* Ends the running fetch. */
+static void pr_finish(struct pr_fetch *fetch, bool ok)
+{
+	GString *body = fetch->body;
+
+	pr_conn_close(fetch->conn);
+	fetch->conn = NULL;
+	fetch->body = NULL;
+	fetch->done(fetch->ctx, fetch->generation, fetch->digest,
+		    ok ? body->str : NULL, body->len);
+	g_string_free(body, TRUE);
+}
+
+static void pr_conn_fail(struct pr_conn *conn, const char *why)
+{
+	lg_debug("fetch", "%s: %s", conn->server ? "served" : "fetching", why);
+	if (conn->fetch->conn == conn)
+		pr_finish(conn->fetch, false);
+	else
+		pr_conn_close(conn);
+}
+
+static void pr_on_idle(void *ctx)
+{
+	pr_conn_fail(ctx, "timeout");
+}
+
+static void pr_conn_touch(struct pr_conn *conn)
+{
+	tm_subscribe(conn->fetch->timers, &conn->idle,
+		     tm_now_us() + PR_IDLE_US);
+}
+
+static struct pr_conn *pr_conn_new(struct pr_fetch *fetch, bool server)
+{
+	struct pr_conn *conn = g_new0(struct pr_conn, 1);
+
+	conn->fetch = fetch;
+	conn->server = server;
+	conn->input = g_string_new(NULL);
+	conn->record = g_string_new(NULL);
+	conn->max_record_bytes =
+		server ? PR_MAX_CALL_BYTES : PR_MAX_RECORD_BYTES;
+	conn->idle.fire = pr_on_idle;
+	conn->idle.ctx = conn;
+	uv_tcp_init(fetch->loop, &conn->tcp);
+	pr_conn_touch(conn);
+	return conn;
+}
+
+static void pr_on_written(uv_write_t *req, int error)
+{
+	g_free(req);
+}
+
+/* Signs MSG and sends it as a record of one fragment. */
+static void pr_conn_send(struct pr_conn *conn, struct pr_msg *msg)
+{
+	struct pr_write *write = g_new(struct pr_write, 1);
+	size_t bytes = pr_wire_encode(conn->fetch->gossip->conf.key, msg,
+				      write->data + PR_MARK_BYTES,
+				      PR_MAX_RECORD_BYTES);
+	uint32_t mark = htonl(PR_LAST_FRAGMENT | (uint32_t)bytes);
+	uv_buf_t buf;
+
+	memcpy(write->data, &mark, sizeof(mark));
+	buf = uv_buf_init(write->data, (unsigned int)(PR_MARK_BYTES + bytes));
+	ct_add(CT_PEER_SENT, 1);
+	ct_add(CT_PEER_SENT_BYTES, buf.len);
+	if (!bytes || uv_write(&write->req, (uv_stream_t *)&conn->tcp, &buf, 1,
+			       pr_on_written)) {
+		g_free(write);
+		pr_conn_fail(conn, "cannot send");
+	}
+}
+
+/* Known sender, meant for this process, not seen before. */
+static struct pr_member *pr_record_sender(struct pr_fetch *fetch,
+					  const struct pr_msg_origin *origin)
+{
+	struct pr_member *member =
+		pr_table_find(&fetch->gossip->table, origin->host);
+
+	if (!member || !pr_gossip_is_for_us(fetch->gossip, origin) ||
+	    !pr_window_accept(&member->records, origin->incarnation,
+			      origin->sequence))
+		return NULL;
+	return member;
+}
+
+/* Serving */
+
+static void pr_fill_piece(const struct pr_fetch *fetch,
+			  const struct pr_msg_fetch *wanted,
+			  struct pr_msg_piece *piece)
+{
+	const struct doc_document *document = fetch->document;
+	char digest[DOC_DIGEST_BYTES];
+
+	pr_digest_from_wire(wanted->digest, digest);
+	if (!document || document->generation != wanted->generation ||
+	    strcmp(document->digest, digest) != 0 ||
+	    wanted->offset >= document->text_bytes)
+		return;
+	piece->total_bytes = (u_int)document->text_bytes;
+	piece->offset = wanted->offset;
+	piece->data.data_val = document->text + wanted->offset;
+	piece->data.data_len = (u_int)MIN(document->text_bytes - wanted->offset,
+					  PR_WIRE_PIECE_BYTES);
+}
+
+static bool pr_take_call(struct pr_conn *conn, struct pr_msg *call)
+{
+	struct pr_fetch *fetch = conn->fetch;
+	struct pr_msg reply = { .procedure = PR_FETCH, .reply = true };
+	struct pr_member *member = NULL;
+
+	if (!call->reply)
+		member = pr_record_sender(fetch, &call->origin);
+	if (!member)
+		return false;
+	reply.xid = call->xid;
+	pr_gossip_origin(fetch->gossip, &member->address, NULL, &reply.origin);
+	reply.origin.to_incarnation = call->origin.incarnation;
+	pr_fill_piece(fetch, &call->u.fetch, &reply.u.piece);
+	pr_conn_send(conn, &reply);
+	return true;
+}
+
+/* Fetching */
+
+static void pr_ask(struct pr_fetch *fetch)
+{
+	struct pr_msg call = { .procedure = PR_FETCH };
+	const struct pr_member *member =
+		pr_table_find(&fetch->gossip->table, fetch->host);
+
+	fetch->xid = ++fetch->gossip->xid;
+	call.xid = fetch->xid;
+	pr_gossip_origin(fetch->gossip, &fetch->address, member, &call.origin);
+	call.u.fetch.generation = fetch->generation;
+	pr_digest_to_wire(fetch->digest, call.u.fetch.digest);
+	call.u.fetch.offset = (u_int)fetch->body->len;
+	pr_conn_send(fetch->conn, &call);
+}
+
+static void pr_complete(struct pr_fetch *fetch)
+{
+	char digest[DOC_DIGEST_BYTES];
+
+	doc_digest(fetch->body->str, fetch->body->len, digest);
+	if (strcmp(digest, fetch->digest) != 0 && me_on(ME_DIGEST_CHECK)) {
+		lg_warn("fetch", "body from %s does not match digest %s",
+			fetch->host, fetch->digest);
+		pr_finish(fetch, false);
+		return;
+	}
+	pr_finish(fetch, true);
+}
+
+static bool pr_piece_fits(const struct pr_fetch *fetch,
+			  const struct pr_msg_piece *piece)
+{
+	return piece->total_bytes <= PR_MAX_BODY_BYTES &&
+	       piece->offset == fetch->body->len && piece->data.data_len &&
+	       piece->data.data_len <= piece->total_bytes - piece->offset;
+}
+
+/* Returns false when the connection is of no more use. */
+static bool pr_take_piece(struct pr_conn *conn, const struct pr_msg *reply)
+{
+	struct pr_fetch *fetch = conn->fetch;
+	const struct pr_msg_piece *piece = &reply->u.piece;
+
+	if (!reply->reply || reply->xid != fetch->xid ||
+	    strcmp(reply->origin.host, fetch->host) != 0 ||
+	    !pr_record_sender(fetch, &reply->origin) ||
+	    !pr_piece_fits(fetch, piece))
+		return false;
+	g_string_append_len(fetch->body, piece->data.data_val,
+			    piece->data.data_len);
+	if (fetch->body->len == piece->total_bytes)
+		pr_complete(fetch);
+	else
+		pr_ask(fetch);
+	return true;
+}
+
+/* Records */
+
+/* Only whole records count as activity, so that no byte by byte sender stays. */
+static bool pr_take_record(struct pr_conn *conn)
+{
+	struct pr_msg msg;
+	bool ok = pr_wire_decode(conn->fetch->gossip->conf.key, PR_FETCH,
+				 conn->record->str, conn->record->len, &msg);
+
+	g_string_truncate(conn->record, 0);
+	if (ok) {
+		pr_conn_touch(conn);
+		ok = conn->server ? pr_take_call(conn, &msg) :
+				    pr_take_piece(conn, &msg);
+		pr_wire_free(&msg);
+	}
+	ct_add(ok ? CT_PEER_RECEIVED : CT_PEER_REJECTED, 1);
+	return ok;
+}
+
+/* Moves a whole fragment from the input to the record. */
+static bool pr_take_fragment(struct pr_conn *conn, bool *last, bool *fits)
+{
+	uint32_t mark;
+	size_t bytes;
+
+	if (conn->input->len < PR_MARK_BYTES)
+		return false;
+	memcpy(&mark, conn->input->str, sizeof(mark));
+	mark = ntohl(mark);
+	*last = mark & PR_LAST_FRAGMENT;
+	bytes = mark & ~PR_LAST_FRAGMENT;
+	*fits = conn->record->len + bytes <= conn->max_record_bytes &&
+		(bytes || *last);
+	if (*fits && conn->input->len - PR_MARK_BYTES < bytes)
+		return false;
+	if (!*fits)
+		return true;
+	g_string_append_len(conn->record, conn->input->str + PR_MARK_BYTES,
+			    (gssize)bytes);
+	g_string_erase(conn->input, 0, (gssize)(PR_MARK_BYTES + bytes));
+	return true;
+}
+
+static void pr_parse(struct pr_conn *conn)
+{
+	bool last = false;
+	bool fits = true;
+
+	while (!uv_is_closing((uv_handle_t *)&conn->tcp) &&
+	       pr_take_fragment(conn, &last, &fits)) {
+		if (!fits) {
+			ct_add(CT_PEER_REJECTED, 1);
+			pr_conn_fail(conn, "record too long");
+			return;
+		}
+		if (last && !pr_take_record(conn)) {
+			pr_conn_fail(conn, "record rejected");
+			return;
+		}
+	}
+}
+
+static void pr_on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char bytes[PR_READ_BYTES];
+
+	*buf = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void pr_on_read(uv_stream_t *stream, ssize_t bytes, const uv_buf_t *buf)
+{
+	struct pr_conn *conn = (struct pr_conn *)stream;
+
+	if (bytes < 0) {
+		pr_conn_fail(conn, "closed by the other side");
+		return;
+	}
+	if (!bytes)
+		return;
+	g_string_append_len(conn->input, buf->base, bytes);
+	pr_parse(conn);
+}
+
+static void pr_on_connect(uv_connect_t *req, int error)
+{
+	struct pr_conn *conn = (struct pr_conn *)req->handle;
+
+	if (uv_is_closing((uv_handle_t *)&conn->tcp))
+		return;
+	if (error) {
+		pr_conn_fail(conn, uv_strerror(error));
+		return;
+	}
+	uv_read_start((uv_stream_t *)&conn->tcp, pr_on_alloc, pr_on_read);
+	pr_ask(conn->fetch);
+}
+
+static void pr_on_accept(uv_stream_t *listener, int error)
+{
+	struct pr_fetch *fetch = listener->data;
+	struct pr_conn *conn;
+
+	if (error)
+		return;
+	conn = pr_conn_new(fetch, true);
+	fetch->served++;
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) ||
+	    fetch->served > PR_MAX_CONNECTIONS) {
+		pr_conn_close(conn);
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_read_start((uv_stream_t *)&conn->tcp, pr_on_alloc, pr_on_read);
+}
+
+enum st_kind pr_fetch_init(struct pr_fetch *fetch, uv_loop_t *loop,
+			   struct tm_service *timers, struct pr_gossip *gossip,
+			   struct st_status *status)
+{
+	const struct nt_address *address = &gossip->conf.address;
+	int error;
+
+	memset(fetch, 0, sizeof(*fetch));
+	fetch->loop = loop;
+	fetch->timers = timers;
+	fetch->gossip = gossip;
+	uv_tcp_init(loop, &fetch->listener);
+	fetch->listener.data = fetch;
+	error = uv_tcp_bind(&fetch->listener,
+			    (const struct sockaddr *)&address->addr, 0);
+	if (!error)
+		error = uv_listen((uv_stream_t *)&fetch->listener, PR_BACKLOG,
+				  pr_on_accept);
+	if (error)
+		return st_set(status, ST_IO, "listen on %s: %s", address->text,
+			      uv_strerror(error));
+	return ST_OK;
+}
+
+void pr_fetch_serve(struct pr_fetch *fetch, struct doc_document *document)
+{
+	doc_unref(fetch->document);
+	fetch->document = doc_ref(document);
+}
+
+bool pr_fetch_start(struct pr_fetch *fetch, const char *host,
+		    const struct nt_address *address, uint64_t generation,
+		    const char *digest)
+{
+	if (fetch->conn)
+		return false;
+	fetch->generation = generation;
+	fetch->address = *address;
+	g_strlcpy(fetch->digest, digest, sizeof(fetch->digest));
+	g_strlcpy(fetch->host, host, sizeof(fetch->host));
+	fetch->body = g_string_new(NULL);
+	fetch->conn = pr_conn_new(fetch, false);
+	if (uv_tcp_connect(&fetch->conn->connect, &fetch->conn->tcp,
+			   (const struct sockaddr *)&fetch->address.addr,
+			   pr_on_connect)) {
+		/* The idle timer reports the failure. */
+		lg_debug("fetch", "cannot connect to %s", address->text);
+	}
+	return true;
+}
--- /dev/null
+++ b/peer_fetch.h
@@ -0,0 +1,64 @@
+#ifndef PEER_FETCH_H
+#define PEER_FETCH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "document.h"
+#include "peer_gossip.h"
+#include "timer.h"
+
+/*
+ * Document bodies between entry hosts: ONC RPC over TCP with record marking,
+ * in pieces of PR_WIRE_PIECE_BYTES. One fetch runs at a time.
+ */
+
+enum {
+	PR_MAX_BODY_BYTES = 4 << 20,
+	PR_MAX_CONNECTIONS = 64, /* that are served */
+	PR_IDLE_US = 2 * 1000 * 1000
+};
+
+struct pr_fetch {
+	uv_loop_t *loop;
+	struct tm_service *timers;
+	struct pr_gossip *gossip;
+	uv_tcp_t listener;
+	uint32_t served;
+	struct doc_document *document; /* that is served, or NULL */
+	/* The running fetch. */
+	struct pr_conn *conn;
+	uint64_t generation;
+	char digest[DOC_DIGEST_BYTES];
+	char host[PR_NAME_BYTES];
+	struct nt_address address;
+	uint32_t xid;
+	GString *body;
+	/* BODY is NULL when the fetch failed; valid during the callback. */
+	void (*done)(void *ctx, uint64_t generation, const char *digest,
+		     const char *body, size_t body_bytes);
+	void *ctx;
+};
+
+/*
+ * pr_fetch_init - serve bodies at the address of GOSSIP and allow fetches.
+ * Errors: ST_IO when the address cannot be bound. Source: peer_fetch.c
+ */
+enum st_kind pr_fetch_init(struct pr_fetch *fetch, uv_loop_t *loop,
+			   struct tm_service *timers, struct pr_gossip *gossip,
+			   struct st_status *status);
+
+/* pr_fetch_serve - DOCUMENT is the one to serve from now on. */
+void pr_fetch_serve(struct pr_fetch *fetch, struct doc_document *document);
+
+/*
+ * pr_fetch_start - fetch a body from HOST. Returns false, without a callback,
+ * when a fetch runs already. The digest of the body has been checked when
+ * DONE gets it.
+ */
+bool pr_fetch_start(struct pr_fetch *fetch, const char *host,
+		    const struct nt_address *address, uint64_t generation,
+		    const char *digest);
+
+#endif
--- /dev/null
+++ b/peer_gossip.h
@@ -0,0 +1,157 @@
+#ifndef PEER_GOSSIP_H
+#define PEER_GOSSIP_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "peer_member.h"
+
+/*
+ * The heartbeat protocol of one host, without sockets and clock.
+ *
+ * Every PR_ROUND_US a host calls PR_FANOUT members and one address that is not
+ * live, whatever the number of hosts; every call is answered. Both carry the
+ * generation in force, what changed in the member table, and servers known to
+ * be leaving. News that cannot wait is pushed to PR_PUSH members at once.
+ *
+ * Reach of a new generation among N hosts: a host that has it pushes it to 4
+ * others, which leaves a fraction x = exp(-4 (1 - x)), about 2 %, without it
+ * after log4(N) hops. Each of those makes 2 calls a second and receives 2 on
+ * average, so that the fraction without it falls by exp(-4) a second. For
+ * N = 7,100: 7 hops with a body from a peer at PR_FETCH_WAIT_US and some
+ * milliseconds each are 1.5 s; 142 hosts are left; after 3 s more 0.001.
+ */
+
+enum {
+	PR_TICK_US = 250 * 1000,
+	PR_ROUND_US = 1000 * 1000,
+	PR_FANOUT = 2,
+	PR_PUSH = 4,
+	PR_SEEDS_AT_START = 8, /* a round, until a document is in force */
+	PR_PUSH_GAP_US = 50 * 1000,
+	/* A call counts as unanswered after this; repeated twice. */
+	PR_REPLY_US = 500 * 1000,
+	PR_CALLS = 3,
+	PR_MAX_CALLED = 32,
+	PR_MAX_CONTACTS = 512,
+	PR_MAX_LEAVING_KNOWN = 128,
+	/* A tick this late: the process was paused. */
+	PR_GAP_US = 2 * 1000 * 1000
+};
+
+/* What the protocol needs from its driver. */
+struct pr_driver {
+	void (*send)(void *ctx, const struct nt_address *to, const char *data,
+		     size_t data_bytes);
+	/* A host told its generation. AGE_US: UINT64_MAX for never. */
+	void (*heard)(void *ctx, const char *host,
+		      const struct nt_address *address, uint64_t generation,
+		      const char *digest, uint64_t age_us);
+	void (*server)(void *ctx, const char *server, bool leaving);
+	void *ctx;
+};
+
+struct pr_gossip_conf {
+	const char *host;
+	const char *zone;
+	const char *key;
+	struct nt_address address;
+	uint64_t incarnation;
+	uint32_t random_seed;
+	const struct nt_address *seeds;
+	uint32_t seed_count;
+	struct pr_driver driver;
+};
+
+/* A server with a sign of leaving. */
+struct pr_leaving {
+	char name[PR_NAME_BYTES];
+	uint64_t seen_us;
+	uint8_t spread;
+};
+
+struct pr_gossip {
+	struct pr_gossip_conf conf;
+	struct pr_table table;
+	GRand *random;
+	uint64_t sequence;
+	uint32_t xid;
+	uint64_t generation;
+	char digest[PR_WIRE_DIGEST_BYTES];
+	uint64_t confirmed_us; /* by the platform; 0: never */
+	bool draining;
+	bool left;
+	uint64_t last_tick_us;
+	uint64_t next_round_us;
+	uint64_t last_push_us;
+	bool push_wanted;
+	struct pr_member *called[PR_MAX_CALLED];
+	uint32_t called_count;
+	uint32_t seed_cursor;
+	GArray *contacts; /* struct nt_address, from the platform */
+	struct pr_leaving leaving[PR_MAX_LEAVING_KNOWN];
+	uint32_t leaving_count;
+	uint32_t leaving_cursor;
+	GArray *hosts; /* struct pr_host, as published last */
+};
+
+/*
+ * pr_gossip_init, pr_gossip_free - on caller-owned memory. What CONF points to
+ * must stay valid. Source: peer_gossip.c
+ */
+void pr_gossip_init(struct pr_gossip *gossip,
+		    const struct pr_gossip_conf *conf);
+void pr_gossip_free(struct pr_gossip *gossip);
+
+/* pr_gossip_tick - to be called every PR_TICK_US. */
+void pr_gossip_tick(struct pr_gossip *gossip, uint64_t now_us);
+
+/* pr_gossip_receive - a datagram arrived; dropped and counted when bad. */
+void pr_gossip_receive(struct pr_gossip *gossip, uint64_t now_us,
+		       const struct nt_address *from, const char *data,
+		       size_t data_bytes);
+
+/* pr_gossip_document - a generation came into force here. */
+void pr_gossip_document(struct pr_gossip *gossip, uint64_t now_us,
+			uint64_t generation, const char *digest);
+
+/* pr_gossip_drain, pr_gossip_leave - this host is draining, or ends. */
+void pr_gossip_drain(struct pr_gossip *gossip, uint64_t now_us);
+void pr_gossip_leave(struct pr_gossip *gossip, uint64_t now_us);
+
+/* pr_gossip_leaving - a sign that SERVER is leaving, AGE_US old. */
+void pr_gossip_leaving(struct pr_gossip *gossip, uint64_t now_us,
+		       const char *server, uint64_t age_us);
+
+/*
+ * pr_gossip_platform_begin - a new host list of the platform follows.
+ * pr_gossip_platform_host - an entry host in it. ADDRESS may be NULL. The list
+ * makes no host live.
+ */
+void pr_gossip_platform_begin(struct pr_gossip *gossip);
+void pr_gossip_platform_host(struct pr_gossip *gossip, const char *name,
+			     const struct nt_address *address, bool leaving);
+
+/* pr_gossip_hosts - whether the host list changed; if so HOSTS is filled. */
+bool pr_gossip_hosts(struct pr_gossip *gossip, uint64_t now_us,
+		     struct pr_hosts *hosts);
+
+/*
+ * pr_gossip_origin - fill the origin of a message to ADDRESS. MEMBER may be
+ * NULL. The strings stay the gossip's or ADDRESS's.
+ */
+void pr_gossip_origin(struct pr_gossip *gossip,
+		      const struct nt_address *address,
+		      const struct pr_member *member,
+		      struct pr_msg_origin *origin);
+
+/*
+ * pr_gossip_is_for_us - whether a message is meant for this host, and not for
+ * an earlier process of it.
+ */
+bool pr_gossip_is_for_us(const struct pr_gossip *gossip,
+			 const struct pr_msg_origin *origin);
+
+#endif
