Test membership between entry hosts with fake time

The host list did not take back a held member, and one bad path could remove a live host: a suspicion now makes some other hosts call the suspect over their own paths, and a member whose hold ended is listed again.

--- a/gen/peer_rpc.h
+++ b/gen/peer_rpc.h
@@ -61,6 +61,7 @@
 	u_quad_t generation;
 	char digest[PR_WIRE_DIGEST_BYTES];
 	u_int confirmed_age_ms;
+	u_int members;
 	struct {
 		u_int sample_len;
 		pr_msg_member *sample_val;
--- a/gen/peer_rpc_xdr.c
+++ b/gen/peer_rpc_xdr.c
@@ -87,6 +87,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->confirmed_age_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->members))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->sample.sample_val, (u_int *) &objp->sample.sample_len, PR_WIRE_MAX_SAMPLE,
 		sizeof (pr_msg_member), (xdrproc_t) xdr_pr_msg_member))
 		 return FALSE;
--- a/peer.c
+++ b/peer.c
@@ -66,7 +66,7 @@
 		.hosts = &peer->hosts,
 	};
 
-	if (!pr_gossip_hosts(&peer->gossip, tm_now_us(), &peer->hosts))
+	if (!pr_gossip_hosts(&peer->gossip, &peer->hosts))
 		return;
 	pr_log_hosts(&peer->hosts);
 	kn_broadcast(peer->kernel, &msg.msg);
--- a/peer_gossip.c
+++ b/peer_gossip.c
@@ -24,6 +24,7 @@
 	gossip->hosts = g_array_new(FALSE, FALSE, sizeof(struct pr_host));
 	pr_table_init(&gossip->table, conf->host, gossip->random);
 	gossip->table.changed = true;
+	gossip->pages_left = PR_PAGES_PER_ROUND;
 }
 
 void pr_gossip_free(struct pr_gossip *gossip)
@@ -100,19 +101,26 @@
 	gossip->conf.driver.send(gossip->conf.driver.ctx, to, data, bytes);
 }
 
-/* MEMBER may be NULL; TO_ADDRESS is how the receiver calls itself. */
-static void pr_beat(struct pr_gossip *gossip, uint64_t now_us,
-		    const struct nt_address *to,
-		    const struct nt_address *to_address,
-		    const struct pr_member *member, const struct pr_msg *call)
-{
+/* A heartbeat with the memory of its rows. */
+struct pr_beat {
+	struct pr_msg msg;
 	struct pr_msg_member sample[PR_WIRE_MAX_SAMPLE];
 	struct pr_msg_leaving leaving[PR_WIRE_MAX_LEAVING];
-	struct pr_msg msg = { .procedure = PR_HEARTBEAT, .reply = !!call };
-	struct pr_msg_heartbeat *beat = &msg.u.heartbeat;
+};
+
+/* Fills all but the sample. MEMBER and CALL may be NULL. */
+static struct pr_msg_heartbeat *
+pr_begin(struct pr_gossip *gossip, uint64_t now_us,
+	 const struct nt_address *to_address, const struct pr_member *member,
+	 const struct pr_msg *call, struct pr_beat *rows)
+{
+	struct pr_msg_heartbeat *beat = &rows->msg.u.heartbeat;
 
-	msg.xid = call ? call->xid : ++gossip->xid;
-	pr_gossip_origin(gossip, to_address, member, &msg.origin);
+	memset(&rows->msg, 0, sizeof(rows->msg));
+	rows->msg.procedure = PR_HEARTBEAT;
+	rows->msg.reply = !!call;
+	rows->msg.xid = call ? call->xid : ++gossip->xid;
+	pr_gossip_origin(gossip, to_address, member, &rows->msg.origin);
 	beat->zone = (char *)gossip->conf.zone;
 	beat->address = gossip->conf.address.text;
 	beat->state = gossip->left ? PR_MSG_LEFT : PR_MSG_ALIVE;
@@ -123,12 +131,52 @@
 	if (gossip->confirmed_us)
 		beat->confirmed_age_ms =
 			pr_age_ms(now_us, gossip->confirmed_us);
-	beat->sample.sample_val = sample;
-	beat->sample.sample_len = pr_table_sample(
-		&gossip->table, member, now_us, sample, PR_WIRE_MAX_SAMPLE);
-	beat->leaving.leaving_val = leaving;
-	beat->leaving.leaving_len = pr_fill_leaving(gossip, now_us, leaving);
-	pr_send(gossip, to, &msg);
+	beat->members = gossip->table.live;
+	beat->sample.sample_val = rows->sample;
+	beat->leaving.leaving_val = rows->leaving;
+	beat->leaving.leaving_len =
+		pr_fill_leaving(gossip, now_us, rows->leaving);
+	return beat;
+}
+
+/* TO_ADDRESS is how the receiver calls itself. */
+static void pr_beat(struct pr_gossip *gossip, uint64_t now_us,
+		    const struct nt_address *to,
+		    const struct nt_address *to_address,
+		    const struct pr_member *member, const struct pr_msg *call)
+{
+	struct pr_beat rows;
+	struct pr_msg_heartbeat *beat =
+		pr_begin(gossip, now_us, to_address, member, call, &rows);
+
+	beat->sample.sample_len =
+		pr_table_sample(&gossip->table, member, now_us, rows.sample,
+				PR_WIRE_MAX_SAMPLE);
+	pr_send(gossip, to, &rows.msg);
+}
+
+/* Pages of the member table for a host that joined or lost contact. */
+static void pr_catch_up(struct pr_gossip *gossip, uint64_t now_us,
+			const struct nt_address *to,
+			const struct pr_member *member,
+			const struct pr_msg *call)
+{
+	uint32_t theirs = call->u.heartbeat.members;
+	uint32_t ours = gossip->table.live;
+	struct pr_beat rows;
+	struct pr_msg_heartbeat *beat;
+
+	if (theirs >= ours)
+		return;
+	for (int i = 0; i < PR_PAGES_PER_CALL && gossip->pages_left; i++) {
+		gossip->pages_left--;
+		beat = pr_begin(gossip, now_us, &member->address, member, call,
+				&rows);
+		beat->sample.sample_len =
+			pr_table_page(&gossip->table, now_us, rows.sample,
+				      PR_WIRE_MAX_SAMPLE);
+		pr_send(gossip, to, &rows.msg);
+	}
 }
 
 static void pr_call(struct pr_gossip *gossip, struct pr_member *member,
@@ -138,6 +186,22 @@
 		NULL);
 }
 
+static void pr_push(struct pr_gossip *gossip, uint64_t now_us)
+{
+	gossip->push_wanted = true;
+	if (now_us < gossip->last_push_us + PR_PUSH_GAP_US)
+		return;
+	gossip->push_wanted = false;
+	gossip->last_push_us = now_us;
+	for (int i = 0; i < PR_PUSH; i++) {
+		struct pr_member *member =
+			pr_table_random(&gossip->table, true);
+
+		if (member)
+			pr_call(gossip, member, now_us);
+	}
+}
+
 /* Calls a live member and expects a reply. */
 static void pr_call_checked(struct pr_gossip *gossip, struct pr_member *member,
 			    uint64_t now_us)
@@ -167,6 +231,7 @@
 	}
 	member->called_us = 0;
 	pr_table_suspect(&gossip->table, member, called_us);
+	pr_push(gossip, now_us);
 	return false;
 }
 
@@ -183,22 +248,22 @@
 			member->called_us = 0;
 	}
 	gossip->called_count = kept;
+	gossip->table.suspect_count = 0; /* this host has called them */
 }
 
-static void pr_push(struct pr_gossip *gossip, uint64_t now_us)
+/*
+ * A host that another one suspects is called by some hosts, and learns of the
+ * suspicion by that, so that a bad path between two hosts removes nobody.
+ */
+static void pr_confirm_suspects(struct pr_gossip *gossip, uint64_t now_us)
 {
-	gossip->push_wanted = true;
-	if (now_us < gossip->last_push_us + PR_PUSH_GAP_US)
-		return;
-	gossip->push_wanted = false;
-	gossip->last_push_us = now_us;
-	for (int i = 0; i < PR_PUSH; i++) {
-		struct pr_member *member =
-			pr_table_random(&gossip->table, true);
+	struct pr_table *table = &gossip->table;
+	gint32 live = (gint32)MAX(table->live, 1);
 
-		if (member)
-			pr_call(gossip, member, now_us);
-	}
+	for (uint32_t i = 0; i < table->suspect_count; i++)
+		if (g_rand_int_range(gossip->random, 0, live) < PR_CONFIRMERS)
+			pr_call(gossip, table->suspects[i], now_us);
+	table->suspect_count = 0;
 }
 
 /* Addresses that are not live */
@@ -265,6 +330,7 @@
 
 static void pr_round(struct pr_gossip *gossip, uint64_t now_us)
 {
+	gossip->pages_left = PR_PAGES_PER_ROUND;
 	for (int i = 0; i < PR_FANOUT; i++) {
 		struct pr_member *member = pr_table_next(&gossip->table);
 
@@ -442,6 +508,7 @@
 	if (beat->draining)
 		pr_table_draining(&gossip->table, member, true);
 	pr_take_rows(gossip, now_us, beat);
+	pr_confirm_suspects(gossip, now_us);
 	pr_take_generation(gossip, member, beat);
 }
 
@@ -464,9 +531,11 @@
 	if (member) {
 		ct_add(CT_PEER_RECEIVED, 1);
 		pr_take_beat(gossip, now_us, member, &msg.u.heartbeat);
-		if (!msg.reply && member->state != PR_LEFT)
+		if (!msg.reply && member->state != PR_LEFT) {
 			pr_beat(gossip, now_us, from, &member->address, member,
 				&msg);
+			pr_catch_up(gossip, now_us, from, member, &msg);
+		}
 	} else {
 		ct_add(CT_PEER_REJECTED, 1);
 	}
@@ -567,8 +636,7 @@
 	return true;
 }
 
-bool pr_gossip_hosts(struct pr_gossip *gossip, uint64_t now_us,
-		     struct pr_hosts *hosts)
+bool pr_gossip_hosts(struct pr_gossip *gossip, struct pr_hosts *hosts)
 {
 	struct pr_host self = { .incarnation = gossip->conf.incarnation,
 				.draining = gossip->draining };
@@ -581,7 +649,7 @@
 	g_strlcpy(self.name, gossip->conf.host, sizeof(self.name));
 	g_strlcpy(self.zone, gossip->conf.zone, sizeof(self.zone));
 	g_array_append_val(rows, self);
-	pr_table_list(&gossip->table, now_us, rows);
+	pr_table_list(&gossip->table, rows);
 	g_array_sort(rows, pr_compare_names);
 	if (pr_same_hosts(rows, gossip->hosts)) {
 		g_array_free(rows, TRUE);
--- a/peer_gossip.h
+++ b/peer_gossip.h
@@ -35,6 +35,11 @@
 	PR_REPLY_US = 500 * 1000,
 	PR_CALLS = 3,
 	PR_MAX_CALLED = 32,
+	/* Hosts, of all, that call a new suspect over their own paths. */
+	PR_CONFIRMERS = 4,
+	/* Pages of the table to a host that knows much fewer members. */
+	PR_PAGES_PER_CALL = 4,
+	PR_PAGES_PER_ROUND = 32,
 	PR_MAX_CONTACTS = 512,
 	PR_MAX_LEAVING_KNOWN = 128,
 	/* A tick this late: the process was paused. */
@@ -87,6 +92,7 @@
 	uint64_t next_round_us;
 	uint64_t last_push_us;
 	bool push_wanted;
+	uint32_t pages_left; /* in this round */
 	struct pr_member *called[PR_MAX_CALLED];
 	uint32_t called_count;
 	uint32_t seed_cursor;
@@ -135,8 +141,7 @@
 			     const struct nt_address *address, bool leaving);
 
 /* pr_gossip_hosts - whether the host list changed; if so HOSTS is filled. */
-bool pr_gossip_hosts(struct pr_gossip *gossip, uint64_t now_us,
-		     struct pr_hosts *hosts);
+bool pr_gossip_hosts(struct pr_gossip *gossip, struct pr_hosts *hosts);
 
 /*
  * pr_gossip_origin - fill the origin of a message to ADDRESS. MEMBER may be
--- a/peer_member.c
+++ b/peer_member.c
@@ -89,6 +89,13 @@
 	table->changed = true;
 }
 
+/* Hosts that know fewer members get pages as well, so less is enough. */
+static void pr_joined(struct pr_table *table, struct pr_member *member)
+{
+	member->spread = PR_SPREAD;
+	table->changed = true;
+}
+
 static void pr_set_state(struct pr_table *table, struct pr_member *member,
 			 enum pr_state state)
 {
@@ -119,16 +126,21 @@
 static void pr_come_back(struct pr_table *table, struct pr_member *member,
 			 uint64_t now_us)
 {
+	bool first = !member->alive_since_us;
+
 	if (member->state == PR_GONE) {
 		if (now_us - member->alive_since_us > PR_FLAPS_FORGOTTEN_US)
 			member->flaps = 0;
-		member->list_from_us = now_us;
+		member->list_from_us = 0;
 		if (member->flaps)
-			member->list_from_us += (uint64_t)PR_HOLD_US
-						<< (member->flaps - 1);
+			member->list_from_us =
+				now_us +
+				((uint64_t)PR_HOLD_US << (member->flaps - 1));
 		member->alive_since_us = now_us;
 	}
 	pr_set_state(table, member, PR_ALIVE);
+	if (first)
+		pr_joined(table, member);
 }
 
 void pr_table_alive(struct pr_table *table, struct pr_member *member,
@@ -160,6 +172,8 @@
 	}
 	member->suspect_us = suspect_us;
 	pr_set_state(table, member, PR_SUSPECT);
+	if (table->suspect_count < PR_MAX_NEW_SUSPECTS)
+		table->suspects[table->suspect_count++] = member;
 }
 
 void pr_table_left(struct pr_table *table, struct pr_member *member)
@@ -304,6 +318,22 @@
 	return filled;
 }
 
+uint32_t pr_table_page(struct pr_table *table, uint64_t now_us,
+		       struct pr_msg_member *rows, uint32_t max)
+{
+	guint count = table->members->len;
+	uint32_t filled = 0;
+
+	for (guint i = 0; i < count && filled < max; i++) {
+		const struct pr_member *member =
+			table->members->pdata[table->page_cursor++ % count];
+
+		if (pr_is_live(member))
+			pr_describe(member, now_us, &rows[filled++]);
+	}
+	return filled;
+}
+
 struct pr_member *pr_table_next(struct pr_table *table)
 {
 	guint count = table->members->len;
@@ -367,8 +397,11 @@
 	for (guint i = 0; i < table->members->len;) {
 		struct pr_member *member = table->members->pdata[i];
 
-		if (member->list_from_us > now_us)
-			table->changed = true; /* its hold is running */
+		if (member->list_from_us && member->state == PR_ALIVE &&
+		    member->list_from_us <= now_us) {
+			member->list_from_us = 0;
+			table->changed = true;
+		}
 		pr_remove_silent(table, member, now_us);
 		if (pr_is_forgotten(member, now_us)) {
 			g_hash_table_remove(table->by_name, member->name);
@@ -391,13 +424,13 @@
 	}
 }
 
-void pr_table_list(struct pr_table *table, uint64_t now_us, GArray *rows)
+void pr_table_list(const struct pr_table *table, GArray *rows)
 {
 	for (guint i = 0; i < table->members->len; i++) {
 		const struct pr_member *member = table->members->pdata[i];
 		struct pr_host row = { 0 };
 
-		if (!pr_is_live(member) || now_us < member->list_from_us)
+		if (!pr_is_live(member) || member->list_from_us)
 			continue;
 		memcpy(row.name, member->name, sizeof(row.name));
 		memcpy(row.zone, member->zone, sizeof(row.zone));
--- a/peer_member.h
+++ b/peer_member.h
@@ -22,6 +22,7 @@
 
 enum {
 	PR_MAX_MEMBERS = 16384,
+	PR_MAX_NEW_SUSPECTS = 16,
 	PR_SAMPLE = 4, /* entries of a heartbeat when nothing changed */
 	/* A sign of life this little newer than a suspicion proves nothing,
 	 * because ages do not count the time on the way. */
@@ -43,7 +44,7 @@
 	uint64_t heard_us; /* newest sign of life */
 	uint64_t suspect_us; /* first unanswered call of the suspicion */
 	uint64_t called_us; /* first call without a reply, 0: none */
-	uint64_t list_from_us; /* not in the host list before */
+	uint64_t list_from_us; /* when its hold ends; 0: listed */
 	uint64_t alive_since_us;
 	uint64_t ended_us; /* since when it is known not to be live, or 0 */
 	enum pr_state state;
@@ -63,8 +64,12 @@
 	GHashTable *by_name;
 	guint call_cursor;
 	guint sample_cursor;
+	guint page_cursor;
 	uint32_t live; /* alive or suspect, self not included */
 	bool changed; /* the host list may have changed */
+	/* New ones, until the caller has looked at them. */
+	struct pr_member *suspects[PR_MAX_NEW_SUSPECTS];
+	uint32_t suspect_count;
 };
 
 /* pr_table_init, pr_table_free - RANDOM stays the caller's. */
@@ -116,6 +121,10 @@
 			 const struct pr_member *recipient, uint64_t now_us,
 			 struct pr_msg_member *rows, uint32_t max);
 
+/* pr_table_page - fill ROWS with the live members after the last page. */
+uint32_t pr_table_page(struct pr_table *table, uint64_t now_us,
+		       struct pr_msg_member *rows, uint32_t max);
+
 /* pr_table_next - next live member to call, each once a turn, or NULL. */
 struct pr_member *pr_table_next(struct pr_table *table);
 
@@ -135,7 +144,7 @@
 uint64_t pr_table_removal_us(const struct pr_table *table);
 
 /* pr_table_list - append struct pr_host of the listed members. */
-void pr_table_list(struct pr_table *table, uint64_t now_us, GArray *rows);
+void pr_table_list(const struct pr_table *table, GArray *rows);
 
 bool pr_is_live(const struct pr_member *member);
 
--- a/peer_rpc.x
+++ b/peer_rpc.x
@@ -55,6 +55,8 @@
 	opaque digest[PR_WIRE_DIGEST_BYTES];
 	/* Since the platform confirmed the generation; all ones: never. */
 	unsigned int confirmed_age_ms;
+	/* Live hosts known to the sender, without itself. */
+	unsigned int members;
 	pr_msg_member sample<PR_WIRE_MAX_SAMPLE>;
 	pr_msg_leaving leaving<PR_WIRE_MAX_LEAVING>;
 };
--- /dev/null
+++ b/tests/peer_sim.h
@@ -0,0 +1,250 @@
+/*
+ * Entry hosts in one process: fake time, delivery in memory with delay, loss
+ * and reordering. Used by the check program and by the measuring tool.
+ */
+#ifndef PEER_SIM_H
+#define PEER_SIM_H
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "peer_gossip.h"
+
+enum {
+	SIM_STEP_US = 5000,
+	SIM_SLOTS = 8, /* a message takes 1 to 7 steps */
+	SIM_SEEDS = 8,
+	SIM_FETCH_US = 120 * 1000,
+	SIM_NODE_PORT = 1000
+};
+
+struct sim_node {
+	struct sim *sim;
+	struct pr_gossip gossip;
+	char name[PR_NAME_BYTES];
+	struct nt_address address;
+	bool up;
+	bool paused;
+	uint64_t next_tick_us;
+	uint64_t wanted; /* generation that is being fetched */
+	uint64_t wanted_at_us;
+	uint64_t in_force_us; /* when the newest generation came into force */
+	uint32_t listed;
+	uint32_t list_changes;
+	uint32_t leaving_signs;
+};
+
+struct sim_datagram {
+	uint32_t from;
+	uint32_t to;
+	size_t bytes;
+	char data[PR_MAX_DATAGRAM_BYTES];
+};
+
+struct sim {
+	uint64_t now_us;
+	GRand *random;
+	struct sim_node *nodes;
+	uint32_t count;
+	struct nt_address seeds[SIM_SEEDS];
+	GPtrArray *slots[SIM_SLOTS];
+	uint32_t slot;
+	uint32_t loss_percent;
+	uint64_t messages;
+	uint64_t bytes;
+	size_t largest;
+	/* Copies of what CAPTURE_FROM sent to CAPTURE_TO, when not NULL. */
+	GPtrArray *captured;
+	uint32_t capture_from;
+	uint32_t capture_to;
+};
+
+static inline void sim_send(void *ctx, const struct nt_address *to,
+			    const char *data, size_t data_bytes)
+{
+	struct sim_node *node = ctx;
+	struct sim *sim = node->sim;
+	uint32_t index =
+		(uint32_t)(strtoul(strrchr(to->text, ':') + 1, NULL, 10) -
+			   SIM_NODE_PORT);
+	uint32_t delay = (uint32_t)g_rand_int_range(sim->random, 1, SIM_SLOTS);
+	struct sim_datagram *datagram = g_new(struct sim_datagram, 1);
+
+	sim->messages++;
+	sim->bytes += data_bytes;
+	sim->largest = MAX(sim->largest, data_bytes);
+	datagram->from = (uint32_t)(node - sim->nodes);
+	datagram->to = index;
+	datagram->bytes = data_bytes;
+	memcpy(datagram->data, data, data_bytes);
+	if (sim->captured && datagram->from == sim->capture_from &&
+	    index == sim->capture_to)
+		g_ptr_array_add(sim->captured,
+				g_memdup2(datagram, sizeof(*datagram)));
+	if (g_rand_int_range(sim->random, 0, 100) < (gint32)sim->loss_percent)
+		g_free(datagram);
+	else
+		g_ptr_array_add(sim->slots[(sim->slot + delay) % SIM_SLOTS],
+				datagram);
+}
+
+static inline void sim_heard(void *ctx, const char *host,
+			     const struct nt_address *address,
+			     uint64_t generation, const char *digest,
+			     uint64_t age_us)
+{
+	struct sim_node *node = ctx;
+
+	if (generation <= node->gossip.generation || generation <= node->wanted)
+		return;
+	node->wanted = generation;
+	node->wanted_at_us = node->sim->now_us + SIM_FETCH_US;
+}
+
+static inline void sim_server(void *ctx, const char *server, bool leaving)
+{
+	struct sim_node *node = ctx;
+
+	node->leaving_signs++;
+}
+
+static inline void sim_start(struct sim *sim, uint32_t i)
+{
+	struct sim_node *node = &sim->nodes[i];
+	struct pr_gossip_conf conf = {
+		.host = node->name,
+		.zone = i % 3 ? "gs-a" : "gs-b",
+		.key = "peer-key-for-tests",
+		.address = node->address,
+		.incarnation = sim->now_us,
+		.random_seed = i + 1,
+		.seeds = sim->seeds,
+		.seed_count = MIN(sim->count, SIM_SEEDS),
+		.driver = { sim_send, sim_heard, sim_server, node },
+	};
+
+	pr_gossip_init(&node->gossip, &conf);
+	node->up = true;
+	node->next_tick_us = sim->now_us + (uint64_t)g_rand_int_range(
+						   sim->random, 0, PR_ROUND_US);
+}
+
+static inline void sim_init(struct sim *sim, uint32_t count)
+{
+	char text[NT_TEXT_BYTES];
+
+	memset(sim, 0, sizeof(*sim));
+	sim->now_us = UINT64_C(1000) * 1000 * 1000;
+	sim->random = g_rand_new_with_seed(7);
+	sim->count = count;
+	sim->nodes = g_new0(struct sim_node, count);
+	for (int i = 0; i < SIM_SLOTS; i++)
+		sim->slots[i] = g_ptr_array_new_with_free_func(g_free);
+	for (uint32_t i = 0; i < count; i++) {
+		struct sim_node *node = &sim->nodes[i];
+
+		node->sim = sim;
+		g_snprintf(node->name, sizeof(node->name), "entry-%u", i);
+		g_snprintf(text, sizeof(text), "127.0.0.1:%u",
+			   SIM_NODE_PORT + i);
+		nt_parse(text, &node->address);
+		if (i < SIM_SEEDS)
+			sim->seeds[i] = node->address;
+	}
+	for (uint32_t i = 0; i < count; i++)
+		sim_start(sim, i);
+}
+
+static inline void sim_free(struct sim *sim)
+{
+	for (uint32_t i = 0; i < sim->count; i++)
+		pr_gossip_free(&sim->nodes[i].gossip);
+	for (int i = 0; i < SIM_SLOTS; i++)
+		g_ptr_array_free(sim->slots[i], TRUE);
+	if (sim->captured)
+		g_ptr_array_free(sim->captured, TRUE);
+	g_free(sim->nodes);
+	g_rand_free(sim->random);
+}
+
+static inline void sim_restart(struct sim *sim, uint32_t i)
+{
+	pr_gossip_free(&sim->nodes[i].gossip);
+	sim_start(sim, i);
+}
+
+static inline void sim_deliver(struct sim *sim,
+			       const struct sim_datagram *datagram)
+{
+	struct sim_node *node = &sim->nodes[datagram->to];
+
+	if (node->up && !node->paused)
+		pr_gossip_receive(&node->gossip, sim->now_us,
+				  &sim->nodes[datagram->from].address,
+				  datagram->data, datagram->bytes);
+}
+
+static inline void sim_run_node(struct sim *sim, struct sim_node *node)
+{
+	struct pr_hosts hosts;
+
+	if (!node->up || node->paused)
+		return;
+	if (node->wanted > node->gossip.generation &&
+	    sim->now_us >= node->wanted_at_us) {
+		node->in_force_us = sim->now_us;
+		pr_gossip_document(&node->gossip, sim->now_us, node->wanted,
+				   "00");
+	}
+	if (sim->now_us < node->next_tick_us)
+		return;
+	node->next_tick_us = sim->now_us + PR_TICK_US;
+	pr_gossip_tick(&node->gossip, sim->now_us);
+	if (pr_gossip_hosts(&node->gossip, &hosts)) {
+		node->listed = hosts.count;
+		node->list_changes++;
+	}
+}
+
+static inline void sim_run(struct sim *sim, uint64_t for_us)
+{
+	uint64_t end_us = sim->now_us + for_us;
+
+	while (sim->now_us < end_us) {
+		GPtrArray *due;
+
+		sim->now_us += SIM_STEP_US;
+		sim->slot = (sim->slot + 1) % SIM_SLOTS;
+		due = sim->slots[sim->slot];
+		/* What is sent from here on goes to other slots. */
+		for (guint i = 0; i < due->len; i++)
+			sim_deliver(sim, due->pdata[i]);
+		g_ptr_array_set_size(due, 0);
+		for (uint32_t i = 0; i < sim->count; i++)
+			sim_run_node(sim, &sim->nodes[i]);
+	}
+}
+
+/* Hosts that are up and list exactly COUNT hosts. */
+static inline uint32_t sim_listing(const struct sim *sim, uint32_t count)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < sim->count; i++)
+		n += sim->nodes[i].up && sim->nodes[i].listed == count;
+	return n;
+}
+
+/* Runs until N hosts list COUNT hosts; returns the time, or LIMIT_US. */
+static inline uint64_t sim_until(struct sim *sim, uint32_t n, uint32_t count,
+				 uint64_t limit_us)
+{
+	uint64_t begin_us = sim->now_us;
+
+	while (sim_listing(sim, count) < n && sim->now_us - begin_us < limit_us)
+		sim_run(sim, 20 * SIM_STEP_US);
+	return sim->now_us - begin_us;
+}
+
+#endif
--- /dev/null
+++ b/tests/test_peer.c
@@ -0,0 +1,382 @@
+/* Messages and membership between entry hosts. */
+#include <check.h>
+#include <stdlib.h>
+
+#include "counter.h"
+#include "peer_sim.h"
+
+enum {
+	INPUTS = 4000,
+	VERIFIER_AT = 40, /* in a call: after the fixed RPC fields */
+	HMAC_BYTES = 32
+};
+
+static const uint64_t second_us = 1000 * 1000;
+static const char *const key = "peer-key-for-tests";
+
+/* A heartbeat of a full-sized host, as another host gets it. */
+static size_t make_heartbeat(char *data, size_t data_bytes)
+{
+	struct pr_msg_member rows[] = {
+		{ "entry-8", "gs-a", "127.0.0.1:8", 8, 10, PR_MSG_ALIVE, 0 },
+		{ "entry-9", "gs-b", "127.0.0.1:9", 9, 10, PR_MSG_SUSPECT, 1 },
+	};
+	struct pr_msg_leaving leaving[] = { { "ordering-3", 5 } };
+	struct pr_msg msg = { .xid = 5, .procedure = PR_HEARTBEAT };
+
+	msg.origin.host = "entry-7";
+	msg.origin.incarnation = 3;
+	msg.origin.sequence = 4;
+	msg.origin.to_address = "127.0.0.1:1000";
+	msg.u.heartbeat.zone = "gs-a";
+	msg.u.heartbeat.address = "127.0.0.1:1001";
+	msg.u.heartbeat.generation = 6;
+	msg.u.heartbeat.sample.sample_len = 2;
+	msg.u.heartbeat.sample.sample_val = rows;
+	msg.u.heartbeat.leaving.leaving_len = 1;
+	msg.u.heartbeat.leaving.leaving_val = leaving;
+	return pr_wire_encode(key, &msg, data, data_bytes);
+}
+
+static bool decodes(const char *with_key, const char *data, size_t bytes)
+{
+	struct pr_msg msg;
+
+	if (!pr_wire_decode(with_key, PR_HEARTBEAT, data, bytes, &msg))
+		return false;
+	pr_wire_free(&msg);
+	return true;
+}
+
+/* A changed, cut or extended message, or one under another key, must be
+ * rejected wherever the change is. */
+START_TEST(altered_messages_are_rejected)
+{
+	char data[PR_MAX_DATAGRAM_BYTES + 8] = { 0 };
+	size_t bytes = make_heartbeat(data, PR_MAX_DATAGRAM_BYTES);
+	struct pr_msg msg;
+
+	ck_assert_uint_gt(bytes, 0);
+	ck_assert(pr_wire_decode(key, PR_HEARTBEAT, data, bytes, &msg));
+	ck_assert_str_eq(msg.origin.host, "entry-7");
+	ck_assert_uint_eq(msg.u.heartbeat.sample.sample_len, 2);
+	ck_assert_str_eq(msg.u.heartbeat.sample.sample_val[1].name, "entry-9");
+	ck_assert_str_eq(msg.u.heartbeat.leaving.leaving_val[0].server,
+			 "ordering-3");
+	pr_wire_free(&msg);
+	ck_assert(!decodes("another-key-for-tests", data, bytes));
+	for (size_t i = 0; i < bytes; i++)
+		ck_assert(!decodes(key, data, i));
+	ck_assert(!decodes(key, data, bytes + 4));
+	for (size_t i = 0; i < bytes * 8; i++) {
+		data[i / 8] ^= (char)(1 << i % 8);
+		/* The transaction id is signed as well. */
+		ck_assert(!decodes(key, data, bytes));
+		data[i / 8] ^= (char)(1 << i % 8);
+	}
+	ck_assert_uint_eq(make_heartbeat(data, bytes - 1), 0);
+}
+END_TEST
+
+static void sign(char *data, size_t bytes)
+{
+	gsize hmac_bytes = HMAC_BYTES;
+	GHmac *hmac =
+		g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)key, strlen(key));
+
+	memset(data + VERIFIER_AT, 0, HMAC_BYTES);
+	g_hmac_update(hmac, (const guchar *)data, (gssize)bytes);
+	g_hmac_get_digest(hmac, (guchar *)data + VERIFIER_AT, &hmac_bytes);
+	g_hmac_unref(hmac);
+}
+
+/* Bytes from anywhere, also under the right key, must not crash the host or
+ * grow its table without a limit. */
+START_TEST(random_bytes_are_dropped)
+{
+	GRand *random = g_rand_new_with_seed(11);
+	char data[2 * PR_MAX_DATAGRAM_BYTES];
+	uint64_t rejected;
+	struct sim sim;
+
+	sim_init(&sim, 2);
+	rejected = ct_get(CT_PEER_REJECTED);
+	for (int i = 0; i < INPUTS; i++) {
+		size_t bytes =
+			(size_t)g_rand_int_range(random, 0, sizeof(data));
+
+		for (size_t k = 0; k < bytes; k++)
+			data[k] = (char)g_rand_int(random);
+		pr_gossip_receive(&sim.nodes[0].gossip, sim.now_us,
+				  &sim.nodes[1].address, data, bytes);
+	}
+	ck_assert_uint_eq(ct_get(CT_PEER_REJECTED) - rejected, INPUTS);
+	for (int i = 0; i < INPUTS; i++) {
+		size_t bytes = make_heartbeat(data, PR_MAX_DATAGRAM_BYTES);
+		size_t end = VERIFIER_AT + HMAC_BYTES;
+
+		for (int k = i % 4; k >= 0; k--)
+			data[g_rand_int_range(random, (gint32)end,
+					      (gint32)bytes)] =
+				(char)g_rand_int(random);
+		bytes -= i % 3 ? 0 : 4 * (size_t)g_rand_int_range(random, 0, 9);
+		sign(data, bytes);
+		pr_gossip_receive(&sim.nodes[0].gossip, sim.now_us,
+				  &sim.nodes[1].address, data, bytes);
+	}
+	ck_assert_uint_le(sim.nodes[0].gossip.table.members->len, INPUTS);
+	ck_assert_uint_le(sim.nodes[0].gossip.leaving_count,
+			  PR_MAX_LEAVING_KNOWN);
+	sim_free(&sim);
+	g_rand_free(random);
+}
+END_TEST
+
+/* Reordered messages count once; duplicates, late ones and those of an earlier
+ * incarnation never. */
+START_TEST(window_accepts_reordering_only)
+{
+	struct pr_window window = { 0 };
+
+	ck_assert(pr_window_accept(&window, 5, 100));
+	ck_assert(!pr_window_accept(&window, 5, 100));
+	ck_assert(pr_window_accept(&window, 5, 103));
+	ck_assert(pr_window_accept(&window, 5, 101));
+	ck_assert(!pr_window_accept(&window, 5, 101));
+	ck_assert(pr_window_accept(&window, 5, 102));
+	ck_assert(pr_window_accept(&window, 5, 103 + PR_WINDOW_BITS));
+	ck_assert(!pr_window_accept(&window, 5, 103));
+	ck_assert(!pr_window_accept(&window, 5, 1));
+	ck_assert(pr_window_accept(&window, 5, 104));
+	ck_assert(pr_window_accept(&window, 5, 1000));
+	ck_assert(!pr_window_accept(&window, 5, 104));
+	ck_assert(pr_window_accept(&window, 6, 1));
+	ck_assert(!pr_window_accept(&window, 5, 2000));
+}
+END_TEST
+
+/* Messages for another address or an earlier process must be dropped, so that
+ * recorded ones are of no use against a host that restarted. */
+START_TEST(messages_for_others_are_dropped)
+{
+	struct nt_address address;
+	struct pr_msg_origin origin = { .to_address = "127.0.0.1:1000" };
+	struct sim sim;
+
+	sim_init(&sim, 1);
+	nt_parse("127.0.0.1:1000", &address);
+	ck_assert(pr_gossip_is_for_us(&sim.nodes[0].gossip, &origin));
+	origin.to_incarnation = sim.nodes[0].gossip.conf.incarnation;
+	ck_assert(pr_gossip_is_for_us(&sim.nodes[0].gossip, &origin));
+	origin.to_incarnation--;
+	ck_assert(!pr_gossip_is_for_us(&sim.nodes[0].gossip, &origin));
+	origin.to_incarnation = 0;
+	origin.to_address = "127.0.0.1:1001";
+	ck_assert(!pr_gossip_is_for_us(&sim.nodes[0].gossip, &origin));
+	sim_free(&sim);
+}
+END_TEST
+
+/* Recorded heartbeats of a dead host must not keep it in the list. */
+START_TEST(replayed_host_is_removed)
+{
+	struct sim sim;
+
+	sim_init(&sim, 8);
+	sim.captured = g_ptr_array_new_with_free_func(g_free);
+	sim.capture_from = 5;
+	sim.capture_to = 3;
+	sim_run(&sim, 20 * second_us);
+	ck_assert_uint_eq(sim_listing(&sim, 8), 8);
+	ck_assert_uint_gt(sim.captured->len, 5);
+	sim.nodes[5].up = false;
+	for (int second = 0; second < 20; second++) {
+		for (guint i = 0; i < sim.captured->len; i++)
+			sim_deliver(&sim, sim.captured->pdata[i]);
+		sim_run(&sim, second_us);
+	}
+	ck_assert_uint_eq(sim.nodes[3].listed, 7);
+	sim_free(&sim);
+}
+END_TEST
+
+/* Without a bound on the rows, long names would exceed a datagram. */
+START_TEST(datagrams_stay_small_with_long_names)
+{
+	struct sim sim;
+
+	sim_init(&sim, 40);
+	for (uint32_t i = 0; i < sim.count; i++) {
+		size_t used = strlen(sim.nodes[i].name);
+
+		memset(sim.nodes[i].name + used, 'x', PR_NAME_BYTES - 1 - used);
+		sim_restart(&sim, i);
+	}
+	for (int i = 0; i < 20; i++) {
+		char name[PR_NAME_BYTES];
+
+		g_snprintf(name, sizeof(name), "%063d", i);
+		pr_gossip_leaving(&sim.nodes[0].gossip, sim.now_us, name, 0);
+	}
+	sim_run(&sim, 20 * second_us);
+	ck_assert_uint_eq(sim_listing(&sim, 40), 40);
+	ck_assert_uint_le(sim.largest, PR_MAX_DATAGRAM_BYTES);
+	for (uint32_t i = 0; i < sim.count; i++)
+		ck_assert_uint_eq(sim.nodes[i].leaving_signs, 20);
+	sim_free(&sim);
+}
+END_TEST
+
+/* With lost messages: all hosts must find each other, no live host may be
+ * removed, dead ones must go everywhere in bounded time. */
+START_TEST(members_converge_and_dead_ones_go)
+{
+	enum { COUNT = 200, DEAD = 20 };
+	struct sim sim;
+
+	sim_init(&sim, COUNT);
+	sim.loss_percent = 2;
+	pr_gossip_document(&sim.nodes[0].gossip, sim.now_us, 1, "00");
+	ck_assert_uint_lt(sim_until(&sim, COUNT, COUNT, 60 * second_us),
+			  60 * second_us);
+	for (uint32_t i = 0; i < COUNT; i++)
+		sim.nodes[i].list_changes = 0;
+	sim_run(&sim, 30 * second_us);
+	for (uint32_t i = 0; i < COUNT; i++)
+		ck_assert_uint_eq(sim.nodes[i].list_changes, 0);
+	for (uint32_t i = 0; i < DEAD; i++)
+		sim.nodes[COUNT - 1 - i].up = false;
+	ck_assert_uint_lt(
+		sim_until(&sim, COUNT - DEAD, COUNT - DEAD, 60 * second_us),
+		12 * second_us);
+	sim_free(&sim);
+}
+END_TEST
+
+/* A paused host must be removed, come back under its incarnation, and must
+ * not take the others for silent; a restarted one is listed at once. */
+START_TEST(paused_and_restarted_hosts_come_back)
+{
+	struct sim sim;
+
+	sim_init(&sim, 16);
+	sim_run(&sim, 5 * second_us);
+	ck_assert_uint_eq(sim_listing(&sim, 16), 16);
+	sim.nodes[9].paused = true;
+	sim_run(&sim, 10 * second_us);
+	ck_assert_uint_eq(sim_listing(&sim, 15), 15);
+	sim.nodes[9].paused = false;
+	sim_run(&sim, 5 * second_us);
+	ck_assert_uint_eq(sim_listing(&sim, 16), 16);
+	for (uint32_t i = 0; i < 16; i++)
+		sim.nodes[i].list_changes = 0;
+	sim_restart(&sim, 4);
+	sim.nodes[4].list_changes = 0;
+	sim_run(&sim, 10 * second_us);
+	ck_assert_uint_eq(sim_listing(&sim, 16), 16);
+	/* One change: the new incarnation. */
+	ck_assert_uint_eq(sim.nodes[9].list_changes, 1);
+	sim_free(&sim);
+}
+END_TEST
+
+/* A host that goes up and down must not change the list with every turn. */
+START_TEST(flapping_host_is_held_back)
+{
+	enum { TURNS = 8 };
+	struct sim sim;
+
+	sim_init(&sim, 8);
+	sim_run(&sim, 5 * second_us);
+	sim.nodes[0].list_changes = 0;
+	for (int i = 0; i < TURNS; i++) {
+		sim.nodes[7].paused = true;
+		sim_run(&sim, 8 * second_us);
+		sim.nodes[7].paused = false;
+		sim_run(&sim, 4 * second_us);
+	}
+	ck_assert_uint_le(sim.nodes[0].list_changes, TURNS);
+	sim_run(&sim, 70 * second_us);
+	ck_assert_uint_eq(sim_listing(&sim, 8), 8);
+	sim_free(&sim);
+}
+END_TEST
+
+static double cost_of_a_host(uint32_t count, double *bytes)
+{
+	struct sim sim;
+	double messages;
+
+	sim_init(&sim, count);
+	pr_gossip_document(&sim.nodes[0].gossip, sim.now_us, 1, "00");
+	sim_until(&sim, count, count, 60 * second_us);
+	sim_run(&sim, 15 * second_us);
+	sim.messages = 0;
+	sim.bytes = 0;
+	sim_run(&sim, 10 * second_us);
+	messages = (double)sim.messages / count;
+	*bytes = (double)sim.bytes / count;
+	sim_free(&sim);
+	return messages;
+}
+
+/* Heartbeats of each host to all others would grow with their number. */
+START_TEST(cost_does_not_grow_with_hosts)
+{
+	double few_bytes;
+	double many_bytes;
+	double few = cost_of_a_host(20, &few_bytes);
+	double many = cost_of_a_host(120, &many_bytes);
+
+	ck_assert(many <= few * 1.1);
+	ck_assert(many_bytes <= few_bytes * 1.3);
+}
+END_TEST
+
+/* A new generation must reach every host without the platform. */
+START_TEST(generation_reaches_every_host)
+{
+	enum { COUNT = 200 };
+	struct sim sim;
+
+	sim_init(&sim, COUNT);
+	sim.loss_percent = 2;
+	pr_gossip_document(&sim.nodes[0].gossip, sim.now_us, 1, "00");
+	sim_run(&sim, 20 * second_us);
+	pr_gossip_document(&sim.nodes[77].gossip, sim.now_us, 2, "00");
+	sim_run(&sim, 5 * second_us);
+	for (uint32_t i = 0; i < COUNT; i++)
+		ck_assert_uint_eq(sim.nodes[i].gossip.generation, 2);
+	sim_free(&sim);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("peer");
+	TCase *wire = tcase_create("wire");
+	TCase *replay = tcase_create("replay");
+	TCase *members = tcase_create("members");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(wire, altered_messages_are_rejected);
+	tcase_add_test(wire, random_bytes_are_dropped);
+	tcase_add_test(wire, datagrams_stay_small_with_long_names);
+	tcase_add_test(replay, window_accepts_reordering_only);
+	tcase_add_test(replay, messages_for_others_are_dropped);
+	tcase_add_test(replay, replayed_host_is_removed);
+	tcase_add_test(members, members_converge_and_dead_ones_go);
+	tcase_add_test(members, paused_and_restarted_hosts_come_back);
+	tcase_add_test(members, flapping_host_is_held_back);
+	tcase_add_test(members, cost_does_not_grow_with_hosts);
+	tcase_add_test(members, generation_reaches_every_host);
+	suite_add_tcase(suite, wire);
+	suite_add_tcase(suite, replay);
+	suite_add_tcase(suite, members);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/tool_peers.c
@@ -0,0 +1,85 @@
+/*
+ * Measures the heartbeat protocol with COUNT entry hosts in one process, with
+ * fake time and delivery in memory: time until all know each other, until a
+ * killed host is removed everywhere, until a new generation is in force
+ * everywhere, and the cost of a host at rest.
+ *
+ * usage: tool_peers COUNT...
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "peer_sim.h"
+
+static const uint64_t second_us = 1000 * 1000;
+
+static uint64_t spread_generation(struct sim *sim)
+{
+	uint64_t begin_us = sim->now_us;
+	uint64_t last_us = 0;
+
+	pr_gossip_document(&sim->nodes[0].gossip, sim->now_us, 2, "00");
+	sim_run(sim, 10 * second_us);
+	for (uint32_t i = 1; i < sim->count; i++) {
+		const struct sim_node *node = &sim->nodes[i];
+
+		if (node->gossip.generation != 2)
+			return UINT64_MAX;
+		last_us = MAX(last_us, node->in_force_us - begin_us);
+	}
+	return last_us;
+}
+
+static void measure(uint32_t count)
+{
+	size_t before = mallinfo2().uordblks;
+	enum { REST_S = 60 };
+	struct sim sim;
+	uint64_t known_us;
+	uint64_t removed_us;
+	uint64_t spread_us;
+	clock_t cpu;
+	size_t memory;
+
+	sim_init(&sim, count);
+	pr_gossip_document(&sim.nodes[0].gossip, sim.now_us, 1, "00");
+	known_us = sim_until(&sim, count, count, 300 * second_us);
+	sim_run(&sim, 30 * second_us);
+	sim.messages = 0;
+	sim.bytes = 0;
+	cpu = clock();
+	sim_run(&sim, REST_S * second_us);
+	cpu = clock() - cpu;
+	memory = mallinfo2().uordblks - before;
+	printf("%5u hosts: %.1f messages/s, %.0f bytes/s sent, "
+	       "%.3f %% of a core, %.0f KB a host",
+	       count, (double)sim.messages / REST_S / count,
+	       (double)sim.bytes / REST_S / count,
+	       100.0 * (double)cpu / CLOCKS_PER_SEC / REST_S / count,
+	       (double)memory / 1024 / count);
+	spread_us = spread_generation(&sim);
+	sim.nodes[count - 1].up = false;
+	removed_us = sim_until(&sim, count - 1, count - 1, 60 * second_us);
+	printf("; all known after %.1f s, generation everywhere after %.2f s, "
+	       "killed host removed everywhere after %.1f s\n",
+	       (double)known_us / 1e6, (double)spread_us / 1e6,
+	       (double)removed_us / 1e6);
+	sim_free(&sim);
+}
+
+int main(int argc, char **argv)
+{
+	if (argc < 2) {
+		fprintf(stderr, "usage: tool_peers COUNT...\n");
+		return 2;
+	}
+	for (int i = 1; i < argc; i++) {
+		uint32_t count = (uint32_t)strtoul(argv[i], NULL, 10);
+
+		if (count >= 2)
+			measure(count);
+	}
+	return 0;
+}
