--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -14,6 +14,7 @@
 #include "log.h"
 #include "mechanism.h"
 #include "order.h"
+#include "peer.h"
 #include "platform.h"
 #include "settings.h"
 #include "timer.h"
@@ -42,6 +43,7 @@
 	struct tl_listener callers_tls;
 	struct tl_listener operators_tls;
 	SSL_CTX *platform_tls;
+	struct pr_peer *peer;
 	uv_signal_t signals[2];
 	struct tm_sub stop_timer;
 	uint64_t linger_until_us;
@@ -132,6 +134,26 @@
 			 &host->settings.operators_tls, &host->timers, status);
 }
 
+static bool sv_is_live(void *ctx, const char *name, uint64_t incarnation)
+{
+	const struct sv_host *host = ctx;
+
+	return pr_is_listed(host->peer, name, incarnation);
+}
+
+static enum st_kind sv_start_peer(struct sv_host *host,
+				  struct st_status *status)
+{
+	host->peer = pr_new(&host->kernel, &host->timers, &host->platform,
+			    &host->control, &host->settings,
+			    host->gateway.incarnation, status);
+	if (!host->peer)
+		return status->kind;
+	host->orders.live = sv_is_live;
+	host->orders.live_ctx = host;
+	return ST_OK;
+}
+
 static enum st_kind sv_start(struct sv_host *host, struct st_status *status)
 {
 	enum st_kind kind;
@@ -164,7 +186,9 @@
 		kind = ad_init(&host->admin, &host->loop, &host->control,
 			       &host->gateway, &host->platform, &host->settings,
 			       sv_stop, host, status);
-	return kind == ST_OK ? sv_start_tls(host, status) : kind;
+	if (kind == ST_OK)
+		kind = sv_start_tls(host, status);
+	return kind == ST_OK ? sv_start_peer(host, status) : kind;
 }
 
 /* Runs the loop until the connections of both listeners are closed. */
@@ -175,6 +199,7 @@
 	gw_close(&host->gateway);
 	hd_stop_listening(&host->admin.http);
 	hd_close_all(&host->admin.http);
+	pr_close(host->peer);
 	pf_free(&host->platform);
 	od_free(&host->orders);
 	pf_free(&host->order_platform);
@@ -196,6 +221,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(host->signals); i++)
 		uv_close((uv_handle_t *)&host->signals[i], NULL);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
+	pr_free(host->peer);
 	kn_free(&host->kernel);
 	uv_loop_close(&host->loop);
 }
@@ -215,6 +241,7 @@
 	lg_info("start", "callers %s, operators %s",
 		host->settings.callers.text, host->settings.operators.text);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
+	pr_leave(host->peer);
 	if (!host->at_once)
 		sv_free(host);
 	lg_info("stop", "ended");
--- a/control.c
+++ b/control.c
@@ -5,6 +5,7 @@
 #include "control_accept.h"
 #include "log.h"
 #include "mechanism.h"
+#include "peer.h"
 
 enum {
 	/* All hosts together make about ten reads a second. */
@@ -422,10 +423,13 @@
 {
 	struct cp_control *control = ctx;
 	const struct kn_msg_generation *peer = (const void *)msg;
+	const struct kn_msg_hosts *hosts = (const void *)msg;
 
 	if (msg->kind == KN_GENERATION)
 		cp_peer_generation(control, peer->host, peer->generation,
 				   peer->digest, 0);
+	else if (msg->kind == KN_HOSTS)
+		cp_set_host_count(control, hosts->hosts->count);
 }
 
 enum st_kind cp_init(struct cp_control *control, struct kn_kernel *kernel,
--- a/control.h
+++ b/control.h
@@ -1,6 +1,7 @@
 #ifndef CONTROL_H
 #define CONTROL_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <glib.h>
 
--- a/gateway.h
+++ b/gateway.h
@@ -29,6 +29,7 @@
 	GPtrArray *servers; /* struct gw_server by core id */
 	GPtrArray *services; /* names by core id */
 	GHashTable *server_ids; /* "name address" to id */
+	GArray *hosts; /* struct gw_host, the live entry hosts */
 	uint32_t *service_map; /* index in the document to core id */
 	GHashTable *calls; /* by id */
 	uint64_t last_call;
@@ -50,13 +51,6 @@
 		     struct st_status *status);
 void gw_free(struct gw_gateway *gateway);
 
-/*
- * gw_set_host_count - number of live entry hosts, which share the connections
- * that the document allows per server. Until the first call it is the number
- * of seed peers in the settings.
- */
-void gw_set_host_count(struct gw_gateway *gateway, uint32_t count);
-
 /* gw_announce_stop - health checks fail, answers close their connections. */
 void gw_announce_stop(struct gw_gateway *gateway);
 /* gw_stop_listening - take no new connections. */
