--- a/control.h
+++ b/control.h
@@ -83,8 +83,9 @@
 };
 
 /*
- * cp_init, cp_free - control task on caller-owned memory. cp_free runs after
- * pf_free and ends open submissions with ST_STOPPING. Source: control.c
+ * cp_init, cp_free - control task on caller-owned memory. cp_free ends open
+ * submissions with ST_STOPPING; the loop must not run between it and pf_free.
+ * Source: control.c, acceptance in control_accept.c
  */
 enum st_kind cp_init(struct cp_control *control, struct kn_kernel *kernel,
 		     struct tm_service *timers, struct pf_client *platform,
--- a/tests/run_documents.sh
+++ b/tests/run_documents.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
-# Runs every case of tests/document_cases.sh.
+# Runs the cases of tests/document_cases.sh, except fresh_host, which needs
+# messages between entry hosts.
 set -u
 BIN=${1:?directory of the built programs}
 failed=0
