Refuse a submission on top of an outdated row

A document accepted on top of a row older than the generation in force would get a number that hosts ignore, so it would never come into force. Such a row now counts as a platform failure: the submission is retried and then refused with exit code 5. The run also checks the sample documents with the command.

--- a/control_accept.c
+++ b/control_accept.c
@@ -361,6 +361,20 @@
 	return true;
 }
 
+/*
+ * Hosts ignore a generation that is not higher than theirs, so a document that
+ * was accepted on top of an outdated row would never come into force.
+ */
+static bool cs_is_outdated(const struct cp_submission *submission)
+{
+	const struct cp_control *control = submission->control;
+	uint64_t known = control->row_generation;
+
+	if (control->document)
+		known = MAX(known, control->document->generation);
+	return submission->current.generation < known;
+}
+
 static void cs_on_row(void *ctx, const struct pf_result *result)
 {
 	struct cp_submission *submission = ctx;
@@ -377,6 +391,11 @@
 		cs_answer(submission);
 		return;
 	}
+	if (cs_is_outdated(submission)) {
+		cs_retry(submission,
+			 "the platform's row is older than what is in force");
+		return;
+	}
 	/*
 	 * The audit row is read after the current row: if this submission
 	 * changed the current row, its audit row is there.
--- a/tests/document_cases.sh
+++ b/tests/document_cases.sh
@@ -132,6 +132,9 @@
 		done
 		sleep 0.1
 	done
+	expect 5 jdw 0 apply --base 1 "$WORK/3.yaml"
+	grep -q 'older than what is in force' "$WORK/out" ||
+		fail "$(cat "$WORK/out")"
 	say "0 of $HOSTS hosts reverted"
 }
 
@@ -260,6 +263,9 @@
 	head -c 4000 /dev/urandom >"$WORK/binary"
 	printf 'deployment: caf\351\n' >"$WORK/latin"
 	check="$BIN/jackdawworks check"
+	for sample in "$(dirname "$0")"/../examples/*.yaml; do
+		expect 0 $check "$sample"
+	done
 	expect 3 $check "$WORK/large"
 	expect 3 $check "$WORK/binary"
 	expect 3 $check "$WORK/latin"
