--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 
 PACKAGES = build-essential pkg-config clang-format clang-tidy \
 	libuv1-dev libh2o-dev libhttp-parser-dev libglib2.0-dev libyaml-dev \
-	libjansson-dev libssl-dev libtirpc-dev rpcsvc-proto check
+	libjansson-dev libssl-dev libtirpc-dev rpcsvc-proto check \
+	curl openssl
 
 CC ?= cc
 LIBS = libuv libh2o glib-2.0 yaml-0.1 jansson openssl libtirpc
@@ -96,6 +97,12 @@
 bench: release
 	tests/bench.sh build/release
 
+# Exercises the console in a real browser; installs one if needed.
+browser: release
+	@dpkg -s chromium chromium-driver >/dev/null 2>&1 || \
+		apt-get install -y chromium chromium-driver
+	tests/browser.sh build/release
+
 format:
 	clang-format -i $(FORMATTED)
 
@@ -109,14 +116,15 @@
 		-DME_SWITCHES 2>build/lint.err
 
 gen:
-	cd gen && rm -f peer_rpc.h peer_rpc_xdr.c && \
-	rpcgen -h -o peer_rpc.h ../peer_rpc.x && \
-	rpcgen -c -o peer_rpc_xdr.c ../peer_rpc.x
+	@mkdir -p gen
+	rm -f gen/peer_rpc.h gen/peer_rpc_xdr.c
+	rpcgen -h -o gen/peer_rpc.h peer_rpc.x
+	rpcgen -c -o gen/peer_rpc_xdr.c peer_rpc.x
 
 clean:
 	rm -rf build
 
 -include $(wildcard $(OUT)/*.d $(OUT)/gen/*.d $(OUT)/tests/*.d)
 
-.PHONY: all link release proof test variant deps demo check proofs bench format \
+.PHONY: all link release proof test variant deps demo check proofs bench browser format \
 	format-check lint gen clean
--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -13,9 +13,12 @@
 #include "kernel.h"
 #include "log.h"
 #include "mechanism.h"
+#include "order.h"
+#include "peer.h"
 #include "platform.h"
 #include "settings.h"
 #include "timer.h"
+#include "tls.h"
 
 enum {
 	SV_CHECK_IDLE_US = 20 * 1000,
@@ -32,9 +35,15 @@
 	struct kn_kernel kernel;
 	struct tm_service timers;
 	struct pf_client platform;
+	struct pf_client order_platform;
 	struct cp_control control;
+	struct od_orders orders;
 	struct gw_gateway gateway;
 	struct ad_admin admin;
+	struct tl_listener callers_tls;
+	struct tl_listener operators_tls;
+	SSL_CTX *platform_tls;
+	struct pr_peer *peer;
 	uv_signal_t signals[2];
 	struct tm_sub stop_timer;
 	uint64_t linger_until_us;
@@ -113,6 +122,38 @@
 	signal(SIGPIPE, SIG_IGN);
 }
 
+static enum st_kind sv_start_tls(struct sv_host *host, struct st_status *status)
+{
+	enum st_kind kind;
+
+	kind = tl_listen(&host->callers_tls, &host->gateway.http,
+			 &host->settings.callers_tls, &host->timers, status);
+	if (kind != ST_OK)
+		return kind;
+	return tl_listen(&host->operators_tls, &host->admin.http,
+			 &host->settings.operators_tls, &host->timers, status);
+}
+
+static bool sv_is_live(void *ctx, const char *name, uint64_t incarnation)
+{
+	const struct sv_host *host = ctx;
+
+	return pr_is_listed(host->peer, name, incarnation);
+}
+
+static enum st_kind sv_start_peer(struct sv_host *host,
+				  struct st_status *status)
+{
+	host->peer = pr_new(&host->kernel, &host->timers, &host->platform,
+			    &host->control, &host->settings,
+			    host->gateway.incarnation, status);
+	if (!host->peer)
+		return status->kind;
+	host->orders.live = sv_is_live;
+	host->orders.live_ctx = host;
+	return ST_OK;
+}
+
 static enum st_kind sv_start(struct sv_host *host, struct st_status *status)
 {
 	enum st_kind kind;
@@ -121,16 +162,33 @@
 	tm_init(&host->timers, &host->loop);
 	pf_init(&host->platform, &host->loop, &host->timers,
 		&host->settings.platform);
+	if (!host->settings.platform_tls.plaintext) {
+		host->platform_tls =
+			tl_client(host->settings.platform_tls.ca, status);
+		if (!host->platform_tls)
+			return ST_INVALID;
+	}
+	hc_pool_set_tls(&host->platform.pool, host->platform_tls);
 	kind = gw_init(&host->gateway, &host->kernel, &host->timers,
 		       &host->settings, status);
-	if (kind == ST_OK)
-		kind = cp_init(&host->control, &host->kernel, &host->timers,
-			       &host->platform, &host->settings, status);
+	if (kind != ST_OK)
+		return kind;
+	pf_init(&host->order_platform, &host->loop, &host->timers,
+		&host->settings.platform);
+	host->order_platform.timeout_us = OD_PLATFORM_TIMEOUT_US;
+	hc_pool_set_tls(&host->order_platform.pool, host->platform_tls);
+	od_init(&host->orders, &host->order_platform, &host->timers,
+		&host->settings, host->gateway.incarnation);
+	host->gateway.orders = &host->orders;
+	kind = cp_init(&host->control, &host->kernel, &host->timers,
+		       &host->platform, &host->settings, status);
 	if (kind == ST_OK)
 		kind = ad_init(&host->admin, &host->loop, &host->control,
 			       &host->gateway, &host->platform, &host->settings,
 			       sv_stop, host, status);
-	return kind;
+	if (kind == ST_OK)
+		kind = sv_start_tls(host, status);
+	return kind == ST_OK ? sv_start_peer(host, status) : kind;
 }
 
 static uint32_t sv_connections(const struct sv_host *host)
@@ -146,8 +204,11 @@
 	gw_close(&host->gateway);
 	hd_stop_listening(&host->admin.http);
 	hd_close_all(&host->admin.http);
-	cp_free(&host->control);
+	pr_close(host->peer);
 	pf_free(&host->platform);
+	od_free(&host->orders);
+	pf_free(&host->order_platform);
+	cp_free(&host->control);
 	while (sv_connections(host) && tm_now_us() < until_us)
 		uv_run(&host->loop, UV_RUN_NOWAIT);
 	return !sv_connections(host);
@@ -158,12 +219,16 @@
 	/* h2o cannot be freed while an operator waits for an answer. */
 	if (!sv_close(host))
 		return;
+	tl_free(&host->callers_tls);
+	tl_free(&host->operators_tls);
+	SSL_CTX_free(host->platform_tls);
 	gw_free(&host->gateway);
 	ad_free(&host->admin);
 	tm_free(&host->timers);
 	for (size_t i = 0; i < G_N_ELEMENTS(host->signals); i++)
 		uv_close((uv_handle_t *)&host->signals[i], NULL);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
+	pr_free(host->peer);
 	kn_free(&host->kernel);
 	uv_loop_close(&host->loop);
 }
@@ -183,6 +248,7 @@
 	lg_info("start", "callers %s, operators %s",
 		host->settings.callers.text, host->settings.operators.text);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
+	pr_leave(host->peer);
 	if (!host->at_once)
 		sv_free(host);
 	lg_info("stop", "ended");
@@ -212,6 +278,22 @@
 	}
 }
 
+static bool sv_read_settings(struct sv_host *host, const char *path)
+{
+	struct ym_errors errors;
+	GString *text = g_string_new(NULL);
+	enum st_kind kind;
+
+	ym_errors_init(&errors);
+	kind = se_read(path, &host->settings, &errors);
+	ym_errors_print(&errors, text);
+	if (kind != ST_OK)
+		fprintf(stderr, "%s:\n%s", path, text->str);
+	g_string_free(text, TRUE);
+	ym_errors_free(&errors);
+	return kind == ST_OK;
+}
+
 int cmd_serve(int argc, char **argv)
 {
 	static struct sv_host host;
@@ -221,22 +303,11 @@
 		.args_doc = "SETTINGS",
 		.doc = "Runs an entry host with a settings file."
 	};
-	struct ym_errors errors;
-	enum st_kind kind;
 
 	if (argp_parse(&argp, argc, argv, 0, NULL, &options))
 		return st_exit(ST_USAGE);
-	ym_errors_init(&errors);
-	kind = se_read(options.settings, &host.settings, &errors);
-	if (kind != ST_OK) {
-		GString *text = g_string_new(NULL);
-
-		ym_errors_print(&errors, text);
-		fprintf(stderr, "%s:\n%s", options.settings, text->str);
-		g_string_free(text, TRUE);
+	if (!sv_read_settings(&host, options.settings))
 		return st_exit(ST_INVALID);
-	}
-	ym_errors_free(&errors);
 	lg_init(host.settings.host, host.settings.log_level);
 	return sv_run(&host);
 }
--- a/gateway.h
+++ b/gateway.h
@@ -9,6 +9,7 @@
 #include "document.h"
 #include "httpd.h"
 #include "kernel.h"
+#include "order.h"
 #include "settings.h"
 #include "timer.h"
 
@@ -30,10 +31,12 @@
 	GPtrArray *servers; /* struct gw_server by core id */
 	GPtrArray *services; /* names by core id */
 	GHashTable *server_ids; /* "name address" to id */
+	GArray *hosts; /* struct gw_host, the live entry hosts */
 	uint32_t *service_map; /* index in the document to core id */
 	GHashTable *calls; /* by id */
 	uint64_t last_call;
 	uint64_t incarnation;
+	struct od_orders *orders; /* set after gw_init, before calls arrive */
 	char id_prefix[GW_ID_PREFIX_BYTES]; /* of request ids */
 	size_t id_prefix_bytes;
 	GArray *events; /* queued for the core */
@@ -52,13 +55,6 @@
 		     struct st_status *status);
 void gw_free(struct gw_gateway *gateway);
 
-/*
- * gw_set_host_count - number of live entry hosts, which share the connections
- * that the document allows per server. Until the first call it is the number
- * of seed peers in the settings.
- */
-void gw_set_host_count(struct gw_gateway *gateway, uint32_t count);
-
 /* gw_announce_stop - health checks fail, answers close their connections. */
 void gw_announce_stop(struct gw_gateway *gateway);
 /* gw_stop_listening - take no new connections. */
--- a/httpc.h
+++ b/httpc.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <glib.h>
+#include <openssl/ssl.h>
 #include <uv.h>
 
 #include "net.h"
@@ -71,6 +72,8 @@
 	void *ctx;
 	bool head_method; /* the answer has no body */
 	bool fresh; /* do not reuse an idle connection */
+	uint64_t max_idle_us; /* of a reused connection; 0: the pool's limit */
+	uint64_t not_after_us; /* do not begin to write later; 0: no limit */
 	/* Below: the client's own. */
 	enum hc_state state;
 	struct hc_conn *conn;
@@ -84,6 +87,7 @@
 	uint64_t max_idle_us;
 	struct tm_service *timers; /* NULL: connecting takes what it takes */
 	uint64_t connect_timeout_us;
+	SSL_CTX *tls; /* NULL: plaintext; not owned */
 	struct hc_conn *idle; /* most recently used first */
 	struct hc_conn *all;
 	bool closing;
@@ -109,6 +113,12 @@
 				 struct tm_service *timers,
 				 uint64_t timeout_us);
 
+/*
+ * hc_pool_set_tls - new connections use TLS and check the certificate against
+ * the pool's address. CTX must outlive the pool.
+ */
+void hc_pool_set_tls(struct hc_pool *pool, SSL_CTX *ctx);
+
 /* hc_pool_set_limit - change the limit; idle connections above it close. */
 void hc_pool_set_limit(struct hc_pool *pool, uint32_t max_connections);
 
--- a/settings.c
+++ b/settings.c
@@ -3,6 +3,13 @@
 #include <string.h>
 
 enum { SE_MIN_SECRET_CHARS = 16, SE_MAX_GRACE_MS = 60000 };
+/*
+ * A shorter retention than an hour would let a host that was paused or has a
+ * wrong clock meet a key whose row is gone.
+ */
+enum { SE_MIN_RETENTION_S = 3600, SE_RETENTION_S = 24 * 3600 };
+enum { SE_MAX_RETENTION_S = 90 * 24 * 3600 };
+enum { SE_MIN_LEASE_MS = 500, SE_LEASE_MS = 15000, SE_MAX_LEASE_MS = 600000 };
 
 static void se_address(struct ym_node *map, const char *key,
 		       struct nt_address *address, struct ym_errors *errors)
@@ -36,6 +43,29 @@
 			 SE_MIN_SECRET_CHARS);
 }
 
+static void se_plaintext(struct ym_node *map, const struct nt_address *address,
+			 struct se_tls *tls, struct ym_errors *errors)
+{
+	tls->plaintext = ym_bool(map, "plaintext", false, errors);
+	if (tls->plaintext && address->addr.ss_family &&
+	    !nt_is_loopback(address))
+		ym_error(errors, ym_get(map, "plaintext"), "plaintext",
+			 "only a loopback address may go without TLS");
+}
+
+/* TLS of a listener: certificate and key, or plaintext on loopback. */
+static void se_listener(struct ym_node *map, struct nt_address *address,
+			struct se_tls *tls, struct ym_errors *errors)
+{
+	se_address(map, "address", address, errors);
+	se_plaintext(map, address, tls, errors);
+	if (tls->plaintext)
+		return;
+	se_copy(map, "certificate", tls->certificate, SE_PATH_BYTES, NULL,
+		errors);
+	se_copy(map, "key", tls->key, SE_PATH_BYTES, NULL, errors);
+}
+
 static void se_callers(struct ym_node *root, struct se_settings *settings,
 		       struct ym_errors *errors)
 {
@@ -43,7 +73,7 @@
 
 	if (!map)
 		return;
-	se_address(map, "address", &settings->callers, errors);
+	se_listener(map, &settings->callers, &settings->callers_tls, errors);
 	ym_check_unused(map, errors);
 }
 
@@ -54,7 +84,8 @@
 
 	if (!map)
 		return;
-	se_address(map, "address", &settings->operators, errors);
+	se_listener(map, &settings->operators, &settings->operators_tls,
+		    errors);
 	se_secret(map, "token", settings->operator_token, errors);
 	ym_check_unused(map, errors);
 }
@@ -103,6 +134,10 @@
 	if (!map)
 		return;
 	se_address(map, "address", &settings->platform, errors);
+	se_plaintext(map, &settings->platform, &settings->platform_tls, errors);
+	if (!settings->platform_tls.plaintext)
+		se_copy(map, "ca", settings->platform_tls.ca, SE_PATH_BYTES,
+			NULL, errors);
 	ym_check_unused(map, errors);
 }
 
@@ -133,6 +168,11 @@
 		ym_uint(root, "random_seed", 0, UINT64_MAX, 0, errors);
 	settings->stop_grace_ms = ym_uint(root, "stop_grace_ms", 0,
 					  SE_MAX_GRACE_MS, 3000, errors);
+	settings->lease_ms = ym_uint(root, "lease_ms", SE_MIN_LEASE_MS,
+				     SE_MAX_LEASE_MS, SE_LEASE_MS, errors);
+	settings->order_retention_s =
+		ym_uint(root, "order_retention_s", SE_MIN_RETENTION_S,
+			SE_MAX_RETENTION_S, SE_RETENTION_S, errors);
 	se_callers(root, settings, errors);
 	se_operators(root, settings, errors);
 	se_peers(root, settings, errors);
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -46,7 +46,11 @@
 
 start_platform() {
 	start platform "$BIN/tool_platform" "$platform_address"
-	wait_http "$platform_address" /hosts
+	wait_http "$platform_address" /hosts || return 1
+	# Another run on the same ports would answer in its place.
+	kill -0 "$pid_platform" 2>/dev/null && return
+	say "$platform_address is in use; set PORT_BASE" >&2
+	return 1
 }
 
 platform_fault() { curl -s -o /dev/null -d "$1" "$platform_address/fault"; }
@@ -72,9 +76,10 @@
 		log_level: ${LOG_LEVEL:-info}
 		random_seed: $((1000 + $1))
 		stop_grace_ms: ${STOP_GRACE_MS:-500}
-		callers: {address: "127.0.0.1:$((callers_port + $1))"}
+		callers: {address: "127.0.0.1:$((callers_port + $1))", ${CALLERS_TLS:-plaintext: true}}
 		operators:
 		  address: "127.0.0.1:$((operators_port + $1))"
+		  ${OPERATORS_TLS:-plaintext: true}
 		  token: $TOKEN
 		peers:
 		  address: "127.0.0.1:$((peers_port + $1))"
@@ -84,7 +89,7 @@
 		for i in $(seq 0 $(($3 - 1))); do
 			say "    - \"127.0.0.1:$((peers_port + i))\""
 		done
-		say "platform: {address: \"$platform_address\"}"
+		say "platform: {address: \"$platform_address\", ${PLATFORM_TLS:-plaintext: true}}"
 		test -z "${4:-}" || say "$4"
 	} >"$WORK/entry$1.yaml"
 }
--- a/tests/tool_load.c
+++ b/tests/tool_load.c
@@ -665,6 +665,7 @@
 		log_file = fopen(options.log, "w");
 	run();
 	print_result();
+	tm_free(&timers);
 	if (log_file)
 		fclose(log_file);
 	return wrong ? 1 : 0;
--- a/tests/tool_platform.c
+++ b/tests/tool_platform.c
@@ -11,6 +11,7 @@
 
 #include "httpd.h"
 #include "timer.h"
+#include "tls.h"
 
 enum { US_PER_MS = 1000, MAX_LIST = 1000 };
 
@@ -34,6 +35,7 @@
 	/* Faults. */
 	int64_t delay_ms;
 	int64_t lose_answers;
+	int64_t lose_txn_answers; /* of transactions only */
 	int64_t hosts_lag_ms;
 	int down;
 } platform;
@@ -184,11 +186,11 @@
 }
 
 /* Whether the answer of a write that took effect is to be lost. */
-static bool lose_answer(void)
+static bool lose_answer(int64_t *left)
 {
-	if (platform.lose_answers <= 0)
+	if (*left <= 0)
 		return false;
-	platform.lose_answers--;
+	--*left;
 	return true;
 }
 
@@ -206,7 +208,8 @@
 		reply_json(req, 409, json_pack("{s:i}", "conflict", failed));
 	} else {
 		write_rows(json_object_get(txn, "writes"));
-		if (!lose_answer())
+		if (!lose_answer(&platform.lose_txn_answers) &&
+		    !lose_answer(&platform.lose_answers))
 			reply_json(
 				req, 200,
 				json_pack("{s:I}", "version",
@@ -225,7 +228,7 @@
 		g_hash_table_replace(
 			platform.objects, g_strdup(name),
 			g_bytes_new(req->entity.base, req->entity.len));
-		if (!lose_answer())
+		if (!lose_answer(&platform.lose_answers))
 			reply_json(req, 200, json_object());
 		return;
 	}
@@ -263,9 +266,10 @@
 	json_t *fault = json_loadb(req->entity.base, req->entity.len, 0, NULL);
 
 	if (fault)
-		json_unpack(fault, "{s?I, s?I, s?I, s?b}", "delay_ms",
+		json_unpack(fault, "{s?I, s?I, s?I, s?I, s?b}", "delay_ms",
 			    &platform.delay_ms, "lose_answers",
-			    &platform.lose_answers, "hosts_lag_ms",
+			    &platform.lose_answers, "lose_txn_answers",
+			    &platform.lose_txn_answers, "hosts_lag_ms",
 			    &platform.hosts_lag_ms, "down", &platform.down);
 	reply_json(req, fault ? 200 : 400, json_object());
 	json_decref(fault);
@@ -346,11 +350,14 @@
 
 int main(int argc, char **argv)
 {
+	static struct se_tls files;
+	static struct tl_listener tls;
 	struct nt_address address;
 	struct st_status status;
 
-	if (argc != 2 || !nt_parse(argv[1], &address)) {
-		fprintf(stderr, "usage: tool_platform ADDRESS\n");
+	if (argc < 2 || argc == 3 || !nt_parse(argv[1], &address)) {
+		fprintf(stderr,
+			"usage: tool_platform ADDRESS [CERTIFICATE KEY]\n");
 		return 2;
 	}
 	uv_loop_init(&platform.loop);
@@ -365,6 +372,16 @@
 		fprintf(stderr, "%s\n", status.msg);
 		return 1;
 	}
+	files.plaintext = argc < 4;
+	if (argc >= 4) {
+		g_strlcpy(files.certificate, argv[2], SE_PATH_BYTES);
+		g_strlcpy(files.key, argv[3], SE_PATH_BYTES);
+	}
+	if (tl_listen(&tls, &platform.http, &files, &platform.timers,
+		      &status) != ST_OK) {
+		fprintf(stderr, "%s\n", status.msg);
+		return 1;
+	}
 	uv_run(&platform.loop, UV_RUN_DEFAULT);
 	return 0;
 }
