--- a/gateway.c
+++ b/gateway.c
@@ -833,6 +833,7 @@
 		gw_replay(call, verdict);
 	else if (call->req)
 		gw_reply_error(call, verdict->kind, verdict->msg);
+	gw_limit_taking(call);
 	gw_call_unref(call);
 }
 
