--- a/gateway.c
+++ b/gateway.c
@@ -717,8 +717,8 @@
 	gw_add_outcome(call, ST_OK);
 	call->final_sent = true;
 	hd_reply(call->req, verdict->http_status,
-		 *type ? type : "application/octet-stream", verdict->body,
-		 verdict->body_bytes);
+		 type && *type ? type : "application/octet-stream",
+		 verdict->body, verdict->body_bytes);
 }
 
 /* Ends a call that the core never got. */
@@ -757,7 +757,7 @@
 {
 	h2o_iovec_t caller = hd_header(call->req, "x-caller");
 	struct od_callback callback = { gw_on_claim, call };
-	struct od_verdict refused = { .kind = ST_INVALID };
+	struct od_verdict refused = { .kind = ST_INTERNAL };
 	struct od_request request = {
 		.id = call->request_id,
 		.caller = caller.base ? caller.base : "",
@@ -776,6 +776,7 @@
 	if (od_claim(call->gateway->orders, &request, &callback, &status) ==
 	    ST_OK)
 		return;
+	refused.kind = status.kind;
 	refused.msg = status.msg;
 	gw_end_unplaced(call, &refused);
 }
--- a/order.c
+++ b/order.c
@@ -11,16 +11,25 @@
 	OD_POLL_LAST_US = 500 * 1000,
 	OD_RETRY_LAST_US = 5 * 1000 * 1000,
 	OD_STOP_WAIT_US = 5 * 1000 * 1000,
+	OD_TRY_US = 250 * 1000,
 	OD_SWEEP_US = 10 * 1000 * 1000,
 	OD_SWEEP_BUSY_US = 1000 * 1000
 };
 
 /* A result that cannot be written for so long is given up. */
 static const uint64_t OD_GIVE_UP_US = 3600ULL * 1000 * 1000;
+/*
+ * An insert of which it is not known whether it took effect is looked for so
+ * long. A row that stays behind ends as "unknown" although it was not run.
+ */
+static const uint64_t OD_CLEAN_UP_US = 10ULL * 1000 * 1000;
 
 static const char od_table[] = "orders";
 static const char od_times[] = "order_times";
 
+static const char od_outage[] = "the platform is unavailable, so the "
+				"idempotency-key cannot be claimed";
+
 static const char *const od_state_names[] = {
 #define X(id, name) name,
 	OD_STATES(X)
@@ -178,8 +187,7 @@
 		verdict.msg = "the idempotency-key was used before for "
 			      "a different method, path or body";
 	else if (kind == ST_PLATFORM)
-		verdict.msg = "the platform is unavailable, so the "
-			      "idempotency-key cannot be claimed";
+		verdict.msg = od_outage;
 	od_tell(claim, &verdict);
 }
 
@@ -342,6 +350,12 @@
 	}
 }
 
+static void od_suspect(struct od_orders *orders)
+{
+	orders->suspect = true;
+	orders->next_try_us = tm_now_us() + OD_TRY_US;
+}
+
 static void od_on_read(void *ctx, const struct pf_result *result)
 {
 	struct od_claim *claim = ctx;
@@ -360,6 +374,7 @@
 			od_wait(claim, OD_POLL_LAST_US, od_insert);
 		break;
 	default:
+		od_suspect(claim->orders);
 		od_tell_kind(claim, claim->seen ? ST_UNKNOWN : ST_PLATFORM);
 		if (claim->inserted)
 			od_release(claim);
@@ -379,9 +394,11 @@
 
 	switch (result->status.kind) {
 	case ST_OK:
+		claim->orders->suspect = false;
 		od_own(claim, od_written_version(result));
 		break;
 	case ST_CONFLICT:
+		claim->orders->suspect = false;
 		claim->seen = true;
 		od_read(claim);
 		break;
@@ -407,7 +424,9 @@
 /* Tries again later, within limits. */
 static void od_settle_later(struct od_claim *claim)
 {
-	if (tm_now_us() < claim->ended_us + OD_GIVE_UP_US) {
+	uint64_t limit_us = claim->version ? OD_GIVE_UP_US : OD_CLEAN_UP_US;
+
+	if (tm_now_us() < claim->ended_us + limit_us) {
 		od_wait(claim, OD_RETRY_LAST_US, od_read_then_settle);
 		return;
 	}
@@ -592,6 +611,19 @@
 	return claim;
 }
 
+/* Whether a claim may go to the platform now. */
+static bool od_may_try(struct od_orders *orders)
+{
+	uint64_t now_us = tm_now_us();
+
+	if (!orders->suspect)
+		return true;
+	if (now_us < orders->next_try_us)
+		return false;
+	orders->next_try_us = now_us + OD_TRY_US;
+	return true;
+}
+
 enum st_kind od_claim(struct od_orders *orders,
 		      const struct od_request *request,
 		      const struct od_callback *callback,
@@ -604,6 +636,8 @@
 			      "idempotency-key must have 1 to %d printable "
 			      "ASCII characters without blanks",
 			      OD_MAX_KEY_BYTES);
+	if (!od_may_try(orders))
+		return st_set(status, ST_PLATFORM, "%s", od_outage);
 	claim = od_new_claim(orders, request, callback);
 	tm_subscribe(orders->timers, &claim->deadline, claim->deadline_us);
 	od_insert(claim);
--- a/order.h
+++ b/order.h
@@ -99,6 +99,13 @@
 	struct ls_lease lease; /* of the sweep */
 	struct tm_sub sweep;
 	bool sweeping;
+	/*
+	 * After a failure at the platform one claim in a quarter of a second
+	 * tries it again and all others are refused at once, so that an outage
+	 * neither holds callers up nor adds load to the platform.
+	 */
+	bool suspect;
+	uint64_t next_try_us;
 	int64_t (*wall_ms)(void);
 	/*
 	 * Whether a host is live with that incarnation; NULL: every host is
@@ -121,7 +128,7 @@
  * od_claim - claim the key of a call. CALLBACK comes later, once, at the
  * call's deadline at the latest. Errors, without callback: ST_INVALID when
  * the key is empty, longer than OD_MAX_KEY_BYTES or has characters other
- * than printable ASCII without blanks.
+ * than printable ASCII without blanks; ST_PLATFORM while the platform fails.
  */
 enum st_kind od_claim(struct od_orders *orders,
 		      const struct od_request *request,
--- a/tests/run_orders.sh
+++ b/tests/run_orders.sh
@@ -48,8 +48,50 @@
 	verdict "$1-again$4"
 }
 
+# post HOST KEY BODY [CURL-ARGUMENT...]: "STATUS OUTCOME BODY-BYTES".
+post() {
+	host=$1
+	key=$2
+	body=$3
+	shift 3
+	curl -s -o /dev/null -d "$body" -H "idempotency-key: $key" \
+		-H "x-caller: lamp-district-3" -H "x-echo: $key" \
+		-H "x-timeout-ms: 5000" \
+		-w '%{http_code} %header{x-request-outcome} %{size_download}' \
+		"$@" "127.0.0.1:$((callers_port + host))/orders${query:-}"
+}
+
+expect() { # WHAT WANTED GOT
+	test "$2" = "$3" && return
+	say "$1: expected \"$2\", got \"$3\""
+	failures=$((failures + 1))
+}
+
 start_orders
 
+# Keys through the whole path: replay at another host, reuse, bad keys, an
+# answer that is too large to keep.
+first=$(post 0 one mantles)
+expect "first call" "200 completed" "${first% *}"
+expect "replay at another host" "$first" "$(post 1 one mantles)"
+expect "key reused" "422 not-run" "$(post 1 one wicks | cut -d' ' -f1,2)"
+expect "key with a blank" "400 not-run" "$(post 0 'a b' x | cut -d' ' -f1,2)"
+query="?bytes=20000"
+expect "large answer" "200 completed 20000" "$(post 0 large x)"
+expect "large answer again" "200 completed 0" "$(post 1 large x)"
+query=
+
+# A caller that leaves must not cancel its order; the next one gets the answer.
+all_servers '{"factor": 100}'
+for i in 1 2 3 4 5; do post 0 "leaves$i" x --max-time 0.2 >/dev/null; done
+for i in 1 2 3 4 5; do
+	expect "order $i of a caller that left" "200 completed" \
+		"$(post 1 "leaves$i" x | cut -d' ' -f1,2)"
+done
+all_servers '{"factor": 1}'
+expect "orders run" 7 \
+	"$(grep -cE '^run (one|large|leaves.) ' "$WORK/ordering.runs")"
+
 all_servers '{"refuse_every": 5, "break_every": 7, "cut_every": 11}'
 faulty servers 10 true
 all_servers '{"refuse_every": 0, "break_every": 0, "cut_every": 0}'
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -451,6 +451,9 @@
 	od_done(first->claim, 200, "", "yes", 3, true);
 	ck_told(ask(0, 1, "new", "a", "x"), ST_PLATFORM);
 	ck_assert(st_not_run(ST_PLATFORM));
+	/* Between two trials orders are refused without a request. */
+	hosts[0].next_try_us = limit_us;
+	ck_assert_int_eq(begin(0, 1, "new", "a", "x"), ST_PLATFORM);
 	pump_for(100 * 1000);
 	ck_assert(!od_idle(&hosts[0]));
 	fake.down = false;
