--- a/order.c
+++ b/order.c
@@ -27,8 +27,9 @@
 static const char od_table[] = "orders";
 static const char od_times[] = "order_times";
 
-static const char od_outage[] = "the platform is unavailable, so the "
-				"idempotency-key cannot be claimed";
+static const char od_outage[] =
+	"the platform is unavailable, so the idempotency-key cannot be "
+	"claimed; an earlier call with the same key may have run";
 
 static const char *const od_state_names[] = {
 #define X(id, name) name,
