--- a/core.c
+++ b/core.c
@@ -1,58 +1,12 @@
-#include "core.h"
+#include "core_internal.h"
 
 #include <string.h>
 
-#include <glib.h>
+#include "mechanism.h"
 
-enum { CORE_US_PER_MS = 1000, CORE_RETRY_RESERVE = 10 };
+/* Calls, their attempts, and the events about them. */
 
-struct core_server {
-	bool known;
-	bool leaving;
-	uint32_t slots;
-	uint32_t connections;
-	uint32_t in_flight;
-};
-
-struct core_service {
-	bool known;
-	enum core_policy policy;
-	uint32_t queue_limit;
-	uint32_t retry_percent;
-	uint32_t *servers;
-	uint32_t server_count;
-	uint32_t next; /* round robin */
-	uint32_t in_flight;
-	GQueue queue; /* of struct core_call */
-	/* Retry budget in hundredths of a retry. */
-	uint32_t retry_credit;
-};
-
-struct core_attempt {
-	bool open;
-	bool sent;
-	uint32_t server;
-};
-
-struct core_call {
-	uint64_t id;
-	uint32_t service;
-	uint64_t deadline_us;
-	bool idempotent;
-	bool answered;
-	bool may_have_run;
-	uint32_t attempt_count;
-	struct core_attempt attempts[CORE_MAX_ATTEMPTS];
-	GList *queued; /* link in the queue of its service */
-};
-
-struct core {
-	struct core_driver driver;
-	GArray *servers; /* struct core_server by id */
-	GArray *services; /* struct core_service by id */
-	GHashTable *calls;
-	uint64_t now_us;
-};
+enum { CORE_QUEUE_TICK_US = 2 * CORE_US_PER_MS };
 
 static const char *const core_policy_names[] = {
 #define X(id, name) name,
@@ -106,18 +60,14 @@
 	return core_action_names[kind];
 }
 
-static struct core_server *core_server(struct core *core, uint32_t id)
+struct core_server *core_server(const struct core *core, uint32_t id)
 {
-	if (id >= core->servers->len)
-		g_array_set_size(core->servers, id + 1);
-	return &g_array_index(core->servers, struct core_server, id);
+	return g_ptr_array_index(core->servers, id);
 }
 
-static struct core_service *core_service(struct core *core, uint32_t id)
+struct core_service *core_service(const struct core *core, uint32_t id)
 {
-	if (id >= core->services->len)
-		g_array_set_size(core->services, id + 1);
-	return &g_array_index(core->services, struct core_service, id);
+	return g_ptr_array_index(core->services, id);
 }
 
 static void core_act(struct core *core, const struct core_action *action)
@@ -125,189 +75,160 @@
 	core->driver.act(core->driver.ctx, action);
 }
 
-static uint32_t core_random(struct core *core, uint32_t bound)
+uint32_t core_random(struct core *core, uint32_t bound)
 {
-	uint32_t value = core->driver.random_u32(core->driver.ctx);
+	uint32_t value;
 
+	if (bound < 2)
+		return 0;
+	value = core->driver.random_u32(core->driver.ctx);
 	return (uint32_t)(((uint64_t)value * bound) >> 32);
 }
 
-struct core *core_new(const struct core_driver *driver)
+static void core_call_free(void *ptr)
 {
-	struct core *core = g_new0(struct core, 1);
+	struct core_call *call = ptr;
 
-	core->driver = *driver;
-	core->servers = g_array_new(FALSE, TRUE, sizeof(struct core_server));
-	core->services = g_array_new(FALSE, TRUE, sizeof(struct core_service));
-	core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					    g_free);
-	return core;
+	core_lane_unref(call->lane);
+	g_free(call);
 }
 
-void core_free(struct core *core)
+static void core_service_free(void *ptr)
 {
-	for (guint i = 0; i < core->services->len; i++) {
-		struct core_service *service = core_service(core, i);
+	struct core_service *service = ptr;
 
-		g_queue_clear(&service->queue);
-		g_free(service->servers);
-	}
-	g_array_free(core->servers, TRUE);
-	g_array_free(core->services, TRUE);
-	g_hash_table_destroy(core->calls);
-	g_free(core);
-}
-
-static bool core_usable(const struct core_server *server)
-{
-	return server->known && !server->leaving &&
-	       server->in_flight < server->connections;
+	for (guint i = 0; i < service->lanes->len; i++)
+		if (g_ptr_array_index(service->lanes, i))
+			core_lane_unref(g_ptr_array_index(service->lanes, i));
+	g_ptr_array_free(service->lanes, TRUE);
+	g_free(service->servers);
+	g_free(service);
 }
 
-static void core_conf_server(struct core *core,
-			     const struct core_server_conf *conf)
+struct core *core_new(const struct core_driver *driver)
 {
-	struct core_server *server = core_server(core, conf->id);
+	struct core *core = g_new0(struct core, 1);
 
-	server->leaving = conf->leaving || (server->known && server->leaving);
-	server->known = true;
-	server->slots = conf->slots;
-	server->connections = conf->connections;
+	core->driver = *driver;
+	core->hosts = 1;
+	core->servers = g_ptr_array_new_with_free_func(g_free);
+	core->services = g_ptr_array_new_with_free_func(core_service_free);
+	core->weights = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    core_call_free);
+	return core;
 }
 
-static void core_conf_service(struct core *core,
-			      const struct core_service_conf *conf)
+/* Queued calls are linked into lanes, which the calls keep alive. */
+static void core_empty_queues(struct core *core)
 {
-	struct core_service *service = core_service(core, conf->id);
+	for (guint i = 0; i < core->services->len; i++) {
+		struct core_service *service = core_service(core, i);
 
-	service->known = true;
-	service->policy = conf->policy;
-	service->queue_limit = conf->queue_limit;
-	service->retry_percent = conf->retry_percent;
-	g_free(service->servers);
-	service->servers = g_new(uint32_t, conf->server_count);
-	service->server_count = conf->server_count;
-	for (uint32_t i = 0; i < conf->server_count; i++) {
-		service->servers[i] = conf->servers[i].id;
-		core_conf_server(core, &conf->servers[i]);
-	}
-}
+		while (service->active.head) {
+			struct core_lane *lane = service->active.head->data;
 
-static void core_on_conf(struct core *core, const struct core_conf *conf)
-{
-	for (guint i = 0; i < core->services->len; i++)
-		core_service(core, i)->known = false;
-	for (guint i = 0; i < core->servers->len; i++)
-		core_server(core, i)->known = false;
-	for (uint32_t i = 0; i < conf->service_count; i++)
-		core_conf_service(core, &conf->services[i]);
+			core_unqueue(core, g_queue_peek_head(&lane->queue));
+		}
+	}
 }
 
-/* Fills CANDIDATES with the usable servers that the call has not tried. */
-static uint32_t core_candidates(struct core *core,
-				const struct core_service *service,
-				const struct core_call *call, uint32_t *out)
+void core_free(struct core *core)
 {
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < service->server_count; i++) {
-		uint32_t id = service->servers[i];
-		bool tried = false;
-
-		for (uint32_t k = 0; k < call->attempt_count; k++)
-			tried |= call->attempts[k].server == id;
-		if (!tried && core_usable(core_server(core, id)))
-			out[count++] = id;
-	}
-	return count;
+	core_empty_queues(core);
+	g_hash_table_destroy(core->calls);
+	g_ptr_array_free(core->services, TRUE);
+	g_ptr_array_free(core->servers, TRUE);
+	g_array_free(core->weights, TRUE);
+	g_free(core);
 }
 
-static uint32_t core_pick_of_two(struct core *core, const uint32_t *candidates,
-				 uint32_t count)
+static void core_timer(struct core *core, uint64_t call, uint64_t at_us)
 {
-	uint32_t a = candidates[core_random(core, count)];
-	uint32_t b = candidates[core_random(core, count)];
+	struct core_action action = { .kind = CORE_ACT_TIMER,
+				      .call = call,
+				      .at_us = at_us };
 
-	if (core_server(core, b)->in_flight < core_server(core, a)->in_flight)
-		return b;
-	return a;
+	core_act(core, &action);
 }
 
-static bool core_pick(struct core *core, struct core_service *service,
-		      const struct core_call *call, uint32_t *server)
+void core_wake(struct core *core, uint64_t at_us)
 {
-	uint32_t *candidates = g_newa(uint32_t, service->server_count + 1);
-	uint32_t count = core_candidates(core, service, call, candidates);
-
-	if (!count)
-		return false;
-	switch (service->policy) {
-	case CORE_RANDOM:
-		*server = candidates[core_random(core, count)];
-		break;
-	case CORE_ROUND_ROBIN:
-		*server = candidates[service->next++ % count];
-		break;
-	default:
-		*server = core_pick_of_two(core, candidates, count);
-	}
-	return true;
+	if (core->wake_us && core->wake_us <= at_us)
+		return;
+	core->wake_us = at_us;
+	core_timer(core, 0, at_us);
 }
 
-static void core_timer(struct core *core, uint64_t call, uint64_t at_us)
+/* The time of the next decision about the call. */
+static void core_call_timer(struct core *core, const struct core_call *call)
 {
-	struct core_action action = { .kind = CORE_ACT_TIMER,
-				      .call = call,
-				      .at_us = at_us };
+	const struct core_service *service = core_service(core, call->service);
+	uint64_t at_us = call->deadline_us;
 
-	core_act(core, &action);
+	if (call->queued && me_on(ME_EARLY_REFUSAL))
+		at_us -= MIN(service->quick_us, at_us);
+	else if (call->hedge_us)
+		at_us = MIN(at_us, call->hedge_us);
+	core_timer(core, call->id, MAX(at_us, core->now_us));
 }
 
-static void core_unqueue(struct core *core, struct core_call *call)
+/* An attempt whose first byte was written, unless it proved otherwise. */
+static bool core_maybe_ran(const struct core_call *call)
 {
-	struct core_service *service = core_service(core, call->service);
+	bool sent = false;
 
-	if (!call->queued)
-		return;
-	g_queue_delete_link(&service->queue, call->queued);
-	call->queued = NULL;
+	for (uint32_t i = 0; i < call->attempt_count; i++)
+		sent |= call->attempts[i].sent;
+	return sent;
 }
 
 static void core_close_attempt(struct core *core, struct core_call *call,
 			       uint32_t attempt)
 {
 	struct core_attempt *a = &call->attempts[attempt];
+	struct core_server *server = core_server(core, a->server);
+	struct core_service *service = core_service(core, call->service);
 
-	if (!a->open)
-		return;
 	a->open = false;
-	core_server(core, a->server)->in_flight--;
-	core_service(core, call->service)->in_flight--;
+	g_queue_unlink(&server->open, &a->link);
+	server->in_flight--;
+	service->in_flight--;
+	call->lane->in_flight--;
+	core_count_end(core, service);
 }
 
 static void core_cancel(struct core *core, struct core_call *call,
 			uint32_t attempt)
 {
+	struct core_attempt *a = &call->attempts[attempt];
 	struct core_action action = { .kind = CORE_ACT_CANCEL,
 				      .call = call->id,
 				      .attempt = attempt,
-				      .server =
-					      call->attempts[attempt].server };
+				      .service = call->service,
+				      .server = a->server };
 
-	if (!call->attempts[attempt].open)
+	if (!a->open)
 		return;
+	if (!a->answer_us)
+		core_learn_slow(core, core_server(core, a->server),
+				(uint32_t)(core->now_us - a->begin_us));
 	core_close_attempt(core, call, attempt);
 	core_act(core, &action);
 }
 
-static void core_finish(struct core *core, struct core_call *call,
-			enum st_kind result)
+void core_finish(struct core *core, struct core_call *call, enum st_kind result)
 {
 	struct core_action action = { .kind = CORE_ACT_FINISH,
 				      .call = call->id,
-				      .service = call->service,
-				      .result = result };
-
+				      .service = call->service };
+
+	/* Whatever ends the call, "not run" must be true. */
+	if (st_not_run(result) && core_maybe_ran(call) &&
+	    me_on(ME_NOT_RUN_TABLE))
+		result = result == ST_DEADLINE_NOT_RUN ? ST_DEADLINE_UNKNOWN :
+							 ST_UNKNOWN;
+	action.result = result;
 	core_unqueue(core, call);
 	for (uint32_t i = 0; i < call->attempt_count; i++)
 		core_cancel(core, call, i);
@@ -315,10 +236,23 @@
 	g_hash_table_remove(core->calls, &call->id);
 }
 
-static void core_send(struct core *core, struct core_call *call,
-		      uint32_t server, bool hedge)
+/* Only a first attempt of an idempotent call is hedged. */
+static void core_plan_hedge(struct core *core, struct core_call *call)
+{
+	const struct core_service *service = core_service(core, call->service);
+
+	call->hedge_us = 0;
+	if (call->attempt_count > 1 || !service->slow_us || !call->idempotent ||
+	    !me_on(ME_HEDGING))
+		return;
+	call->hedge_us = core->now_us + service->slow_us;
+}
+
+void core_send(struct core *core, struct core_call *call, uint32_t server,
+	       bool hedge)
 {
 	struct core_attempt *a = &call->attempts[call->attempt_count];
+	struct core_server *s = core_server(core, server);
 	struct core_action action = { .kind = CORE_ACT_SEND,
 				      .call = call->id,
 				      .attempt = call->attempt_count++,
@@ -328,20 +262,34 @@
 				      .hedge = hedge };
 
 	a->open = true;
-	a->sent = false;
 	a->server = server;
-	core_server(core, server)->in_flight++;
+	a->begin_us = core->now_us;
+	a->link.data = a;
+	g_queue_push_tail_link(&s->open, &a->link);
+	s->in_flight++;
+	s->last_send_us = core->now_us;
 	core_service(core, call->service)->in_flight++;
+	call->lane->in_flight++;
+	core_plan_hedge(core, call);
 	core_act(core, &action);
+	core_call_timer(core, call);
 }
 
 static void core_dequeue(struct core *core, struct core_service *service)
 {
-	while (!g_queue_is_empty(&service->queue)) {
-		struct core_call *call = g_queue_peek_head(&service->queue);
+	while (service->queued) {
+		struct core_call *call = core_next_queued(core, service);
 		uint32_t server;
 
-		if (!core_pick(core, service, call, &server))
+		if (!service->known) {
+			core_finish(core, call, ST_NO_SERVER);
+			continue;
+		}
+		if (core_too_late(core, service, call, 0)) {
+			core_finish(core, call, ST_DEADLINE_NOT_RUN);
+			continue;
+		}
+		if (!core_pick(core, service, call, false, &server))
 			return;
 		core_unqueue(core, call);
 		core_send(core, call, server, false);
@@ -350,67 +298,61 @@
 
 static void core_place(struct core *core, struct core_call *call)
 {
-	struct core_service *service = core_service(core, call->service);
-	uint32_t server;
+	uint64_t id = call->id;
 
-	if (core_pick(core, service, call, &server)) {
-		core_send(core, call, server, false);
-	} else if (g_queue_get_length(&service->queue) < service->queue_limit) {
-		g_queue_push_tail(&service->queue, call);
-		call->queued = g_queue_peek_tail_link(&service->queue);
-	} else {
-		core_finish(core, call, ST_QUEUE_FULL);
-	}
+	core_admit(core, call);
+	call = g_hash_table_lookup(core->calls, &id);
+	if (call && call->queued)
+		core_call_timer(core, call);
 }
 
 static void core_on_call(struct core *core, const struct core_event *event)
 {
-	struct core_call *call = g_new0(struct core_call, 1);
+	uint32_t id = event->u.call.service;
 	struct core_service *service =
-		core_service(core, event->u.call.service);
-
+		id < core->services->len ? core_service(core, id) : NULL;
+	struct core_call *call;
+	const uint64_t *call_id = &event->u.call.call;
+	struct core_action refusal = { .kind = CORE_ACT_FINISH,
+				       .call = event->u.call.call,
+				       .service = id,
+				       .result = ST_NO_SERVER };
+
+	if (g_hash_table_contains(core->calls, call_id))
+		return;
+	if (!service || !service->known || !service->server_count) {
+		core_act(core, &refusal);
+		return;
+	}
+	call = g_new0(struct core_call, 1);
 	call->id = event->u.call.call;
-	call->service = event->u.call.service;
+	call->service = id;
 	call->deadline_us = event->u.call.deadline_us;
 	call->idempotent = event->u.call.idempotent;
+	call->lane = core_lane_get(core, service, event->u.call.caller);
 	g_hash_table_insert(core->calls, &call->id, call);
-	if (!service->known || !service->server_count) {
-		core_finish(core, call, ST_NO_SERVER);
-		return;
-	}
-	service->retry_credit =
-		MIN(service->retry_credit + service->retry_percent,
-		    100 * CORE_RETRY_RESERVE);
-	core_timer(core, call->id, call->deadline_us);
+	core_retry_earn(service);
+	core_probe_on_call(core, service);
 	core_place(core, call);
 }
 
-static bool core_take_retry(struct core_service *service)
-{
-	if (service->retry_credit < 100)
-		return false;
-	service->retry_credit -= 100;
-	return true;
-}
-
 /* What the caller is told when no attempt is left. */
 static enum st_kind core_result(const struct core_call *call, enum core_end end)
 {
-	if (call->may_have_run)
-		return end == CORE_END_BROKEN ? ST_BROKEN : ST_UNKNOWN;
+	if (end == CORE_END_BROKEN)
+		return ST_BROKEN;
 	return end == CORE_END_REFUSED ? ST_REFUSED : ST_CONNECT;
 }
 
-static bool core_may_retry(struct core *core, const struct core_call *call,
-			   enum core_end end)
+static bool core_may_retry(struct core *core, const struct core_call *call)
 {
 	if (call->answered || call->attempt_count == CORE_MAX_ATTEMPTS)
 		return false;
-	if (call->may_have_run && !call->idempotent)
+	if (core_maybe_ran(call) && !call->idempotent && me_on(ME_SEND_ONCE))
 		return false;
 	if (core->now_us >= call->deadline_us)
 		return false;
-	return core_take_retry(core_service(core, call->service));
+	return core_retry_take(core_service(core, call->service));
 }
 
 static bool core_has_open(const struct core_call *call)
@@ -421,17 +363,43 @@
 	return false;
 }
 
+static void core_learn(struct core *core, const struct core_attempt *attempt,
+		       enum core_end end)
+{
+	struct core_server *server = core_server(core, attempt->server);
+
+	switch (end) {
+	case CORE_END_DONE:
+		core_learn_good(
+			core, server,
+			(uint32_t)(attempt->answer_us - attempt->begin_us));
+		break;
+	case CORE_END_REFUSED:
+		core_learn_refused(core, server);
+		break;
+	case CORE_END_CANCELLED:
+		break;
+	default:
+		core_learn_error(core, server);
+	}
+}
+
 static void core_on_ended(struct core *core, struct core_call *call,
 			  uint32_t attempt, enum core_end end)
 {
+	struct core_attempt *a = &call->attempts[attempt];
+
+	if (!a->answer_us)
+		a->answer_us = core->now_us;
 	core_close_attempt(core, call, attempt);
-	if (core_end_may_have_run(end))
-		call->may_have_run = true;
+	core_learn(core, a, end);
+	if (!core_end_may_have_run(end))
+		a->sent = false;
 	if (end == CORE_END_DONE || end == CORE_END_DONE_ERROR)
 		core_finish(core, call, ST_OK);
 	else if (core_has_open(call))
 		return;
-	else if (core_may_retry(core, call, end))
+	else if (core_may_retry(core, call))
 		core_place(core, call);
 	else
 		core_finish(core, call, core_result(call, end));
@@ -441,33 +409,66 @@
 			   uint32_t attempt)
 {
 	call->answered = true;
-	call->may_have_run = true;
+	call->attempts[attempt].answer_us = core->now_us;
 	for (uint32_t i = 0; i < call->attempt_count; i++)
 		if (i != attempt)
 			core_cancel(core, call, i);
+	call->hedge_us = 0;
+	core_call_timer(core, call);
 }
 
-static void core_on_deadline(struct core *core, struct core_call *call)
+/* A server that does not answer at all must not stay in use. */
+static void core_learn_silent(struct core *core, const struct core_call *call)
 {
-	bool sent = call->may_have_run;
+	for (uint32_t i = 0; i < call->attempt_count; i++) {
+		const struct core_attempt *a = &call->attempts[i];
+		struct core_server *server = core_server(core, a->server);
+		const struct core_service *service =
+			core_service(core, call->service);
+		uint64_t out_us = core->now_us - a->begin_us;
 
-	for (uint32_t i = 0; i < call->attempt_count; i++)
-		sent |= call->attempts[i].open && call->attempts[i].sent;
-	if (call->answered)
-		core_finish(core, call, ST_BROKEN);
+		if (a->open && !a->answer_us &&
+		    out_us > 4 * core_base_latency_us(service, server->zone))
+			core_learn_error(core, server);
+	}
+}
+
+static void core_on_hedge(struct core *core, struct core_call *call)
+{
+	struct core_service *service = core_service(core, call->service);
+	uint32_t server;
+
+	call->hedge_us = 0;
+	if (!call->answered && core_has_open(call) &&
+	    service->retry_credit >= 100 &&
+	    core_pick(core, service, call, true, &server) &&
+	    core_retry_take(service))
+		core_send(core, call, server, true);
 	else
+		core_call_timer(core, call);
+}
+
+static void core_on_call_timer(struct core *core, struct core_call *call)
+{
+	const struct core_service *service = core_service(core, call->service);
+
+	if (call->queued && core_too_late(core, service, call, 0)) {
+		core_finish(core, call, ST_DEADLINE_NOT_RUN);
+	} else if (core->now_us >= call->deadline_us) {
+		core_learn_silent(core, call);
 		core_finish(core, call,
-			    sent ? ST_DEADLINE_UNKNOWN : ST_DEADLINE_NOT_RUN);
+			    call->answered ? ST_BROKEN : ST_DEADLINE_NOT_RUN);
+	} else if (call->hedge_us && core->now_us >= call->hedge_us) {
+		core_on_hedge(core, call);
+	} else {
+		core_call_timer(core, call);
+	}
 }
 
 static void core_on_gone(struct core *core, struct core_call *call)
 {
-	bool sent = false;
-
-	for (uint32_t i = 0; i < call->attempt_count; i++)
-		sent |= call->attempts[i].open && call->attempts[i].sent;
 	/* A sent order runs to its end; cancelling would leave it unknown. */
-	if (sent && !call->idempotent)
+	if (core_maybe_ran(call) && core_has_open(call) && !call->idempotent)
 		return;
 	core_finish(core, call, ST_GONE);
 }
@@ -488,6 +489,24 @@
 	}
 }
 
+/* Events about attempts that are over were queued before their end. */
+static void core_on_attempt_event(struct core *core, struct core_call *call,
+				  const struct core_event *event)
+{
+	uint32_t attempt = event->kind == CORE_EV_ENDED ?
+				   event->u.ended.attempt :
+				   event->u.attempt.attempt;
+
+	if (attempt >= call->attempt_count || !call->attempts[attempt].open)
+		return;
+	if (event->kind == CORE_EV_SENT)
+		call->attempts[attempt].sent = true;
+	else if (event->kind == CORE_EV_ANSWER)
+		core_on_answer(core, call, attempt);
+	else
+		core_on_ended(core, call, attempt, event->u.ended.end);
+}
+
 static void core_on_call_event(struct core *core,
 			       const struct core_event *event)
 {
@@ -496,31 +515,48 @@
 
 	if (!call)
 		return;
-	switch (event->kind) {
-	case CORE_EV_SENT:
-		call->attempts[event->u.attempt.attempt].sent = true;
-		break;
-	case CORE_EV_ANSWER:
-		core_on_answer(core, call, event->u.attempt.attempt);
-		break;
-	case CORE_EV_ENDED:
-		core_on_ended(core, call, event->u.ended.attempt,
-			      event->u.ended.end);
-		break;
-	case CORE_EV_GONE:
+	if (event->kind == CORE_EV_GONE)
 		core_on_gone(core, call);
-		break;
-	case CORE_EV_TIMER:
-		core_on_deadline(core, call);
-		break;
-	default:
-		break;
+	else if (event->kind == CORE_EV_TIMER)
+		core_on_call_timer(core, call);
+	else
+		core_on_attempt_event(core, call, event);
+}
+
+static void core_on_server(struct core *core, const struct core_event *event)
+{
+	struct core_server *server;
+	bool before;
+
+	if (event->u.server.server >= core->servers->len)
+		return;
+	server = core_server(core, event->u.server.server);
+	before = core_leaving(server);
+	if (event->u.server.sign == CORE_SIGN_ANSWER)
+		server->answer_leaving = event->u.server.leaving;
+	else
+		server->told_leaving = event->u.server.leaving;
+	if (before && !core_leaving(server))
+		server->cold_since_us = core->now_us;
+	if (!server->answer_leaving)
+		server->recheck_us = 0;
+	core->rechecking |= server->answer_leaving;
+	core_probe_recheck(core);
+}
+
+static void core_on_timer(struct core *core, const struct core_event *event)
+{
+	if (event->u.of.call) {
+		core_on_call_event(core, event);
+		return;
 	}
+	core->wake_us = 0;
+	core_probe_recheck(core);
 }
 
 void core_handle(struct core *core, const struct core_event *event)
 {
-	core->now_us = event->now_us;
+	core->now_us = MAX(core->now_us, event->now_us);
 	switch (event->kind) {
 	case CORE_EV_CONF:
 		core_on_conf(core, event->u.conf);
@@ -529,16 +565,22 @@
 		core_on_call(core, event);
 		break;
 	case CORE_EV_SERVER:
-		core_server(core, event->u.server.server)->leaving =
-			event->u.server.leaving;
+		core_on_server(core, event);
 		break;
 	case CORE_EV_REPORT:
+		core_on_report(core, event);
+		break;
+	case CORE_EV_TIMER:
+		core_on_timer(core, event);
 		break;
 	default:
 		core_on_call_event(core, event);
 	}
-	for (guint i = 0; i < core->services->len; i++)
+	for (guint i = 0; core->waiting && i < core->services->len; i++)
 		core_dequeue(core, core_service(core, i));
+	/* Room may also come from time alone, without an event. */
+	if (core->waiting)
+		core_wake(core, core->now_us + CORE_QUEUE_TICK_US);
 }
 
 bool core_service_stats(const struct core *core, uint32_t service,
@@ -549,12 +591,16 @@
 	memset(stats, 0, sizeof(*stats));
 	if (service >= core->services->len)
 		return false;
-	s = &g_array_index(core->services, struct core_service, service);
+	s = core_service(core, service);
 	stats->in_flight = s->in_flight;
-	stats->queued = g_queue_get_length((GQueue *)&s->queue);
+	stats->queued = s->queued;
 	stats->servers = s->server_count;
-	for (uint32_t i = 0; i < s->server_count; i++)
-		stats->servers_usable += core_usable(&g_array_index(
-			core->servers, struct core_server, s->servers[i]));
+	for (uint32_t i = 0; i < s->server_count; i++) {
+		const struct core_server *server =
+			core_server(core, s->servers[i]);
+
+		stats->servers_usable +=
+			!core_leaving(server) && !core_server_out(core, server);
+	}
 	return s->known;
 }
--- a/core.h
+++ b/core.h
@@ -32,14 +32,19 @@
 		CORE_POLICY_COUNT
 };
 
-enum { CORE_MAX_ATTEMPTS = 4, CORE_NO_CALLER = UINT32_MAX };
+/* A probe may take at most CORE_PROBE_MAX_BYTES, request and answer. */
+enum {
+	CORE_MAX_ATTEMPTS = 4,
+	CORE_PROBE_MAX_BYTES = 1024,
+	CORE_NO_CALLER = UINT32_MAX
+};
 
 /* Ids are stable over configurations and chosen by the driver, from 0 up. */
 struct core_server_conf {
 	uint32_t id;
 	uint32_t zone;
 	uint32_t slots;
-	uint32_t connections; /* that this host may open */
+	uint32_t connections; /* over all entry hosts */
 	bool leaving;
 	uint64_t hash; /* of the name, equal on all hosts */
 };
@@ -49,7 +54,7 @@
 	enum core_policy policy;
 	uint32_t queue_limit;
 	uint32_t retry_percent;
-	/* This host's part of the measuring budget. */
+	/* Measuring budget over all entry hosts; the core takes its part. */
 	uint32_t probe_requests_per_s;
 	uint32_t probe_bytes_per_s;
 	uint32_t probe_cross_zone_bytes_per_s;
@@ -68,10 +73,16 @@
 	bool draining;
 };
 
+/*
+ * Without HOSTS the host acts as if it were alone. Budgets are divided by the
+ * larger of the host list and BUDGET_HOSTS, which also counts hosts that a
+ * partition hides or that are still starting.
+ */
 struct core_conf {
 	uint64_t host_hash;
 	uint32_t zone;
 	uint32_t latency_weight_percent;
+	uint32_t budget_hosts;
 	const struct core_service_conf *services;
 	uint32_t service_count;
 	const struct core_caller_conf *callers;
@@ -119,6 +130,13 @@
 /* Where a load report comes from. */
 enum core_source { CORE_FROM_ANSWER, CORE_FROM_PROBE, CORE_FROM_PEER };
 
+/*
+ * Who says that a server is leaving. TOLD: the platform or a peer; holds until
+ * the same source says otherwise. ANSWER: the server's own x-draining; holds
+ * until a probe is answered without it.
+ */
+enum core_sign { CORE_SIGN_TOLD, CORE_SIGN_ANSWER };
+
 struct core_event {
 	enum core_event_kind kind;
 	uint64_t now_us;
@@ -154,9 +172,11 @@
 			uint32_t queued;
 			uint32_t slots;
 			uint32_t latency_us; /* of a probe */
+			uint32_t bytes; /* of a probe, both ways */
 		} report;
 		struct {
 			uint32_t server;
+			enum core_sign sign;
 			bool leaving;
 		} server;
 	} u;
@@ -181,7 +201,7 @@
  * SEND: start attempt ATTEMPT of CALL at SERVER.
  * CANCEL: end an attempt; no ENDED event follows for it.
  * FINISH: the call is over with KIND; ST_OK when the answer was passed on.
- * PROBE: ask SERVER for its load.
+ * PROBE: ask SERVER for its load; exactly one REPORT from a probe follows.
  * TIMER: send TIMER for CALL at AT_US; replaces the call's earlier timer.
  */
 struct core_action {
--- /dev/null
+++ b/core_conf.c
@@ -0,0 +1,207 @@
+#include "core_internal.h"
+
+#include <string.h>
+
+enum { CORE_MAX_SLOTS = 4096 };
+
+/* Takes over a configuration: servers, shares of slots, budgets, callers. */
+
+static struct core_server *core_server_make(struct core *core, uint32_t id)
+{
+	while (id >= core->servers->len) {
+		struct core_server *server = g_new0(struct core_server, 1);
+
+		g_queue_init(&server->open);
+		g_ptr_array_add(core->servers, server);
+	}
+	return core_server(core, id);
+}
+
+static struct core_service *core_service_make(struct core *core, uint32_t id)
+{
+	while (id >= core->services->len) {
+		struct core_service *service = g_new0(struct core_service, 1);
+
+		service->id = core->services->len;
+		service->lanes = g_ptr_array_new();
+		g_queue_init(&service->active);
+		g_ptr_array_add(core->services, service);
+	}
+	return core_service(core, id);
+}
+
+/* Finalizer of MurmurHash3: every input bit changes half of the output. */
+static uint64_t core_mix(uint64_t x)
+{
+	x ^= x >> 33;
+	x *= 0xff51afd7ed558ccdULL;
+	x ^= x >> 33;
+	x *= 0xc4ceb9fe1a85ec53ULL;
+	x ^= x >> 33;
+	return x;
+}
+
+/*
+ * Rendezvous hashing: the host with the highest score owns the slot. Slots go
+ * to hosts of the server's zone as long as it has one, because a share in
+ * another zone costs each of its calls the way there and back.
+ */
+static bool core_owns_slot(const struct core_conf *conf, uint64_t server_hash,
+			   uint32_t slot, bool same_zone, uint32_t zone)
+{
+	uint64_t seed = core_mix(server_hash + slot);
+	uint64_t best = 0;
+	uint64_t owner = 0;
+
+	for (uint32_t i = 0; i < conf->host_count; i++) {
+		const struct core_host_conf *host = &conf->hosts[i];
+		uint64_t score = core_mix(seed ^ host->hash);
+
+		if (host->draining || (same_zone && host->zone != zone))
+			continue;
+		if (score < best || (score == best && host->hash < owner))
+			continue;
+		best = score;
+		owner = host->hash;
+	}
+	return owner == conf->host_hash;
+}
+
+static bool core_zone_has_host(const struct core_conf *conf, uint32_t zone)
+{
+	for (uint32_t i = 0; i < conf->host_count; i++)
+		if (conf->hosts[i].zone == zone && !conf->hosts[i].draining)
+			return true;
+	return false;
+}
+
+static uint32_t core_own_slots(const struct core_conf *conf,
+			       const struct core_server_conf *server,
+			       uint32_t slots)
+{
+	bool same_zone = core_zone_has_host(conf, server->zone);
+	uint32_t own = 0;
+
+	if (!conf->host_count)
+		return slots;
+	for (uint32_t j = 0; j < slots; j++)
+		own += core_owns_slot(conf, server->hash, j, same_zone,
+				      server->zone);
+	return own;
+}
+
+static void core_conf_server(struct core *core, const struct core_conf *conf,
+			     const struct core_server_conf *from,
+			     uint32_t service)
+{
+	struct core_server *server = core_server_make(core, from->id);
+	bool returns = server->conf_leaving && !from->leaving;
+	uint32_t slots = CLAMP(from->slots, 1, CORE_MAX_SLOTS);
+
+	/* At the first configuration the host is new, not the servers. */
+	if (core->configured && (!server->was_known || returns))
+		server->cold_since_us = core->now_us;
+	if (server->slots != slots)
+		server->limit_q8 = slots * CORE_Q8;
+	server->known = true;
+	server->service = service;
+	server->conf_leaving = from->leaving;
+	server->zone = from->zone;
+	server->slots = slots;
+	server->hash = from->hash;
+	server->connections = MAX(from->connections / core->hosts, 1);
+	server->own_slots = core_own_slots(conf, from, slots);
+}
+
+/* This host's part of a budget in millionths, by the weight of latency. */
+static uint64_t core_part(const struct core *core, const struct core_conf *conf,
+			  uint32_t per_s)
+{
+	uint32_t hosts = MAX(core->hosts, conf->budget_hosts);
+	uint32_t percent = CLAMP(conf->latency_weight_percent, 1, 100);
+
+	return (uint64_t)per_s * (CORE_MICRO / 100) * percent / hosts;
+}
+
+static void core_conf_budget(struct core *core, const struct core_conf *conf,
+			     const struct core_service_conf *from,
+			     struct core_service *service)
+{
+	core_bucket_set(&service->requests,
+			core_part(core, conf, from->probe_requests_per_s), 1,
+			core->now_us);
+	core_bucket_set(&service->bytes,
+			core_part(core, conf, from->probe_bytes_per_s),
+			CORE_PROBE_MAX_BYTES, core->now_us);
+	core_bucket_set(
+		&service->cross_bytes,
+		core_part(core, conf, from->probe_cross_zone_bytes_per_s),
+		CORE_PROBE_MAX_BYTES, core->now_us);
+}
+
+static void core_conf_service(struct core *core, const struct core_conf *conf,
+			      const struct core_service_conf *from)
+{
+	struct core_service *service = core_service_make(core, from->id);
+
+	service->known = true;
+	service->policy = from->policy;
+	service->queue_limit = from->queue_limit;
+	service->retry_percent = from->retry_percent;
+	core_conf_budget(core, conf, from, service);
+	g_free(service->servers);
+	service->servers = g_new(uint32_t, from->server_count);
+	service->server_count = from->server_count;
+	for (uint32_t i = 0; i < from->server_count; i++) {
+		service->servers[i] = from->servers[i].id;
+		core_conf_server(core, conf, &from->servers[i], from->id);
+	}
+}
+
+/* Caller indices have a new meaning: calls keep their lane, new ones don't. */
+static void core_drop_lanes(struct core_service *service)
+{
+	for (guint i = 0; i < service->lanes->len; i++) {
+		struct core_lane *lane = g_ptr_array_index(service->lanes, i);
+
+		if (lane)
+			core_lane_unref(lane);
+	}
+	g_ptr_array_set_size(service->lanes, 0);
+}
+
+static void core_conf_callers(struct core *core, const struct core_conf *conf)
+{
+	g_array_set_size(core->weights, 0);
+	for (uint32_t i = 0; i < conf->caller_count; i++)
+		g_array_append_val(core->weights, conf->callers[i].weight);
+	for (guint i = 0; i < core->services->len; i++)
+		core_drop_lanes(core_service(core, i));
+}
+
+static uint32_t core_live_hosts(const struct core_conf *conf)
+{
+	uint32_t hosts = 0;
+
+	for (uint32_t i = 0; i < conf->host_count; i++)
+		hosts += !conf->hosts[i].draining;
+	return MAX(hosts, 1);
+}
+
+void core_on_conf(struct core *core, const struct core_conf *conf)
+{
+	core->zone = conf->zone;
+	core->hosts = core_live_hosts(conf);
+	for (guint i = 0; i < core->services->len; i++)
+		core_service(core, i)->known = false;
+	for (guint i = 0; i < core->servers->len; i++) {
+		struct core_server *server = core_server(core, i);
+
+		server->was_known = server->known;
+		server->known = false;
+	}
+	core_conf_callers(core, conf);
+	for (uint32_t i = 0; i < conf->service_count; i++)
+		core_conf_service(core, conf, &conf->services[i]);
+	core->configured = true;
+}
--- /dev/null
+++ b/core_internal.h
@@ -0,0 +1,215 @@
+#ifndef CORE_INTERNAL_H
+#define CORE_INTERNAL_H
+
+#include <glib.h>
+
+#include "core.h"
+
+/* State and functions that the core*.c files share. */
+
+enum {
+	CORE_Q8 = 256, /* fixed-point one */
+	CORE_ZONES = 32,
+	CORE_US_PER_MS = 1000,
+	CORE_US_PER_S = 1000 * 1000,
+	CORE_MICRO = 1000 * 1000, /* millionths of a token */
+	CORE_LATENCY_BUCKETS = 96,
+	CORE_POOL_SIZE = 16,
+	CORE_HISTORY = 64
+};
+
+struct core_attempt {
+	GList link; /* in core_server.open; data is this attempt */
+	bool open;
+	bool sent;
+	uint32_t server;
+	uint64_t begin_us;
+	uint64_t answer_us; /* 0: no answer yet */
+};
+
+struct core_server {
+	bool known;
+	bool was_known; /* in the configuration before */
+	bool conf_leaving;
+	bool told_leaving;
+	bool answer_leaving;
+	uint32_t service;
+	uint32_t zone;
+	uint32_t slots;
+	uint32_t connections; /* this host's part */
+	uint32_t own_slots; /* this host's share of the slots */
+	uint32_t in_flight; /* of this host */
+	uint64_t hash;
+	GQueue open; /* attempts, oldest first */
+	/* Newest report: load that other hosts put on the server. */
+	uint64_t report_us; /* 0: no report yet */
+	uint32_t others_q8;
+	/* Adaptive limit of the attempts of this host. */
+	uint32_t latency_us; /* moving average, 0: none yet */
+	uint32_t limit_q8;
+	uint64_t last_send_us;
+	/* Fail-fast guard. BACKOFF_US is not 0 while the server is out. */
+	uint32_t error_q8;
+	uint32_t errors_in_row;
+	uint64_t backoff_us;
+	uint64_t blocked_until_us;
+	/* Slow start; 0 when warm. */
+	uint64_t cold_since_us;
+	/* Next probe of a server that said it is draining. */
+	uint64_t recheck_us;
+};
+
+/* Calls of one caller to one service. Counted by the calls and the table. */
+struct core_lane {
+	uint32_t refs;
+	uint32_t weight;
+	uint32_t in_flight;
+	GQueue queue; /* of struct core_call, earliest deadline first */
+	GList active; /* link in core_service.active */
+	bool is_active;
+};
+
+/* Token bucket in millionths. */
+struct core_bucket {
+	uint64_t rate_per_s;
+	int64_t depth;
+	int64_t tokens;
+	uint64_t filled_us;
+};
+
+/* An entry of the pool of probe responses. */
+struct core_probe {
+	uint32_t server;
+	uint32_t load_q8; /* per slot */
+	uint32_t latency_us;
+	uint64_t at_us;
+	uint32_t uses;
+};
+
+struct core_service {
+	bool known;
+	uint32_t id;
+	enum core_policy policy;
+	uint32_t queue_limit;
+	uint32_t retry_percent;
+	uint32_t *servers;
+	uint32_t server_count;
+	uint32_t next; /* round robin */
+	uint32_t in_flight;
+	/* Queue */
+	GPtrArray *lanes; /* struct core_lane by caller plus one, or NULL */
+	GQueue active; /* lanes with queued calls, next turn first */
+	uint32_t queued;
+	uint64_t last_end_us;
+	uint32_t end_gap_us; /* average time between ends while calls wait */
+	/* Retries and hedges, in hundredths of an attempt. */
+	uint32_t retry_credit;
+	/* Measuring budget. */
+	struct core_bucket requests;
+	struct core_bucket bytes;
+	struct core_bucket cross_bytes;
+	struct core_probe pool[CORE_POOL_SIZE];
+	uint32_t pool_count;
+	uint32_t history[CORE_HISTORY]; /* loads seen by probes */
+	uint32_t history_count;
+	/* Time to the head of a good answer. */
+	uint32_t latency[CORE_LATENCY_BUCKETS];
+	uint32_t latency_total;
+	uint32_t quick_us; /* low percentile */
+	uint32_t slow_us; /* high percentile, when a hedge is due */
+	uint32_t zone_latency_us[CORE_ZONES];
+	uint32_t mean_others_q8; /* per slot */
+};
+
+struct core_call {
+	uint64_t id;
+	uint32_t service;
+	struct core_lane *lane;
+	uint64_t deadline_us;
+	uint64_t hedge_us; /* 0: none */
+	bool idempotent;
+	bool answered;
+	uint32_t attempt_count;
+	struct core_attempt attempts[CORE_MAX_ATTEMPTS];
+	GList *queued; /* link in the queue of its lane */
+};
+
+struct core {
+	struct core_driver driver;
+	GPtrArray *servers; /* struct core_server by id */
+	GPtrArray *services; /* struct core_service by id */
+	GHashTable *calls; /* looked up by id only */
+	GArray *weights; /* uint32_t by caller */
+	uint64_t now_us;
+	uint32_t zone;
+	uint32_t hosts;
+	uint32_t waiting; /* calls queued in all services */
+	uint64_t wake_us; /* 0: no timer is set */
+	bool configured;
+	bool rechecking; /* a server may have to be probed for draining */
+};
+
+/* core.c */
+struct core_server *core_server(const struct core *core, uint32_t id);
+struct core_service *core_service(const struct core *core, uint32_t id);
+uint32_t core_random(struct core *core, uint32_t bound);
+void core_wake(struct core *core, uint64_t at_us);
+void core_finish(struct core *core, struct core_call *call,
+		 enum st_kind result);
+void core_send(struct core *core, struct core_call *call, uint32_t server,
+	       bool hedge);
+
+/* core_conf.c */
+void core_on_conf(struct core *core, const struct core_conf *conf);
+
+/* core_pick.c: whether a server takes the call now, and which. */
+bool core_pick(struct core *core, struct core_service *service,
+	       const struct core_call *call, bool hedge, uint32_t *server);
+uint32_t core_load_q8(const struct core *core,
+		      const struct core_service *service,
+		      const struct core_server *server);
+
+/* core_probe.c: measuring budget, probes and the pool of their responses. */
+void core_bucket_set(struct core_bucket *bucket, uint64_t per_s, uint64_t unit,
+		     uint64_t now_us);
+void core_probe_on_call(struct core *core, struct core_service *service);
+void core_probe_recheck(struct core *core);
+void core_on_report(struct core *core, const struct core_event *event);
+bool core_pool_pick(struct core *core, struct core_service *service,
+		    const uint32_t *candidates, uint32_t count,
+		    uint32_t *server);
+
+/* core_queue.c: admission and queue. */
+struct core_lane *core_lane_get(struct core *core, struct core_service *service,
+				uint32_t caller);
+void core_lane_unref(struct core_lane *lane);
+void core_count_end(struct core *core, struct core_service *service);
+void core_admit(struct core *core, struct core_call *call);
+void core_unqueue(struct core *core, struct core_call *call);
+struct core_call *core_next_queued(struct core *core,
+				   struct core_service *service);
+bool core_too_late(const struct core *core, const struct core_service *service,
+		   const struct core_call *call, uint32_t ahead);
+
+/* core_limit.c: what a server may be given, and what its answers teach. */
+bool core_leaving(const struct core_server *server);
+bool core_server_out(const struct core *core, const struct core_server *server);
+bool core_under_limit(const struct core *core,
+		      const struct core_service *service,
+		      const struct core_server *server);
+uint32_t core_warmth_q8(const struct core *core,
+			const struct core_server *server);
+uint32_t core_base_latency_us(const struct core_service *service,
+			      uint32_t zone);
+uint64_t core_oldest_us(const struct core *core,
+			const struct core_server *server);
+void core_learn_good(struct core *core, struct core_server *server,
+		     uint32_t latency_us);
+void core_learn_slow(struct core *core, struct core_server *server,
+		     uint32_t at_least_us);
+void core_learn_error(struct core *core, struct core_server *server);
+void core_learn_refused(struct core *core, struct core_server *server);
+void core_retry_earn(struct core_service *service);
+bool core_retry_take(struct core_service *service);
+
+#endif
--- /dev/null
+++ b/core_limit.c
@@ -0,0 +1,257 @@
+#include "core_internal.h"
+
+#include "mechanism.h"
+
+/*
+ * What a server may be given: adaptive limit, fail-fast guard, slow start, and
+ * the budget of retries and hedges.
+ */
+enum {
+	CORE_SLOW_START_US = 10 * CORE_US_PER_S,
+	CORE_COLDEST_Q8 = CORE_Q8 / 10,
+	/* A server is a straggler above this multiple of the usual latency. */
+	CORE_STRAGGLER = 3,
+	CORE_MIN_LIMIT_Q8 = 2,
+	CORE_ERRORS_OUT = 3, /* errors in a row that take a server out */
+	CORE_ERROR_OUT_Q8 = CORE_Q8 / 2,
+	CORE_MIN_BACKOFF_US = 200 * CORE_US_PER_MS,
+	CORE_MAX_BACKOFF_US = 10 * CORE_US_PER_S,
+	CORE_RETRY_RESERVE = 10,
+	CORE_LATENCY_TOTAL = 4096,
+	CORE_LATENCY_MIN = 64, /* samples before percentiles are used */
+	CORE_QUICK_PERCENT = 10,
+	CORE_SLOW_PERCENT = 95,
+	CORE_DEFAULT_LATENCY_US = 5 * CORE_US_PER_MS,
+	CORE_AVERAGE_SHIFT = 3
+};
+
+bool core_leaving(const struct core_server *server)
+{
+	if (!me_on(ME_LEAVING))
+		return false;
+	return server->conf_leaving || server->told_leaving ||
+	       server->answer_leaving;
+}
+
+/* Failing; a trial call is due when the back-off is over. */
+bool core_server_out(const struct core *core, const struct core_server *server)
+{
+	if (!server->backoff_us || !me_on(ME_FAIL_FAST))
+		return false;
+	return core->now_us < server->blocked_until_us || server->in_flight;
+}
+
+uint32_t core_warmth_q8(const struct core *core,
+			const struct core_server *server)
+{
+	uint64_t age_us = core->now_us - server->cold_since_us;
+
+	if (!server->cold_since_us || age_us >= CORE_SLOW_START_US ||
+	    !me_on(ME_SLOW_START))
+		return CORE_Q8;
+	return CORE_COLDEST_Q8 + (uint32_t)((CORE_Q8 - CORE_COLDEST_Q8) *
+					    age_us / CORE_SLOW_START_US);
+}
+
+/* Limits below one attempt become pauses between attempts. */
+bool core_under_limit(const struct core *core,
+		      const struct core_service *service,
+		      const struct core_server *server)
+{
+	uint64_t pause_us;
+
+	if (server->in_flight >= server->connections)
+		return false;
+	if (!me_on(ME_SERVER_LIMIT) ||
+	    server->limit_q8 >= CORE_Q8 * server->slots)
+		return true;
+	if (server->limit_q8 >= CORE_Q8)
+		return (server->in_flight + 1) * CORE_Q8 <= server->limit_q8;
+	pause_us = (uint64_t)core_base_latency_us(service, server->zone) *
+		   CORE_Q8 / server->limit_q8;
+	return !server->in_flight &&
+	       core->now_us >= server->last_send_us + pause_us;
+}
+
+uint32_t core_base_latency_us(const struct core_service *service, uint32_t zone)
+{
+	uint32_t latency_us = service->zone_latency_us[zone % CORE_ZONES];
+
+	return latency_us ? latency_us : CORE_DEFAULT_LATENCY_US;
+}
+
+/* How long the oldest unanswered attempt has been out. */
+uint64_t core_oldest_us(const struct core *core,
+			const struct core_server *server)
+{
+	for (const GList *l = server->open.head; l; l = l->next) {
+		const struct core_attempt *attempt = l->data;
+
+		if (!attempt->answer_us)
+			return core->now_us - attempt->begin_us;
+	}
+	return 0;
+}
+
+/* Four buckets an octave, from 16 us up. */
+static uint32_t core_latency_bucket(uint32_t latency_us)
+{
+	uint32_t value = MAX(latency_us, 16);
+	uint32_t octave = g_bit_storage(value) - 1;
+	uint32_t quarter = (value >> (octave - 2)) & 3;
+
+	return MIN((octave - 4) * 4 + quarter, CORE_LATENCY_BUCKETS - 1);
+}
+
+static uint32_t core_bucket_end_us(uint32_t bucket)
+{
+	uint32_t octave = bucket / 4 + 4;
+
+	return (uint32_t)MIN((uint64_t)(5 + bucket % 4) << (octave - 2),
+			     UINT32_MAX);
+}
+
+static uint32_t core_percentile_us(const struct core_service *service,
+				   uint32_t percent)
+{
+	uint64_t seen = 0;
+
+	for (uint32_t i = 0; i < CORE_LATENCY_BUCKETS; i++) {
+		seen += service->latency[i];
+		if (seen * 100 >= (uint64_t)service->latency_total * percent)
+			return core_bucket_end_us(i);
+	}
+	return UINT32_MAX;
+}
+
+/* Halves old counts so that the distribution follows the service. */
+static void core_count_latency(struct core_service *service,
+			       uint32_t latency_us)
+{
+	service->latency[core_latency_bucket(latency_us)]++;
+	if (++service->latency_total % CORE_LATENCY_MIN)
+		return;
+	service->quick_us = core_percentile_us(service, CORE_QUICK_PERCENT);
+	service->slow_us = core_percentile_us(service, CORE_SLOW_PERCENT);
+	if (service->latency_total < CORE_LATENCY_TOTAL)
+		return;
+	service->latency_total = 0;
+	for (uint32_t i = 0; i < CORE_LATENCY_BUCKETS; i++) {
+		service->latency[i] /= 2;
+		service->latency_total += service->latency[i];
+	}
+}
+
+static uint32_t core_average(uint32_t average, uint32_t sample, uint32_t shift)
+{
+	int64_t diff = (int64_t)sample - (int64_t)average;
+
+	if (!average)
+		return sample;
+	return (uint32_t)MAX((int64_t)average + diff / (1 << shift), 1);
+}
+
+static bool core_is_straggler(const struct core_service *service,
+			      const struct core_server *server)
+{
+	return server->latency_us >
+	       CORE_STRAGGLER * core_base_latency_us(service, server->zone);
+}
+
+static void core_adapt_limit(const struct core_service *service,
+			     struct core_server *server, uint32_t latency_us)
+{
+	uint32_t top_q8 = CORE_Q8 * server->slots;
+	uint32_t base_us = core_base_latency_us(service, server->zone);
+
+	if (core_is_straggler(service, server)) {
+		/* The first cut starts from what this host really uses. */
+		server->limit_q8 = MIN(server->limit_q8,
+				       CORE_Q8 * MAX(server->in_flight, 1));
+		server->limit_q8 = MAX(server->limit_q8 / 2, CORE_MIN_LIMIT_Q8);
+	} else if (server->limit_q8 < CORE_Q8) {
+		if (latency_us < CORE_STRAGGLER * base_us)
+			server->limit_q8 *= 2;
+	} else {
+		server->limit_q8 = MIN(server->limit_q8 + CORE_Q8 / 2, top_q8);
+	}
+}
+
+void core_learn_good(struct core *core, struct core_server *server,
+		     uint32_t latency_us)
+{
+	struct core_service *service = core_service(core, server->service);
+	uint32_t *zone_us =
+		&service->zone_latency_us[server->zone % CORE_ZONES];
+	uint32_t base_us = core_base_latency_us(service, server->zone);
+
+	core_count_latency(service, latency_us);
+	server->latency_us = core_average(server->latency_us, latency_us,
+					  CORE_AVERAGE_SHIFT);
+	/* Stragglers must not raise what they are compared with. */
+	*zone_us = core_average(*zone_us, MIN(latency_us, 4 * base_us),
+				CORE_AVERAGE_SHIFT + 3);
+	core_adapt_limit(service, server, latency_us);
+	server->error_q8 -= server->error_q8 / 4;
+	server->errors_in_row = 0;
+	if (!server->backoff_us)
+		return;
+	server->backoff_us = 0;
+	server->error_q8 = 0;
+	server->cold_since_us = core->now_us;
+}
+
+/* The answer took AT_LEAST_US or more: a cancelled attempt. */
+void core_learn_slow(struct core *core, struct core_server *server,
+		     uint32_t at_least_us)
+{
+	struct core_service *service = core_service(core, server->service);
+
+	if (at_least_us <= server->latency_us)
+		return;
+	server->latency_us = core_average(server->latency_us, at_least_us,
+					  CORE_AVERAGE_SHIFT);
+	if (core_is_straggler(service, server))
+		core_adapt_limit(service, server, at_least_us);
+}
+
+void core_learn_error(struct core *core, struct core_server *server)
+{
+	server->error_q8 += (CORE_Q8 - server->error_q8) / 4;
+	server->errors_in_row++;
+	/* Calls sent before the back-off began prove nothing new. */
+	if (server->backoff_us && core->now_us < server->blocked_until_us)
+		return;
+	if (server->backoff_us)
+		server->backoff_us = MIN(2 * server->backoff_us,
+					 (uint64_t)CORE_MAX_BACKOFF_US);
+	else if (server->errors_in_row >= CORE_ERRORS_OUT ||
+		 server->error_q8 >= CORE_ERROR_OUT_Q8)
+		server->backoff_us = CORE_MIN_BACKOFF_US;
+	server->blocked_until_us = core->now_us + server->backoff_us;
+}
+
+/* Shed load: the server counts as full until a newer report. */
+void core_learn_refused(struct core *core, struct core_server *server)
+{
+	server->report_us = core->now_us;
+	server->others_q8 = 2 * server->slots * CORE_Q8;
+}
+
+void core_retry_earn(struct core_service *service)
+{
+	service->retry_credit =
+		MIN(service->retry_credit + service->retry_percent,
+		    100 * CORE_RETRY_RESERVE);
+}
+
+/* Retries and hedges draw on the same credit. */
+bool core_retry_take(struct core_service *service)
+{
+	if (!me_on(ME_RETRY_BUDGET))
+		return true;
+	if (service->retry_credit < 100)
+		return false;
+	service->retry_credit -= 100;
+	return true;
+}
--- /dev/null
+++ b/core_probe.c
@@ -0,0 +1,304 @@
+#include "core_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "mechanism.h"
+
+/*
+ * Measuring: the budget, when probes are sent, reports, and the pool of probe
+ * responses with its choice of server (Prequal).
+ */
+enum {
+	CORE_PROBES_PER_CALL = 2,
+	CORE_POOL_AGE_US = CORE_US_PER_S,
+	CORE_POOL_REUSE = 32,
+	CORE_HOT_PERCENTILE = 84,
+	CORE_RECHECK_US = 5 * CORE_US_PER_S,
+	CORE_POOL_MIN = 2,
+	CORE_BURST_PART = 4, /* a quarter of a second's part */
+	CORE_MAX_FILL_US = 10 * CORE_US_PER_S,
+	CORE_MAX_LOAD = 1 << 16,
+	CORE_MEAN_REPORTS = 32
+};
+
+/*
+ * In any second at most DEPTH + RATE tokens are spent, which is the host's
+ * part. A part below two units a second has a depth of one unit and holds over
+ * longer times. The bucket begins empty, so a restart gains nothing.
+ */
+void core_bucket_set(struct core_bucket *bucket, uint64_t per_s, uint64_t unit,
+		     uint64_t now_us)
+{
+	unit *= CORE_MICRO;
+	bucket->depth = (int64_t)MAX(per_s / CORE_BURST_PART, unit);
+	bucket->rate_per_s =
+		per_s < 2 * unit ? per_s : per_s - (uint64_t)bucket->depth;
+	if (!bucket->filled_us)
+		bucket->filled_us = now_us;
+	bucket->tokens = MIN(bucket->tokens, bucket->depth);
+}
+
+static bool core_bucket_has(struct core_bucket *bucket, uint64_t now_us,
+			    uint64_t amount)
+{
+	uint64_t age_us = MIN(now_us - bucket->filled_us, CORE_MAX_FILL_US);
+	/* Neither factor nor sum can overflow: rate < 2^50, age < 2^24. */
+	uint64_t gain =
+		bucket->rate_per_s / CORE_US_PER_MS * age_us / CORE_US_PER_MS;
+
+	bucket->filled_us = now_us;
+	bucket->tokens = MIN(bucket->tokens + gain, bucket->depth);
+	return bucket->tokens >= (int64_t)amount * CORE_MICRO;
+}
+
+static void core_bucket_spend(struct core_bucket *bucket, uint64_t amount)
+{
+	bucket->tokens -= (int64_t)amount * CORE_MICRO;
+}
+
+/* A probe that took more than was reserved leaves a debt. */
+static void core_bucket_refund(struct core_bucket *bucket, int64_t amount)
+{
+	bucket->tokens =
+		MIN(bucket->tokens + amount * CORE_MICRO, bucket->depth);
+}
+
+/* Reserves the largest size; the report of the probe gives back the rest. */
+static bool core_budget_take(struct core *core, struct core_service *service,
+			     const struct core_server *server)
+{
+	bool cross = server->zone != core->zone;
+	uint64_t now_us = core->now_us;
+
+	if (!me_on(ME_MEASURING_BUDGET))
+		return true;
+	if (!core_bucket_has(&service->requests, now_us, 1) ||
+	    !core_bucket_has(&service->bytes, now_us, CORE_PROBE_MAX_BYTES))
+		return false;
+	if (cross && !core_bucket_has(&service->cross_bytes, now_us,
+				      CORE_PROBE_MAX_BYTES))
+		return false;
+	core_bucket_spend(&service->requests, 1);
+	core_bucket_spend(&service->bytes, CORE_PROBE_MAX_BYTES);
+	if (cross)
+		core_bucket_spend(&service->cross_bytes, CORE_PROBE_MAX_BYTES);
+	return true;
+}
+
+static void core_budget_settle(struct core *core, struct core_service *service,
+			       const struct core_server *server, uint32_t bytes)
+{
+	int64_t rest = (int64_t)CORE_PROBE_MAX_BYTES - (int64_t)bytes;
+
+	if (!me_on(ME_MEASURING_BUDGET))
+		return;
+	core_bucket_refund(&service->bytes, rest);
+	if (server->zone != core->zone)
+		core_bucket_refund(&service->cross_bytes, rest);
+}
+
+static bool core_probe(struct core *core, uint32_t id)
+{
+	struct core_server *server = core_server(core, id);
+	struct core_service *service = core_service(core, server->service);
+	struct core_action action = { .kind = CORE_ACT_PROBE,
+				      .service = service->id,
+				      .server = id };
+
+	if (!core_budget_take(core, service, server))
+		return false;
+	core->driver.act(core->driver.ctx, &action);
+	return true;
+}
+
+void core_probe_on_call(struct core *core, struct core_service *service)
+{
+	if (service->policy != CORE_PROBES)
+		return;
+	for (uint32_t i = 0; i < CORE_PROBES_PER_CALL; i++) {
+		uint32_t at = core_random(core, service->server_count);
+		uint32_t id = service->servers[at];
+
+		if (!core_leaving(core_server(core, id)))
+			core_probe(core, id);
+	}
+}
+
+/* A drained server gets no calls, so only a probe can see its return. */
+void core_probe_recheck(struct core *core)
+{
+	uint64_t next_us = core->now_us + CORE_RECHECK_US;
+	bool more = false;
+
+	if (!core->rechecking)
+		return;
+	for (guint i = 0; i < core->servers->len; i++) {
+		struct core_server *server = core_server(core, i);
+
+		if (!server->known || !server->answer_leaving)
+			continue;
+		more = true;
+		if (!server->recheck_us)
+			server->recheck_us = next_us;
+		if (core->now_us >= server->recheck_us) {
+			core_probe(core, i);
+			server->recheck_us = next_us;
+		}
+		next_us = MIN(next_us, server->recheck_us);
+	}
+	core->rechecking = more;
+	if (more)
+		core_wake(core, next_us);
+}
+
+static void core_pool_add(struct core *core, struct core_service *service,
+			  const struct core_event *event)
+{
+	struct core_server *server = core_server(core, event->u.report.server);
+	uint32_t load = event->u.report.in_flight + event->u.report.queued;
+	struct core_probe probe = {
+		.server = event->u.report.server,
+		.load_q8 = load * CORE_Q8 / MAX(server->slots, 1),
+		.at_us = core->now_us,
+	};
+
+	probe.latency_us = server->latency_us ?
+				   server->latency_us :
+				   core_base_latency_us(service, server->zone) +
+					   event->u.report.latency_us;
+	service->history[service->history_count++ % CORE_HISTORY] =
+		probe.load_q8;
+	/* Oldest first; a full pool drops the oldest. */
+	if (service->pool_count == CORE_POOL_SIZE) {
+		service->pool_count--;
+		memmove(service->pool, service->pool + 1,
+			service->pool_count * sizeof(probe));
+	}
+	service->pool[service->pool_count++] = probe;
+}
+
+static void core_pool_expire(struct core *core, struct core_service *service)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < service->pool_count; i++) {
+		struct core_probe probe = service->pool[i];
+		bool old = core->now_us - probe.at_us > CORE_POOL_AGE_US;
+		bool spent = probe.uses >= CORE_POOL_REUSE;
+
+		if ((old && me_on(ME_PROBE_AGE)) ||
+		    (spent && me_on(ME_PROBE_REUSE)))
+			continue;
+		service->pool[kept++] = probe;
+	}
+	service->pool_count = kept;
+}
+
+static int core_compare_u32(const void *a, const void *b)
+{
+	uint32_t x = *(const uint32_t *)a;
+	uint32_t y = *(const uint32_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static uint32_t core_hot_load(const struct core_service *service)
+{
+	uint32_t sorted[CORE_HISTORY];
+	uint32_t count = MIN(service->history_count, CORE_HISTORY);
+
+	memcpy(sorted, service->history, count * sizeof(sorted[0]));
+	qsort(sorted, count, sizeof(sorted[0]), core_compare_u32);
+	return sorted[(count - 1) * CORE_HOT_PERCENTILE / 100];
+}
+
+/* Cold before hot; cold ones by latency, hot ones by load. */
+static bool core_probe_better(const struct core_probe *a,
+			      const struct core_probe *b, uint32_t hot_q8)
+{
+	bool a_hot = a->load_q8 > hot_q8;
+	bool b_hot = b->load_q8 > hot_q8;
+
+	if (!me_on(ME_HOT_COLD))
+		return a->latency_us < b->latency_us;
+	if (a_hot != b_hot)
+		return b_hot;
+	if (a_hot)
+		return a->load_q8 < b->load_q8;
+	return a->latency_us < b->latency_us;
+}
+
+bool core_pool_pick(struct core *core, struct core_service *service,
+		    const uint32_t *candidates, uint32_t count,
+		    uint32_t *server)
+{
+	struct core_probe *best = NULL;
+	uint32_t usable = 0;
+	uint32_t hot_q8;
+
+	core_pool_expire(core, service);
+	if (service->pool_count < CORE_POOL_MIN)
+		return false;
+	hot_q8 = core_hot_load(service);
+	for (uint32_t i = 0; i < service->pool_count; i++) {
+		struct core_probe *probe = &service->pool[i];
+		bool found = false;
+
+		for (uint32_t k = 0; k < count; k++)
+			found |= candidates[k] == probe->server;
+		usable += found;
+		if (found && (!best || core_probe_better(probe, best, hot_q8)))
+			best = probe;
+	}
+	if (usable < CORE_POOL_MIN)
+		return false;
+	*server = best->server;
+	best->uses++;
+	best->load_q8 += CORE_Q8 / MAX(core_server(core, *server)->slots, 1);
+	return true;
+}
+
+/* Keeps what other hosts put on the server: the rest is known exactly. */
+static void core_take_load(struct core *core, struct core_service *service,
+			   struct core_server *server,
+			   const struct core_event *event)
+{
+	uint64_t load =
+		(uint64_t)event->u.report.in_flight + event->u.report.queued;
+	uint32_t own = server->in_flight;
+	uint32_t per_slot_q8;
+
+	/* The answered attempt is over for the server, not yet for us. */
+	if (event->u.report.source == CORE_FROM_ANSWER && own)
+		own--;
+	load = MIN(load, CORE_MAX_LOAD);
+	server->others_q8 = load > own ? (uint32_t)(load - own) * CORE_Q8 : 0;
+	server->report_us = core->now_us;
+	per_slot_q8 = server->others_q8 / MAX(server->slots, 1);
+	service->mean_others_q8 =
+		(uint32_t)((int64_t)service->mean_others_q8 +
+			   ((int64_t)per_slot_q8 -
+			    (int64_t)service->mean_others_q8) /
+				   CORE_MEAN_REPORTS);
+}
+
+void core_on_report(struct core *core, const struct core_event *event)
+{
+	uint32_t id = event->u.report.server;
+	struct core_server *server;
+	struct core_service *service;
+
+	if (id >= core->servers->len)
+		return;
+	server = core_server(core, id);
+	service = core_service(core, server->service);
+	if (event->u.report.source == CORE_FROM_PROBE)
+		core_budget_settle(core, service, server,
+				   event->u.report.bytes);
+	if (!event->u.report.ok || !server->known)
+		return;
+	if (event->u.report.source == CORE_FROM_PROBE)
+		core_pool_add(core, service, event);
+	core_take_load(core, service, server, event);
+}
--- a/mechanism.h
+++ b/mechanism.h
@@ -26,7 +26,20 @@
 	X(REPLAY_PROTECTION, "replay-protection")   \
 	X(RETRY_BUDGET, "retry-budget")             \
 	X(FAIL_FAST, "fail-fast-guard")             \
-	X(DIGEST_CHECK, "digest-check")
+	X(DIGEST_CHECK, "digest-check")             \
+	X(SLOW_START, "slow-start")                 \
+	X(SERVER_LIMIT, "server-limit")             \
+	X(HEDGING, "hedging")                       \
+	X(ZONE_LOCAL, "zone-local")                 \
+	X(CALLER_SHARES, "caller-shares")           \
+	X(QUEUE_BOUND, "queue-bound")               \
+	X(EARLY_REFUSAL, "early-refusal")           \
+	X(OWN_SHARE, "own-share")                   \
+	X(REPORT_LOAD, "report-load")               \
+	X(REPORT_AGE, "report-age")                 \
+	X(PROBE_AGE, "probe-age")                   \
+	X(PROBE_REUSE, "probe-reuse")               \
+	X(HOT_COLD, "hot-cold")
 
 enum me_kind {
 #define X(id, name) ME_##id,
