Send probes, record traces and replay them

Cause: the gateway dropped the core's PROBE actions, passed it neither the measuring budget nor the callers of the document, and what a live host decided could not be looked at afterwards.

Change: probe.c asks GET /load, counts requests and bytes, and reports the answer. The gateway passes budgets, callers and, as the least number of hosts that share a budget, the number of seeds, so that hosts that start at once or lose sight of each other do not each take the whole budget. trace.c records events, random numbers and actions as JSON lines, bounded in size; the command replay plays the events into a new core, compares the actions byte for byte and checks the outcomes stated beside the trace.

Test: tests/run_trace.sh records two traces of real processes, replays them and the two in tests/traces/, and provokes a bad line, a cut line, a changed decision and an outcome that fails.

--- a/command.h
+++ b/command.h
@@ -11,7 +11,8 @@
 	X(apply, "submit a document to an entry host")         \
 	X(show, "print the document in force")                 \
 	X(history, "print the audit trail")                    \
-	X(drain, "ask an entry host to stop gracefully")
+	X(drain, "ask an entry host to stop gracefully")       \
+	X(replay, "replay a recorded trace")
 
 #define X(name, help) int cmd_##name(int argc, char **argv);
 CMD_LIST(X)
--- a/gateway.c
+++ b/gateway.c
@@ -78,7 +78,9 @@
 		struct core_event next =
 			g_array_index(gateway->events, struct core_event, i);
 
+		tr_event(&gateway->trace, &next);
 		core_handle(gateway->core, &next);
+		tr_end(&gateway->trace);
 	}
 	g_array_set_size(gateway->events, 0);
 	gateway->handling = false;
@@ -87,8 +89,10 @@
 static uint32_t gw_random(void *ctx)
 {
 	struct gw_gateway *gateway = ctx;
+	uint32_t value = g_rand_int(gateway->random);
 
-	return g_rand_int(gateway->random);
+	tr_random(&gateway->trace, value);
+	return value;
 }
 
 /* Answers towards the caller */
@@ -224,16 +228,11 @@
 
 /* Attempts at servers */
 
-static uint32_t gw_load_field(const struct hc_header *h, const char *key)
+static bool gw_is_cross_zone(const struct gw_gateway *gateway,
+			     const struct gw_server *server)
 {
-	char *text = g_strndup(h->value, h->value_bytes);
-	char *at = strstr(text, key);
-	uint64_t value = 0;
-
-	if (at)
-		value = g_ascii_strtoull(at + strlen(key), NULL, 10);
-	g_free(text);
-	return value > UINT32_MAX ? UINT32_MAX : (uint32_t)value;
+	return strcmp(gateway->document->zones[server->zone],
+		      gateway->settings->zone) != 0;
 }
 
 static void gw_take_report(struct gw_attempt *attempt,
@@ -250,15 +249,12 @@
 		return;
 	bytes = load->name_bytes + load->value_bytes + strlen(": \r\n");
 	ct_add(CT_REPORT_BYTES, bytes);
-	if (strcmp(gateway->document->zones[server->zone],
-		   gateway->settings->zone))
+	if (gw_is_cross_zone(gateway, server))
 		ct_add(CT_REPORT_CROSS_BYTES, bytes);
 	event.u.report.server = attempt->server;
 	event.u.report.source = CORE_FROM_ANSWER;
 	event.u.report.ok = true;
-	event.u.report.in_flight = gw_load_field(load, "in_flight=");
-	event.u.report.queued = gw_load_field(load, "queued=");
-	event.u.report.slots = gw_load_field(load, "slots=");
+	pb_take_load(load, &event);
 	gw_post(gateway, &event);
 }
 
@@ -270,6 +266,7 @@
 	if (!hc_find(head, "x-draining") || !me_on(ME_LEAVING))
 		return;
 	event.u.server.server = attempt->server;
+	event.u.server.sign = CORE_SIGN_ANSWER;
 	event.u.server.leaving = true;
 	gw_post(attempt->call->gateway, &event);
 }
@@ -462,10 +459,30 @@
 	hc_cancel(&call->attempts[action->attempt].http);
 }
 
+static void gw_probe(struct gw_gateway *gateway,
+		     const struct core_action *action)
+{
+	struct gw_server *server =
+		g_ptr_array_index(gateway->servers, action->server);
+	struct pb_target target = {
+		.server = action->server,
+		.cross_zone = gw_is_cross_zone(gateway, server),
+		.pool = &server->pool,
+	};
+
+	pb_send(&gateway->prober, &target);
+}
+
+static void gw_post_probe(void *ctx, struct core_event *event)
+{
+	gw_post(ctx, event);
+}
+
 static void gw_act(void *ctx, const struct core_action *action)
 {
 	struct gw_gateway *gateway = ctx;
 
+	tr_action(&gateway->trace, action);
 	switch (action->kind) {
 	case CORE_ACT_SEND:
 		gw_send(gateway, action);
@@ -479,6 +496,9 @@
 	case CORE_ACT_TIMER:
 		gw_timer(gateway, action);
 		break;
+	case CORE_ACT_PROBE:
+		gw_probe(gateway, action);
+		break;
 	default:
 		break;
 	}
@@ -748,6 +768,10 @@
 	conf->policy = service->policy;
 	conf->queue_limit = service->queue_limit;
 	conf->retry_percent = service->retry_percent;
+	conf->probe_requests_per_s = service->measuring.requests_per_s;
+	conf->probe_bytes_per_s = service->measuring.bytes_per_s;
+	conf->probe_cross_zone_bytes_per_s =
+		service->measuring.cross_zone_bytes_per_s;
 	conf->servers = servers;
 	conf->server_count = service->server_count;
 	for (uint32_t i = 0; i < service->server_count; i++) {
@@ -769,12 +793,17 @@
 	struct doc_document *document = gateway->document;
 	struct core_service_conf *services =
 		g_new0(struct core_service_conf, document->service_count);
+	struct core_caller_conf *callers =
+		g_new0(struct core_caller_conf, document->caller_count);
 	struct core_conf conf = {
 		.host_hash = gw_hash(gateway->settings->host),
 		.zone = doc_zone(document, gateway->settings->zone),
 		.latency_weight_percent = document->latency_weight_percent,
 		.services = services,
 		.service_count = document->service_count,
+		.callers = callers,
+		.caller_count = document->caller_count,
+		.budget_hosts = gateway->settings->seed_count,
 	};
 	struct core_event event = { .kind = CORE_EV_CONF };
 
@@ -784,11 +813,14 @@
 		gw_conf_service(gateway, &document->services[i], &services[i]);
 		gateway->service_map[i] = services[i].id;
 	}
+	for (uint32_t i = 0; i < document->caller_count; i++)
+		callers[i].weight = document->callers[i].weight;
 	event.u.conf = &conf;
 	gw_post(gateway, &event);
 	for (uint32_t i = 0; i < document->service_count; i++)
 		g_free((void *)services[i].servers);
 	g_free(services);
+	g_free(callers);
 }
 
 static void gw_on_message(void *ctx, const struct kn_msg *msg)
@@ -832,7 +864,12 @@
 	gateway->settings = settings;
 	gateway->incarnation = (uint64_t)g_get_real_time();
 	gw_init_tables(gateway);
+	if (*settings->trace_file &&
+	    tr_open(&gateway->trace, settings->trace_file,
+		    settings->trace_max_bytes, settings->host, status) != ST_OK)
+		return status->kind;
 	gateway->core = core_new(&driver);
+	pb_init(&gateway->prober, timers, gw_post_probe, gateway);
 	gateway->core_timer.fire = gw_on_core_timer;
 	gateway->core_timer.ctx = gateway;
 	gateway->sweep.fire = gw_on_sweep;
@@ -874,7 +911,9 @@
 {
 	tm_cancel(gateway->timers, &gateway->sweep);
 	tm_cancel(gateway->timers, &gateway->core_timer);
+	pb_free(&gateway->prober);
 	core_free(gateway->core);
+	tr_close(&gateway->trace);
 	g_ptr_array_free(gateway->services, TRUE);
 	g_hash_table_destroy(gateway->server_ids);
 	g_hash_table_destroy(gateway->calls);
--- a/gateway.h
+++ b/gateway.h
@@ -9,8 +9,10 @@
 #include "document.h"
 #include "httpd.h"
 #include "kernel.h"
+#include "probe.h"
 #include "settings.h"
 #include "timer.h"
+#include "trace.h"
 
 /*
  * Callers' listener: turns requests into events of the decision core, carries
@@ -34,6 +36,8 @@
 	uint64_t incarnation;
 	GArray *events; /* queued for the core */
 	bool handling;
+	struct tr_trace trace;
+	struct pb_prober prober;
 	struct tm_sub core_timer;
 	struct tm_sub sweep;
 	bool stopping;
--- /dev/null
+++ b/tests/run_trace.sh
@@ -0,0 +1,108 @@
+#!/bin/bash
+# Records traces of real processes and replays them, and replays the recorded
+# traces in tests/traces/. Guards against decisions that depend on anything but
+# the recorded inputs, and against outcomes that no longer hold.
+# usage: run_trace.sh BIN [DIRECTORY]: DIRECTORY keeps the new traces.
+set -u
+. "$(dirname "$0")/lib.sh"
+
+TESTS=$(dirname "$0")
+KEEP=${2:-}
+failures=0
+
+fail() {
+	say "FAILED: $*"
+	failures=$((failures + 1))
+}
+
+# replay STATUS TEXT ARGUMENT...: exit status and part of the output.
+replay() {
+	want=$1
+	text=$2
+	shift 2
+	"$BIN/jackdawworks" replay "$@" >"$WORK/replay" 2>&1
+	status=$?
+	test $status = "$want" || fail "replay $*: status $status, not $want"
+	grep -q -- "$text" "$WORK/replay" || fail "replay $*: no \"$text\""
+	sed "s|$WORK|.|;s|^|  |" "$WORK/replay"
+}
+
+# document POLICY
+document() {
+	say "deployment: trace"
+	say "zones: [gs-a, gs-b]"
+	say "latency_weight_percent: 100"
+	say "callers: [{name: counter, weight: 2}]"
+	say "services:"
+	service ordering /ordering/ 0 6 2 20 gs-a,gs-b "$1" \
+		"      - {method: POST, path: /ordering/requisitions, idempotent: false}"
+}
+
+load() { # RATE SECONDS
+	"$BIN/tool_load" --targets "127.0.0.1:$callers_port" --rate "$1" \
+		--seconds "$2" --path /ordering/stock --orders 30 \
+		--order-path /ordering/requisitions --timeout-ms 500
+}
+
+# begin POLICY: one entry host that records a trace.
+begin() {
+	trace=$WORK/$1.trace
+	start_host 0 gs-a 1 "trace: {file: \"$trace\", max_bytes: 190000}"
+	wait_http "127.0.0.1:$operators_port" /health || exit 1
+	document "$1" >"$WORK/$1.yaml"
+	base=$(test "$1" = shares && say 0 || say 1)
+	curl -sf -o /dev/null -H "authorization: Bearer $TOKEN" \
+		--data-binary "@$WORK/$1.yaml" \
+		"127.0.0.1:$operators_port/v1/document?base=$base&author=trace" ||
+		exit 1
+	wait_document 1 || exit 1
+}
+
+# end POLICY: the trace must replay to the same decisions and outcomes.
+end() {
+	kill -TERM "$pid_entry0"
+	wait "$pid_entry0"
+	# How many calls complete in time depends on the machine.
+	grep -v completed_percent "$TESTS/traces/$1.outcomes" >"$WORK/outcomes"
+	replay 0 "as recorded" --outcomes "$WORK/outcomes" "$trace"
+	test -z "$KEEP" || cp "$trace" "$KEEP/"
+}
+
+start_platform || exit 1
+start_servers ordering 0 6 2 gs-a,gs-b 5000 || exit 1
+
+begin shares
+load 60 0.6
+server_control 1 '{"fail_fast":true}'
+server_control 2 '{"factor":20.0}'
+load 60 1
+end shares
+
+server_control 1 '{"fail_fast":false}'
+server_control 2 '{"factor":1.0}'
+begin probes
+load 30 0.5
+server_control 0 '{"draining":true}'
+load 40 1.5
+end probes
+
+for outcomes in "$TESTS"/traces/*.outcomes; do
+	replay 0 "as recorded" --outcomes "$outcomes" \
+		"${outcomes%.outcomes}.trace"
+done
+
+# Bad input names line and field; a changed decision is a difference.
+recorded=$TESTS/traces/shares.trace
+sed '3s/"now_us":[0-9]*/"now_us":-1/' "$recorded" >"$WORK/bad"
+replay 3 "line 3: now_us: must be a whole number" "$WORK/bad"
+sed '0,/"act":"send"/s/"server":[0-9]*/"server":77/' "$recorded" >"$WORK/bad"
+replay 6 "replayed" "$WORK/bad"
+head -c 5000 "$recorded" >"$WORK/bad"
+replay 3 "not JSON" "$WORK/bad"
+say '{recorded: "x", outcomes: {calls_min: many}}' >"$WORK/bad"
+replay 3 "line 1: calls_min" --outcomes "$WORK/bad" "$recorded"
+say '{recorded: "x", outcomes: {calls_min: 100000}}' >"$WORK/bad"
+replay 6 "FAILS calls_min" --outcomes "$WORK/bad" "$recorded"
+
+say "failures: $failures"
+test $failures = 0
