--- /dev/null
+++ b/tests/tool_policy.c
@@ -0,0 +1,400 @@
+/*
+ * Compares the policies in virtual time: 16 decision cores in 3 zones send
+ * calls to fake servers. Failed calls count with the deadline as latency.
+ * usage: tool_policy [SEED [POLICY]]; columns: slots, state, load %, policy,
+ * p50, p99, p99.9 in ms, in time, cross-zone %, probes/s, probe and cross-zone
+ * probe bytes/s.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "core.h"
+
+enum { HOSTS = 16, ZONES = 3, SERVERS = 30, ORDER_PERCENT = 20 };
+enum { MEAN_US = 5000, ZONE_US = 4000, LOCAL_US = 100, PROBE_US = 6000 };
+enum { FAULTS_US = 500000, WARM_US = 1000000, END_US = 4000000 };
+enum {
+	DEADLINE_US = 1000000,
+	PROBE_BYTES = 233,
+	STRAGGLER = 10,
+	BUCKET_US = 100
+};
+
+struct event {
+	uint64_t at_us;
+	uint64_t seq;
+	void (*fire)(const struct event *event);
+	uint32_t host;
+	uint64_t call;
+	struct attempt *attempt;
+};
+
+/* An attempt of a call, or a probe when CALL is 0. */
+struct attempt {
+	uint32_t host;
+	uint32_t server;
+	uint64_t call;
+	uint32_t index;
+	bool running;
+	bool cancelled;
+	bool failed;
+	uint32_t in_flight; /* as the answer reports it */
+	uint32_t queued;
+};
+
+struct call {
+	uint64_t due_us;
+	uint64_t timer_us;
+	struct attempt *attempts[CORE_MAX_ATTEMPTS];
+};
+
+struct server {
+	GQueue queue;
+	uint32_t running;
+	bool straggler;
+	bool fail_fast;
+	bool draining;
+};
+
+enum count { IN_TIME, MEASURED, PROBES, CROSS_PROBES, SENDS, CROSS_SENDS };
+
+static struct core *cores[HOSTS];
+static struct server servers[SERVERS];
+static GSequence *events;
+static GArray *calls; /* struct call by id */
+static uint32_t latencies[DEADLINE_US / BUCKET_US + 1];
+static GPtrArray *attempts;
+static GRand *rng;
+static uint64_t now_us, next_seq;
+static uint32_t slots; /* per server */
+static double gap_us; /* between the calls of one host */
+static bool answer_failed; /* the answer being handled is an error */
+static uint64_t counts[CROSS_SENDS + 1];
+
+#define IS_CROSS(host, server) ((host) % ZONES != (server) % ZONES)
+#define CALL(id)	       (&g_array_index(calls, struct call, id))
+
+static int compare_events(const void *a, const void *b, void *ctx)
+{
+	const struct event *x = a;
+	const struct event *y = b;
+
+	if (x->at_us == y->at_us)
+		return x->seq < y->seq ? -1 : x->seq > y->seq;
+	return x->at_us < y->at_us ? -1 : 1;
+}
+
+static void push(void (*fire)(const struct event *), uint32_t host,
+		 uint64_t call, struct attempt *attempt, uint64_t at_us)
+{
+	struct event *event = g_new(struct event, 1);
+
+	*event = (struct event){
+		MAX(at_us, now_us), next_seq++, fire, host, call, attempt
+	};
+	g_sequence_insert_sorted(events, event, compare_events, NULL);
+}
+
+static uint64_t after_link(const struct attempt *a)
+{
+	return now_us + (IS_CROSS(a->host, a->server) ? ZONE_US : LOCAL_US);
+}
+
+static double exponential(double mean)
+{
+	return -log(g_rand_double_range(rng, 1e-9, 1)) * mean;
+}
+
+static void handle(uint32_t host, struct core_event *event)
+{
+	event->now_us = now_us;
+	core_handle(cores[host], event);
+}
+
+static void handle_attempt(const struct attempt *a, enum core_event_kind kind)
+{
+	enum core_end how = a->failed ? CORE_END_DONE_ERROR : CORE_END_DONE;
+	struct core_event event = { .kind = kind,
+				    .u.ended = { a->call, a->index, how } };
+
+	handle(a->host, &event);
+}
+
+static void report(const struct attempt *a)
+{
+	enum core_source source = a->call ? CORE_FROM_ANSWER : CORE_FROM_PROBE;
+	struct core_event r = { .kind = CORE_EV_REPORT,
+				.u.report = { a->server, source, true,
+					      a->in_flight, a->queued, 0,
+					      PROBE_US, PROBE_BYTES } };
+	struct core_event s = { .kind = CORE_EV_SERVER,
+				.u.server = { a->server, CORE_SIGN_ANSWER,
+					      true } };
+
+	handle(a->host, &r);
+	if (servers[a->server].draining)
+		handle(a->host, &s);
+}
+
+static void on_answered(const struct event *e)
+{
+	if (!e->attempt->cancelled)
+		report(e->attempt);
+	if (e->attempt->cancelled || !e->attempt->call)
+		return;
+	handle_attempt(e->attempt, CORE_EV_ANSWER);
+	answer_failed = e->attempt->failed;
+	handle_attempt(e->attempt, CORE_EV_ENDED);
+	answer_failed = false;
+}
+
+static void answer(struct attempt *a, uint64_t after_us)
+{
+	a->running = false;
+	a->in_flight = servers[a->server].running;
+	a->queued = servers[a->server].queue.length;
+	push(on_answered, a->host, 0, a, after_link(a) + after_us);
+}
+
+static void on_served(const struct event *e);
+
+static void serve(struct server *server)
+{
+	while (server->running < slots && server->queue.length) {
+		struct attempt *a = g_queue_pop_head(&server->queue);
+		double us = exponential(MEAN_US);
+
+		a->running = true;
+		server->running++;
+		us *= server->straggler ? STRAGGLER : 1;
+		push(on_served, 0, 0, a, now_us + (uint64_t)us);
+	}
+}
+
+static void on_served(const struct event *e)
+{
+	if (!e->attempt->running)
+		return;
+	servers[e->attempt->server].running--;
+	answer(e->attempt, 0);
+	serve(&servers[e->attempt->server]);
+}
+
+static void on_cancelled(const struct event *e)
+{
+	struct server *server = &servers[e->attempt->server];
+
+	g_queue_remove(&server->queue, e->attempt);
+	server->running -= e->attempt->running;
+	e->attempt->running = false;
+	serve(server);
+}
+
+static void on_at_server(const struct event *e)
+{
+	struct attempt *a = e->attempt;
+	struct server *server = &servers[a->server];
+
+	if (a->cancelled)
+		return;
+	if (a->call)
+		handle_attempt(a, CORE_EV_SENT);
+	a->failed = a->call && server->fail_fast;
+	if (!a->call || a->failed)
+		answer(a, a->call ? 0 : PROBE_US);
+	else
+		g_queue_push_tail(&server->queue, a);
+	serve(server);
+}
+
+static void on_send(uint32_t host, const struct core_action *action)
+{
+	struct attempt *a = g_new0(struct attempt, 1);
+	enum count count = action->call ? SENDS : PROBES;
+
+	a->host = host;
+	a->server = action->server;
+	a->call = action->call;
+	a->index = action->attempt;
+	g_ptr_array_add(attempts, a);
+	CALL(a->call)->attempts[a->index] = a;
+	counts[count]++;
+	counts[count + 1] += IS_CROSS(host, a->server);
+	push(on_at_server, host, 0, a, after_link(a));
+}
+
+static void on_finish(const struct call *call, bool failed)
+{
+	uint64_t us = failed ? DEADLINE_US : now_us - call->due_us;
+
+	if (call->due_us < WARM_US)
+		return;
+	counts[MEASURED]++;
+	counts[IN_TIME] += us < DEADLINE_US;
+	latencies[MIN(us, DEADLINE_US) / BUCKET_US]++;
+}
+
+/* A later timer of the same call replaces an earlier one. */
+static void on_timer(const struct event *e)
+{
+	struct core_event event = { .kind = CORE_EV_TIMER,
+				    .u.of.call = e->call };
+
+	if (!e->call || CALL(e->call)->timer_us == e->at_us)
+		handle(e->host, &event);
+}
+
+static void act(void *ctx, const struct core_action *action)
+{
+	uint32_t host = GPOINTER_TO_UINT(ctx);
+	struct call *call = CALL(action->call);
+	struct attempt *a = call->attempts[action->attempt];
+
+	if (action->kind == CORE_ACT_TIMER) {
+		call->timer_us = MAX(action->at_us, now_us);
+		push(on_timer, host, action->call, NULL, call->timer_us);
+	} else if (action->kind == CORE_ACT_FINISH) {
+		on_finish(call, answer_failed || action->result != ST_OK);
+	} else if (action->kind == CORE_ACT_CANCEL) {
+		a->cancelled = true;
+		push(on_cancelled, host, 0, a, after_link(a));
+	} else {
+		on_send(host, action);
+	}
+}
+
+static uint32_t random_u32(void *ctx)
+{
+	return g_rand_int(rng);
+}
+
+static void on_arrive(const struct event *e)
+{
+	bool safe = g_rand_int_range(rng, 0, 100) >= ORDER_PERCENT;
+	struct call call = { .due_us = now_us };
+	struct core_event event = { .kind = CORE_EV_CALL,
+				    .u.call = { calls->len, 0, CORE_NO_CALLER,
+						now_us + DEADLINE_US, safe } };
+
+	push(on_arrive, e->host, 0, NULL,
+	     now_us + 1 + (uint64_t)exponential(gap_us));
+	g_array_append_val(calls, call);
+	handle(e->host, &event);
+}
+
+static void begin(uint32_t seed, enum core_policy policy, uint32_t load_percent)
+{
+	struct core_server_conf to[SERVERS] = { 0 };
+	struct core_host_conf live[HOSTS] = { 0 };
+	struct core_service_conf service = { 0,	     policy, 1000, 10,	   200,
+					     400000, 100000, to,   SERVERS };
+	struct core_conf conf = { 0, 0,	   100, 0,    &service,
+				  1, NULL, 0,	live, HOSTS };
+	struct core_event event = { .kind = CORE_EV_CONF, .u.conf = &conf };
+
+	now_us = 1;
+	events = g_sequence_new(g_free);
+	memset(counts, 0, sizeof(counts));
+	memset(latencies, 0, sizeof(latencies));
+	memset(servers, 0, sizeof(servers));
+	g_rand_set_seed(rng, seed);
+	g_array_set_size(calls, 0);
+	g_array_set_size(calls, 1); /* id 0 stands for probes */
+	gap_us = (double)MEAN_US * HOSTS * 100 / (SERVERS * slots) /
+		 load_percent;
+	for (uint32_t i = 0; i < HOSTS; i++) {
+		struct core_driver driver = { act, random_u32,
+					      GUINT_TO_POINTER(i) };
+
+		cores[i] = core_new(&driver);
+		push(on_arrive, i, 0, NULL, (uint64_t)exponential(gap_us));
+	}
+	for (uint32_t i = 0; i < SERVERS; i++)
+		to[i] = (struct core_server_conf){ i,	  i % ZONES,
+						   slots, 260,
+						   0,	  g_rand_int(rng) };
+	for (uint32_t i = 0; i < HOSTS; i++)
+		live[i] = (struct core_host_conf){ g_rand_int(rng), i % ZONES,
+						   false };
+	for (uint32_t i = 0; i < HOSTS; i++) {
+		conf.host_hash = live[i].hash;
+		conf.zone = live[i].zone;
+		handle(i, &event);
+	}
+}
+
+static double part(enum count a, enum count b)
+{
+	return (double)counts[a] / (double)counts[b];
+}
+
+static double percentile_ms(double p)
+{
+	uint32_t i = 0;
+
+	for (double left = p * (double)counts[MEASURED]; left > 0; i++)
+		left -= latencies[i];
+	return (double)i * BUCKET_US / 1000;
+}
+
+/* Two stragglers, one server failing fast, one draining. */
+static void on_faults(const struct event *e)
+{
+	servers[0].straggler = servers[4].straggler = true;
+	servers[8].fail_fast = true;
+	servers[12].draining = true;
+}
+
+static void run(uint32_t seed, enum core_policy policy, bool faults,
+		uint32_t load_percent)
+{
+	double seconds = END_US / 1e6;
+
+	begin(seed, policy, load_percent);
+	if (faults)
+		push(on_faults, 0, 0, NULL, FAULTS_US);
+	while (now_us < END_US) {
+		GSequenceIter *first = g_sequence_get_begin_iter(events);
+		struct event e = *(struct event *)g_sequence_get(first);
+
+		g_sequence_remove(first);
+		now_us = e.at_us;
+		e.fire(&e);
+	}
+	printf("| %u | %s | %u | %s | %.1f | %.1f | %.1f | %.4f | %.1f | %.0f "
+	       "| %.0f | %.0f |\n",
+	       slots, faults ? "faults" : "calm", load_percent,
+	       core_policy_name(policy), percentile_ms(0.5),
+	       percentile_ms(0.99), percentile_ms(0.999),
+	       part(IN_TIME, MEASURED), 100 * part(CROSS_SENDS, SENDS),
+	       (double)counts[PROBES] / seconds,
+	       (double)counts[PROBES] * PROBE_BYTES / seconds,
+	       (double)counts[CROSS_PROBES] * PROBE_BYTES / seconds);
+	for (uint32_t i = 0; i < HOSTS; i++)
+		core_free(cores[i]);
+	for (uint32_t i = 0; i < SERVERS; i++)
+		g_queue_clear(&servers[i].queue);
+	g_sequence_free(events);
+	g_ptr_array_set_size(attempts, 0);
+}
+
+int main(int argc, char **argv)
+{
+	static const uint32_t loads[] = { 50, 75, 90 };
+	uint32_t seed = argc > 1 ? (uint32_t)strtoul(argv[1], NULL, 10) : 1;
+
+	rng = g_rand_new();
+	calls = g_array_new(FALSE, TRUE, sizeof(struct call));
+	attempts = g_ptr_array_new_with_free_func(g_free);
+	for (int i = 0; i < 12; i++) {
+		slots = i < 6 ? 6 : 3;
+		for (int p = 0; p < CORE_POLICY_COUNT; p++)
+			if (argc < 3 || !strcmp(argv[2], core_policy_name(p)))
+				run(seed, p, i / 3 % 2, loads[i % 3]);
+	}
+	return 0;
+}
