--- a/gateway.c
+++ b/gateway.c
@@ -30,7 +30,6 @@
 	char name[DOC_NAME_BYTES];
 	uint32_t id;
 	uint32_t zone;
-	bool document_leaving; /* says the document */
 	struct hc_pool pool;
 };
 
@@ -103,7 +102,9 @@
 		struct core_event next =
 			g_array_index(gateway->events, struct core_event, i);
 
+		tr_event(&gateway->trace, &next);
 		core_handle(gateway->core, &next);
+		tr_end(&gateway->trace);
 	}
 	g_array_set_size(gateway->events, 0);
 	gateway->handling = false;
@@ -112,8 +113,10 @@
 static uint32_t gw_random(void *ctx)
 {
 	struct gw_gateway *gateway = ctx;
+	uint32_t value = g_rand_int(gateway->random);
 
-	return g_rand_int(gateway->random);
+	tr_random(&gateway->trace, value);
+	return value;
 }
 
 /* Answers towards the caller */
@@ -279,17 +282,11 @@
 
 /* Attempts at servers */
 
-static uint32_t gw_load_field(const struct hc_header *h, const char *key)
+static bool gw_is_cross_zone(const struct gw_gateway *gateway,
+			     const struct gw_server *server)
 {
-	const char *end = h->value + h->value_bytes;
-	const char *at = memmem(h->value, h->value_bytes, key, strlen(key));
-	uint64_t value = 0;
-
-	if (!at)
-		return 0;
-	for (at += strlen(key); at < end && g_ascii_isdigit(*at); at++)
-		value = MIN(value * 10 + (uint64_t)(*at - '0'), UINT32_MAX);
-	return (uint32_t)value;
+	return strcmp(gateway->document->zones[server->zone],
+		      gateway->settings->zone) != 0;
 }
 
 static void gw_take_report(struct gw_attempt *attempt,
@@ -306,15 +303,12 @@
 		return;
 	bytes = load->name_bytes + load->value_bytes + strlen(": \r\n");
 	ct_add(CT_REPORT_BYTES, bytes);
-	if (strcmp(gateway->document->zones[server->zone],
-		   gateway->settings->zone))
+	if (gw_is_cross_zone(gateway, server))
 		ct_add(CT_REPORT_CROSS_BYTES, bytes);
 	event.u.report.server = attempt->server;
 	event.u.report.source = CORE_FROM_ANSWER;
 	event.u.report.ok = true;
-	event.u.report.in_flight = gw_load_field(load, "in_flight=");
-	event.u.report.queued = gw_load_field(load, "queued=");
-	event.u.report.slots = gw_load_field(load, "slots=");
+	pb_take_load(load, &event);
 	gw_post(gateway, &event);
 }
 
@@ -333,6 +327,7 @@
 	if (!hc_find(head, "x-draining") || !me_on(ME_LEAVING))
 		return;
 	event.u.server.server = attempt->server;
+	event.u.server.sign = CORE_SIGN_ANSWER;
 	event.u.server.leaving = true;
 	gw_post(gateway, &event);
 	g_strlcpy(msg.server, server->name, sizeof(msg.server));
@@ -643,10 +638,30 @@
 	hc_cancel(&attempt->http);
 }
 
+static void gw_probe(struct gw_gateway *gateway,
+		     const struct core_action *action)
+{
+	struct gw_server *server =
+		g_ptr_array_index(gateway->servers, action->server);
+	struct pb_target target = {
+		.server = action->server,
+		.cross_zone = gw_is_cross_zone(gateway, server),
+		.pool = &server->pool,
+	};
+
+	pb_send(&gateway->prober, &target);
+}
+
+static void gw_post_probe(void *ctx, struct core_event *event)
+{
+	gw_post(ctx, event);
+}
+
 static void gw_act(void *ctx, const struct core_action *action)
 {
 	struct gw_gateway *gateway = ctx;
 
+	tr_action(&gateway->trace, action);
 	switch (action->kind) {
 	case CORE_ACT_SEND:
 		gw_send(gateway, action);
@@ -660,6 +675,9 @@
 	case CORE_ACT_TIMER:
 		gw_timer(gateway, action);
 		break;
+	case CORE_ACT_PROBE:
+		gw_probe(gateway, action);
+		break;
 	default:
 		break;
 	}
@@ -1027,6 +1045,10 @@
 	conf->policy = service->policy;
 	conf->queue_limit = service->queue_limit;
 	conf->retry_percent = service->retry_percent;
+	conf->probe_requests_per_s = service->measuring.requests_per_s;
+	conf->probe_bytes_per_s = service->measuring.bytes_per_s;
+	conf->probe_cross_zone_bytes_per_s =
+		service->measuring.cross_zone_bytes_per_s;
 	conf->servers = servers;
 	conf->server_count = service->server_count;
 	for (uint32_t i = 0; i < service->server_count; i++) {
@@ -1034,12 +1056,10 @@
 		struct gw_server *server = gw_server_for(gateway, from);
 
 		server->zone = from->zone;
-		server->document_leaving = from->leaving;
 		servers[i].id = server->id;
 		servers[i].zone = from->zone;
 		servers[i].slots = from->slots;
-		servers[i].connections =
-			gw_connections(gateway, from->connections);
+		servers[i].connections = from->connections;
 		servers[i].leaving = from->leaving;
 		servers[i].hash = gw_hash(from->name);
 	}
@@ -1067,6 +1087,8 @@
 	struct core_service_conf *services =
 		g_new0(struct core_service_conf, document->service_count);
 	struct core_host_conf *hosts = gw_conf_hosts(gateway);
+	struct core_caller_conf *callers =
+		g_new0(struct core_caller_conf, document->caller_count);
 	struct core_conf conf = {
 		.host_hash = gw_hash(gateway->settings->host),
 		.zone = doc_zone(document, gateway->settings->zone),
@@ -1075,6 +1097,9 @@
 		.service_count = document->service_count,
 		.hosts = hosts,
 		.host_count = gateway->hosts->len,
+		.callers = callers,
+		.caller_count = document->caller_count,
+		.budget_hosts = gateway->host_count,
 	};
 	struct core_event event = { .kind = CORE_EV_CONF };
 
@@ -1084,12 +1109,15 @@
 		gw_conf_service(gateway, &document->services[i], &services[i]);
 		gateway->service_map[i] = services[i].id;
 	}
+	for (uint32_t i = 0; i < document->caller_count; i++)
+		callers[i].weight = document->callers[i].weight;
 	event.u.conf = &conf;
 	gw_post(gateway, &event);
 	for (uint32_t i = 0; i < document->service_count; i++)
 		g_free((void *)services[i].servers);
 	g_free(services);
 	g_free(hosts);
+	g_free(callers);
 }
 
 static bool gw_same_hosts(const GArray *a, const GArray *b)
@@ -1154,8 +1182,8 @@
 		if (strcmp(server->name, state->server) != 0)
 			continue;
 		event.u.server.server = server->id;
-		event.u.server.leaving =
-			state->leaving || server->document_leaving;
+		event.u.server.sign = CORE_SIGN_TOLD;
+		event.u.server.leaving = state->leaving;
 		gw_post(gateway, &event);
 	}
 }
@@ -1218,7 +1246,12 @@
 		"%s-%" G_GINT64_MODIFIER "x-", settings->host,
 		gateway->incarnation);
 	gw_init_tables(gateway);
+	if (*settings->trace_file &&
+	    tr_open(&gateway->trace, settings->trace_file,
+		    settings->trace_max_bytes, settings->host, status) != ST_OK)
+		return status->kind;
 	gateway->core = core_new(&driver);
+	pb_init(&gateway->prober, timers, gw_post_probe, gateway);
 	gateway->core_timer.fire = gw_on_core_timer;
 	gateway->core_timer.ctx = gateway;
 	gateway->sweep.fire = gw_on_sweep;
@@ -1260,6 +1293,7 @@
 {
 	gw_stop_listening(gateway);
 	hd_close_all(&gateway->http);
+	pb_free(&gateway->prober);
 	tm_cancel(gateway->timers, &gateway->sweep);
 	tm_cancel(gateway->timers, &gateway->core_timer);
 	for (guint i = 0; i < gateway->servers->len; i++) {
@@ -1274,6 +1308,7 @@
 {
 	hd_free(&gateway->http);
 	core_free(gateway->core);
+	tr_close(&gateway->trace);
 	g_ptr_array_set_free_func(gateway->servers, g_free);
 	g_ptr_array_free(gateway->servers, TRUE);
 	g_ptr_array_free(gateway->services, TRUE);
