Keep probing drained servers over new documents

Cause: a server that said it drains, was taken out of the document and put back was never probed again, and with a measuring budget of 0 no probe could see any drained server return.

Change: a new configuration starts the rechecks again, and a document that takes "leaving" back overrides the server's own earlier sign. A trace that ends at its size limit says so in the log.

Test: the leaving rule in tests/test_core.c takes the server out and back in.

--- a/core_conf.c
+++ b/core_conf.c
@@ -103,6 +103,10 @@
 		server->cold_since_us = core->now_us;
 	if (server->slots != slots)
 		server->limit_q8 = slots * CORE_Q8;
+	/* An operator who takes it out and back in overrides its own sign. */
+	if (returns)
+		server->answer_leaving = false;
+	core->rechecking |= server->answer_leaving;
 	server->known = true;
 	server->service = service;
 	server->conf_leaving = from->leaving;
@@ -204,4 +208,5 @@
 	for (uint32_t i = 0; i < conf->service_count; i++)
 		core_conf_service(core, conf, &conf->services[i]);
 	core->configured = true;
+	core_probe_recheck(core);
 }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -269,6 +269,14 @@
 		call();
 	if (in_flight(0) + in_flight(1) + in_flight(2))
 		return false;
+	/* Nor does a new document bring it back. */
+	service.server_count = 1;
+	configure();
+	timer(0);
+	service.server_count = 3;
+	configure();
+	call();
+	ck_assert_uint_eq(in_flight(1), 0);
 	now_us += 5 * SECOND;
 	timer(0);
 	ck_assert_uint_eq(count(CORE_ACT_PROBE), 1);
--- a/trace.c
+++ b/trace.c
@@ -6,6 +6,8 @@
 
 #include <jansson.h>
 
+#include "log.h"
+
 enum { TR_MAX_SERVICES = 4096, TR_MAX_LIST = 65536 };
 
 /* Field types: enumerations are written by name. */
@@ -336,6 +338,8 @@
 	if (trace->written_bytes + group->len > trace->max_bytes ||
 	    fwrite(group->str, 1, group->len, trace->file) != group->len ||
 	    fflush(trace->file)) {
+		lg_warn("trace", "ended after %" G_GUINT64_FORMAT " bytes",
+			trace->written_bytes);
 		tr_close(trace);
 		return;
 	}
