--- a/command.h
+++ b/command.h
@@ -13,7 +13,8 @@
 	X(show, "print the document in force or an older one") \
 	X(history, "print the audit trail")                    \
 	X(status, "print figures of entry hosts")              \
-	X(drain, "ask an entry host to stop gracefully")
+	X(drain, "ask an entry host to stop gracefully")       \
+	X(replay, "replay a recorded trace")
 
 #define X(name, help) int cmd_##name(int argc, char **argv);
 CMD_LIST(X)
--- a/gateway.h
+++ b/gateway.h
@@ -10,8 +10,10 @@
 #include "httpd.h"
 #include "kernel.h"
 #include "order.h"
+#include "probe.h"
 #include "settings.h"
 #include "timer.h"
+#include "trace.h"
 
 enum { GW_ID_PREFIX_BYTES = SE_NAME_BYTES + 20 };
 
@@ -41,6 +43,8 @@
 	size_t id_prefix_bytes;
 	GArray *events; /* queued for the core */
 	bool handling;
+	struct tr_trace trace;
+	struct pb_prober prober;
 	struct tm_sub core_timer;
 	struct tm_sub sweep;
 	bool stopping;
--- a/httpc.c
+++ b/httpc.c
@@ -53,7 +53,7 @@
 
 static void hc_conn_read(uv_stream_t *stream, ssize_t nread,
 			 const uv_buf_t *buf);
-static void hc_conn_send(struct hc_conn *conn);
+static bool hc_conn_send(struct hc_conn *conn);
 
 /* One loop per process: reads are parsed before the next one starts. */
 static char hc_read_buffer[HC_READ_BYTES];
@@ -349,8 +349,8 @@
 
 	if (not_after_us && tm_now_us() >= not_after_us)
 		hc_conn_fail(conn, "deadline passed while connecting");
-	else
-		hc_conn_send(conn);
+	else if (!hc_conn_send(conn))
+		hc_conn_fail(conn, "write failed");
 }
 
 static void hc_conn_handshake(struct hc_conn *conn)
@@ -452,33 +452,30 @@
 	conn->reading = true;
 }
 
-static void hc_conn_send(struct hc_conn *conn)
+/* Returns false, without a callback, when nothing could be written. */
+static bool hc_conn_send(struct hc_conn *conn)
 {
 	struct hc_request *request = conn->request;
 	uv_buf_t buf;
 
 	if (conn->connect_timer.slot)
 		tm_cancel(conn->pool->timers, &conn->connect_timer);
-	if (conn->tls.ssl && !hc_conn_encrypt(conn)) {
-		hc_conn_fail(conn, "encryption failed");
-		return;
-	}
+	if (conn->tls.ssl && !hc_conn_encrypt(conn))
+		return false;
 	buf = uv_buf_init(conn->out->str, (unsigned)conn->out->len);
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	conn->complete = false;
-	request->state = HC_SENT;
-	conn->writing = true;
 	conn->write.data = conn;
 	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
-		     hc_conn_written)) {
-		conn->writing = false;
-		hc_conn_fail(conn, "write failed");
-		return;
-	}
+		     hc_conn_written))
+		return false;
+	conn->writing = true;
+	request->state = HC_SENT;
 	hc_conn_start_reading(conn);
 	if (request->handler->sent)
 		request->handler->sent(request);
+	return true;
 }
 
 static void hc_conn_start_tls(struct hc_conn *conn)
@@ -661,8 +658,10 @@
 		conn->out = out;
 		conn->request = request;
 		request->conn = conn;
-		hc_conn_send(conn);
-		return true;
+		if (hc_conn_send(conn))
+			return true;
+		hc_conn_close(conn);
+		return false;
 	}
 	if (!pool->closing && hc_start_new(pool, request, out))
 		return true;
