Compare stragglers with the other servers of their zone

tests/run_stop.sh failed with the merged core: of 3,065 calls only 2,115 completed, p50 963 ms, while the servers were idle. Each server's latency was compared with a slow moving average of all answers that started at 5 ms, or at the first answer, and rose by at most 5 % an answer. With calls of 100 ms every server counted as a straggler, was limited to one call in several seconds, and no answers came to correct it. Least-of-two, which has no limits, completed every call, which ruled out gateway and servers.

The usual latency of a zone is now the lower median of its servers' averages, so at most half of them can be stragglers; a server is judged after four answers; the pause between trial calls is at most 1 s.

The new test fails without the change.

--- a/core_internal.h
+++ b/core_internal.h
@@ -46,6 +46,7 @@
 	uint32_t others_q8;
 	/* Adaptive limit of the attempts of this host. */
 	uint32_t latency_us; /* moving average, 0: none yet */
+	uint32_t latency_count; /* answers in it */
 	uint32_t limit_q8;
 	uint64_t last_send_us;
 	/* Fail-fast guard. BACKOFF_US is not 0 while the server is out. */
@@ -117,7 +118,8 @@
 	uint32_t latency_total;
 	uint32_t quick_us; /* low percentile */
 	uint32_t slow_us; /* high percentile, when a hedge is due */
-	uint32_t zone_latency_us[CORE_ZONES];
+	uint32_t zone_latency_us[CORE_ZONES]; /* usual one, 0: not known */
+	uint32_t latency_answers;
 	uint32_t mean_others_q8; /* per slot */
 };
 
--- a/core_limit.c
+++ b/core_limit.c
@@ -1,5 +1,7 @@
 #include "core_internal.h"
 
+#include <stdlib.h>
+
 #include "mechanism.h"
 
 /*
@@ -11,7 +13,12 @@
 	CORE_COLDEST_Q8 = CORE_Q8 / 10,
 	/* A server is a straggler above this multiple of the usual latency. */
 	CORE_STRAGGLER = 3,
-	CORE_MIN_LIMIT_Q8 = 2,
+	CORE_MIN_LIMIT_Q8 = 8,
+	/* Answers of a server before its average is compared with others. */
+	CORE_LATENCY_KNOWN = 4,
+	CORE_USUAL_EVERY = 8, /* answers between two looks at all servers */
+	/* Without a call now and then a recovery would not be noticed. */
+	CORE_MAX_PAUSE_US = CORE_US_PER_S,
 	CORE_ERRORS_OUT = 3, /* errors in a row that take a server out */
 	CORE_ERROR_OUT_Q8 = CORE_Q8 / 2,
 	CORE_MIN_BACKOFF_US = 200 * CORE_US_PER_MS,
@@ -69,6 +76,7 @@
 		return (server->in_flight + 1) * CORE_Q8 <= server->limit_q8;
 	pause_us = (uint64_t)core_base_latency_us(service, server->zone) *
 		   CORE_Q8 / server->limit_q8;
+	pause_us = MIN(pause_us, (uint64_t)CORE_MAX_PAUSE_US);
 	return !server->in_flight &&
 	       core->now_us >= server->last_send_us + pause_us;
 }
@@ -151,11 +159,65 @@
 	return (uint32_t)MAX((int64_t)average + diff / (1 << shift), 1);
 }
 
+/*
+ * A server is compared with the other servers of its zone, so that no more
+ * than half of them can be stragglers. Compared with a slow moving average of
+ * all answers, every server of a service with long calls counted as one.
+ */
 static bool core_is_straggler(const struct core_service *service,
 			      const struct core_server *server)
 {
-	return server->latency_us >
-	       CORE_STRAGGLER * core_base_latency_us(service, server->zone);
+	uint32_t usual_us = service->zone_latency_us[server->zone % CORE_ZONES];
+
+	return usual_us && server->latency_count >= CORE_LATENCY_KNOWN &&
+	       server->latency_us > CORE_STRAGGLER * usual_us;
+}
+
+struct core_sample {
+	uint32_t zone;
+	uint32_t latency_us;
+};
+
+static int core_compare_samples(const void *a, const void *b)
+{
+	const struct core_sample *x = a;
+	const struct core_sample *y = b;
+
+	if (x->zone != y->zone)
+		return x->zone < y->zone ? -1 : 1;
+	if (x->latency_us != y->latency_us)
+		return x->latency_us < y->latency_us ? -1 : 1;
+	return 0;
+}
+
+/* Usual latency of each zone: the lower median over its servers. */
+static void core_update_usual(const struct core *core,
+			      struct core_service *service)
+{
+	struct core_sample *samples =
+		g_newa(struct core_sample, service->server_count + 1);
+	uint32_t count = 0;
+	uint32_t begin = 0;
+
+	for (uint32_t i = 0; i < service->server_count; i++) {
+		const struct core_server *server =
+			core_server(core, service->servers[i]);
+
+		if (server->latency_count < CORE_LATENCY_KNOWN)
+			continue;
+		samples[count].zone = server->zone % CORE_ZONES;
+		samples[count++].latency_us = server->latency_us;
+	}
+	qsort(samples, count, sizeof(*samples), core_compare_samples);
+	for (uint32_t end = 1; end <= count; end++) {
+		const struct core_sample *first = &samples[begin];
+
+		if (end < count && samples[end].zone == first->zone)
+			continue;
+		service->zone_latency_us[first->zone] =
+			samples[begin + (end - begin - 1) / 2].latency_us;
+		begin = end;
+	}
 }
 
 static void core_adapt_limit(const struct core_service *service,
@@ -181,16 +243,13 @@
 		     uint32_t latency_us)
 {
 	struct core_service *service = core_service(core, server->service);
-	uint32_t *zone_us =
-		&service->zone_latency_us[server->zone % CORE_ZONES];
-	uint32_t base_us = core_base_latency_us(service, server->zone);
 
 	core_count_latency(service, latency_us);
 	server->latency_us = core_average(server->latency_us, latency_us,
 					  CORE_AVERAGE_SHIFT);
-	/* Stragglers must not raise what they are compared with. */
-	*zone_us = core_average(*zone_us, MIN(latency_us, 4 * base_us),
-				CORE_AVERAGE_SHIFT + 3);
+	server->latency_count++;
+	if (++service->latency_answers % CORE_USUAL_EVERY == 0)
+		core_update_usual(core, service);
 	core_adapt_limit(service, server, latency_us);
 	server->error_q8 -= server->error_q8 / 4;
 	server->errors_in_row = 0;
@@ -211,6 +270,7 @@
 		return;
 	server->latency_us = core_average(server->latency_us, at_least_us,
 					  CORE_AVERAGE_SHIFT);
+	server->latency_count++;
 	if (core_is_straggler(service, server))
 		core_adapt_limit(service, server, at_least_us);
 }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -579,6 +579,34 @@
 }
 END_TEST
 
+/*
+ * Calls that all take long must not make every server a straggler: a host then
+ * sent nothing for seconds while the servers were idle.
+ */
+START_TEST(slow_service_keeps_its_servers)
+{
+	uint64_t ids[24];
+
+	setenv("JACKDAWWORKS_OFF", "", 1);
+	begin(CORE_SHARES, 6, 6);
+	series(1, 2 * MS, 0);
+	for (int i = 0; i < 60; i++) {
+		uint64_t id = call();
+
+		ck_assert_ptr_nonnull(find(CORE_ACT_SEND, id));
+		now_us += 100 * MS;
+		end(id, true, CORE_END_DONE);
+	}
+	for (int i = 0; i < 24; i++)
+		ids[i] = call();
+	for (int i = 0; i < 24; i++)
+		ck_assert_ptr_nonnull(find(CORE_ACT_SEND, ids[i]));
+	core_free(core);
+	g_array_free(actions, TRUE);
+	g_rand_free(rng);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("core");
@@ -588,6 +616,7 @@
 
 	tcase_add_loop_test(tcase, rule_holds, 0, RULES);
 	tcase_add_loop_test(tcase, rule_needs_its_mechanism, 0, RULES);
+	tcase_add_test(tcase, slow_service_keeps_its_servers);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	/* Every rule needs a process of its own: switches are read once. */
