Prove the measuring budget and the start during an outage

measuring-budget had no proof, and the rule for a host that starts while the platform is down was tested with a fake clock only.

--- a/tests/document_cases.sh
+++ b/tests/document_cases.sh
@@ -243,6 +243,25 @@
 }
 
 # Input that is not a document must neither be taken nor end a host.
+# A host that starts during an outage serves once more than half of the seed
+# peers have told it their generation, and not before.
+fresh_host() {
+	platform_fault '{"down": true}'
+	start_host $HOSTS a $HOSTS
+	wait_http "127.0.0.1:$((operators_port + HOSTS))" /health || exit 1
+	HOSTS=$((HOSTS + 1))
+	wait_generation 1 $((HOSTS - 1)) || fail "three peers were not enough"
+	end_process entry1
+	end_process entry2
+	write_settings $HOSTS a 3
+	start "entry$HOSTS" "$BIN/jackdawworks" serve "$WORK/entry$HOSTS.yaml"
+	wait_http "127.0.0.1:$((operators_port + HOSTS))" /health || exit 1
+	for _ in $(seq 50); do
+		test "$(generation $HOSTS)" = 0 || fail "one of three was enough"
+		sleep 0.1
+	done
+	say "started with 3 of 3 seed peers, not with 1 of 3"
+}
 bad_input() {
 	head -c 5000000 /dev/zero | tr '\0' '#' >"$WORK/large"
 	head -c 4000 /dev/urandom >"$WORK/binary"
--- /dev/null
+++ b/tests/proof_measuring.sh
@@ -0,0 +1,78 @@
+#!/bin/bash
+# Proof of measuring-budget: six hosts start at once, two of them are killed and
+# started again under load, and the probes that the servers count stay within
+# the budget of the document; so do the bytes that the other hosts count.
+set -u
+BIN=${1:?directory of the built programs}
+TESTS=$(cd "$(dirname "$0")" && pwd)
+
+HOSTS=6
+REQUESTS_PER_S=60
+BYTES_PER_S=30000
+CROSS_PER_S=9000
+
+probes_of_servers() {
+	for i in $(seq 0 $((SMALL_SERVERS - 1))); do
+		curl -s "127.0.0.1:$((servers_port + i))/stats"
+	done | grep -oE '"probes":[0-9]+' | grep -oE '[0-9]+' |
+		awk '{ n += $1 } END { print n + 0 }'
+}
+
+# counter HOST NAME
+counter() {
+	curl -s -H "authorization: Bearer $TOKEN" \
+		"127.0.0.1:$((operators_port + $1))/metrics" |
+		sed -n "s/^jackdawworks_$2 //p"
+}
+
+# above_share HOST NAME LIMIT SECONDS: the host used more than its part.
+above_share() { test "$(counter "$1" "$2")" -gt $(($3 / HOSTS * $4)); }
+
+measuring_budget() {
+	. "$TESTS/lib.sh" "$BIN"
+	ZONES=a,b,c
+	start_platform || return 1
+	start_servers ordering 0 $SMALL_SERVERS $SMALL_SLOTS $ZONES 5000 ||
+		return 1
+	start_host 0 a $HOSTS
+	write_document "$(service ordering / 0 $SMALL_SERVERS $SMALL_SLOTS 240 \
+		$ZONES probes "      - {method: GET, path: /, idempotent: true}" |
+		sed "s/requests_per_s: [0-9]*/requests_per_s: $REQUESTS_PER_S/
+			s/ bytes_per_s: [0-9]*/ bytes_per_s: $BYTES_PER_S/
+			s/cross_zone_bytes_per_s: [0-9]*/cross_zone_bytes_per_s: $CROSS_PER_S/")"
+	wait_http "127.0.0.1:$operators_port" /health || return 1
+	begin=$(date +%s)
+	apply_document 0 "$WORK/document.yaml" 0 || return 1
+	for i in $(seq 1 $((HOSTS - 1))); do
+		start_host "$i" "$(say $ZONES | cut -d, -f$((i % 3 + 1)))" $HOSTS
+	done
+	wait_document $HOSTS || return 1
+	start_load load $HOSTS 600 8
+	load=$PID
+	sleep 4
+	for i in 1 2; do
+		end_process "entry$i"
+		start_host "$i" "$(say $ZONES | cut -d, -f$((i % 3 + 1)))" $HOSTS
+	done
+	wait $load
+	# Whole seconds, rounded up, so that the bound is never too low.
+	seconds=$(($(date +%s) - begin + 1))
+	probes=$(probes_of_servers)
+	figure="$probes probes in $seconds s, budget $REQUESTS_PER_S/s"
+	test "$probes" -gt 0 && test "$probes" -le $((REQUESTS_PER_S * seconds)) ||
+		return 1
+	for i in 0 3 4 5; do
+		above_share "$i" probe_bytes_total $BYTES_PER_S $seconds && return 1
+		above_share "$i" probe_cross_zone_bytes_total $CROSS_PER_S \
+			$seconds && return 1
+	done
+	return 0
+}
+
+# verdict FUNCTION: runs it in a process of its own, which ends its processes.
+verdict() { ($1 && say "pass $figure" || say "fail $figure"); }
+
+without=$(JACKDAWWORKS_OFF=measuring-budget verdict measuring_budget | tail -1)
+with=$(verdict measuring_budget | tail -1)
+printf 'PROOF measuring-budget without=%s with=%s %s (without: %s)\n' \
+	"${without%% *}" "${with%% *}" "${with#* }" "${without#* }"
