--- /dev/null
+++ b/tests/bench_capacity.sh
@@ -0,0 +1,107 @@
+#!/bin/bash
+# Cost of one entry host by the size of the document: resident memory and
+# processor time at rest, time to check a document, time and processor time of a
+# change, processor time of a call. One host, one service with real servers; all
+# other services are in the document only.
+#
+# usage: bench_capacity.sh DIRECTORY [SERVICES...]; every service has 7 or 8
+# servers, as 7,100 servers in 950 services.
+set -u
+. "$(dirname "$0")/lib.sh"
+shift
+SIZES=${*:-2 95 475 950}
+RATE=2000
+LOAD_SECONDS=6
+REST_SECONDS=5
+CHANGES=5
+US_PER_TICK=10000
+LOG_LEVEL=warning
+
+# filler SERVICES: services beside the real one.
+filler() {
+	awk -v n="$(($1 - 1))" 'BEGIN {
+		for (s = 0; s < n; s++) {
+			printf "  - name: s%d\n    route: /s%d/\n    policy: shares\n", s, s
+			print "    measuring: {requests_per_s: 5, bytes_per_s: 5000, cross_zone_bytes_per_s: 2000}"
+			print "    servers:"
+			count = s % 2 ? 7 : 8
+			for (i = 0; i < count; i++)
+				printf "      - {name: s%d-%d, address: \"127.%d.%d.%d:80\", zone: z, slots: 6, connections: 260}\n",
+					s, i, 1 + int(s / 250), s % 250, i + 1
+		}
+	}'
+}
+
+rss_kb() { awk '/^VmRSS/ { print $2 }' "/proc/$1/status"; }
+
+# write_version WEIGHT: one more document of the same size.
+write_version() {
+	{
+		say "deployment: capacity"
+		say "latency_weight_percent: $1"
+		say "zones: [z]"
+		say "services:"
+		service ordering /ordering/ 0 $SMALL_SERVERS $SMALL_SLOTS 240 z shares \
+			"      - {method: GET, path: /ordering/, idempotent: true}"
+		cat "$WORK/filler"
+	} >"$WORK/$1.yaml"
+}
+
+# timed COMMAND...: its wall time in ms is in MS.
+timed() {
+	begin=$(date +%s%N)
+	"$@" >/dev/null || return 1
+	MS=$((($(date +%s%N) - begin) / 1000000))
+}
+
+in_force() {
+	until jdw 0 status --json | grep -q "\"generation\":$1[,}]"; do :; done
+}
+
+# changes PID: CHANGES acceptances; the mean processor time of the host.
+changes() {
+	ticks=$(processor_ticks "$1")
+	for n in $(seq 2 $((CHANGES + 1))); do
+		write_version "$n"
+		apply_document 0 "$WORK/$n.yaml" $((n - 1)) || return 1
+		in_force "$n"
+	done
+	CHANGE_US=$((($(processor_ticks "$1") - ticks) * US_PER_TICK / CHANGES))
+}
+
+measure() { # SERVICES
+	filler "$1" >"$WORK/filler"
+	write_version 1
+	timed "$BIN/jackdawworks" check "$WORK/1.yaml" || return 1
+	check_ms=$MS
+	start_host 0 z 1
+	host=$PID
+	wait_http "127.0.0.1:$operators_port" /health || return 1
+	empty_kb=$(rss_kb "$host")
+	apply_document 0 "$WORK/1.yaml" 0 || return 1
+	in_force 1
+	sleep 1
+	ticks=$(processor_ticks "$host")
+	sleep $REST_SECONDS
+	rest=$((($(processor_ticks "$host") - ticks) * US_PER_TICK / REST_SECONDS))
+	full_kb=$(rss_kb "$host")
+	ticks=$(processor_ticks "$host")
+	start_load load 1 $RATE $LOAD_SECONDS --path /ordering/x --orders 0
+	wait "$PID"
+	call=$((($(processor_ticks "$host") - ticks) * US_PER_TICK * 10 /
+		$(result load completed)))
+	changes "$host" || return 1
+	printf '%8d %8d %10d %8d %9d %9d %9d.%d %9d %9d\n' "$1" \
+		"$(grep -c 'name: .*address' "$WORK/1.yaml")" \
+		"$(stat -c %s "$WORK/1.yaml")" "$check_ms" "$empty_kb" "$full_kb" \
+		$((call / 10)) $((call % 10)) "$rest" "$CHANGE_US"
+	end_process entry0
+	end_process platform
+}
+
+start_servers ordering 0 $SMALL_SERVERS $SMALL_SLOTS z 1000 || exit 1
+say "services  servers  doc-bytes check-ms  empty-KB  full-KB us-per-call us/s-rest us/change"
+for size in $SIZES; do
+	start_platform || exit 1
+	measure "$size" || exit 1
+done
