Keep the core and the peer task on memory of their owner

Both modules allocated their own structure, against the rule that init and finish work on memory the caller owns. core_init and pr_init take it now; the structures are in core_state.h and peer_task.h.

--- a/cmd_replay.c
+++ b/cmd_replay.c
@@ -5,7 +5,7 @@
 #include <glib.h>
 
 #include "command.h"
-#include "core.h"
+#include "core_state.h"
 #include "status.h"
 #include "trace.h"
 #include "trace_check.h"
@@ -21,7 +21,7 @@
 struct re_replay {
 	char **lines;
 	uint64_t at; /* index of the next line */
-	struct core *core;
+	struct core core;
 	struct tr_check *check;
 	struct st_status status; /* ST_OK until the first difference */
 	uint64_t events;
@@ -90,7 +90,7 @@
 		replay->at++;
 		replay->events++;
 		tr_check_event(replay->check, &line.event, replay->at);
-		core_handle(replay->core, &line.event);
+		core_handle(&replay->core, &line.event);
 	} else {
 		re_differ(replay, replay->lines[replay->at], "nothing");
 	}
@@ -129,11 +129,11 @@
 	struct core_driver driver = { re_act, re_random, replay };
 
 	re_check_lines(replay);
-	replay->core = core_new(&driver);
+	core_init(&replay->core, &driver);
 	replay->check = tr_check_new();
 	while (replay->status.kind == ST_OK && replay->lines[replay->at])
 		re_step(replay);
-	core_free(replay->core);
+	core_free(&replay->core);
 }
 
 static char *re_read_file(const char *path, gsize *bytes)
--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -14,7 +14,7 @@
 #include "log.h"
 #include "mechanism.h"
 #include "order.h"
-#include "peer.h"
+#include "peer_task.h"
 #include "platform.h"
 #include "settings.h"
 #include "timer.h"
@@ -43,7 +43,7 @@
 	struct tl_listener callers_tls;
 	struct tl_listener operators_tls;
 	SSL_CTX *platform_tls;
-	struct pr_peer *peer;
+	struct pr_peer peer;
 	uv_signal_t signals[2];
 	struct tm_sub stop_timer;
 	uint64_t linger_until_us;
@@ -138,20 +138,17 @@
 {
 	const struct sv_host *host = ctx;
 
-	return pr_is_listed(host->peer, name, incarnation);
+	return pr_is_listed(&host->peer, name, incarnation);
 }
 
 static enum st_kind sv_start_peer(struct sv_host *host,
 				  struct st_status *status)
 {
-	host->peer = pr_new(&host->kernel, &host->timers, &host->platform,
-			    &host->control, &host->settings,
-			    host->gateway.incarnation, status);
-	if (!host->peer)
-		return status->kind;
 	host->orders.live = sv_is_live;
 	host->orders.live_ctx = host;
-	return ST_OK;
+	return pr_init(&host->peer, &host->kernel, &host->timers,
+		       &host->platform, &host->control, &host->settings,
+		       host->gateway.incarnation, status);
 }
 
 static enum st_kind sv_start(struct sv_host *host, struct st_status *status)
@@ -204,7 +201,7 @@
 	gw_close(&host->gateway);
 	hd_stop_listening(&host->admin.http);
 	hd_close_all(&host->admin.http);
-	pr_close(host->peer);
+	pr_close(&host->peer);
 	pf_free(&host->platform);
 	od_free(&host->orders);
 	pf_free(&host->order_platform);
@@ -228,7 +225,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(host->signals); i++)
 		uv_close((uv_handle_t *)&host->signals[i], NULL);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
-	pr_free(host->peer);
+	pr_free(&host->peer);
 	kn_free(&host->kernel);
 	uv_loop_close(&host->loop);
 }
@@ -248,7 +245,7 @@
 	lg_info("start", "callers %s, operators %s",
 		host->settings.callers.text, host->settings.operators.text);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
-	pr_leave(host->peer);
+	pr_leave(&host->peer);
 	if (!host->at_once)
 		sv_free(host);
 	lg_info("stop", "ended");
--- a/core.c
+++ b/core.c
@@ -1,4 +1,4 @@
-#include "core_internal.h"
+#include "core_state.h"
 
 #include <string.h>
 
@@ -105,10 +105,9 @@
 	g_free(service);
 }
 
-struct core *core_new(const struct core_driver *driver)
+void core_init(struct core *core, const struct core_driver *driver)
 {
-	struct core *core = g_new0(struct core, 1);
-
+	memset(core, 0, sizeof(*core));
 	core->driver = *driver;
 	core->hosts = 1;
 	core->servers = g_ptr_array_new_with_free_func(g_free);
@@ -116,7 +115,6 @@
 	core->weights = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    core_call_free);
-	return core;
 }
 
 /* Queued calls are linked into lanes, which the calls keep alive. */
@@ -140,7 +138,6 @@
 	g_ptr_array_free(core->services, TRUE);
 	g_ptr_array_free(core->servers, TRUE);
 	g_array_free(core->weights, TRUE);
-	g_free(core);
 }
 
 static void core_timer(struct core *core, uint64_t call, uint64_t at_us)
--- a/core.h
+++ b/core.h
@@ -225,11 +225,12 @@
 struct core;
 
 /*
- * core_new, core_free - one decision core. Source: core.c
+ * core_init, core_free - one decision core on memory of the caller; its
+ * structure is in core_state.h. Source: core.c
  * Actions may be emitted during core_handle only. The driver must not call
  * core_handle from within an action; it queues events instead.
  */
-struct core *core_new(const struct core_driver *driver);
+void core_init(struct core *core, const struct core_driver *driver);
 void core_free(struct core *core);
 void core_handle(struct core *core, const struct core_event *event);
 
--- a/core_limit.c
+++ b/core_limit.c
@@ -1,4 +1,4 @@
-#include "core_internal.h"
+#include "core_state.h"
 
 #include <stdlib.h>
 
--- a/core_internal.h
+++ b/core_state.h
@@ -1,5 +1,5 @@
-#ifndef CORE_INTERNAL_H
-#define CORE_INTERNAL_H
+#ifndef CORE_STATE_H
+#define CORE_STATE_H
 
 #include <glib.h>
 
--- a/gateway.c
+++ b/gateway.c
@@ -103,7 +103,7 @@
 			g_array_index(gateway->events, struct core_event, i);
 
 		tr_event(&gateway->trace, &next);
-		core_handle(gateway->core, &next);
+		core_handle(&gateway->core, &next);
 		tr_end(&gateway->trace);
 	}
 	g_array_set_size(gateway->events, 0);
@@ -1251,7 +1251,7 @@
 	    tr_open(&gateway->trace, settings->trace_file,
 		    settings->trace_max_bytes, settings->host, status) != ST_OK)
 		return status->kind;
-	gateway->core = core_new(&driver);
+	core_init(&gateway->core, &driver);
 	pb_init(&gateway->prober, timers, gw_post_probe, gateway);
 	gateway->core_timer.fire = gw_on_core_timer;
 	gateway->core_timer.ctx = gateway;
@@ -1308,7 +1308,7 @@
 void gw_free(struct gw_gateway *gateway)
 {
 	hd_free(&gateway->http);
-	core_free(gateway->core);
+	core_free(&gateway->core);
 	tr_close(&gateway->trace);
 	g_ptr_array_set_free_func(gateway->servers, g_free);
 	g_ptr_array_free(gateway->servers, TRUE);
--- a/gateway.h
+++ b/gateway.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 #include <glib.h>
 
-#include "core.h"
+#include "core_state.h"
 #include "document.h"
 #include "httpd.h"
 #include "kernel.h"
@@ -27,7 +27,7 @@
 	const struct se_settings *settings;
 	struct kn_task task;
 	struct hd_server http;
-	struct core *core;
+	struct core core;
 	GRand *random;
 	struct doc_document *document;
 	GPtrArray *servers; /* struct gw_server by core id */
--- a/peer.c
+++ b/peer.c
@@ -1,12 +1,10 @@
-#include "peer.h"
+#include "peer_task.h"
 
 #include <string.h>
 
 #include "counter.h"
 #include "log.h"
 #include "mechanism.h"
-#include "peer_fetch.h"
-#include "peer_gossip.h"
 
 enum {
 	/* Time that control has to get a body from the platform. */
@@ -20,32 +18,6 @@
 	PR_RECEIVE_BYTES = 2048 /* more than PR_MAX_DATAGRAM_BYTES */
 };
 
-/* A generation that is higher than the one in force, and who has it. */
-struct pr_wanted {
-	uint64_t generation;
-	char digest[DOC_DIGEST_BYTES];
-	char host[PR_NAME_BYTES];
-	struct nt_address address;
-};
-
-struct pr_peer {
-	struct kn_kernel *kernel;
-	struct tm_service *timers;
-	struct pf_client *platform;
-	struct cp_control *control;
-	const struct se_settings *settings;
-	struct kn_task task;
-	struct pr_gossip gossip;
-	struct pr_fetch fetch;
-	struct pr_wanted wanted;
-	struct pr_hosts hosts;
-	uv_udp_t udp;
-	struct tm_sub tick;
-	struct tm_sub list_timer;
-	struct tm_sub fetch_timer;
-	bool backlog; /* the process was paused; waiting datagrams are late */
-};
-
 static void pr_log_hosts(const struct pr_hosts *hosts)
 {
 	GString *names = g_string_new(NULL);
@@ -383,14 +355,15 @@
 	pr_gossip_init(&peer->gossip, &conf);
 }
 
-struct pr_peer *pr_new(struct kn_kernel *kernel, struct tm_service *timers,
-		       struct pf_client *platform, struct cp_control *control,
-		       const struct se_settings *settings, uint64_t incarnation,
-		       struct st_status *status)
+enum st_kind pr_init(struct pr_peer *peer, struct kn_kernel *kernel,
+		     struct tm_service *timers, struct pf_client *platform,
+		     struct cp_control *control,
+		     const struct se_settings *settings, uint64_t incarnation,
+		     struct st_status *status)
 {
-	struct pr_peer *peer = g_new0(struct pr_peer, 1);
 	uint64_t now_us = tm_now_us();
 
+	memset(peer, 0, sizeof(*peer));
 	peer->kernel = kernel;
 	peer->timers = timers;
 	peer->platform = platform;
@@ -406,14 +379,14 @@
 	if (pr_bind(peer, status) != ST_OK ||
 	    kn_register(kernel, &peer->task, status) != ST_OK) {
 		/* The process ends; open handles go with it. */
-		return NULL;
+		return status->kind;
 	}
 	peer->fetch.done = pr_on_fetched;
 	peer->fetch.ctx = peer;
 	tm_subscribe(timers, &peer->tick, now_us);
 	tm_subscribe(timers, &peer->list_timer,
 		     now_us + pr_jitter(peer, PR_LIST_MIN_US));
-	return peer;
+	return ST_OK;
 }
 
 bool pr_is_listed(const struct pr_peer *peer, const char *host,
@@ -441,7 +414,6 @@
 {
 	pr_fetch_free(&peer->fetch);
 	pr_gossip_free(&peer->gossip);
-	g_free(peer);
 }
 
 void pr_leave(struct pr_peer *peer)
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -9,7 +9,7 @@
 #include <check.h>
 #include <glib.h>
 
-#include "core_internal.h"
+#include "core_state.h"
 
 enum { MS = 1000, SECOND = 1000 * MS, MAX_SERVERS = 8, DEADLINE = 10 * SECOND };
 
@@ -68,7 +68,8 @@
 	conf.latency_weight_percent = 100;
 	conf.services = &service;
 	conf.service_count = 1;
-	core = core_new(&driver);
+	core = g_new0(struct core, 1);
+	core_init(core, &driver);
 	configure();
 }
 
@@ -561,6 +562,7 @@
 	setenv("JACKDAWWORKS_OFF", on ? "" : rules[i].mechanism, 1);
 	holds = rules[i].holds();
 	core_free(core);
+	g_free(core);
 	g_array_free(actions, TRUE);
 	g_rand_free(rng);
 	ck_assert_msg(holds == on, "%s: the rule %s", rules[i].mechanism,
@@ -602,6 +604,7 @@
 	for (int i = 0; i < 24; i++)
 		ck_assert_ptr_nonnull(find(CORE_ACT_SEND, ids[i]));
 	core_free(core);
+	g_free(core);
 	g_array_free(actions, TRUE);
 	g_rand_free(rng);
 }
--- a/tests/tool_policy.c
+++ b/tests/tool_policy.c
@@ -12,7 +12,7 @@
 
 #include <glib.h>
 
-#include "core.h"
+#include "core_state.h"
 
 enum { HOSTS = 16, ZONES = 3, SERVERS = 30, ORDER_PERCENT = 20 };
 enum { MEAN_US = 5000, ZONE_US = 4000, LOCAL_US = 100, PROBE_US = 6000 };
@@ -62,7 +62,7 @@
 
 enum count { IN_TIME, MEASURED, PROBES, CROSS_PROBES, SENDS, CROSS_SENDS };
 
-static struct core *cores[HOSTS];
+static struct core cores[HOSTS];
 static struct server servers[SERVERS];
 static GSequence *events;
 static GArray *calls; /* struct call by id */
@@ -112,7 +112,7 @@
 static void handle(uint32_t host, struct core_event *event)
 {
 	event->now_us = now_us;
-	core_handle(cores[host], event);
+	core_handle(&cores[host], event);
 }
 
 static void handle_attempt(const struct attempt *a, enum core_event_kind kind)
@@ -310,7 +310,7 @@
 		struct core_driver driver = { act, random_u32,
 					      GUINT_TO_POINTER(i) };
 
-		cores[i] = core_new(&driver);
+		core_init(&cores[i], &driver);
 		push(on_arrive, i, 0, NULL, (uint64_t)exponential(gap_us));
 	}
 	for (uint32_t i = 0; i < SERVERS; i++)
@@ -375,7 +375,7 @@
 	       (double)counts[PROBES] * PROBE_BYTES / seconds,
 	       (double)counts[CROSS_PROBES] * PROBE_BYTES / seconds);
 	for (uint32_t i = 0; i < HOSTS; i++)
-		core_free(cores[i]);
+		core_free(&cores[i]);
 	for (uint32_t i = 0; i < SERVERS; i++)
 		g_queue_clear(&servers[i].queue);
 	g_sequence_free(events);
