--- a/admin.c
+++ b/admin.c
@@ -300,17 +300,6 @@
 	{ "POST", "/v1/drain", ad_drain },
 };
 
-/* Compares in time that does not depend on where the texts differ. */
-static bool ad_same(const char *a, size_t a_bytes, const char *b)
-{
-	size_t b_bytes = strlen(b);
-	unsigned char differ = a_bytes != b_bytes;
-
-	for (size_t i = 0; i < MIN(a_bytes, b_bytes); i++)
-		differ |= (unsigned char)(a[i] ^ b[i]);
-	return !differ;
-}
-
 static bool ad_authorized(const struct ad_admin *admin, h2o_req_t *req)
 {
 	h2o_iovec_t value = hd_header(req, "authorization");
@@ -319,8 +308,8 @@
 	if (!value.base || value.len < prefix ||
 	    memcmp(value.base, "Bearer ", prefix) != 0)
 		return false;
-	return ad_same(value.base + prefix, value.len - prefix,
-		       admin->settings->operator_token);
+	return hd_same_secret(value.base + prefix, value.len - prefix,
+			      admin->settings->operator_token);
 }
 
 static void ad_on_request(void *ctx, h2o_req_t *req)
@@ -368,7 +357,7 @@
 	admin->gateway = gateway;
 	admin->platform = platform;
 	admin->settings = settings;
-	cs_init(&admin->console, control, platform, settings);
+	cs_init(&admin->console, control, gateway, platform, settings);
 	admin->drain = drain;
 	admin->drain_ctx = drain_ctx;
 	return hd_init(&admin->http, loop, &settings->operators, ad_on_request,
--- a/console.c
+++ b/console.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "counter.h"
 #include "form.h"
 #include "httpd.h"
 #include "log.h"
@@ -48,9 +49,11 @@
 	".bar{position:sticky;top:0;background:#fff;padding:.5em 0}";
 
 void cs_init(struct cs_console *console, struct cp_control *control,
-	     struct pf_client *platform, const struct se_settings *settings)
+	     const struct gw_gateway *gateway, struct pf_client *platform,
+	     const struct se_settings *settings)
 {
 	console->control = control;
+	console->gateway = gateway;
 	console->platform = platform;
 	console->settings = settings;
 }
@@ -79,18 +82,6 @@
 	g_free(hex);
 }
 
-/* Compares in time that does not depend on where the texts differ. */
-static bool cs_same(const char *a, const char *b)
-{
-	size_t a_bytes = strlen(a);
-	size_t b_bytes = strlen(b);
-	unsigned char differ = a_bytes != b_bytes;
-
-	for (size_t i = 0; i < MIN(a_bytes, b_bytes); i++)
-		differ |= (unsigned char)(a[i] ^ b[i]);
-	return !differ;
-}
-
 static char *cs_cookie(h2o_req_t *req)
 {
 	h2o_iovec_t header = hd_header(req, "cookie");
@@ -124,7 +115,7 @@
 	text = g_strdup_printf("session.%.*s", (int)(dot - session), session);
 	cs_sign(console, text, want);
 	g_free(text);
-	valid = cs_same(dot + 1, want);
+	valid = hd_same_secret(dot + 1, strlen(dot + 1), want);
 	return valid && g_ascii_strtoll(session, NULL, 10) >
 				g_get_real_time() / G_USEC_PER_SEC;
 }
@@ -174,7 +165,8 @@
 		"charset=\"utf-8\"><title>%s - jackdawworks</title><link "
 		"rel=\"stylesheet\" href=\"/console/style.css\"></head><body>"
 		"<nav><a href=\"/console\">Document</a><a "
-		"href=\"/console/history\">Audit trail</a></nav><h1>%s</h1>",
+		"href=\"/console/history\">Audit trail</a><a "
+		"href=\"/console/status\">Status</a></nav><h1>%s</h1>",
 		title, title);
 	return page;
 }
@@ -479,11 +471,13 @@
 				h2o_req_t *req, GHashTable *params)
 {
 	char want[CS_HEX_BYTES];
+	const char *given;
 	char *session = cs_cookie(req);
 
 	cs_form_token(console, session ? session : "", want);
 	g_free(session);
-	return cs_same(cs_param(params, "form_token"), want);
+	given = cs_param(params, "form_token");
+	return hd_same_secret(given, strlen(given), want);
 }
 
 static void cs_post_document(struct cs_console *console, h2o_req_t *req)
@@ -590,8 +584,9 @@
 static void cs_post_login(struct cs_console *console, h2o_req_t *req)
 {
 	GHashTable *params = cs_params(req);
-	bool valid = params && cs_same(cs_param(params, "token"),
-				       console->settings->operator_token);
+	const char *given = params ? cs_param(params, "token") : "";
+	bool valid = hd_same_secret(given, strlen(given),
+				    console->settings->operator_token);
 
 	if (params)
 		g_hash_table_destroy(params);
@@ -605,6 +600,79 @@
 	hd_reply(req, 303, "text/plain", "", 0);
 }
 
+static void cs_add_services(const struct cs_console *console, GString *page)
+{
+	const struct gw_gateway *gateway = console->gateway;
+
+	g_string_append(page, "<h2>Services</h2><table><tr><th>Service</th>"
+			      "<th>In flight</th><th>Queued</th>"
+			      "<th>Servers usable</th><th>Servers</th></tr>");
+	for (guint i = 0; i < gateway->services->len; i++) {
+		struct core_service_stats stats;
+
+		if (!core_service_stats(&gateway->core, i, &stats))
+			continue;
+		g_string_append(page, "<tr><td>");
+		cs_escaped(page, g_ptr_array_index(gateway->services, i));
+		g_string_append_printf(page,
+				       "</td><td>%u</td><td>%u</td><td>%u</td>"
+				       "<td>%u</td></tr>",
+				       stats.in_flight, stats.queued,
+				       stats.servers_usable, stats.servers);
+	}
+	g_string_append(page, "</table>");
+}
+
+static void cs_add_results(GString *page)
+{
+	g_string_append(page, "<h2>Calls since the start, by result</h2>"
+			      "<table><tr><th>Result</th><th>Calls</th></tr>");
+	for (int i = 0; i < ST_KIND_COUNT; i++) {
+		uint64_t calls = ct_get_result((enum st_kind)i);
+
+		if (calls)
+			g_string_append_printf(
+				page,
+				"<tr><td>%s</td><td>%" G_GUINT64_FORMAT
+				"</td></tr>",
+				st_name((enum st_kind)i), calls);
+	}
+	g_string_append(page, "</table>");
+}
+
+static void cs_add_counters(GString *page)
+{
+	g_string_append(page, "<h2>Counters since the start</h2><table>");
+#define X(id, name, help)                                                   \
+	g_string_append_printf(                                             \
+		page, "<tr><td>%s</td><td>%" G_GUINT64_FORMAT "</td></tr>", \
+		help, ct_get(CT_##id));
+	CT_LIST(X)
+#undef X
+	g_string_append(page, "</table>");
+}
+
+static void cs_get_status(struct cs_console *console, h2o_req_t *req)
+{
+	GString *page = cs_begin(console, "Status");
+
+	g_string_append(page, "<p>Host ");
+	cs_escaped(page, console->settings->host);
+	g_string_append_printf(
+		page,
+		", generation %" G_GUINT64_FORMAT
+		" in force, %u live entry hosts, platform %s, "
+		"%u calls in flight</p>",
+		cs_in_force(console), console->gateway->hosts->len,
+		console->control->read_failed ? "does not answer" : "answers",
+		console->gateway->in_flight);
+	cs_add_services(console, page);
+	cs_add_results(page);
+	cs_add_counters(page);
+	cs_end(page);
+	cs_reply(req, 200, page);
+}
+
 static void cs_get_style(struct cs_console *console, h2o_req_t *req)
 {
 	hd_reply(req, 200, "text/css", cs_style, strlen(cs_style));
@@ -621,6 +689,7 @@
 	{ "GET", "/console", false, cs_get_document },
 	{ "POST", "/console/document", false, cs_post_document },
 	{ "GET", "/console/history", false, cs_get_history },
+	{ "GET", "/console/status", false, cs_get_status },
 };
 
 void cs_serve(struct cs_console *console, h2o_req_t *req)
--- a/console.h
+++ b/console.h
@@ -4,6 +4,7 @@
 #include <h2o.h>
 
 #include "control.h"
+#include "gateway.h"
 #include "settings.h"
 
 /*
@@ -16,13 +17,15 @@
  */
 struct cs_console {
 	struct cp_control *control;
+	const struct gw_gateway *gateway;
 	struct pf_client *platform;
 	const struct se_settings *settings;
 };
 
 /* cs_init - no cleanup is needed. Source: console.c */
 void cs_init(struct cs_console *console, struct cp_control *control,
-	     struct pf_client *platform, const struct se_settings *settings);
+	     const struct gw_gateway *gateway, struct pf_client *platform,
+	     const struct se_settings *settings);
 
 /* cs_handles - whether the console serves the path of a request. */
 bool cs_handles(const h2o_req_t *req);
--- a/counter.c
+++ b/counter.c
@@ -1,6 +1,7 @@
 #include "counter.h"
 
 static uint64_t ct_values[CT_COUNT];
+static uint64_t ct_results[ST_KIND_COUNT];
 
 static const struct {
 	const char *name;
@@ -21,6 +22,28 @@
 	return ct_values[id];
 }
 
+void ct_add_result(enum st_kind kind)
+{
+	ct_results[kind]++;
+}
+
+uint64_t ct_get_result(enum st_kind kind)
+{
+	return ct_results[kind];
+}
+
+static void ct_write_results(GString *out)
+{
+	g_string_append(out, "# HELP jackdawworks_results_total Calls by "
+			     "result\n# TYPE jackdawworks_results_total "
+			     "counter\n");
+	for (int i = 0; i < ST_KIND_COUNT; i++)
+		g_string_append_printf(out,
+				       "jackdawworks_results_total{result="
+				       "\"%s\"} %" G_GUINT64_FORMAT "\n",
+				       st_name((enum st_kind)i), ct_results[i]);
+}
+
 void ct_write(GString *out)
 {
 	for (int i = 0; i < CT_COUNT; i++) {
@@ -32,4 +55,5 @@
 			out, "jackdawworks_%s %" G_GUINT64_FORMAT "\n",
 			ct_rows[i].name, ct_values[i]);
 	}
+	ct_write_results(out);
 }
--- a/counter.h
+++ b/counter.h
@@ -4,6 +4,8 @@
 #include <stdint.h>
 #include <glib.h>
 
+#include "status.h"
+
 /*
  * Counters of the process, in one closed list. Exposition uses the usual
  * "name{label} value" text lines.
@@ -62,6 +64,10 @@
 /* ct_get - current value. */
 uint64_t ct_get(enum ct_id id);
 
+/* ct_add_result, ct_get_result - calls that ended with that kind. */
+void ct_add_result(enum st_kind kind);
+uint64_t ct_get_result(enum st_kind kind);
+
 /* ct_write - append the text exposition to OUT. */
 void ct_write(GString *out);
 
--- /dev/null
+++ b/gateway_answer.c
@@ -0,0 +1,165 @@
+#include "gateway_state.h"
+
+#include <string.h>
+
+#include "attempt.h"
+
+enum { GW_BUFFER_LOW_BYTES = 64 * 1024 };
+
+void gw_add_outcome(struct gw_call *call, enum st_kind kind)
+{
+	const char *outcome = at_outcome(kind);
+
+	hd_add_header(call->req, "x-request-id", call->request_id,
+		      strlen(call->request_id));
+	hd_add_header(call->req, "x-request-outcome", outcome, strlen(outcome));
+}
+
+/* MSG may be NULL. */
+void gw_reply_error(struct gw_call *call, enum st_kind kind, const char *msg)
+{
+	struct st_status status;
+
+	if (!msg)
+		msg = st_not_run(kind) ? "the request was not run" :
+					 "the request may have run";
+	st_set(&status, kind, "request %s: %s", call->request_id, msg);
+	gw_add_outcome(call, kind);
+	call->final_sent = true;
+	hd_reply_status(call->req, &status);
+}
+
+#define GW_HOP_HEADERS(X)      \
+	X("connection")        \
+	X("keep-alive")        \
+	X("proxy-connection")  \
+	X("transfer-encoding") \
+	X("content-length")    \
+	X("te")                \
+	X("trailer")           \
+	X("upgrade")           \
+	X("x-load")            \
+	X("x-draining")        \
+	X("x-not-run")         \
+	X("x-request-id")      \
+	X("x-request-outcome") \
+	X("x-timeout-ms")      \
+	X("x-entry-zone")      \
+	X("host")              \
+	X("expect")
+
+/* Headers that concern one connection or that this program sets itself. */
+bool gw_is_hop_header(const char *name, size_t bytes)
+{
+	static const struct {
+		const char *name;
+		size_t bytes;
+	} rows[] = {
+#define X(name) { name, sizeof(name) - 1 },
+		GW_HOP_HEADERS(X)
+#undef X
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		if (rows[i].bytes == bytes &&
+		    !g_ascii_strncasecmp(rows[i].name, name, bytes))
+			return true;
+	return false;
+}
+
+/* To an HTTP/1.0 caller an orderly close is the end of the answer. */
+static void gw_break_visibly(struct gw_call *call)
+{
+	if (call->req->version < 0x101 &&
+	    call->req->res.content_length == SIZE_MAX)
+		hd_reset_on_close(call->req);
+}
+
+void gw_flush(struct gw_call *call)
+{
+	h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
+	GString *swap = call->sending;
+	h2o_iovec_t buf;
+
+	if (!call->req || !call->started || call->in_send || call->final_sent)
+		return;
+	if (call->finished)
+		state = call->result == ST_OK ? H2O_SEND_STATE_FINAL :
+						H2O_SEND_STATE_ERROR;
+	if (!call->pending->len && !call->finished)
+		return;
+	call->sending = call->pending;
+	call->pending = swap;
+	g_string_truncate(call->pending, 0);
+	call->in_send = true;
+	call->final_sent = call->finished;
+	if (state == H2O_SEND_STATE_ERROR)
+		gw_break_visibly(call);
+	buf = h2o_iovec_init(call->sending->str, call->sending->len);
+	h2o_send(call->req, &buf, 1, state);
+}
+
+static void gw_on_proceed(h2o_generator_t *generator, h2o_req_t *req)
+{
+	struct gw_call *call = (struct gw_call *)generator;
+
+	call->in_send = false;
+	if (call->paused && call->pending->len < GW_BUFFER_LOW_BYTES &&
+	    call->answering) {
+		call->paused = false;
+		hc_resume(&call->answering->http);
+	}
+	gw_flush(call);
+}
+
+static void gw_on_stop(h2o_generator_t *generator, h2o_req_t *req)
+{
+	struct gw_call *call = (struct gw_call *)generator;
+
+	call->in_send = true; /* nothing may be sent any more */
+}
+
+/* h2o writes these of its own; a second one would be malformed. */
+static bool gw_is_own_header(const struct hc_header *h)
+{
+	return (h->name_bytes == strlen("date") &&
+		!g_ascii_strncasecmp(h->name, "date", h->name_bytes)) ||
+	       (h->name_bytes == strlen("server") &&
+		!g_ascii_strncasecmp(h->name, "server", h->name_bytes));
+}
+
+static void gw_copy_headers(struct gw_call *call, const struct hc_head *head)
+{
+	h2o_mem_pool_t *pool = &call->req->pool;
+
+	for (uint32_t i = 0; i < head->header_count; i++) {
+		const struct hc_header *h = &head->headers[i];
+		h2o_iovec_t name;
+		h2o_iovec_t value;
+
+		if (gw_is_hop_header(h->name, h->name_bytes) ||
+		    gw_is_own_header(h))
+			continue;
+		name = h2o_strdup(pool, h->name, h->name_bytes);
+		value = h2o_strdup(pool, h->value, h->value_bytes);
+		h2o_strtolower(name.base, name.len);
+		h2o_add_header_by_str(pool, &call->req->res.headers, name.base,
+				      name.len, 1, NULL, value.base, value.len);
+	}
+}
+
+void gw_start_answer(struct gw_call *call, const struct hc_head *head)
+{
+	if (!call->req)
+		return;
+	call->started = true;
+	call->req->res.status = head->status;
+	call->req->res.reason = head->status < 400 ? "OK" : "Error";
+	if (head->content_length != UINT64_MAX && head->status != 204)
+		call->req->res.content_length = (size_t)head->content_length;
+	gw_copy_headers(call, head);
+	gw_add_outcome(call, ST_OK);
+	call->generator.proceed = gw_on_proceed;
+	call->generator.stop = gw_on_stop;
+	h2o_start_response(call->req, &call->generator);
+}
--- /dev/null
+++ b/gateway_attempt.c
@@ -0,0 +1,298 @@
+#include "gateway_state.h"
+
+#include <string.h>
+
+#include "attempt.h"
+#include "counter.h"
+#include "log.h"
+#include "mechanism.h"
+
+enum {
+	GW_BUFFER_HIGH_BYTES = 256 * 1024,
+	GW_ORDER_IDLE_US = 1000 * 1000,
+	GW_ATTEMPT_HEAD_BYTES = 160
+};
+
+static bool gw_is_cross_zone(const struct gw_gateway *gateway,
+			     const struct gw_server *server)
+{
+	return strcmp(gateway->document->zones[server->zone],
+		      gateway->settings->zone) != 0;
+}
+
+static void gw_take_report(struct gw_attempt *attempt,
+			   const struct hc_head *head)
+{
+	struct gw_gateway *gateway = attempt->call->gateway;
+	const struct hc_header *load = hc_find(head, "x-load");
+	struct gw_server *server =
+		g_ptr_array_index(gateway->servers, attempt->server);
+	struct core_event event = { .kind = CORE_EV_REPORT };
+	uint64_t bytes;
+
+	if (!load)
+		return;
+	bytes = load->name_bytes + load->value_bytes + strlen(": \r\n");
+	ct_add(CT_REPORT_BYTES, bytes);
+	if (gw_is_cross_zone(gateway, server))
+		ct_add(CT_REPORT_CROSS_BYTES, bytes);
+	event.u.report.server = attempt->server;
+	event.u.report.source = CORE_FROM_ANSWER;
+	event.u.report.ok = true;
+	pb_take_load(load, &event);
+	gw_post(gateway, &event);
+}
+
+static void gw_take_draining(struct gw_attempt *attempt,
+			     const struct hc_head *head)
+{
+	struct gw_gateway *gateway = attempt->call->gateway;
+	const struct gw_server *server =
+		g_ptr_array_index(gateway->servers, attempt->server);
+	struct core_event event = { .kind = CORE_EV_SERVER };
+	struct kn_msg_server_state msg = {
+		.msg = { KN_SERVER_STATE, sizeof(msg) },
+		.leaving = true,
+	};
+
+	if (!hc_find(head, "x-draining") || !me_on(ME_LEAVING))
+		return;
+	event.u.server.server = attempt->server;
+	event.u.server.sign = CORE_SIGN_ANSWER;
+	event.u.server.leaving = true;
+	gw_post(gateway, &event);
+	g_strlcpy(msg.server, server->name, sizeof(msg.server));
+	kn_send(gateway->kernel, "peer", &msg.msg);
+}
+
+static void gw_on_sent(struct hc_request *request)
+{
+	struct gw_attempt *attempt = (struct gw_attempt *)request;
+	struct core_event event = { .kind = CORE_EV_SENT };
+
+	event.u.attempt.call = attempt->call->id;
+	event.u.attempt.attempt = attempt->index;
+	gw_post(attempt->call->gateway, &event);
+}
+
+static bool gw_is_not_run(const struct hc_head *head)
+{
+	const struct hc_header *h = hc_find(head, "x-not-run");
+
+	return h && h->value_bytes == 1 && *h->value == '1';
+}
+
+static void gw_keep_type(struct gw_call *call, const struct hc_head *head)
+{
+	const struct hc_header *type = hc_find(head, "content-type");
+
+	if (call->claim && type)
+		call->kept_type = g_strndup(type->value, type->value_bytes);
+}
+
+/* Keeps the answer to an order, up to the first byte beyond the limit. */
+static void gw_keep_body(struct gw_call *call, const char *data,
+			 size_t data_bytes)
+{
+	size_t room;
+
+	if (!call->claim)
+		return;
+	room = OD_MAX_BODY_BYTES + 1 - call->kept->len;
+	g_string_append_len(call->kept, data, (gssize)MIN(data_bytes, room));
+}
+
+static void gw_on_head(struct hc_request *request, const struct hc_head *head)
+{
+	struct gw_attempt *attempt = (struct gw_attempt *)request;
+	struct gw_call *call = attempt->call;
+	struct core_event event = { .kind = CORE_EV_ANSWER };
+
+	attempt->status = head->status;
+	attempt->refused = head->status == 503 && gw_is_not_run(head);
+	gw_take_report(attempt, head);
+	gw_take_draining(attempt, head);
+	if (attempt->refused)
+		return;
+	call->answering = attempt;
+	gw_keep_type(call, head);
+	event.u.attempt.call = call->id;
+	event.u.attempt.attempt = attempt->index;
+	gw_post(call->gateway, &event);
+	gw_start_answer(call, head);
+}
+
+static void gw_on_body(struct hc_request *request, const char *data,
+		       size_t data_bytes)
+{
+	struct gw_attempt *attempt = (struct gw_attempt *)request;
+	struct gw_call *call = attempt->call;
+
+	if (call->answering != attempt)
+		return;
+	gw_keep_body(call, data, data_bytes);
+	if (!call->req)
+		return;
+	g_string_append_len(call->pending, data, (gssize)data_bytes);
+}
+
+/* A small answer that was received whole leaves in one write. */
+static void gw_on_read_end(struct hc_request *request)
+{
+	struct gw_attempt *attempt = (struct gw_attempt *)request;
+	struct gw_call *call = attempt->call;
+
+	if (call->answering != attempt || !call->req)
+		return;
+	gw_flush(call);
+	if (call->pending->len > GW_BUFFER_HIGH_BYTES && !call->paused) {
+		call->paused = true;
+		hc_pause(request);
+	}
+}
+
+static enum core_end gw_end(const struct gw_attempt *attempt, enum hc_end end)
+{
+	const struct at_row *row = at_row(at_state(end), attempt->refused);
+
+	if (row->end == CORE_END_DONE && attempt->status >= 500)
+		return CORE_END_DONE_ERROR;
+	return row->end;
+}
+
+/* Remembers whether the call may have run; the core is told separately. */
+static void gw_close_attempt(struct gw_attempt *attempt, enum hc_state state)
+{
+	if (attempt->ended)
+		return;
+	attempt->ended = true;
+	if (at_may_have_run(at_row(state, attempt->refused)))
+		attempt->call->may_have_run = true;
+}
+
+static void gw_post_ended(struct gw_attempt *attempt, enum core_end end)
+{
+	struct core_event event = { .kind = CORE_EV_ENDED };
+
+	event.u.ended.call = attempt->call->id;
+	event.u.ended.attempt = attempt->index;
+	event.u.ended.end = end;
+	gw_post(attempt->call->gateway, &event);
+}
+
+static void gw_on_done(struct hc_request *request, enum hc_end end,
+		       const char *msg)
+{
+	struct gw_attempt *attempt = (struct gw_attempt *)request;
+
+	lg_debug("attempt", "%s attempt %u: %s %s", attempt->call->request_id,
+		 attempt->index, core_end_name(gw_end(attempt, end)), msg);
+	gw_close_attempt(attempt, at_state(end));
+	gw_post_ended(attempt, gw_end(attempt, end));
+}
+
+static const struct hc_handler gw_handler = {
+	.sent = gw_on_sent,
+	.head = gw_on_head,
+	.body = gw_on_body,
+	.read_end = gw_on_read_end,
+	.done = gw_on_done,
+};
+
+/* Writes VALUE without a terminator and returns the number of digits. */
+size_t gw_decimal(uint64_t value, char out[GW_DIGITS])
+{
+	char *end = out + GW_DIGITS;
+	char *at = end;
+	size_t bytes;
+
+	do
+		*--at = (char)('0' + value % 10);
+	while (value /= 10);
+	bytes = (size_t)(end - at);
+	memmove(out, at, bytes);
+	return bytes;
+}
+
+static GString *gw_request_text(struct gw_call *call, struct gw_server *server)
+{
+	uint64_t now_us = tm_now_us();
+	uint64_t left_ms = 1;
+	char text[GW_DIGITS];
+	GString *out = g_string_sized_new(call->head->len +
+					  (call->body ? call->body->len : 0) +
+					  GW_ATTEMPT_HEAD_BYTES);
+
+	if (call->deadline_us > now_us + GW_US_PER_MS)
+		left_ms = (call->deadline_us - now_us) / GW_US_PER_MS;
+	g_string_append_len(out, call->head->str, (gssize)call->head->len);
+	hc_head_add(out, "host", strlen("host"), server->pool.address.text,
+		    strlen(server->pool.address.text));
+	hc_head_add(out, "x-timeout-ms", strlen("x-timeout-ms"), text,
+		    gw_decimal(left_ms, text));
+	hc_head_end(out, call->body ? call->body->str : NULL,
+		    call->body ? call->body->len : 0);
+	return out;
+}
+
+/* Checked last before sending, whatever happened since admission. */
+static bool gw_may_send(const struct gw_call *call)
+{
+	if (!at_may_send(call->idempotent, call->may_have_run))
+		return false;
+	if (call->claim && !od_may_send(call->claim))
+		return false;
+	return tm_now_us() < call->deadline_us;
+}
+
+void gw_send(struct gw_gateway *gateway, const struct core_action *action)
+{
+	struct gw_call *call =
+		g_hash_table_lookup(gateway->calls, &action->call);
+	struct gw_server *server =
+		g_ptr_array_index(gateway->servers, action->server);
+	struct gw_attempt *attempt = &call->attempts[action->attempt];
+
+	ct_add(CT_ATTEMPTS, 1);
+	ct_add(CT_RETRIES, action->attempt > 0 && !action->hedge);
+	ct_add(CT_HEDGES, action->hedge);
+	attempt->call = call;
+	attempt->index = action->attempt;
+	attempt->server = action->server;
+	attempt->http.handler = &gw_handler;
+	attempt->http.head_method = call->head_method;
+	attempt->http.not_after_us = call->deadline_us;
+	/* A server may close an old idle connection at the same moment. */
+	if (!call->idempotent)
+		attempt->http.max_idle_us = GW_ORDER_IDLE_US;
+	if (!gw_may_send(call) || !hc_start(&server->pool, &attempt->http,
+					    gw_request_text(call, server))) {
+		gw_close_attempt(attempt, HC_NEW);
+		gw_post_ended(attempt, CORE_END_NOT_SENT);
+	}
+}
+
+void gw_cancel(struct gw_gateway *gateway, const struct core_action *action)
+{
+	struct gw_call *call =
+		g_hash_table_lookup(gateway->calls, &action->call);
+
+	struct gw_attempt *attempt = &call->attempts[action->attempt];
+
+	ct_add(CT_CANCELS, 1);
+	gw_close_attempt(attempt, attempt->http.state);
+	hc_cancel(&attempt->http);
+}
+
+void gw_probe(struct gw_gateway *gateway, const struct core_action *action)
+{
+	struct gw_server *server =
+		g_ptr_array_index(gateway->servers, action->server);
+	struct pb_target target = {
+		.server = action->server,
+		.cross_zone = gw_is_cross_zone(gateway, server),
+		.pool = &server->pool,
+	};
+
+	pb_send(&gateway->prober, &target);
+}
--- /dev/null
+++ b/gateway_conf.c
@@ -0,0 +1,212 @@
+#include "gateway_state.h"
+
+#include <string.h>
+
+#include "mechanism.h"
+#include "peer.h"
+
+/* A lost first packet is only repeated after a second. */
+enum { GW_CONNECT_TIMEOUT_US = 200 * 1000 };
+
+/* This host's part of the connections that a server allows. */
+static uint32_t gw_connections(const struct gw_gateway *gateway,
+			       uint32_t of_server)
+{
+	return MAX(of_server / gateway->host_count, 1);
+}
+
+static struct gw_server *gw_server_for(struct gw_gateway *gateway,
+				       const struct doc_server *conf)
+{
+	char *key = g_strdup_printf("%s %s", conf->name, conf->address.text);
+	uint32_t connections = gw_connections(gateway, conf->connections);
+	struct gw_server *server =
+		g_hash_table_lookup(gateway->server_ids, key);
+
+	if (server) {
+		g_free(key);
+		hc_pool_set_limit(&server->pool, connections);
+		return server;
+	}
+	server = g_new0(struct gw_server, 1);
+	server->id = gateway->servers->len;
+	g_strlcpy(server->name, conf->name, sizeof(server->name));
+	hc_pool_init(&server->pool, gateway->kernel->loop, &conf->address,
+		     connections);
+	hc_pool_set_connect_timeout(&server->pool, gateway->timers,
+				    GW_CONNECT_TIMEOUT_US);
+	g_ptr_array_add(gateway->servers, server);
+	g_hash_table_insert(gateway->server_ids, key, server);
+	return server;
+}
+
+static uint32_t gw_service_id(struct gw_gateway *gateway, const char *name)
+{
+	for (guint i = 0; i < gateway->services->len; i++)
+		if (!strcmp(g_ptr_array_index(gateway->services, i), name))
+			return i;
+	g_ptr_array_add(gateway->services, g_strdup(name));
+	return gateway->services->len - 1;
+}
+
+static uint64_t gw_hash(const char *name)
+{
+	char digest[DOC_DIGEST_BYTES];
+
+	doc_digest(name, strlen(name), digest);
+	digest[16] = '\0';
+	return g_ascii_strtoull(digest, NULL, 16);
+}
+
+static void gw_conf_service(struct gw_gateway *gateway,
+			    const struct doc_service *service,
+			    struct core_service_conf *conf)
+{
+	struct core_server_conf *servers =
+		g_new0(struct core_server_conf, service->server_count);
+
+	conf->id = gw_service_id(gateway, service->name);
+	conf->policy = service->policy;
+	conf->queue_limit = service->queue_limit;
+	conf->retry_percent = service->retry_percent;
+	conf->probe_requests_per_s = service->measuring.requests_per_s;
+	conf->probe_bytes_per_s = service->measuring.bytes_per_s;
+	conf->probe_cross_zone_bytes_per_s =
+		service->measuring.cross_zone_bytes_per_s;
+	conf->servers = servers;
+	conf->server_count = service->server_count;
+	for (uint32_t i = 0; i < service->server_count; i++) {
+		const struct doc_server *from = &service->servers[i];
+		struct gw_server *server = gw_server_for(gateway, from);
+
+		server->zone = from->zone;
+		servers[i].id = server->id;
+		servers[i].zone = from->zone;
+		servers[i].slots = from->slots;
+		servers[i].connections = from->connections;
+		servers[i].leaving = from->leaving;
+		servers[i].hash = gw_hash(from->name);
+	}
+}
+
+static struct core_host_conf *gw_conf_hosts(const struct gw_gateway *gateway)
+{
+	struct core_host_conf *hosts =
+		g_new0(struct core_host_conf, gateway->hosts->len);
+
+	for (guint i = 0; i < gateway->hosts->len; i++) {
+		const struct gw_host *host =
+			&g_array_index(gateway->hosts, struct gw_host, i);
+
+		hosts[i].hash = host->hash;
+		hosts[i].zone = doc_zone(gateway->document, host->zone);
+		hosts[i].draining = host->draining;
+	}
+	return hosts;
+}
+
+void gw_configure_core(struct gw_gateway *gateway)
+{
+	struct doc_document *document = gateway->document;
+	struct core_service_conf *services =
+		g_new0(struct core_service_conf, document->service_count);
+	struct core_host_conf *hosts = gw_conf_hosts(gateway);
+	struct core_caller_conf *callers =
+		g_new0(struct core_caller_conf, document->caller_count);
+	struct core_conf conf = {
+		.host_hash = gw_hash(gateway->settings->host),
+		.zone = doc_zone(document, gateway->settings->zone),
+		.latency_weight_percent = document->latency_weight_percent,
+		.services = services,
+		.service_count = document->service_count,
+		.hosts = hosts,
+		.host_count = gateway->hosts->len,
+		.callers = callers,
+		.caller_count = document->caller_count,
+		.budget_hosts = gateway->host_count,
+	};
+	struct core_event event = { .kind = CORE_EV_CONF };
+
+	g_free(gateway->service_map);
+	gateway->service_map = g_new0(uint32_t, document->service_count);
+	for (uint32_t i = 0; i < document->service_count; i++) {
+		gw_conf_service(gateway, &document->services[i], &services[i]);
+		gateway->service_map[i] = services[i].id;
+	}
+	for (uint32_t i = 0; i < document->caller_count; i++)
+		callers[i].weight = document->callers[i].weight;
+	event.u.conf = &conf;
+	gw_post(gateway, &event);
+	for (uint32_t i = 0; i < document->service_count; i++)
+		g_free((void *)services[i].servers);
+	g_free(services);
+	g_free(hosts);
+	g_free(callers);
+}
+
+static bool gw_same_hosts(const GArray *a, const GArray *b)
+{
+	if (a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++) {
+		const struct gw_host *first =
+			&g_array_index(a, struct gw_host, i);
+		const struct gw_host *second =
+			&g_array_index(b, struct gw_host, i);
+
+		if (first->hash != second->hash ||
+		    first->draining != second->draining ||
+		    strcmp(first->zone, second->zone) != 0)
+			return false;
+	}
+	return true;
+}
+
+void gw_take_hosts(struct gw_gateway *gateway, const struct pr_hosts *hosts)
+{
+	GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct gw_host));
+
+	g_array_set_size(rows, hosts->count);
+	for (uint32_t i = 0; i < hosts->count; i++) {
+		struct gw_host *row = &g_array_index(rows, struct gw_host, i);
+
+		row->hash = gw_hash(hosts->rows[i].name);
+		row->draining = hosts->rows[i].draining;
+		g_strlcpy(row->zone, hosts->rows[i].zone, sizeof(row->zone));
+	}
+	if (gw_same_hosts(rows, gateway->hosts)) {
+		g_array_free(rows, TRUE);
+		return;
+	}
+	g_array_free(gateway->hosts, TRUE);
+	gateway->hosts = rows;
+	/*
+	 * Hosts that cannot be heard still use their part of the limits, so
+	 * the list divides them by no fewer hosts than the settings name.
+	 */
+	gateway->host_count =
+		MAX(MAX(gateway->settings->seed_count, hosts->count), 1);
+	if (gateway->document)
+		gw_configure_core(gateway);
+}
+
+/* A sign from the platform or from another host. */
+void gw_take_server_state(struct gw_gateway *gateway,
+			  const struct kn_msg_server_state *state)
+{
+	struct core_event event = { .kind = CORE_EV_SERVER };
+
+	if (!me_on(ME_LEAVING))
+		return;
+	for (guint i = 0; i < gateway->servers->len; i++) {
+		const struct gw_server *server =
+			g_ptr_array_index(gateway->servers, i);
+
+		if (strcmp(server->name, state->server) != 0)
+			continue;
+		event.u.server.server = server->id;
+		event.u.server.sign = CORE_SIGN_TOLD;
+		event.u.server.leaving = state->leaving;
+		gw_post(gateway, &event);
+	}
+}
--- a/httpd.c
+++ b/httpd.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <openssl/crypto.h>
 #include <sys/socket.h>
 
 #include "json_text.h"
@@ -371,6 +372,12 @@
 	shutdown(h2o_socket_get_fd(hd_conn_of(req)->sock), SHUT_RDWR);
 }
 
+bool hd_same_secret(const char *given, size_t given_bytes, const char *secret)
+{
+	return given_bytes == strlen(secret) &&
+	       !CRYPTO_memcmp(given, secret, given_bytes);
+}
+
 void hd_reply(h2o_req_t *req, int status, const char *content_type,
 	      const char *body, size_t body_bytes)
 {
--- a/httpd.h
+++ b/httpd.h
@@ -95,6 +95,12 @@
  * answer. The listener drops the request afterwards, not during the call.
  */
 void hd_abort(h2o_req_t *req);
+/*
+ * hd_same_secret - compare in time that does not depend on where the texts
+ * differ.
+ */
+bool hd_same_secret(const char *given, size_t given_bytes, const char *secret);
+
 /* hd_reply - answer with a copy of BODY. */
 void hd_reply(h2o_req_t *req, int status, const char *content_type,
 	      const char *body, size_t body_bytes);
--- a/peer_wire.c
+++ b/peer_wire.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <glib.h>
+#include <openssl/crypto.h>
 
 #include "mechanism.h"
 
@@ -30,16 +31,6 @@
 	g_hmac_unref(state);
 }
 
-/* Takes the same time wherever the first difference is. */
-static bool pr_same_hmac(const uint8_t *a, const uint8_t *b)
-{
-	uint8_t differ = 0;
-
-	for (int i = 0; i < PR_HMAC_BYTES; i++)
-		differ |= a[i] ^ b[i];
-	return !differ;
-}
-
 static bool pr_wire_body(XDR *xdrs, struct pr_msg *msg)
 {
 	if (!xdr_pr_msg_origin(xdrs, &msg->origin))
@@ -147,7 +138,7 @@
 	msg->xid = rpc.rm_xid;
 	verifier_at = pr_verifier_at(xdrs, msg->reply);
 	pr_hmac(key, data, data_bytes, verifier_at, hmac);
-	return pr_same_hmac(hmac, (const uint8_t *)data + verifier_at);
+	return !CRYPTO_memcmp(hmac, data + verifier_at, PR_HMAC_BYTES);
 }
 
 bool pr_wire_decode(const char *key, uint32_t procedure, const char *data,
--- a/tests/run_console.sh
+++ b/tests/run_console.sh
@@ -87,6 +87,9 @@
 post 200 accept "${fields[@]}" deployment=tri-parish-2 base=1
 shows 'Accepted as generation 2.'
 
+fetch 200 "$url/status"
+shows 'generation 2 in force'
+shows '<td>ordering</td>'
 fetch 200 "$url/history"
 shows 'nia'
 grep -q "$TOKEN" "$page" "$WORK/entry0.log" && fail "the token leaked"
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -7,6 +7,7 @@
 #include "status.h"
 #include "timer.h"
 #include "yaml_tree.h"
+#include "tests/suite.h"
 
 struct order_log {
 	struct kn_kernel *kernel;
@@ -149,8 +150,6 @@
 {
 	Suite *suite = suite_create("base");
 	TCase *tcase = tcase_create("base");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, kernel_delivery_is_not_reentrant);
 	tcase_add_test(tcase, timers_fire_in_order);
@@ -159,9 +158,5 @@
 	tcase_add_test(tcase, yaml_errors_name_line_and_field);
 	tcase_add_test(tcase, addresses_are_numeric);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite, CK_FORK_GETENV);
 }
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "control.h"
+#include "tests/suite.h"
 
 enum { SEEDS = 5, SECOND_US = 1000 * 1000, MAX_TURNS = 1000 };
 
@@ -232,17 +233,11 @@
 {
 	Suite *suite = suite_create("control");
 	TCase *tcase = tcase_create("control");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, fresh_host_waits_for_a_majority_of_seeds);
 	tcase_add_test(tcase, offered_bodies_are_checked_and_never_older);
 	tcase_add_test(tcase, reads_of_all_hosts_are_bounded);
 	tcase_add_test(tcase, submissions_end_when_the_host_stops);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite, CK_FORK_GETENV);
 }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "core_state.h"
+#include "tests/suite.h"
 
 enum { MS = 1000, SECOND = 1000 * MS, MAX_SERVERS = 8, DEADLINE = 10 * SECOND };
 
@@ -614,18 +615,11 @@
 {
 	Suite *suite = suite_create("core");
 	TCase *tcase = tcase_create("core");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tcase, rule_holds, 0, RULES);
 	tcase_add_loop_test(tcase, rule_needs_its_mechanism, 0, RULES);
 	tcase_add_test(tcase, slow_service_keeps_its_servers);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
 	/* Every rule needs a process of its own: switches are read once. */
-	srunner_set_fork_status(runner, CK_FORK);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite, CK_FORK);
 }
--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "document.h"
+#include "tests/suite.h"
 
 enum { MUTATIONS = 3000, FUZZ_SEED = 20261204, MAX_EDITS = 8 };
 
@@ -406,8 +407,6 @@
 {
 	Suite *suite = suite_create("document");
 	TCase *tcase = tcase_create("document");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tcase, inconsistency_is_named_with_line_and_field,
 			    0, G_N_ELEMENTS(bad_cases));
@@ -418,9 +417,5 @@
 			    G_N_ELEMENTS(samples));
 	tcase_add_test(tcase, mutated_documents_are_refused_or_read);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite, CK_FORK_GETENV);
 }
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -7,6 +7,7 @@
 
 #include "attempt.h"
 #include "order.h"
+#include "tests/suite.h"
 
 enum { LIMIT_US = 20 * 1000 * 1000, DEADLINE_US = 2000 * 1000 };
 enum { LEASE_US = 1500 * 1000, DAY_MS = 24 * 3600 * 1000 };
@@ -627,14 +628,8 @@
 int main(void)
 {
 	Suite *suite = suite_create("order");
-	SRunner *runner;
-	int failed;
 
 	suite_add_tcase(suite, orders_case());
 	suite_add_tcase(suite, lease_case());
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite, CK_FORK_GETENV);
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -4,6 +4,7 @@
 
 #include "counter.h"
 #include "peer_sim.h"
+#include "tests/suite.h"
 
 enum {
 	INPUTS = 4000,
@@ -384,8 +385,6 @@
 	TCase *wire = tcase_create("wire");
 	TCase *replay = tcase_create("replay");
 	TCase *members = tcase_create("members");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(wire, altered_messages_are_rejected);
 	tcase_add_test(wire, random_bytes_are_dropped);
@@ -402,9 +401,5 @@
 	suite_add_tcase(suite, wire);
 	suite_add_tcase(suite, replay);
 	suite_add_tcase(suite, members);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite, CK_FORK_GETENV);
 }
