Charge load reports to the measuring budget

A host now asks for a report with x-load-wanted when the bytes and cross-zone bytes of the budget allow it; the plain policies ask for none.

--- a/core.c
+++ b/core.c
@@ -268,6 +268,8 @@
 	core_service(core, call->service)->in_flight++;
 	call->lane->in_flight++;
 	core_plan_hedge(core, call);
+	action.report =
+		core_report_take(core, core_service(core, call->service), s);
 	core_act(core, &action);
 	core_call_timer(core, call);
 }
--- a/core.h
+++ b/core.h
@@ -36,6 +36,8 @@
 enum {
 	CORE_MAX_ATTEMPTS = 4,
 	CORE_PROBE_MAX_BYTES = 1024,
+	/* Asking for a report, and the report; charged to the budget. */
+	CORE_REPORT_BYTES = 80,
 	CORE_NO_CALLER = UINT32_MAX
 };
 
@@ -213,6 +215,7 @@
 	enum st_kind result;
 	uint64_t at_us;
 	bool hedge;
+	bool report; /* SEND: ask for a load report with the answer */
 };
 
 /* What the core needs from its driver. */
--- a/core_probe.c
+++ b/core_probe.c
@@ -86,6 +86,31 @@
 	return true;
 }
 
+/*
+ * Whether an attempt may ask for a report. Reports ride on answers and cost no
+ * request, but their bytes count. The plain policies use none.
+ */
+bool core_report_take(struct core *core, struct core_service *service,
+		      const struct core_server *server)
+{
+	bool cross = server->zone != core->zone;
+	uint64_t now_us = core->now_us;
+
+	if (service->policy != CORE_REPORTS && service->policy != CORE_SHARES)
+		return false;
+	if (!me_on(ME_MEASURING_BUDGET))
+		return true;
+	if (!core_bucket_has(&service->bytes, now_us, CORE_REPORT_BYTES))
+		return false;
+	if (cross &&
+	    !core_bucket_has(&service->cross_bytes, now_us, CORE_REPORT_BYTES))
+		return false;
+	core_bucket_spend(&service->bytes, CORE_REPORT_BYTES);
+	if (cross)
+		core_bucket_spend(&service->cross_bytes, CORE_REPORT_BYTES);
+	return true;
+}
+
 static void core_budget_settle(struct core *core, struct core_service *service,
 			       const struct core_server *server, uint32_t bytes)
 {
--- a/core_state.h
+++ b/core_state.h
@@ -174,6 +174,8 @@
 /* core_probe.c: measuring budget, probes and the pool of their responses. */
 void core_bucket_set(struct core_bucket *bucket, uint64_t per_s, uint64_t unit,
 		     uint64_t now_us);
+bool core_report_take(struct core *core, struct core_service *service,
+		      const struct core_server *server);
 void core_probe_on_call(struct core *core, struct core_service *service);
 void core_probe_recheck(struct core *core);
 void core_on_report(struct core *core, const struct core_event *event);
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -39,6 +39,7 @@
 	X("trailer")           \
 	X("upgrade")           \
 	X("x-load")            \
+	X("x-load-wanted")     \
 	X("x-draining")        \
 	X("x-not-run")         \
 	X("x-request-id")      \
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -7,6 +7,9 @@
 #include "log.h"
 #include "mechanism.h"
 
+/* A server reports its load when it is asked to. */
+#define GW_WANT_REPORT "x-load-wanted: 1\r\n"
+
 enum {
 	GW_BUFFER_HIGH_BYTES = 256 * 1024,
 	GW_ORDER_IDLE_US = 1000 * 1000,
@@ -32,7 +35,8 @@
 
 	if (!load)
 		return;
-	bytes = load->name_bytes + load->value_bytes + strlen(": \r\n");
+	bytes = load->name_bytes + load->value_bytes + strlen(": \r\n") +
+		strlen(GW_WANT_REPORT);
 	ct_add(CT_REPORT_BYTES, bytes);
 	if (gw_is_cross_zone(gateway, server))
 		ct_add(CT_REPORT_CROSS_BYTES, bytes);
@@ -214,7 +218,8 @@
 	return bytes;
 }
 
-static GString *gw_request_text(struct gw_call *call, struct gw_server *server)
+static GString *gw_request_text(struct gw_call *call, struct gw_server *server,
+				bool report)
 {
 	uint64_t now_us = tm_now_us();
 	uint64_t left_ms = 1;
@@ -230,6 +235,8 @@
 		    strlen(server->pool.address.text));
 	hc_head_add(out, "x-timeout-ms", strlen("x-timeout-ms"), text,
 		    gw_decimal(left_ms, text));
+	if (report)
+		g_string_append(out, GW_WANT_REPORT);
 	hc_head_end(out, call->body ? call->body->str : NULL,
 		    call->body ? call->body->len : 0);
 	return out;
@@ -265,8 +272,9 @@
 	/* A server may close an old idle connection at the same moment. */
 	if (!call->idempotent)
 		attempt->http.max_idle_us = GW_ORDER_IDLE_US;
-	if (!gw_may_send(call) || !hc_start(&server->pool, &attempt->http,
-					    gw_request_text(call, server))) {
+	if (!gw_may_send(call) ||
+	    !hc_start(&server->pool, &attempt->http,
+		      gw_request_text(call, server, action->report))) {
 		gw_close_attempt(attempt, HC_NEW);
 		gw_post_ended(attempt, CORE_END_NOT_SENT);
 	}
--- a/tests/proof_measuring.sh
+++ b/tests/proof_measuring.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
 # Proof of measuring-budget: six hosts start at once, two of them are killed and
 # started again under load, and the probes that the servers count stay within
-# the budget of the document; so do the bytes that the other hosts count.
+# the budget of the document; so do the bytes that the other hosts count. The
+# same holds for the reports on answers, which the policy "shares" asks for.
 set -u
 BIN=${1:?directory of the built programs}
 TESTS=$(cd "$(dirname "$0")" && pwd)
@@ -28,7 +29,18 @@
 # above_share HOST NAME LIMIT SECONDS: the host used more than its part.
 above_share() { test "$(counter "$1" "$2")" -gt $(($3 / HOSTS * $4)); }
 
-measuring_budget() {
+# over_budget NAME: a host that was never killed used more than its part.
+over_budget() {
+	for i in 0 3 4 5; do
+		above_share "$i" "$1_bytes_total" $BYTES_PER_S $seconds && return
+		above_share "$i" "$1_cross_zone_bytes_total" $CROSS_PER_S \
+			$seconds && return
+	done
+	return 1
+}
+
+# run POLICY: the load; sets seconds and probes.
+run() {
 	. "$TESTS/lib.sh" "$BIN"
 	ZONES=a,b,c
 	start_platform || return 1
@@ -36,7 +48,7 @@
 		return 1
 	start_host 0 a $HOSTS
 	write_document "$(service ordering / 0 $SMALL_SERVERS $SMALL_SLOTS 240 \
-		$ZONES probes "      - {method: GET, path: /, idempotent: true}" |
+		$ZONES $1 "      - {method: GET, path: /, idempotent: true}" |
 		sed "s/requests_per_s: [0-9]*/requests_per_s: $REQUESTS_PER_S/
 			s/ bytes_per_s: [0-9]*/ bytes_per_s: $BYTES_PER_S/
 			s/cross_zone_bytes_per_s: [0-9]*/cross_zone_bytes_per_s: $CROSS_PER_S/")"
@@ -58,21 +70,28 @@
 	# Whole seconds, rounded up, so that the bound is never too low.
 	seconds=$(($(date +%s) - begin + 1))
 	probes=$(probes_of_servers)
+}
+
+probes_budget() {
+	run probes || return 1
 	figure="$probes probes in $seconds s, budget $REQUESTS_PER_S/s"
-	test "$probes" -gt 0 && test "$probes" -le $((REQUESTS_PER_S * seconds)) ||
-		return 1
-	for i in 0 3 4 5; do
-		above_share "$i" probe_bytes_total $BYTES_PER_S $seconds && return 1
-		above_share "$i" probe_cross_zone_bytes_total $CROSS_PER_S \
-			$seconds && return 1
-	done
-	return 0
+	test "$probes" -gt 0 && test "$probes" -le $((REQUESTS_PER_S * seconds)) &&
+		! over_budget probe
+}
+
+reports_budget() {
+	run shares || return 1
+	bytes=$(counter 0 report_bytes_total)
+	figure="$bytes bytes of reports in $seconds s at one host, budget $((BYTES_PER_S / HOSTS))/s"
+	test "$bytes" -gt 0 && ! over_budget report
 }
 
 # verdict FUNCTION: runs it in a process of its own, which ends its processes.
 verdict() { ($1 && say "pass $figure" || say "fail $figure"); }
 
-without=$(JACKDAWWORKS_OFF=measuring-budget verdict measuring_budget | tail -1)
-with=$(verdict measuring_budget | tail -1)
-printf 'PROOF measuring-budget without=%s with=%s %s (without: %s)\n' \
-	"${without%% *}" "${with%% *}" "${with#* }" "${without#* }"
+for case in probes_budget reports_budget; do
+	without=$(JACKDAWWORKS_OFF=measuring-budget verdict $case | tail -1)
+	with=$(verdict $case | tail -1)
+	printf 'PROOF measuring-budget without=%s with=%s %s (without: %s)\n' \
+		"${without%% *}" "${with%% *}" "${with#* }" "${without#* }"
+done
--- a/tests/tool_policy.c
+++ b/tests/tool_policy.c
@@ -44,6 +44,7 @@
 	bool failed;
 	uint32_t in_flight; /* as the answer reports it */
 	uint32_t queued;
+	bool report; /* was asked for */
 };
 
 struct call {
@@ -135,7 +136,8 @@
 				.u.server = { a->server, CORE_SIGN_ANSWER,
 					      true } };
 
-	handle(a->host, &r);
+	if (a->report || !a->call)
+		handle(a->host, &r);
 	if (servers[a->server].draining)
 		handle(a->host, &s);
 }
@@ -220,6 +222,7 @@
 	a->server = action->server;
 	a->call = action->call;
 	a->index = action->attempt;
+	a->report = action->report;
 	g_ptr_array_add(attempts, a);
 	CALL(a->call)->attempts[a->index] = a;
 	counts[count]++;
--- a/tests/tool_server.c
+++ b/tests/tool_server.c
@@ -85,7 +85,7 @@
 
 static void start_next(struct server *server);
 
-static void add_load(struct server *server, h2o_req_t *req)
+static void add_load(struct server *server, h2o_req_t *req, bool wanted)
 {
 	uint64_t now_us = tm_now_us();
 	char text[64];
@@ -100,7 +100,8 @@
 	len = snprintf(text, sizeof(text), "in_flight=%u queued=%u slots=%u",
 		       server->reported_in_flight, server->reported_queued,
 		       server->slots);
-	hd_add_header(req, "x-load", text, (size_t)len);
+	if (wanted || hd_header(req, "x-load-wanted").base)
+		hd_add_header(req, "x-load", text, (size_t)len);
 	if (server->draining)
 		hd_add_header(req, "x-draining", "1", 1);
 }
@@ -122,7 +123,7 @@
 			       server->name);
 	while (body->len < job->bytes)
 		g_string_append_c(body, (char)('a' + body->len % 26));
-	add_load(server, job->hold->req);
+	add_load(server, job->hold->req, false);
 	hd_reply(job->hold->req, status, "text/plain", body->str, body->len);
 	g_string_free(body, TRUE);
 }
@@ -154,7 +155,7 @@
 
 static void refuse(struct server *server, h2o_req_t *req)
 {
-	add_load(server, req);
+	add_load(server, req, false);
 	hd_add_header(req, "x-not-run", "1", 1);
 	hd_reply(req, 503, "text/plain", "busy\n", 5);
 }
@@ -335,7 +336,7 @@
 	struct probe *probe = ctx;
 
 	if (probe->hold->req) {
-		add_load(probe->server, probe->hold->req);
+		add_load(probe->server, probe->hold->req, true);
 		hd_reply(probe->hold->req, 200, "text/plain", "ok\n", 3);
 	}
 	hd_release(probe->hold);
--- a/trace.c
+++ b/trace.c
@@ -135,6 +135,7 @@
 	  TR_NAME, ST_KIND_COUNT },
 	TR_FIELD(struct core_action, "at_us", TR_U64, at_us),
 	TR_FIELD(struct core_action, "hedge", TR_BOOL, hedge),
+	TR_FIELD(struct core_action, "report", TR_BOOL, report),
 	TR_LAST,
 };
 
