--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -23,6 +23,16 @@
 }
 trap stop_all EXIT
 
+# check WHAT COMMAND...: counts a command that fails in "failures".
+failures=0
+check() {
+	what=$1
+	shift
+	"$@" && return
+	say "FAILED: $what"
+	failures=$((failures + 1))
+}
+
 # start NAME COMMAND...: runs in the background, sets PID and pid_NAME.
 start() {
 	name=$1
--- a/tests/run_gateway.sh
+++ b/tests/run_gateway.sh
@@ -10,15 +10,6 @@
 MAX_GROWTH_KB=200000
 FLOOD=4300
 MAX_CONNECTIONS=4096
-failures=0
-
-check() { # WHAT COMMAND...
-	what=$1
-	shift
-	"$@" && return
-	say "FAILED: $what"
-	failures=$((failures + 1))
-}
 
 status() { # CURL-ARGUMENTS... PATH: the status; the body is in $WORK/body
 	curl -s -o "$WORK/body" -w '%{http_code}' --max-time 8 "${@:1:$#-1}" \
--- a/tests/run_stop.sh
+++ b/tests/run_stop.sh
@@ -10,15 +10,6 @@
 MAX_SECONDS_OF_LOAD=90
 MEAN_US=100000
 STOP_GRACE_MS=2000
-failures=0
-
-check() { # WHAT COMMAND...
-	what=$1
-	shift
-	"$@" && return
-	say "FAILED: $what"
-	failures=$((failures + 1))
-}
 
 start_small $HOSTS $MEAN_US || exit 1
 start_load load $HOSTS "$RATE" $MAX_SECONDS_OF_LOAD
