Take probe and report bytes from the budget in one place

core_report_take repeated the byte checks of core_budget_take, cross-zone bytes included. core_bytes_take serves both; what is checked and spent is the same.

--- a/core_probe.c
+++ b/core_probe.c
@@ -64,25 +64,33 @@
 		MIN(bucket->tokens + amount * CORE_MICRO, bucket->depth);
 }
 
+/* Takes BYTES, and the same from the cross-zone budget, or nothing. */
+static bool core_bytes_take(struct core *core, struct core_service *service,
+			    const struct core_server *server, uint64_t bytes)
+{
+	bool cross = server->zone != core->zone;
+
+	if (!core_bucket_has(&service->bytes, core->now_us, bytes))
+		return false;
+	if (cross &&
+	    !core_bucket_has(&service->cross_bytes, core->now_us, bytes))
+		return false;
+	core_bucket_spend(&service->bytes, bytes);
+	if (cross)
+		core_bucket_spend(&service->cross_bytes, bytes);
+	return true;
+}
+
 /* Reserves the largest size; the report of the probe gives back the rest. */
 static bool core_budget_take(struct core *core, struct core_service *service,
 			     const struct core_server *server)
 {
-	bool cross = server->zone != core->zone;
-	uint64_t now_us = core->now_us;
-
 	if (!me_on(ME_MEASURING_BUDGET))
 		return true;
-	if (!core_bucket_has(&service->requests, now_us, 1) ||
-	    !core_bucket_has(&service->bytes, now_us, CORE_PROBE_MAX_BYTES))
-		return false;
-	if (cross && !core_bucket_has(&service->cross_bytes, now_us,
-				      CORE_PROBE_MAX_BYTES))
+	if (!core_bucket_has(&service->requests, core->now_us, 1) ||
+	    !core_bytes_take(core, service, server, CORE_PROBE_MAX_BYTES))
 		return false;
 	core_bucket_spend(&service->requests, 1);
-	core_bucket_spend(&service->bytes, CORE_PROBE_MAX_BYTES);
-	if (cross)
-		core_bucket_spend(&service->cross_bytes, CORE_PROBE_MAX_BYTES);
 	return true;
 }
 
@@ -93,22 +101,10 @@
 bool core_report_take(struct core *core, struct core_service *service,
 		      const struct core_server *server)
 {
-	bool cross = server->zone != core->zone;
-	uint64_t now_us = core->now_us;
-
 	if (service->policy != CORE_REPORTS && service->policy != CORE_SHARES)
 		return false;
-	if (!me_on(ME_MEASURING_BUDGET))
-		return true;
-	if (!core_bucket_has(&service->bytes, now_us, CORE_REPORT_BYTES))
-		return false;
-	if (cross &&
-	    !core_bucket_has(&service->cross_bytes, now_us, CORE_REPORT_BYTES))
-		return false;
-	core_bucket_spend(&service->bytes, CORE_REPORT_BYTES);
-	if (cross)
-		core_bucket_spend(&service->cross_bytes, CORE_REPORT_BYTES);
-	return true;
+	return !me_on(ME_MEASURING_BUDGET) ||
+	       core_bytes_take(core, service, server, CORE_REPORT_BYTES);
 }
 
 static void core_budget_settle(struct core *core, struct core_service *service,
