--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 OUT = build/$(VARIANT)
 ALL_CFLAGS = $(BASE_CFLAGS) $(CFLAGS_$(VARIANT)) $(CFLAGS)
 
-SRCS = $(filter-out jackdawworks.c,$(wildcard *.c))
+SRCS = $(filter-out jackdawworks.c,$(wildcard *.c platform/*.c))
 GEN_SRCS = $(wildcard gen/*.c)
 LIB_OBJS = $(SRCS:%.c=$(OUT)/%.o) $(GEN_SRCS:%.c=$(OUT)/%.o)
 # Programs of the test tree: tool_*.c stand-ins and load tool, test_*.c checks.
@@ -35,7 +35,7 @@
 TOOLS = $(TOOL_SRCS:tests/%.c=$(OUT)/%)
 TEST_SRCS = $(wildcard tests/test_*.c)
 TESTS = $(TEST_SRCS:tests/%.c=$(OUT)/%)
-FORMATTED = $(wildcard *.[ch] tests/*.[ch])
+FORMATTED = $(wildcard *.[ch] platform/*.[ch] tests/*.[ch])
 
 all: build/jackdawworks
 
@@ -111,7 +111,7 @@
 
 lint:
 	@mkdir -p build
-	@printf '%s\n' $(wildcard *.c tests/*.c) | \
+	@printf '%s\n' $(wildcard *.c platform/*.c tests/*.c) | \
 		xargs -P 8 -I{} clang-tidy --quiet {} -- $(BASE_CFLAGS) \
 		-DME_SWITCHES 2>build/lint.err
 
@@ -124,7 +124,15 @@
 clean:
 	rm -rf build
 
--include $(wildcard $(OUT)/*.d $(OUT)/gen/*.d $(OUT)/tests/*.d)
+-include $(wildcard $(OUT)/*.d $(OUT)/platform/*.d $(OUT)/gen/*.d $(OUT)/tests/*.d)
 
 .PHONY: all link release proof test variant deps demo check proofs bench browser format \
 	format-check lint gen clean
+
+# The product alone, where the users' platform looks for it.
+deploy:
+	+@$(MAKE) --no-print-directory VARIANT=release build/release/jackdawworks
+	@mkdir -p target
+	@cp build/release/jackdawworks target/jackdawworks
+
+.PHONY: deploy
--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -9,13 +9,16 @@
 #include "admin.h"
 #include "command.h"
 #include "control.h"
+#include "counter.h"
 #include "gateway.h"
 #include "kernel.h"
 #include "log.h"
 #include "mechanism.h"
 #include "order.h"
 #include "peer_task.h"
-#include "platform.h"
+#include "platform/dialect.h"
+#include "platform/follow.h"
+#include "platform/store.h"
 #include "settings.h"
 #include "timer.h"
 #include "tls.h"
@@ -44,6 +47,9 @@
 	struct tl_listener operators_tls;
 	SSL_CTX *platform_tls;
 	struct pr_peer peer;
+	struct fo_follower follower;
+	struct hd_server health;
+	struct hd_server metrics;
 	uv_signal_t signals[2];
 	struct tm_sub stop_timer;
 	uint64_t linger_until_us;
@@ -134,6 +140,39 @@
 			 &host->settings.operators_tls, &host->timers, status);
 }
 
+static void sv_on_health(void *ctx, h2o_req_t *req)
+{
+	const struct sv_host *host = ctx;
+	bool ready = gw_ready(&host->gateway);
+
+	hd_reply(req, ready ? 200 : 503, "text/plain",
+		 ready ? "ok\n" : "not ready\n", ready ? 3 : 10);
+}
+
+static void sv_on_metrics(void *ctx, h2o_req_t *req)
+{
+	GString *out = g_string_new(NULL);
+
+	ct_write(out);
+	hd_reply(req, 200, "text/plain; version=0.0.4", out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+static enum st_kind sv_start_plain(struct sv_host *host,
+				   struct st_status *status)
+{
+	const struct se_settings *settings = &host->settings;
+	enum st_kind kind = ST_OK;
+
+	if (settings->has_health)
+		kind = hd_init(&host->health, &host->loop, &settings->health,
+			       sv_on_health, host, status);
+	if (kind == ST_OK && settings->has_metrics)
+		kind = hd_init(&host->metrics, &host->loop, &settings->metrics,
+			       sv_on_metrics, host, status);
+	return kind;
+}
+
 static bool sv_is_live(void *ctx, const char *name, uint64_t incarnation)
 {
 	const struct sv_host *host = ctx;
@@ -151,25 +190,12 @@
 		       host->gateway.incarnation, status);
 }
 
-static enum st_kind sv_start(struct sv_host *host, struct st_status *status)
+/* Follows the document that operators submit to the entry hosts. */
+static enum st_kind sv_start_document(struct sv_host *host,
+				      struct st_status *status)
 {
 	enum st_kind kind;
 
-	kn_init(&host->kernel, &host->loop);
-	tm_init(&host->timers, &host->loop);
-	pf_init(&host->platform, &host->loop, &host->timers,
-		&host->settings.platform);
-	if (!host->settings.platform_tls.plaintext) {
-		host->platform_tls =
-			tl_client(host->settings.platform_tls.ca, status);
-		if (!host->platform_tls)
-			return ST_INVALID;
-	}
-	hc_pool_set_tls(&host->platform.pool, host->platform_tls);
-	kind = gw_init(&host->gateway, &host->kernel, &host->timers,
-		       &host->settings, status);
-	if (kind != ST_OK)
-		return kind;
 	pf_init(&host->order_platform, &host->loop, &host->timers,
 		&host->settings.platform);
 	host->order_platform.timeout_us = OD_PLATFORM_TIMEOUT_US;
@@ -188,9 +214,64 @@
 	return kind == ST_OK ? sv_start_peer(host, status) : kind;
 }
 
+/* Follows the routes and servers in the platform's store. */
+static enum st_kind sv_start_following(struct sv_host *host,
+				       struct st_status *status)
+{
+	enum st_kind kind = tl_listen(&host->callers_tls, &host->gateway.http,
+				      &host->settings.callers_tls,
+				      &host->timers, status);
+
+	if (kind == ST_OK)
+		fo_init(&host->follower, &host->kernel, &host->timers,
+			&host->platform, &host->settings);
+	return kind;
+}
+
+static enum st_kind sv_start(struct sv_host *host, struct st_status *status)
+{
+	enum st_kind kind;
+
+	kn_init(&host->kernel, &host->loop);
+	tm_init(&host->timers, &host->loop);
+	pf_init(&host->platform, &host->loop, &host->timers,
+		&host->settings.platform);
+	if (!host->settings.platform_tls.plaintext) {
+		host->platform_tls =
+			tl_client(host->settings.platform_tls.ca, status);
+		if (!host->platform_tls)
+			return ST_INVALID;
+	}
+	hc_pool_set_tls(&host->platform.pool, host->platform_tls);
+	kind = gw_init(&host->gateway, &host->kernel, &host->timers,
+		       &host->settings,
+		       host->settings.follow_platform ? &pd_dialect : &dl_own,
+		       status);
+	if (kind == ST_OK)
+		kind = sv_start_plain(host, status);
+	if (kind != ST_OK)
+		return kind;
+	if (host->settings.follow_platform)
+		return sv_start_following(host, status);
+	return sv_start_document(host, status);
+}
+
 static uint32_t sv_connections(const struct sv_host *host)
 {
-	return host->gateway.http.connections + host->admin.http.connections;
+	return host->gateway.http.connections + host->admin.http.connections +
+	       host->health.connections + host->metrics.connections;
+}
+
+static void sv_close_server(struct hd_server *server)
+{
+	hd_stop_listening(server);
+	hd_close_all(server);
+}
+
+static void sv_close_document(struct sv_host *host)
+{
+	sv_close_server(&host->admin.http);
+	pr_close(&host->peer);
 }
 
 /* Runs the loop until the connections of both listeners are closed. */
@@ -198,14 +279,23 @@
 {
 	uint64_t until_us = tm_now_us() + SV_CLOSE_US;
 
+	bool following = host->settings.follow_platform;
+
 	gw_close(&host->gateway);
-	hd_stop_listening(&host->admin.http);
-	hd_close_all(&host->admin.http);
-	pr_close(&host->peer);
+	if (host->settings.has_health)
+		sv_close_server(&host->health);
+	if (host->settings.has_metrics)
+		sv_close_server(&host->metrics);
+	if (following)
+		fo_free(&host->follower);
+	else
+		sv_close_document(host);
 	pf_free(&host->platform);
-	od_free(&host->orders);
-	pf_free(&host->order_platform);
-	cp_free(&host->control);
+	if (!following) {
+		od_free(&host->orders);
+		pf_free(&host->order_platform);
+		cp_free(&host->control);
+	}
 	while (sv_connections(host) && tm_now_us() < until_us)
 		uv_run(&host->loop, UV_RUN_NOWAIT);
 	return !sv_connections(host);
@@ -217,15 +307,22 @@
 	if (!sv_close(host))
 		return;
 	tl_free(&host->callers_tls);
-	tl_free(&host->operators_tls);
 	SSL_CTX_free(host->platform_tls);
 	gw_free(&host->gateway);
-	ad_free(&host->admin);
+	if (host->settings.has_health)
+		hd_free(&host->health);
+	if (host->settings.has_metrics)
+		hd_free(&host->metrics);
+	if (!host->settings.follow_platform) {
+		tl_free(&host->operators_tls);
+		ad_free(&host->admin);
+	}
 	tm_free(&host->timers);
 	for (size_t i = 0; i < G_N_ELEMENTS(host->signals); i++)
 		uv_close((uv_handle_t *)&host->signals[i], NULL);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
-	pr_free(&host->peer);
+	if (!host->settings.follow_platform)
+		pr_free(&host->peer);
 	kn_free(&host->kernel);
 	uv_loop_close(&host->loop);
 }
@@ -245,7 +342,8 @@
 	lg_info("start", "callers %s, operators %s",
 		host->settings.callers.text, host->settings.operators.text);
 	uv_run(&host->loop, UV_RUN_DEFAULT);
-	pr_leave(&host->peer);
+	if (!host->settings.follow_platform)
+		pr_leave(&host->peer);
 	if (!host->at_once)
 		sv_free(host);
 	lg_info("stop", "ended");
--- a/control.h
+++ b/control.h
@@ -7,7 +7,7 @@
 
 #include "document.h"
 #include "kernel.h"
-#include "platform.h"
+#include "platform/store.h"
 #include "settings.h"
 #include "timer.h"
 
--- a/core.c
+++ b/core.c
@@ -112,6 +112,7 @@
 	core->hosts = 1;
 	core->servers = g_ptr_array_new_with_free_func(g_free);
 	core->services = g_ptr_array_new_with_free_func(core_service_free);
+	g_queue_init(&core->asking);
 	core->weights = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    core_call_free);
@@ -158,13 +159,15 @@
 }
 
 /* The time of the next decision about the call. */
-static void core_call_timer(struct core *core, const struct core_call *call)
+void core_call_timer(struct core *core, const struct core_call *call)
 {
 	const struct core_service *service = core_service(core, call->service);
 	uint64_t at_us = call->deadline_us;
 
 	if (call->queued && me_on(ME_EARLY_REFUSAL))
 		at_us -= MIN(service->quick_us, at_us);
+	else if (call->asking)
+		at_us = MIN(at_us, core_ask_until_us(call));
 	else if (call->hedge_us)
 		at_us = MIN(at_us, call->hedge_us);
 	core_timer(core, call->id, MAX(at_us, core->now_us));
@@ -180,6 +183,14 @@
 	return sent;
 }
 
+static bool core_has_open(const struct core_call *call)
+{
+	for (uint32_t i = 0; i < call->attempt_count; i++)
+		if (call->attempts[i].open)
+			return true;
+	return false;
+}
+
 static void core_close_attempt(struct core *core, struct core_call *call,
 			       uint32_t attempt)
 {
@@ -227,12 +238,28 @@
 							 ST_UNKNOWN;
 	action.result = result;
 	core_unqueue(core, call);
+	core_ask_end(core, call);
 	for (uint32_t i = 0; i < call->attempt_count; i++)
 		core_cancel(core, call, i);
 	core_act(core, &action);
 	g_hash_table_remove(core->calls, &call->id);
 }
 
+/*
+ * The last moment at which a second attempt of usual length still ends within
+ * the target; not before the first one has had its usual time.
+ */
+static uint64_t core_hedge_us(const struct core *core,
+			      const struct core_call *call)
+{
+	const struct core_service *service = core_service(core, call->service);
+	uint64_t usual_us = core_base_latency_us(service, core->zone);
+	uint64_t latest_us = call->target_us - MIN(call->target_us,
+						   usual_us * 5 / 4);
+
+	return MAX(latest_us, core->now_us + usual_us * 5 / 4);
+}
+
 /* Only a first attempt of an idempotent call is hedged. */
 static void core_plan_hedge(struct core *core, struct core_call *call)
 {
@@ -243,6 +270,8 @@
 	    !me_on(ME_HEDGING))
 		return;
 	call->hedge_us = core->now_us + service->slow_us;
+	if (service->policy == CORE_ASK)
+		call->hedge_us = core_hedge_us(core, call);
 }
 
 void core_send(struct core *core, struct core_call *call, uint32_t server,
@@ -264,6 +293,7 @@
 	a->link.data = a;
 	g_queue_push_tail_link(&s->open, &a->link);
 	s->in_flight++;
+	s->sent_since++;
 	s->last_send_us = core->now_us;
 	core_service(core, call->service)->in_flight++;
 	call->lane->in_flight++;
@@ -299,6 +329,10 @@
 {
 	uint64_t id = call->id;
 
+	if (core_service(core, call->service)->policy == CORE_ASK) {
+		core_ask(core, call, false);
+		return;
+	}
 	core_admit(core, call);
 	call = g_hash_table_lookup(core->calls, &id);
 	if (call && call->queued)
@@ -327,6 +361,13 @@
 	call->id = event->u.call.call;
 	call->service = id;
 	call->deadline_us = event->u.call.deadline_us;
+	call->target_us = event->u.call.target_us;
+	if (!call->target_us)
+		call->target_us = call->deadline_us;
+	call->max_attempts = event->u.call.max_attempts;
+	if (!call->max_attempts || call->max_attempts > CORE_MAX_ATTEMPTS)
+		call->max_attempts = CORE_MAX_ATTEMPTS;
+	call->bulky = event->u.call.bulky;
 	call->idempotent = event->u.call.idempotent;
 	call->lane = core_lane_get(core, service, event->u.call.caller);
 	g_hash_table_insert(core->calls, &call->id, call);
@@ -338,14 +379,32 @@
 /* What the caller is told when no attempt is left. */
 static enum st_kind core_result(const struct core_call *call, enum core_end end)
 {
+	if (end == CORE_END_FAILED)
+		return ST_UNKNOWN;
 	if (end == CORE_END_BROKEN)
 		return ST_BROKEN;
 	return end == CORE_END_REFUSED ? ST_REFUSED : ST_CONNECT;
 }
 
+/* Whether a failed answer may be thrown away for another attempt. */
+bool core_can_retry(struct core *core, uint64_t id)
+{
+	const struct core_call *call = g_hash_table_lookup(core->calls, &id);
+
+	if (!call || !call->idempotent || call->answered ||
+	    call->attempt_count >= call->max_attempts)
+		return false;
+	if (core_service(core, call->service)->policy != CORE_ASK ||
+	    core->now_us + core_base_latency_us(core_service(core, call->service),
+						core->zone) / 2 >
+		    call->deadline_us)
+		return false;
+	return core_service(core, call->service)->retry_credit >= 100;
+}
+
 static bool core_may_retry(struct core *core, const struct core_call *call)
 {
-	if (call->answered || call->attempt_count == CORE_MAX_ATTEMPTS)
+	if (call->answered || call->attempt_count >= call->max_attempts)
 		return false;
 	if (core_maybe_ran(call) && !call->idempotent && me_on(ME_SEND_ONCE))
 		return false;
@@ -354,14 +413,6 @@
 	return core_retry_take(core_service(core, call->service));
 }
 
-static bool core_has_open(const struct core_call *call)
-{
-	for (uint32_t i = 0; i < call->attempt_count; i++)
-		if (call->attempts[i].open)
-			return true;
-	return false;
-}
-
 static void core_learn(struct core *core, const struct core_attempt *attempt,
 		       enum core_end end)
 {
@@ -392,6 +443,9 @@
 		a->answer_us = core->now_us;
 	core_close_attempt(core, call, attempt);
 	core_learn(core, a, end);
+	/* A hedge that is being prepared becomes a retry. */
+	if (!core_has_open(call))
+		core_ask_end(core, call);
 	if (!core_end_may_have_run(end))
 		a->sent = false;
 	if (end == CORE_END_DONE || end == CORE_END_DONE_ERROR)
@@ -412,6 +466,7 @@
 	for (uint32_t i = 0; i < call->attempt_count; i++)
 		if (i != attempt)
 			core_cancel(core, call, i);
+	core_ask_end(core, call);
 	call->hedge_us = 0;
 	core_call_timer(core, call);
 }
@@ -438,6 +493,15 @@
 	uint32_t server;
 
 	call->hedge_us = 0;
+	if (service->policy == CORE_ASK) {
+		if (!call->answered && core_has_open(call) &&
+		    call->attempt_count < call->max_attempts &&
+		    service->retry_credit >= 100)
+			core_ask(core, call, true);
+		else
+			core_call_timer(core, call);
+		return;
+	}
 	if (!call->answered && core_has_open(call) &&
 	    service->retry_credit >= 100 &&
 	    core_pick(core, service, call, true, &server) &&
@@ -457,6 +521,9 @@
 		core_learn_silent(core, call);
 		core_finish(core, call,
 			    call->answered ? ST_BROKEN : ST_DEADLINE_NOT_RUN);
+	} else if (call->asking &&
+		   core->now_us >= core_ask_until_us(call)) {
+		core_ask_timer(core, call);
 	} else if (call->hedge_us && core->now_us >= call->hedge_us) {
 		core_on_hedge(core, call);
 	} else {
--- a/core.h
+++ b/core.h
@@ -23,7 +23,8 @@
 	X(LEAST_OF_TWO, "least-of-two") \
 	X(PROBES, "probes")             \
 	X(REPORTS, "reports")           \
-	X(SHARES, "shares")
+	X(SHARES, "shares")             \
+	X(ASK, "ask")
 
 enum core_policy {
 #define X(id, name) CORE_##id,
@@ -47,6 +48,7 @@
 	uint32_t zone;
 	uint32_t slots;
 	uint32_t connections; /* over all entry hosts */
+	uint32_t cold_ms; /* how much longer it is slow after its start */
 	bool leaving;
 	uint64_t hash; /* of the name, equal on all hosts */
 };
@@ -101,6 +103,7 @@
 	X(BROKEN, "broken", true)         \
 	X(DONE, "done", true)             \
 	X(DONE_ERROR, "done-error", true) \
+	X(FAILED, "failed", true)         \
 	X(CANCELLED, "cancelled", true)
 
 enum core_end {
@@ -150,7 +153,10 @@
 			uint32_t service;
 			uint32_t caller; /* index or CORE_NO_CALLER */
 			uint64_t deadline_us;
+			uint64_t target_us; /* for full benefit; 0: none */
+			uint32_t max_attempts; /* 0: CORE_MAX_ATTEMPTS */
 			bool idempotent;
+			bool bulky; /* the answer is large */
 		} call;
 		/* SENT: first byte written. ANSWER: whole head received. */
 		struct {
@@ -173,6 +179,7 @@
 			uint32_t in_flight;
 			uint32_t queued;
 			uint32_t slots;
+			uint32_t pace_percent; /* time work takes; 0: unknown */
 			uint32_t latency_us; /* of a probe */
 			uint32_t bytes; /* of a probe, both ways */
 		} report;
@@ -237,6 +244,13 @@
 void core_free(struct core *core);
 void core_handle(struct core *core, const struct core_event *event);
 
+/*
+ * core_can_retry - whether the core would send the call once more if its open
+ * attempt ended with CORE_END_FAILED now. Asked when a server has answered with
+ * a failure of its own.
+ */
+bool core_can_retry(struct core *core, uint64_t call);
+
 /* Figures of one service, for status pages. */
 struct core_service_stats {
 	uint32_t in_flight;
--- /dev/null
+++ b/core_ask.c
@@ -0,0 +1,362 @@
+#include "core_state.h"
+
+#include "mechanism.h"
+
+/*
+ * Policy "ask": before a call is sent, a few servers are asked for their load
+ * and for how fast their machine is right now, and the call goes to the one
+ * that is expected to end it first. A report is out of date within
+ * milliseconds, so that reports of earlier answers only choose whom to ask. A
+ * server that answers is also known to be reachable.
+ */
+enum {
+	/* A report of that age need not be asked for again. */
+	CORE_ASK_FRESH_US = 15 * CORE_US_PER_MS,
+	/* An answer from another zone takes two crossings and the probe. */
+	CORE_ASK_WAIT_US = 30 * CORE_US_PER_MS,
+	CORE_ASK_ROUNDS = 3,
+	/* Neighbours of a machine come and go within this time. */
+	CORE_PACE_HALF_US = 200 * CORE_US_PER_MS,
+	CORE_PACE_USUAL = 100, /* percent */
+	CORE_PACE_QUIET = 125, /* percent; no better server is waited for */
+	/* Servers slow down when more than four fifths of the slots are busy. */
+	CORE_KNEE_PERCENT = 80,
+	CORE_KNEE_COST_PERCENT = 170,
+	CORE_COLD_COST_PERCENT = 200,
+	CORE_ZONE_RTT_US = 8 * CORE_US_PER_MS,
+	/* A large answer from another zone costs more than it is worth. */
+	CORE_BULKY_ZONE_US = 300 * CORE_US_PER_MS,
+	CORE_ERROR_COST = 4, /* usual latencies at an error share of one */
+	CORE_NO_SERVER = UINT32_MAX
+};
+
+/* A server that a call may go to, with the time it is expected to take. */
+struct core_candidate {
+	uint32_t id;
+	uint64_t cost_us;
+};
+
+static uint64_t core_report_age_us(const struct core *core,
+				   const struct core_server *server)
+{
+	return server->report_us ? core->now_us - server->report_us :
+				   UINT64_MAX / 2;
+}
+
+/* The reported figure, aged towards the mean of the service. */
+static uint64_t core_pace(const struct core *core,
+			  const struct core_service *service,
+			  const struct core_server *server)
+{
+	uint64_t age_us = MIN(core_report_age_us(core, server),
+			      (uint64_t)100 * CORE_PACE_HALF_US);
+	int64_t mean = service->mean_pace_percent ?
+			       (int64_t)service->mean_pace_percent :
+			       CORE_PACE_USUAL;
+	int64_t pace = server->pace_percent ? (int64_t)server->pace_percent :
+					      mean;
+
+	return (uint64_t)(mean + (pace - mean) * CORE_PACE_HALF_US /
+					 (int64_t)(CORE_PACE_HALF_US + age_us));
+}
+
+static uint64_t core_usual_us(const struct core *core,
+			      const struct core_service *service)
+{
+	return core_base_latency_us(service, core->zone);
+}
+
+/* Requests at the server, as far as this host knows. */
+static uint64_t core_occupied(const struct core_server *server)
+{
+	uint64_t known = (uint64_t)server->running + server->waiting +
+			 server->sent_since;
+
+	return MAX(known, server->in_flight);
+}
+
+/* Expected time from sending a call to SERVER to its answer. */
+static uint64_t core_expected_us(const struct core *core,
+				 const struct core_service *service,
+				 const struct core_server *server)
+{
+	uint64_t usual_us = core_usual_us(core, service);
+	uint64_t slots = MAX(server->slots, 1);
+	uint64_t busy = core_occupied(server) + 1;
+	uint64_t work_us =
+		usual_us * core_pace(core, service, server) / CORE_PACE_USUAL;
+	uint64_t cost_us;
+
+	if (core->now_us < server->cold_until_us)
+		work_us = work_us * CORE_COLD_COST_PERCENT / 100;
+	if (busy * 100 > slots * CORE_KNEE_PERCENT)
+		work_us = work_us * CORE_KNEE_COST_PERCENT / 100;
+	cost_us = work_us;
+	if (busy > slots)
+		cost_us += work_us * (busy - slots) / slots;
+	if (server->latency_count >= 4 && server->latency_us > 2 * usual_us)
+		cost_us += server->latency_us - 2 * usual_us;
+	if (core_oldest_us(core, server) > 2 * work_us)
+		cost_us += core_oldest_us(core, server) / 2;
+	return cost_us;
+}
+
+/* Expected time and what else speaks against SERVER, in microseconds. */
+static uint64_t core_ask_cost_us(const struct core *core,
+				 const struct core_service *service,
+				 const struct core_server *server,
+				 const struct core_call *call)
+{
+	uint64_t cost_us = core_expected_us(core, service, server);
+
+	if (server->zone != core->zone)
+		cost_us += call->bulky ? CORE_BULKY_ZONE_US : CORE_ZONE_RTT_US;
+	return cost_us + core_usual_us(core, service) * CORE_ERROR_COST *
+				 server->error_q8 / CORE_Q8;
+}
+
+/* Keeps the CORE_ASKED cheapest, cheapest first. */
+static void core_keep(struct core_candidate *kept, uint32_t *count, uint32_t id,
+		      uint64_t cost_us)
+{
+	uint32_t at = *count;
+
+	if (at == CORE_ASKED && cost_us >= kept[at - 1].cost_us)
+		return;
+	if (at == CORE_ASKED)
+		at--;
+	else
+		(*count)++;
+	for (; at && kept[at - 1].cost_us > cost_us; at--)
+		kept[at] = kept[at - 1];
+	kept[at].id = id;
+	kept[at].cost_us = cost_us;
+}
+
+static bool core_was_asked(const struct core_call *call, uint32_t id)
+{
+	for (uint32_t i = 0; i < call->ask_count; i++)
+		if (call->ask_servers[i] == id)
+			return true;
+	return false;
+}
+
+/*
+ * Whom to ask: the cheapest by what is known, with a random part, so that
+ * hosts with the same knowledge do not all ask the same server.
+ */
+static uint32_t core_ask_candidates(struct core *core,
+				    struct core_service *service,
+				    const struct core_call *call,
+				    struct core_candidate *kept)
+{
+	bool guarded = core_guarded(core, service);
+	uint32_t jitter_us = (uint32_t)core_usual_us(core, service) / 4 + 1;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < service->server_count; i++) {
+		uint32_t id = service->servers[i];
+		const struct core_server *server = core_server(core, id);
+
+		if (core_tried(call, id) || core_was_asked(call, id) ||
+		    !core_usable(core, service, server, guarded))
+			continue;
+		core_keep(kept, &count, id,
+			  core_ask_cost_us(core, service, server, call) +
+				  core_random(core, jitter_us));
+	}
+	return count;
+}
+
+uint64_t core_ask_until_us(const struct core_call *call)
+{
+	return call->ask_since_us + CORE_ASK_WAIT_US;
+}
+
+void core_ask_end(struct core *core, struct core_call *call)
+{
+	if (!call->asking)
+		return;
+	call->asking = false;
+	g_queue_unlink(&core->asking, &call->ask_link);
+}
+
+/* Whether the report of a server is recent enough to decide by it. */
+static bool core_is_fresh(const struct core *core,
+			  const struct core_server *server)
+{
+	return core_report_age_us(core, server) <= CORE_ASK_FRESH_US;
+}
+
+static bool core_answered_ask(const struct core_call *call,
+			      const struct core_server *server)
+{
+	return server->report_us + CORE_ASK_FRESH_US >= call->ask_since_us &&
+	       server->report_us;
+}
+
+/* The cheapest server that answered, or of all asked if ANY. */
+static uint32_t core_ask_best(const struct core *core,
+			      const struct core_service *service,
+			      const struct core_call *call, bool any,
+			      uint64_t *cost_us)
+{
+	uint32_t best = CORE_NO_SERVER;
+
+	for (uint32_t i = 0; i < call->ask_count; i++) {
+		uint32_t id = call->ask_servers[i];
+		const struct core_server *server = core_server(core, id);
+		uint64_t cost;
+
+		if (!server->known || core_leaving(server) ||
+		    core_server_out(core, server) ||
+		    (!any && !core_answered_ask(call, server)))
+			continue;
+		cost = core_ask_cost_us(core, service, server, call);
+		if (best != CORE_NO_SERVER && cost >= *cost_us)
+			continue;
+		best = id;
+		*cost_us = cost;
+	}
+	return best;
+}
+
+/* A call that cannot be placed: a hedge is given up, others are refused. */
+static void core_ask_refuse(struct core *core, struct core_call *call,
+			    enum st_kind kind)
+{
+	core_ask_end(core, call);
+	if (call->ask_hedge)
+		core_call_timer(core, call);
+	else
+		core_finish(core, call, kind);
+}
+
+static void core_ask_send(struct core *core, struct core_call *call,
+			  uint32_t server)
+{
+	struct core_service *service = core_service(core, call->service);
+	bool hedge = call->ask_hedge;
+
+	core_ask_end(core, call);
+	if (hedge && !core_retry_take(service))
+		core_call_timer(core, call);
+	else
+		core_send(core, call, server, hedge);
+}
+
+static bool core_ask_round(struct core *core, struct core_call *call);
+
+/* Decides by the reports that are there; FINAL when no more will come. */
+static void core_ask_decide(struct core *core, struct core_call *call,
+			    bool final)
+{
+	struct core_service *service = core_service(core, call->service);
+	uint64_t usual_us = core_usual_us(core, service);
+	uint64_t cost_us = 0;
+	uint32_t best = core_ask_best(core, service, call, false, &cost_us);
+	bool quiet = best != CORE_NO_SERVER &&
+		     cost_us * 100 <= usual_us * CORE_PACE_QUIET;
+
+	if (!quiet && !final)
+		return;
+	if (!quiet && call->ask_rounds < CORE_ASK_ROUNDS &&
+	    core->now_us + usual_us < call->deadline_us &&
+	    core_ask_round(core, call))
+		return;
+	if (best == CORE_NO_SERVER)
+		best = core_ask_best(core, service, call, true, &cost_us);
+	if (best == CORE_NO_SERVER)
+		core_ask_refuse(core, call, ST_NO_SERVER);
+	else if (core->now_us + cost_us / 2 > call->deadline_us)
+		core_ask_refuse(core, call, ST_QUEUE_FULL);
+	else
+		core_ask_send(core, call, best);
+}
+
+static bool core_ask_pending(const struct core *core,
+			     const struct core_call *call)
+{
+	for (uint32_t i = 0; i < call->ask_count; i++) {
+		const struct core_server *server =
+			core_server(core, call->ask_servers[i]);
+
+		if (server->asked && !core_answered_ask(call, server))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Asks the next servers. The best one of the round before stays a candidate.
+ * Returns false when there is nobody else to ask.
+ */
+static bool core_ask_round(struct core *core, struct core_call *call)
+{
+	struct core_service *service = core_service(core, call->service);
+	struct core_candidate kept[CORE_ASKED];
+	uint32_t count = core_ask_candidates(core, service, call, kept);
+	uint64_t cost_us = 0;
+	uint32_t best = core_ask_best(core, service, call, false, &cost_us);
+	uint64_t id = call->id;
+
+	if (!count)
+		return false;
+	if (best != CORE_NO_SERVER) {
+		count = MIN(count, CORE_ASKED - 1);
+		kept[count++].id = best;
+	}
+	call->ask_rounds++;
+	call->ask_count = count;
+	call->ask_since_us = core->now_us;
+	for (uint32_t i = 0; i < count; i++)
+		call->ask_servers[i] = kept[i].id;
+	for (uint32_t i = 0; i < count; i++) {
+		struct core_server *server = core_server(core, kept[i].id);
+
+		if (!server->asked && !core_is_fresh(core, server))
+			server->asked = core_probe(core, kept[i].id);
+	}
+	core_ask_decide(core, call, !core_ask_pending(core, call));
+	call = g_hash_table_lookup(core->calls, &id);
+	if (call && call->asking)
+		core_call_timer(core, call);
+	return true;
+}
+
+void core_ask(struct core *core, struct core_call *call, bool hedge)
+{
+	call->ask_hedge = hedge;
+	call->ask_rounds = 0;
+	call->ask_count = 0;
+	if (!call->asking) {
+		call->asking = true;
+		call->ask_link.data = call;
+		g_queue_push_tail_link(&core->asking, &call->ask_link);
+	}
+	if (!core_ask_round(core, call))
+		core_ask_refuse(core, call, ST_NO_SERVER);
+}
+
+void core_ask_timer(struct core *core, struct core_call *call)
+{
+	core_ask_decide(core, call, true);
+}
+
+void core_ask_report(struct core *core, uint32_t server, bool ok)
+{
+	GList *next;
+	struct core_server *from = core_server(core, server);
+
+	from->asked = false;
+	if (!ok && core_service(core, from->service)->policy == CORE_ASK)
+		core_learn_error(core, from);
+	for (GList *l = core->asking.head; l; l = next) {
+		struct core_call *call = l->data;
+
+		next = l->next;
+		if (core_was_asked(call, server))
+			core_ask_decide(core, call,
+					!core_ask_pending(core, call));
+	}
+}
--- a/core_pick.c
+++ b/core_pick.c
@@ -93,7 +93,7 @@
 	return cost_us;
 }
 
-static bool core_tried(const struct core_call *call, uint32_t id)
+bool core_tried(const struct core_call *call, uint32_t id)
 {
 	for (uint32_t k = 0; k < call->attempt_count; k++)
 		if (call->attempts[k].server == id)
@@ -109,8 +109,7 @@
 }
 
 /* With most servers out the fault is not theirs, and the guard is off. */
-static bool core_guarded(const struct core *core,
-			 const struct core_service *service)
+bool core_guarded(const struct core *core, const struct core_service *service)
 {
 	uint32_t out = 0;
 	uint32_t all = 0;
@@ -127,8 +126,8 @@
 	return 2 * out <= all;
 }
 
-static bool core_usable(struct core *core, const struct core_service *service,
-			const struct core_server *server, bool guarded)
+bool core_usable(struct core *core, const struct core_service *service,
+		 const struct core_server *server, bool guarded)
 {
 	uint32_t warmth_q8;
 
--- a/core_probe.c
+++ b/core_probe.c
@@ -19,6 +19,7 @@
 	CORE_BURST_PART = 4, /* a quarter of a second's part */
 	CORE_MAX_FILL_US = 10 * CORE_US_PER_S,
 	CORE_MAX_LOAD = 1 << 16,
+	CORE_MAX_PACE = 10000,
 	CORE_MEAN_REPORTS = 32
 };
 
@@ -119,7 +120,7 @@
 		core_bucket_refund(&service->cross_bytes, rest);
 }
 
-static bool core_probe(struct core *core, uint32_t id)
+bool core_probe(struct core *core, uint32_t id)
 {
 	struct core_server *server = core_server(core, id);
 	struct core_service *service = core_service(core, server->service);
@@ -304,6 +305,26 @@
 				   CORE_MEAN_REPORTS);
 }
 
+/* Policy "ask" uses the report as it is. */
+static void core_take_pace(struct core_service *service,
+			   struct core_server *server,
+			   const struct core_event *event)
+{
+	uint32_t pace = MIN(event->u.report.pace_percent, CORE_MAX_PACE);
+	uint32_t mean = service->mean_pace_percent;
+
+	server->running = MIN(event->u.report.in_flight, CORE_MAX_LOAD);
+	server->waiting = MIN(event->u.report.queued, CORE_MAX_LOAD);
+	server->sent_since = 0;
+	server->pace_percent = pace;
+	if (!pace)
+		return;
+	if (!mean)
+		mean = pace;
+	service->mean_pace_percent =
+		(mean * (CORE_MEAN_REPORTS - 1) + pace) / CORE_MEAN_REPORTS;
+}
+
 void core_on_report(struct core *core, const struct core_event *event)
 {
 	uint32_t id = event->u.report.server;
@@ -317,9 +338,12 @@
 	if (event->u.report.source == CORE_FROM_PROBE)
 		core_budget_settle(core, service, server,
 				   event->u.report.bytes);
-	if (!event->u.report.ok || !server->known)
-		return;
+	if (event->u.report.ok && server->known) {
+		if (event->u.report.source == CORE_FROM_PROBE)
+			core_pool_add(core, service, event);
+		core_take_load(core, service, server, event);
+		core_take_pace(service, server, event);
+	}
 	if (event->u.report.source == CORE_FROM_PROBE)
-		core_pool_add(core, service, event);
-	core_take_load(core, service, server, event);
+		core_ask_report(core, id, event->u.report.ok);
 }
--- a/core_state.h
+++ b/core_state.h
@@ -15,6 +15,7 @@
 	CORE_MICRO = 1000 * 1000, /* millionths of a token */
 	CORE_LATENCY_BUCKETS = 96,
 	CORE_POOL_SIZE = 16,
+	CORE_ASKED = 3, /* servers asked at a time for one call */
 	CORE_HISTORY = 64
 };
 
@@ -44,6 +45,13 @@
 	/* Newest report: load that other hosts put on the server. */
 	uint64_t report_us; /* 0: no report yet */
 	uint32_t others_q8;
+	/* Policy "ask": the newest report as it came. */
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t pace_percent; /* 0: not known */
+	uint32_t sent_since; /* attempts sent after the report */
+	bool asked; /* a probe is out */
+	uint64_t cold_until_us;
 	/* Adaptive limit of the attempts of this host. */
 	uint32_t latency_us; /* moving average, 0: none yet */
 	uint32_t latency_count; /* answers in it */
@@ -121,6 +129,7 @@
 	uint32_t zone_latency_us[CORE_ZONES]; /* usual one, 0: not known */
 	uint32_t latency_answers;
 	uint32_t mean_others_q8; /* per slot */
+	uint32_t mean_pace_percent; /* 0: not known */
 };
 
 struct core_call {
@@ -129,8 +138,19 @@
 	struct core_lane *lane;
 	uint64_t deadline_us;
 	uint64_t hedge_us; /* 0: none */
+	uint64_t target_us;
+	uint32_t max_attempts;
 	bool idempotent;
+	bool bulky;
 	bool answered;
+	/* Policy "ask": the servers that are being asked. */
+	bool asking;
+	bool ask_hedge; /* for an attempt beside a running one */
+	uint32_t ask_rounds;
+	uint32_t ask_count;
+	uint32_t ask_servers[CORE_ASKED];
+	uint64_t ask_since_us;
+	GList ask_link; /* in core.asking */
 	uint32_t attempt_count;
 	struct core_attempt attempts[CORE_MAX_ATTEMPTS];
 	GList *queued; /* link in the queue of its lane */
@@ -149,6 +169,7 @@
 	uint64_t wake_us; /* 0: no timer is set */
 	bool configured;
 	bool rechecking; /* a server may have to be probed for draining */
+	GQueue asking; /* calls that wait for reports */
 };
 
 /* core.c */
@@ -156,6 +177,7 @@
 struct core_service *core_service(const struct core *core, uint32_t id);
 uint32_t core_random(struct core *core, uint32_t bound);
 void core_wake(struct core *core, uint64_t at_us);
+void core_call_timer(struct core *core, const struct core_call *call);
 void core_finish(struct core *core, struct core_call *call,
 		 enum st_kind result);
 void core_send(struct core *core, struct core_call *call, uint32_t server,
@@ -164,9 +186,27 @@
 /* core_conf.c */
 void core_on_conf(struct core *core, const struct core_conf *conf);
 
+/*
+ * core_ask.c: ask a few servers for their load before a call is sent.
+ *
+ * core_ask - begin; the call is sent, refused or asks on within the event.
+ * core_ask_report - a report of SERVER came, or its probe failed.
+ * core_ask_timer - the time for answers is over.
+ * core_ask_end - the call waits for no report any more.
+ */
+void core_ask(struct core *core, struct core_call *call, bool hedge);
+void core_ask_report(struct core *core, uint32_t server, bool ok);
+void core_ask_timer(struct core *core, struct core_call *call);
+void core_ask_end(struct core *core, struct core_call *call);
+uint64_t core_ask_until_us(const struct core_call *call);
+
 /* core_pick.c: whether a server takes the call now, and which. */
 bool core_pick(struct core *core, struct core_service *service,
 	       const struct core_call *call, bool hedge, uint32_t *server);
+bool core_tried(const struct core_call *call, uint32_t id);
+bool core_guarded(const struct core *core, const struct core_service *service);
+bool core_usable(struct core *core, const struct core_service *service,
+		 const struct core_server *server, bool guarded);
 uint32_t core_load_q8(const struct core *core,
 		      const struct core_service *service,
 		      const struct core_server *server);
@@ -176,6 +216,7 @@
 		     uint64_t now_us);
 bool core_report_take(struct core *core, struct core_service *service,
 		      const struct core_server *server);
+bool core_probe(struct core *core, uint32_t id);
 void core_probe_on_call(struct core *core, struct core_service *service);
 void core_probe_recheck(struct core *core);
 void core_on_report(struct core *core, const struct core_event *event);
--- a/document.c
+++ b/document.c
@@ -629,6 +629,9 @@
 		g_free(document->services[i].servers);
 		g_free(document->services[i].rules);
 	}
+	for (uint32_t i = 0; i < document->route_count; i++)
+		g_free(document->routes[i].parts);
+	g_free(document->routes);
 	g_free(document->services);
 	g_free(document->callers);
 	g_free(document->text);
@@ -670,6 +673,28 @@
 	return best;
 }
 
+const struct doc_route *doc_route_at(const struct doc_document *document,
+				     const char *host, size_t host_bytes,
+				     const char *path, size_t path_bytes)
+{
+	const struct doc_route *best = NULL;
+	size_t best_bytes = 0;
+
+	for (uint32_t i = 0; i < document->route_count; i++) {
+		const struct doc_route *route = &document->routes[i];
+		size_t bytes = strlen(route->prefix);
+
+		if (bytes <= best_bytes ||
+		    strlen(route->host) != host_bytes ||
+		    g_ascii_strncasecmp(route->host, host, host_bytes) != 0 ||
+		    !doc_prefix(route->prefix, path, path_bytes))
+			continue;
+		best = route;
+		best_bytes = bytes;
+	}
+	return best;
+}
+
 const struct doc_rule *doc_rule(const struct doc_service *service,
 				const char *method, size_t method_bytes,
 				const char *path, size_t path_bytes)
--- a/document.h
+++ b/document.h
@@ -30,6 +30,8 @@
 	uint32_t zone;
 	uint32_t slots;
 	uint32_t connections; /* over all entry hosts */
+	uint32_t cold_ms; /* how much longer it is slow after its start */
+	uint64_t incarnation; /* changes with each start; 0: not known */
 	bool leaving;
 };
 
@@ -41,6 +43,30 @@
 	uint32_t deadline_ms;
 };
 
+/* A service that takes a part of the calls of a route. */
+struct doc_part {
+	uint32_t service;
+	uint32_t weight;
+};
+
+/*
+ * A route by host and path prefix. A document without routes selects services
+ * by their own path prefix.
+ */
+struct doc_route {
+	char name[DOC_NAME_BYTES];
+	char host[DOC_ROUTE_BYTES];
+	char prefix[DOC_ROUTE_BYTES];
+	bool idempotent;
+	bool bulky; /* the answers are large */
+	uint32_t timeout_ms; /* longest time that a caller is kept waiting */
+	uint32_t target_ms; /* latency that earns the full benefit */
+	uint32_t max_attempts; /* servers that one call may be sent to */
+	uint32_t priority; /* 0 is the highest */
+	struct doc_part *parts;
+	uint32_t part_count;
+};
+
 /* Limits of what measuring may add, per service over all entry hosts. */
 struct doc_budget {
 	uint32_t requests_per_s;
@@ -61,6 +87,8 @@
 	uint32_t server_count;
 	struct doc_rule *rules;
 	uint32_t rule_count;
+	uint32_t connections; /* of every server, over all entry hosts */
+	char probe_path[DOC_ROUTE_BYTES]; /* empty: the usual one */
 	uint32_t remote_zones; /* without servers on purpose; a bit a zone */
 };
 
@@ -84,6 +112,9 @@
 	uint32_t service_count;
 	struct doc_caller *callers;
 	uint32_t caller_count;
+	struct doc_route *routes;
+	uint32_t route_count;
+	uint32_t idle_timeout_ms; /* of callers' connections; 0: the usual */
 };
 
 /*
@@ -136,6 +167,14 @@
 uint32_t doc_route(const struct doc_document *document, const char *path,
 		   size_t path_bytes);
 
+/*
+ * doc_route_at - the route with the longest prefix of PATH among those of
+ * HOST, or NULL.
+ */
+const struct doc_route *doc_route_at(const struct doc_document *document,
+				     const char *host, size_t host_bytes,
+				     const char *path, size_t path_bytes);
+
 /* doc_rule - the first rule that matches, or NULL. */
 const struct doc_rule *doc_rule(const struct doc_service *service,
 				const char *method, size_t method_bytes,
--- a/gateway.c
+++ b/gateway.c
@@ -7,7 +7,7 @@
 #include "mechanism.h"
 
 enum {
-	GW_SWEEP_US = 20 * 1000,
+	GW_SWEEP_US = 100 * 1000,
 	/* To take what is left of an answer or an error at the deadline. */
 	GW_TAKE_US = 500 * 1000,
 	GW_HEAD_BYTES = 512
@@ -167,6 +167,8 @@
 
 static void gw_call_free(struct gw_call *call)
 {
+	for (uint32_t i = 0; i < CORE_MAX_ATTEMPTS; i++)
+		gw_drop_held(&call->attempts[i]);
 	g_string_free(call->head, TRUE);
 	if (call->body)
 		g_string_free(call->body, TRUE);
@@ -226,21 +228,48 @@
 	gw_post(ctx, &event);
 }
 
+static void gw_save_header(struct gw_call *call, const char *name,
+			   const char *value, size_t value_bytes)
+{
+	if (name)
+		hc_head_add(call->head, name, strlen(name), value, value_bytes);
+}
+
 static void gw_save_headers(struct gw_call *call, h2o_req_t *req)
 {
+	const struct dl_dialect *dialect = call->gateway->dialect;
 	const char *zone = call->gateway->settings->zone;
 
 	for (size_t i = 0; i < req->headers.size; i++) {
 		h2o_header_t *h = &req->headers.entries[i];
 
-		if (!gw_is_hop_header(h->name->base, h->name->len))
+		if (!gw_is_hop_header(dialect, h->name->base, h->name->len))
 			hc_head_add(call->head, h->name->base, h->name->len,
 				    h->value.base, h->value.len);
 	}
-	hc_head_add(call->head, "x-request-id", strlen("x-request-id"),
-		    call->request_id, strlen(call->request_id));
-	hc_head_add(call->head, "x-entry-zone", strlen("x-entry-zone"), zone,
-		    strlen(zone));
+	gw_save_header(call, dialect->entry_id, call->request_id,
+		       strlen(call->request_id));
+	gw_save_header(call, dialect->entry_zone, zone, strlen(zone));
+	if (dialect->keep_host)
+		gw_save_header(call, "host", req->authority.base,
+			       req->authority.len);
+}
+
+/* The caller's id for the call if there is one, or an id of this host. */
+static void gw_name_call(struct gw_call *call, h2o_req_t *req)
+{
+	const struct gw_gateway *gateway = call->gateway;
+	h2o_iovec_t given = { 0 };
+
+	if (gateway->dialect->call_id)
+		given = hd_header(req, gateway->dialect->call_id);
+	if (given.len && given.len < sizeof(call->request_id)) {
+		memcpy(call->request_id, given.base, given.len);
+		call->call_id = call->request_id;
+		return;
+	}
+	memcpy(call->request_id, gateway->id_prefix, gateway->id_prefix_bytes);
+	gw_decimal(call->id, call->request_id + gateway->id_prefix_bytes);
 }
 
 static struct gw_call *gw_call_new(struct gw_gateway *gateway, h2o_req_t *req)
@@ -252,8 +281,9 @@
 	call->id = ++gateway->last_call;
 	call->req = req;
 	call->refs = 2;
-	memcpy(call->request_id, gateway->id_prefix, gateway->id_prefix_bytes);
-	gw_decimal(call->id, call->request_id + gateway->id_prefix_bytes);
+	call->begin_us = tm_now_us();
+	call->lane = CORE_NO_CALLER;
+	gw_name_call(call, req);
 	call->head_method = hd_method_is(req, "HEAD");
 	call->head = g_string_sized_new(GW_HEAD_BYTES);
 	hc_head_line(call->head, req->method.base, req->method.len,
@@ -273,10 +303,10 @@
 	return call;
 }
 
-static uint32_t gw_timeout_ms(h2o_req_t *req, const struct doc_service *service,
-			      uint32_t fallback_ms)
+static uint32_t gw_timeout_ms(const struct dl_dialect *dialect, h2o_req_t *req,
+			      uint32_t longest_ms, uint32_t fallback_ms)
 {
-	h2o_iovec_t asked = hd_header(req, "x-timeout-ms");
+	h2o_iovec_t asked = hd_header(req, dialect->time_left_ms);
 	size_t value;
 
 	if (!asked.base)
@@ -284,7 +314,7 @@
 	value = h2o_strtosize(asked.base, asked.len);
 	if (value == SIZE_MAX || !value)
 		return fallback_ms;
-	return (uint32_t)MIN(value, service->longest_deadline_ms);
+	return (uint32_t)MIN(value, longest_ms);
 }
 
 static bool gw_is_safe(const h2o_req_t *req)
@@ -296,14 +326,15 @@
 static void gw_place(struct gw_call *call)
 {
 	struct gw_gateway *gateway = call->gateway;
-	h2o_iovec_t caller = hd_header(call->req, "x-caller");
 	struct core_event event = { .kind = CORE_EV_CALL };
 
 	event.u.call.call = call->id;
 	event.u.call.service = call->service;
-	event.u.call.caller = doc_caller(
-		gateway->document, caller.base ? caller.base : "", caller.len);
+	event.u.call.caller = call->lane;
 	event.u.call.deadline_us = call->deadline_us;
+	event.u.call.target_us = call->target_us;
+	event.u.call.max_attempts = call->max_attempts;
+	event.u.call.bulky = call->bulky;
 	event.u.call.idempotent = call->idempotent || !me_on(ME_SEND_ONCE);
 	g_hash_table_insert(gateway->calls, &call->id, call);
 	gw_post(gateway, &event);
@@ -394,33 +425,64 @@
 			 req->path.base, req->path.len);
 	uint32_t timeout_ms = rule ? rule->deadline_ms : service->deadline_ms;
 	h2o_iovec_t key = hd_header(req, "idempotency-key");
+	h2o_iovec_t caller = hd_header(req, "x-caller");
 
-	timeout_ms = gw_timeout_ms(req, service, timeout_ms);
+	timeout_ms = gw_timeout_ms(gateway->dialect, req,
+				   service->longest_deadline_ms, timeout_ms);
 	call->deadline_us = tm_now_us() + (uint64_t)timeout_ms * GW_US_PER_MS;
+	call->lane = doc_caller(gateway->document,
+				caller.base ? caller.base : "", caller.len);
 	call->service = gateway->service_map[index];
 	call->idempotent = rule ? rule->idempotent : gw_is_safe(req);
-	if (key.base && !call->idempotent && me_on(ME_ORDER_CLAIM))
+	if (key.base && !call->idempotent && gateway->orders &&
+	    me_on(ME_ORDER_CLAIM))
 		gw_claim(call, service->name, key);
 	else
 		gw_place(call);
 }
 
-static void gw_refuse(h2o_req_t *req, enum st_kind kind, const char *msg)
+/* A call on a route that the document names. */
+static void gw_admit_route(struct gw_call *call, const struct doc_route *route)
+{
+	struct gw_gateway *gateway = call->gateway;
+	uint32_t part = gw_next_part(gateway, route);
+	uint32_t timeout_ms =
+		gw_timeout_ms(gateway->dialect, call->req, route->timeout_ms,
+			      route->timeout_ms);
+
+	call->deadline_us =
+		call->begin_us + (uint64_t)timeout_ms * GW_US_PER_MS;
+	if (route->target_ms)
+		call->target_us = call->begin_us +
+				  (uint64_t)route->target_ms * GW_US_PER_MS;
+	call->service = gateway->service_map[route->parts[part].service];
+	call->idempotent = route->idempotent;
+	call->bulky = route->bulky;
+	call->max_attempts = route->max_attempts;
+	call->lane = route->priority;
+	gw_place(call);
+}
+
+static void gw_refuse(struct gw_gateway *gateway, h2o_req_t *req,
+		      enum st_kind kind, const char *msg)
 {
 	struct st_status status;
 
 	ct_add(CT_REFUSED, 1);
 	st_set(&status, kind, "%s", msg);
-	hd_add_header(req, "x-request-outcome", "not-run", strlen("not-run"));
+	if (gateway->dialect->outcome)
+		hd_add_header(req, gateway->dialect->outcome, "not-run",
+			      strlen("not-run"));
+	gw_add_retry_after(gateway->dialect, req, kind);
 	hd_reply_status(req, &status);
 }
 
 static void gw_on_health(struct gw_gateway *gateway, h2o_req_t *req)
 {
 	if (gateway->stopping)
-		gw_refuse(req, ST_STOPPING, "stopping");
+		gw_refuse(gateway, req, ST_STOPPING, "stopping");
 	else if (!gateway->document)
-		gw_refuse(req, ST_NOT_READY, "no document in force");
+		gw_refuse(gateway, req, ST_NOT_READY, "no document in force");
 	else
 		hd_reply(req, 200, "text/plain", "ok\n", 3);
 }
@@ -428,20 +490,32 @@
 static void gw_on_request(void *ctx, h2o_req_t *req)
 {
 	struct gw_gateway *gateway = ctx;
+	const struct doc_document *document = gateway->document;
+	const struct doc_route *route;
 	uint32_t index;
 
-	if (hd_path_is(req, "/health")) {
+	/* With a listener of its own the path belongs to the callers. */
+	if (!gateway->settings->has_health && hd_path_is(req, "/health")) {
 		gw_on_health(gateway, req);
 		return;
 	}
 	ct_add(CT_CALLS, 1);
-	if (!gateway->document) {
-		gw_refuse(req, ST_NOT_READY, "no document in force");
+	if (!document) {
+		gw_refuse(gateway, req, ST_NOT_READY, "no document in force");
 		return;
 	}
-	index = doc_route(gateway->document, req->path.base, req->path.len);
+	route = doc_route_at(document, req->authority.base, req->authority.len,
+			     req->path.base, req->path.len);
+	if (route) {
+		gw_admit_route(gw_call_new(gateway, req), route);
+		return;
+	}
+	index = document->route_count ?
+			DOC_NO_INDEX :
+			doc_route(document, req->path.base, req->path.len);
 	if (index == DOC_NO_INDEX) {
-		gw_refuse(req, ST_NOT_FOUND, "no service has this route");
+		gw_refuse(gateway, req, ST_NOT_FOUND,
+			  "no service has this route");
 		return;
 	}
 	gw_admit(gw_call_new(gateway, req), index);
@@ -494,6 +568,7 @@
 	gateway->server_ids =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	gateway->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	gateway->turns = gw_turns_new();
 	gateway->events = g_array_new(FALSE, FALSE, sizeof(struct core_event));
 	gateway->random =
 		gateway->settings->random_seed ?
@@ -505,6 +580,7 @@
 enum st_kind gw_init(struct gw_gateway *gateway, struct kn_kernel *kernel,
 		     struct tm_service *timers,
 		     const struct se_settings *settings,
+		     const struct dl_dialect *dialect,
 		     struct st_status *status)
 {
 	struct core_driver driver = { gw_act, gw_random, gateway };
@@ -514,6 +590,7 @@
 	gateway->kernel = kernel;
 	gateway->timers = timers;
 	gateway->settings = settings;
+	gateway->dialect = dialect;
 	gateway->incarnation = (uint64_t)g_get_real_time();
 	gateway->host_count = MAX(settings->seed_count, 1);
 	gateway->id_prefix_bytes = (size_t)g_snprintf(
@@ -526,7 +603,7 @@
 		    settings->trace_max_bytes, settings->host, status) != ST_OK)
 		return status->kind;
 	core_init(&gateway->core, &driver);
-	pb_init(&gateway->prober, timers, gw_post_probe, gateway);
+	pb_init(&gateway->prober, timers, dialect, gw_post_probe, gateway);
 	gateway->core_timer.fire = gw_on_core_timer;
 	gateway->core_timer.ctx = gateway;
 	gateway->sweep.fire = gw_on_sweep;
@@ -559,9 +636,15 @@
 	}
 }
 
+bool gw_ready(const struct gw_gateway *gateway)
+{
+	return gateway->document && !gateway->stopping;
+}
+
 bool gw_idle(const struct gw_gateway *gateway)
 {
-	return !gateway->in_flight && od_idle(gateway->orders);
+	return !gateway->in_flight &&
+	       (!gateway->orders || od_idle(gateway->orders));
 }
 
 void gw_close(struct gw_gateway *gateway)
@@ -590,6 +673,7 @@
 	g_array_free(gateway->hosts, TRUE);
 	g_hash_table_destroy(gateway->server_ids);
 	g_hash_table_destroy(gateway->calls);
+	g_hash_table_destroy(gateway->turns);
 	g_array_free(gateway->events, TRUE);
 	g_rand_free(gateway->random);
 	g_free(gateway->service_map);
--- a/gateway.h
+++ b/gateway.h
@@ -25,6 +25,7 @@
 	struct kn_kernel *kernel;
 	struct tm_service *timers;
 	const struct se_settings *settings;
+	const struct dl_dialect *dialect;
 	struct kn_task task;
 	struct hd_server http;
 	struct core core;
@@ -36,9 +37,11 @@
 	GArray *hosts; /* struct gw_host, the live entry hosts */
 	uint32_t *service_map; /* index in the document to core id */
 	GHashTable *calls; /* by id */
+	GHashTable *turns; /* struct gw_turns by name of the route */
 	uint64_t last_call;
 	uint64_t incarnation;
-	struct od_orders *orders; /* set after gw_init, before calls arrive */
+	/* Set after gw_init, before calls arrive; NULL: no claims by key. */
+	struct od_orders *orders;
 	char id_prefix[GW_ID_PREFIX_BYTES]; /* of request ids */
 	size_t id_prefix_bytes;
 	GArray *events; /* queued for the core */
@@ -56,6 +59,7 @@
 enum st_kind gw_init(struct gw_gateway *gateway, struct kn_kernel *kernel,
 		     struct tm_service *timers,
 		     const struct se_settings *settings,
+		     const struct dl_dialect *dialect,
 		     struct st_status *status);
 void gw_free(struct gw_gateway *gateway);
 
@@ -63,6 +67,8 @@
 void gw_announce_stop(struct gw_gateway *gateway);
 /* gw_stop_listening - take no new connections. */
 void gw_stop_listening(struct gw_gateway *gateway);
+/* gw_ready - serves calls and is not about to stop. */
+bool gw_ready(const struct gw_gateway *gateway);
 /* gw_idle - no call is in flight. */
 bool gw_idle(const struct gw_gateway *gateway);
 /* gw_close - end what is left; the loop must run before gw_free. */
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -4,15 +4,42 @@
 
 #include "attempt.h"
 
-enum { GW_BUFFER_LOW_BYTES = 64 * 1024 };
+enum {
+	GW_BUFFER_LOW_BYTES = 64 * 1024,
+	/* Long enough for a busy server to end what it has. */
+	GW_RETRY_AFTER_MS = 150
+};
 
 void gw_add_outcome(struct gw_call *call, enum st_kind kind)
 {
 	const char *outcome = at_outcome(kind);
+	const struct dl_dialect *dialect = call->gateway->dialect;
+
+	if (dialect->entry_id)
+		hd_add_header(call->req, dialect->entry_id, call->request_id,
+			      strlen(call->request_id));
+	if (dialect->outcome)
+		hd_add_header(call->req, dialect->outcome, outcome,
+			      strlen(outcome));
+}
+
+/* Tells the caller when to come back, if the request was not run. */
+void gw_add_retry_after(const struct dl_dialect *dialect, h2o_req_t *req,
+			enum st_kind kind)
+{
+	char text[GW_DIGITS];
+	int bytes;
 
-	hd_add_header(call->req, "x-request-id", call->request_id,
-		      strlen(call->request_id));
-	hd_add_header(call->req, "x-request-outcome", outcome, strlen(outcome));
+	if (st_http(kind) != 503 || !st_not_run(kind))
+		return;
+	if (dialect->retry_after_fractions)
+		bytes = g_snprintf(text, sizeof(text), "%d.%03d",
+				   GW_RETRY_AFTER_MS / 1000,
+				   GW_RETRY_AFTER_MS % 1000);
+	else
+		bytes = g_snprintf(text, sizeof(text), "%d",
+				   (GW_RETRY_AFTER_MS + 999) / 1000);
+	hd_add_header(req, "retry-after", text, (size_t)bytes);
 }
 
 /* MSG may be NULL. */
@@ -25,6 +52,7 @@
 					 "the request may have run";
 	st_set(&status, kind, "request %s: %s", call->request_id, msg);
 	gw_add_outcome(call, kind);
+	gw_add_retry_after(call->gateway->dialect, call->req, kind);
 	call->final_sent = true;
 	hd_reply_status(call->req, &status);
 }
@@ -49,8 +77,15 @@
 	X("host")              \
 	X("expect")
 
+static bool gw_is_name(const char *header, const char *name, size_t bytes)
+{
+	return header && strlen(header) == bytes &&
+	       !g_ascii_strncasecmp(header, name, bytes);
+}
+
 /* Headers that concern one connection or that this program sets itself. */
-bool gw_is_hop_header(const char *name, size_t bytes)
+bool gw_is_hop_header(const struct dl_dialect *dialect, const char *name,
+		      size_t bytes)
 {
 	static const struct {
 		const char *name;
@@ -65,7 +100,8 @@
 		if (rows[i].bytes == bytes &&
 		    !g_ascii_strncasecmp(rows[i].name, name, bytes))
 			return true;
-	return false;
+	return gw_is_name(dialect->time_left_ms, name, bytes) ||
+	       gw_is_name(dialect->expect_server, name, bytes);
 }
 
 /* To an HTTP/1.0 caller an orderly close is the end of the answer. */
@@ -138,7 +174,8 @@
 		h2o_iovec_t name;
 		h2o_iovec_t value;
 
-		if (gw_is_hop_header(h->name, h->name_bytes) ||
+		if (gw_is_hop_header(call->gateway->dialect, h->name,
+				     h->name_bytes) ||
 		    gw_is_own_header(h))
 			continue;
 		name = h2o_strdup(pool, h->name, h->name_bytes);
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_STATE_H
 #define GATEWAY_STATE_H
 
+#include "dialect.h"
 #include "gateway.h"
 #include "httpc.h"
 
@@ -16,9 +17,26 @@
 	char name[DOC_NAME_BYTES];
 	uint32_t id;
 	uint32_t zone;
+	char probe_path[DOC_ROUTE_BYTES];
 	struct hc_pool pool;
 };
 
+/* Turns of the parts of a route: each gets its weight of the calls. */
+struct gw_turns {
+	char name[DOC_NAME_BYTES]; /* first: key of the table */
+	uint32_t part_count;
+	uint64_t weights_hash;
+	int64_t *credit;
+};
+
+/* An answer that is kept back until it is whole. */
+struct gw_held {
+	struct hc_head head;
+	struct hc_header *headers;
+	GString *text; /* of the headers */
+	GString *body;
+};
+
 /* A live entry host. */
 struct gw_host {
 	uint64_t hash;
@@ -32,6 +50,7 @@
 	uint32_t index;
 	uint32_t server;
 	int status;
+	struct gw_held *held; /* NULL: passed on as it arrives */
 	bool refused;
 	bool ended;
 };
@@ -49,8 +68,14 @@
 	bool head_method;
 	GString *head; /* of the request, without what differs per attempt */
 	GString *body;
+	const char *call_id; /* of the caller; NULL: none */
 	uint64_t deadline_us;
+	uint64_t begin_us;
+	uint64_t target_us; /* 0: none */
 	uint32_t service; /* core id */
+	uint32_t lane; /* caller in the core, or CORE_NO_CALLER */
+	uint32_t max_attempts; /* 0: no limit of its own */
+	bool bulky;
 	bool idempotent;
 	bool may_have_run; /* one of the ended attempts */
 	struct od_claim *claim; /* of an order that was claimed */
@@ -80,19 +105,25 @@
  * gw_reply_error - answer with an error kind; MSG may be NULL.
  * gw_start_answer - pass the head of a server's answer on.
  * gw_flush - give the listener what is there, and the end when it is known.
+ * gw_add_retry_after - Retry-After on an answer of KIND, if it promises that
+ * the request was not run.
  * gw_is_hop_header - headers of one connection, or set by this program.
  */
 void gw_add_outcome(struct gw_call *call, enum st_kind kind);
 void gw_reply_error(struct gw_call *call, enum st_kind kind, const char *msg);
 void gw_start_answer(struct gw_call *call, const struct hc_head *head);
 void gw_flush(struct gw_call *call);
-bool gw_is_hop_header(const char *name, size_t bytes);
+bool gw_is_hop_header(const struct dl_dialect *dialect, const char *name,
+		      size_t bytes);
+void gw_add_retry_after(const struct dl_dialect *dialect, h2o_req_t *req,
+			enum st_kind kind);
 
 /*
  * gateway_attempt.c: carry out actions of the core.
  *
  * gw_decimal - write VALUE without a terminator; returns the digits.
  */
+void gw_drop_held(struct gw_attempt *attempt);
 void gw_send(struct gw_gateway *gateway, const struct core_action *action);
 void gw_cancel(struct gw_gateway *gateway, const struct core_action *action);
 void gw_probe(struct gw_gateway *gateway, const struct core_action *action);
@@ -102,10 +133,14 @@
  * gateway_conf.c
  *
  * gw_configure_core - give the core the document and the host list.
+ * gw_turns_new - the table of turns.
+ * gw_next_part - whose turn it is among the parts of a route.
  * gw_take_hosts - a new list of live entry hosts.
  * gw_take_server_state - a sign about a server from the platform or a peer.
  */
 void gw_configure_core(struct gw_gateway *gateway);
+GHashTable *gw_turns_new(void);
+uint32_t gw_next_part(struct gw_gateway *gateway, const struct doc_route *route);
 void gw_take_hosts(struct gw_gateway *gateway, const struct pr_hosts *hosts);
 void gw_take_server_state(struct gw_gateway *gateway,
 			  const struct kn_msg_server_state *state);
--- a/httpc.c
+++ b/httpc.c
@@ -38,6 +38,7 @@
 	bool connected;
 	bool writing;
 	bool complete;
+	bool skipping; /* the answer being read belongs to another request */
 	bool closing;
 	bool reading;
 	uint64_t idle_since_us;
@@ -227,11 +228,18 @@
 		return -1;
 	if (parser->status_code < 200)
 		return 0;
-	if (!hc_has_length(parser, request->head_method))
+	if (!hc_has_length(parser, request->head_method) &&
+	    !request->may_end_with_close)
 		return -1;
 	hc_fill_head(conn, headers, &head);
 	if (!hc_coding_known(&head))
 		return -1;
+	if (request->handler->accept &&
+	    !request->handler->accept(request, &head)) {
+		ct_add(CT_LATE, 1);
+		conn->skipping = true;
+		return request->head_method;
+	}
 	request->state = HC_ANSWER_BEGUN;
 	if (request->handler->head)
 		request->handler->head(request, &head);
@@ -247,6 +255,8 @@
 
 	if (!request)
 		return -1;
+	if (conn->skipping)
+		return 0;
 	if (request->handler->body)
 		request->handler->body(request, at, len);
 	return conn->request ? 0 : -1;
@@ -258,6 +268,10 @@
 
 	if (parser->status_code < 200)
 		return 0;
+	if (conn->skipping) {
+		conn->skipping = false;
+		return 0;
+	}
 	conn->complete = true;
 	http_parser_pause(parser, 1);
 	return 0;
@@ -409,7 +423,11 @@
 		hc_conn_close(conn);
 		return;
 	}
-	if (nread < 0)
+	if (nread == UV_EOF && conn->request->state == HC_ANSWER_BEGUN)
+		http_parser_execute(&conn->parser, &hc_settings, NULL, 0);
+	if (conn->complete)
+		hc_conn_complete(conn, true);
+	else if (nread < 0)
 		hc_conn_fail(conn, uv_strerror((int)nread));
 	else
 		hc_conn_parse(conn, buf->base, (size_t)nread);
@@ -466,6 +484,7 @@
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	conn->complete = false;
+	conn->skipping = false;
 	conn->write.data = conn;
 	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
 		     hc_conn_written))
@@ -773,3 +792,9 @@
 	}
 	return NULL;
 }
+
+bool hc_value_is(const struct hc_header *header, const char *value)
+{
+	return header->value_bytes == strlen(value) &&
+	       !memcmp(header->value, value, header->value_bytes);
+}
--- a/httpc.h
+++ b/httpc.h
@@ -17,7 +17,8 @@
  * A pool holds the connections to one address. A request knows whether its
  * first byte was written, which decides whether it may have run. Answers
  * without a length (neither content-length nor chunked) are treated as
- * broken, because their end cannot be told from a break.
+ * broken, because their end cannot be told from a break, unless the request
+ * allows them; then an orderly close ends them and a reset breaks them.
  */
 
 enum {
@@ -56,6 +57,11 @@
 /* Callbacks of a request; all but DONE may be NULL. */
 struct hc_handler {
 	void (*sent)(struct hc_request *request);
+	/*
+	 * Whether an answer belongs to this request. One that does not is
+	 * skipped; the next one on the connection is awaited.
+	 */
+	bool (*accept)(struct hc_request *request, const struct hc_head *head);
 	void (*head)(struct hc_request *request, const struct hc_head *head);
 	void (*body)(struct hc_request *request, const char *data,
 		     size_t data_bytes);
@@ -72,6 +78,7 @@
 	void *ctx;
 	bool head_method; /* the answer has no body */
 	bool fresh; /* do not reuse an idle connection */
+	bool may_end_with_close; /* an answer without a length is whole */
 	uint64_t max_idle_us; /* of a reused connection; 0: the pool's limit */
 	uint64_t not_after_us; /* do not begin to write later; 0: no limit */
 	/* Below: the client's own. */
@@ -148,6 +155,9 @@
 		 const char *value, size_t value_bytes);
 void hc_head_end(GString *out, const char *body, size_t body_bytes);
 
+/* hc_value_is - whether a header has that value. */
+bool hc_value_is(const struct hc_header *header, const char *value);
+
 /* hc_find - value of a header of an answer, or NULL. */
 const struct hc_header *hc_find(const struct hc_head *head, const char *name);
 
--- a/httpd.c
+++ b/httpd.c
@@ -223,6 +223,11 @@
 	return ST_OK;
 }
 
+void hd_set_idle_timeout(struct hd_server *server, uint64_t timeout_ms)
+{
+	server->context.http1.req_timeout.timeout = timeout_ms;
+}
+
 void hd_announce_stop(struct hd_server *server)
 {
 	h2o_context_request_shutdown(&server->context);
--- a/httpd.h
+++ b/httpd.h
@@ -42,6 +42,12 @@
 		     void (*handle)(void *ctx, h2o_req_t *req), void *ctx,
 		     struct st_status *status);
 
+/*
+ * hd_set_idle_timeout - close connections on which no whole request arrives for
+ * that long.
+ */
+void hd_set_idle_timeout(struct hd_server *server, uint64_t timeout_ms);
+
 /* hd_stop_listening - take no new connections; answers close theirs. */
 void hd_stop_listening(struct hd_server *server);
 /* hd_announce_stop - answers close their connections from now on. */
--- a/lease.h
+++ b/lease.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 #include <jansson.h>
 
-#include "platform.h"
+#include "platform/store.h"
 #include "status.h"
 #include "timer.h"
 
--- a/order.h
+++ b/order.h
@@ -8,7 +8,7 @@
 #include <jansson.h>
 
 #include "lease.h"
-#include "platform.h"
+#include "platform/store.h"
 #include "settings.h"
 #include "status.h"
 #include "timer.h"
@@ -30,7 +30,8 @@
 	OD_TYPE_BYTES = 128,
 	/* Wall clocks of hosts may differ by so much without early expiry. */
 	OD_SKEW_MS = 1000,
-	OD_SWEEP_ROWS = 500,
+	/* An order has two rows, and the lease is written with them. */
+	OD_SWEEP_ROWS = 48,
 	/*
 	 * Of the client that orders have to themselves: a lost answer leaves
 	 * time to read the claim back before the usual deadline of a second.
--- a/peer.c
+++ b/peer.c
@@ -6,7 +6,11 @@
 #include "log.h"
 #include "mechanism.h"
 
+/* Entry hosts and servers as the platform lists them. */
+#define PR_HOSTS_TABLE "hosts"
+
 enum {
+	PR_MAX_LISTED = 65536,
 	/* Time that control has to get a body from the platform. */
 	PR_FETCH_WAIT_US = 100 * 1000,
 	PR_FETCH_RETRY_US = 500 * 1000,
@@ -264,7 +268,9 @@
 		return;
 	pr_gossip_platform_begin(&peer->gossip);
 	for (size_t i = 0; i < json_array_size(result->json); i++)
-		pr_take_list_entry(peer, json_array_get(result->json, i));
+		pr_take_list_entry(
+			peer, json_object_get(json_array_get(result->json, i),
+					      "value"));
 	pr_publish(peer);
 }
 
@@ -273,7 +279,8 @@
 	struct pr_peer *peer = ctx;
 	struct pf_callback callback = { pr_on_list, peer };
 
-	pf_hosts(peer->platform, &callback);
+	pf_list(peer->platform, PR_HOSTS_TABLE, "", PR_MAX_LISTED, false,
+		&callback);
 }
 
 /* Task */
--- a/peer_task.h
+++ b/peer_task.h
@@ -9,7 +9,7 @@
 #include "peer.h"
 #include "peer_fetch.h"
 #include "peer_gossip.h"
-#include "platform.h"
+#include "platform/store.h"
 #include "settings.h"
 #include "timer.h"
 
--- a/probe.c
+++ b/probe.c
@@ -4,7 +4,7 @@
 
 #include "counter.h"
 
-enum { PB_TIMEOUT_US = 1000 * 1000 };
+enum { PB_TIMEOUT_US = 400 * 1000 };
 
 struct pb_probe {
 	struct hc_request request; /* first: callbacks cast back */
@@ -20,26 +20,6 @@
 	struct core_event report;
 };
 
-static uint32_t pb_field(const char *text, const char *key)
-{
-	const char *at = strstr(text, key);
-	uint64_t value = 0;
-
-	if (at)
-		value = g_ascii_strtoull(at + strlen(key), NULL, 10);
-	return value > UINT32_MAX ? UINT32_MAX : (uint32_t)value;
-}
-
-void pb_take_load(const struct hc_header *load, struct core_event *report)
-{
-	char *text = g_strndup(load->value, load->value_bytes);
-
-	report->u.report.in_flight = pb_field(text, "in_flight=");
-	report->u.report.queued = pb_field(text, "queued=");
-	report->u.report.slots = pb_field(text, "slots=");
-	g_free(text);
-}
-
 static void pb_count(struct pb_probe *probe, size_t bytes)
 {
 	probe->bytes += (uint32_t)bytes;
@@ -87,13 +67,17 @@
 static void pb_on_head(struct hc_request *request, const struct hc_head *head)
 {
 	struct pb_probe *probe = (struct pb_probe *)request;
-	const struct hc_header *load = hc_find(head, "x-load");
+	const struct dl_dialect *dialect = probe->prober->dialect;
+	const struct hc_header *load = dl_find(head, dialect->report);
+	const struct hc_header *id = dl_find(head, dialect->server_id);
 
 	pb_count(probe, pb_head_bytes(head));
 	probe->ok = head->status == 200 && load;
-	probe->draining = hc_find(head, "x-draining") != NULL;
+	probe->draining = dl_find(head, dialect->draining) != NULL;
+	if (id && !hc_value_is(id, probe->target.name))
+		probe->ok = false;
 	if (load)
-		pb_take_load(load, &probe->report);
+		dialect->take_report(load, &probe->report);
 }
 
 static void pb_on_body(struct hc_request *request, const char *data,
@@ -131,10 +115,12 @@
 }
 
 void pb_init(struct pb_prober *prober, struct tm_service *timers,
+	     const struct dl_dialect *dialect,
 	     void (*post)(void *ctx, struct core_event *event), void *ctx)
 {
 	memset(prober, 0, sizeof(*prober));
 	prober->timers = timers;
+	prober->dialect = dialect;
 	prober->post = post;
 	prober->ctx = ctx;
 }
@@ -155,9 +141,10 @@
 void pb_send(struct pb_prober *prober, const struct pb_target *target)
 {
 	struct pb_probe *probe = g_new0(struct pb_probe, 1);
-	GString *out =
-		hc_head_begin("GET", strlen("GET"), "/load", strlen("/load"),
-			      target->pool->address.text);
+	const char *path =
+		*target->path ? target->path : prober->dialect->probe_path;
+	GString *out = hc_head_begin("GET", strlen("GET"), path, strlen(path),
+				     target->pool->address.text);
 
 	hc_head_end(out, NULL, 0);
 	probe->prober = prober;
--- a/probe.h
+++ b/probe.h
@@ -5,16 +5,18 @@
 #include <stdint.h>
 
 #include "core.h"
+#include "dialect.h"
 #include "httpc.h"
 #include "timer.h"
 
 /*
- * Probes on the wire: GET /load at a server, carried out for the core's PROBE
+ * Probes on the wire: GET of a path at a server, carried out for the core's PROBE
  * action. The answer comes back as events for the core: always one REPORT, and
  * a SERVER event that tells whether the server says it is draining.
  */
 struct pb_prober {
 	struct tm_service *timers;
+	const struct dl_dialect *dialect;
 	void (*post)(void *ctx, struct core_event *event);
 	void *ctx;
 	struct pb_probe *running;
@@ -23,6 +25,8 @@
 /* The server to ask. */
 struct pb_target {
 	uint32_t server; /* id in the core */
+	const char *name; /* what the server must call itself */
+	const char *path; /* empty: the usual one of the dialect */
 	bool cross_zone;
 	struct hc_pool *pool;
 };
@@ -32,6 +36,7 @@
  * the core. pb_free cancels running probes. Source: probe.c
  */
 void pb_init(struct pb_prober *prober, struct tm_service *timers,
+	     const struct dl_dialect *dialect,
 	     void (*post)(void *ctx, struct core_event *event), void *ctx);
 void pb_free(struct pb_prober *prober);
 
@@ -41,7 +46,4 @@
  */
 void pb_send(struct pb_prober *prober, const struct pb_target *target);
 
-/* pb_take_load - value of an x-load header into a report. */
-void pb_take_load(const struct hc_header *load, struct core_event *report);
-
 #endif
--- a/settings.c
+++ b/settings.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+enum { SE_RETRY_PERCENT = 15, SE_PROBES = 50, SE_MAX_PROBES = 10000 };
 enum { SE_MIN_SECRET_CHARS = 16, SE_MAX_GRACE_MS = 60000 };
 /*
  * A shorter retention than an hour would let a host that was paused or has a
@@ -44,21 +45,24 @@
 }
 
 static void se_plaintext(struct ym_node *map, const struct nt_address *address,
-			 struct se_tls *tls, struct ym_errors *errors)
+			 bool trusted, struct se_tls *tls,
+			 struct ym_errors *errors)
 {
 	tls->plaintext = ym_bool(map, "plaintext", false, errors);
-	if (tls->plaintext && address->addr.ss_family &&
+	if (tls->plaintext && address->addr.ss_family && !trusted &&
 	    !nt_is_loopback(address))
 		ym_error(errors, ym_get(map, "plaintext"), "plaintext",
-			 "only a loopback address may go without TLS");
+			 "only a loopback address may go without TLS, unless "
+			 "trusted_network is set");
 }
 
 /* TLS of a listener: certificate and key, or plaintext on loopback. */
 static void se_listener(struct ym_node *map, struct nt_address *address,
-			struct se_tls *tls, struct ym_errors *errors)
+			bool trusted, struct se_tls *tls,
+			struct ym_errors *errors)
 {
 	se_address(map, "address", address, errors);
-	se_plaintext(map, address, tls, errors);
+	se_plaintext(map, address, trusted, tls, errors);
 	if (tls->plaintext)
 		return;
 	se_copy(map, "certificate", tls->certificate, SE_PATH_BYTES, NULL,
@@ -73,19 +77,45 @@
 
 	if (!map)
 		return;
-	se_listener(map, &settings->callers, &settings->callers_tls, errors);
+	se_listener(map, &settings->callers, settings->trusted_network,
+		    &settings->callers_tls, errors);
+	ym_check_unused(map, errors);
+}
+
+/* A plain listener that shows no calls: health checks or metrics. */
+static bool se_plain_listener(struct ym_node *root, const char *key,
+			      struct nt_address *address,
+			      struct ym_errors *errors)
+{
+	struct ym_node *map = ym_optional(root, key, YM_MAPPING, errors);
+
+	if (!map)
+		return false;
+	se_address(map, "address", address, errors);
 	ym_check_unused(map, errors);
+	return true;
+}
+
+/* Hosts that follow the platform need neither operators nor peers. */
+static struct ym_node *se_part(struct ym_node *root, const char *key,
+			       const struct se_settings *settings,
+			       struct ym_errors *errors)
+{
+	if (settings->follow_platform)
+		return ym_optional(root, key, YM_MAPPING, errors);
+	return ym_need(root, key, YM_MAPPING, errors);
 }
 
 static void se_operators(struct ym_node *root, struct se_settings *settings,
 			 struct ym_errors *errors)
 {
-	struct ym_node *map = ym_need(root, "operators", YM_MAPPING, errors);
+	struct ym_node *map = se_part(root, "operators", settings, errors);
 
+	settings->has_operators = map != NULL;
 	if (!map)
 		return;
-	se_listener(map, &settings->operators, &settings->operators_tls,
-		    errors);
+	se_listener(map, &settings->operators, settings->trusted_network,
+		    &settings->operators_tls, errors);
 	se_secret(map, "token", settings->operator_token, errors);
 	ym_check_unused(map, errors);
 }
@@ -116,8 +146,9 @@
 static void se_peers(struct ym_node *root, struct se_settings *settings,
 		     struct ym_errors *errors)
 {
-	struct ym_node *map = ym_need(root, "peers", YM_MAPPING, errors);
+	struct ym_node *map = se_part(root, "peers", settings, errors);
 
+	settings->has_peers = map != NULL;
 	if (!map)
 		return;
 	se_address(map, "address", &settings->peers, errors);
@@ -134,7 +165,14 @@
 	if (!map)
 		return;
 	se_address(map, "address", &settings->platform, errors);
-	se_plaintext(map, &settings->platform, &settings->platform_tls, errors);
+	se_plaintext(map, &settings->platform, settings->trusted_network,
+		     &settings->platform_tls, errors);
+	settings->follow_platform = ym_bool(map, "follow", false, errors);
+	settings->retry_percent = ym_uint(map, "retry_percent", 0, 100,
+					  SE_RETRY_PERCENT, errors);
+	settings->probes_per_server_s =
+		ym_uint(map, "probes_per_server_s", 0, SE_MAX_PROBES,
+			SE_PROBES, errors);
 	if (!settings->platform_tls.plaintext)
 		se_copy(map, "ca", settings->platform_tls.ca, SE_PATH_BYTES,
 			NULL, errors);
@@ -173,10 +211,16 @@
 	settings->order_retention_s =
 		ym_uint(root, "order_retention_s", SE_MIN_RETENTION_S,
 			SE_MAX_RETENTION_S, SE_RETENTION_S, errors);
+	settings->trusted_network =
+		ym_bool(root, "trusted_network", false, errors);
+	se_platform(root, settings, errors);
 	se_callers(root, settings, errors);
+	settings->has_health =
+		se_plain_listener(root, "health", &settings->health, errors);
+	settings->has_metrics =
+		se_plain_listener(root, "metrics", &settings->metrics, errors);
 	se_operators(root, settings, errors);
 	se_peers(root, settings, errors);
-	se_platform(root, settings, errors);
 	se_trace(root, settings, errors);
 	ym_check_unused(root, errors);
 }
--- a/settings.h
+++ b/settings.h
@@ -12,7 +12,10 @@
 
 enum { SE_PATH_BYTES = 256 };
 
-/* TLS of one address. PLAINTEXT is allowed on loopback addresses only. */
+/*
+ * TLS of one address. PLAINTEXT is allowed on loopback addresses, and elsewhere
+ * when the settings call the network trusted.
+ */
 struct se_tls {
 	bool plaintext;
 	char certificate[SE_PATH_BYTES];
@@ -28,6 +31,17 @@
 	uint64_t random_seed; /* 0: taken from the system */
 	struct nt_address callers;
 	struct se_tls callers_tls;
+	bool trusted_network;
+	bool has_health; /* health checks have a listener of their own */
+	struct nt_address health;
+	bool has_metrics;
+	struct nt_address metrics;
+	bool has_operators;
+	bool has_peers;
+	/* Routes and servers come from the platform's store. */
+	bool follow_platform;
+	uint64_t retry_percent; /* of the calls, on routes of the platform */
+	uint64_t probes_per_server_s; /* over all entry hosts */
 	struct nt_address operators;
 	struct se_tls operators_tls;
 	struct nt_address peers;
--- a/status.h
+++ b/status.h
@@ -29,6 +29,7 @@
 	X(DEADLINE_NOT_RUN, "deadline-not-run", 503, 1, true)         \
 	X(PLATFORM, "platform-unavailable", 503, 5, true)             \
 	X(PLATFORM_UNKNOWN, "platform-outcome-unknown", 503, 5, true) \
+	X(HISTORY, "history-lost", 503, 5, true)                      \
 	X(FENCED, "lease-lost", 503, 1, true)                         \
 	X(DEADLINE_UNKNOWN, "deadline-unknown", 504, 1, false)        \
 	X(UNKNOWN, "outcome-unknown", 502, 1, false)                  \
--- a/trace.c
+++ b/trace.c
@@ -19,6 +19,7 @@
 	const char *(*text)(uint32_t value); /* of a TR_NAME */
 	enum tr_type type;
 	uint32_t values;
+	bool optional; /* zero when a trace does not have it */
 };
 
 static const char *tr_source_name(uint32_t value)
@@ -52,16 +53,20 @@
 
 #define TR_EV(name, type, member)                                        \
 	{                                                                \
-		name, offsetof(struct core_event, member), NULL, type, 0 \
+		name, offsetof(struct core_event, member), NULL, type, 0, false \
+	}
+#define TR_EV_OPTIONAL(name, type, member)                                  \
+	{                                                                   \
+		name, offsetof(struct core_event, member), NULL, type, 0, true \
 	}
 #define TR_EV_NAME(name, member, text, values)                            \
 	{                                                                 \
 		name, offsetof(struct core_event, member), text, TR_NAME, \
-			values                                            \
+			values, false \
 	}
 #define TR_LAST                          \
 	{                                \
-		NULL, 0, NULL, TR_U64, 0 \
+		NULL, 0, NULL, TR_U64, 0, false \
 	}
 
 static const struct tr_field tr_call_fields[] = {
@@ -70,6 +75,9 @@
 	TR_EV("caller", TR_U32, u.call.caller),
 	TR_EV("deadline_us", TR_U64, u.call.deadline_us),
 	TR_EV("idempotent", TR_BOOL, u.call.idempotent),
+	TR_EV_OPTIONAL("target_us", TR_U64, u.call.target_us),
+	TR_EV_OPTIONAL("max_attempts", TR_U32, u.call.max_attempts),
+	TR_EV_OPTIONAL("bulky", TR_BOOL, u.call.bulky),
 	TR_LAST,
 };
 
@@ -98,6 +106,7 @@
 	TR_EV("in_flight", TR_U32, u.report.in_flight),
 	TR_EV("queued", TR_U32, u.report.queued),
 	TR_EV("slots", TR_U32, u.report.slots),
+	TR_EV_OPTIONAL("pace_percent", TR_U32, u.report.pace_percent),
 	TR_EV("latency_us", TR_U32, u.report.latency_us),
 	TR_EV("bytes", TR_U32, u.report.bytes),
 	TR_LAST,
@@ -123,7 +132,7 @@
 
 #define TR_FIELD(of, name, type, member)                  \
 	{                                                 \
-		name, offsetof(of, member), NULL, type, 0 \
+		name, offsetof(of, member), NULL, type, 0, false \
 	}
 
 static const struct tr_field tr_action_fields[] = {
@@ -132,7 +141,7 @@
 	TR_FIELD(struct core_action, "service", TR_U32, service),
 	TR_FIELD(struct core_action, "server", TR_U32, server),
 	{ "result", offsetof(struct core_action, result), tr_result_name,
-	  TR_NAME, ST_KIND_COUNT },
+	  TR_NAME, ST_KIND_COUNT, false },
 	TR_FIELD(struct core_action, "at_us", TR_U64, at_us),
 	TR_FIELD(struct core_action, "hedge", TR_BOOL, hedge),
 	TR_FIELD(struct core_action, "report", TR_BOOL, report),
@@ -163,7 +172,7 @@
 static const struct tr_field tr_service_fields[] = {
 	TR_FIELD(struct core_service_conf, "id", TR_U32, id),
 	{ "policy", offsetof(struct core_service_conf, policy), tr_policy_name,
-	  TR_NAME, CORE_POLICY_COUNT },
+	  TR_NAME, CORE_POLICY_COUNT, false },
 	TR_FIELD(struct core_service_conf, "queue_limit", TR_U32, queue_limit),
 	TR_FIELD(struct core_service_conf, "retry_percent", TR_U32,
 		 retry_percent),
@@ -181,6 +190,8 @@
 	TR_FIELD(struct core_server_conf, "zone", TR_U32, zone),
 	TR_FIELD(struct core_server_conf, "slots", TR_U32, slots),
 	TR_FIELD(struct core_server_conf, "connections", TR_U32, connections),
+	{ "cold_ms", offsetof(struct core_server_conf, cold_ms), NULL, TR_U32,
+	  0, true },
 	TR_FIELD(struct core_server_conf, "leaving", TR_BOOL, leaving),
 	TR_FIELD(struct core_server_conf, "hash", TR_HASH, hash),
 	TR_LAST,
@@ -413,6 +424,8 @@
 	json_t *value = json_object_get(object, field->name);
 	void *at = (char *)base + field->offset;
 
+	if (!value && field->optional)
+		return true;
 	if (!value)
 		return tr_fail(status, field->name, "missing");
 	if (field->type == TR_NAME || field->type == TR_HASH)
