Do not take answers that belong to another call

Change: probes skip answers that name a call; at the end of an answer without a length the socket is asked for a pending error.

--- a/httpc.c
+++ b/httpc.c
@@ -405,6 +405,17 @@
 		hc_conn_decrypt(conn);
 }
 
+/* A reset that comes after an orderly close shows as an error only. */
+static bool hc_was_reset(struct hc_conn *conn)
+{
+	uv_os_fd_t fd;
+	int error = 0;
+	socklen_t bytes = sizeof(error);
+
+	return uv_fileno((uv_handle_t *)&conn->tcp, &fd) ||
+	       getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &bytes) || error;
+}
+
 static void hc_conn_read(uv_stream_t *stream, ssize_t nread,
 			 const uv_buf_t *buf)
 {
@@ -423,7 +434,8 @@
 		hc_conn_close(conn);
 		return;
 	}
-	if (nread == UV_EOF && conn->request->state == HC_ANSWER_BEGUN)
+	if (nread == UV_EOF && conn->request->state == HC_ANSWER_BEGUN &&
+	    !hc_was_reset(conn))
 		http_parser_execute(&conn->parser, &hc_settings, NULL, 0);
 	if (conn->complete)
 		hc_conn_complete(conn, true);
--- a/probe.c
+++ b/probe.c
@@ -64,6 +64,14 @@
 	return bytes;
 }
 
+/* An answer to a call arrived late on this connection. */
+static bool pb_accept(struct hc_request *request, const struct hc_head *head)
+{
+	const struct pb_probe *probe = (struct pb_probe *)request;
+
+	return !dl_find(head, probe->prober->dialect->call_id);
+}
+
 static void pb_on_head(struct hc_request *request, const struct hc_head *head)
 {
 	struct pb_probe *probe = (struct pb_probe *)request;
@@ -101,6 +109,7 @@
 }
 
 static const struct hc_handler pb_handler = {
+	.accept = pb_accept,
 	.head = pb_on_head,
 	.body = pb_on_body,
 	.done = pb_on_done,
