Name the platform's headers in lower case

Cause: the listener stores names in lower case, so the caller's id and time left were never found; answers were not checked for their id and every call had the route's whole timeout.

Change: the dialect uses lower case; the wire does not care.

--- a/dialect.h
+++ b/dialect.h
@@ -8,7 +8,8 @@
 
 /*
  * Names of the headers that callers and servers use, and how a load report is
- * written. The product speaks its own dialect unless the settings choose a
+ * written. Names are in lower case, as the listener gives them. The product
+ * speaks its own dialect unless the settings choose a
  * platform's. A header that is NULL is not used.
  */
 struct dl_dialect {
