Refuse early what cannot be served in time, keep servers below the knee

Change: calls of lower priority leave the last slots of a server free, a call that no server ends within its target is held for an eighth of it, asking on, and is refused then with the time to come back unless a server has room. What work takes is learnt per kind of call from undisturbed servers.

--- a/core.c
+++ b/core.c
@@ -253,9 +253,9 @@
 			      const struct core_call *call)
 {
 	const struct core_service *service = core_service(core, call->service);
-	uint64_t usual_us = core_base_latency_us(service, core->zone);
-	uint64_t latest_us = call->target_us - MIN(call->target_us,
-						   usual_us * 5 / 4);
+	uint64_t usual_us = core_work_us(core, service, call);
+	uint64_t latest_us =
+		call->target_us - MIN(call->target_us, usual_us * 5 / 4);
 
 	return MAX(latest_us, core->now_us + usual_us * 5 / 4);
 }
@@ -290,6 +290,7 @@
 	a->open = true;
 	a->server = server;
 	a->begin_us = core->now_us;
+	a->undisturbed = core_is_undisturbed(core, s);
 	a->link.data = a;
 	g_queue_push_tail_link(&s->open, &a->link);
 	s->in_flight++;
@@ -364,6 +365,8 @@
 	call->target_us = event->u.call.target_us;
 	if (!call->target_us)
 		call->target_us = call->deadline_us;
+	call->begin_us = core->now_us;
+	call->kind = event->u.call.caller % CORE_LANES;
 	call->max_attempts = event->u.call.max_attempts;
 	if (!call->max_attempts || call->max_attempts > CORE_MAX_ATTEMPTS)
 		call->max_attempts = CORE_MAX_ATTEMPTS;
@@ -395,8 +398,10 @@
 	    call->attempt_count >= call->max_attempts)
 		return false;
 	if (core_service(core, call->service)->policy != CORE_ASK ||
-	    core->now_us + core_base_latency_us(core_service(core, call->service),
-						core->zone) / 2 >
+	    core->now_us + core_base_latency_us(
+				   core_service(core, call->service),
+				   core->zone) /
+				    2 >
 		    call->deadline_us)
 		return false;
 	return core_service(core, call->service)->retry_credit >= 100;
@@ -443,6 +448,8 @@
 		a->answer_us = core->now_us;
 	core_close_attempt(core, call, attempt);
 	core_learn(core, a, end);
+	if (end == CORE_END_DONE)
+		core_learn_work(core, call, a);
 	/* A hedge that is being prepared becomes a retry. */
 	if (!core_has_open(call))
 		core_ask_end(core, call);
@@ -521,8 +528,7 @@
 		core_learn_silent(core, call);
 		core_finish(core, call,
 			    call->answered ? ST_BROKEN : ST_DEADLINE_NOT_RUN);
-	} else if (call->asking &&
-		   core->now_us >= core_ask_until_us(call)) {
+	} else if (call->asking && core->now_us >= core_ask_until_us(call)) {
 		core_ask_timer(core, call);
 	} else if (call->hedge_us && core->now_us >= call->hedge_us) {
 		core_on_hedge(core, call);
--- a/core_ask.c
+++ b/core_ask.c
@@ -24,6 +24,13 @@
 	CORE_KNEE_COST_PERCENT = 170,
 	CORE_COLD_COST_PERCENT = 200,
 	CORE_ZONE_RTT_US = 8 * CORE_US_PER_MS,
+	/* Until it is known, work takes that part of the target. */
+	CORE_WORK_PERCENT = 40,
+	CORE_WORK_SAMPLES = 16,
+	CORE_WORK_OUTLIER = 3,
+	CORE_HOLD_PART = 8,
+	CORE_ASK_PAUSE_US = 20 * CORE_US_PER_MS,
+	CORE_URGENT_WEIGHT = 64, /* weight of a lane that may fill servers */
 	/* A large answer from another zone costs more than it is worth. */
 	CORE_BULKY_ZONE_US = 300 * CORE_US_PER_MS,
 	CORE_ERROR_COST = 4, /* usual latencies at an error share of one */
@@ -53,17 +60,22 @@
 	int64_t mean = service->mean_pace_percent ?
 			       (int64_t)service->mean_pace_percent :
 			       CORE_PACE_USUAL;
-	int64_t pace = server->pace_percent ? (int64_t)server->pace_percent :
-					      mean;
+	int64_t pace =
+		server->pace_percent ? (int64_t)server->pace_percent : mean;
 
 	return (uint64_t)(mean + (pace - mean) * CORE_PACE_HALF_US /
 					 (int64_t)(CORE_PACE_HALF_US + age_us));
 }
 
-static uint64_t core_usual_us(const struct core *core,
-			      const struct core_service *service)
+uint64_t core_work_us(const struct core *core,
+		      const struct core_service *service,
+		      const struct core_call *call)
 {
-	return core_base_latency_us(service, core->zone);
+	uint32_t known_us = service->work_us[call->kind];
+
+	if (known_us)
+		return known_us;
+	return (call->target_us - call->begin_us) * CORE_WORK_PERCENT / 100;
 }
 
 /* Requests at the server, as far as this host knows. */
@@ -75,12 +87,45 @@
 	return MAX(known, server->in_flight);
 }
 
+/* Whether BUSY requests slow each other down. */
+static bool core_is_crowded(const struct core_server *server, uint64_t busy)
+{
+	return busy * 100 > (uint64_t)server->slots * CORE_KNEE_PERCENT;
+}
+
+bool core_is_undisturbed(const struct core *core,
+			 const struct core_server *server)
+{
+	return server->pace_percent &&
+	       server->pace_percent <= CORE_PACE_QUIET &&
+	       core->now_us >= server->cold_until_us &&
+	       !core_is_crowded(server, core_occupied(server));
+}
+
+void core_learn_work(struct core *core, const struct core_call *call,
+		     const struct core_attempt *attempt)
+{
+	struct core_service *service = core_service(core, call->service);
+	uint32_t *known_us = &service->work_us[call->kind];
+	int64_t took_us = (int64_t)(attempt->answer_us - attempt->begin_us);
+
+	if (!attempt->undisturbed)
+		return;
+	if (!*known_us)
+		*known_us = (uint32_t)core_work_us(core, service, call);
+	took_us = MIN(took_us, (int64_t)*known_us * CORE_WORK_OUTLIER);
+	*known_us =
+		(uint32_t)((int64_t)*known_us +
+			   (took_us - (int64_t)*known_us) / CORE_WORK_SAMPLES);
+}
+
 /* Expected time from sending a call to SERVER to its answer. */
 static uint64_t core_expected_us(const struct core *core,
 				 const struct core_service *service,
-				 const struct core_server *server)
+				 const struct core_server *server,
+				 const struct core_call *call)
 {
-	uint64_t usual_us = core_usual_us(core, service);
+	uint64_t usual_us = core_work_us(core, service, call);
 	uint64_t slots = MAX(server->slots, 1);
 	uint64_t busy = core_occupied(server) + 1;
 	uint64_t work_us =
@@ -89,15 +134,15 @@
 
 	if (core->now_us < server->cold_until_us)
 		work_us = work_us * CORE_COLD_COST_PERCENT / 100;
-	if (busy * 100 > slots * CORE_KNEE_PERCENT)
+	if (core_is_crowded(server, busy))
 		work_us = work_us * CORE_KNEE_COST_PERCENT / 100;
 	cost_us = work_us;
 	if (busy > slots)
 		cost_us += work_us * (busy - slots) / slots;
-	if (server->latency_count >= 4 && server->latency_us > 2 * usual_us)
-		cost_us += server->latency_us - 2 * usual_us;
 	if (core_oldest_us(core, server) > 2 * work_us)
 		cost_us += core_oldest_us(core, server) / 2;
+	if (server->zone != core->zone)
+		cost_us += CORE_ZONE_RTT_US;
 	return cost_us;
 }
 
@@ -107,12 +152,17 @@
 				 const struct core_server *server,
 				 const struct core_call *call)
 {
-	uint64_t cost_us = core_expected_us(core, service, server);
-
-	if (server->zone != core->zone)
-		cost_us += call->bulky ? CORE_BULKY_ZONE_US : CORE_ZONE_RTT_US;
-	return cost_us + core_usual_us(core, service) * CORE_ERROR_COST *
-				 server->error_q8 / CORE_Q8;
+	uint64_t usual_us = core_work_us(core, service, call);
+	uint64_t cost_us = core_expected_us(core, service, server, call);
+	uint64_t slow_us =
+		3 * (uint64_t)core_base_latency_us(service, server->zone);
+
+	if (server->zone != core->zone && call->bulky)
+		cost_us += CORE_BULKY_ZONE_US;
+	if (server->latency_count >= 4 && server->latency_us > slow_us)
+		cost_us += server->latency_us - slow_us;
+	return cost_us +
+	       usual_us * CORE_ERROR_COST * server->error_q8 / CORE_Q8;
 }
 
 /* Keeps the CORE_ASKED cheapest, cheapest first. */
@@ -151,7 +201,8 @@
 				    struct core_candidate *kept)
 {
 	bool guarded = core_guarded(core, service);
-	uint32_t jitter_us = (uint32_t)core_usual_us(core, service) / 4 + 1;
+	uint32_t jitter_us =
+		(uint32_t)core_work_us(core, service, call) / 4 + 1;
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < service->server_count; i++) {
@@ -170,7 +221,8 @@
 
 uint64_t core_ask_until_us(const struct core_call *call)
 {
-	return call->ask_since_us + CORE_ASK_WAIT_US;
+	return call->ask_since_us +
+	       (call->ask_pause ? CORE_ASK_PAUSE_US : CORE_ASK_WAIT_US);
 }
 
 void core_ask_end(struct core *core, struct core_call *call)
@@ -247,16 +299,83 @@
 
 static bool core_ask_round(struct core *core, struct core_call *call);
 
+/*
+ * Slots that a call may fill. Calls of lower priority leave the last ones of
+ * a server free: they make all its work slower.
+ */
+static bool core_ask_has_room(const struct core_server *server,
+			      const struct core_call *call)
+{
+	uint64_t busy = core_occupied(server) + 1;
+
+	if (call->lane->weight < CORE_URGENT_WEIGHT)
+		return !core_is_crowded(server, busy);
+	return busy <= server->slots;
+}
+
+/* Whether the answer is expected within the target. */
+static bool core_ask_in_time(const struct core *core,
+			     const struct core_service *service,
+			     const struct core_server *server,
+			     const struct core_call *call)
+{
+	return core->now_us + core_expected_us(core, service, server, call) <=
+	       call->target_us;
+}
+
+/* A call is kept for an eighth of its target at most, then refused. */
+static uint64_t core_hold_until_us(const struct core_call *call)
+{
+	return call->begin_us +
+	       (call->target_us - call->begin_us) / CORE_HOLD_PART;
+}
+
+/* Asks again after a while; slots become free all the time. */
+static void core_ask_later(struct core *core, struct core_call *call)
+{
+	call->ask_pause = true;
+	call->ask_count = 0;
+	call->ask_rounds = 0;
+	call->ask_since_us = core->now_us;
+	core_call_timer(core, call);
+}
+
+/* No server ends the call in time. */
+static void core_ask_overload(struct core *core, struct core_call *call,
+			      uint32_t best)
+{
+	struct core_service *service = core_service(core, call->service);
+	const struct core_server *server;
+
+	if (core->now_us + CORE_ASK_PAUSE_US <= core_hold_until_us(call) &&
+	    !call->ask_hedge) {
+		core_ask_later(core, call);
+		return;
+	}
+	if (best == CORE_NO_SERVER) {
+		core_ask_refuse(core, call, ST_NO_SERVER);
+		return;
+	}
+	server = core_server(core, best);
+	if (!call->ask_hedge && core_ask_has_room(server, call) &&
+	    core->now_us + core_expected_us(core, service, server, call) / 2 <=
+		    call->deadline_us)
+		core_ask_send(core, call, best);
+	else
+		core_ask_refuse(core, call, ST_QUEUE_FULL);
+}
+
 /* Decides by the reports that are there; FINAL when no more will come. */
 static void core_ask_decide(struct core *core, struct core_call *call,
 			    bool final)
 {
 	struct core_service *service = core_service(core, call->service);
-	uint64_t usual_us = core_usual_us(core, service);
+	uint64_t usual_us = core_work_us(core, service, call);
 	uint64_t cost_us = 0;
 	uint32_t best = core_ask_best(core, service, call, false, &cost_us);
 	bool quiet = best != CORE_NO_SERVER &&
-		     cost_us * 100 <= usual_us * CORE_PACE_QUIET;
+		     cost_us * 100 <= usual_us * CORE_PACE_QUIET &&
+		     core_ask_has_room(core_server(core, best), call);
 
 	if (!quiet && !final)
 		return;
@@ -266,12 +385,12 @@
 		return;
 	if (best == CORE_NO_SERVER)
 		best = core_ask_best(core, service, call, true, &cost_us);
-	if (best == CORE_NO_SERVER)
-		core_ask_refuse(core, call, ST_NO_SERVER);
-	else if (core->now_us + cost_us / 2 > call->deadline_us)
-		core_ask_refuse(core, call, ST_QUEUE_FULL);
-	else
+	if (best != CORE_NO_SERVER &&
+	    core_ask_in_time(core, service, core_server(core, best), call) &&
+	    core_ask_has_room(core_server(core, best), call))
 		core_ask_send(core, call, best);
+	else
+		core_ask_overload(core, call, best);
 }
 
 static bool core_ask_pending(const struct core *core,
@@ -306,6 +425,7 @@
 		count = MIN(count, CORE_ASKED - 1);
 		kept[count++].id = best;
 	}
+	call->ask_pause = false;
 	call->ask_rounds++;
 	call->ask_count = count;
 	call->ask_since_us = core->now_us;
@@ -327,6 +447,7 @@
 void core_ask(struct core *core, struct core_call *call, bool hedge)
 {
 	call->ask_hedge = hedge;
+	call->ask_pause = false;
 	call->ask_rounds = 0;
 	call->ask_count = 0;
 	if (!call->asking) {
@@ -340,7 +461,10 @@
 
 void core_ask_timer(struct core *core, struct core_call *call)
 {
-	core_ask_decide(core, call, true);
+	if (!call->ask_pause)
+		core_ask_decide(core, call, true);
+	else if (!core_ask_round(core, call))
+		core_ask_overload(core, call, CORE_NO_SERVER);
 }
 
 void core_ask_report(struct core *core, uint32_t server, bool ok)
--- a/core_conf.c
+++ b/core_conf.c
@@ -108,8 +108,8 @@
 		server->answer_leaving = false;
 	core->rechecking |= server->answer_leaving;
 	if (from->cold_ms && !server->was_known)
-		server->cold_until_us = core->now_us + (uint64_t)from->cold_ms *
-							       CORE_US_PER_MS;
+		server->cold_until_us =
+			core->now_us + (uint64_t)from->cold_ms * CORE_US_PER_MS;
 	server->known = true;
 	server->service = service;
 	server->conf_leaving = from->leaving;
--- a/core_state.h
+++ b/core_state.h
@@ -16,6 +16,8 @@
 	CORE_LATENCY_BUCKETS = 96,
 	CORE_POOL_SIZE = 16,
 	CORE_ASKED = 3, /* servers asked at a time for one call */
+	CORE_LANES =
+		8, /* callers that are told apart by what their calls take */
 	CORE_HISTORY = 64
 };
 
@@ -26,6 +28,7 @@
 	uint32_t server;
 	uint64_t begin_us;
 	uint64_t answer_us; /* 0: no answer yet */
+	bool undisturbed; /* the server was idle enough to learn from */
 };
 
 struct core_server {
@@ -130,6 +133,7 @@
 	uint32_t latency_answers;
 	uint32_t mean_others_q8; /* per slot */
 	uint32_t mean_pace_percent; /* 0: not known */
+	uint32_t work_us[CORE_LANES]; /* on an idle server; 0: not known */
 };
 
 struct core_call {
@@ -138,14 +142,17 @@
 	struct core_lane *lane;
 	uint64_t deadline_us;
 	uint64_t hedge_us; /* 0: none */
+	uint64_t begin_us;
 	uint64_t target_us;
 	uint32_t max_attempts;
+	uint32_t kind; /* index in core_service.work_us */
 	bool idempotent;
 	bool bulky;
 	bool answered;
 	/* Policy "ask": the servers that are being asked. */
 	bool asking;
 	bool ask_hedge; /* for an attempt beside a running one */
+	bool ask_pause; /* nobody is asked until the timer fires */
 	uint32_t ask_rounds;
 	uint32_t ask_count;
 	uint32_t ask_servers[CORE_ASKED];
@@ -193,12 +200,22 @@
  * core_ask_report - a report of SERVER came, or its probe failed.
  * core_ask_timer - the time for answers is over.
  * core_ask_end - the call waits for no report any more.
+ * core_work_us - what a call of that kind takes on an idle server.
+ * core_is_undisturbed - SERVER shows the time that work usually takes.
+ * core_learn_work - an answer came.
  */
 void core_ask(struct core *core, struct core_call *call, bool hedge);
 void core_ask_report(struct core *core, uint32_t server, bool ok);
 void core_ask_timer(struct core *core, struct core_call *call);
 void core_ask_end(struct core *core, struct core_call *call);
 uint64_t core_ask_until_us(const struct core_call *call);
+uint64_t core_work_us(const struct core *core,
+		      const struct core_service *service,
+		      const struct core_call *call);
+bool core_is_undisturbed(const struct core *core,
+			 const struct core_server *server);
+void core_learn_work(struct core *core, const struct core_call *call,
+		     const struct core_attempt *attempt);
 
 /* core_pick.c: whether a server takes the call now, and which. */
 bool core_pick(struct core *core, struct core_service *service,
