Let the stand-in of the platform speak rows, feeds and objects

Cause: the store has one client, and its protocol is the platform's; the stand-in spoke the earlier one.

Change: the stand-in serves ranges, feeds, atomic writes and objects, and can lose its history, refuse, stay silent, and run writes late.

--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -218,9 +218,9 @@
 static enum st_kind sv_start_following(struct sv_host *host,
 				       struct st_status *status)
 {
-	enum st_kind kind = tl_listen(&host->callers_tls, &host->gateway.http,
-				      &host->settings.callers_tls,
-				      &host->timers, status);
+	enum st_kind kind =
+		tl_listen(&host->callers_tls, &host->gateway.http,
+			  &host->settings.callers_tls, &host->timers, status);
 
 	if (kind == ST_OK)
 		fo_init(&host->follower, &host->kernel, &host->timers,
@@ -243,10 +243,9 @@
 			return ST_INVALID;
 	}
 	hc_pool_set_tls(&host->platform.pool, host->platform_tls);
-	kind = gw_init(&host->gateway, &host->kernel, &host->timers,
-		       &host->settings,
-		       host->settings.follow_platform ? &pd_dialect : &dl_own,
-		       status);
+	kind = gw_init(
+		&host->gateway, &host->kernel, &host->timers, &host->settings,
+		host->settings.follow_platform ? &pd_dialect : &dl_own, status);
 	if (kind == ST_OK)
 		kind = sv_start_plain(host, status);
 	if (kind != ST_OK)
--- a/dialect.c
+++ b/dialect.c
@@ -41,8 +41,7 @@
 	return name ? hc_find(head, name) : NULL;
 }
 
-bool dl_is_not_run(const struct dl_dialect *dialect,
-		   const struct hc_head *head)
+bool dl_is_not_run(const struct dl_dialect *dialect, const struct hc_head *head)
 {
 	const struct hc_header *h = dl_find(head, dialect->not_run);
 
--- a/document.c
+++ b/document.c
@@ -684,8 +684,7 @@
 		const struct doc_route *route = &document->routes[i];
 		size_t bytes = strlen(route->prefix);
 
-		if (bytes <= best_bytes ||
-		    strlen(route->host) != host_bytes ||
+		if (bytes <= best_bytes || strlen(route->host) != host_bytes ||
 		    g_ascii_strncasecmp(route->host, host, host_bytes) != 0 ||
 		    !doc_prefix(route->prefix, path, path_bytes))
 			continue;
--- a/gateway.c
+++ b/gateway.c
@@ -580,8 +580,7 @@
 enum st_kind gw_init(struct gw_gateway *gateway, struct kn_kernel *kernel,
 		     struct tm_service *timers,
 		     const struct se_settings *settings,
-		     const struct dl_dialect *dialect,
-		     struct st_status *status)
+		     const struct dl_dialect *dialect, struct st_status *status)
 {
 	struct core_driver driver = { gw_act, gw_random, gateway };
 	enum st_kind kind;
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -129,8 +129,7 @@
 		const struct hc_header *h = &head->headers[i];
 
 		held->headers[i] = *h;
-		g_string_append_len(held->text, h->name,
-				    (gssize)h->name_bytes);
+		g_string_append_len(held->text, h->name, (gssize)h->name_bytes);
 		g_string_append_len(held->text, h->value,
 				    (gssize)h->value_bytes);
 	}
@@ -422,8 +421,7 @@
 	attempt->http.handler = &gw_handler;
 	attempt->http.head_method = call->head_method;
 	attempt->http.not_after_us = call->deadline_us;
-	attempt->http.may_end_with_close =
-		gateway->dialect->signature != NULL;
+	attempt->http.may_end_with_close = gateway->dialect->signature != NULL;
 	/* A server may close an old idle connection at the same moment. */
 	if (!call->idempotent)
 		attempt->http.max_idle_us = GW_ORDER_IDLE_US;
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -140,7 +140,8 @@
  */
 void gw_configure_core(struct gw_gateway *gateway);
 GHashTable *gw_turns_new(void);
-uint32_t gw_next_part(struct gw_gateway *gateway, const struct doc_route *route);
+uint32_t gw_next_part(struct gw_gateway *gateway,
+		      const struct doc_route *route);
 void gw_take_hosts(struct gw_gateway *gateway, const struct pr_hosts *hosts);
 void gw_take_server_state(struct gw_gateway *gateway,
 			  const struct kn_msg_server_state *state);
--- a/settings.c
+++ b/settings.c
@@ -168,11 +168,11 @@
 	se_plaintext(map, &settings->platform, settings->trusted_network,
 		     &settings->platform_tls, errors);
 	settings->follow_platform = ym_bool(map, "follow", false, errors);
-	settings->retry_percent = ym_uint(map, "retry_percent", 0, 100,
-					  SE_RETRY_PERCENT, errors);
+	settings->retry_percent =
+		ym_uint(map, "retry_percent", 0, 100, SE_RETRY_PERCENT, errors);
 	settings->probes_per_server_s =
-		ym_uint(map, "probes_per_server_s", 0, SE_MAX_PROBES,
-			SE_PROBES, errors);
+		ym_uint(map, "probes_per_server_s", 0, SE_MAX_PROBES, SE_PROBES,
+			errors);
 	if (!settings->platform_tls.plaintext)
 		se_copy(map, "ca", settings->platform_tls.ca, SE_PATH_BYTES,
 			NULL, errors);
--- a/tests/document_cases.sh
+++ b/tests/document_cases.sh
@@ -123,9 +123,10 @@
 	digest=$(jdw 0 show --json | sed 's/.*"digest":"\([0-9a-f]*\)".*/\1/')
 	expect 0 jdw 0 apply --base 1 "$WORK/2.yaml"
 	wait_generation 2 || fail "generation 2 is not in force"
-	curl -s -o "$WORK/out" "$platform_address/txn" -d '{"conditions":[],
-		"writes":[{"table":"document","key":"current",
-		"value":{"generation":1,"digest":"'"$digest"'"}}]}'
+	value=$(printf '{"generation":1,"digest":"%s"}' "$digest" | base64 -w0)
+	curl -s -o "$WORK/out" "$platform_address/jackdawworks/rows-tx" \
+		-d '{"precondition":[],"remove":[],"put":[{"table":"document",
+		"part":"","key":"current","value":"'"$value"'"}]}'
 	for _ in $(seq 20); do
 		for i in $(seq 0 $((HOSTS - 1))); do
 			test "$(generation "$i")" = 2 || fail "host $i reverted"
@@ -138,7 +139,7 @@
 # A body that is not the accepted one, whoever stored it. The host keeps trying.
 digest_check() {
 	digest=$(jdw 0 show --json | sed 's/.*"digest":"\([0-9a-f]*\)".*/\1/')
-	object=$platform_address/objects/$digest
+	object=$platform_address/jackdawworks/blob-put/$digest
 	curl -s -o "$WORK/out" -T "$WORK/2.yaml" "$object"
 	start_host $HOSTS a $HOSTS
 	wait_http "127.0.0.1:$((operators_port + HOSTS))" /health || exit 1
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -56,7 +56,7 @@
 
 start_platform() {
 	start platform "$BIN/tool_platform" "$platform_address"
-	wait_http "$platform_address" /hosts || return 1
+	wait_http "$platform_address" /stats || return 1
 	# Another run on the same ports would answer in its place.
 	kill -0 "$pid_platform" 2>/dev/null && return
 	say "$platform_address is in use; set PORT_BASE" >&2
--- a/tests/tool_platform.c
+++ b/tests/tool_platform.c
@@ -1,6 +1,7 @@
 /*
- * Test double of the platform: transactional table, object store and a
- * lagging host list over HTTP, with faults that a test can set.
+ * Test double of the platform's store: rows in tables with a feed of changes,
+ * and objects, over HTTP, with faults that a test can set. The list of hosts is
+ * the table "hosts", which shows what PUT /hosts sets after a lag.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,11 +14,19 @@
 #include "timer.h"
 #include "tls.h"
 
-enum { US_PER_MS = 1000, MAX_LIST = 1000 };
+enum { US_PER_MS = 1000, MAX_LIST = 500 };
+
+#define HOSTS_TABLE "hosts"
 
 struct row {
 	uint64_t version;
-	json_t *value;
+	char *value; /* base64; NULL: removed, kept for the feed */
+};
+
+/* A feed that waits for a change. */
+struct waiter {
+	struct hd_hold *hold;
+	struct tm_sub timer;
 };
 
 static struct {
@@ -26,18 +35,23 @@
 	struct hd_server http;
 	GTree *rows; /* "table/key" to struct row */
 	GHashTable *objects;
-	json_t *hosts; /* visible */
+	GList *waiters;
 	json_t *next_hosts; /* visible when the lag is over */
 	struct tm_sub hosts_timer;
 	uint64_t last_version;
+	uint64_t forgotten; /* changes up to here are no longer known */
 	uint64_t reads;
 	uint64_t writes;
 	/* Faults. */
 	int64_t delay_ms;
 	int64_t lose_answers;
 	int64_t lose_txn_answers; /* of transactions only */
+	int64_t late_txns; /* run late, without an answer */
+	int64_t late_ms;
 	int64_t hosts_lag_ms;
+	int64_t refuse_status; /* every call is refused with it; 0: none */
 	int down;
+	int silent; /* calls are read and never answered */
 } platform;
 
 struct delayed {
@@ -58,7 +72,7 @@
 {
 	struct row *row = ptr;
 
-	json_decref(row->value);
+	g_free(row->value);
 	g_free(row);
 }
 
@@ -72,72 +86,151 @@
 	return text ? text : g_strdup("");
 }
 
-static void get_row(h2o_req_t *req, const char *key)
-{
-	struct row *row = g_tree_lookup(platform.rows, key);
-
-	if (!row)
-		reply_json(req, 404, json_object());
-	else
-		reply_json(req, 200,
-			   json_pack("{s:I, s:O}", "version",
-				     (json_int_t)row->version, "value",
-				     row->value));
-}
-
+/* Rows of one table, from a key or after a version. */
 struct listing {
 	char *prefix;
-	char *after;
+	char *from; /* first key, the table included */
+	uint64_t after; /* version */
+	bool removed; /* removed rows too */
+	size_t limit;
 	json_t *rows;
+	bool more;
 };
 
 static gboolean list_row(gpointer key, gpointer value, gpointer data)
 {
 	struct listing *listing = data;
 	struct row *row = value;
-
-	if (g_str_has_prefix(key, listing->prefix) &&
-	    strcmp(key, listing->after) > 0)
-		json_array_append_new(
-			listing->rows,
-			json_pack("{s:s, s:I, s:O}", "key",
-				  (char *)key + strlen(listing->prefix),
-				  "version", (json_int_t)row->version, "value",
-				  row->value));
+	json_t *json;
+
+	if (!g_str_has_prefix(key, listing->prefix) ||
+	    strcmp(key, listing->from) < 0 || row->version <= listing->after ||
+	    (!row->value && !listing->removed))
+		return FALSE;
+	if (json_array_size(listing->rows) >= listing->limit) {
+		listing->more = true;
+		return TRUE;
+	}
+	json = json_pack("{s:s, s:s, s:I}", "part", "", "key",
+			 (char *)key + strlen(listing->prefix), "ver",
+			 (json_int_t)row->version);
+	if (row->value)
+		json_object_set_new(json, "value", json_string(row->value));
+	else
+		json_object_set_new(json, "deleted", json_true());
+	json_array_append_new(listing->rows, json);
 	return FALSE;
 }
 
-static json_t *cut_list(json_t *rows, size_t limit, bool reverse)
+static void list_rows(h2o_req_t *req, bool feed, struct listing *listing)
 {
-	json_t *out = json_array();
-	size_t count = json_array_size(rows);
+	char *table = hd_query(req, "table");
+	char *from = hd_query(req, "from");
+
+	listing->rows = json_array();
+	listing->removed = feed;
+	listing->prefix = g_strconcat(table ? table : "", "/", NULL);
+	listing->from = g_strconcat(listing->prefix, from ? from : "", NULL);
+	g_tree_foreach(platform.rows, list_row, listing);
+	g_free(listing->prefix);
+	g_free(listing->from);
+	g_free(table);
+	g_free(from);
+}
 
-	for (size_t i = 0; i < count && i < limit; i++)
-		json_array_append(
-			out, json_array_get(rows, reverse ? count - 1 - i : i));
-	json_decref(rows);
-	return out;
+static void reply_rows(h2o_req_t *req, struct listing *listing)
+{
+	reply_json(req, 200,
+		   json_pack("{s:o, s:b, s:I}", "rows", listing->rows,
+			     "has-more", listing->more, "ver",
+			     (json_int_t)platform.last_version));
 }
 
-static void list_rows(h2o_req_t *req, const char *table)
+static uint64_t query_number(const h2o_req_t *req, const char *name,
+			     uint64_t fallback)
 {
-	char *after = hd_query(req, "after");
-	char *limit = hd_query(req, "limit");
-	char *reverse = hd_query(req, "reverse");
-	struct listing listing = { .rows = json_array() };
+	char *text = hd_query(req, name);
+	uint64_t value = text ? strtoull(text, NULL, 10) : fallback;
 
-	listing.prefix = g_strconcat(table, "/", NULL);
-	listing.after = g_strconcat(listing.prefix, after ? after : "", NULL);
-	g_tree_foreach(platform.rows, list_row, &listing);
-	reply_json(req, 200,
-		   cut_list(listing.rows,
-			    limit ? strtoul(limit, NULL, 10) : MAX_LIST,
-			    reverse && *reverse == '1'));
-	g_free(listing.prefix);
-	g_free(listing.after);
-	g_free(after);
-	g_free(limit);
-	g_free(reverse);
+	g_free(text);
+	return value;
+}
+
+static void get_rows(h2o_req_t *req)
+{
+	struct listing listing = {
+		.limit = MIN(query_number(req, "limit", MAX_LIST), MAX_LIST),
+	};
+
+	list_rows(req, false, &listing);
+	reply_rows(req, &listing);
+}
+
+/* Answers a feed; without LAST only when there is a change. */
+static bool answer_feed(h2o_req_t *req, bool last)
+{
+	struct listing listing = {
+		.limit = SIZE_MAX,
+		.after = query_number(req, "after", 0),
+	};
+
+	if (listing.after < platform.forgotten) {
+		reply_json(req, 410, json_object());
+		return true;
+	}
+	list_rows(req, true, &listing);
+	if (json_array_size(listing.rows) || last) {
+		reply_rows(req, &listing);
+		return true;
+	}
+	json_decref(listing.rows);
+	return false;
+}
+
+static void end_waiter(struct waiter *waiter)
+{
+	platform.waiters = g_list_remove(platform.waiters, waiter);
+	tm_cancel(&platform.timers, &waiter->timer);
+	hd_release(waiter->hold);
+	g_free(waiter);
+}
+
+static void on_wait_over(void *ctx)
+{
+	struct waiter *waiter = ctx;
+
+	if (waiter->hold->req)
+		answer_feed(waiter->hold->req, true);
+	end_waiter(waiter);
+}
+
+static void feed_rows(h2o_req_t *req)
+{
+	uint64_t wait_ms = query_number(req, "wait-ms", 0);
+	struct waiter *waiter;
+
+	if (answer_feed(req, !wait_ms))
+		return;
+	waiter = g_new0(struct waiter, 1);
+	waiter->hold = hd_hold(req);
+	waiter->timer.fire = on_wait_over;
+	waiter->timer.ctx = waiter;
+	platform.waiters = g_list_prepend(platform.waiters, waiter);
+	tm_subscribe(&platform.timers, &waiter->timer,
+		     tm_now_us() + wait_ms * US_PER_MS);
+}
+
+static void wake_waiters(void)
+{
+	GList *next;
+
+	for (GList *l = platform.waiters; l; l = next) {
+		struct waiter *waiter = l->data;
+
+		next = l->next;
+		if (!waiter->hold->req || answer_feed(waiter->hold->req, false))
+			end_waiter(waiter);
+	}
 }
 
 static char *row_key(const json_t *item)
@@ -148,41 +241,74 @@
 	return g_strdup_printf("%s/%s", table ? table : "", key ? key : "");
 }
 
-/* Index of the first condition that does not hold, or -1. */
-static int failed_condition(const json_t *conditions)
+/* Whether every condition holds. */
+static bool conditions_hold(const json_t *conditions)
 {
 	for (size_t i = 0; i < json_array_size(conditions); i++) {
 		const json_t *item = json_array_get(conditions, i);
 		char *key = row_key(item);
 		struct row *row = g_tree_lookup(platform.rows, key);
 		uint64_t wanted = (uint64_t)json_integer_value(
-			json_object_get(item, "version"));
+			json_object_get(item, "ver"));
 
 		g_free(key);
-		if ((row ? row->version : 0) != wanted)
-			return (int)i;
+		if ((row && row->value ? row->version : 0) != wanted)
+			return false;
 	}
-	return -1;
+	return true;
 }
 
-static void write_rows(const json_t *writes)
+static void write_row(char *key, const char *value)
 {
-	for (size_t i = 0; i < json_array_size(writes); i++) {
-		const json_t *item = json_array_get(writes, i);
-		json_t *value = json_object_get(item, "value");
-		char *key = row_key(item);
-		struct row *row;
-
-		if (!value || json_is_null(value)) {
-			g_tree_remove(platform.rows, key);
-			g_free(key);
-			continue;
-		}
-		row = g_new0(struct row, 1);
-		row->version = ++platform.last_version;
-		row->value = json_incref(value);
-		g_tree_replace(platform.rows, key, row);
+	struct row *row = g_new0(struct row, 1);
+
+	row->version = platform.last_version;
+	row->value = g_strdup(value);
+	g_tree_replace(platform.rows, key, row);
+}
+
+static void write_rows(const json_t *txn)
+{
+	const json_t *put = json_object_get(txn, "put");
+	const json_t *drop = json_object_get(txn, "remove");
+
+	platform.last_version++;
+	for (size_t i = 0; i < json_array_size(put); i++) {
+		const json_t *item = json_array_get(put, i);
+
+		write_row(row_key(item),
+			  json_string_value(json_object_get(item, "value")));
 	}
+	for (size_t i = 0; i < json_array_size(drop); i++)
+		write_row(row_key(json_array_get(drop, i)), NULL);
+	wake_waiters();
+}
+
+/* A transaction that runs after its caller has given up. */
+struct late_txn {
+	json_t *txn;
+	struct tm_sub timer;
+};
+
+static void on_late_txn(void *ctx)
+{
+	struct late_txn *late = ctx;
+
+	if (conditions_hold(json_object_get(late->txn, "precondition")))
+		write_rows(late->txn);
+	json_decref(late->txn);
+	g_free(late);
+}
+
+static void run_late(json_t *txn)
+{
+	struct late_txn *late = g_new0(struct late_txn, 1);
+
+	late->txn = txn;
+	late->timer.fire = on_late_txn;
+	late->timer.ctx = late;
+	tm_subscribe(&platform.timers, &late->timer,
+		     tm_now_us() + (uint64_t)platform.late_ms * US_PER_MS);
 }
 
 /* Whether the answer of a write that took effect is to be lost. */
@@ -194,25 +320,38 @@
 	return true;
 }
 
+static size_t txn_rows(const json_t *txn)
+{
+	return json_array_size(json_object_get(txn, "precondition")) +
+	       json_array_size(json_object_get(txn, "put")) +
+	       json_array_size(json_object_get(txn, "remove"));
+}
+
 static void run_txn(h2o_req_t *req)
 {
 	json_t *txn = json_loadb(req->entity.base, req->entity.len, 0, NULL);
-	int failed;
 
-	if (!txn) {
+	/* The platform takes at most a hundred entries a call. */
+	if (!txn || txn_rows(txn) > 100) {
 		reply_json(req, 400, json_object());
+		json_decref(txn);
+		return;
+	}
+	if (lose_answer(&platform.late_txns)) {
+		run_late(txn);
 		return;
 	}
-	failed = failed_condition(json_object_get(txn, "conditions"));
-	if (failed >= 0) {
-		reply_json(req, 409, json_pack("{s:i}", "conflict", failed));
+	if (!conditions_hold(json_object_get(txn, "precondition"))) {
+		reply_json(req, 412,
+			   json_pack("{s:I}", "ver",
+				     (json_int_t)platform.last_version));
 	} else {
-		write_rows(json_object_get(txn, "writes"));
+		write_rows(txn);
 		if (!lose_answer(&platform.lose_txn_answers) &&
 		    !lose_answer(&platform.lose_answers))
 			reply_json(
 				req, 200,
-				json_pack("{s:I}", "version",
+				json_pack("{s:I}", "ver",
 					  (json_int_t)platform.last_version));
 	}
 	json_decref(txn);
@@ -241,10 +380,38 @@
 	hd_reply(req, 200, "application/octet-stream", data, size);
 }
 
+static gboolean collect_host(gpointer key, gpointer value, gpointer data)
+{
+	struct row *row = value;
+
+	if (g_str_has_prefix(key, HOSTS_TABLE "/") && row->value)
+		g_ptr_array_add(data, g_strdup(key));
+	return FALSE;
+}
+
+/* Replaces the rows of the table by the list that was set. */
 static void show_hosts(void *ctx)
 {
-	json_decref(platform.hosts);
-	platform.hosts = json_incref(platform.next_hosts);
+	GPtrArray *old = g_ptr_array_new();
+
+	platform.last_version++;
+	g_tree_foreach(platform.rows, collect_host, old);
+	for (guint i = 0; i < old->len; i++)
+		write_row(g_ptr_array_index(old, i), NULL);
+	g_ptr_array_free(old, TRUE);
+	for (size_t i = 0; i < json_array_size(platform.next_hosts); i++) {
+		json_t *host = json_array_get(platform.next_hosts, i);
+		const char *name =
+			json_string_value(json_object_get(host, "name"));
+		char *text = json_dumps(host, JSON_COMPACT);
+		char *value =
+			g_base64_encode((const guchar *)text, strlen(text));
+
+		write_row(g_strconcat(HOSTS_TABLE "/", name, NULL), value);
+		g_free(value);
+		free(text);
+	}
+	wake_waiters();
 }
 
 static void put_hosts(h2o_req_t *req)
@@ -266,42 +433,58 @@
 	json_t *fault = json_loadb(req->entity.base, req->entity.len, 0, NULL);
 
 	if (fault)
-		json_unpack(fault, "{s?I, s?I, s?I, s?I, s?b}", "delay_ms",
-			    &platform.delay_ms, "lose_answers",
+		json_unpack(fault,
+			    "{s?I, s?I, s?I, s?I, s?I, s?I, s?I, s?b, s?b}",
+			    "delay_ms", &platform.delay_ms, "lose_answers",
 			    &platform.lose_answers, "lose_txn_answers",
-			    &platform.lose_txn_answers, "hosts_lag_ms",
-			    &platform.hosts_lag_ms, "down", &platform.down);
+			    &platform.lose_txn_answers, "late_txns",
+			    &platform.late_txns, "late_ms", &platform.late_ms,
+			    "hosts_lag_ms", &platform.hosts_lag_ms,
+			    "refuse_status", &platform.refuse_status, "down",
+			    &platform.down, "silent", &platform.silent);
+	if (fault && json_is_true(json_object_get(fault, "forget")))
+		platform.forgotten = platform.last_version;
 	reply_json(req, fault ? 200 : 400, json_object());
 	json_decref(fault);
 }
 
+static void serve_path(h2o_req_t *req, const char *path)
+{
+	static const char put[] = "/jackdawworks/blob-put/";
+	static const char get[] = "/jackdawworks/blob-get/";
+
+	if (g_str_has_prefix(path, put))
+		serve_object(req, path + strlen(put));
+	else if (g_str_has_prefix(path, get))
+		serve_object(req, path + strlen(get));
+	else if (!strcmp(path, "/jackdawworks/rows-tx"))
+		run_txn(req);
+	else if (!strcmp(path, "/jackdawworks/rows-feed"))
+		feed_rows(req);
+	else if (!strcmp(path, "/jackdawworks/rows-get"))
+		get_rows(req);
+	else
+		reply_json(req, 404, json_object());
+}
+
 static void serve(h2o_req_t *req)
 {
-	char *path = path_text(req);
-	bool write = !hd_method_is(req, "GET");
+	char *path;
 
-	if (platform.down) {
-		reply_json(req, 503, json_object());
-		g_free(path);
+	if (platform.silent)
+		return;
+	if (platform.down || platform.refuse_status) {
+		reply_json(req,
+			   platform.down ? 503 : (int)platform.refuse_status,
+			   json_object());
 		return;
 	}
-	if (write)
-		platform.writes++;
-	else
+	if (hd_method_is(req, "GET"))
 		platform.reads++;
-	if (g_str_has_prefix(path, "/objects/"))
-		serve_object(req, path + strlen("/objects/"));
-	else if (!strcmp(path, "/hosts"))
-		reply_json(req, 200, json_incref(platform.hosts));
-	else if (!strcmp(path, "/txn") && write)
-		run_txn(req);
-	else if (g_str_has_prefix(path, "/table/") &&
-		 strchr(path + strlen("/table/"), '/'))
-		get_row(req, path + strlen("/table/"));
-	else if (g_str_has_prefix(path, "/table/"))
-		list_rows(req, path + strlen("/table/"));
 	else
-		reply_json(req, 404, json_object());
+		platform.writes++;
+	path = path_text(req);
+	serve_path(req, path);
 	g_free(path);
 }
 
@@ -365,7 +548,6 @@
 	platform.rows = g_tree_new_full(compare_keys, NULL, g_free, free_row);
 	platform.objects = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
-	platform.hosts = json_array();
 	platform.hosts_timer.fire = show_hosts;
 	if (hd_init(&platform.http, &platform.loop, &address, on_request, NULL,
 		    &status) != ST_OK) {
--- a/tests/tool_policy.c
+++ b/tests/tool_policy.c
@@ -317,9 +317,11 @@
 		push(on_arrive, i, 0, NULL, (uint64_t)exponential(gap_us));
 	}
 	for (uint32_t i = 0; i < SERVERS; i++)
-		to[i] = (struct core_server_conf){ i,	  i % ZONES,
-						   slots, 260,
-						   0,	  g_rand_int(rng) };
+		to[i] = (struct core_server_conf){ .id = i,
+						   .zone = i % ZONES,
+						   .slots = slots,
+						   .connections = 260,
+						   .hash = g_rand_int(rng) };
 	for (uint32_t i = 0; i < HOSTS; i++)
 		live[i] = (struct core_host_conf){ g_rand_int(rng), i % ZONES,
 						   false };
--- a/trace.c
+++ b/trace.c
@@ -51,21 +51,22 @@
 	return st_name((enum st_kind)value);
 }
 
-#define TR_EV(name, type, member)                                        \
-	{                                                                \
-		name, offsetof(struct core_event, member), NULL, type, 0, false \
+#define TR_EV(name, type, member)                                         \
+	{                                                                 \
+		name, offsetof(struct core_event, member), NULL, type, 0, \
+			false                                             \
 	}
-#define TR_EV_OPTIONAL(name, type, member)                                  \
-	{                                                                   \
+#define TR_EV_OPTIONAL(name, type, member)                                     \
+	{                                                                      \
 		name, offsetof(struct core_event, member), NULL, type, 0, true \
 	}
 #define TR_EV_NAME(name, member, text, values)                            \
 	{                                                                 \
 		name, offsetof(struct core_event, member), text, TR_NAME, \
-			values, false \
+			values, false                                     \
 	}
-#define TR_LAST                          \
-	{                                \
+#define TR_LAST                                 \
+	{                                       \
 		NULL, 0, NULL, TR_U64, 0, false \
 	}
 
@@ -130,8 +131,8 @@
 	[CORE_EV_TIMER] = tr_of_fields,
 };
 
-#define TR_FIELD(of, name, type, member)                  \
-	{                                                 \
+#define TR_FIELD(of, name, type, member)                         \
+	{                                                        \
 		name, offsetof(of, member), NULL, type, 0, false \
 	}
 
@@ -540,7 +541,8 @@
 static bool tr_get_line(struct tr_line *line, json_t *object,
 			struct st_status *status)
 {
-	static const struct tr_field draw = { "random", 0, NULL, TR_U32, 0 };
+	static const struct tr_field draw = { "random", 0, NULL,
+					      TR_U32,	0, false };
 	json_t *version = json_object_get(object, "trace");
 
 	if (json_object_get(object, "event"))
