Pass changes of the store from host to host

Change: hosts write a row with their address; ordered by a hash, a host asks the first one before it that answers for what changed after the versions it knows, and reads the store itself when what it knows gets older than 1.2 s. No call waits for a change; a call that times out closes the idle connections.

--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -222,10 +222,10 @@
 		tl_listen(&host->callers_tls, &host->gateway.http,
 			  &host->settings.callers_tls, &host->timers, status);
 
-	if (kind == ST_OK)
-		fo_init(&host->follower, &host->kernel, &host->timers,
-			&host->platform, &host->settings);
-	return kind;
+	if (kind != ST_OK)
+		return kind;
+	return fo_init(&host->follower, &host->kernel, &host->timers,
+		       &host->platform, &host->settings, status);
 }
 
 static enum st_kind sv_start(struct sv_host *host, struct st_status *status)
@@ -258,7 +258,8 @@
 static uint32_t sv_connections(const struct sv_host *host)
 {
 	return host->gateway.http.connections + host->admin.http.connections +
-	       host->health.connections + host->metrics.connections;
+	       host->health.connections + host->metrics.connections +
+	       host->follower.relay.http.connections;
 }
 
 static void sv_close_server(struct hd_server *server)
@@ -286,7 +287,7 @@
 	if (host->settings.has_metrics)
 		sv_close_server(&host->metrics);
 	if (following)
-		fo_free(&host->follower);
+		fo_close(&host->follower);
 	else
 		sv_close_document(host);
 	pf_free(&host->platform);
@@ -312,7 +313,9 @@
 		hd_free(&host->health);
 	if (host->settings.has_metrics)
 		hd_free(&host->metrics);
-	if (!host->settings.follow_platform) {
+	if (host->settings.follow_platform) {
+		fo_free(&host->follower);
+	} else {
 		tl_free(&host->operators_tls);
 		ad_free(&host->admin);
 	}
--- a/core_conf.c
+++ b/core_conf.c
@@ -117,7 +117,9 @@
 	server->slots = slots;
 	server->hash = from->hash;
 	server->connections = MAX(from->connections / core->hosts, 1);
-	server->own_slots = core_own_slots(conf, from, slots);
+	server->own_slots = 0;
+	if (core_service(core, service)->policy == CORE_SHARES)
+		server->own_slots = core_own_slots(conf, from, slots);
 }
 
 /* This host's part of a budget in millionths, by the weight of latency. */
--- a/httpc.c
+++ b/httpc.c
@@ -604,13 +604,18 @@
 	pool->max_idle_us = HC_DEFAULT_IDLE_US;
 }
 
+void hc_pool_drop_idle(struct hc_pool *pool)
+{
+	while (pool->idle)
+		hc_conn_close(pool->idle);
+}
+
 void hc_pool_close(struct hc_pool *pool, void (*closed)(void *ctx), void *ctx)
 {
 	pool->closing = true;
 	pool->closed = closed;
 	pool->ctx = ctx;
-	while (pool->idle)
-		hc_conn_close(pool->idle);
+	hc_pool_drop_idle(pool);
 	hc_pool_check_closed(pool);
 }
 
--- a/httpc.h
+++ b/httpc.h
@@ -126,6 +126,9 @@
  */
 void hc_pool_set_tls(struct hc_pool *pool, SSL_CTX *ctx);
 
+/* hc_pool_drop_idle - close the connections that no request uses. */
+void hc_pool_drop_idle(struct hc_pool *pool);
+
 /* hc_pool_set_limit - change the limit; idle connections above it close. */
 void hc_pool_set_limit(struct hc_pool *pool, uint32_t max_connections);
 
--- a/settings.c
+++ b/settings.c
@@ -168,6 +168,8 @@
 	se_plaintext(map, &settings->platform, settings->trusted_network,
 		     &settings->platform_tls, errors);
 	settings->follow_platform = ym_bool(map, "follow", false, errors);
+	if (settings->follow_platform)
+		se_address(map, "relay", &settings->relay, errors);
 	settings->retry_percent =
 		ym_uint(map, "retry_percent", 0, 100, SE_RETRY_PERCENT, errors);
 	settings->probes_per_server_s =
--- a/settings.h
+++ b/settings.h
@@ -40,6 +40,7 @@
 	bool has_peers;
 	/* Routes and servers come from the platform's store. */
 	bool follow_platform;
+	struct nt_address relay; /* for other hosts that follow it too */
 	uint64_t retry_percent; /* of the calls, on routes of the platform */
 	uint64_t probes_per_server_s; /* over all entry hosts */
 	struct nt_address operators;
