--- a/core_ask.c
+++ b/core_ask.c
@@ -24,13 +24,14 @@
 	CORE_KNEE_COST_PERCENT = 170,
 	CORE_COLD_COST_PERCENT = 200,
 	CORE_ZONE_RTT_US = 8 * CORE_US_PER_MS,
+	/* Links between zones are dear: part of the work a call must gain. */
+	CORE_ZONE_COST_PERCENT = 10,
 	/* Until it is known, work takes that part of the target. */
 	CORE_WORK_PERCENT = 40,
 	CORE_WORK_SAMPLES = 16,
 	CORE_WORK_OUTLIER = 3,
 	CORE_HOLD_PART = 8,
 	CORE_ASK_PAUSE_US = 20 * CORE_US_PER_MS,
-	CORE_URGENT_WEIGHT = 64, /* weight of a lane that may fill servers */
 	/* A large answer from another zone costs more than it is worth. */
 	CORE_BULKY_ZONE_US = 300 * CORE_US_PER_MS,
 	CORE_ERROR_COST = 4, /* usual latencies at an error share of one */
@@ -157,6 +158,8 @@
 	uint64_t slow_us =
 		3 * (uint64_t)core_base_latency_us(service, server->zone);
 
+	if (server->zone != core->zone)
+		cost_us += usual_us * CORE_ZONE_COST_PERCENT / 100;
 	if (server->zone != core->zone && call->bulky)
 		cost_us += CORE_BULKY_ZONE_US;
 	if (server->latency_count >= 4 && server->latency_us > slow_us)
@@ -299,18 +302,9 @@
 
 static bool core_ask_round(struct core *core, struct core_call *call);
 
-/*
- * Slots that a call may fill. Calls of lower priority leave the last ones of
- * a server free: they make all its work slower.
- */
-static bool core_ask_has_room(const struct core_server *server,
-			      const struct core_call *call)
+static bool core_ask_has_room(const struct core_server *server)
 {
-	uint64_t busy = core_occupied(server) + 1;
-
-	if (call->lane->weight < CORE_URGENT_WEIGHT)
-		return !core_is_crowded(server, busy);
-	return busy <= server->slots;
+	return core_occupied(server) + 1 <= server->slots;
 }
 
 /* Whether the answer is expected within the target. */
@@ -357,7 +351,7 @@
 		return;
 	}
 	server = core_server(core, best);
-	if (!call->ask_hedge && core_ask_has_room(server, call) &&
+	if (!call->ask_hedge && core_ask_has_room(server) &&
 	    core->now_us + core_expected_us(core, service, server, call) / 2 <=
 		    call->deadline_us)
 		core_ask_send(core, call, best);
@@ -375,7 +369,7 @@
 	uint32_t best = core_ask_best(core, service, call, false, &cost_us);
 	bool quiet = best != CORE_NO_SERVER &&
 		     cost_us * 100 <= usual_us * CORE_PACE_QUIET &&
-		     core_ask_has_room(core_server(core, best), call);
+		     core_ask_has_room(core_server(core, best));
 
 	if (!quiet && !final)
 		return;
@@ -387,7 +381,7 @@
 		best = core_ask_best(core, service, call, true, &cost_us);
 	if (best != CORE_NO_SERVER &&
 	    core_ask_in_time(core, service, core_server(core, best), call) &&
-	    core_ask_has_room(core_server(core, best), call))
+	    core_ask_has_room(core_server(core, best)))
 		core_ask_send(core, call, best);
 	else
 		core_ask_overload(core, call, best);
