--- a/settings.c
+++ b/settings.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+enum { SE_MIN_FRESH_MS = 1500, SE_FRESH_MS = 2000, SE_MAX_FRESH_MS = 60000 };
+enum { SE_MAX_SHARE = 1024 };
 enum { SE_RETRY_PERCENT = 15, SE_PROBES = 50, SE_MAX_PROBES = 10000 };
 enum { SE_MIN_SECRET_CHARS = 16, SE_MAX_GRACE_MS = 60000 };
 /*
@@ -157,6 +159,21 @@
 	ym_check_unused(map, errors);
 }
 
+/* A number with a fraction, such as "0.2". */
+static double se_share(struct ym_node *map, const char *key,
+		       struct ym_errors *errors)
+{
+	const char *text = ym_string(map, key, "0", errors);
+	char *end;
+	double share = g_ascii_strtod(text, &end);
+
+	if (*end || !(share >= 0) || share > SE_MAX_SHARE)
+		ym_error(errors, ym_get(map, key), key,
+			 "\"%.20s\" is not a number up to %d", text,
+			 SE_MAX_SHARE);
+	return share;
+}
+
 static void se_platform(struct ym_node *root, struct se_settings *settings,
 			struct ym_errors *errors)
 {
@@ -170,6 +187,9 @@
 	settings->follow_platform = ym_bool(map, "follow", false, errors);
 	if (settings->follow_platform)
 		se_address(map, "relay", &settings->relay, errors);
+	settings->processor_share = se_share(map, "processor_share", errors);
+	settings->fresh_ms = ym_uint(map, "fresh_ms", SE_MIN_FRESH_MS,
+				     SE_MAX_FRESH_MS, SE_FRESH_MS, errors);
 	settings->retry_percent =
 		ym_uint(map, "retry_percent", 0, 100, SE_RETRY_PERCENT, errors);
 	settings->probes_per_server_s =
--- a/settings.h
+++ b/settings.h
@@ -41,6 +41,9 @@
 	/* Routes and servers come from the platform's store. */
 	bool follow_platform;
 	struct nt_address relay; /* for other hosts that follow it too */
+	/* Changes at the platform must be known within this time. */
+	uint64_t fresh_ms;
+	double processor_share; /* of this host; 0: not known */
 	uint64_t retry_percent; /* of the calls, on routes of the platform */
 	uint64_t probes_per_server_s; /* over all entry hosts */
 	struct nt_address operators;
