--- /dev/null
+++ b/cmd_explain.c
@@ -0,0 +1,222 @@
+#include <argp.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "command.h"
+#include "status.h"
+
+/* explain: the story of one call, from the logs of one or more hosts. */
+
+enum {
+	EX_AROUND_US = 2 * 1000 * 1000, /* lines about dependencies */
+	EX_US_PER_MS = 1000
+};
+
+struct ex_line {
+	int64_t at_us;
+	json_t *json;
+};
+
+struct ex_options {
+	const char *id;
+	char **files;
+	int file_count;
+};
+
+struct ex_logs {
+	GArray *lines; /* struct ex_line */
+	uint64_t malformed;
+	uint64_t all;
+};
+
+static const char *ex_text(const json_t *line, const char *name)
+{
+	const char *text = json_string_value(json_object_get(line, name));
+
+	return text ? text : "";
+}
+
+static int64_t ex_time_us(const json_t *line)
+{
+	GDateTime *at =
+		g_date_time_new_from_iso8601(ex_text(line, "time"), NULL);
+	int64_t at_us;
+
+	if (!at)
+		return -1;
+	at_us = g_date_time_to_unix(at) * G_USEC_PER_SEC +
+		g_date_time_get_microsecond(at);
+	g_date_time_unref(at);
+	return at_us;
+}
+
+/* Lines may have a prefix of a log collector. */
+static void ex_take(struct ex_logs *logs, const char *text)
+{
+	const char *begin = strchr(text, '{');
+	struct ex_line line = { 0 };
+
+	if (!*g_strstrip((char *)text))
+		return;
+	logs->all++;
+	if (begin)
+		line.json = json_loads(begin, 0, NULL);
+	line.at_us = line.json ? ex_time_us(line.json) : -1;
+	if (line.at_us >= 0 && *ex_text(line.json, "event")) {
+		g_array_append_val(logs->lines, line);
+		return;
+	}
+	json_decref(line.json);
+	logs->malformed++;
+}
+
+static bool ex_read(struct ex_logs *logs, const char *path)
+{
+	GError *error = NULL;
+	char *text;
+	char **lines;
+
+	if (!g_file_get_contents(path, &text, NULL, &error)) {
+		fprintf(stderr, "%s\n", error->message);
+		g_error_free(error);
+		return false;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (char **l = lines; *l; l++)
+		ex_take(logs, *l);
+	g_strfreev(lines);
+	g_free(text);
+	return true;
+}
+
+static gint ex_compare(gconstpointer a, gconstpointer b)
+{
+	const struct ex_line *x = a;
+	const struct ex_line *y = b;
+
+	return x->at_us < y->at_us ? -1 : x->at_us > y->at_us;
+}
+
+static bool ex_is_about(const struct ex_line *line, const char *id)
+{
+	return !strcmp(ex_text(line->json, "id"), id);
+}
+
+/* Lines that are about no call, of a host that the call met. */
+static bool ex_is_around(const struct ex_line *line, int64_t from_us,
+			 int64_t to_us, GHashTable *hosts)
+{
+	return !json_object_get(line->json, "id") && line->at_us >= from_us &&
+	       line->at_us <= to_us &&
+	       g_hash_table_contains(hosts, ex_text(line->json, "host"));
+}
+
+static void ex_print(const struct ex_line *line, int64_t from_us, bool about)
+{
+	static const char *const shown[] = { "time", "host", "event", "id" };
+	json_t *rest = json_copy(line->json);
+	char *text;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(shown); i++)
+		json_object_del(rest, shown[i]);
+	text = json_dumps(rest, JSON_COMPACT);
+	printf("%c %+9.3f ms  %-20s %-12s %s\n", about ? '*' : ' ',
+	       (double)(line->at_us - from_us) / EX_US_PER_MS,
+	       ex_text(line->json, "host"), ex_text(line->json, "event"), text);
+	free(text);
+	json_decref(rest);
+}
+
+static enum st_kind ex_explain(const struct ex_logs *logs, const char *id)
+{
+	GHashTable *hosts = g_hash_table_new(g_str_hash, g_str_equal);
+	int64_t from_us = INT64_MAX;
+	int64_t to_us = 0;
+	bool found;
+
+	for (guint i = 0; i < logs->lines->len; i++) {
+		struct ex_line *line =
+			&g_array_index(logs->lines, struct ex_line, i);
+
+		if (!ex_is_about(line, id))
+			continue;
+		from_us = MIN(from_us, line->at_us);
+		to_us = MAX(to_us, line->at_us);
+		g_hash_table_add(hosts, (char *)ex_text(line->json, "host"));
+	}
+	found = g_hash_table_size(hosts) > 0;
+	if (!found)
+		fprintf(stderr,
+			"no line of %" G_GUINT64_FORMAT " is about call %s; "
+			"lines about successes are dropped under load\n",
+			logs->all, id);
+	for (guint i = 0; found && i < logs->lines->len; i++) {
+		struct ex_line *line =
+			&g_array_index(logs->lines, struct ex_line, i);
+		bool about = ex_is_about(line, id);
+
+		if (about || ex_is_around(line, from_us - EX_AROUND_US,
+					  to_us + EX_AROUND_US, hosts))
+			ex_print(line, from_us, about);
+	}
+	g_hash_table_destroy(hosts);
+	return found ? ST_OK : ST_NOT_FOUND;
+}
+
+static error_t ex_parse(int key, char *arg, struct argp_state *state)
+{
+	struct ex_options *options = state->input;
+
+	switch (key) {
+	case ARGP_KEY_ARGS:
+		options->id = state->argv[state->next];
+		options->files = state->argv + state->next + 1;
+		options->file_count = state->argc - state->next - 1;
+		if (!options->file_count)
+			argp_usage(state);
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int cmd_explain(int argc, char **argv)
+{
+	struct ex_options options = { 0 };
+	struct ex_logs logs = {
+		.lines = g_array_new(FALSE, FALSE, sizeof(struct ex_line)),
+	};
+	struct argp argp = {
+		.parser = ex_parse,
+		.args_doc = "ID FILE...",
+		.doc = "Prints what the logs of entry hosts say about a call, "
+		       "in order. Lines about the call begin with *; the "
+		       "others tell what changed on its hosts within 2 s."
+	};
+	enum st_kind kind = ST_OK;
+
+	if (argp_parse(&argp, argc, argv, 0, NULL, &options))
+		return st_exit(ST_USAGE);
+	for (int i = 0; i < options.file_count; i++)
+		if (!ex_read(&logs, options.files[i]))
+			kind = ST_IO;
+	if (kind == ST_OK) {
+		if (logs.malformed)
+			fprintf(stderr,
+				"%" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+				" lines are no log lines\n",
+				logs.malformed, logs.all);
+		g_array_sort(logs.lines, ex_compare);
+		kind = ex_explain(&logs, options.id);
+	}
+	for (guint i = 0; i < logs.lines->len; i++)
+		json_decref(g_array_index(logs.lines, struct ex_line, i).json);
+	g_array_free(logs.lines, TRUE);
+	return st_exit(kind);
+}
--- a/cmd_replay.c
+++ b/cmd_replay.c
@@ -126,7 +126,7 @@
 
 static void re_run(struct re_replay *replay)
 {
-	struct core_driver driver = { re_act, re_random, replay };
+	struct core_driver driver = { re_act, re_random, replay, NULL };
 
 	re_check_lines(replay);
 	core_init(&replay->core, &driver);
--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -26,6 +26,7 @@
 enum {
 	SV_CHECK_IDLE_US = 20 * 1000,
 	SV_US_PER_MS = 1000,
+	SV_SETTINGS_US = 10 * 1000 * 1000,
 	/* HTTP/2 callers get two notices a second apart before they close. */
 	SV_LINGER_US = 2000 * 1000,
 	SV_CLOSE_US = 1000 * 1000
@@ -50,7 +51,10 @@
 	struct fo_follower follower;
 	struct hd_server health;
 	struct hd_server metrics;
-	uv_signal_t signals[2];
+	uv_signal_t signals[3];
+	const char *settings_path;
+	char *settings_text; /* as it was read last */
+	struct tm_sub settings_timer;
 	struct tm_sub stop_timer;
 	uint64_t linger_until_us;
 	bool stopping;
@@ -104,10 +108,83 @@
 	tm_subscribe(&host->timers, &host->stop_timer, tm_now_us() + grace_us);
 }
 
+/*
+ * What may change while the process runs. Addresses, names and TLS files stay
+ * as they were at the start.
+ */
+static void sv_take_settings(struct sv_host *host,
+			     const struct se_settings *fresh)
+{
+	struct se_settings *settings = &host->settings;
+
+	settings->stop_grace_ms = fresh->stop_grace_ms;
+	settings->fresh_ms = fresh->fresh_ms;
+	settings->retry_percent = fresh->retry_percent;
+	settings->probes_per_server_s = fresh->probes_per_server_s;
+	g_strlcpy(settings->log_level, fresh->log_level,
+		  sizeof(settings->log_level));
+	lg_set_level(settings->log_level);
+	if (strcmp(settings->callers.text, fresh->callers.text) != 0 ||
+	    strcmp(settings->platform.text, fresh->platform.text) != 0)
+		lg_warn("reload", "changed addresses need a restart");
+}
+
+/* Reads the file again; settings with errors change nothing. */
+static void sv_reload(struct sv_host *host)
+{
+	struct se_settings *fresh = g_new0(struct se_settings, 1);
+	GString *text = g_string_new(NULL);
+	struct ym_errors errors;
+
+	ym_errors_init(&errors);
+	if (se_read(host->settings_path, fresh, &errors) == ST_OK) {
+		sv_take_settings(host, fresh);
+		lg_info("reload", "settings read again");
+	} else {
+		ym_errors_print(&errors, text);
+		lg_warn("reload", "settings not taken: %s", text->str);
+	}
+	ym_errors_free(&errors);
+	g_string_free(text, TRUE);
+	g_free(fresh);
+}
+
+/* The file may change without a signal. */
+static void sv_on_settings_time(void *ctx)
+{
+	struct sv_host *host = ctx;
+	char *text = NULL;
+
+	if (g_file_get_contents(host->settings_path, &text, NULL, NULL) &&
+	    g_strcmp0(text, host->settings_text) != 0) {
+		bool first = !host->settings_text;
+
+		g_free(host->settings_text);
+		host->settings_text = text;
+		text = NULL;
+		if (!first)
+			sv_reload(host);
+	}
+	g_free(text);
+	tm_subscribe(&host->timers, &host->settings_timer,
+		     tm_now_us() + SV_SETTINGS_US);
+}
+
+static void sv_watch_settings(struct sv_host *host)
+{
+	host->settings_timer.fire = sv_on_settings_time;
+	host->settings_timer.ctx = host;
+	sv_on_settings_time(host);
+}
+
 static void sv_on_signal(uv_signal_t *handle, int signum)
 {
 	struct sv_host *host = handle->data;
 
+	if (signum == SIGHUP) {
+		sv_reload(host);
+		return;
+	}
 	if (!host->stopping) {
 		sv_stop(host);
 		return;
@@ -118,7 +195,7 @@
 
 static void sv_watch_signals(struct sv_host *host)
 {
-	static const int numbers[] = { SIGTERM, SIGINT };
+	static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
 		uv_signal_init(&host->loop, &host->signals[i]);
@@ -341,9 +418,16 @@
 		lg_error("start", "%s", status.msg);
 		return st_exit(kind);
 	}
+	sv_watch_settings(host);
+	lg_attach(&host->timers);
 	lg_info("start", "callers %s, operators %s",
-		host->settings.callers.text, host->settings.operators.text);
+		host->settings.callers.text,
+		host->settings.has_operators ? host->settings.operators.text :
+					       "none");
 	uv_run(&host->loop, UV_RUN_DEFAULT);
+	lg_detach();
+	tm_cancel(&host->timers, &host->settings_timer);
+	g_free(host->settings_text);
 	if (!host->settings.follow_platform)
 		pr_leave(&host->peer);
 	if (!host->at_once)
@@ -405,6 +489,7 @@
 		return st_exit(ST_USAGE);
 	if (!sv_read_settings(&host, options.settings))
 		return st_exit(ST_INVALID);
+	host.settings_path = options.settings;
 	lg_init(host.settings.host, host.settings.log_level);
 	return sv_run(&host);
 }
--- a/command.h
+++ b/command.h
@@ -14,7 +14,8 @@
 	X(history, "print the audit trail")                    \
 	X(status, "print figures of entry hosts")              \
 	X(drain, "ask an entry host to stop gracefully")       \
-	X(replay, "replay a recorded trace")
+	X(replay, "replay a recorded trace")                   \
+	X(explain, "tell the story of a call from logs")
 
 #define X(name, help) int cmd_##name(int argc, char **argv);
 CMD_LIST(X)
--- a/counter.c
+++ b/counter.c
@@ -1,5 +1,7 @@
 #include "counter.h"
 
+#include "histogram.h"
+
 static uint64_t ct_values[CT_COUNT];
 static uint64_t ct_results[ST_KIND_COUNT];
 
@@ -56,4 +58,5 @@
 			ct_rows[i].name, ct_values[i]);
 	}
 	ct_write_results(out);
+	hg_write(out);
 }
--- a/counter.h
+++ b/counter.h
@@ -36,6 +36,9 @@
 	X(PLATFORM_WRITES, "platform_writes_total", "Writes at the platform") \
 	X(PLATFORM_ERRORS, "platform_errors_total",                           \
 	  "Failed platform requests")                                         \
+	X(LOG_DROPPED, "log_lines_dropped_total", "Lines of the log dropped") \
+	X(MANIFEST, "manifest_changes_total",                                 \
+	  "Versions of routes and servers taken")                             \
 	X(ORDERS, "orders_claimed_total", "Orders claimed by their key")      \
 	X(ORDER_REPLAYS, "orders_replayed_total", "Kept answers replayed")    \
 	X(ORDER_READS, "order_platform_reads_total",                          \
--- a/gateway.c
+++ b/gateway.c
@@ -10,7 +10,8 @@
 	GW_SWEEP_US = 100 * 1000,
 	/* To take what is left of an answer or an error at the deadline. */
 	GW_TAKE_US = 500 * 1000,
-	GW_HEAD_BYTES = 512
+	GW_HEAD_BYTES = 512,
+	GW_UNKNOWN_HOSTS = 8 /* until the others are known */
 };
 
 /* Lets the pool of a request tell its call that the request is gone. */
@@ -101,7 +102,9 @@
 		g_hash_table_lookup(gateway->calls, &action->call);
 
 	call->result = at_told(action->result, call->may_have_run);
+	call->inputs = action->inputs;
 	gw_count_result(call->result);
+	gw_log_end(call);
 	tm_cancel(gateway->timers, &call->timer);
 	g_hash_table_remove(gateway->calls, &call->id);
 	call->finished = true;
@@ -283,6 +286,7 @@
 	call->refs = 2;
 	call->begin_us = tm_now_us();
 	call->lane = CORE_NO_CALLER;
+	call->generation = gateway->document->generation;
 	gw_name_call(call, req);
 	call->head_method = hd_method_is(req, "HEAD");
 	call->head = g_string_sized_new(GW_HEAD_BYTES);
@@ -358,6 +362,7 @@
 	gw_count_result(verdict->kind);
 	call->finished = true;
 	call->result = verdict->kind;
+	gw_log_end(call);
 	if (call->req && verdict->kind == ST_OK)
 		gw_replay(call, verdict);
 	else if (call->req)
@@ -456,6 +461,7 @@
 		call->target_us = call->begin_us +
 				  (uint64_t)route->target_ms * GW_US_PER_MS;
 	call->service = gateway->service_map[route->parts[part].service];
+	g_strlcpy(call->route, route->name, sizeof(call->route));
 	call->idempotent = route->idempotent;
 	call->bulky = route->bulky;
 	call->max_attempts = route->max_attempts;
@@ -469,6 +475,7 @@
 	struct st_status status;
 
 	ct_add(CT_REFUSED, 1);
+	gw_log_refusal(gateway, req, kind);
 	st_set(&status, kind, "%s", msg);
 	if (gateway->dialect->outcome)
 		hd_add_header(req, gateway->dialect->outcome, "not-run",
@@ -582,7 +589,7 @@
 		     const struct se_settings *settings,
 		     const struct dl_dialect *dialect, struct st_status *status)
 {
-	struct core_driver driver = { gw_act, gw_random, gateway };
+	struct core_driver driver = { gw_act, gw_random, gateway, gw_log_note };
 	enum st_kind kind;
 
 	memset(gateway, 0, sizeof(*gateway));
@@ -591,7 +598,9 @@
 	gateway->settings = settings;
 	gateway->dialect = dialect;
 	gateway->incarnation = (uint64_t)g_get_real_time();
-	gateway->host_count = MAX(settings->seed_count, 1);
+	gateway->host_count = settings->follow_platform ?
+				      GW_UNKNOWN_HOSTS :
+				      MAX(settings->seed_count, 1);
 	gateway->id_prefix_bytes = (size_t)g_snprintf(
 		gateway->id_prefix, sizeof(gateway->id_prefix),
 		"%s-%" G_GINT64_MODIFIER "x-", settings->host,
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -211,6 +211,8 @@
 {
 	gw_close_attempt(attempt, HC_SENT);
 	hc_cancel(&attempt->http);
+	attempt->end = end;
+	gw_log_attempt(attempt, "the answer is of no use");
 	gw_post_ended(attempt, end);
 }
 
@@ -311,6 +313,8 @@
 {
 	struct core_event event = { .kind = CORE_EV_ENDED };
 
+	attempt->end = end;
+	attempt->end_us = tm_now_us();
 	event.u.ended.call = attempt->call->id;
 	event.u.ended.attempt = attempt->index;
 	event.u.ended.end = end;
@@ -322,17 +326,17 @@
 {
 	struct gw_attempt *attempt = (struct gw_attempt *)request;
 
-	lg_debug("attempt", "%s attempt %u: %s %s", attempt->call->request_id,
-		 attempt->index, core_end_name(gw_end(attempt, end)), msg);
 	if (attempt->held && end == HC_COMPLETE)
 		gw_release_held(attempt);
 	gw_close_attempt(attempt, at_state(end));
+	attempt->end = gw_end(attempt, end);
 	/* Nothing of a held answer has reached the caller. */
 	if (attempt->held)
-		gw_post_ended(attempt, CORE_END_NO_ANSWER);
-	else
-		gw_post_ended(attempt, gw_end(attempt, end));
+		attempt->end = CORE_END_NO_ANSWER;
+	if (attempt->end != CORE_END_DONE)
+		gw_log_attempt(attempt, msg);
 	gw_drop_held(attempt);
+	gw_post_ended(attempt, attempt->end);
 }
 
 static const struct hc_handler gw_handler = {
@@ -416,12 +420,16 @@
 	ct_add(CT_RETRIES, action->attempt > 0 && !action->hedge);
 	ct_add(CT_HEDGES, action->hedge);
 	attempt->call = call;
+	attempt->begin_us = tm_now_us();
+	attempt->inputs = action->inputs;
+	call->attempt_count = action->attempt + 1;
 	attempt->index = action->attempt;
 	attempt->server = action->server;
 	attempt->http.handler = &gw_handler;
 	attempt->http.head_method = call->head_method;
 	attempt->http.not_after_us = call->deadline_us;
 	attempt->http.may_end_with_close = gateway->dialect->signature != NULL;
+	gw_log_send(attempt, action->hedge);
 	/* A server may close an old idle connection at the same moment. */
 	if (!call->idempotent)
 		attempt->http.max_idle_us = GW_ORDER_IDLE_US;
@@ -443,6 +451,8 @@
 	ct_add(CT_CANCELS, 1);
 	gw_close_attempt(attempt, attempt->http.state);
 	hc_cancel(&attempt->http);
+	attempt->end = CORE_END_CANCELLED;
+	attempt->end_us = tm_now_us();
 	gw_drop_held(attempt);
 }
 
--- /dev/null
+++ b/gateway_log.c
@@ -0,0 +1,211 @@
+#include "gateway_state.h"
+
+#include <string.h>
+
+#include "attempt.h"
+#include "counter.h"
+#include "histogram.h"
+#include "log.h"
+
+/* Lines about calls. */
+
+static uint64_t gw_ms(uint64_t from_us, uint64_t to_us)
+{
+	return to_us > from_us ? (to_us - from_us) / GW_US_PER_MS : 0;
+}
+
+static void gw_set_text(json_t *line, const char *key, const char *value)
+{
+	json_object_set_new(line, key, json_string(value));
+}
+
+static void gw_set_number(json_t *line, const char *key, uint64_t value)
+{
+	json_object_set_new(line, key, json_integer((json_int_t)value));
+}
+
+/* Inputs that are not known are left out. */
+static void gw_set_inputs(json_t *line, const struct core_inputs *inputs)
+{
+	if (inputs->report_age_ms != UINT32_MAX) {
+		gw_set_number(line, "report_age_ms", inputs->report_age_ms);
+		gw_set_number(line, "running", inputs->running);
+		gw_set_number(line, "waiting", inputs->waiting);
+	}
+	if (inputs->pace_percent)
+		gw_set_number(line, "pace_percent", inputs->pace_percent);
+	if (inputs->expected_ms)
+		gw_set_number(line, "expected_ms", inputs->expected_ms);
+	if (inputs->asked)
+		gw_set_number(line, "asked", inputs->asked);
+	gw_set_number(line, "own_in_flight", inputs->in_flight);
+	gw_set_number(line, "retry_credit", inputs->retry_credit);
+}
+
+static const struct gw_server *gw_server_of(const struct gw_attempt *attempt)
+{
+	return g_ptr_array_index(attempt->call->gateway->servers,
+				 attempt->server);
+}
+
+static json_t *gw_call_line(const struct gw_call *call)
+{
+	const struct gw_gateway *gateway = call->gateway;
+	json_t *line = json_object();
+
+	gw_set_text(line, "id", call->request_id);
+	if (*call->route)
+		gw_set_text(line, "route", call->route);
+	if (call->service < gateway->services->len)
+		gw_set_text(
+			line, "service",
+			g_ptr_array_index(gateway->services, call->service));
+	gw_set_number(line, "generation", call->generation);
+	return line;
+}
+
+void gw_log_send(const struct gw_attempt *attempt, bool hedge)
+{
+	const struct gw_call *call = attempt->call;
+	json_t *line;
+
+	if (!lg_wants(LG_EV_SEND))
+		return;
+	line = gw_call_line(call);
+	gw_set_number(line, "attempt", attempt->index);
+	gw_set_text(line, "why",
+		    hedge	   ? "hedge" :
+		    attempt->index ? "retry" :
+				     "first");
+	gw_set_text(line, "server", gw_server_of(attempt)->name);
+	gw_set_number(line, "left_ms", gw_ms(tm_now_us(), call->deadline_us));
+	gw_set_inputs(line, &attempt->inputs);
+	lg_write(LG_EV_SEND, line);
+}
+
+void gw_log_attempt(const struct gw_attempt *attempt, const char *msg)
+{
+	json_t *line;
+
+	if (!lg_wants(LG_EV_ATTEMPT))
+		return;
+	line = gw_call_line(attempt->call);
+	gw_set_number(line, "attempt", attempt->index);
+	gw_set_text(line, "server", gw_server_of(attempt)->name);
+	gw_set_text(line, "end", core_end_name(attempt->end));
+	if (attempt->status)
+		gw_set_number(line, "status", (uint64_t)attempt->status);
+	gw_set_number(line, "took_ms", gw_ms(attempt->begin_us, tm_now_us()));
+	gw_set_text(line, "message", msg);
+	lg_write(LG_EV_ATTEMPT, line);
+}
+
+/* All attempts, so that the line of a failure stands for itself. */
+static json_t *gw_attempts(const struct gw_call *call)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < call->attempt_count; i++) {
+		const struct gw_attempt *attempt = &call->attempts[i];
+		json_t *item = json_object();
+
+		gw_set_text(item, "server", gw_server_of(attempt)->name);
+		gw_set_text(item, "end",
+			    attempt->end_us ? core_end_name(attempt->end) :
+					      "open");
+		gw_set_number(item, "began_ms",
+			      gw_ms(call->begin_us, attempt->begin_us));
+		if (attempt->end_us)
+			gw_set_number(
+				item, "took_ms",
+				gw_ms(attempt->begin_us, attempt->end_us));
+		gw_set_inputs(item, &attempt->inputs);
+		json_array_append_new(list, item);
+	}
+	return list;
+}
+
+static bool gw_is_success(const struct gw_call *call)
+{
+	return call->result == ST_OK && call->answering &&
+	       call->answering->status < 500;
+}
+
+void gw_log_end(const struct gw_call *call)
+{
+	bool success = gw_is_success(call);
+	enum lg_event_id id = success ? LG_EV_END : LG_EV_FAIL;
+	uint64_t took_us = tm_now_us() - call->begin_us;
+	json_t *line;
+
+	if (call->service < call->gateway->services->len)
+		hg_observe(g_ptr_array_index(call->gateway->services,
+					     call->service),
+			   success ? "success" : st_name(call->result),
+			   took_us);
+	if (!lg_wants(id))
+		return;
+	line = gw_call_line(call);
+	gw_set_text(line, "result", st_name(call->result));
+	gw_set_text(line, "outcome", at_outcome(call->result));
+	if (call->answering)
+		gw_set_number(line, "status",
+			      (uint64_t)call->answering->status);
+	gw_set_number(line, "took_ms", took_us / GW_US_PER_MS);
+	gw_set_number(line, "left_ms", gw_ms(tm_now_us(), call->deadline_us));
+	if (!success) {
+		json_object_set_new(line, "caller_left",
+				    json_boolean(!call->req));
+		json_object_set_new(line, "idempotent",
+				    json_boolean(call->idempotent));
+		gw_set_inputs(line, &call->inputs);
+	}
+	json_object_set_new(line, "attempts", gw_attempts(call));
+	lg_write(id, line);
+}
+
+void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
+		    enum st_kind kind)
+{
+	const char *name = gateway->dialect->call_id;
+	h2o_iovec_t id = { 0 };
+	json_t *line;
+
+	if (name)
+		id = hd_header(req, name);
+	if (!lg_wants(LG_EV_REFUSE))
+		return;
+	line = json_object();
+	json_object_set_new(line, "id",
+			    id.base ? json_stringn(id.base, id.len) : NULL);
+	json_object_set_new(
+		line, "host_header",
+		json_stringn(req->authority.base, req->authority.len));
+	json_object_set_new(line, "path",
+			    json_stringn(req->path.base, req->path.len));
+	gw_set_text(line, "result", st_name(kind));
+	gw_set_number(line, "generation",
+		      gateway->document ? gateway->document->generation : 0);
+	gw_set_number(line, "routes",
+		      gateway->document ? gateway->document->route_count : 0);
+	lg_write(LG_EV_REFUSE, line);
+}
+
+void gw_log_note(void *ctx, const struct core_note *note)
+{
+	const struct gw_gateway *gateway = ctx;
+	const struct gw_server *server =
+		g_ptr_array_index(gateway->servers, note->server);
+	enum lg_event_id id = note->out ? LG_EV_SERVER_OUT : LG_EV_SERVER_BACK;
+	json_t *line;
+
+	if (!lg_wants(id))
+		return;
+	line = json_object();
+	gw_set_text(line, "server", server->name);
+	gw_set_text(line, "address", server->pool.address.text);
+	gw_set_number(line, "errors_in_row", note->errors);
+	if (note->out)
+		gw_set_number(line, "back_off_ms", note->back_off_ms);
+	lg_write(id, line);
+}
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -50,6 +50,10 @@
 	uint32_t index;
 	uint32_t server;
 	int status;
+	uint64_t begin_us;
+	uint64_t end_us; /* 0: still open */
+	enum core_end end;
+	struct core_inputs inputs; /* why this server */
 	struct gw_held *held; /* NULL: passed on as it arrives */
 	bool refused;
 	bool ended;
@@ -69,6 +73,10 @@
 	GString *head; /* of the request, without what differs per attempt */
 	GString *body;
 	const char *call_id; /* of the caller; NULL: none */
+	char route[DOC_NAME_BYTES];
+	uint64_t generation; /* of the document when the call arrived */
+	uint32_t attempt_count;
+	struct core_inputs inputs; /* of the core's last decision */
 	uint64_t deadline_us;
 	uint64_t begin_us;
 	uint64_t target_us; /* 0: none */
@@ -129,6 +137,22 @@
 void gw_probe(struct gw_gateway *gateway, const struct core_action *action);
 size_t gw_decimal(uint64_t value, char out[GW_DIGITS]);
 
+/*
+ * gateway_log.c: lines about calls, see docs/OPERATIONS.md.
+ *
+ * gw_log_send - an attempt starts.
+ * gw_log_attempt - an attempt ended in a way that was not asked for.
+ * gw_log_end - the caller was told the result.
+ * gw_log_refusal - a request that never became a call.
+ * gw_log_note - what the core believes about a server; CTX is the gateway.
+ */
+void gw_log_send(const struct gw_attempt *attempt, bool hedge);
+void gw_log_attempt(const struct gw_attempt *attempt, const char *msg);
+void gw_log_end(const struct gw_call *call);
+void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
+		    enum st_kind kind);
+void gw_log_note(void *ctx, const struct core_note *note);
+
 /*
  * gateway_conf.c
  *
--- /dev/null
+++ b/histogram.c
@@ -0,0 +1,89 @@
+#include "histogram.h"
+
+#include <string.h>
+
+enum { HG_US_PER_S = 1000 * 1000, HG_LABEL_BYTES = 64 };
+
+static const uint64_t hg_bounds_us[] = {
+	5000,	10000,	25000,	50000,	 100000,  150000,  200000,
+	300000, 400000, 600000, 1000000, 1500000, 2500000, 5000000,
+};
+
+enum { HG_BUCKETS = G_N_ELEMENTS(hg_bounds_us) };
+
+struct hg_series {
+	char service[HG_LABEL_BYTES];
+	char result[HG_LABEL_BYTES];
+	uint64_t buckets[HG_BUCKETS + 1]; /* the last one has no bound */
+	uint64_t count;
+	uint64_t sum_us;
+};
+
+static struct hg_series hg_all[HG_MAX_SERIES];
+static uint32_t hg_count;
+
+static struct hg_series *hg_find(const char *service, const char *result)
+{
+	struct hg_series *series;
+
+	for (uint32_t i = 0; i < hg_count; i++)
+		if (!strcmp(hg_all[i].service, service) &&
+		    !strcmp(hg_all[i].result, result))
+			return &hg_all[i];
+	if (hg_count == HG_MAX_SERIES)
+		return &hg_all[HG_MAX_SERIES - 1];
+	series = &hg_all[hg_count++];
+	if (hg_count == HG_MAX_SERIES)
+		service = "other";
+	g_strlcpy(series->service, service, sizeof(series->service));
+	g_strlcpy(series->result, result, sizeof(series->result));
+	return series;
+}
+
+void hg_observe(const char *service, const char *result, uint64_t latency_us)
+{
+	struct hg_series *series = hg_find(service, result);
+	uint32_t at = 0;
+
+	while (at < HG_BUCKETS && latency_us > hg_bounds_us[at])
+		at++;
+	series->buckets[at]++;
+	series->count++;
+	series->sum_us += latency_us;
+}
+
+static void hg_write_series(GString *out, const struct hg_series *series)
+{
+	uint64_t seen = 0;
+
+	for (uint32_t i = 0; i <= HG_BUCKETS; i++) {
+		char bound[G_ASCII_DTOSTR_BUF_SIZE] = "+Inf";
+
+		seen += series->buckets[i];
+		if (i < HG_BUCKETS)
+			g_ascii_formatd(bound, sizeof(bound), "%g",
+					(double)hg_bounds_us[i] / HG_US_PER_S);
+		g_string_append_printf(
+			out,
+			"jackdawworks_call_seconds_bucket{service=\"%s\","
+			"result=\"%s\",le=\"%s\"} %" G_GUINT64_FORMAT "\n",
+			series->service, series->result, bound, seen);
+	}
+	g_string_append_printf(
+		out,
+		"jackdawworks_call_seconds_sum{service=\"%s\",result=\"%s\"} "
+		"%.6f\njackdawworks_call_seconds_count{service=\"%s\","
+		"result=\"%s\"} %" G_GUINT64_FORMAT "\n",
+		series->service, series->result,
+		(double)series->sum_us / HG_US_PER_S, series->service,
+		series->result, series->count);
+}
+
+void hg_write(GString *out)
+{
+	g_string_append(out, "# HELP jackdawworks_call_seconds Time from the "
+			     "arrival of a call to its end\n"
+			     "# TYPE jackdawworks_call_seconds histogram\n");
+	for (uint32_t i = 0; i < hg_count; i++)
+		hg_write_series(out, &hg_all[i]);
+}
--- a/log.c
+++ b/log.c
@@ -1,13 +1,24 @@
 #include "log.h"
 
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
-#include <jansson.h>
-
+#include "counter.h"
 #include "json_text.h"
 
+enum {
+	/* A pipe that is writable takes so much without blocking. */
+	LG_CHUNK_BYTES = 4096,
+	LG_MAX_PENDING_BYTES = 256 * 1024,
+	LG_BYTES_PER_S = 128 * 1024,
+	LG_BURST_BYTES = 256 * 1024,
+	LG_FLUSH_US = 100 * 1000,
+	LG_US_PER_S = 1000 * 1000
+};
+
 static const struct {
 	const char *name;
 	GLogLevelFlags level;
@@ -18,8 +29,32 @@
 	{ "debug", G_LOG_LEVEL_DEBUG },
 };
 
-static char lg_host[64];
-static GLogLevelFlags lg_min_level = G_LOG_LEVEL_INFO;
+static const struct {
+	const char *name;
+	enum lg_class class;
+} lg_rows[] = {
+#define X(id, name, class, help) { name, LG_##class },
+	LG_EVENTS(X)
+#undef X
+};
+
+/* Tokens a class must leave to those that matter more. */
+static const int64_t lg_reserve_bytes[LG_CLASS_COUNT] = {
+	[LG_ORDINARY] = LG_BURST_BYTES / 2,
+	[LG_FAILURE] = 0,
+	[LG_STATE] = INT64_MIN,
+};
+
+static struct {
+	char host[64];
+	GLogLevelFlags min_level;
+	GString *pending;
+	int64_t tokens; /* bytes that may be written */
+	uint64_t filled_us;
+	uint64_t dropped[LG_CLASS_COUNT]; /* since the last line that said so */
+	struct tm_service *timers; /* NULL: write at once */
+	struct tm_sub flush;
+} lg = { .min_level = G_LOG_LEVEL_INFO };
 
 static const char *lg_level_name(GLogLevelFlags level)
 {
@@ -29,6 +64,135 @@
 	return level & G_LOG_LEVEL_ERROR ? "error" : "info";
 }
 
+/* Writes as much as standard output takes without blocking. */
+static void lg_flush(void)
+{
+	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+	size_t done = 0;
+
+	while (done < lg.pending->len && poll(&out, 1, 0) == 1 &&
+	       out.revents & POLLOUT) {
+		size_t bytes = MIN(lg.pending->len - done, LG_CHUNK_BYTES);
+		ssize_t written =
+			write(STDOUT_FILENO, lg.pending->str + done, bytes);
+
+		if (written <= 0)
+			break;
+		done += (size_t)written;
+	}
+	g_string_erase(lg.pending, 0, (gssize)done);
+}
+
+static void lg_on_flush(void *ctx)
+{
+	lg_flush();
+	if (lg.pending->len)
+		tm_subscribe(lg.timers, &lg.flush, tm_now_us() + LG_FLUSH_US);
+}
+
+static void lg_fill(void)
+{
+	uint64_t now_us = tm_now_us();
+	uint64_t age_us = MIN(now_us - lg.filled_us, 4 * LG_US_PER_S);
+
+	lg.filled_us = now_us;
+	lg.tokens = MIN(
+		lg.tokens + (int64_t)(age_us * LG_BYTES_PER_S / LG_US_PER_S),
+		(int64_t)LG_BURST_BYTES);
+}
+
+static bool lg_may_write(enum lg_class class)
+{
+	lg_fill();
+	return lg.pending->len < LG_MAX_PENDING_BYTES &&
+	       lg.tokens > lg_reserve_bytes[class];
+}
+
+static void lg_drop(enum lg_class class)
+{
+	lg.dropped[class]++;
+	ct_add(CT_LOG_DROPPED, 1);
+}
+
+static json_t *lg_line(const char *event)
+{
+	GDateTime *now = g_date_time_new_now_utc();
+	char *when = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
+	json_t *line = json_pack("{s:s, s:s, s:s}", "time", when, "host",
+				 lg.host, "event", event);
+
+	g_free(when);
+	g_date_time_unref(now);
+	return line;
+}
+
+static void lg_append(json_t *line)
+{
+	char *text = json_dumps(line, JSON_COMPACT);
+
+	if (text) {
+		size_t before = lg.pending->len;
+
+		g_string_append(lg.pending, text);
+		g_string_append_c(lg.pending, '\n');
+		lg.tokens -= (int64_t)(lg.pending->len - before);
+	}
+	free(text);
+	json_decref(line);
+	if (!lg.timers || lg.pending->len >= LG_CHUNK_BYTES)
+		lg_flush();
+	if (lg.timers && lg.pending->len && !lg.flush.slot)
+		tm_subscribe(lg.timers, &lg.flush, tm_now_us() + LG_FLUSH_US);
+}
+
+static void lg_say_dropped(void)
+{
+	json_t *line;
+
+	if (!lg.dropped[LG_ORDINARY] && !lg.dropped[LG_FAILURE] &&
+	    !lg.dropped[LG_STATE])
+		return;
+	line = lg_line(lg_name(LG_EV_DROPPED));
+	json_object_set_new(line, "ordinary",
+			    json_integer((json_int_t)lg.dropped[LG_ORDINARY]));
+	json_object_set_new(line, "failure",
+			    json_integer((json_int_t)lg.dropped[LG_FAILURE]));
+	json_object_set_new(line, "state",
+			    json_integer((json_int_t)lg.dropped[LG_STATE]));
+	memset(lg.dropped, 0, sizeof(lg.dropped));
+	lg_append(line);
+}
+
+const char *lg_name(enum lg_event_id id)
+{
+	return lg_rows[id].name;
+}
+
+bool lg_wants(enum lg_event_id id)
+{
+	if (!lg.pending)
+		return false;
+	if (lg_may_write(lg_rows[id].class))
+		return true;
+	lg_drop(lg_rows[id].class);
+	return false;
+}
+
+void lg_write(enum lg_event_id id, json_t *fields)
+{
+	json_t *line;
+
+	if (!lg.pending || !fields) {
+		json_decref(fields);
+		return;
+	}
+	lg_say_dropped();
+	line = lg_line(lg_rows[id].name);
+	json_object_update(line, fields);
+	json_decref(fields);
+	lg_append(line);
+}
+
 static const char *lg_field(const GLogField *fields, gsize count,
 			    const char *key)
 {
@@ -38,41 +202,61 @@
 	return "";
 }
 
-static GLogWriterOutput lg_write(GLogLevelFlags level, const GLogField *fields,
-				 gsize count, gpointer data)
+/* Messages of the process and of GLib itself. */
+static GLogWriterOutput lg_write_message(GLogLevelFlags level,
+					 const GLogField *fields, gsize count,
+					 gpointer data)
 {
-	GDateTime *now;
-	char *when;
-	char *line;
-	json_t *object;
+	json_t *line;
 
 	/* GLib's level flags are smaller the more severe the level is. */
-	if ((level & G_LOG_LEVEL_MASK) > lg_min_level)
+	if ((level & G_LOG_LEVEL_MASK) > lg.min_level)
 		return G_LOG_WRITER_HANDLED;
-	now = g_date_time_new_now_utc();
-	when = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
-	object = json_pack("{s:s, s:s, s:s, s:s*, s:o}", "time", when, "level",
-			   lg_level_name(level), "host", lg_host, "event",
-			   lg_field(fields, count, "EVENT"), "message",
-			   jt_string(lg_field(fields, count, "MESSAGE")));
-	line = object ? json_dumps(object, JSON_COMPACT) : NULL;
-	if (line)
-		fprintf(stderr, "%s\n", line);
-	free(line);
-	json_decref(object);
-	g_free(when);
-	g_date_time_unref(now);
+	if (!lg_may_write(LG_STATE)) {
+		lg_drop(LG_STATE);
+		return G_LOG_WRITER_HANDLED;
+	}
+	lg_say_dropped();
+	line = lg_line(lg_field(fields, count, "EVENT"));
+	json_object_set_new(line, "message",
+			    jt_string(lg_field(fields, count, "MESSAGE")));
+	json_object_set_new(line, "level", json_string(lg_level_name(level)));
+	lg_append(line);
 	return G_LOG_WRITER_HANDLED;
 }
 
-void lg_init(const char *host, const char *min_level)
+void lg_set_level(const char *min_level)
 {
-	g_strlcpy(lg_host, host, sizeof(lg_host));
-	lg_min_level = G_LOG_LEVEL_INFO;
+	lg.min_level = G_LOG_LEVEL_INFO;
 	for (size_t i = 0; i < G_N_ELEMENTS(lg_levels); i++)
 		if (!strcmp(min_level, lg_levels[i].name))
-			lg_min_level = lg_levels[i].level;
-	g_log_set_writer_func(lg_write, NULL, NULL);
+			lg.min_level = lg_levels[i].level;
+}
+
+void lg_init(const char *host, const char *min_level)
+{
+	g_strlcpy(lg.host, host, sizeof(lg.host));
+	lg_set_level(min_level);
+	if (!lg.pending)
+		lg.pending = g_string_new(NULL);
+	lg.tokens = LG_BURST_BYTES;
+	lg.filled_us = tm_now_us();
+	lg.flush.fire = lg_on_flush;
+	g_log_set_writer_func(lg_write_message, NULL, NULL);
+}
+
+void lg_attach(struct tm_service *timers)
+{
+	lg.timers = timers;
+}
+
+void lg_detach(void)
+{
+	if (lg.timers)
+		tm_cancel(lg.timers, &lg.flush);
+	lg.timers = NULL;
+	if (lg.pending)
+		lg_flush();
 }
 
 void lg_event(GLogLevelFlags level, const char *event, const char *fmt, ...)
@@ -81,7 +265,7 @@
 	va_list ap;
 	GLogField fields[] = { { "EVENT", event, -1 }, { "MESSAGE", msg, -1 } };
 
-	if (level > lg_min_level)
+	if (level > lg.min_level)
 		return;
 	va_start(ap, fmt);
 	vsnprintf(msg, sizeof(msg), fmt, ap);
--- a/settings.c
+++ b/settings.c
@@ -4,7 +4,13 @@
 
 enum { SE_MIN_FRESH_MS = 1500, SE_FRESH_MS = 2000, SE_MAX_FRESH_MS = 60000 };
 enum { SE_MAX_SHARE = 1024 };
-enum { SE_RETRY_PERCENT = 15, SE_PROBES = 50, SE_MAX_PROBES = 10000 };
+enum {
+	SE_RETRY_PERCENT = 17,
+	SE_RETRY_SLACK = 60,
+	SE_MAX_SLACK = 1000000,
+	SE_PROBES = 50,
+	SE_MAX_PROBES = 10000
+};
 enum { SE_MIN_SECRET_CHARS = 16, SE_MAX_GRACE_MS = 60000 };
 /*
  * A shorter retention than an hour would let a host that was paused or has a
@@ -192,6 +198,8 @@
 				     SE_MAX_FRESH_MS, SE_FRESH_MS, errors);
 	settings->retry_percent =
 		ym_uint(map, "retry_percent", 0, 100, SE_RETRY_PERCENT, errors);
+	settings->retry_slack = ym_uint(map, "retry_slack", 1, SE_MAX_SLACK,
+					SE_RETRY_SLACK, errors);
 	settings->probes_per_server_s =
 		ym_uint(map, "probes_per_server_s", 0, SE_MAX_PROBES, SE_PROBES,
 			errors);
--- a/settings.h
+++ b/settings.h
@@ -45,6 +45,7 @@
 	uint64_t fresh_ms;
 	double processor_share; /* of this host; 0: not known */
 	uint64_t retry_percent; /* of the calls, on routes of the platform */
+	uint64_t retry_slack; /* retries besides, saved up over all hosts */
 	uint64_t probes_per_server_s; /* over all entry hosts */
 	struct nt_address operators;
 	struct se_tls operators_tls;
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -37,7 +37,11 @@
 start() {
 	name=$1
 	shift
-	"$@" >"$WORK/$name.out" 2>"$WORK/$name.log" &
+	# Hosts log to standard output, errors of their start go elsewhere.
+	case $name in
+	entry*) "$@" >"$WORK/$name.log" 2>&1 & ;;
+	*) "$@" >"$WORK/$name.out" 2>"$WORK/$name.log" & ;;
+	esac
 	PID=$!
 	PIDS="$PIDS $PID"
 	eval "pid_$name=$PID"
--- /dev/null
+++ b/tests/lib_platform.sh
@@ -0,0 +1,80 @@
+#!/bin/bash
+# Hosts that follow the platform, with the stand-in of its store and servers.
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+
+fail() { say "FAILED: $*"; exit 1; }
+store() { # PATH DATA
+	curl -s -o /dev/null -w '%{http_code}' \
+		"$platform_address/jackdawworks/$1" -d "$2"
+}
+put_row() { # TABLE KEY VALUE
+	value=$(printf '%s' "$3" | base64 -w0)
+	test "$(store rows-tx '{"precondition":[],"remove":[],"put":[{"table":
+		"'"$1"'","part":"","key":"'"$2"'","value":"'"$value"'"}]}')" = 200
+}
+drop_row() { # TABLE KEY
+	test "$(store rows-tx '{"precondition":[],"put":[],"remove":[{"table":
+		"'"$1"'","part":"","key":"'"$2"'"}]}')" = 200
+}
+put_server() { # I STATE [SERVICE]
+	put_row servers "s$1" '{"service":"'"${3:-desk}"'","address":"127.0.0.1:'$((servers_port + $1))'","zone":"gs-a","version":"v1","slots":6,"state":"'"$2"'","warmup-left-s":0,"sequence":1}'
+}
+route() { # NAME PREFIX KIND SERVICE
+	printf '{"name":"%s","host":"x.example","prefix":"%s","route-kind":"%s",
+		"timeout-s":2,"target-latency-s":0.5,"priority":1,
+		"max-attempts":2,"service":"%s"}' "$1" "$2" "$3" "$4"
+}
+put_manifest() { # VERSION ROUTES
+	put_row op config '{"version":'"$1"',"routes":['"$2"'],"services":[
+		{"name":"desk","health-check-path":"/health",
+		"max-connections":200},{"name":"other",
+		"health-check-path":"/health","max-connections":200}],
+		"limits":{"idle-timeout-s":15}}'
+}
+start_upstream() { # I WORK-MS
+	start "server$1" "$BIN/tool_upstream" \
+		"127.0.0.1:$((servers_port + $1))" "s$1" "$2"
+	wait_http "127.0.0.1:$((servers_port + $1))" /health
+}
+start_follower() { # I
+	cat >"$WORK/entry$1.yaml" <<-END
+	host: entry-$1
+	zone: gs-a
+	log_level: info
+	stop_grace_ms: 3000
+	callers: {address: "127.0.0.1:$((callers_port + $1))", plaintext: true}
+	health: {address: "127.0.0.1:$((operators_port + $1))"}
+	metrics: {address: "127.0.0.1:$((operators_port + 20 + $1))"}
+	platform:
+	  address: "$platform_address"
+	  plaintext: true
+	  follow: true
+	  relay: "127.0.0.1:$((peers_port + $1))"
+	END
+	start "entry$1" "$BIN/jackdawworks" serve "$WORK/entry$1.yaml"
+}
+wait_ready() { # I
+	for _ in $(seq 100); do
+		test "$(curl -s -o /dev/null -w '%{http_code}' \
+			"127.0.0.1:$((operators_port + $1))/health")" = 200 &&
+			return
+		sleep 0.05
+	done
+	return 1
+}
+# call I PATH ID [CURL-OPTIONS]: status, then the server that answered
+call() {
+	curl -s -m 5 -H 'Host: x.example' -H "Attempt-Id: $3" \
+		-H 'Deadline-Ms: 2000' -w ' %{http_code}' "${@:4}" \
+		"127.0.0.1:$((callers_port + $1))$2"
+}
+# within SECONDS COMMAND...: COMMAND succeeds before the time is over
+within() {
+	local until=$(($(date +%s%N) + ${1%.*} * 1000000000))
+	shift
+	while test "$(date +%s%N)" -lt $until; do
+		"$@" && return
+		sleep 0.05
+	done
+	return 1
+}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,320 @@
+/* Decoding of what the platform's store and servers say, and HTTP answers. */
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "dialect.h"
+#include "httpc.h"
+#include "platform/dialect.h"
+#include "platform/manifest.h"
+#include "tests/suite.h"
+
+#define SERVICES                                                      \
+	"\"services\":[{\"name\":\"a\",\"health-check-path\":\"/h\"," \
+	"\"max-connections\":260},{\"name\":\"b\",\"max-connections\":9}]"
+#define ROUTE_START                                                  \
+	"{\"name\":\"r\",\"host\":\"x.example\",\"prefix\":\"/p/\"," \
+	"\"route-kind\":\"unsafe\",\"timeout-s\":1.2,\"max-attempts\":2,"
+#define MANIFEST(routes)                                       \
+	"{\"version\":7," SERVICES ",\"routes\":[" routes "]," \
+	"\"limits\":{\"idle-timeout-s\":15}}"
+
+static struct doc_document *decode(const char *text)
+{
+	struct st_status status;
+
+	return mf_decode(text, strlen(text), &status);
+}
+
+START_TEST(manifest_is_decoded)
+{
+	struct doc_document *document =
+		decode(MANIFEST(ROUTE_START "\"service\":\"a\"}," ROUTE_START
+					    "\"backends\":[{\"service\":\"a\","
+					    "\"weight\":90},{\"service\":\"b\","
+					    "\"weight\":10}]}"));
+
+	ck_assert_ptr_nonnull(document);
+	ck_assert_uint_eq(document->generation, 7);
+	ck_assert_uint_eq(document->idle_timeout_ms, 15000);
+	ck_assert_uint_eq(document->route_count, 2);
+	ck_assert_uint_eq(document->routes[0].timeout_ms, 1200);
+	ck_assert(!document->routes[0].idempotent);
+	ck_assert_uint_eq(document->routes[1].part_count, 2);
+	ck_assert_uint_eq(document->routes[1].parts[1].weight, 10);
+	ck_assert_uint_eq(document->services[0].connections, 260);
+	doc_unref(document);
+}
+END_TEST
+
+static const char *const bad_manifests[] = {
+	"",
+	"{\"version\":7",
+	"{\"version\":7}",
+	"{\"version\":\"7\"," SERVICES ",\"routes\":[]}",
+	MANIFEST(ROUTE_START "\"service\":\"none\"}"),
+	MANIFEST("{\"name\":\"r\",\"prefix\":\"/p/\",\"route-kind\":\"safe\","
+		 "\"timeout-s\":1,\"max-attempts\":2,\"service\":\"a\"}"),
+	MANIFEST("{\"name\":\"r\",\"host\":\"x\",\"prefix\":\"/p/\","
+		 "\"route-kind\":\"safe\",\"timeout-s\":0,\"max-attempts\":2,"
+		 "\"service\":\"a\"}"),
+	MANIFEST("{\"name\":\"r\",\"host\":\"x\",\"prefix\":\"/p/\","
+		 "\"route-kind\":\"safe\",\"timeout-s\":1,\"max-attempts\":0,"
+		 "\"service\":\"a\"}"),
+	MANIFEST(ROUTE_START "\"backends\":[{\"service\":\"a\","
+			     "\"weight\":-1}]}"),
+};
+
+/* Guards against a manifest that is cut short coming into force. */
+START_TEST(bad_manifests_are_refused)
+{
+	ck_assert_ptr_null(decode(bad_manifests[_i]));
+}
+END_TEST
+
+static const struct {
+	const char *text;
+	bool ok;
+} entries[] = {
+	{ "{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"slots\":6,\"state\":\"draining\",\"warmup-left-s\":1.5,"
+	  "\"sequence\":4,\"born\":1700000000000}",
+	  true },
+	{ "{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"slots\":6,\"state\":\"lost\",\"warmup-left-s\":0,"
+	  "\"sequence\":4}",
+	  false },
+	{ "{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"slots\":\"6\",\"state\":\"ready\",\"warmup-left-s\":0,"
+	  "\"sequence\":4}",
+	  false },
+	{ "{\"service\":\"a\",\"address\":\"somewhere\",\"zone\":\"z\","
+	  "\"slots\":6,\"state\":\"ready\",\"warmup-left-s\":0,"
+	  "\"sequence\":4}",
+	  false },
+	{ "{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"slots\":6,\"state\":\"ready\",\"warmup-left-s\":0,"
+	  "\"sequence\":4,\"born\":1.5}",
+	  false },
+	{ "\xff\xfe", false },
+};
+
+/* Guards against entries of other writers that look like servers. */
+START_TEST(entries_are_checked)
+{
+	struct mf_server server;
+	struct st_status status;
+	bool ok = mf_decode_server(entries[_i].text, strlen(entries[_i].text),
+				   &server, &status);
+
+	ck_assert_int_eq(ok, entries[_i].ok);
+	if (!ok)
+		return;
+	ck_assert(server.leaving);
+	ck_assert_uint_eq(server.cold_ms, 1500);
+	ck_assert_uint_eq(server.incarnation, 1700000000000);
+}
+END_TEST
+
+static struct hc_header header(const char *name, const char *value)
+{
+	return (struct hc_header){ name, value, strlen(name), strlen(value) };
+}
+
+START_TEST(reports_are_decoded)
+{
+	struct hc_header load = header("Server-Load", "3,1,8,250");
+	struct core_event report = { .kind = CORE_EV_REPORT };
+
+	pd_dialect.take_report(&load, &report);
+	ck_assert_uint_eq(report.u.report.in_flight, 3);
+	ck_assert_uint_eq(report.u.report.queued, 1);
+	ck_assert_uint_eq(report.u.report.slots, 8);
+	ck_assert_uint_eq(report.u.report.pace_percent, 250);
+	load = header("Server-Load", "3,1");
+	memset(&report, 0, sizeof(report));
+	pd_dialect.take_report(&load, &report);
+	ck_assert_uint_eq(report.u.report.pace_percent, 0);
+}
+END_TEST
+
+/* Guards against telling a caller that a call was not run which was. */
+START_TEST(only_some_answers_prove_that_nothing_ran)
+{
+	struct hc_header not_run = header("Not-Executed", "1");
+	struct hc_head head = { .status = 503 };
+
+	ck_assert(!dl_is_not_run(&pd_dialect, &head));
+	head.headers = &not_run;
+	head.header_count = 1;
+	ck_assert(dl_is_not_run(&pd_dialect, &head));
+	head.status = 429;
+	ck_assert(dl_is_not_run(&pd_dialect, &head));
+	head.status = 200;
+	ck_assert(!dl_is_not_run(&pd_dialect, &head));
+	head.status = DL_OTHER_SERVER;
+	head.header_count = 0;
+	ck_assert(dl_is_not_run(&pd_dialect, &head));
+	ck_assert(!dl_is_not_run(&dl_own, &head));
+}
+END_TEST
+
+/* HTTP answers byte by byte, from a peer that this test plays. */
+
+struct exchange {
+	struct hc_request request; /* first: callbacks cast back */
+	bool sent;
+	bool done;
+	enum hc_end end;
+	GString *body;
+};
+
+static void on_sent(struct hc_request *request)
+{
+	((struct exchange *)request)->sent = true;
+}
+
+static bool on_accept(struct hc_request *request, const struct hc_head *head)
+{
+	const struct hc_header *id = hc_find(head, "id");
+
+	return !id || hc_value_is(id, "mine");
+}
+
+static void on_body(struct hc_request *request, const char *data,
+		    size_t data_bytes)
+{
+	g_string_append_len(((struct exchange *)request)->body, data,
+			    (gssize)data_bytes);
+}
+
+static void on_done(struct hc_request *request, enum hc_end end,
+		    const char *msg)
+{
+	((struct exchange *)request)->done = true;
+	((struct exchange *)request)->end = end;
+}
+
+static const struct hc_handler handler = {
+	.sent = on_sent,
+	.accept = on_accept,
+	.body = on_body,
+	.done = on_done,
+};
+
+/* How the peer closes: not, in order, or in order and then with a reset. */
+enum closing { STAYS, CLOSES, RESETS };
+
+static const struct {
+	const char *answer;
+	enum closing closing;
+	enum hc_end end;
+	const char *body;
+} exchanges[] = {
+	/* A late answer to an earlier request comes first. */
+	{ "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 2\r\n\r\nno"
+	  "HTTP/1.1 200 OK\r\nid: mine\r\ncontent-length: 3\r\n\r\nyes",
+	  STAYS, HC_COMPLETE, "yes" },
+	{ "HTTP/1.1 200 OK\r\nid: mine\r\n\r\nyes", CLOSES, HC_COMPLETE,
+	  "yes" },
+	{ "HTTP/1.1 200 OK\r\nid: mine\r\n\r\nye", RESETS, HC_BROKEN, "ye" },
+	{ "HTTP/1.1 200 OK\r\nid: mine\r\ncontent-length: 3\r\n\r\nye", CLOSES,
+	  HC_BROKEN, "ye" },
+	{ "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nye\r\n",
+	  CLOSES, HC_BROKEN, "ye" },
+	{ "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 2\r\n\r\nno", CLOSES,
+	  HC_NO_ANSWER, "" },
+	{ "not HTTP at all\r\n\r\n", STAYS, HC_NO_ANSWER, "" },
+};
+
+static int listen_any(struct nt_address *address)
+{
+	struct sockaddr_storage bound;
+	socklen_t bytes = sizeof(bound);
+	char text[NT_TEXT_BYTES];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert(nt_parse("127.0.0.1:1", address));
+	((struct sockaddr_in *)&address->addr)->sin_port = 0;
+	ck_assert_int_eq(
+		bind(fd, (struct sockaddr *)&address->addr, nt_size(address)),
+		0);
+	ck_assert_int_eq(listen(fd, 8), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&bound, &bytes), 0);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%u",
+		   ntohs(((struct sockaddr_in *)&bound)->sin_port));
+	ck_assert(nt_parse(text, address));
+	return fd;
+}
+
+static void play(int fd, const char *answer, enum closing closing)
+{
+	size_t bytes = strlen(answer);
+	char request[4096];
+
+	/* What is left unread turns the close into a reset. */
+	if (closing != RESETS)
+		ck_assert_int_gt(read(fd, request, sizeof(request)), 0);
+	ck_assert_int_eq((int)write(fd, answer, bytes), (int)bytes);
+	if (closing == RESETS)
+		shutdown(fd, SHUT_WR);
+	if (closing != STAYS)
+		close(fd);
+}
+
+START_TEST(answers_are_whole_or_broken)
+{
+	struct exchange exchange = { .request.handler = &handler };
+	struct tm_service timers;
+	struct nt_address address;
+	struct hc_pool pool;
+	uv_loop_t loop;
+	GString *out;
+	int listener = listen_any(&address);
+	int fd;
+
+	uv_loop_init(&loop);
+	tm_init(&timers, &loop);
+	hc_pool_init(&pool, &loop, &address, 1);
+	exchange.body = g_string_new(NULL);
+	exchange.request.may_end_with_close = true;
+	out = hc_head_begin("GET", 3, "/", 1, "x");
+	hc_head_end(out, NULL, 0);
+	ck_assert(hc_start(&pool, &exchange.request, out));
+	fd = accept(listener, NULL, NULL);
+	while (!exchange.sent)
+		uv_run(&loop, UV_RUN_ONCE);
+	play(fd, exchanges[_i].answer, exchanges[_i].closing);
+	while (!exchange.done)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(exchange.end, exchanges[_i].end);
+	ck_assert_str_eq(exchange.body->str, exchanges[_i].body);
+	if (exchanges[_i].closing == STAYS)
+		close(fd);
+	close(listener);
+	hc_pool_close(&pool, NULL, NULL);
+	tm_free(&timers);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+	g_string_free(exchange.body, TRUE);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("platform");
+	TCase *tests = tcase_create("platform");
+
+	tcase_add_test(tests, manifest_is_decoded);
+	tcase_add_loop_test(tests, bad_manifests_are_refused, 0,
+			    G_N_ELEMENTS(bad_manifests));
+	tcase_add_loop_test(tests, entries_are_checked, 0,
+			    G_N_ELEMENTS(entries));
+	tcase_add_test(tests, reports_are_decoded);
+	tcase_add_test(tests, only_some_answers_prove_that_nothing_ran);
+	tcase_add_loop_test(tests, answers_are_whole_or_broken, 0,
+			    G_N_ELEMENTS(exchanges));
+	suite_add_tcase(suite, tests);
+	return suite_run(suite, CK_FORK_GETENV);
+}
--- /dev/null
+++ b/tests/tool_soak_proxy.c
@@ -0,0 +1,204 @@
+/*
+ * Loopback proxy for the soak: passes TCP connections on and harms them.
+ *
+ * usage: tool_soak_proxy LISTEN TARGET CONTROL-FILE
+ *
+ * The file holds one word, read ten times a second: "pass"; "reset" ends open
+ * and new connections with a reset; "silent" passes nothing on; "up" and "down"
+ * pass on only what goes to, or comes from, the target; "slow" delays by 150 ms.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "net.h"
+#include "timer.h"
+
+enum { READ_US = 100 * 1000, SLOW_US = 150 * 1000, BUFFER_BYTES = 16384 };
+
+enum mode { PASS, RESET, SILENT, UP, DOWN, SLOW, MODES };
+
+static const char *const names[MODES] = { "pass", "reset", "silent",
+					  "up",	  "down",  "slow" };
+
+/* One direction of a connection. */
+struct half {
+	uv_tcp_t tcp; /* what is read here goes to the other half */
+	struct pair *pair;
+	bool to_target;
+	bool closed;
+};
+
+struct pair {
+	struct half ends[2];
+	uv_connect_t connect;
+	GList link;
+};
+
+/* Bytes on their way, maybe late. */
+struct chunk {
+	struct half *to;
+	uv_write_t write;
+	struct tm_sub timer;
+	GString *data;
+};
+
+static uv_loop_t loop;
+static struct tm_service timers;
+static struct tm_sub control;
+static struct nt_address target;
+static const char *control_path;
+static enum mode mode;
+static GQueue pairs;
+
+static void on_closed(uv_handle_t *handle)
+{
+	struct half *half = handle->data;
+
+	half->closed = true;
+}
+
+static void end_pair(struct pair *pair, bool reset)
+{
+	for (int i = 0; i < 2; i++) {
+		uv_handle_t *handle = (uv_handle_t *)&pair->ends[i].tcp;
+
+		if (uv_is_closing(handle))
+			continue;
+		if (!reset || uv_tcp_close_reset(&pair->ends[i].tcp, on_closed))
+			uv_close(handle, on_closed);
+	}
+	/* The memory of a pair is kept: chunks may be on their way. */
+	g_queue_unlink(&pairs, &pair->link);
+}
+
+static void on_written(uv_write_t *write, int status)
+{
+	struct chunk *chunk = write->data;
+
+	g_string_free(chunk->data, TRUE);
+	g_free(chunk);
+}
+
+static void pass_on(void *ctx)
+{
+	struct chunk *chunk = ctx;
+	uv_buf_t buf =
+		uv_buf_init(chunk->data->str, (unsigned)chunk->data->len);
+
+	chunk->write.data = chunk;
+	if (uv_is_closing((uv_handle_t *)&chunk->to->tcp) ||
+	    uv_write(&chunk->write, (uv_stream_t *)&chunk->to->tcp, &buf, 1,
+		     on_written))
+		on_written(&chunk->write, 0);
+}
+
+static bool is_blocked(const struct half *half)
+{
+	return mode == SILENT || (mode == UP && !half->to_target) ||
+	       (mode == DOWN && half->to_target);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	static char buffer[BUFFER_BYTES];
+
+	*buf = uv_buf_init(buffer, sizeof(buffer));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
+{
+	struct half *half = stream->data;
+	struct pair *pair = half->pair;
+	struct chunk *chunk;
+
+	if (nread < 0 && !is_blocked(half))
+		end_pair(pair, false);
+	else if (nread < 0)
+		uv_read_stop(stream);
+	if (nread <= 0 || is_blocked(half))
+		return;
+	chunk = g_new0(struct chunk, 1);
+	chunk->to = &pair->ends[half == &pair->ends[0]];
+	chunk->data = g_string_new_len(buf->base, nread);
+	chunk->timer.fire = pass_on;
+	chunk->timer.ctx = chunk;
+	if (mode == SLOW)
+		tm_subscribe(&timers, &chunk->timer, tm_now_us() + SLOW_US);
+	else
+		pass_on(chunk);
+}
+
+static void on_connected(uv_connect_t *connect, int status)
+{
+	struct pair *pair = connect->data;
+
+	if (status) {
+		end_pair(pair, true);
+		return;
+	}
+	for (int i = 0; i < 2; i++)
+		uv_read_start((uv_stream_t *)&pair->ends[i].tcp, on_alloc,
+			      on_read);
+}
+
+static void on_accept(uv_stream_t *listener, int status)
+{
+	struct pair *pair = g_new0(struct pair, 1);
+
+	for (int i = 0; i < 2; i++) {
+		uv_tcp_init(&loop, &pair->ends[i].tcp);
+		pair->ends[i].tcp.data = &pair->ends[i];
+		pair->ends[i].pair = pair;
+		pair->ends[i].to_target = i == 0;
+	}
+	pair->link.data = pair;
+	pair->connect.data = pair;
+	g_queue_push_tail_link(&pairs, &pair->link);
+	if (uv_accept(listener, (uv_stream_t *)&pair->ends[0].tcp) ||
+	    mode == RESET ||
+	    uv_tcp_connect(&pair->connect, &pair->ends[1].tcp,
+			   (const struct sockaddr *)&target.addr, on_connected))
+		end_pair(pair, true);
+}
+
+static void on_control(void *ctx)
+{
+	char *text = NULL;
+
+	if (g_file_get_contents(control_path, &text, NULL, NULL))
+		for (int i = 0; i < MODES; i++)
+			if (!strcmp(g_strstrip(text), names[i]))
+				mode = (enum mode)i;
+	g_free(text);
+	while (mode == RESET && pairs.head)
+		end_pair(pairs.head->data, true);
+	tm_subscribe(&timers, &control, tm_now_us() + READ_US);
+}
+
+int main(int argc, char **argv)
+{
+	struct nt_address address;
+	uv_tcp_t listener;
+
+	if (argc != 4 || !nt_parse(argv[1], &address) ||
+	    !nt_parse(argv[2], &target)) {
+		fprintf(stderr, "usage: tool_soak_proxy LISTEN TARGET FILE\n");
+		return 2;
+	}
+	control_path = argv[3];
+	uv_loop_init(&loop);
+	tm_init(&timers, &loop);
+	control.fire = on_control;
+	on_control(NULL);
+	uv_tcp_init(&loop, &listener);
+	if (uv_tcp_bind(&listener, (const struct sockaddr *)&address.addr, 0) ||
+	    uv_listen((uv_stream_t *)&listener, 128, on_accept)) {
+		fprintf(stderr, "cannot listen on %s\n", address.text);
+		return 1;
+	}
+	uv_run(&loop, UV_RUN_DEFAULT);
+	return 0;
+}
--- /dev/null
+++ b/tests/tool_upstream.c
@@ -0,0 +1,132 @@
+/*
+ * Stand-in for one server on the users' platform: answers its health path with
+ * its load, checks whom a request expects, signs its answers and counts runs.
+ *
+ * Every run is a line on standard output. GET /runs lists the id of every run, one a line; PUT /work MILLISECONDS sets
+ * how long a run takes.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "httpd.h"
+#include "timer.h"
+
+enum { US_PER_MS = 1000 };
+
+static struct {
+	uv_loop_t loop;
+	struct tm_service timers;
+	struct hd_server http;
+	const char *id;
+	uint64_t work_ms;
+	uint32_t running;
+	GString *runs;
+} upstream;
+
+struct job {
+	struct hd_hold *hold;
+	struct tm_sub timer;
+};
+
+static void add(h2o_req_t *req, const char *name, const char *value)
+{
+	hd_add_header(req, name, value, strlen(value));
+}
+
+static void add_load(h2o_req_t *req)
+{
+	char text[64];
+
+	g_snprintf(text, sizeof(text), "%u,0,6,100", upstream.running);
+	add(req, "Server-Load", text);
+	add(req, "Instance-Id", upstream.id);
+}
+
+static void reply(h2o_req_t *req, int status, const char *body)
+{
+	add_load(req);
+	hd_reply(req, status, "text/plain", body, strlen(body));
+}
+
+static void on_done(void *ctx)
+{
+	struct job *job = ctx;
+	h2o_req_t *req = job->hold->req;
+
+	upstream.running--;
+	if (req) {
+		h2o_iovec_t id = hd_header(req, "attempt-id");
+
+		hd_add_header(req, "Attempt-Id", id.base ? id.base : "-",
+			      id.base ? id.len : 1);
+		add(req, "Response-Signature", "signed");
+		reply(req, 200, upstream.id);
+	}
+	hd_release(job->hold);
+	g_free(job);
+}
+
+static void run(h2o_req_t *req)
+{
+	struct job *job = g_new0(struct job, 1);
+	h2o_iovec_t id = hd_header(req, "attempt-id");
+
+	g_string_append_len(upstream.runs, id.base ? id.base : "-",
+			    id.base ? (gssize)id.len : 1);
+	g_string_append_c(upstream.runs, '\n');
+	printf("%.*s %s\n", (int)id.len, id.base ? id.base : "", upstream.id);
+	fflush(stdout);
+	upstream.running++;
+	job->hold = hd_hold(req);
+	job->timer.fire = on_done;
+	job->timer.ctx = job;
+	tm_subscribe(&upstream.timers, &job->timer,
+		     tm_now_us() + upstream.work_ms * US_PER_MS);
+}
+
+static void on_request(void *ctx, h2o_req_t *req)
+{
+	h2o_iovec_t expected = hd_header(req, "expect-instance");
+
+	if (hd_path_is(req, "/runs")) {
+		hd_reply(req, 200, "text/plain", upstream.runs->str,
+			 upstream.runs->len);
+	} else if (hd_path_is(req, "/work")) {
+		upstream.work_ms = strtoull(req->entity.base, NULL, 10);
+		reply(req, 200, "ok");
+	} else if (hd_path_is(req, "/health")) {
+		reply(req, 200, "ok");
+	} else if (expected.len != strlen(upstream.id) ||
+		   memcmp(expected.base, upstream.id, expected.len) != 0) {
+		add(req, "Not-Executed", "1");
+		reply(req, 421, "another server");
+	} else {
+		run(req);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	struct nt_address address;
+	struct st_status status;
+
+	if (argc != 4 || !nt_parse(argv[1], &address)) {
+		fprintf(stderr, "usage: tool_upstream ADDRESS ID WORK-MS\n");
+		return 2;
+	}
+	upstream.id = argv[2];
+	upstream.work_ms = strtoull(argv[3], NULL, 10);
+	upstream.runs = g_string_new(NULL);
+	uv_loop_init(&upstream.loop);
+	tm_init(&upstream.timers, &upstream.loop);
+	if (hd_init(&upstream.http, &upstream.loop, &address, on_request, NULL,
+		    &status) != ST_OK) {
+		fprintf(stderr, "%s\n", status.msg);
+		return 1;
+	}
+	uv_run(&upstream.loop, UV_RUN_DEFAULT);
+	return 0;
+}
