--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -3,8 +3,8 @@
 . "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
 
 fail() { say "FAILED: $*"; exit 1; }
-store() { # PATH DATA
-	curl -s -o /dev/null -w '%{http_code}' \
+store() { # PATH DATA; a write whose answer is lost is given up
+	curl -s -m 2 -o /dev/null -w '%{http_code}' \
 		"$platform_address/jackdawworks/$1" -d "$2"
 }
 put_row() { # TABLE KEY VALUE
