--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -229,7 +229,7 @@
 
 static int listen_any(struct nt_address *address)
 {
-	struct sockaddr_storage bound = { 0 };
+	struct sockaddr_in bound = { 0 };
 	socklen_t bytes = sizeof(bound);
 	char text[NT_TEXT_BYTES];
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -242,8 +242,7 @@
 		0);
 	ck_assert_int_eq(listen(fd, 8), 0);
 	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&bound, &bytes), 0);
-	g_snprintf(text, sizeof(text), "127.0.0.1:%u",
-		   ntohs(((struct sockaddr_in *)&bound)->sin_port));
+	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(bound.sin_port));
 	ck_assert(nt_parse(text, address));
 	return fd;
 }
