Do not count an answered call as load of its server

Change: one call less in reports that come with an answer. Test: answer_counts_the_call_that_it_ends, which fails without the change.

--- a/core_probe.c
+++ b/core_probe.c
@@ -305,7 +305,10 @@
 				   CORE_MEAN_REPORTS);
 }
 
-/* Policy "ask" uses the report as it is. */
+/*
+ * Policy "ask" uses the report as it is. A server counts the call that it
+ * answers among those that are running.
+ */
 static void core_take_pace(struct core_service *service,
 			   struct core_server *server,
 			   const struct core_event *event)
@@ -314,6 +317,8 @@
 	uint32_t mean = service->mean_pace_percent;
 
 	server->running = MIN(event->u.report.in_flight, CORE_MAX_LOAD);
+	if (event->u.report.source == CORE_FROM_ANSWER && server->running)
+		server->running--;
 	server->waiting = MIN(event->u.report.queued, CORE_MAX_LOAD);
 	server->sent_since = 0;
 	server->pace_percent = pace;
--- a/tests/test_ask.c
+++ b/tests/test_ask.c
@@ -123,12 +123,13 @@
 	return n;
 }
 
-static void report(uint32_t server, uint32_t running, uint32_t pace)
+static void report_from(enum core_source source, uint32_t server,
+			uint32_t running, uint32_t pace)
 {
 	struct core_event event = { .kind = CORE_EV_REPORT };
 
 	event.u.report.server = server;
-	event.u.report.source = CORE_FROM_PROBE;
+	event.u.report.source = source;
 	event.u.report.ok = true;
 	event.u.report.in_flight = running;
 	event.u.report.slots = SLOTS;
@@ -136,6 +137,11 @@
 	handle(event);
 }
 
+static void report(uint32_t server, uint32_t running, uint32_t pace)
+{
+	report_from(CORE_FROM_PROBE, server, running, pace);
+}
+
 static const uint32_t NONE = UINT32_MAX;
 static const uint32_t ALL = UINT32_MAX - 1;
 
@@ -259,6 +265,16 @@
 }
 END_TEST
 
+/* Guards against counting the answered call as load that is still there. */
+START_TEST(answer_counts_the_call_that_it_ends)
+{
+	report_from(CORE_FROM_ANSWER, 0, 1, 100);
+	ck_assert_uint_eq(core_server(core, 0)->running, 0);
+	report(0, 1, 100);
+	ck_assert_uint_eq(core_server(core, 0)->running, 1);
+}
+END_TEST
+
 /* Guards against a late answer where a second server would be in time. */
 START_TEST(hedges_what_may_be_repeated)
 {
@@ -371,6 +387,7 @@
 	tcase_add_test(tests, goes_to_the_quiet_server);
 	tcase_add_test(tests, does_not_use_a_silent_server);
 	tcase_add_test(tests, refuses_early_when_all_are_full);
+	tcase_add_test(tests, answer_counts_the_call_that_it_ends);
 	tcase_add_test(tests, hedges_what_may_be_repeated);
 	tcase_add_test(tests, never_hedges_an_order);
 	tcase_add_test(tests, retries_a_failure_elsewhere);
