Wait for a slot below the knee, late calls leave one free

Cause: a server slows down by 1.7 once more than four fifths of its slots are busy. In a burst hosts filled the last slots at once, so that every call started on a crowded server: 24 % of the calls sent to a server with four or five of six slots busy were late, and six slots at 1.7 times the work end 12 % fewer calls than four. Second tries that could not be in time any more took the same slots as first ones. Change: a call waits an eighth of its target for a slot below the knee, and takes a crowded one only then; a server that ends a call gets the most urgent of those that wait, without being asked; a call whose target has passed takes a slot only if it leaves one free. Tests: waits_for_a_slot_below_the_knee, late_calls_leave_a_slot_free.

--- a/core.c
+++ b/core.c
@@ -388,6 +388,10 @@
 	if (!call->target_us)
 		call->target_us = call->deadline_us;
 	call->begin_us = core->now_us;
+	call->objective_us =
+		call->target_us - MIN(call->target_us, call->begin_us);
+	call->target_us -= MIN(event->u.call.waited_us, call->target_us);
+	core_ask_plan(call);
 	call->kind = event->u.call.caller % CORE_LANES;
 	call->max_attempts = event->u.call.max_attempts;
 	if (!call->max_attempts || call->max_attempts > CORE_MAX_ATTEMPTS)
@@ -465,6 +469,7 @@
 			  uint32_t attempt, enum core_end end)
 {
 	struct core_attempt *a = &call->attempts[attempt];
+	uint32_t server = a->server;
 
 	if (!a->answer_us)
 		a->answer_us = core->now_us;
@@ -485,6 +490,7 @@
 		core_place(core, call);
 	else
 		core_finish(core, call, core_result(call, end));
+	core_ask_offer(core, server);
 }
 
 static void core_on_answer(struct core *core, struct core_call *call,
--- a/core.h
+++ b/core.h
@@ -156,6 +156,9 @@
 			uint32_t caller; /* index or CORE_NO_CALLER */
 			uint64_t deadline_us;
 			uint64_t target_us; /* for full benefit; 0: none */
+			/* How long the caller has been waiting since its
+			   first try; takes that much from the target. */
+			uint64_t waited_us;
 			uint32_t max_attempts; /* 0: CORE_MAX_ATTEMPTS */
 			bool idempotent;
 			bool bulky; /* the answer is large */
--- a/core_ask.c
+++ b/core_ask.c
@@ -30,7 +30,7 @@
 	CORE_WORK_PERCENT = 40,
 	CORE_WORK_SAMPLES = 16,
 	CORE_WORK_OUTLIER = 3,
-	CORE_HOLD_PART = 8,
+	CORE_HOLD_PART = 8, /* of the target that a call may wait */
 	CORE_ASK_PAUSE_US = 20 * CORE_US_PER_MS,
 	/* A large answer from another zone costs more than it is worth. */
 	CORE_BULKY_ZONE_US = 300 * CORE_US_PER_MS,
@@ -76,7 +76,7 @@
 
 	if (known_us)
 		return known_us;
-	return (call->target_us - call->begin_us) * CORE_WORK_PERCENT / 100;
+	return call->objective_us * CORE_WORK_PERCENT / 100;
 }
 
 /* Requests at the server, as far as this host knows. */
@@ -250,28 +250,97 @@
 	       server->report_us;
 }
 
-/* The cheapest server that answered, or of all asked if ANY. */
+static bool core_ask_has_room(const struct core_server *server)
+{
+	return core_occupied(server) + 1 <= server->slots;
+}
+
+/*
+ * Room for a call that is not slowed down. A server whose last slots are always
+ * filled ends fewer calls a second than one that leaves them free.
+ */
+static bool core_ask_has_calm_room(const struct core_server *server)
+{
+	return core_ask_has_room(server) &&
+	       !core_is_crowded(server, core_occupied(server) + 1);
+}
+
+/*
+ * Room for a call whose target cannot be met: it must not take a slot in which
+ * another call would still be in time.
+ */
+static bool core_ask_has_spare_room(const struct core_server *server)
+{
+	return !core_is_crowded(server, core_occupied(server) + 2);
+}
+
+/* What a call needs to be sent to a server. */
+enum core_ask_need {
+	CORE_NEED_NOTHING, /* the cheapest is looked for */
+	CORE_NEED_CALM, /* in time, and slowing nobody down */
+	CORE_NEED_ROOM, /* in time */
+	CORE_NEED_SPARE /* a slot that nobody needs who would be in time */
+};
+
+/* Even an undisturbed server may answer after the target. */
+static enum core_ask_need core_ask_need(const struct core *core,
+					const struct core_service *service,
+					const struct core_call *call)
+{
+	uint64_t work_us = core_work_us(core, service, call);
+
+	if (!call->ask_hedge && core->now_us + work_us > call->target_us)
+		return CORE_NEED_SPARE;
+	return CORE_NEED_CALM;
+}
+
+static bool core_ask_meets(const struct core *core,
+			   const struct core_service *service,
+			   const struct core_server *server,
+			   const struct core_call *call,
+			   enum core_ask_need need)
+{
+	uint64_t end_us =
+		core->now_us + core_expected_us(core, service, server, call);
+
+	switch (need) {
+	case CORE_NEED_CALM:
+		return end_us <= call->target_us &&
+		       core_ask_has_calm_room(server);
+	case CORE_NEED_ROOM:
+		return end_us <= call->target_us && core_ask_has_room(server);
+	case CORE_NEED_SPARE:
+		return end_us <= call->deadline_us &&
+		       core_ask_has_spare_room(server);
+	default:
+		return true;
+	}
+}
+
+/* The cheapest of the servers that were asked and answered, or of ALL asked. */
 static uint32_t core_ask_best(const struct core *core,
 			      const struct core_service *service,
-			      const struct core_call *call, bool any,
-			      uint64_t *cost_us)
+			      const struct core_call *call, bool all,
+			      enum core_ask_need need)
 {
 	uint32_t best = CORE_NO_SERVER;
+	uint64_t best_us = UINT64_MAX;
 
 	for (uint32_t i = 0; i < call->ask_count; i++) {
 		uint32_t id = call->ask_servers[i];
 		const struct core_server *server = core_server(core, id);
-		uint64_t cost;
+		uint64_t cost_us;
 
 		if (!server->known || core_leaving(server) ||
 		    core_server_out(core, server) ||
-		    (!any && !core_answered_ask(call, server)))
+		    (!all && !core_answered_ask(call, server)) ||
+		    !core_ask_meets(core, service, server, call, need))
 			continue;
-		cost = core_ask_cost_us(core, service, server, call);
-		if (best != CORE_NO_SERVER && cost >= *cost_us)
+		cost_us = core_ask_cost_us(core, service, server, call);
+		if (cost_us >= best_us)
 			continue;
 		best = id;
-		*cost_us = cost;
+		best_us = cost_us;
 	}
 	return best;
 }
@@ -320,26 +389,13 @@
 
 static bool core_ask_round(struct core *core, struct core_call *call);
 
-static bool core_ask_has_room(const struct core_server *server)
-{
-	return core_occupied(server) + 1 <= server->slots;
-}
-
-/* Whether the answer is expected within the target. */
-static bool core_ask_in_time(const struct core *core,
-			     const struct core_service *service,
-			     const struct core_server *server,
-			     const struct core_call *call)
-{
-	return core->now_us + core_expected_us(core, service, server, call) <=
-	       call->target_us;
-}
-
 /* A call is kept for an eighth of its target at most, then refused. */
-static uint64_t core_hold_until_us(const struct core_call *call)
+void core_ask_plan(struct core_call *call)
 {
-	return call->begin_us +
-	       (call->target_us - call->begin_us) / CORE_HOLD_PART;
+	call->hold_until_us =
+		call->begin_us +
+		(call->target_us - MIN(call->target_us, call->begin_us)) /
+			CORE_HOLD_PART;
 }
 
 /* Asks again after a while; slots become free all the time. */
@@ -352,43 +408,58 @@
 	core_call_timer(core, call);
 }
 
-/* No server ends the call in time. */
-static void core_ask_overload(struct core *core, struct core_call *call,
-			      uint32_t best)
+/* No server takes the call now. */
+static void core_ask_overload(struct core *core, struct core_call *call)
 {
-	struct core_service *service = core_service(core, call->service);
-	const struct core_server *server;
+	const struct core_service *service = core_service(core, call->service);
+	uint32_t best =
+		core_ask_best(core, service, call, true, CORE_NEED_NOTHING);
+	uint32_t server = CORE_NO_SERVER;
 
 	core_ask_remember(core, call, best);
-	if (core->now_us + CORE_ASK_PAUSE_US <= core_hold_until_us(call) &&
+	if (core->now_us + CORE_ASK_PAUSE_US <= call->hold_until_us &&
 	    !call->ask_hedge) {
 		core_ask_later(core, call);
 		return;
 	}
-	if (best == CORE_NO_SERVER) {
+	if (!call->ask_hedge)
+		server = core_ask_best(core, service, call, false,
+				       CORE_NEED_ROOM);
+	if (server == CORE_NO_SERVER && !call->ask_hedge)
+		server = core_ask_best(core, service, call, false,
+				       CORE_NEED_SPARE);
+	if (server != CORE_NO_SERVER)
+		core_ask_send(core, call, server);
+	else if (best == CORE_NO_SERVER)
 		core_ask_refuse(core, call, ST_NO_SERVER);
-		return;
-	}
-	server = core_server(core, best);
-	if (!call->ask_hedge && core_ask_has_room(server) &&
-	    core->now_us + core_expected_us(core, service, server, call) / 2 <=
-		    call->deadline_us)
-		core_ask_send(core, call, best);
 	else
 		core_ask_refuse(core, call, ST_QUEUE_FULL);
 }
 
+/* Whether a better server than BEST need not be looked for. */
+static bool core_ask_is_quiet(const struct core *core,
+			      const struct core_service *service,
+			      const struct core_call *call, uint32_t best)
+{
+	const struct core_server *server;
+
+	if (best == CORE_NO_SERVER)
+		return false;
+	server = core_server(core, best);
+	return core_ask_has_calm_room(server) &&
+	       core_ask_cost_us(core, service, server, call) * 100 <=
+		       core_work_us(core, service, call) * CORE_PACE_QUIET;
+}
+
 /* Decides by the reports that are there; FINAL when no more will come. */
 static void core_ask_decide(struct core *core, struct core_call *call,
 			    bool final)
 {
 	struct core_service *service = core_service(core, call->service);
 	uint64_t usual_us = core_work_us(core, service, call);
-	uint64_t cost_us = 0;
-	uint32_t best = core_ask_best(core, service, call, false, &cost_us);
-	bool quiet = best != CORE_NO_SERVER &&
-		     cost_us * 100 <= usual_us * CORE_PACE_QUIET &&
-		     core_ask_has_room(core_server(core, best));
+	enum core_ask_need need = core_ask_need(core, service, call);
+	uint32_t best = core_ask_best(core, service, call, false, need);
+	bool quiet = core_ask_is_quiet(core, service, call, best);
 
 	if (!quiet && !final)
 		return;
@@ -396,14 +467,13 @@
 	    core->now_us + usual_us < call->deadline_us &&
 	    core_ask_round(core, call))
 		return;
-	if (best == CORE_NO_SERVER)
-		best = core_ask_best(core, service, call, true, &cost_us);
-	if (best != CORE_NO_SERVER &&
-	    core_ask_in_time(core, service, core_server(core, best), call) &&
-	    core_ask_has_room(core_server(core, best)))
+	if (core_ask_best(core, service, call, false, CORE_NEED_NOTHING) ==
+	    CORE_NO_SERVER)
+		best = core_ask_best(core, service, call, true, need);
+	if (best != CORE_NO_SERVER)
 		core_ask_send(core, call, best);
 	else
-		core_ask_overload(core, call, best);
+		core_ask_overload(core, call);
 }
 
 static bool core_ask_pending(const struct core *core,
@@ -428,8 +498,8 @@
 	struct core_service *service = core_service(core, call->service);
 	struct core_candidate kept[CORE_ASKED];
 	uint32_t count = core_ask_candidates(core, service, call, kept);
-	uint64_t cost_us = 0;
-	uint32_t best = core_ask_best(core, service, call, false, &cost_us);
+	uint32_t best =
+		core_ask_best(core, service, call, false, CORE_NEED_NOTHING);
 	uint64_t id = call->id;
 
 	if (!count)
@@ -477,7 +547,44 @@
 	if (!call->ask_pause)
 		core_ask_decide(core, call, true);
 	else if (!core_ask_round(core, call))
-		core_ask_overload(core, call, CORE_NO_SERVER);
+		core_ask_overload(core, call);
+}
+
+/* The waiting call that goes first: the most urgent, then the oldest. */
+static struct core_call *core_ask_first(const struct core *core,
+					const struct core_server *server)
+{
+	const struct core_service *service =
+		core_service(core, server->service);
+	struct core_call *first = NULL;
+
+	for (GList *l = core->asking.head; l; l = l->next) {
+		struct core_call *call = l->data;
+
+		if (!call->ask_pause || call->ask_hedge ||
+		    call->service != server->service ||
+		    core_tried(call, server->id) ||
+		    !core_ask_meets(core, service, server, call,
+				    CORE_NEED_CALM))
+			continue;
+		if (!first || call->lane->weight > first->lane->weight)
+			first = call;
+	}
+	return first;
+}
+
+void core_ask_offer(struct core *core, uint32_t id)
+{
+	struct core_server *server = core_server(core, id);
+	struct core_service *service = core_service(core, server->service);
+	struct core_call *call;
+
+	while (core->asking.length && core_is_fresh(core, server) &&
+	       core_usable(core, service, server,
+			   core_guarded(core, service)) &&
+	       core_ask_has_calm_room(server) &&
+	       (call = core_ask_first(core, server)))
+		core_ask_send(core, call, id);
 }
 
 void core_ask_report(struct core *core, uint32_t server, bool ok)
@@ -496,4 +603,5 @@
 			core_ask_decide(core, call,
 					!core_ask_pending(core, call));
 	}
+	core_ask_offer(core, server);
 }
--- a/core_state.h
+++ b/core_state.h
@@ -158,7 +158,9 @@
 	uint64_t deadline_us;
 	uint64_t hedge_us; /* 0: none */
 	uint64_t begin_us;
-	uint64_t target_us;
+	uint64_t objective_us; /* from the caller's first try to the target */
+	uint64_t target_us; /* may have passed before the call came */
+	uint64_t hold_until_us; /* without a server it is refused then */
 	uint32_t max_attempts;
 	uint32_t kind; /* index in core_service.work_us */
 	bool idempotent;
@@ -214,16 +216,20 @@
 /*
  * core_ask.c: ask a few servers for their load before a call is sent.
  *
+ * core_ask_plan - how long a new call may wait for a server.
  * core_ask - begin; the call is sent, refused or asks on within the event.
  * core_ask_report - a report of SERVER came, or its probe failed.
+ * core_ask_offer - SERVER may have room for a call that waits.
  * core_ask_timer - the time for answers is over.
  * core_ask_end - the call waits for no report any more.
  * core_work_us - what a call of that kind takes on an idle server.
  * core_is_undisturbed - SERVER shows the time that work usually takes.
  * core_learn_work - an answer came.
  */
+void core_ask_plan(struct core_call *call);
 void core_ask(struct core *core, struct core_call *call, bool hedge);
 void core_ask_report(struct core *core, uint32_t server, bool ok);
+void core_ask_offer(struct core *core, uint32_t server);
 void core_ask_timer(struct core *core, struct core_call *call);
 void core_ask_end(struct core *core, struct core_call *call);
 uint64_t core_ask_until_us(const struct core_call *call);
--- a/tests/test_ask.c
+++ b/tests/test_ask.c
@@ -84,7 +84,9 @@
 	g_array_free(actions, TRUE);
 }
 
-static uint64_t call(bool idempotent, uint32_t max_attempts)
+/* WAITED_MS: since the first try of its caller. */
+static uint64_t call_again(bool idempotent, uint32_t max_attempts,
+			   uint32_t waited_ms)
 {
 	struct core_event event = { .kind = CORE_EV_CALL };
 
@@ -92,12 +94,18 @@
 	event.u.call.caller = CORE_NO_CALLER;
 	event.u.call.deadline_us = now_us + TIMEOUT_MS * MS;
 	event.u.call.target_us = now_us + TARGET_MS * MS;
+	event.u.call.waited_us = (uint64_t)waited_ms * MS;
 	event.u.call.max_attempts = max_attempts;
 	event.u.call.idempotent = idempotent;
 	handle(event);
 	return last_call;
 }
 
+static uint64_t call(bool idempotent, uint32_t max_attempts)
+{
+	return call_again(idempotent, max_attempts, 0);
+}
+
 static const struct core_action *find(enum core_action_kind kind, uint64_t id)
 {
 	for (guint i = actions->len; i--;) {
@@ -275,6 +283,69 @@
 }
 END_TEST
 
+/*
+ * Guards against filling the last slots while others become free: a server
+ * slows down above four fifths, and ends fewer calls a second.
+ */
+START_TEST(waits_for_a_slot_below_the_knee)
+{
+	uint64_t begin_us = now_us;
+	uint64_t id = call(true, 2);
+	uint64_t placed;
+
+	for (int i = 0; i < 9 && !core->asking.length; i++)
+		timer(id);
+	for (uint32_t s = 0; s < SERVERS; s++)
+		report(s, SLOTS - 1, 100);
+	answer_probes(0, NONE, ALL, SLOTS - 1);
+	while (!find(CORE_ACT_SEND, id)) {
+		timer(id);
+		answer_probes(0, NONE, ALL, SLOTS - 1);
+	}
+	/* When its time is over, a call that is still in time is sent. */
+	ck_assert_uint_ge(now_us - begin_us, TARGET_MS * MS / 8 - 20 * MS);
+	placed = call(true, 2);
+	answer_probes(0, NONE, ALL, SLOTS - 1);
+	ck_assert_uint_eq(count(CORE_ACT_SEND, placed), 0);
+	while (!core_server(core, 0)->known ||
+	       find(CORE_ACT_TIMER, placed)->at_us < now_us)
+		timer(placed);
+	/* A server that has just ended a call takes the one that waits. */
+	for (uint32_t s = 0; s < SERVERS && !find(CORE_ACT_SEND, placed); s++) {
+		report_from(CORE_FROM_ANSWER, s, SLOTS - 1, 100);
+		core_ask_offer(core, s);
+	}
+	ck_assert_uint_eq(count(CORE_ACT_SEND, placed), 1);
+}
+END_TEST
+
+/*
+ * Guards against calls that are late anyway taking the slots in which others
+ * would be in time.
+ */
+START_TEST(late_calls_leave_a_slot_free)
+{
+	uint64_t id = call_again(true, 2, TARGET_MS);
+
+	for (int i = 0; i < 9 && !find(CORE_ACT_FINISH, id); i++) {
+		answer_probes(0, NONE, ALL, SLOTS - 2);
+		if (!find(CORE_ACT_FINISH, id))
+			timer(id);
+	}
+	ck_assert_uint_eq(count(CORE_ACT_SEND, id), 0);
+	ck_assert_int_eq(find(CORE_ACT_FINISH, id)->result, ST_QUEUE_FULL);
+	now_us += 1000 * MS;
+	id = call_again(true, 2, TARGET_MS);
+	answer_probes(0, NONE, ALL, SLOTS - 3);
+	ck_assert_uint_eq(count(CORE_ACT_SEND, id), 1);
+	/* A first try takes the last slot below the knee. */
+	now_us += 1000 * MS;
+	id = call(true, 2);
+	answer_probes(0, NONE, ALL, SLOTS - 2);
+	ck_assert_uint_eq(count(CORE_ACT_SEND, id), 1);
+}
+END_TEST
+
 /* Guards against a late answer where a second server would be in time. */
 START_TEST(hedges_what_may_be_repeated)
 {
@@ -388,6 +459,8 @@
 	tcase_add_test(tests, does_not_use_a_silent_server);
 	tcase_add_test(tests, refuses_early_when_all_are_full);
 	tcase_add_test(tests, answer_counts_the_call_that_it_ends);
+	tcase_add_test(tests, waits_for_a_slot_below_the_knee);
+	tcase_add_test(tests, late_calls_leave_a_slot_free);
 	tcase_add_test(tests, hedges_what_may_be_repeated);
 	tcase_add_test(tests, never_hedges_an_order);
 	tcase_add_test(tests, retries_a_failure_elsewhere);
--- a/trace.c
+++ b/trace.c
@@ -77,6 +77,7 @@
 	TR_EV("deadline_us", TR_U64, u.call.deadline_us),
 	TR_EV("idempotent", TR_BOOL, u.call.idempotent),
 	TR_EV_OPTIONAL("target_us", TR_U64, u.call.target_us),
+	TR_EV_OPTIONAL("waited_us", TR_U64, u.call.waited_us),
 	TR_EV_OPTIONAL("max_attempts", TR_U32, u.call.max_attempts),
 	TR_EV_OPTIONAL("bulky", TR_BOOL, u.call.bulky),
 	TR_LAST,
