Tell second tries of callers by the time limit that they state

Cause: the target counts from a caller's first try, but the core gave every call the whole of it. Change: first tries on a route state limits within 15 % of each other; a shorter limit means that the caller has waited, and how long. What a route remembers (turns, limits) moves to gateway_route.c. Logs say waited_ms. Test: second_tries_state_shorter_limits.

--- a/gateway.c
+++ b/gateway.c
@@ -307,18 +307,22 @@
 	return call;
 }
 
-static uint32_t gw_timeout_ms(const struct dl_dialect *dialect, h2o_req_t *req,
-			      uint32_t longest_ms, uint32_t fallback_ms)
+/* The time limit that the caller states; 0: none. */
+static uint64_t gw_stated_ms(const struct dl_dialect *dialect, h2o_req_t *req)
 {
-	h2o_iovec_t asked = hd_header(req, dialect->time_left_ms);
+	h2o_iovec_t stated = hd_header(req, dialect->time_left_ms);
 	size_t value;
 
-	if (!asked.base)
-		return fallback_ms;
-	value = h2o_strtosize(asked.base, asked.len);
-	if (value == SIZE_MAX || !value)
-		return fallback_ms;
-	return (uint32_t)MIN(value, longest_ms);
+	if (!stated.base)
+		return 0;
+	value = h2o_strtosize(stated.base, stated.len);
+	return value == SIZE_MAX ? 0 : value;
+}
+
+static uint32_t gw_timeout_ms(uint64_t stated_ms, uint32_t longest_ms,
+			      uint32_t fallback_ms)
+{
+	return stated_ms ? (uint32_t)MIN(stated_ms, longest_ms) : fallback_ms;
 }
 
 static bool gw_is_safe(const h2o_req_t *req)
@@ -337,6 +341,7 @@
 	event.u.call.caller = call->lane;
 	event.u.call.deadline_us = call->deadline_us;
 	event.u.call.target_us = call->target_us;
+	event.u.call.waited_us = call->waited_us;
 	event.u.call.max_attempts = call->max_attempts;
 	event.u.call.bulky = call->bulky;
 	event.u.call.idempotent = call->idempotent || !me_on(ME_SEND_ONCE);
@@ -432,7 +437,7 @@
 	h2o_iovec_t key = hd_header(req, "idempotency-key");
 	h2o_iovec_t caller = hd_header(req, "x-caller");
 
-	timeout_ms = gw_timeout_ms(gateway->dialect, req,
+	timeout_ms = gw_timeout_ms(gw_stated_ms(gateway->dialect, req),
 				   service->longest_deadline_ms, timeout_ms);
 	call->deadline_us = tm_now_us() + (uint64_t)timeout_ms * GW_US_PER_MS;
 	call->lane = doc_caller(gateway->document,
@@ -451,15 +456,18 @@
 {
 	struct gw_gateway *gateway = call->gateway;
 	uint32_t part = gw_next_part(gateway, route);
+	uint64_t stated_ms = gw_stated_ms(gateway->dialect, call->req);
 	uint32_t timeout_ms =
-		gw_timeout_ms(gateway->dialect, call->req, route->timeout_ms,
-			      route->timeout_ms);
+		gw_timeout_ms(stated_ms, route->timeout_ms, route->timeout_ms);
 
 	call->deadline_us =
 		call->begin_us + (uint64_t)timeout_ms * GW_US_PER_MS;
 	if (route->target_ms)
 		call->target_us = call->begin_us +
 				  (uint64_t)route->target_ms * GW_US_PER_MS;
+	if (stated_ms)
+		call->waited_us =
+			gw_waited_ms(gateway, route, stated_ms) * GW_US_PER_MS;
 	call->service = gateway->service_map[route->parts[part].service];
 	g_strlcpy(call->route, route->name, sizeof(call->route));
 	call->idempotent = route->idempotent;
@@ -575,7 +583,7 @@
 	gateway->server_ids =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	gateway->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
-	gateway->turns = gw_turns_new();
+	gateway->routes = gw_routes_new();
 	gateway->events = g_array_new(FALSE, FALSE, sizeof(struct core_event));
 	gateway->random =
 		gateway->settings->random_seed ?
@@ -681,7 +689,7 @@
 	g_array_free(gateway->hosts, TRUE);
 	g_hash_table_destroy(gateway->server_ids);
 	g_hash_table_destroy(gateway->calls);
-	g_hash_table_destroy(gateway->turns);
+	g_hash_table_destroy(gateway->routes);
 	g_array_free(gateway->events, TRUE);
 	g_rand_free(gateway->random);
 	g_free(gateway->service_map);
--- a/gateway.h
+++ b/gateway.h
@@ -37,7 +37,7 @@
 	GArray *hosts; /* struct gw_host, the live entry hosts */
 	uint32_t *service_map; /* index in the document to core id */
 	GHashTable *calls; /* by id */
-	GHashTable *turns; /* struct gw_turns by name of the route */
+	GHashTable *routes; /* struct gw_route by name */
 	uint64_t last_call;
 	uint64_t incarnation;
 	/* Set after gw_init, before calls arrive; NULL: no claims by key. */
--- a/gateway_conf.c
+++ b/gateway_conf.c
@@ -8,8 +8,6 @@
 /* A lost first packet is only repeated after a second. */
 enum { GW_CONNECT_TIMEOUT_US = 200 * 1000 };
 
-enum { GW_HASH_FACTOR = 1000003 };
-
 /* This host's part of the connections that a server allows. */
 static uint32_t gw_connections(const struct gw_gateway *gateway,
 			       uint32_t of_server)
@@ -112,73 +110,6 @@
 	return hosts;
 }
 
-static uint64_t gw_hash_weights(const struct doc_route *route)
-{
-	uint64_t hash = 0;
-
-	for (uint32_t i = 0; i < route->part_count; i++)
-		hash = hash * GW_HASH_FACTOR + route->parts[i].service * 1000 +
-		       route->parts[i].weight;
-	return hash;
-}
-
-static void gw_turns_free(void *ptr)
-{
-	struct gw_turns *turns = ptr;
-
-	g_free(turns->credit);
-	g_free(turns);
-}
-
-GHashTable *gw_turns_new(void)
-{
-	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-				     gw_turns_free);
-}
-
-static struct gw_turns *gw_turns_of(struct gw_gateway *gateway,
-				    const struct doc_route *route)
-{
-	struct gw_turns *turns =
-		g_hash_table_lookup(gateway->turns, route->name);
-	uint64_t hash = gw_hash_weights(route);
-
-	if (turns && turns->part_count == route->part_count &&
-	    turns->weights_hash == hash)
-		return turns;
-	turns = g_new0(struct gw_turns, 1);
-	g_strlcpy(turns->name, route->name, sizeof(turns->name));
-	turns->part_count = route->part_count;
-	turns->weights_hash = hash;
-	turns->credit = g_new0(int64_t, route->part_count);
-	/* Hosts that start together must not all begin with the same part. */
-	for (uint32_t i = 0; i < route->part_count; i++)
-		turns->credit[i] = g_rand_int_range(
-			gateway->random, 0, (gint32)route->parts[i].weight + 1);
-	g_hash_table_replace(gateway->turns, turns->name, turns);
-	return turns;
-}
-
-/* Smooth weighted round robin: everybody earns, the richest pays for all. */
-uint32_t gw_next_part(struct gw_gateway *gateway, const struct doc_route *route)
-{
-	struct gw_turns *turns;
-	uint32_t best = 0;
-	int64_t total = 0;
-
-	if (route->part_count < 2)
-		return 0;
-	turns = gw_turns_of(gateway, route);
-	for (uint32_t i = 0; i < route->part_count; i++) {
-		turns->credit[i] += route->parts[i].weight;
-		total += route->parts[i].weight;
-		if (turns->credit[i] > turns->credit[best])
-			best = i;
-	}
-	turns->credit[best] -= total;
-	return best;
-}
-
 void gw_configure_core(struct gw_gateway *gateway)
 {
 	struct doc_document *document = gateway->document;
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -61,6 +61,9 @@
 			line, "service",
 			g_ptr_array_index(gateway->services, call->service));
 	gw_set_number(line, "generation", call->generation);
+	if (call->waited_us)
+		gw_set_number(line, "waited_ms",
+			      call->waited_us / GW_US_PER_MS);
 	return line;
 }
 
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -21,14 +21,6 @@
 	struct hc_pool pool;
 };
 
-/* Turns of the parts of a route: each gets its weight of the calls. */
-struct gw_turns {
-	char name[DOC_NAME_BYTES]; /* first: key of the table */
-	uint32_t part_count;
-	uint64_t weights_hash;
-	int64_t *credit;
-};
-
 /* An answer that is kept back until it is whole. */
 struct gw_held {
 	struct hc_head head;
@@ -80,6 +72,7 @@
 	uint64_t deadline_us;
 	uint64_t begin_us;
 	uint64_t target_us; /* 0: none */
+	uint64_t waited_us; /* by the caller, since its first try */
 	uint32_t service; /* core id */
 	uint32_t lane; /* caller in the core, or CORE_NO_CALLER */
 	uint32_t max_attempts; /* 0: no limit of its own */
@@ -153,19 +146,29 @@
 		    enum st_kind kind);
 void gw_log_note(void *ctx, const struct core_note *note);
 
+/*
+ * gateway_route.c
+ *
+ * gw_routes_new - the table of what is remembered of routes.
+ * gw_next_part - whose turn it is among the parts of a route.
+ * gw_waited_ms - how long a caller that states the time limit STATED_MS has
+ * been waiting since its first try, estimated from the limits that other
+ * callers of the route state; 0 for a first try.
+ */
+GHashTable *gw_routes_new(void);
+uint32_t gw_next_part(struct gw_gateway *gateway,
+		      const struct doc_route *route);
+uint64_t gw_waited_ms(struct gw_gateway *gateway, const struct doc_route *route,
+		      uint64_t stated_ms);
+
 /*
  * gateway_conf.c
  *
  * gw_configure_core - give the core the document and the host list.
- * gw_turns_new - the table of turns.
- * gw_next_part - whose turn it is among the parts of a route.
  * gw_take_hosts - a new list of live entry hosts.
  * gw_take_server_state - a sign about a server from the platform or a peer.
  */
 void gw_configure_core(struct gw_gateway *gateway);
-GHashTable *gw_turns_new(void);
-uint32_t gw_next_part(struct gw_gateway *gateway,
-		      const struct doc_route *route);
 void gw_take_hosts(struct gw_gateway *gateway, const struct pr_hosts *hosts);
 void gw_take_server_state(struct gw_gateway *gateway,
 			  const struct kn_msg_server_state *state);
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,75 @@
+/* What the gateway remembers of a route: turns, and how long callers waited. */
+#include <string.h>
+
+#include "gateway_state.h"
+#include "tests/suite.h"
+
+enum { TURNS = 1000, FIRST_TRY_MS = 2000 };
+
+static struct gw_gateway gateway;
+static struct doc_part parts[2];
+static struct doc_route route = { .name = "stock", .parts = parts };
+
+static void setup(void)
+{
+	memset(&gateway, 0, sizeof(gateway));
+	gateway.routes = gw_routes_new();
+	gateway.random = g_rand_new_with_seed(1);
+	parts[0].weight = 3;
+	parts[1].weight = 1;
+	parts[1].service = 1;
+	route.part_count = 2;
+}
+
+static void teardown(void)
+{
+	g_hash_table_destroy(gateway.routes);
+	g_rand_free(gateway.random);
+}
+
+/* Guards against parts that get more or less than their weight. */
+START_TEST(parts_get_their_weight)
+{
+	uint32_t turns[2] = { 0 };
+
+	for (int i = 0; i < TURNS; i++)
+		turns[gw_next_part(&gateway, &route)]++;
+	ck_assert_uint_ge(turns[0], TURNS * 3 / 4 - 1);
+	ck_assert_uint_le(turns[0], TURNS * 3 / 4 + 1);
+	/* New weights begin anew. */
+	parts[0].weight = 1;
+	memset(turns, 0, sizeof(turns));
+	for (int i = 0; i < TURNS; i++)
+		turns[gw_next_part(&gateway, &route)]++;
+	ck_assert_uint_ge(turns[0], TURNS / 2 - 1);
+	ck_assert_uint_le(turns[0], TURNS / 2 + 1);
+}
+END_TEST
+
+/*
+ * Guards against taking a caller's second try, whose target has passed, for a
+ * first one, and the other way round.
+ */
+START_TEST(second_tries_state_shorter_limits)
+{
+	/* The first limit that is seen is taken for that of a first try. */
+	ck_assert_uint_eq(gw_waited_ms(&gateway, &route, 1500), 0);
+	ck_assert_uint_eq(gw_waited_ms(&gateway, &route, FIRST_TRY_MS), 0);
+	/* Callers do not all state the same. */
+	ck_assert_uint_eq(gw_waited_ms(&gateway, &route, 1750), 0);
+	ck_assert_uint_eq(gw_waited_ms(&gateway, &route, 1500), 350);
+	ck_assert_uint_eq(gw_waited_ms(&gateway, &route, 1), 1849);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("route");
+	TCase *tests = tcase_create("route");
+
+	tcase_add_checked_fixture(tests, setup, teardown);
+	tcase_add_test(tests, parts_get_their_weight);
+	tcase_add_test(tests, second_tries_state_shorter_limits);
+	suite_add_tcase(suite, tests);
+	return suite_run(suite, CK_FORK_GETENV);
+}
