Tell refused callers to come back after 20 ms

Cause: after 150 ms a second try comes when the target can hardly be met any more. A slot becomes free every few milliseconds.

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -6,8 +6,8 @@
 
 enum {
 	GW_BUFFER_LOW_BYTES = 64 * 1024,
-	/* Long enough for a busy server to end what it has. */
-	GW_RETRY_AFTER_MS = 150
+	/* Slots become free all the time, and the target goes on running. */
+	GW_RETRY_AFTER_MS = 20
 };
 
 void gw_add_outcome(struct gw_call *call, enum st_kind kind)
