--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -50,6 +50,7 @@
 	  plaintext: true
 	  follow: true
 	  relay: "127.0.0.1:$((peers_port + $1))"
+	  processor_share: "${processor_share:-0.2}"
 	END
 	start "entry$1" "$BIN/jackdawworks" serve "$WORK/entry$1.yaml"
 }
--- /dev/null
+++ b/tests/run_relay.sh
@@ -0,0 +1,55 @@
+#!/bin/bash
+# Guards against every host reading the store when it turns away the host that
+# reads for all: the others must agree on another reader, the one that is turned
+# away must ask it too, and a change must reach all of them within 2 s.
+set -u
+PORT_BASE=${PORT_BASE:-26600}
+. "$(dirname "$0")/lib_platform.sh"
+HOSTS="0 1 2 3 4 5 6 7"
+# Readers: two tables each half a second; the rest is for changing over.
+MAX_READS=60
+
+answers() { # HOST PATH
+	test "$(call "$1" "$2" "id-$RANDOM$RANDOM" -o /dev/null)" = " 200"
+}
+all_answer() { # PATH
+	for i in $HOSTS; do answers "$i" "$1" || return 1; done
+}
+reads() {
+	curl -s "$platform_address/stats" | sed 's/.*"reads": *\([0-9]*\).*/\1/'
+}
+
+start_platform || exit 1
+start_upstream 0 5
+put_server 0 ready || fail "entry of the server"
+first=$(route first /first/ safe desk)
+put_manifest 1 "$first" || fail "manifest"
+
+# Host 0 comes first in rank and reaches the store through a proxy.
+real_platform=$platform_address
+proxy_address=127.0.0.1:$((PORT_BASE + 1))
+echo pass >"$WORK/store.mode"
+start proxy "$BIN/tool_soak_proxy" "$proxy_address" "$real_platform" \
+	"$WORK/store.mode"
+processor_share=0.9 platform_address=$proxy_address start_follower 0
+for i in ${HOSTS#0 }; do start_follower "$i"; done
+for i in $HOSTS; do wait_ready "$i" || fail "host $i is not ready"; done
+sleep 2
+
+# The store turns host 0 away.
+echo reset >"$WORK/store.mode"
+before=$(reads)
+sleep 3
+put_manifest 2 "$first,$(route second /second/ safe desk)"
+within 2 all_answer /second/a || fail "version 2 is not in force everywhere"
+sleep 1
+calls=$(($(reads) - before))
+test $calls -le $MAX_READS || fail "$calls reads of the store in 4 s"
+say "$calls reads in 4 s while the first reader is turned away"
+
+# Host 0 is served again.
+echo pass >"$WORK/store.mode"
+sleep 2
+put_manifest 3 "$first,$(route third /third/ safe desk)"
+within 2 all_answer /third/a || fail "version 3 is not in force everywhere"
+say "changes are in force with and without the first reader"
