--- a/tests/run_relay.sh
+++ b/tests/run_relay.sh
@@ -47,9 +47,30 @@
 test $calls -le $MAX_READS || fail "$calls reads of the store in 4 s"
 say "$calls reads in 4 s while the first reader is turned away"
 
+# The store forgets its history meanwhile, so that host 0 cannot be told only
+# what changed, and a server that left must not stay with it.
+put_server 1 ready other
+put_server 0 ready
+sleep 1
+platform_fault '{"forget":true}'
+drop_row servers s1
+put_manifest 3 "$first,$(route other /other/ safe other),
+	$(route second /second/ safe desk)"
+without_server() {
+	for i in $HOSTS; do
+		case $(call "$i" /other/a "other-$RANDOM" -o /dev/null) in
+		*503) ;;
+		*) return 1 ;;
+		esac
+	done
+}
+within 3 without_server || fail "a server that left is still known"
+all_answer /second/a || fail "version 3 has lost a route"
+say "the whole table is passed on after a loss of history"
+
 # Host 0 is served again.
 echo pass >"$WORK/store.mode"
 sleep 2
-put_manifest 3 "$first,$(route third /third/ safe desk)"
-within 2 all_answer /third/a || fail "version 3 is not in force everywhere"
+put_manifest 4 "$first,$(route third /third/ safe desk)"
+within 2 all_answer /third/a || fail "version 4 is not in force everywhere"
 say "changes are in force with and without the first reader"
