--- a/admin.c
+++ b/admin.c
@@ -275,7 +275,7 @@
 			  counters));
 }
 
-static void ad_metrics(struct ad_admin *admin, h2o_req_t *req)
+void ad_reply_metrics(h2o_req_t *req)
 {
 	GString *out = g_string_new(NULL);
 
@@ -284,6 +284,11 @@
 	g_string_free(out, TRUE);
 }
 
+static void ad_metrics(struct ad_admin *admin, h2o_req_t *req)
+{
+	ad_reply_metrics(req);
+}
+
 static void ad_drain(struct ad_admin *admin, h2o_req_t *req)
 {
 	hd_reply(req, 200, "application/json", "{\"result\":\"draining\"}", 21);
--- a/admin.h
+++ b/admin.h
@@ -31,4 +31,7 @@
 		     struct st_status *status);
 void ad_free(struct ad_admin *admin);
 
+/* ad_reply_metrics - answer with the counters and histograms. */
+void ad_reply_metrics(h2o_req_t *req);
+
 #endif
--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -120,6 +120,7 @@
 	settings->stop_grace_ms = fresh->stop_grace_ms;
 	settings->fresh_ms = fresh->fresh_ms;
 	settings->retry_percent = fresh->retry_percent;
+	settings->retry_slack = fresh->retry_slack;
 	settings->probes_per_server_s = fresh->probes_per_server_s;
 	g_strlcpy(settings->log_level, fresh->log_level,
 		  sizeof(settings->log_level));
@@ -149,23 +150,32 @@
 	g_free(fresh);
 }
 
+/* Remembers the text of the file; returns whether it differs from before. */
+static bool sv_read_text(struct sv_host *host)
+{
+	GError *error = NULL;
+	char *text = NULL;
+	bool changed;
+
+	if (!g_file_get_contents(host->settings_path, &text, NULL, &error)) {
+		lg_warn("reload", "settings cannot be read: %s",
+			error->message);
+		g_error_free(error);
+		return false;
+	}
+	changed = g_strcmp0(text, host->settings_text) != 0;
+	g_free(host->settings_text);
+	host->settings_text = text;
+	return changed;
+}
+
 /* The file may change without a signal. */
 static void sv_on_settings_time(void *ctx)
 {
 	struct sv_host *host = ctx;
-	char *text = NULL;
-
-	if (g_file_get_contents(host->settings_path, &text, NULL, NULL) &&
-	    g_strcmp0(text, host->settings_text) != 0) {
-		bool first = !host->settings_text;
 
-		g_free(host->settings_text);
-		host->settings_text = text;
-		text = NULL;
-		if (!first)
-			sv_reload(host);
-	}
-	g_free(text);
+	if (sv_read_text(host))
+		sv_reload(host);
 	tm_subscribe(&host->timers, &host->settings_timer,
 		     tm_now_us() + SV_SETTINGS_US);
 }
@@ -174,7 +184,9 @@
 {
 	host->settings_timer.fire = sv_on_settings_time;
 	host->settings_timer.ctx = host;
-	sv_on_settings_time(host);
+	sv_read_text(host);
+	tm_subscribe(&host->timers, &host->settings_timer,
+		     tm_now_us() + SV_SETTINGS_US);
 }
 
 static void sv_on_signal(uv_signal_t *handle, int signum)
@@ -182,6 +194,7 @@
 	struct sv_host *host = handle->data;
 
 	if (signum == SIGHUP) {
+		sv_read_text(host);
 		sv_reload(host);
 		return;
 	}
@@ -228,11 +241,7 @@
 
 static void sv_on_metrics(void *ctx, h2o_req_t *req)
 {
-	GString *out = g_string_new(NULL);
-
-	ct_write(out);
-	hd_reply(req, 200, "text/plain; version=0.0.4", out->str, out->len);
-	g_string_free(out, TRUE);
+	ad_reply_metrics(req);
 }
 
 static enum st_kind sv_start_plain(struct sv_host *host,
--- a/tests/run_platform.sh
+++ b/tests/run_platform.sh
@@ -42,6 +42,11 @@
 grep -q relay "$WORK/out" && grep -q fresh_ms "$WORK/out" ||
 	fail "an error in the settings has no message"
 
+# A changed file is taken once, not by the signal and again by the look at it.
+sed -i 's/stop_grace_ms: .*/stop_grace_ms: 2900/' "$WORK/entry2.yaml"
+kill -HUP "$pid_entry2"
+reloaded=$(date +%s)
+
 # The whole path.
 for i in $live; do
 	case $(call "$i" /first/a "call-$i") in
@@ -152,7 +157,16 @@
 	fail "a call that does not exist is explained"
 grep -q 'no line of' "$WORK/out" || fail "no message for an unknown id"
 test "$(metric 1 calls_total)" -gt 0 || fail "no counter"
+test "$(metric 1 manifest_changes_total)" -gt 0 ||
+	fail "changes of the routes are not counted"
 curl -s "127.0.0.1:$((operators_port + 21))/metrics" |
 	grep -q 'call_seconds_bucket{service="desk",result="success",le="0.1"}' ||
 	fail "no histogram"
 say "a failed call is explained"
+
+# The file is looked at every 10 s.
+left=$((reloaded + 11 - $(date +%s)))
+test $left -le 0 || sleep $left
+test "$(grep -c 'settings read again' "$WORK/entry2.log")" = 1 ||
+	fail "the settings were not read once"
+say "changed settings are read once"
