Learn whether crowded servers slow down

Calls that began on a server at its knee also taught the usual work, 1.6 times too long. Change: attempts that begin on a crowded server teach how much longer it takes, and not the usual work; a service whose servers keep their pace is filled to the last slot. A call that has waited for half of its time takes the next crowded slot that becomes free. Test: learns_that_crowded_servers_keep_their_pace.

--- a/core.c
+++ b/core.c
@@ -312,7 +312,7 @@
 	a->open = true;
 	a->server = server;
 	a->begin_us = core->now_us;
-	a->undisturbed = core_is_undisturbed(core, s);
+	a->lesson = core_lesson(core, s);
 	a->link.data = a;
 	g_queue_push_tail_link(&s->open, &a->link);
 	s->in_flight++;
--- a/core_ask.c
+++ b/core_ask.c
@@ -19,9 +19,15 @@
 	CORE_PACE_HALF_US = 200 * CORE_US_PER_MS,
 	CORE_PACE_USUAL = 100, /* percent */
 	CORE_PACE_QUIET = 125, /* percent; no better server is waited for */
-	/* Servers slow down when more than four fifths of the slots are busy. */
+	/*
+	 * Many servers slow down when more than four fifths of the slots are
+	 * busy. Whether they do is learned: below the last figure it does not
+	 * matter.
+	 */
 	CORE_KNEE_PERCENT = 80,
-	CORE_KNEE_COST_PERCENT = 170,
+	CORE_CROWD_COST_PERCENT = 170,
+	CORE_CROWD_COST_MAX_PERCENT = 400,
+	CORE_CROWD_COST_LOW_PERCENT = 120,
 	CORE_COLD_COST_PERCENT = 200,
 	CORE_ZONE_RTT_US = 8 * CORE_US_PER_MS,
 	/* Links between zones are dear: part of the work a call must gain. */
@@ -94,13 +100,23 @@
 	return busy * 100 > (uint64_t)server->slots * CORE_KNEE_PERCENT;
 }
 
-bool core_is_undisturbed(const struct core *core,
-			 const struct core_server *server)
+/* Whether the servers of the service slow down when they are crowded. */
+static bool core_has_knee(const struct core_service *service)
 {
-	return server->pace_percent &&
-	       server->pace_percent <= CORE_PACE_QUIET &&
-	       core->now_us >= server->cold_until_us &&
-	       !core_is_crowded(server, core_occupied(server));
+	return !service->crowd_cost_percent ||
+	       service->crowd_cost_percent >= CORE_CROWD_COST_LOW_PERCENT;
+}
+
+enum core_lesson core_lesson(const struct core *core,
+			     const struct core_server *server)
+{
+	if (!server->pace_percent || server->pace_percent > CORE_PACE_QUIET ||
+	    core->now_us < server->cold_until_us ||
+	    core_occupied(server) >= server->slots)
+		return CORE_LESSON_NONE;
+	return core_is_crowded(server, core_occupied(server) + 1) ?
+		       CORE_LESSON_CROWDED :
+		       CORE_LESSON_USUAL;
 }
 
 void core_learn_work(struct core *core, const struct core_call *call,
@@ -109,11 +125,23 @@
 	struct core_service *service = core_service(core, call->service);
 	uint32_t *known_us = &service->work_us[call->kind];
 	int64_t took_us = (int64_t)(attempt->answer_us - attempt->begin_us);
+	int64_t cost;
 
-	if (!attempt->undisturbed)
+	if (attempt->lesson == CORE_LESSON_NONE)
 		return;
 	if (!*known_us)
 		*known_us = (uint32_t)core_work_us(core, service, call);
+	if (attempt->lesson == CORE_LESSON_CROWDED) {
+		cost = MIN(took_us * 100 / MAX(*known_us, 1),
+			   CORE_CROWD_COST_MAX_PERCENT);
+		if (!service->crowd_cost_percent)
+			service->crowd_cost_percent = CORE_CROWD_COST_PERCENT;
+		service->crowd_cost_percent =
+			(service->crowd_cost_percent * (CORE_WORK_SAMPLES - 1) +
+			 (uint32_t)cost) /
+			CORE_WORK_SAMPLES;
+		return;
+	}
 	took_us = MIN(took_us, (int64_t)*known_us * CORE_WORK_OUTLIER);
 	*known_us =
 		(uint32_t)((int64_t)*known_us +
@@ -135,8 +163,8 @@
 
 	if (core->now_us < server->cold_until_us)
 		work_us = work_us * CORE_COLD_COST_PERCENT / 100;
-	if (core_is_crowded(server, busy))
-		work_us = work_us * CORE_KNEE_COST_PERCENT / 100;
+	if (core_is_crowded(server, busy) && core_has_knee(service))
+		work_us = work_us * CORE_CROWD_COST_PERCENT / 100;
 	cost_us = work_us;
 	if (busy > slots)
 		cost_us += work_us * (busy - slots) / slots;
@@ -259,10 +287,12 @@
  * Room for a call that is not slowed down. A server whose last slots are always
  * filled ends fewer calls a second than one that leaves them free.
  */
-static bool core_ask_has_calm_room(const struct core_server *server)
+static bool core_ask_has_calm_room(const struct core_service *service,
+				   const struct core_server *server)
 {
 	return core_ask_has_room(server) &&
-	       !core_is_crowded(server, core_occupied(server) + 1);
+	       (!core_is_crowded(server, core_occupied(server) + 1) ||
+		!core_has_knee(service));
 }
 
 /*
@@ -306,7 +336,7 @@
 	switch (need) {
 	case CORE_NEED_CALM:
 		return end_us <= call->target_us &&
-		       core_ask_has_calm_room(server);
+		       core_ask_has_calm_room(service, server);
 	case CORE_NEED_ROOM:
 		return end_us <= call->target_us && core_ask_has_room(server);
 	case CORE_NEED_SPARE:
@@ -446,7 +476,7 @@
 	if (best == CORE_NO_SERVER)
 		return false;
 	server = core_server(core, best);
-	return core_ask_has_calm_room(server) &&
+	return core_ask_has_calm_room(service, server) &&
 	       core_ask_cost_us(core, service, server, call) * 100 <=
 		       core_work_us(core, service, call) * CORE_PACE_QUIET;
 }
@@ -550,6 +580,15 @@
 		core_ask_overload(core, call);
 }
 
+/* A call that has waited for half of its time takes a crowded slot too. */
+static enum core_ask_need core_ask_waiting_need(const struct core *core,
+						const struct core_call *call)
+{
+	uint64_t half_us = (call->begin_us + call->hold_until_us) / 2;
+
+	return core->now_us < half_us ? CORE_NEED_CALM : CORE_NEED_ROOM;
+}
+
 /* The waiting call that goes first: the most urgent, then the oldest. */
 static struct core_call *core_ask_first(const struct core *core,
 					const struct core_server *server)
@@ -565,7 +604,7 @@
 		    call->service != server->service ||
 		    core_tried(call, server->id) ||
 		    !core_ask_meets(core, service, server, call,
-				    CORE_NEED_CALM))
+				    core_ask_waiting_need(core, call)))
 			continue;
 		if (!first || call->lane->weight > first->lane->weight)
 			first = call;
@@ -582,7 +621,6 @@
 	while (core->asking.length && core_is_fresh(core, server) &&
 	       core_usable(core, service, server,
 			   core_guarded(core, service)) &&
-	       core_ask_has_calm_room(server) &&
 	       (call = core_ask_first(core, server)))
 		core_ask_send(core, call, id);
 }
--- a/core_state.h
+++ b/core_state.h
@@ -22,6 +22,13 @@
 	CORE_HISTORY = 64
 };
 
+/* What the time of an attempt teaches about its service. */
+enum core_lesson {
+	CORE_LESSON_NONE,
+	CORE_LESSON_USUAL, /* how long work takes */
+	CORE_LESSON_CROWDED /* how much longer on a crowded server */
+};
+
 struct core_attempt {
 	GList link; /* in core_server.open; data is this attempt */
 	bool open;
@@ -29,7 +36,7 @@
 	uint32_t server;
 	uint64_t begin_us;
 	uint64_t answer_us; /* 0: no answer yet */
-	bool undisturbed; /* the server was idle enough to learn from */
+	enum core_lesson lesson;
 };
 
 struct core_server {
@@ -149,6 +156,7 @@
 	uint32_t mean_others_q8; /* per slot */
 	uint32_t mean_pace_percent; /* 0: not known */
 	uint32_t work_us[CORE_LANES]; /* on an idle server; 0: not known */
+	uint32_t crowd_cost_percent; /* on a crowded one; 0: not known */
 };
 
 struct core_call {
@@ -223,7 +231,7 @@
  * core_ask_timer - the time for answers is over.
  * core_ask_end - the call waits for no report any more.
  * core_work_us - what a call of that kind takes on an idle server.
- * core_is_undisturbed - SERVER shows the time that work usually takes.
+ * core_lesson - what a call that is sent to SERVER now will teach.
  * core_learn_work - an answer came.
  */
 void core_ask_plan(struct core_call *call);
@@ -236,8 +244,8 @@
 uint64_t core_work_us(const struct core *core,
 		      const struct core_service *service,
 		      const struct core_call *call);
-bool core_is_undisturbed(const struct core *core,
-			 const struct core_server *server);
+enum core_lesson core_lesson(const struct core *core,
+			     const struct core_server *server);
 void core_learn_work(struct core *core, const struct core_call *call,
 		     const struct core_attempt *attempt);
 
--- a/tests/test_ask.c
+++ b/tests/test_ask.c
@@ -319,6 +319,34 @@
 }
 END_TEST
 
+/*
+ * Guards against leaving slots unused at servers that do not slow down when
+ * nearly all slots are busy.
+ */
+START_TEST(learns_that_crowded_servers_keep_their_pace)
+{
+	struct core_service *service = core_service(core, 0);
+	struct core_call one = { .objective_us = TARGET_MS * MS };
+	struct core_attempt attempt = { .lesson = CORE_LESSON_CROWDED };
+	uint64_t id;
+
+	service->work_us[0] = 100 * MS;
+	attempt.answer_us = 160 * MS;
+	for (int i = 0; i < 50; i++)
+		core_learn_work(core, &one, &attempt);
+	id = call(true, 2);
+	answer_probes(0, NONE, ALL, SLOTS - 1);
+	ck_assert_uint_eq(count(CORE_ACT_SEND, id), 0);
+	now_us += 1000 * MS;
+	attempt.answer_us = 100 * MS;
+	for (int i = 0; i < 50; i++)
+		core_learn_work(core, &one, &attempt);
+	id = call(true, 2);
+	answer_probes(0, NONE, ALL, SLOTS - 1);
+	ck_assert_uint_eq(count(CORE_ACT_SEND, id), 1);
+}
+END_TEST
+
 /*
  * Guards against calls that are late anyway taking the slots in which others
  * would be in time.
@@ -460,6 +488,7 @@
 	tcase_add_test(tests, refuses_early_when_all_are_full);
 	tcase_add_test(tests, answer_counts_the_call_that_it_ends);
 	tcase_add_test(tests, waits_for_a_slot_below_the_knee);
+	tcase_add_test(tests, learns_that_crowded_servers_keep_their_pace);
 	tcase_add_test(tests, late_calls_leave_a_slot_free);
 	tcase_add_test(tests, hedges_what_may_be_repeated);
 	tcase_add_test(tests, never_hedges_an_order);
