--- a/core_ask.c
+++ b/core_ask.c
@@ -85,6 +85,15 @@
 	return call->objective_us * CORE_WORK_PERCENT / 100;
 }
 
+/* Slower than quiet machines, and than the service is on average. */
+static bool core_is_slow(const struct core_service *service,
+			 const struct core_server *server)
+{
+	return server->pace_percent > CORE_PACE_QUIET &&
+	       server->pace_percent * CORE_PACE_USUAL >
+		       service->mean_pace_percent * CORE_PACE_QUIET;
+}
+
 /* Requests at the server, as far as this host knows. */
 static uint64_t core_occupied(const struct core_server *server)
 {
@@ -300,9 +309,10 @@
  * another call would still be in time. On a slow machine it would hold a slot
  * long after the machine is quick again.
  */
-static bool core_ask_has_spare_room(const struct core_server *server)
+static bool core_ask_has_spare_room(const struct core_service *service,
+				    const struct core_server *server)
 {
-	return server->pace_percent <= CORE_PACE_QUIET &&
+	return !core_is_slow(service, server) &&
 	       !core_is_crowded(server, core_occupied(server) + 2);
 }
 
@@ -343,7 +353,7 @@
 		return end_us <= call->target_us && core_ask_has_room(server);
 	case CORE_NEED_SPARE:
 		return end_us <= call->deadline_us &&
-		       core_ask_has_spare_room(server);
+		       core_ask_has_spare_room(service, server);
 	default:
 		return true;
 	}
--- a/tests/test_ask.c
+++ b/tests/test_ask.c
@@ -369,12 +369,23 @@
 	/* A slow machine would hold the slot for too long. */
 	now_us += 1000 * MS;
 	id = call_again(true, 2, TARGET_MS);
+	core_service(core, 0)->mean_pace_percent = 150;
 	for (int i = 0; i < 9 && !find(CORE_ACT_FINISH, id); i++) {
 		answer_probes(0, NONE, NONE, 0);
+		core_service(core, 0)->mean_pace_percent = 150;
 		if (!find(CORE_ACT_FINISH, id))
 			timer(id);
 	}
 	ck_assert_uint_eq(count(CORE_ACT_SEND, id), 0);
+	/* Where all machines are slow, they are as good as any. */
+	now_us += 1000 * MS;
+	core_service(core, 0)->mean_pace_percent = 400;
+	id = call_again(true, 2, TARGET_MS);
+	for (int i = 0; i < 9 && !find(CORE_ACT_SEND, id); i++) {
+		answer_probes(0, NONE, NONE, 0);
+		if (!find(CORE_ACT_SEND, id))
+			timer(id);
+	}
 	/* A first try takes the last slot below the knee. */
 	now_us += 1000 * MS;
 	id = call(true, 2);
