Serve routes whose target nobody meets, and servers of one slot

Cause: found by reading. A call whose work takes longer than its whole target counted as late from the start and was refused unless a server had two slots to spare; a server with one slot counted as crowded by its only call, and one with two slots never took a late call. Change: such a target does not count; one call alone crowds nobody; an idle server has room for a late call. Tests: serves_calls_whose_target_nobody_meets, one_slot_is_room_enough.

--- a/core_ask.c
+++ b/core_ask.c
@@ -106,7 +106,8 @@
 /* Whether BUSY requests slow each other down. */
 static bool core_is_crowded(const struct core_server *server, uint64_t busy)
 {
-	return busy * 100 > (uint64_t)server->slots * CORE_KNEE_PERCENT;
+	return busy > 1 &&
+	       busy * 100 > (uint64_t)server->slots * CORE_KNEE_PERCENT;
 }
 
 /* Whether the servers of the service slow down when they are crowded. */
@@ -312,8 +313,10 @@
 static bool core_ask_has_spare_room(const struct core_service *service,
 				    const struct core_server *server)
 {
+	uint64_t occupied = core_occupied(server);
+
 	return !core_is_slow(service, server) &&
-	       !core_is_crowded(server, core_occupied(server) + 2);
+	       (!occupied || !core_is_crowded(server, occupied + 2));
 }
 
 /* What a call needs to be sent to a server. */
@@ -324,6 +327,16 @@
 	CORE_NEED_SPARE /* a slot that nobody needs who would be in time */
 };
 
+/* A target that no server can meet is not worth refusing calls for. */
+static uint64_t core_ask_target_us(const struct core *core,
+				   const struct core_service *service,
+				   const struct core_call *call)
+{
+	return core_work_us(core, service, call) < call->objective_us ?
+		       call->target_us :
+		       call->deadline_us;
+}
+
 /* Even an undisturbed server may answer after the target. */
 static enum core_ask_need core_ask_need(const struct core *core,
 					const struct core_service *service,
@@ -331,7 +344,8 @@
 {
 	uint64_t work_us = core_work_us(core, service, call);
 
-	if (!call->ask_hedge && core->now_us + work_us > call->target_us)
+	if (!call->ask_hedge &&
+	    core->now_us + work_us > core_ask_target_us(core, service, call))
 		return CORE_NEED_SPARE;
 	return CORE_NEED_CALM;
 }
@@ -344,13 +358,14 @@
 {
 	uint64_t end_us =
 		core->now_us + core_expected_us(core, service, server, call);
+	uint64_t target_us = core_ask_target_us(core, service, call);
 
 	switch (need) {
 	case CORE_NEED_CALM:
-		return end_us <= call->target_us &&
+		return end_us <= target_us &&
 		       core_ask_has_calm_room(service, server);
 	case CORE_NEED_ROOM:
-		return end_us <= call->target_us && core_ask_has_room(server);
+		return end_us <= target_us && core_ask_has_room(server);
 	case CORE_NEED_SPARE:
 		return end_us <= call->deadline_us &&
 		       core_ask_has_spare_room(service, server);
--- a/tests/test_ask.c
+++ b/tests/test_ask.c
@@ -394,6 +394,35 @@
 }
 END_TEST
 
+/* Guards against refusing every call of a route whose target is too short. */
+START_TEST(serves_calls_whose_target_nobody_meets)
+{
+	uint64_t id;
+
+	core_service(core, 0)->work_us[CORE_NO_CALLER % CORE_LANES] =
+		(TARGET_MS + 100) * MS;
+	id = call(true, 2);
+	answer_probes(0, NONE, ALL, SLOTS - 2);
+	ck_assert_uint_eq(count(CORE_ACT_SEND, id), 1);
+}
+END_TEST
+
+/* Guards against servers with one slot that count as crowded by one call. */
+START_TEST(one_slot_is_room_enough)
+{
+	uint64_t id;
+
+	for (uint32_t i = 0; i < SERVERS; i++)
+		core_server(core, i)->slots = 1;
+	id = call(true, 2);
+	answer_probes(0, NONE, ALL, 0);
+	ck_assert_uint_eq(count(CORE_ACT_SEND, id), 1);
+	id = call_again(true, 2, TARGET_MS);
+	answer_probes(0, NONE, ALL, 0);
+	ck_assert_uint_eq(count(CORE_ACT_SEND, id), 1);
+}
+END_TEST
+
 /* Guards against a late answer where a second server would be in time. */
 START_TEST(hedges_what_may_be_repeated)
 {
@@ -510,6 +539,8 @@
 	tcase_add_test(tests, waits_for_a_slot_below_the_knee);
 	tcase_add_test(tests, learns_that_crowded_servers_keep_their_pace);
 	tcase_add_test(tests, late_calls_leave_a_slot_free);
+	tcase_add_test(tests, serves_calls_whose_target_nobody_meets);
+	tcase_add_test(tests, one_slot_is_room_enough);
 	tcase_add_test(tests, hedges_what_may_be_repeated);
 	tcase_add_test(tests, never_hedges_an_order);
 	tcase_add_test(tests, retries_a_failure_elsewhere);
