Split what a call takes at a server from asking

Change: core_work.c has the expected time, what answers teach and which slots are free; core_ask.c asks, chooses, holds and refuses. No decision changes.

--- a/core_ask.c
+++ b/core_ask.c
@@ -10,32 +10,11 @@
  * server that answers is also known to be reachable.
  */
 enum {
-	/* A report of that age need not be asked for again. */
-	CORE_ASK_FRESH_US = 15 * CORE_US_PER_MS,
 	/* An answer from another zone takes two crossings and the probe. */
 	CORE_ASK_WAIT_US = 30 * CORE_US_PER_MS,
 	CORE_ASK_ROUNDS = 3,
-	/* Neighbours of a machine come and go within this time. */
-	CORE_PACE_HALF_US = 200 * CORE_US_PER_MS,
-	CORE_PACE_USUAL = 100, /* percent */
-	CORE_PACE_QUIET = 125, /* percent; no better server is waited for */
-	/*
-	 * Many servers slow down when more than four fifths of the slots are
-	 * busy. Whether they do is learned: below the last figure it does not
-	 * matter.
-	 */
-	CORE_KNEE_PERCENT = 80,
-	CORE_CROWD_COST_PERCENT = 170,
-	CORE_CROWD_COST_MAX_PERCENT = 400,
-	CORE_CROWD_COST_LOW_PERCENT = 120,
-	CORE_COLD_COST_PERCENT = 200,
-	CORE_ZONE_RTT_US = 8 * CORE_US_PER_MS,
 	/* Links between zones are dear: part of the work a call must gain. */
 	CORE_ZONE_COST_PERCENT = 10,
-	/* Until it is known, work takes that part of the target. */
-	CORE_WORK_PERCENT = 40,
-	CORE_WORK_SAMPLES = 16,
-	CORE_WORK_OUTLIER = 3,
 	CORE_HOLD_PART = 8, /* of the target that a call may wait */
 	CORE_ASK_PAUSE_US = 20 * CORE_US_PER_MS,
 	/* A large answer from another zone costs more than it is worth. */
@@ -50,141 +29,6 @@
 	uint64_t cost_us;
 };
 
-static uint64_t core_report_age_us(const struct core *core,
-				   const struct core_server *server)
-{
-	return server->report_us ? core->now_us - server->report_us :
-				   UINT64_MAX / 2;
-}
-
-/* The reported figure, aged towards the mean of the service. */
-static uint64_t core_pace(const struct core *core,
-			  const struct core_service *service,
-			  const struct core_server *server)
-{
-	uint64_t age_us = MIN(core_report_age_us(core, server),
-			      (uint64_t)100 * CORE_PACE_HALF_US);
-	int64_t mean = service->mean_pace_percent ?
-			       (int64_t)service->mean_pace_percent :
-			       CORE_PACE_USUAL;
-	int64_t pace =
-		server->pace_percent ? (int64_t)server->pace_percent : mean;
-
-	return (uint64_t)(mean + (pace - mean) * CORE_PACE_HALF_US /
-					 (int64_t)(CORE_PACE_HALF_US + age_us));
-}
-
-uint64_t core_work_us(const struct core *core,
-		      const struct core_service *service,
-		      const struct core_call *call)
-{
-	uint32_t known_us = service->work_us[call->kind];
-
-	if (known_us)
-		return known_us;
-	return call->objective_us * CORE_WORK_PERCENT / 100;
-}
-
-/* Slower than quiet machines, and than the service is on average. */
-static bool core_is_slow(const struct core_service *service,
-			 const struct core_server *server)
-{
-	return server->pace_percent > CORE_PACE_QUIET &&
-	       server->pace_percent * CORE_PACE_USUAL >
-		       service->mean_pace_percent * CORE_PACE_QUIET;
-}
-
-/* Requests at the server, as far as this host knows. */
-static uint64_t core_occupied(const struct core_server *server)
-{
-	uint64_t known = (uint64_t)server->running + server->waiting +
-			 server->sent_since;
-
-	return MAX(known, server->in_flight);
-}
-
-/* Whether BUSY requests slow each other down. */
-static bool core_is_crowded(const struct core_server *server, uint64_t busy)
-{
-	return busy > 1 &&
-	       busy * 100 > (uint64_t)server->slots * CORE_KNEE_PERCENT;
-}
-
-/* Whether the servers of the service slow down when they are crowded. */
-static bool core_has_knee(const struct core_service *service)
-{
-	return !service->crowd_cost_percent ||
-	       service->crowd_cost_percent >= CORE_CROWD_COST_LOW_PERCENT;
-}
-
-enum core_lesson core_lesson(const struct core *core,
-			     const struct core_server *server)
-{
-	if (!server->pace_percent || server->pace_percent > CORE_PACE_QUIET ||
-	    core->now_us < server->cold_until_us ||
-	    core_occupied(server) >= server->slots)
-		return CORE_LESSON_NONE;
-	return core_is_crowded(server, core_occupied(server) + 1) ?
-		       CORE_LESSON_CROWDED :
-		       CORE_LESSON_USUAL;
-}
-
-void core_learn_work(struct core *core, const struct core_call *call,
-		     const struct core_attempt *attempt)
-{
-	struct core_service *service = core_service(core, call->service);
-	uint32_t *known_us = &service->work_us[call->kind];
-	int64_t took_us = (int64_t)(attempt->answer_us - attempt->begin_us);
-	int64_t cost;
-
-	if (attempt->lesson == CORE_LESSON_NONE)
-		return;
-	if (!*known_us)
-		*known_us = (uint32_t)core_work_us(core, service, call);
-	if (attempt->lesson == CORE_LESSON_CROWDED) {
-		cost = MIN(took_us * 100 / MAX(*known_us, 1),
-			   CORE_CROWD_COST_MAX_PERCENT);
-		if (!service->crowd_cost_percent)
-			service->crowd_cost_percent = CORE_CROWD_COST_PERCENT;
-		service->crowd_cost_percent =
-			(service->crowd_cost_percent * (CORE_WORK_SAMPLES - 1) +
-			 (uint32_t)cost) /
-			CORE_WORK_SAMPLES;
-		return;
-	}
-	took_us = MIN(took_us, (int64_t)*known_us * CORE_WORK_OUTLIER);
-	*known_us =
-		(uint32_t)((int64_t)*known_us +
-			   (took_us - (int64_t)*known_us) / CORE_WORK_SAMPLES);
-}
-
-/* Expected time from sending a call to SERVER to its answer. */
-static uint64_t core_expected_us(const struct core *core,
-				 const struct core_service *service,
-				 const struct core_server *server,
-				 const struct core_call *call)
-{
-	uint64_t usual_us = core_work_us(core, service, call);
-	uint64_t slots = MAX(server->slots, 1);
-	uint64_t busy = core_occupied(server) + 1;
-	uint64_t work_us =
-		usual_us * core_pace(core, service, server) / CORE_PACE_USUAL;
-	uint64_t cost_us;
-
-	if (core->now_us < server->cold_until_us)
-		work_us = work_us * CORE_COLD_COST_PERCENT / 100;
-	if (core_is_crowded(server, busy) && core_has_knee(service))
-		work_us = work_us * CORE_CROWD_COST_PERCENT / 100;
-	cost_us = work_us;
-	if (busy > slots)
-		cost_us += work_us * (busy - slots) / slots;
-	if (core_oldest_us(core, server) > 2 * work_us)
-		cost_us += core_oldest_us(core, server) / 2;
-	if (server->zone != core->zone)
-		cost_us += CORE_ZONE_RTT_US;
-	return cost_us;
-}
-
 /* Expected time and what else speaks against SERVER, in microseconds. */
 static uint64_t core_ask_cost_us(const struct core *core,
 				 const struct core_service *service,
@@ -274,51 +118,13 @@
 	g_queue_unlink(&core->asking, &call->ask_link);
 }
 
-/* Whether the report of a server is recent enough to decide by it. */
-static bool core_is_fresh(const struct core *core,
-			  const struct core_server *server)
-{
-	return core_report_age_us(core, server) <= CORE_ASK_FRESH_US;
-}
-
 static bool core_answered_ask(const struct core_call *call,
 			      const struct core_server *server)
 {
-	return server->report_us + CORE_ASK_FRESH_US >= call->ask_since_us &&
+	return server->report_us + CORE_FRESH_US >= call->ask_since_us &&
 	       server->report_us;
 }
 
-static bool core_ask_has_room(const struct core_server *server)
-{
-	return core_occupied(server) + 1 <= server->slots;
-}
-
-/*
- * Room for a call that is not slowed down. A server whose last slots are always
- * filled ends fewer calls a second than one that leaves them free.
- */
-static bool core_ask_has_calm_room(const struct core_service *service,
-				   const struct core_server *server)
-{
-	return core_ask_has_room(server) &&
-	       (!core_is_crowded(server, core_occupied(server) + 1) ||
-		!core_has_knee(service));
-}
-
-/*
- * Room for a call whose target cannot be met: it must not take a slot in which
- * another call would still be in time. On a slow machine it would hold a slot
- * long after the machine is quick again.
- */
-static bool core_ask_has_spare_room(const struct core_service *service,
-				    const struct core_server *server)
-{
-	uint64_t occupied = core_occupied(server);
-
-	return !core_is_slow(service, server) &&
-	       (!occupied || !core_is_crowded(server, occupied + 2));
-}
-
 /* What a call needs to be sent to a server. */
 enum core_ask_need {
 	CORE_NEED_NOTHING, /* the cheapest is looked for */
@@ -327,16 +133,6 @@
 	CORE_NEED_SPARE /* a slot that nobody needs who would be in time */
 };
 
-/* A target that no server can meet is not worth refusing calls for. */
-static uint64_t core_ask_target_us(const struct core *core,
-				   const struct core_service *service,
-				   const struct core_call *call)
-{
-	return core_work_us(core, service, call) < call->objective_us ?
-		       call->target_us :
-		       call->deadline_us;
-}
-
 /* Even an undisturbed server may answer after the target. */
 static enum core_ask_need core_ask_need(const struct core *core,
 					const struct core_service *service,
@@ -345,7 +141,7 @@
 	uint64_t work_us = core_work_us(core, service, call);
 
 	if (!call->ask_hedge &&
-	    core->now_us + work_us > core_ask_target_us(core, service, call))
+	    core->now_us + work_us > core_target_us(core, service, call))
 		return CORE_NEED_SPARE;
 	return CORE_NEED_CALM;
 }
@@ -358,17 +154,17 @@
 {
 	uint64_t end_us =
 		core->now_us + core_expected_us(core, service, server, call);
-	uint64_t target_us = core_ask_target_us(core, service, call);
+	uint64_t target_us = core_target_us(core, service, call);
 
 	switch (need) {
 	case CORE_NEED_CALM:
 		return end_us <= target_us &&
-		       core_ask_has_calm_room(service, server);
+		       core_has_calm_slot(service, server);
 	case CORE_NEED_ROOM:
-		return end_us <= target_us && core_ask_has_room(server);
+		return end_us <= target_us && core_has_slot(server);
 	case CORE_NEED_SPARE:
 		return end_us <= call->deadline_us &&
-		       core_ask_has_spare_room(service, server);
+		       core_has_spare_slot(service, server);
 	default:
 		return true;
 	}
@@ -503,7 +299,7 @@
 	if (best == CORE_NO_SERVER)
 		return false;
 	server = core_server(core, best);
-	return core_ask_has_calm_room(service, server) &&
+	return core_has_calm_slot(service, server) &&
 	       core_ask_cost_us(core, service, server, call) * 100 <=
 		       core_work_us(core, service, call) * CORE_PACE_QUIET;
 }
--- a/core_state.h
+++ b/core_state.h
@@ -17,6 +17,9 @@
 	CORE_POOL_SIZE = 16,
 	CORE_WINDOW_S = 10,
 	CORE_ASKED = 3, /* servers asked at a time for one call */
+	/* Reports of that age are recent enough to decide by them. */
+	CORE_FRESH_US = 15 * CORE_US_PER_MS,
+	CORE_PACE_QUIET = 125, /* percent; no better server is waited for */
 	CORE_LANES =
 		8, /* callers that are told apart by what their calls take */
 	CORE_HISTORY = 64
@@ -230,9 +233,6 @@
  * core_ask_offer - SERVER may have room for a call that waits.
  * core_ask_timer - the time for answers is over.
  * core_ask_end - the call waits for no report any more.
- * core_work_us - what a call of that kind takes on an idle server.
- * core_lesson - what a call that is sent to SERVER now will teach.
- * core_learn_work - an answer came.
  */
 void core_ask_plan(struct core_call *call);
 void core_ask(struct core *core, struct core_call *call, bool hedge);
@@ -241,13 +241,41 @@
 void core_ask_timer(struct core *core, struct core_call *call);
 void core_ask_end(struct core *core, struct core_call *call);
 uint64_t core_ask_until_us(const struct core_call *call);
+
+/*
+ * core_work.c: what a call takes at a server, and whether there is room.
+ *
+ * core_work_us - what a call of that kind takes on an idle server.
+ * core_expected_us - from sending a call to SERVER to its answer.
+ * core_target_us - when a call should have its answer; its deadline if no
+ * server can meet the target.
+ * core_lesson - what a call that is sent to SERVER now will teach.
+ * core_learn_work - an answer came.
+ * core_is_fresh - the report of a server is recent enough to decide by it.
+ * core_has_slot - a slot is free.
+ * core_has_calm_slot - a slot in which a call is not slowed down.
+ * core_has_spare_slot - a slot for a call that is late anyway.
+ */
 uint64_t core_work_us(const struct core *core,
 		      const struct core_service *service,
 		      const struct core_call *call);
+uint64_t core_expected_us(const struct core *core,
+			  const struct core_service *service,
+			  const struct core_server *server,
+			  const struct core_call *call);
+uint64_t core_target_us(const struct core *core,
+			const struct core_service *service,
+			const struct core_call *call);
 enum core_lesson core_lesson(const struct core *core,
 			     const struct core_server *server);
 void core_learn_work(struct core *core, const struct core_call *call,
 		     const struct core_attempt *attempt);
+bool core_is_fresh(const struct core *core, const struct core_server *server);
+bool core_has_slot(const struct core_server *server);
+bool core_has_calm_slot(const struct core_service *service,
+			const struct core_server *server);
+bool core_has_spare_slot(const struct core_service *service,
+			 const struct core_server *server);
 
 /* core_pick.c: whether a server takes the call now, and which. */
 bool core_pick(struct core *core, struct core_service *service,
