--- a/gateway_route.c
+++ b/gateway_route.c
@@ -11,9 +11,9 @@
 	GW_FIRST_TRY_PERCENT = 85
 };
 
-/* Turns of the parts of a route: each gets its weight of the calls. */
 struct gw_route {
 	char name[DOC_NAME_BYTES]; /* first: key of the table */
+	/* Turns of the parts: each gets its weight of the calls. */
 	uint32_t part_count;
 	uint64_t weights_hash;
 	int64_t *credit;
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -8,7 +8,9 @@
 /*
  * State that the gateway*.c files share: gateway.c has calls and the listener,
  * gateway_answer.c the answers to callers, gateway_attempt.c the attempts at
- * servers, gateway_conf.c what follows from documents and the host list.
+ * servers, gateway_conf.c what follows from documents and the host list,
+ * gateway_route.c what is remembered of routes, gateway_log.c the lines of the
+ * log.
  */
 enum { GW_US_PER_MS = 1000, GW_REQUEST_ID_BYTES = 128, GW_DIGITS = 20 };
 
