--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -6,6 +6,7 @@
 #include "dialect.h"
 #include "httpc.h"
 #include "platform/dialect.h"
+#include "platform/feed.h"
 #include "platform/manifest.h"
 #include "tests/suite.h"
 
@@ -300,6 +301,40 @@
 }
 END_TEST
 
+/*
+ * Guards against keeping a row that was removed: what another host passes on
+ * while this one reads the table must not count as part of the table.
+ */
+static bool take_row(void *ctx, const struct fd_feed *feed,
+		     const struct pf_row *row)
+{
+	return false; /* nothing that matters */
+}
+
+START_TEST(rows_of_others_are_no_part_of_a_read)
+{
+	const struct fd_handler handler = { .take = take_row };
+	struct fd_feed feed = { .handler = &handler };
+	const struct pf_row row = { .table = "servers",
+				    .key = "s1",
+				    .version = 3,
+				    .value = "{}",
+				    .value_bytes = 2 };
+
+	feed.rows = g_hash_table_new(g_str_hash, g_str_equal);
+	feed.seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fd_take_relayed(&feed, &row);
+	ck_assert_uint_eq(g_hash_table_size(feed.seen), 0);
+	/* Within a whole table from another host they are. */
+	feed.synced = true;
+	fd_take_relayed(&feed, &row);
+	ck_assert_uint_eq(g_hash_table_size(feed.seen), 1);
+	g_hash_table_destroy(feed.seen);
+	g_hash_table_destroy(feed.rows);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("platform");
@@ -314,6 +349,7 @@
 	tcase_add_test(tests, only_some_answers_prove_that_nothing_ran);
 	tcase_add_loop_test(tests, answers_are_whole_or_broken, 0,
 			    G_N_ELEMENTS(exchanges));
+	tcase_add_test(tests, rows_of_others_are_no_part_of_a_read);
 	suite_add_tcase(suite, tests);
 	return suite_run(suite, CK_FORK_GETENV);
 }
