Parse the settings text that was read, once

Cause: a reload read the file to remember its text and then once more to parse it; the two could differ, and a file that could not be read was reported twice. Change: se_parse takes the text, se_read calls it.

--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -130,7 +130,7 @@
 		lg_warn("reload", "changed addresses need a restart");
 }
 
-/* Reads the file again; settings with errors change nothing. */
+/* Takes the text that was read last; settings with errors change nothing. */
 static void sv_reload(struct sv_host *host)
 {
 	struct se_settings *fresh = g_new0(struct se_settings, 1);
@@ -138,7 +138,8 @@
 	struct ym_errors errors;
 
 	ym_errors_init(&errors);
-	if (se_read(host->settings_path, fresh, &errors) == ST_OK) {
+	if (se_parse(host->settings_text, strlen(host->settings_text), fresh,
+		     &errors) == ST_OK) {
 		sv_take_settings(host, fresh);
 		lg_info("reload", "settings read again");
 	} else {
@@ -150,12 +151,11 @@
 	g_free(fresh);
 }
 
-/* Remembers the text of the file; returns whether it differs from before. */
-static bool sv_read_text(struct sv_host *host)
+/* Remembers the text of the file; CHANGED tells whether it is another one. */
+static bool sv_read_text(struct sv_host *host, bool *changed)
 {
 	GError *error = NULL;
 	char *text = NULL;
-	bool changed;
 
 	if (!g_file_get_contents(host->settings_path, &text, NULL, &error)) {
 		lg_warn("reload", "settings cannot be read: %s",
@@ -163,18 +163,19 @@
 		g_error_free(error);
 		return false;
 	}
-	changed = g_strcmp0(text, host->settings_text) != 0;
+	*changed = g_strcmp0(text, host->settings_text) != 0;
 	g_free(host->settings_text);
 	host->settings_text = text;
-	return changed;
+	return true;
 }
 
 /* The file may change without a signal. */
 static void sv_on_settings_time(void *ctx)
 {
 	struct sv_host *host = ctx;
+	bool changed;
 
-	if (sv_read_text(host))
+	if (sv_read_text(host, &changed) && changed)
 		sv_reload(host);
 	tm_subscribe(&host->timers, &host->settings_timer,
 		     tm_now_us() + SV_SETTINGS_US);
@@ -182,9 +183,11 @@
 
 static void sv_watch_settings(struct sv_host *host)
 {
+	bool changed;
+
 	host->settings_timer.fire = sv_on_settings_time;
 	host->settings_timer.ctx = host;
-	sv_read_text(host);
+	sv_read_text(host, &changed);
 	tm_subscribe(&host->timers, &host->settings_timer,
 		     tm_now_us() + SV_SETTINGS_US);
 }
@@ -192,10 +195,11 @@
 static void sv_on_signal(uv_signal_t *handle, int signum)
 {
 	struct sv_host *host = handle->data;
+	bool changed;
 
 	if (signum == SIGHUP) {
-		sv_read_text(host);
-		sv_reload(host);
+		if (sv_read_text(host, &changed))
+			sv_reload(host);
 		return;
 	}
 	if (!host->stopping) {
--- a/settings.c
+++ b/settings.c
@@ -255,24 +255,32 @@
 	ym_check_unused(root, errors);
 }
 
+enum st_kind se_parse(const char *text, size_t text_bytes,
+		      struct se_settings *settings, struct ym_errors *errors)
+{
+	struct ym_node *root = ym_parse(text, text_bytes, errors);
+
+	memset(settings, 0, sizeof(*settings));
+	if (root)
+		se_root(root, settings, errors);
+	ym_free(root);
+	return errors->count ? ST_INVALID : ST_OK;
+}
+
 enum st_kind se_read(const char *path, struct se_settings *settings,
 		     struct ym_errors *errors)
 {
 	GError *error = NULL;
 	char *text;
 	gsize text_bytes;
-	struct ym_node *root;
+	enum st_kind kind;
 
-	memset(settings, 0, sizeof(*settings));
 	if (!g_file_get_contents(path, &text, &text_bytes, &error)) {
 		ym_error(errors, NULL, NULL, "%s", error->message);
 		g_error_free(error);
 		return ST_IO;
 	}
-	root = ym_parse(text, text_bytes, errors);
-	if (root)
-		se_root(root, settings, errors);
-	ym_free(root);
+	kind = se_parse(text, text_bytes, settings, errors);
 	g_free(text);
-	return errors->count ? ST_INVALID : ST_OK;
+	return kind;
 }
