Estimate times only where they decide

Cause: core_ask_meets computed the expected time, a walk over the open attempts, also where nothing was asked of the server; core_ask_overload tested three times for a hedge. Change: an early return, one branch. No decision changes.

--- a/core_ask.c
+++ b/core_ask.c
@@ -152,10 +152,13 @@
 			   const struct core_call *call,
 			   enum core_ask_need need)
 {
-	uint64_t end_us =
-		core->now_us + core_expected_us(core, service, server, call);
-	uint64_t target_us = core_target_us(core, service, call);
+	uint64_t target_us;
+	uint64_t end_us;
 
+	if (need == CORE_NEED_NOTHING)
+		return true;
+	target_us = core_target_us(core, service, call);
+	end_us = core->now_us + core_expected_us(core, service, server, call);
 	switch (need) {
 	case CORE_NEED_CALM:
 		return end_us <= target_us &&
@@ -270,17 +273,17 @@
 	uint32_t server = CORE_NO_SERVER;
 
 	core_ask_remember(core, call, best);
-	if (core->now_us + CORE_ASK_PAUSE_US <= call->hold_until_us &&
-	    !call->ask_hedge) {
-		core_ask_later(core, call);
-		return;
-	}
-	if (!call->ask_hedge)
+	if (!call->ask_hedge) {
+		if (core->now_us + CORE_ASK_PAUSE_US <= call->hold_until_us) {
+			core_ask_later(core, call);
+			return;
+		}
 		server = core_ask_best(core, service, call, false,
 				       CORE_NEED_ROOM);
-	if (server == CORE_NO_SERVER && !call->ask_hedge)
-		server = core_ask_best(core, service, call, false,
-				       CORE_NEED_SPARE);
+		if (server == CORE_NO_SERVER)
+			server = core_ask_best(core, service, call, false,
+					       CORE_NEED_SPARE);
+	}
 	if (server != CORE_NO_SERVER)
 		core_ask_send(core, call, server);
 	else if (best == CORE_NO_SERVER)
