Log how long the event loop was blocked and when a leaving caller was noticed

Three hypotheses for the incident GONE could not be told apart: requests that are read late, a check that does not see the close, and calls that go on although the close was seen. The log now has a "stall" line for each time the event loop was blocked for 200 ms or more, with two counters; lines about callers that left have check_gap_ms, the longest time for which the leaving can have gone unnoticed, and caller_left is true in them (it was false whenever the check had found the closed connection, since the request itself was still there).

--- a/counter.h
+++ b/counter.h
@@ -17,6 +17,9 @@
 	X(UNKNOWN, "calls_unknown_total", "Calls ended, outcome unknown")     \
 	X(BROKEN, "calls_broken_total", "Answers broken off")                 \
 	X(GONE, "calls_gone_total", "Callers that left before the answer")    \
+	X(STALLS, "loop_stalls_total",                                        \
+	  "Times the event loop was blocked for 200 ms or more")              \
+	X(STALL_MS, "loop_stall_ms_total", "Duration of these in ms")         \
 	X(ATTEMPTS, "attempts_total", "Attempts sent to servers")             \
 	X(RETRIES, "retries_total", "Attempts after the first")               \
 	X(HEDGES, "hedges_total", "Attempts beside a running one")            \
--- a/gateway.c
+++ b/gateway.c
@@ -8,6 +8,7 @@
 
 enum {
 	GW_CALLER_CHECK_US = 100 * 1000,
+	GW_STALL_US = 200 * 1000,
 	/* Least time for the caller to read the rest of an answer or error. */
 	GW_READ_TIMEOUT_US = 500 * 1000,
 	GW_HEAD_BYTES = 512,
@@ -552,11 +553,25 @@
 	gw_admit_service_call(gw_call_new(gateway, req), index);
 }
 
+/* The check is late by the time that the event loop was blocked. */
+static void gw_detect_stall(struct gw_gateway *gateway, uint64_t now_us)
+{
+	uint64_t late_us = now_us - MIN(gateway->caller_check.at_us, now_us);
+
+	if (late_us < GW_STALL_US)
+		return;
+	ct_add(CT_STALLS, 1);
+	ct_add(CT_STALL_MS, late_us / GW_US_PER_MS);
+	gw_log_stall(gateway, late_us);
+}
+
 static void gw_on_caller_check(void *ctx)
 {
 	struct gw_gateway *gateway = ctx;
 	GList *calls = g_hash_table_get_values(gateway->calls);
+	uint64_t now_us = tm_now_us();
 
+	gw_detect_stall(gateway, now_us);
 	for (GList *l = calls; l; l = l->next) {
 		struct gw_call *call = l->data;
 
@@ -565,6 +580,7 @@
 			gw_post_gone(call);
 	}
 	g_list_free(calls);
+	gateway->caller_check_us = now_us;
 	tm_subscribe(gateway->timers, &gateway->caller_check,
 		     tm_now_us() + GW_CALLER_CHECK_US);
 }
@@ -648,6 +664,7 @@
 	kind = kn_register(kernel, &gateway->task, status);
 	if (kind != ST_OK)
 		return kind;
+	gateway->caller_check.at_us = tm_now_us();
 	gw_on_caller_check(gateway);
 	return hd_init(&gateway->http, kernel->loop, &settings->callers,
 		       gw_on_request, gateway, status);
--- a/gateway.h
+++ b/gateway.h
@@ -52,6 +52,7 @@
 	struct pb_prober prober;
 	struct tm_sub core_timer;
 	struct tm_sub caller_check;
+	uint64_t caller_check_us; /* time of the last one */
 	bool stopping;
 	uint32_t calls_in_flight;
 	uint32_t host_count; /* entry hosts that share the servers' limits */
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -158,8 +158,15 @@
 	gw_set_number(line, "left_ms",
 		      gw_elapsed_ms(tm_now_us(), call->deadline_us));
 	if (!success) {
+		bool caller_left = !call->req || call->result == ST_GONE;
+
 		json_object_set_new(line, "caller_left",
-				    json_boolean(!call->req));
+				    json_boolean(caller_left));
+		if (call->result == ST_GONE)
+			gw_set_number(
+				line, "check_gap_ms",
+				gw_elapsed_ms(call->gateway->caller_check_us,
+					      tm_now_us()));
 		json_object_set_new(line, "idempotent",
 				    json_boolean(call->idempotent));
 		gw_set_inputs(line, &call->inputs);
@@ -168,6 +175,18 @@
 	lg_write(id, line);
 }
 
+void gw_log_stall(const struct gw_gateway *gateway, uint64_t stall_us)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_STALL))
+		return;
+	line = json_object();
+	gw_set_number(line, "ms", stall_us / GW_US_PER_MS);
+	gw_set_number(line, "calls_in_flight", gateway->calls_in_flight);
+	lg_write(LG_EV_STALL, line);
+}
+
 void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
 		    enum st_kind kind)
 {
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -151,6 +151,7 @@
  * gw_log_attempt_end - an attempt failed; not called for one that was cancelled
  * or could not be started.
  * gw_log_call_end - a call has its result; also updates the latency histogram.
+ * gw_log_stall - the event loop was blocked for STALL_US.
  * gw_log_refusal - a request was refused before it became a call.
  * gw_log_health_change - the core ejected a server or returned it to use; CTX
  * is the gateway.
@@ -158,6 +159,7 @@
 void gw_log_attempt_start(const struct gw_attempt *attempt, bool hedge);
 void gw_log_attempt_end(const struct gw_attempt *attempt, const char *msg);
 void gw_log_call_end(const struct gw_call *call);
+void gw_log_stall(const struct gw_gateway *gateway, uint64_t stall_us);
 void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
 		    enum st_kind kind);
 void gw_log_health_change(void *ctx, const struct core_health_change *change);
