Add a failing test of requests that are read after their callers left

A host is stopped by a signal while callers connect, send and leave, and is continued 0.6 s later. It then sends all of their requests to servers: 6 of 6 repeatable ones and 3 of 3 orders.

--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -6,11 +6,17 @@
  *        tool_raw deaf ADDRESS          listens, never accepts, backlog full
  *        tool_raw send ADDRESS SECONDS  sends stdin, prints the answer
  *        tool_raw slow ADDRESS SECONDS  sends stdin, does not read the answer
+ *        tool_raw leave ADDRESS         sends stdin, then closes at once
+ *        tool_raw abort ADDRESS         the same, with a reset
  *        tool_raw flood ADDRESS COUNT   opens connections, prints the number
  *                                       of them that the peer has closed
  * "send" ends when no data has arrived for SECONDS or the connection ends,
  * "slow" after SECONDS or when the connection is reset. Their last line is
  * end=eof, end=reset or end=timeout. "flood" counts after SETTLE_MS.
+ *
+ * The server prints a line "begin PATH" for each request to a path whose last
+ * part has "hold-MS", and answers it after MS milliseconds. If the peer closes
+ * the connection before, it prints "cut PATH" and the milliseconds it took.
  */
 #include <errno.h>
 #include <poll.h>
@@ -125,6 +131,20 @@
 	return ok;
 }
 
+/* Waits for MS milliseconds; returns false if the peer closes before. */
+static bool hold(int fd, const char *path, int ms)
+{
+	struct pollfd poll_fd = { .fd = fd, .events = POLLIN | POLLRDHUP };
+	gint64 begin_us = g_get_monotonic_time();
+
+	printf("begin %s\n", path);
+	if (!poll(&poll_fd, 1, ms))
+		return true;
+	printf("cut %s %d\n", path,
+	       (int)((g_get_monotonic_time() - begin_us) / 1000));
+	return false;
+}
+
 /* Answers with PATH as the body, after MS milliseconds if it has "late-MS". */
 static bool write_echo(int fd, const char *path)
 {
@@ -142,7 +162,10 @@
 static bool send_answer(int fd, const char *path)
 {
 	const char *name = strrchr(path, '/') ? strrchr(path, '/') + 1 : path;
+	const char *held = strstr(name, "hold-");
 
+	if (held && !hold(fd, path, atoi(held + strlen("hold-"))))
+		return false;
 	for (size_t i = 0; i < G_N_ELEMENTS(closing_answers); i++) {
 		if (strcmp(closing_answers[i].name, name) != 0)
 			continue;
@@ -268,6 +291,18 @@
 	return poll(&poll_fd, 1, timeout_ms) > 0 ? "reset" : "timeout";
 }
 
+/* Sends stdin as it comes and closes the connection at its end. */
+static int run_leaving_client(const struct nt_address *address, bool reset)
+{
+	struct linger linger = { .l_onoff = reset };
+	int fd = connect_to(address, 0);
+
+	send_stdin(fd);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+	return 0;
+}
+
 static int run_client(const struct nt_address *address, int timeout_ms,
 		      bool slow)
 {
@@ -306,10 +341,13 @@
 
 	if (argc < 3 || !nt_parse(argv[2], &address)) {
 		fprintf(stderr,
-			"usage: tool_raw server|deaf|send|slow|flood ADDRESS "
-			"[SECONDS|COUNT]\n");
+			"usage: tool_raw server|deaf|send|slow|leave|abort|"
+			"flood ADDRESS [SECONDS|COUNT]\n");
 		return 2;
 	}
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	if (!strcmp(argv[1], "leave") || !strcmp(argv[1], "abort"))
+		return run_leaving_client(&address, !strcmp(argv[1], "abort"));
 	if (!strcmp(argv[1], "server"))
 		run_server(&address);
 	if (!strcmp(argv[1], "deaf"))
