Do not send requests whose callers have left

Callers saw nothing of it: they had left. Servers were given their requests 0.7 to 0.85 s after that (GONE), and worked on them until the next check of callers found the closed connection, up to 100 ms and one more pause later.

Cause: a request was sent on without looking at its caller. The check every 100 ms runs after the request has been read and sent, and on the same event loop; when the loop was blocked, as by a large manifest, requests waited in the socket buffers while their callers left.

Now the last check before sending asks whether the caller is still connected, for every attempt: the first one, retries, hedges, orders whose key has just been claimed, and again when a new connection to the server has been established. It replaces the deadline that the HTTP client checked there. Attempts are counted and logged once they are to be sent.

--- a/gateway.c
+++ b/gateway.c
@@ -197,7 +197,12 @@
 	gw_call_free(call);
 }
 
-static void gw_post_gone(struct gw_call *call)
+bool gw_caller_left(const struct gw_call *call)
+{
+	return !call->req || hd_peer_closed(call->req);
+}
+
+void gw_post_gone(struct gw_call *call)
 {
 	struct core_event event = { .kind = CORE_EV_GONE };
 
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -353,7 +353,28 @@
 	gw_post_ended(attempt, attempt->end);
 }
 
+/*
+ * Last check before sending; things may have changed since the admission. While
+ * the host was slow or stopped, a request may have been read, or a connection
+ * established, only after the caller had left.
+ */
+static bool gw_may_send(struct hc_request *request)
+{
+	struct gw_call *call = ((struct gw_attempt *)request)->call;
+
+	if (gw_caller_left(call)) {
+		gw_post_gone(call);
+		return false;
+	}
+	if (!at_may_send(call->idempotent, call->may_have_run))
+		return false;
+	if (call->claim && !od_may_send(call->claim))
+		return false;
+	return tm_now_us() < call->deadline_us;
+}
+
 static const struct hc_handler gw_http_handler = {
+	.may_send = gw_may_send,
 	.sent = gw_on_sent,
 	.accept = gw_is_answer_to_call,
 	.head = gw_on_head,
@@ -413,14 +434,10 @@
 	return out;
 }
 
-/* Last check before sending; the state may have changed since admission. */
-static bool gw_may_send_attempt(const struct gw_call *call)
+static void gw_end_unsent(struct gw_attempt *attempt)
 {
-	if (!at_may_send(call->idempotent, call->may_have_run))
-		return false;
-	if (call->claim && !od_may_send(call->claim))
-		return false;
-	return tm_now_us() < call->deadline_us;
+	gw_close_attempt(attempt, HC_NEW);
+	gw_post_ended(attempt, CORE_END_NOT_SENT);
 }
 
 void gw_start_attempt(struct gw_gateway *gateway,
@@ -432,9 +449,6 @@
 		g_ptr_array_index(gateway->servers, action->server);
 	struct gw_attempt *attempt = &call->attempts[action->attempt];
 
-	ct_add(CT_ATTEMPTS, 1);
-	ct_add(CT_RETRIES, action->attempt > 0 && !action->hedge);
-	ct_add(CT_HEDGES, action->hedge);
 	attempt->call = call;
 	attempt->begin_us = tm_now_us();
 	attempt->inputs = action->inputs;
@@ -443,21 +457,24 @@
 	attempt->server = action->server;
 	attempt->http.handler = &gw_http_handler;
 	attempt->http.head_method = call->head_method;
-	attempt->http.not_after_us = call->deadline_us;
 	attempt->http.may_end_with_close = gateway->dialect->signature != NULL;
-	gw_log_attempt_start(attempt, action->hedge);
 	/*
 	 * A server may close a long idle connection just as the request is
 	 * sent, and a non-idempotent call could not be retried.
 	 */
 	if (!call->idempotent)
 		attempt->http.max_idle_us = GW_NON_IDEMPOTENT_IDLE_US;
-	if (!gw_may_send_attempt(call) ||
-	    !hc_start(&server->pool, &attempt->http,
-		      gw_format_request(call, server, action->report))) {
-		gw_close_attempt(attempt, HC_NEW);
-		gw_post_ended(attempt, CORE_END_NOT_SENT);
+	if (!gw_may_send(&attempt->http)) {
+		gw_end_unsent(attempt);
+		return;
 	}
+	ct_add(CT_ATTEMPTS, 1);
+	ct_add(CT_RETRIES, action->attempt > 0 && !action->hedge);
+	ct_add(CT_HEDGES, action->hedge);
+	gw_log_attempt_start(attempt, action->hedge);
+	if (!hc_start(&server->pool, &attempt->http,
+		      gw_format_request(call, server, action->report)))
+		gw_end_unsent(attempt);
 }
 
 void gw_cancel_attempt(struct gw_gateway *gateway,
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -104,8 +104,12 @@
 /*
  * gw_post_event - set the time of EVENT to now and pass it to the core. Events
  * that are posted while the core handles one are queued. Source: gateway.c
+ * gw_caller_left - whether the caller has closed its connection or its stream.
+ * gw_post_gone - tell the core that the caller has left.
  */
 void gw_post_event(struct gw_gateway *gateway, struct core_event *event);
+bool gw_caller_left(const struct gw_call *call);
+void gw_post_gone(struct gw_call *call);
 
 /*
  * gateway_answer.c
--- a/httpc.c
+++ b/httpc.c
@@ -362,16 +362,13 @@
 		hc_tls_write_done(&tls_write->write, 0);
 }
 
-/*
- * Sends the request unless its deadline has passed, which can happen when the
- * process was suspended while it connected.
- */
-static void hc_conn_send_in_time(struct hc_conn *conn)
+/* Sends the request on a new connection, if it is still wanted. */
+static void hc_conn_send_first(struct hc_conn *conn)
 {
-	uint64_t not_after_us = conn->request->not_after_us;
+	struct hc_request *request = conn->request;
 
-	if (not_after_us && tm_now_us() >= not_after_us)
-		hc_conn_fail(conn, "deadline passed while connecting");
+	if (request->handler->may_send && !request->handler->may_send(request))
+		hc_conn_fail(conn, "no longer to be sent");
 	else if (!hc_conn_send(conn))
 		hc_conn_fail(conn, "the request cannot be written");
 }
@@ -385,7 +382,7 @@
 	if (!ok)
 		hc_conn_fail(conn, msg);
 	else if (conn->tls.established)
-		hc_conn_send_in_time(conn);
+		hc_conn_send_first(conn);
 }
 
 static void hc_conn_decrypt(struct hc_conn *conn)
@@ -563,7 +560,7 @@
 	if (conn->pool->tls)
 		hc_conn_start_tls(conn);
 	else
-		hc_conn_send_in_time(conn);
+		hc_conn_send_first(conn);
 }
 
 static struct hc_conn *hc_conn_new(struct hc_pool *pool)
--- a/httpc.h
+++ b/httpc.h
@@ -58,6 +58,11 @@
 
 /* Callbacks of a request; all but DONE may be NULL. */
 struct hc_handler {
+	/*
+	 * Whether to send the request, asked when a new connection has been
+	 * established: things may have changed meanwhile. May call hc_cancel.
+	 */
+	bool (*may_send)(struct hc_request *request);
 	void (*sent)(struct hc_request *request);
 	/*
 	 * Whether an answer belongs to this request. If not, it is skipped,
@@ -82,8 +87,6 @@
 	bool new_connection; /* do not reuse an idle connection */
 	bool may_end_with_close; /* EOF may end an answer without a length */
 	uint64_t max_idle_us; /* of a reused connection; 0: the pool's limit */
-	/* A connection established later sends nothing; 0: no limit */
-	uint64_t not_after_us;
 	/* The fields below belong to the client. */
 	enum hc_state state;
 	struct hc_conn *conn;
