Notice a leaving caller whose connection has unread bytes

Cause: the check peeked one byte and took only an end of the stream for a close. Any byte that waits in the socket hides the end: a further request that the caller had sent on the connection (pipelining), and the notification that ends TLS, so every caller that leaves a TLS connection in an orderly way.

The check now asks the kernel for the state of the connection, which is no longer ESTABLISHED once the other side has closed or reset it, whatever is unread. It also works after the socket has been shut down for reading by a graceful stop, where the check was switched off.

Evidence: run_leaving with the new cases failed before for 3 of 3 servers each with bytes behind the request and a close, with bytes and a reset, and with TLS; now all are free within half a second. Close and reset with nothing behind passed before and after.

--- a/httpd.c
+++ b/httpd.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <netinet/tcp.h>
 #include <openssl/crypto.h>
 #include <sys/socket.h>
 
@@ -354,12 +355,13 @@
 bool hd_peer_closed(h2o_req_t *req)
 {
 	struct hd_conn *conn = hd_conn_of(req);
-	char byte;
+	struct tcp_info info;
+	socklen_t bytes = sizeof(info);
 
-	if (conn->http2 || conn->read_shut)
-		return false;
-	return !recv(h2o_socket_get_fd(conn->sock), &byte, 1,
-		     MSG_PEEK | MSG_DONTWAIT);
+	return !conn->http2 &&
+	       !getsockopt(h2o_socket_get_fd(conn->sock), IPPROTO_TCP, TCP_INFO,
+			   &info, &bytes) &&
+	       info.tcpi_state != TCP_ESTABLISHED;
 }
 
 void hd_reset_on_close(h2o_req_t *req)
--- a/httpd.h
+++ b/httpd.h
@@ -92,10 +92,11 @@
 void hd_request_ref_release(struct hd_request_ref *ref);
 
 /*
- * hd_peer_closed - whether the other side of an HTTP/1 request closed its
- * connection. h2o does not read from the socket while a request is processed,
- * so it does not detect the close. Always false for HTTP/2 and after
- * hd_close_idle ended reading from the connection.
+ * hd_peer_closed - whether the other side of an HTTP/1 request closed or reset
+ * its connection. h2o does not read from the socket while a request is
+ * processed, so it does not detect the close. The state of the connection tells
+ * it, also when unread bytes wait in the socket, such as a pipelined request or
+ * the end of TLS. Always false for HTTP/2, where h2o detects the close.
  */
 bool hd_peer_closed(h2o_req_t *req);
 /*
