Notice a caller that leaves while its answer is under way

Callers saw nothing; a server that had begun its answer and had not sent the rest was held for the whole work: 6 s in the test.

Cause: the check of callers passed over calls whose answer had begun, since writing to the closed connection would fail. While the server is silent nothing is written.

The check now covers every call. run_leaving has the case, which failed before for 3 of 3 servers, and further ones that pass: callers that leave mid-body, in the queue, while the key of their order is claimed, with an order that its server refuses later, and at a host that stops.

--- a/gateway.c
+++ b/gateway.c
@@ -580,8 +580,7 @@
 	for (GList *l = calls; l; l = l->next) {
 		struct gw_call *call = l->data;
 
-		if (!call->answer_started && call->req &&
-		    hd_peer_closed(call->req))
+		if (gw_caller_left(call))
 			gw_post_gone(call);
 	}
 	g_list_free(calls);
--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -17,6 +17,8 @@
  * The server prints a line "begin PATH" for each request to a path whose last
  * part has "hold-MS", and answers it after MS milliseconds. If the peer closes
  * the connection before, it prints "cut PATH" and the milliseconds it took.
+ * With "begun-hold-MS" the answer begins at once, with "refuse-hold-MS" it says
+ * that the request was not run.
  */
 #include <errno.h>
 #include <poll.h>
@@ -164,8 +166,16 @@
 	const char *name = strrchr(path, '/') ? strrchr(path, '/') + 1 : path;
 	const char *held = strstr(name, "hold-");
 
+	if (strstr(name, "begun-") &&
+	    !write_text(fd, OK_HEAD "content-length: 10\r\n\r\n12345"))
+		return false;
 	if (held && !hold(fd, path, atoi(held + strlen("hold-"))))
 		return false;
+	if (strstr(name, "begun-"))
+		return write_text(fd, "67890");
+	if (strstr(name, "refuse-"))
+		return write_text(fd, "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\n"
+				      "content-length: 0\r\n\r\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(closing_answers); i++) {
 		if (strcmp(closing_answers[i].name, name) != 0)
 			continue;
