Do not look for another server for an order whose caller has left

An order that was sent runs to its end after its caller has left, since its outcome would be unknown otherwise. If its server refused it, the core planned another attempt, as for any call: servers were asked for their load, and retry budget was taken, for nobody.

Cause: the core forgot the caller's leaving when it let the order go on, and the gateway told it again every 100 ms instead. Now the core remembers it and ends the call when the last attempt has ended without an answer; the gateway tells it once.

test_core: refused_order_of_departed_caller_is_not_retried fails without the change (22 attempts instead of 21).

--- a/core.c
+++ b/core.c
@@ -499,6 +499,8 @@
 		core_finish_call(core, call, ST_OK);
 	else if (core_has_open_attempt(call))
 		return;
+	else if (call->caller_left)
+		core_finish_call(core, call, ST_GONE);
 	else if (core_reserve_retry(core, call))
 		core_place_call(core, call);
 	else
@@ -586,6 +588,7 @@
 
 static void core_on_gone(struct core *core, struct core_call *call)
 {
+	call->caller_left = true;
 	/*
 	 * A non-idempotent request that was sent runs to its end, because its
 	 * outcome would be unknown after a cancellation.
--- a/core_state.h
+++ b/core_state.h
@@ -191,6 +191,7 @@
 	bool idempotent;
 	bool bulky;
 	bool answered;
+	bool caller_left;
 	/* Policy "ask": servers asked for their load before an attempt. */
 	bool asking; /* in core.asking */
 	bool ask_hedge; /* the attempt is a hedge */
--- a/gateway.c
+++ b/gateway.c
@@ -199,13 +199,16 @@
 
 bool gw_caller_left(const struct gw_call *call)
 {
-	return !call->req || hd_peer_closed(call->req);
+	return call->caller_left || !call->req || hd_peer_closed(call->req);
 }
 
 void gw_post_gone(struct gw_call *call)
 {
 	struct core_event event = { .kind = CORE_EV_GONE };
 
+	if (call->caller_left)
+		return;
+	call->caller_left = true;
 	event.u.call_ref.call = call->id;
 	gw_post_event(call->gateway, &event);
 }
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -158,10 +158,8 @@
 	gw_set_number(line, "left_ms",
 		      gw_elapsed_ms(tm_now_us(), call->deadline_us));
 	if (!success) {
-		bool caller_left = !call->req || call->result == ST_GONE;
-
 		json_object_set_new(line, "caller_left",
-				    json_boolean(caller_left));
+				    json_boolean(gw_caller_left(call)));
 		if (call->result == ST_GONE)
 			gw_set_number(
 				line, "check_gap_ms",
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -93,6 +93,7 @@
 	GString *unsent; /* answer bytes not yet given to the listener */
 	GString *sending; /* in use by the listener until gw_on_proceed */
 	uint32_t refs; /* one for the core, one for the listener */
+	bool caller_left; /* the core was told */
 	bool answer_started;
 	bool send_in_progress;
 	bool finished; /* RESULT is final */
@@ -105,7 +106,7 @@
  * gw_post_event - set the time of EVENT to now and pass it to the core. Events
  * that are posted while the core handles one are queued. Source: gateway.c
  * gw_caller_left - whether the caller has closed its connection or its stream.
- * gw_post_gone - tell the core that the caller has left.
+ * gw_post_gone - tell the core, once, that the caller has left.
  */
 void gw_post_event(struct gw_gateway *gateway, struct core_event *event);
 bool gw_caller_left(const struct gw_call *call);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -76,6 +76,14 @@
 	apply_conf();
 }
 
+static void stop_core(void)
+{
+	core_free(core);
+	g_free(core);
+	g_array_free(actions, TRUE);
+	g_rand_free(rng);
+}
+
 static uint64_t start_call_by(uint32_t caller, uint64_t timeout_us,
 			      bool idempotent)
 {
@@ -608,10 +616,7 @@
 
 	setenv("JACKDAWWORKS_OFF", on ? "" : rules[i].mechanism, 1);
 	holds = rules[i].holds();
-	core_free(core);
-	g_free(core);
-	g_array_free(actions, TRUE);
-	g_rand_free(rng);
+	stop_core();
 	ck_assert_msg(holds == on, "%s: the rule %s", rules[i].mechanism,
 		      holds ? "holds without its mechanism" : "is broken");
 }
@@ -650,10 +655,37 @@
 		ids[i] = start_call();
 	for (int i = 0; i < 24; i++)
 		ck_assert_ptr_nonnull(find_action(CORE_ACT_SEND, ids[i]));
-	core_free(core);
-	g_free(core);
-	g_array_free(actions, TRUE);
-	g_rand_free(rng);
+	stop_core();
+}
+END_TEST
+
+/*
+ * An order that was sent runs to its end after its caller has left. If its
+ * server refuses it, it must not be sent to another one: nobody waits for it.
+ */
+START_TEST(refused_order_of_departed_caller_is_not_retried)
+{
+	struct core_event sent = { .kind = CORE_EV_SENT };
+	struct core_event gone = { .kind = CORE_EV_GONE };
+	uint32_t sends;
+	uint64_t id;
+
+	setenv("JACKDAWWORKS_OFF", "", 1);
+	start_core(CORE_POLICY_RANDOM, 2, 4);
+	/* Earns enough retry credit for another attempt. */
+	run_calls(20, 2 * MS, 0);
+	sends = count_actions(CORE_ACT_SEND);
+	id = start_call_by(CORE_NO_CALLER, DEADLINE, false);
+	sent.u.attempt.call = id;
+	handle_event(sent);
+	gone.u.call_ref.call = id;
+	handle_event(gone);
+	ck_assert_uint_eq(count_actions(CORE_ACT_CANCEL), 0);
+	ck_assert(!find_action(CORE_ACT_FINISH, id));
+	end_attempt(id, false, CORE_END_REFUSED);
+	ck_assert_uint_eq(count_actions(CORE_ACT_SEND), sends + 1);
+	ck_assert(has_result(id, ST_GONE));
+	stop_core();
 }
 END_TEST
 
@@ -665,6 +697,7 @@
 	tcase_add_loop_test(tcase, rule_holds_with_mechanism, 0, RULES);
 	tcase_add_loop_test(tcase, rule_fails_without_mechanism, 0, RULES);
 	tcase_add_test(tcase, uniformly_slow_servers_stay_usable);
+	tcase_add_test(tcase, refused_order_of_departed_caller_is_not_retried);
 	suite_add_tcase(suite, tcase);
 	/* Switches are read once per process; each rule runs in its own. */
 	return suite_run(suite, CK_FORK);
