End a call whose server sends bytes without end before its answer

Callers waited for their deadline, and 30 MB a call were read meanwhile, when a server sent interim (1xx) answers without end; likewise for late answers to other requests without end.

Cause: the head of an answer is limited, but each interim or foreign answer starts a new one, and their number had no limit. Now a connection that has delivered more than 1 MiB before the head of the answer is closed and the attempt ends without answer, so that the call is retried or answered at once.

Checked over HTTP/1.1 and HTTP/2 in run_gateway: blank lines, interim answers, the reason, header lines, a header value, garbage, a chunk size, a chunk extension, trailer lines, a trailer value, and bytes behind a whole answer; each call must end within 1 s of its 6 s, and the next call must get its own answer. Bodies without end are passed on with back-pressure until the deadline, as before: they may be answers.

--- a/httpc.c
+++ b/httpc.c
@@ -39,6 +39,7 @@
 	bool writing;
 	bool complete; /* the answer was read to its end */
 	bool skipping; /* the answer being read belongs to another request */
+	uint64_t skipped_bytes; /* read before the head of the answer */
 	bool closing;
 	bool reading;
 	uint64_t idle_since_us;
@@ -321,6 +322,14 @@
 	request->handler->done(request, HC_COMPLETE, "");
 }
 
+/* A faulty server may send bytes that are no answer, and without end. */
+static bool hc_skips_too_much(struct hc_conn *conn, size_t len)
+{
+	if (conn->request->state == HC_SENT)
+		conn->skipped_bytes += len;
+	return conn->skipped_bytes > HC_MAX_SKIPPED_BYTES;
+}
+
 static void hc_conn_parse(struct hc_conn *conn, const char *data, size_t len)
 {
 	size_t used =
@@ -333,6 +342,8 @@
 	else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
 		hc_conn_fail(conn, http_errno_description(
 					   HTTP_PARSER_ERRNO(&conn->parser)));
+	else if (hc_skips_too_much(conn, len))
+		hc_conn_fail(conn, "too many bytes before the answer");
 	else if (conn->request->handler->read_end)
 		conn->request->handler->read_end(conn->request);
 }
@@ -516,6 +527,7 @@
 	conn->parser.data = conn;
 	conn->complete = false;
 	conn->skipping = false;
+	conn->skipped_bytes = 0;
 	conn->write.data = conn;
 	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
 		     hc_conn_written))
--- a/httpc.h
+++ b/httpc.h
@@ -26,6 +26,11 @@
 enum {
 	HC_MAX_HEAD_BYTES = 32 * 1024,
 	HC_MAX_HEADERS = 100,
+	/*
+	 * Bytes that a server may send before the head of the answer ends:
+	 * interim answers, and late answers to earlier requests.
+	 */
+	HC_MAX_SKIPPED_BYTES = 1024 * 1024,
 	HC_READ_BYTES = 64 * 1024
 };
 
--- a/tests/run_gateway.sh
+++ b/tests/run_gateway.sh
@@ -9,6 +9,7 @@
 
 HOST=127.0.0.1:$callers_port
 SLOW_READERS=20
+MAX_ENDLESS_MS=1000
 MAX_MEMORY_GROWTH_KB=200000
 FLOOD_CONNECTIONS=4300
 MAX_CONNECTIONS=4096
@@ -145,6 +146,24 @@
 wait "${parallel[@]}"
 check "no answer reached another caller" test ! -e "$WORK/foreign"
 
+# Bytes without end where an answer is due, in the framing of an answer and after
+# one. The call must end at once, not at its deadline, and the next one must get
+# its own answer.
+for version in --http1.1 --http2-prior-knowledge; do
+	for name in blank interim reason head value garbage size extension \
+		trailer trailer-value tail; do
+		begin_ms=$(date +%s%3N)
+		http_status $version -H 'x-timeout-ms: 6000' -X POST \
+			"/raw/endless-$name" >/dev/null
+		took_ms=$(($(date +%s%3N) - begin_ms))
+		check "$version: $took_ms ms for a call with endless $name bytes" \
+			test $took_ms -lt $MAX_ENDLESS_MS
+		check "call after endless $name bytes" status_is 200 /raw/own-e
+		check "the body is that of the caller's request" \
+			test "$(cat "$WORK/body")" = /raw/own-e
+	done
+done
+
 # The connections to a server are limited to those in the document. Calls beyond
 # them wait or go to another server.
 for i in $(seq 12); do
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -215,9 +215,10 @@
 
 /*
  * What happens to the connection after the answer. CLOSE_AND_RESET sends an
- * orderly close (FIN) and then a reset.
+ * orderly close (FIN) and then a reset. REPEAT sends the same bytes until the
+ * client gives up.
  */
-enum close_mode { STAY_OPEN, CLOSE, CLOSE_AND_RESET };
+enum close_mode { STAY_OPEN, CLOSE, CLOSE_AND_RESET, REPEAT };
 
 static const struct {
 	const char *answer;
@@ -239,6 +240,9 @@
 	{ "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 2\r\n\r\nno", CLOSE,
 	  HC_NO_ANSWER, "" },
 	{ "not HTTP at all\r\n\r\n", STAY_OPEN, HC_NO_ANSWER, "" },
+	{ "HTTP/1.1 103 Early\r\na: b\r\n\r\n", REPEAT, HC_NO_ANSWER, "" },
+	{ "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 2\r\n\r\nno", REPEAT,
+	  HC_NO_ANSWER, "" },
 };
 
 static int listen_on_free_port(struct nt_address *address)
@@ -272,16 +276,19 @@
 	ck_assert_int_eq((int)write(fd, answer, bytes), (int)bytes);
 	if (close_mode == CLOSE_AND_RESET)
 		shutdown(fd, SHUT_WR);
-	if (close_mode != STAY_OPEN)
+	if (close_mode == CLOSE || close_mode == CLOSE_AND_RESET)
 		close(fd);
 }
 
 /*
- * Guards against an incomplete answer that is passed on as a complete one, and
- * against an answer that is assigned to another request.
+ * Guards against an incomplete answer that is passed on as a complete one,
+ * against an answer that is assigned to another request, and against reading
+ * for ever when a server sends bytes without end.
  */
 START_TEST(answer_ends_are_classified)
 {
+	const char *answer = exchanges[_i].answer;
+	enum close_mode close_mode = exchanges[_i].close_mode;
 	struct exchange exchange = { .request.handler = &handler };
 	struct tm_service timers;
 	struct nt_address address;
@@ -302,12 +309,16 @@
 	fd = accept(listener, NULL, NULL);
 	while (!exchange.sent)
 		uv_run(&loop, UV_RUN_ONCE);
-	send_answer(fd, exchanges[_i].answer, exchanges[_i].close_mode);
-	while (!exchange.done)
+	send_answer(fd, answer, close_mode);
+	while (!exchange.done) {
+		if (close_mode == REPEAT)
+			send(fd, answer, strlen(answer),
+			     MSG_DONTWAIT | MSG_NOSIGNAL);
 		uv_run(&loop, UV_RUN_ONCE);
+	}
 	ck_assert_int_eq(exchange.end, exchanges[_i].end);
 	ck_assert_str_eq(exchange.body->str, exchanges[_i].body);
-	if (exchanges[_i].close_mode == STAY_OPEN)
+	if (close_mode == STAY_OPEN || close_mode == REPEAT)
 		close(fd);
 	close(listener);
 	hc_pool_close(&pool, NULL, NULL);
--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -147,6 +147,47 @@
 	return false;
 }
 
+/* Answers that never end: a beginning, then the same bytes until the end. */
+static const struct {
+	const char *name;
+	const char *begin;
+	const char *repeat;
+} endless_answers[] = {
+	{ "endless-blank", "", "\r\n" },
+	{ "endless-interim", "", "HTTP/1.1 103 Early\r\na: b\r\n\r\n" },
+	{ "endless-reason", "HTTP/1.1 200 ", "OK" },
+	{ "endless-head", OK_HEAD, "a: b\r\n" },
+	{ "endless-value", OK_HEAD "a: ", "b" },
+	{ "endless-garbage", "\x16\x03", "\x01" },
+	{ "endless-size", OK_HEAD "transfer-encoding: chunked\r\n\r\n", "0" },
+	{ "endless-extension", OK_HEAD "transfer-encoding: chunked\r\n\r\n5;",
+	  "a" },
+	{ "endless-trailer",
+	  OK_HEAD "transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+	  "a: b\r\n" },
+	{ "endless-trailer-value",
+	  OK_HEAD "transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\na: ", "b" },
+	{ "endless-refusal",
+	  "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\n"
+	  "transfer-encoding: chunked\r\n\r\n",
+	  "4\r\nbusy\r\n" },
+	{ "endless-tail", OK_HEAD "content-length: 5\r\n\r\nwhole", "more" },
+};
+
+/* Sends the answer until the peer closes the connection. */
+static bool send_endless_answer(int fd, const char *begin, const char *repeat)
+{
+	GString *block = g_string_new(NULL);
+	bool ok = write_text(fd, begin);
+
+	while (block->len < CHUNK_BYTES)
+		g_string_append(block, repeat);
+	while (ok)
+		ok = write_all(fd, block->str, block->len);
+	g_string_free(block, TRUE);
+	return false;
+}
+
 /* Answers with PATH as the body, after MS milliseconds if it has "late-MS". */
 static bool write_echo(int fd, const char *path)
 {
@@ -185,6 +226,10 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(keep_alive_answers); i++)
 		if (!strcmp(keep_alive_answers[i].name, name))
 			return write_text(fd, keep_alive_answers[i].text);
+	for (size_t i = 0; i < G_N_ELEMENTS(endless_answers); i++)
+		if (!strcmp(endless_answers[i].name, name))
+			return send_endless_answer(fd, endless_answers[i].begin,
+						   endless_answers[i].repeat);
 	if (!strcmp(name, "big"))
 		return write_big_body(fd);
 	if (!strcmp(name, "large-head"))
