Do not wait for the end of a long refusal

A caller waited for its deadline when a server said at once that it had not run the request and then sent a body without end: 6,009 ms of 6,000 in run_gateway.

Cause: an attempt that was refused ended only with the last byte of its answer, although the head says all. Bodies of up to 64 KiB are still read, so that the connection can be used again; beyond that it is closed and the attempt ends as refused. run_gateway has the case and failed before, over HTTP/1.1 and HTTP/2.

--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -12,7 +12,9 @@
 	GW_NON_IDEMPOTENT_IDLE_US = 1000 * 1000,
 	GW_ATTEMPT_HEAD_BYTES = 160,
 	/* Larger answers are forwarded before they are complete. */
-	GW_MAX_BUFFERED_BYTES = 256 * 1024
+	GW_MAX_BUFFERED_BYTES = 256 * 1024,
+	/* A connection is closed rather than read on for a longer refusal. */
+	GW_MAX_REFUSAL_BYTES = 64 * 1024
 };
 
 static bool gw_is_cross_zone(const struct gw_gateway *gateway,
@@ -266,12 +268,29 @@
 	gw_free_buffered(attempt);
 }
 
+/* The head has said all; a body without end must not hold up the call. */
+static void gw_skip_refusal_body(struct gw_attempt *attempt, size_t data_bytes)
+{
+	attempt->refusal_bytes += data_bytes;
+	if (attempt->refusal_bytes <= GW_MAX_REFUSAL_BYTES)
+		return;
+	gw_close_attempt(attempt, HC_DONE);
+	hc_cancel(&attempt->http);
+	attempt->end = CORE_END_REFUSED;
+	gw_log_attempt_end(attempt, "the refusal is too long");
+	gw_post_ended(attempt, CORE_END_REFUSED);
+}
+
 static void gw_on_body(struct hc_request *request, const char *data,
 		       size_t data_bytes)
 {
 	struct gw_attempt *attempt = (struct gw_attempt *)request;
 	struct gw_call *call = attempt->call;
 
+	if (attempt->refused) {
+		gw_skip_refusal_body(attempt, data_bytes);
+		return;
+	}
 	if (attempt->buffered) {
 		g_string_append_len(attempt->buffered->body, data,
 				    (gssize)data_bytes);
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -53,6 +53,7 @@
 	struct core_inputs inputs; /* of the choice of the server */
 	struct gw_buffered_answer *buffered; /* NULL: not buffered */
 	bool refused; /* the server proved that it did not run the call */
+	uint64_t refusal_bytes; /* of the body of such an answer */
 	bool ended; /* included in the call's may_have_run */
 };
 
--- a/tests/run_gateway.sh
+++ b/tests/run_gateway.sh
@@ -151,7 +151,7 @@
 # its own answer.
 for version in --http1.1 --http2-prior-knowledge; do
 	for name in blank interim reason head value garbage size extension \
-		trailer trailer-value tail; do
+		trailer trailer-value refusal tail; do
 		begin_ms=$(date +%s%3N)
 		http_status $version -H 'x-timeout-ms: 6000' -X POST \
 			"/raw/endless-$name" >/dev/null
