--- a/operator_client.c
+++ b/operator_client.c
@@ -91,10 +91,13 @@
 {
 	struct co_exchange *exchange = (struct co_exchange *)request;
 
-	if (exchange->body->len + data_bytes > CO_MAX_ANSWER_BYTES)
-		exchange->too_large = true;
-	else
+	if (exchange->body->len + data_bytes <= CO_MAX_ANSWER_BYTES) {
 		g_string_append_len(exchange->body, data, (gssize)data_bytes);
+		return;
+	}
+	hc_cancel(request);
+	exchange->ended = true;
+	co_stop_loop(exchange, "the answer is too large");
 }
 
 static void co_on_done(struct hc_request *request, enum hc_end end,
@@ -103,9 +106,8 @@
 	struct co_exchange *exchange = (struct co_exchange *)request;
 
 	exchange->ended = true;
-	exchange->ok = end == HC_COMPLETE && !exchange->too_large;
-	co_stop_loop(exchange,
-		     exchange->too_large ? "the answer is too large" : msg);
+	exchange->ok = end == HC_COMPLETE;
+	co_stop_loop(exchange, msg);
 }
 
 static void co_on_timeout(void *ctx)
