--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -329,6 +329,91 @@
 }
 END_TEST
 
+/* An answer of the store that arrives a byte at a time. */
+enum { SLOW_TIMEOUT_US = 200 * 1000, SLOW_PIECE_US = 100 * 1000 };
+
+struct slow_answer {
+	int fd;
+	int pieces; /* left to send before TAIL */
+	const char *tail;
+	struct tm_service *timers;
+	struct tm_sub timer;
+	enum st_kind kind; /* result of the client */
+	bool done;
+};
+
+static void send_piece(void *ctx)
+{
+	struct slow_answer *answer = ctx;
+
+	send(answer->fd, " ", 1, MSG_NOSIGNAL);
+	if (--answer->pieces)
+		tm_subscribe(answer->timers, &answer->timer,
+			     tm_now_us() + SLOW_PIECE_US);
+	else
+		send(answer->fd, answer->tail, strlen(answer->tail),
+		     MSG_NOSIGNAL);
+}
+
+static void on_slow_result(void *ctx, const struct pf_result *result)
+{
+	struct slow_answer *answer = ctx;
+
+	answer->kind = result->status.kind;
+	answer->done = true;
+}
+
+static const struct {
+	int pieces;
+	enum st_kind kind;
+} slow_answers[] = { { 5, ST_OK }, { 100, ST_PLATFORM } };
+
+/*
+ * Guards against giving up a large answer that is still arriving over a slow
+ * link, after which it is requested anew and never arrives, and against one that
+ * goes on without end.
+ */
+START_TEST(answer_that_is_arriving_may_take_longer)
+{
+	struct slow_answer answer = { .pieces = slow_answers[_i].pieces,
+				      .tail = "{\"ver\":1,\"rows\":[]}" };
+	struct pf_callback callback = { on_slow_result, &answer };
+	struct tm_service timers;
+	struct nt_address address;
+	struct pf_client client;
+	uv_loop_t loop;
+	char head[96];
+	uint64_t begin_us = tm_now_us();
+	int listener = listen_on_free_port(&address);
+
+	uv_loop_init(&loop);
+	tm_init(&timers, &loop);
+	pf_init(&client, &loop, &timers, &address);
+	client.timeout_us = SLOW_TIMEOUT_US;
+	pf_read_rows(&client, "op", "", &callback);
+	answer.fd = accept(listener, NULL, NULL);
+	g_snprintf(head, sizeof(head),
+		   "HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n\r\n",
+		   (size_t)answer.pieces + strlen(answer.tail));
+	send(answer.fd, head, strlen(head), MSG_NOSIGNAL);
+	answer.timers = &timers;
+	answer.timer.fire = send_piece;
+	answer.timer.ctx = &answer;
+	send_piece(&answer);
+	while (!answer.done)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(answer.kind, slow_answers[_i].kind);
+	ck_assert_uint_lt(tm_now_us() - begin_us, 5 * SLOW_TIMEOUT_US);
+	tm_cancel(&timers, &answer.timer);
+	close(answer.fd);
+	close(listener);
+	pf_free(&client);
+	tm_free(&timers);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+}
+END_TEST
+
 /* No change is relevant. */
 static bool ignore_row(void *ctx, const struct fd_feed *feed,
 		       const struct pf_row *row)
@@ -379,6 +464,8 @@
 	tcase_add_test(tests, not_run_answers_are_recognized);
 	tcase_add_loop_test(tests, answer_ends_are_classified, 0,
 			    G_N_ELEMENTS(exchanges));
+	tcase_add_loop_test(tests, answer_that_is_arriving_may_take_longer, 0,
+			    G_N_ELEMENTS(slow_answers));
 	tcase_add_test(tests, relayed_rows_count_only_in_a_relayed_table);
 	suite_add_tcase(suite, tests);
 	return suite_run(suite, CK_FORK_GETENV);
