Keep hedges within the attempts that a call may have

Only the policy "ask" checked max_attempts before a hedge. The conditions stood twice; now one function has them for all policies.

--- a/core.c
+++ b/core.c
@@ -542,25 +542,26 @@
 	}
 }
 
+static bool core_may_hedge(struct core *core, const struct core_call *call)
+{
+	return !call->answered && core_has_open_attempt(call) &&
+	       call->attempt_count < call->max_attempts &&
+	       core_retry_credit(core, core_service(core, call->service)) >=
+		       100;
+}
+
 static void core_on_hedge(struct core *core, struct core_call *call)
 {
 	struct core_service *service = core_service(core, call->service);
 	uint32_t server;
 
 	call->hedge_at_us = 0;
-	if (service->policy == CORE_POLICY_ASK) {
-		if (!call->answered && core_has_open_attempt(call) &&
-		    call->attempt_count < call->max_attempts &&
-		    core_retry_credit(core, service) >= 100)
-			core_ask_begin(core, call, true);
-		else
-			core_set_call_timer(core, call);
-		return;
-	}
-	if (!call->answered && core_has_open_attempt(call) &&
-	    core_retry_credit(core, service) >= 100 &&
-	    core_pick_server(core, service, call, true, &server) &&
-	    core_take_retry_credit(core, service))
+	if (!core_may_hedge(core, call))
+		core_set_call_timer(core, call);
+	else if (service->policy == CORE_POLICY_ASK)
+		core_ask_begin(core, call, true);
+	else if (core_pick_server(core, service, call, true, &server) &&
+		 core_take_retry_credit(core, service))
 		core_send_attempt(core, call, server, true);
 	else
 		core_set_call_timer(core, call);
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -659,6 +659,27 @@
 }
 END_TEST
 
+/* Guards against more attempts than the route allows, by a hedge. */
+START_TEST(call_with_one_attempt_is_not_hedged)
+{
+	struct core_event event = { .kind = CORE_EV_CALL };
+
+	setenv("JACKDAWWORKS_OFF", "", 1);
+	start_core(CORE_POLICY_SHARES, 4, 6);
+	run_calls(130, 5 * MS, 0);
+	event.u.call.call = ++last_call;
+	event.u.call.caller = CORE_NO_CALLER;
+	event.u.call.deadline_us = now_us + DEADLINE;
+	event.u.call.idempotent = true;
+	event.u.call.max_attempts = 1;
+	handle_event(event);
+	now_us += 10 * MS;
+	fire_timer(last_call);
+	ck_assert(!find_action(CORE_ACT_SEND, last_call)->hedge);
+	stop_core();
+}
+END_TEST
+
 /*
  * An order that was sent runs to its end after its caller has left. If its
  * server refuses it, it must not be sent to another one: nobody waits for it.
@@ -697,6 +718,7 @@
 	tcase_add_loop_test(tcase, rule_holds_with_mechanism, 0, RULES);
 	tcase_add_loop_test(tcase, rule_fails_without_mechanism, 0, RULES);
 	tcase_add_test(tcase, uniformly_slow_servers_stay_usable);
+	tcase_add_test(tcase, call_with_one_attempt_is_not_hedged);
 	tcase_add_test(tcase, refused_order_of_departed_caller_is_not_retried);
 	suite_add_tcase(suite, tcase);
 	/* Switches are read once per process; each rule runs in its own. */
