Make the limit of a message the size that is reserved for it

KN_MAX_MSG_BYTES was 128 while one message has about 152 bytes; only the doubled envelope held it. The limit is 256, which is what was reserved, and the assertion names it.

--- a/kernel.c
+++ b/kernel.c
@@ -9,7 +9,7 @@
 struct kn_envelope {
 	struct kn_envelope *next;
 	struct kn_task *task;
-	_Alignas(max_align_t) char bytes[KN_MAX_MSG_BYTES * 2];
+	_Alignas(max_align_t) char bytes[KN_MAX_MSG_BYTES];
 };
 
 void kn_init(struct kn_kernel *kernel, uv_loop_t *loop)
@@ -55,7 +55,7 @@
 {
 	struct kn_envelope *envelope = g_new0(struct kn_envelope, 1);
 
-	g_assert(msg->size_bytes <= sizeof(envelope->bytes));
+	g_assert(msg->size_bytes <= KN_MAX_MSG_BYTES);
 	memcpy(envelope->bytes, msg, msg->size_bytes);
 	envelope->task = task;
 	*kernel->tail = envelope;
--- a/kernel.h
+++ b/kernel.h
@@ -29,7 +29,7 @@
 		KN_KIND_COUNT
 };
 
-enum { KN_MAX_TASKS = 16, KN_MAX_MSG_BYTES = 128, KN_NAME_BYTES = 64 };
+enum { KN_MAX_TASKS = 16, KN_MAX_MSG_BYTES = 256, KN_NAME_BYTES = 64 };
 
 /* Header of every message. SIZE_BYTES is the size of the whole structure. */
 struct kn_msg {
