--- a/gateway_state.h
+++ b/gateway_state.h
@@ -8,7 +8,8 @@
 /*
  * State that the gateway*.c files share:
  *
- * gateway.c: calls and the listener.
+ * gateway.c: the listener, events and actions of the core.
+ * gateway_call.c: calls, from a request to its end.
  * gateway_answer.c: answers to callers.
  * gateway_attempt.c: attempts at servers.
  * gateway_conf.c: configuration from the document and the host list.
@@ -106,10 +107,25 @@
 /*
  * gw_post_event - set the time of EVENT to now and pass it to the core. Events
  * that are posted while the core handles one are queued. Source: gateway.c
+ */
+void gw_post_event(struct gw_gateway *gateway, struct core_event *event);
+
+/*
+ * gateway_call.c
+ *
+ * gw_call_new - state of a new call for REQ.
+ * gw_admit_route_call, gw_admit_service_call - pass a new call to the core, by
+ * its named route or by the service at INDEX of the document. An order with a
+ * key is passed on when its key has been claimed.
+ * gw_finish_call - action of the core: the call has its result.
  * gw_caller_left - whether the caller has closed its connection or its stream.
  * gw_post_gone - tell the core, once, that the caller has left.
  */
-void gw_post_event(struct gw_gateway *gateway, struct core_event *event);
+struct gw_call *gw_call_new(struct gw_gateway *gateway, h2o_req_t *req);
+void gw_admit_route_call(struct gw_call *call, const struct doc_route *route);
+void gw_admit_service_call(struct gw_call *call, uint32_t index);
+void gw_finish_call(struct gw_gateway *gateway,
+		    const struct core_action *action);
 bool gw_caller_left(const struct gw_call *call);
 void gw_post_gone(struct gw_call *call);
 
