--- a/httpc.c
+++ b/httpc.c
@@ -293,6 +293,14 @@
 	.on_message_complete = hc_on_complete,
 };
 
+static void hc_conn_start_reading(struct hc_conn *conn)
+{
+	if (!conn->reading)
+		uv_read_start((uv_stream_t *)&conn->tcp, hc_alloc,
+			      hc_conn_read);
+	conn->reading = true;
+}
+
 static void hc_conn_release(struct hc_conn *conn, bool reusable)
 {
 	struct hc_pool *pool = conn->pool;
@@ -306,10 +314,7 @@
 	conn->idle_since_us = tm_now_us();
 	conn->next_idle = pool->idle;
 	pool->idle = conn;
-	if (!conn->reading)
-		uv_read_start((uv_stream_t *)&conn->tcp, hc_alloc,
-			      hc_conn_read);
-	conn->reading = true;
+	hc_conn_start_reading(conn);
 }
 
 static void hc_conn_complete(struct hc_conn *conn, bool unparsed_data)
@@ -501,14 +506,6 @@
 	return true;
 }
 
-static void hc_conn_start_reading(struct hc_conn *conn)
-{
-	if (!conn->reading)
-		uv_read_start((uv_stream_t *)&conn->tcp, hc_alloc,
-			      hc_conn_read);
-	conn->reading = true;
-}
-
 /*
  * Starts writing the request. Returns false, without a callback, when the write
  * cannot be started.
@@ -765,11 +762,8 @@
 
 void hc_resume_reading(struct hc_request *request)
 {
-	if (!request->conn || request->conn->reading)
-		return;
-	uv_read_start((uv_stream_t *)&request->conn->tcp, hc_alloc,
-		      hc_conn_read);
-	request->conn->reading = true;
+	if (request->conn)
+		hc_conn_start_reading(request->conn);
 }
 
 void hc_head_line(GString *out, const char *method, size_t method_bytes,
