Let callers leave in the soak while their host is paused

The soak had no callers that leave. Two calls now reach each host that is paused, leave after 0.1 s and must not run when the host goes on.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -8,6 +8,7 @@
 #     ran it
 #   - a call answered 503 or 429 never ran
 #   - an order ran at most once
+#   - a call whose caller left while the host was paused never ran
 #   - within 5 s of the last fault every host has the newest manifest in force
 #     and serves a call by it
 # At least half of the calls must be answered 200.
@@ -59,6 +60,11 @@
 			echo POST)" 2>/dev/null | tr '\n' ' ')" >>"$WORK/outcomes$1"
 	done
 }
+# leave_early I: sends two calls to host I, whose callers leave after 0.1 s.
+leave_early() {
+	call_host "$1" /safe/a "left-$((++departed))" -m 0.1 >/dev/null
+	call_host "$1" /order/a "left-$((++departed))" -m 0.1 -X POST >/dev/null
+}
 # Writes the next version of the manifest, which has a route of that version.
 put_next_manifest() {
 	version=$((version + 1))
@@ -75,7 +81,8 @@
 	say "$(date +%T) fault $fault host $host server $server $mode" >>"$WORK/faults"
 	case $fault in
 	0) kill -9 "${host_pid[$host]}"; sleep 0.2; start_entry $host ;;
-	1) kill -STOP "${host_pid[$host]}"; sleep 1
+	1) kill -STOP "${host_pid[$host]}"; sleep 0.1
+		leave_early $host; sleep 0.7
 		kill -CONT "${host_pid[$host]}" ;;
 	2) kill -TERM "${host_pid[$host]}"; sleep 3.8; start_entry $host ;;
 	3) kill -HUP "${host_pid[$host]}" ;;
@@ -105,7 +112,7 @@
 }
 
 declare -a host_pid server_pid server_id
-version=0 incarnation=0
+version=0 incarnation=0 departed=0
 start_platform || exit 1
 start_proxy store "127.0.0.1:$store_port" "$real_platform"
 for s in $(seq 0 $((SERVERS - 1))); do
@@ -139,7 +146,8 @@
 cat "$WORK"/upstream*_*.out | sort >"$WORK/runs"
 cat "$WORK"/outcomes* | awk '{ print $2, $1, $NF, $3 }' | sort >"$WORK/outcomes"
 # Joins the runs (id server) with the outcomes (id kind status body).
-awk 'NR == FNR { ran[$1]++; at[$1] = $2; next }
+awk '$1 ~ /^left-/ { print "ran for a caller that had left", $0; bad++; next }
+	NR == FNR { ran[$1]++; at[$1] = $2; next }
 	{ total++; ok += $3 == 200 }
 	$3 == 200 && (!ran[$1] || at[$1] != $4 && $2 == "order") { print "wrong answer", $0, at[$1]; bad++ }
 	($3 == 503 || $3 == 429) && ran[$1] { print "refused but ran", $0; bad++ }
