--- a/core.c
+++ b/core.c
@@ -556,12 +556,16 @@
 	uint32_t server;
 
 	call->hedge_at_us = 0;
-	if (!core_may_hedge(core, call))
+	if (!core_may_hedge(core, call)) {
 		core_set_call_timer(core, call);
-	else if (service->policy == CORE_POLICY_ASK)
+		return;
+	}
+	if (service->policy == CORE_POLICY_ASK) {
 		core_ask_begin(core, call, true);
-	else if (core_pick_server(core, service, call, true, &server) &&
-		 core_take_retry_credit(core, service))
+		return;
+	}
+	if (core_pick_server(core, service, call, true, &server) &&
+	    core_take_retry_credit(core, service))
 		core_send_attempt(core, call, server, true);
 	else
 		core_set_call_timer(core, call);
