End discarded answers in one place

The end of a refusal that is too long repeated gw_discard_answer with another state and message. That function now takes both; texts and ends are the same.

--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -218,18 +218,23 @@
 static void gw_close_attempt(struct gw_attempt *attempt, enum hc_state state);
 static void gw_post_ended(struct gw_attempt *attempt, enum core_end end);
 
-/* Ends an attempt whose answer is not passed to the caller. */
-static void gw_discard_answer(struct gw_attempt *attempt, enum core_end end)
+/*
+ * Ends an attempt whose answer is not passed to the caller, and closes its
+ * connection. STATE is the one to judge by whether the request may have run.
+ */
+static void gw_discard_answer(struct gw_attempt *attempt, enum hc_state state,
+			      enum core_end end, const char *msg)
 {
-	gw_close_attempt(attempt, HC_SENT);
+	gw_close_attempt(attempt, state);
 	hc_cancel(&attempt->http);
 	attempt->end = end;
-	gw_log_attempt_end(
-		attempt,
-		"answer discarded: unsigned, or an error to be retried");
+	gw_log_attempt_end(attempt, msg);
 	gw_post_ended(attempt, end);
 }
 
+static const char gw_discarded_msg[] =
+	"answer discarded: unsigned, or an error to be retried";
+
 static void gw_on_head(struct hc_request *request, const struct hc_head *head)
 {
 	struct gw_attempt *attempt = (struct gw_attempt *)request;
@@ -245,10 +250,12 @@
 	if (attempt->refused)
 		return;
 	if (gw_lacks_signature(attempt, head))
-		gw_discard_answer(attempt, CORE_END_NO_ANSWER);
+		gw_discard_answer(attempt, HC_SENT, CORE_END_NO_ANSWER,
+				  gw_discarded_msg);
 	else if (head->status >= 500 &&
 		 core_can_retry(&gateway->core, call->id))
-		gw_discard_answer(attempt, CORE_END_FAILED);
+		gw_discard_answer(attempt, HC_SENT, CORE_END_FAILED,
+				  gw_discarded_msg);
 	else if (gw_may_buffer(attempt, head))
 		gw_buffer_head(attempt, head);
 	else
@@ -272,13 +279,9 @@
 static void gw_skip_refusal_body(struct gw_attempt *attempt, size_t data_bytes)
 {
 	attempt->refusal_bytes += data_bytes;
-	if (attempt->refusal_bytes <= GW_MAX_REFUSAL_BYTES)
-		return;
-	gw_close_attempt(attempt, HC_DONE);
-	hc_cancel(&attempt->http);
-	attempt->end = CORE_END_REFUSED;
-	gw_log_attempt_end(attempt, "the refusal is too long");
-	gw_post_ended(attempt, CORE_END_REFUSED);
+	if (attempt->refusal_bytes > GW_MAX_REFUSAL_BYTES)
+		gw_discard_answer(attempt, HC_DONE, CORE_END_REFUSED,
+				  "the refusal is too long");
 }
 
 static void gw_on_body(struct hc_request *request, const char *data,
