--- a/httpc.c
+++ b/httpc.c
@@ -327,12 +327,15 @@
 	request->handler->done(request, HC_COMPLETE, "");
 }
 
-/* A faulty server may send bytes that are no answer, and without end. */
-static bool hc_skips_too_much(struct hc_conn *conn, size_t len)
+/*
+ * Counts bytes read before the head of the answer. Returns false when there are
+ * too many: a faulty server may send bytes without end that are no answer.
+ */
+static bool hc_count_skipped(struct hc_conn *conn, size_t len)
 {
 	if (conn->request->state == HC_SENT)
 		conn->skipped_bytes += len;
-	return conn->skipped_bytes > HC_MAX_SKIPPED_BYTES;
+	return conn->skipped_bytes <= HC_MAX_SKIPPED_BYTES;
 }
 
 static void hc_conn_parse(struct hc_conn *conn, const char *data, size_t len)
@@ -347,7 +350,7 @@
 	else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
 		hc_conn_fail(conn, http_errno_description(
 					   HTTP_PARSER_ERRNO(&conn->parser)));
-	else if (hc_skips_too_much(conn, len))
+	else if (!hc_count_skipped(conn, len))
 		hc_conn_fail(conn, "too many bytes before the answer");
 	else if (conn->request->handler->read_end)
 		conn->request->handler->read_end(conn->request);
--- a/operator_client.h
+++ b/operator_client.h
@@ -84,7 +84,6 @@
 	GString *body;
 	bool ok;
 	bool ended;
-	bool too_large;
 	char msg[128]; /* error, if not ok */
 };
 
