--- a/tests/run_leaving.sh
+++ b/tests/run_leaving.sh
@@ -61,40 +61,24 @@
 		test "$(begun "$1")" = 0
 }
 
-# print_raw_service NAME POLICY SLOTS PORT: prints a service of the document with
-# one server.
-print_raw_service() {
-	cat <<-END
-	  - name: $1
-	    route: /$1/
-	    deadline_ms: 8000
-	    longest_deadline_ms: 8000
-	    retry_percent: 100
-	    policy: $2
-	    measuring: {requests_per_s: 0, bytes_per_s: 0, cross_zone_bytes_per_s: 0}
-	    rules:
-	      - {method: GET, path: /$1/, idempotent: true}
-	      - {method: POST, path: /$1/, idempotent: false}
-	    servers:
-	      - {name: $1-1, address: "127.0.0.1:$4", zone: z, slots: $3, connections: $3}
-	END
+# rules PREFIX: prints the rules of a service with that route.
+rules() {
+	say "      - {method: GET, path: $1, idempotent: true}"
+	say "      - {method: POST, path: $1, idempotent: false}"
 }
 
 openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=host \
 	-keyout "$WORK/host.key" -out "$WORK/host.pem" 2>/dev/null
 start_platform || exit 1
-start_process raw "$BIN/tool_raw" server 0.0.0.0:$((servers_port + 90))
-start_process raw2 "$BIN/tool_raw" server 127.0.0.1:$((servers_port + 91))
+for i in 0 1 2; do
+	start_process raw$i "$BIN/tool_raw" server 127.0.0.1:$((servers_port + i))
+done
 start_host 0 z 2
 CALLERS_TLS="certificate: $WORK/host.pem, key: $WORK/host.key" start_host 1 z 2
-{
-	say "deployment: test"
-	say "zones: [z]"
-	say "services:"
-	print_raw_service raw random 200 $((servers_port + 90))
-	say "      - {name: raw-2, address: \"127.0.0.2:$((servers_port + 90))\", zone: z, slots: 200, connections: 200}"
-	print_raw_service one shares 1 $((servers_port + 91))
-} >"$WORK/document.yaml"
+ZONES=z
+DEADLINE_MS=8000 LONGEST_MS=8000
+write_document "$(print_service raw /raw/ 0 2 200 200 z random "$(rules /raw/)")
+$(print_service one /one/ 2 1 1 1 z shares "$(rules /one/)")"
 wait_http "127.0.0.1:$operators_port" /health || exit 1
 apply_document 0 "$WORK/document.yaml" 0 || exit 1
 wait_document 1 || exit 1
