Log the limits of requests a second that servers name

Change: answers and probes are read for the header (server-limit on the platform, x-rate-limit in the own dialect), a change is logged ("limit", with the kind of answer that told of it) and reaches the core as an event, which ignores it so far. The counters server_limits_total and limited_attempts_total say how often limits began and how many attempts went to such servers. No decision changes.

--- a/core.h
+++ b/core.h
@@ -132,15 +132,16 @@
 };
 
 /* Events: identifier, name in traces. */
-#define CORE_EVENTS(X)      \
-	X(CONF, "conf")     \
-	X(CALL, "call")     \
-	X(SENT, "sent")     \
-	X(ANSWER, "answer") \
-	X(ENDED, "ended")   \
-	X(GONE, "gone")     \
-	X(REPORT, "report") \
-	X(SERVER, "server") \
+#define CORE_EVENTS(X)              \
+	X(CONF, "conf")             \
+	X(CALL, "call")             \
+	X(SENT, "sent")             \
+	X(ANSWER, "answer")         \
+	X(ENDED, "ended")           \
+	X(GONE, "gone")             \
+	X(REPORT, "report")         \
+	X(SERVER, "server")         \
+	X(RATE_LIMIT, "rate-limit") \
 	X(TIMER, "timer")
 
 enum core_event_kind {
@@ -217,6 +218,14 @@
 			enum core_leaving_source source;
 			bool leaving;
 		} server;
+		/* An answer of SERVER stated, or no longer states, how many
+		   requests it takes from all entry hosts together. */
+		struct {
+			uint32_t server;
+			enum core_report_source source;
+			bool limited;
+			uint32_t milli_per_s; /* requests in 1000 s */
+		} rate_limit;
 	} u;
 };
 
--- a/counter.h
+++ b/counter.h
@@ -24,6 +24,10 @@
 	X(RETRIES, "retries_total", "Attempts after the first")               \
 	X(HEDGES, "hedges_total", "Attempts beside a running one")            \
 	X(CANCELS, "cancels_total", "Attempts cancelled")                     \
+	X(RATE_LIMITS, "server_limits_total",                                 \
+	  "Times a server began to limit its requests a second")              \
+	X(LIMITED_ATTEMPTS, "limited_attempts_total",                         \
+	  "Attempts sent to servers with such a limit")                       \
 	X(CONNECTS, "connects_total", "Connections opened to servers")        \
 	X(LATE, "late_connections_total",                                     \
 	  "Connections closed with an answer pending")                        \
--- a/dialect.c
+++ b/dialect.c
@@ -1,7 +1,10 @@
 #include "dialect.h"
 
+#include <math.h>
 #include <string.h>
 
+enum { DL_MILLI = 1000, DL_NUMBER_BYTES = 32 };
+
 static uint32_t dl_parse_field(const char *text, const char *key)
 {
 	const char *at = strstr(text, key);
@@ -31,6 +34,7 @@
 	.report = "x-load",
 	.report_wanted = "x-load-wanted",
 	.draining = "x-draining",
+	.rate_limit = "x-rate-limit",
 	.not_run = "x-not-run",
 	.probe_path = "/load",
 	.parse_report = dl_parse_report,
@@ -42,6 +46,28 @@
 	return name ? hc_find_header(head, name) : NULL;
 }
 
+void dl_parse_rate_limit(const struct dl_dialect *dialect,
+			 const struct hc_head *head, struct core_event *event)
+{
+	const struct hc_header *h = dl_find_header(head, dialect->rate_limit);
+	char text[DL_NUMBER_BYTES];
+	char *end;
+	double per_s;
+
+	event->kind = CORE_EV_RATE_LIMIT;
+	event->u.rate_limit.limited = false;
+	event->u.rate_limit.milli_per_s = 0;
+	if (!h || !h->value_bytes || h->value_bytes >= sizeof(text))
+		return;
+	g_strlcpy(text, h->value, h->value_bytes + 1);
+	per_s = g_ascii_strtod(text, &end);
+	if (*end || !isfinite(per_s) || per_s < 0)
+		return;
+	event->u.rate_limit.limited = true;
+	event->u.rate_limit.milli_per_s =
+		(uint32_t)MIN(per_s * DL_MILLI, UINT32_MAX);
+}
+
 bool dl_is_not_run(const struct dl_dialect *dialect, const struct hc_head *head)
 {
 	const struct hc_header *h = dl_find_header(head, dialect->not_run);
--- a/dialect.h
+++ b/dialect.h
@@ -21,6 +21,8 @@
 	const char *report; /* load of the answering server */
 	const char *report_wanted; /* requests a report; NULL: always sent */
 	const char *draining; /* the answering server is draining */
+	/* Requests a second that the answering server takes from all hosts. */
+	const char *rate_limit;
 	const char *not_run; /* the server has not run the call */
 	const char *server_id; /* id of the server that answers a probe */
 	const char *expect_server; /* only the server with this id runs it */
@@ -48,6 +50,14 @@
 const struct hc_header *dl_find_header(const struct hc_head *head,
 				       const char *name);
 
+/*
+ * dl_parse_rate_limit - set the kind of EVENT to CORE_EV_RATE_LIMIT, and whether
+ * and how HEAD limits the rate of requests. A value that is no number counts as
+ * no limit.
+ */
+void dl_parse_rate_limit(const struct dl_dialect *dialect,
+			 const struct hc_head *head, struct core_event *event);
+
 /* dl_is_not_run - the answer proves that the server did not run the call. */
 bool dl_is_not_run(const struct dl_dialect *dialect,
 		   const struct hc_head *head);
--- a/gateway.c
+++ b/gateway.c
@@ -52,9 +52,27 @@
 	tm_subscribe(gateway->timers, &call->timer, action->at_us);
 }
 
+void gw_post_rate_limit(struct gw_gateway *gateway, struct core_event *event)
+{
+	struct gw_server *server =
+		g_ptr_array_index(gateway->servers, event->u.rate_limit.server);
+
+	if (server->rate_limited == event->u.rate_limit.limited &&
+	    server->rate_limit_milli == event->u.rate_limit.milli_per_s)
+		return;
+	ct_add(CT_RATE_LIMITS, !server->rate_limited);
+	server->rate_limited = event->u.rate_limit.limited;
+	server->rate_limit_milli = event->u.rate_limit.milli_per_s;
+	gw_log_rate_limit(server, event->u.rate_limit.source);
+	gw_post_event(gateway, event);
+}
+
 static void gw_post_probe(void *ctx, struct core_event *event)
 {
-	gw_post_event(ctx, event);
+	if (event->kind == CORE_EV_RATE_LIMIT)
+		gw_post_rate_limit(ctx, event);
+	else
+		gw_post_event(ctx, event);
 }
 
 static void gw_run_action(void *ctx, const struct core_action *action)
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -70,6 +70,7 @@
 	X("x-load")            \
 	X("x-load-wanted")     \
 	X("x-draining")        \
+	X("x-rate-limit")      \
 	X("x-not-run")         \
 	X("x-request-id")      \
 	X("x-request-outcome") \
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -50,6 +50,18 @@
 	gw_post_event(gateway, &event);
 }
 
+static void gw_read_rate_limit(struct gw_attempt *attempt,
+			       const struct hc_head *head)
+{
+	struct gw_gateway *gateway = attempt->call->gateway;
+	struct core_event event;
+
+	dl_parse_rate_limit(gateway->dialect, head, &event);
+	event.u.rate_limit.server = attempt->server;
+	event.u.rate_limit.source = CORE_FROM_ANSWER;
+	gw_post_rate_limit(gateway, &event);
+}
+
 static void gw_post_leaving_notice(struct gw_attempt *attempt,
 				   const struct hc_head *head)
 {
@@ -247,6 +259,8 @@
 	gw_post_leaving_notice(attempt, head);
 	if (head->status == DL_MISDIRECTED && attempt->refused)
 		gw_post_server_replaced(attempt);
+	else
+		gw_read_rate_limit(attempt, head);
 	if (attempt->refused)
 		return;
 	if (gw_lacks_signature(attempt, head))
@@ -493,6 +507,7 @@
 	ct_add(CT_ATTEMPTS, 1);
 	ct_add(CT_RETRIES, action->attempt > 0 && !action->hedge);
 	ct_add(CT_HEDGES, action->hedge);
+	ct_add(CT_LIMITED_ATTEMPTS, server->rate_limited);
 	gw_log_attempt_start(attempt, action->hedge);
 	if (!hc_start(&server->pool, &attempt->http,
 		      gw_format_request(call, server, action->report)))
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -185,6 +185,24 @@
 	lg_write(LG_EV_STALL, line);
 }
 
+void gw_log_rate_limit(const struct gw_server *server,
+		       enum core_report_source source)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_LIMIT))
+		return;
+	line = json_object();
+	gw_set_text(line, "server", server->name);
+	json_object_set_new(line, "limited",
+			    json_boolean(server->rate_limited));
+	if (server->rate_limited)
+		gw_set_number(line, "milli_per_s", server->rate_limit_milli);
+	gw_set_text(line, "said_by",
+		    source == CORE_FROM_PROBE ? "probe" : "answer");
+	lg_write(LG_EV_LIMIT, line);
+}
+
 void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
 		    enum st_kind kind)
 {
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -24,6 +24,8 @@
 	uint32_t id;
 	uint32_t zone;
 	char probe_path[DOC_ROUTE_BYTES];
+	bool rate_limited; /* by its latest answer */
+	uint32_t rate_limit_milli; /* requests in 1000 s, of all hosts */
 	struct hc_pool pool;
 };
 
@@ -107,8 +109,11 @@
 /*
  * gw_post_event - set the time of EVENT to now and pass it to the core. Events
  * that are posted while the core handles one are queued. Source: gateway.c
+ *
+ * gw_post_rate_limit - pass a RATE_LIMIT event on if it states a change.
  */
 void gw_post_event(struct gw_gateway *gateway, struct core_event *event);
+void gw_post_rate_limit(struct gw_gateway *gateway, struct core_event *event);
 
 /*
  * gateway_call.c
@@ -174,6 +179,7 @@
  * or could not be started.
  * gw_log_call_end - a call has its result; also updates the latency histogram.
  * gw_log_stall - the event loop was blocked for STALL_US.
+ * gw_log_rate_limit - a server's limit began, changed or ended.
  * gw_log_refusal - a request was refused before it became a call.
  * gw_log_health_change - the core ejected a server or returned it to use; CTX
  * is the gateway.
@@ -182,6 +188,8 @@
 void gw_log_attempt_end(const struct gw_attempt *attempt, const char *msg);
 void gw_log_call_end(const struct gw_call *call);
 void gw_log_stall(const struct gw_gateway *gateway, uint64_t stall_us);
+void gw_log_rate_limit(const struct gw_server *server,
+		       enum core_report_source source);
 void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
 		    enum st_kind kind);
 void gw_log_health_change(void *ctx, const struct core_health_change *change);
--- a/log.h
+++ b/log.h
@@ -30,6 +30,7 @@
 	X(REFUSE, "refuse", FAILURE, "a call was refused on arrival")       \
 	X(SERVER_OUT, "server-out", STATE, "a server is not used for now")  \
 	X(SERVER_BACK, "server-back", STATE, "a server is used again")      \
+	X(LIMIT, "limit", STATE, "a server's limit of requests a second")   \
 	X(STALL, "stall", STATE, "the event loop was blocked")              \
 	X(DROPPED, "log-dropped", STATE, "lines were dropped")
 
--- a/probe.c
+++ b/probe.c
@@ -18,6 +18,7 @@
 	bool ok;
 	bool draining;
 	struct core_event report;
+	struct core_event rate_limit;
 };
 
 static void pb_count_bytes(struct pb_probe *probe, size_t bytes)
@@ -41,6 +42,10 @@
 	report->u.report.ok = ok;
 	report->u.report.bytes = probe->bytes;
 	report->u.report.latency_us = (uint32_t)(tm_now_us() - probe->start_us);
+	probe->rate_limit.u.rate_limit.server = probe->target.server;
+	probe->rate_limit.u.rate_limit.source = CORE_FROM_PROBE;
+	if (ok)
+		prober->post(prober->ctx, &probe->rate_limit);
 	prober->post(prober->ctx, report);
 	state.u.server.server = probe->target.server;
 	state.u.server.source = CORE_LEAVING_IN_ANSWER;
@@ -87,6 +92,7 @@
 		probe->ok = false;
 	if (load)
 		dialect->parse_report(load, &probe->report);
+	dl_parse_rate_limit(dialect, head, &probe->rate_limit);
 }
 
 static void pb_on_body(struct hc_request *request, const char *data,
--- a/probe.h
+++ b/probe.h
@@ -12,7 +12,8 @@
 /*
  * Carries out the core's PROBE action: sends a GET request to a server. Posts
  * the result to the core as events: always one REPORT, and after a valid answer
- * also a SERVER event, which states whether the server is leaving.
+ * also a RATE_LIMIT event before it and a SERVER event, which states whether the
+ * server is leaving.
  */
 struct pb_prober {
 	struct tm_service *timers;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -143,6 +143,43 @@
 }
 END_TEST
 
+/* Guards against a server's rate limit that is misread, or taken for none. */
+static const struct {
+	const char *text; /* NULL: the answer does not have the header */
+	bool limited;
+	uint32_t milli_per_s;
+} rate_limits[] = {
+	{ "4", true, 4000 },
+	{ "3.75", true, 3750 },
+	{ "0", true, 0 },
+	{ "0.0004", true, 0 },
+	{ "1e12", true, UINT32_MAX },
+	{ NULL, false, 0 },
+	{ "", false, 0 },
+	{ "-1", false, 0 },
+	{ "nan", false, 0 },
+	{ "inf", false, 0 },
+	{ "4 a second", false, 0 },
+	{ "1.00000000000000000000000000000000", false, 0 },
+};
+
+START_TEST(rate_limits_are_decoded)
+{
+	struct hc_header limit =
+		header("Server-Limit",
+		       rate_limits[_i].text ? rate_limits[_i].text : "");
+	struct hc_head head = { .headers = &limit,
+				.header_count = rate_limits[_i].text != NULL };
+	struct core_event event;
+
+	dl_parse_rate_limit(&pd_dialect, &head, &event);
+	ck_assert_int_eq(event.kind, CORE_EV_RATE_LIMIT);
+	ck_assert_int_eq(event.u.rate_limit.limited, rate_limits[_i].limited);
+	ck_assert_uint_eq(event.u.rate_limit.milli_per_s,
+			  rate_limits[_i].milli_per_s);
+}
+END_TEST
+
 /*
  * Guards against reporting to a caller that its call was not run although it
  * may have been: only some answers prove that the server did not run it.
@@ -461,6 +498,8 @@
 	tcase_add_loop_test(tests, server_entries_are_validated, 0,
 			    G_N_ELEMENTS(server_entries));
 	tcase_add_test(tests, reports_are_decoded);
+	tcase_add_loop_test(tests, rate_limits_are_decoded, 0,
+			    G_N_ELEMENTS(rate_limits));
 	tcase_add_test(tests, not_run_answers_are_recognized);
 	tcase_add_loop_test(tests, answer_ends_are_classified, 0,
 			    G_N_ELEMENTS(exchanges));
--- a/trace.c
+++ b/trace.c
@@ -121,6 +121,14 @@
 	TR_FIELDS_END,
 };
 
+static const struct tr_field tr_rate_limit_fields[] = {
+	TR_EV("server", TR_U32, u.rate_limit.server),
+	TR_EV_NAME("source", u.rate_limit.source, tr_source_name, 3),
+	TR_EV("limited", TR_BOOL, u.rate_limit.limited),
+	TR_EV("milli_per_s", TR_U32, u.rate_limit.milli_per_s),
+	TR_FIELDS_END,
+};
+
 static const struct tr_field *const tr_event_fields[] = {
 	[CORE_EV_CALL] = tr_call_fields,
 	[CORE_EV_SENT] = tr_attempt_fields,
@@ -129,6 +137,7 @@
 	[CORE_EV_GONE] = tr_call_id_fields,
 	[CORE_EV_REPORT] = tr_report_fields,
 	[CORE_EV_SERVER] = tr_server_fields,
+	[CORE_EV_RATE_LIMIT] = tr_rate_limit_fields,
 	[CORE_EV_TIMER] = tr_call_id_fields,
 };
 
