Add a failing test of servers that name a limit of requests a second

Change: the stand-in for a server can name a limit (PUT /limit) and prints the time of each run. run_limit.sh plays six hosts with one limited server, a host that is killed and started anew, all servers limited, and the end of the limits. It bounds what a server gets in any 4 s from above and what it gets in all from below.

--- /dev/null
+++ b/tests/run_limit.sh
@@ -0,0 +1,113 @@
+#!/bin/bash
+# Guards against servers that get more requests than the limit that they name in
+# their answers, which is for all hosts together: when hosts do not read it, when
+# each keeps to it alone, when a host starts anew, and when no server is left
+# without a limit. Also against limits that leave most of what they allow unused,
+# calls that wait although no server may take them, and limits that outlast
+# their server's need.
+set -u
+PORT_BASE=${PORT_BASE:-27200}
+. "$(dirname "$0")/lib_platform.sh"
+HOSTS=6 SERVERS=3 LIMIT_PER_S=4
+# The bound holds from SETTLE_MS after a limit was first named, in any WINDOW_MS.
+SETTLE_MS=3000 WINDOW_MS=4000
+ALLOWED=$((LIMIT_PER_S * WINDOW_MS / 1000 * 3 / 2 + 5))
+
+# set_limit SERVER TEXT: the server names TEXT as its limit; empty: none.
+set_limit() {
+	curl -s -o /dev/null -X PUT -d "$2" \
+		"127.0.0.1:$((servers_port + $1))/limit"
+}
+now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
+# requests SERVER FROM-MS TO-MS: prints when the server got requests.
+requests() {
+	awk -v from="$2" -v to="$3" '$3 >= from && $3 < to { print $3 }' \
+		"$WORK/server$1.out"
+}
+# busiest SERVER FROM-MS TO-MS: prints the largest number of requests that the
+# server got within any WINDOW_MS of that time.
+busiest() {
+	requests "$@" | awk -v window=$WINDOW_MS '{ at[NR] = $1 + 0
+		while (at[NR] - at[first + 1] >= window) first++
+		if (NR - first > most) most = NR - first }
+		END { print most + 0 }'
+}
+# run_caller HOST: sends calls to the host, one after the other, until the end.
+run_caller() {
+	local n=0
+	while test ! -e "$WORK/done"; do
+		n=$((n + 1))
+		call_host "$1" /desk/a "c$BASHPID-$n" -o /dev/null \
+			-w '%{http_code} %{time_total}\n' >>"$WORK/calls$1"
+	done 2>/dev/null
+}
+# check_limits SERVER FROM-MS TO-MS: no window has more requests than allowed,
+# and the whole time has at least half of what the limit allows.
+check_limits() {
+	local most count least
+	most=$(busiest "$@")
+	count=$(requests "$@" | wc -l)
+	least=$((LIMIT_PER_S * ($3 - $2) / 2000))
+	say "server $1: at most $most of $ALLOWED in a window, $count in all, at least $least"
+	check "server $1 got $most requests in $WINDOW_MS ms, allowed $ALLOWED" \
+		test "$most" -le $ALLOWED
+	check "server $1 got only $count requests, expected $least" \
+		test "$count" -ge $least
+}
+
+start_platform || exit 1
+for s in $(seq 0 $((SERVERS - 1))); do
+	start_upstream "$s" 20
+	put_server "$s" ready || fail "the store did not take the row of server $s"
+done
+put_manifest 1 "$(print_route desk /desk/ safe desk)" ||
+	fail "the store did not take the manifest"
+for i in $(seq 0 $((HOSTS - 1))); do start_follower "$i"; done
+for i in $(seq 0 $((HOSTS - 1))); do
+	wait_ready "$i" || fail "host $i is not ready"
+done
+for i in $(seq 0 $((HOSTS - 1))); do
+	run_caller "$i" &
+	caller_pids="${caller_pids:-} $!"
+done
+sleep 1
+
+# One server names a limit; a host is killed and starts anew meanwhile.
+named=$(now_ms)
+set_limit 0 $LIMIT_PER_S
+sleep 5
+kill -9 "$pid_entry5"
+start_follower 5
+sleep 4
+check_limits 0 $((named + SETTLE_MS)) "$(now_ms)"
+
+# All servers name a limit. What they cannot take is refused at once.
+named=$(now_ms)
+for s in 1 2; do set_limit "$s" $LIMIT_PER_S; done
+sleep 3
+for i in $(seq 0 $((HOSTS - 1))); do
+	wc -l <"$WORK/calls$i" >"$WORK/before$i"
+done
+sleep 6
+until=$(now_ms)
+for s in 0 1 2; do check_limits "$s" $((named + SETTLE_MS)) "$until"; done
+for i in 0 1 2 3 4; do
+	tail -n +$(($(cat "$WORK/before$i") + 1)) "$WORK/calls$i"
+done >"$WORK/refused"
+check "no call was refused" grep -q '^503' "$WORK/refused"
+slow=$(awk '$1 == 503 && $2 > 0.4' "$WORK/refused" | wc -l)
+check "$slow calls were refused only after 0.4 s" test "$slow" = 0
+
+# The limits end.
+ended=$(now_ms)
+for s in 0 1 2; do set_limit "$s" ""; done
+sleep 9
+for s in 0 1 2; do
+	count=$(requests "$s" $((ended + 6000)) $((ended + 9000)) | wc -l)
+	say "server $s: $count requests in 3 s after its limit has ended"
+	check "server $s is still limited" test "$count" -gt $((LIMIT_PER_S * 3 * 2))
+done
+touch "$WORK/done"
+wait $caller_pids 2>/dev/null
+say "failures: $failures"
+test $failures = 0
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -4,9 +4,11 @@
  * header to the answer of a run.
  *
  * usage: tool_upstream ADDRESS ID WORK-MS
- * Every run prints a line with its attempt id and the server's ID. GET /runs
- * lists the attempt ids of all runs, one a line. PUT /work with a number of
- * milliseconds as the body sets the duration of a run.
+ * Every run prints a line with its attempt id, the server's ID and the time in
+ * milliseconds. GET /runs lists the attempt ids of all runs, one a line. PUT
+ * /work with a number of milliseconds as the body sets the duration of a run.
+ * PUT /limit with a number as the body names it in all answers as the requests a
+ * second that the server takes; an empty body ends that.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -26,6 +28,7 @@
 	const char *id;
 	uint64_t work_ms;
 	uint32_t running;
+	char limit[32]; /* requests a second; empty: none is named */
 	GString *run_ids; /* attempt id of every run, one a line */
 } upstream;
 
@@ -48,6 +51,8 @@
 	g_snprintf(text, sizeof(text), "%u,0,6,100", upstream.running);
 	add_header(req, "Server-Load", text);
 	add_header(req, "Instance-Id", upstream.id);
+	if (*upstream.limit)
+		add_header(req, "Server-Limit", upstream.limit);
 }
 
 static void reply(h2o_req_t *req, int status, const char *body)
@@ -82,7 +87,8 @@
 	g_string_append_len(upstream.run_ids, id.base ? id.base : "-",
 			    id.base ? (gssize)id.len : 1);
 	g_string_append_c(upstream.run_ids, '\n');
-	printf("%.*s %s\n", (int)id.len, id.base ? id.base : "", upstream.id);
+	printf("%.*s %s %" G_GUINT64_FORMAT "\n", (int)id.len,
+	       id.base ? id.base : "", upstream.id, tm_now_us() / US_PER_MS);
 	fflush(stdout);
 	upstream.running++;
 	job->request_ref = hd_request_ref_new(req);
@@ -102,6 +108,11 @@
 	} else if (hd_path_is(req, "/work")) {
 		upstream.work_ms = strtoull(req->entity.base, NULL, 10);
 		reply(req, 200, "ok");
+	} else if (hd_path_is(req, "/limit")) {
+		g_strlcpy(upstream.limit,
+			  req->entity.len ? req->entity.base : "",
+			  MIN(req->entity.len + 1, sizeof(upstream.limit)));
+		reply(req, 200, "ok");
 	} else if (hd_path_is(req, "/health")) {
 		reply(req, 200, "ok");
 	} else if (expected.len != strlen(upstream.id) ||
