Keep to the limits of requests a second that servers name

Seen: a server in need that took 4 requests a second from all hosts together got up to 55 in 4 s, where 29 are allowed.

Cause: nothing read the limit, and nothing in the design could keep it: a limit below one request a second for each host cannot be divided equally.

Change: a limit is shared by a few hosts, selected by rendezvous hashing over the host list; all others send the server nothing. Together the sharers save as many requests as the limit allows in a second, and three more. 4 s bring 5 times the limit and 3 at most, where 6 times and 5 are allowed, so that a host that others do not know yet stays within the slack. Every attempt counts; hedges avoid limited servers. A share starts empty, also after a restart, and is nothing until the host list is known. Limits that changed or ended come with the next answer or probe; a host that sends nothing asks every 5 s. When no limit leaves room in the time that a call may wait, it is refused at once (rate-limit). Token buckets moved to core_bucket.c; those below one token a second now fill exactly.

The check of run_limit that a limited server gets half of its limit now applies only while all servers are limited: with free servers beside it, nothing has to go there. In its place no call may fail then, and the end of a limit is shown with the other servers taking nothing, as the count of one of three servers proved nothing.

--- a/core.c
+++ b/core.c
@@ -115,6 +115,7 @@
 	core->services = g_ptr_array_new_with_free_func(core_service_free);
 	g_queue_init(&core->asking);
 	core->weights = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	core->hosts = g_array_new(FALSE, FALSE, sizeof(struct core_host_conf));
 	core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    core_call_free);
 }
@@ -145,6 +146,7 @@
 	g_ptr_array_free(core->services, TRUE);
 	g_ptr_array_free(core->servers, TRUE);
 	g_array_free(core->weights, TRUE);
+	g_array_free(core->hosts, TRUE);
 }
 
 static void core_emit_timer(struct core *core, uint64_t call, uint64_t at_us)
@@ -327,6 +329,7 @@
 	g_queue_push_tail_link(&s->open_attempts, &a->link);
 	s->in_flight++;
 	s->sent_since_report++;
+	core_rate_take(core, s);
 	s->last_send_us = core->now_us;
 	core_service(core, call->service)->in_flight++;
 	call->flow->in_flight++;
@@ -669,10 +672,10 @@
 		server->announced_leaving = event->u.server.leaving;
 	if (before && !core_is_leaving(server))
 		server->slow_start_us = core->now_us;
-	if (!server->answer_leaving)
+	if (!server->answer_leaving && !server->rate_limited)
 		server->next_recheck_us = 0;
 	core->recheck_needed |= server->answer_leaving;
-	core_recheck_draining(core);
+	core_recheck_servers(core);
 }
 
 static void core_on_timer(struct core *core, const struct core_event *event)
@@ -682,7 +685,7 @@
 		return;
 	}
 	core->timer_us = 0;
-	core_recheck_draining(core);
+	core_recheck_servers(core);
 }
 
 void core_handle_event(struct core *core, const struct core_event *event)
@@ -701,6 +704,9 @@
 	case CORE_EV_REPORT:
 		core_on_report(core, event);
 		break;
+	case CORE_EV_RATE_LIMIT:
+		core_rate_on_limit(core, event);
+		break;
 	case CORE_EV_TIMER:
 		core_on_timer(core, event);
 		break;
--- a/core_ask.c
+++ b/core_ask.c
@@ -108,6 +108,7 @@
 		const struct core_server *server = core_server(core, id);
 
 		if (core_was_tried(call, id) || core_was_asked(call, id) ||
+		    !core_rate_allows(core, server, call->ask_hedge) ||
 		    !core_is_usable(core, service, server, eject))
 			continue;
 		core_keep_cheapest(
@@ -207,6 +208,7 @@
 
 		if (!server->in_conf || core_is_leaving(server) ||
 		    core_is_ejected(core, server) ||
+		    !core_rate_allows(core, server, call->ask_hedge) ||
 		    (!all && !core_has_answered_ask(call, server)) ||
 		    !core_meets_need(core, service, server, call, need))
 			continue;
@@ -282,6 +284,33 @@
 	core_set_call_timer(core, call);
 }
 
+/*
+ * Whether the call may wait: it has time left, and the limits of the servers
+ * allow an attempt within it.
+ */
+static bool core_ask_may_pause(const struct core *core,
+			       const struct core_call *call)
+{
+	const struct core_service *service = core_service(core, call->service);
+
+	return !call->ask_hedge &&
+	       core->now_us + CORE_ASK_PAUSE_US <= call->wait_until_us &&
+	       core_rate_opens_us(core, service) <= call->wait_until_us;
+}
+
+/* No server can be asked: waits if only their limits are in the way. */
+static void core_ask_no_server(struct core *core, struct core_call *call)
+{
+	const struct core_service *service = core_service(core, call->service);
+	bool limited = core_rate_opens_us(core, service) > core->now_us;
+
+	if (limited && core_ask_may_pause(core, call))
+		core_ask_pause(core, call);
+	else
+		core_ask_give_up(core, call,
+				 limited ? ST_RATE_LIMIT : ST_NO_SERVER);
+}
+
 /* No server meets the needs of the call: waits, accepts less or refuses. */
 static void core_ask_no_slot(struct core *core, struct core_call *call)
 {
@@ -292,7 +321,7 @@
 
 	core_ask_record_inputs(core, call, best);
 	if (!call->ask_hedge) {
-		if (core->now_us + CORE_ASK_PAUSE_US <= call->wait_until_us) {
+		if (core_ask_may_pause(core, call)) {
 			core_ask_pause(core, call);
 			return;
 		}
@@ -305,7 +334,7 @@
 	if (server != CORE_NO_SERVER)
 		core_ask_send(core, call, server);
 	else if (best == CORE_NO_SERVER)
-		core_ask_give_up(core, call, ST_NO_SERVER);
+		core_ask_no_server(core, call);
 	else
 		core_ask_give_up(core, call, ST_QUEUE_FULL);
 }
@@ -424,7 +453,7 @@
 		g_queue_push_tail_link(&core->asking, &call->ask_link);
 	}
 	if (!core_ask_next_round(core, call))
-		core_ask_give_up(core, call, ST_NO_SERVER);
+		core_ask_no_server(core, call);
 }
 
 void core_ask_on_timer(struct core *core, struct core_call *call)
@@ -477,6 +506,7 @@
 	struct core_call *call;
 
 	while (core->asking.length && core_report_is_fresh(core, server) &&
+	       core_rate_allows(core, server, false) &&
 	       core_is_usable(core, service, server,
 			      core_ejection_active(core, service)) &&
 	       (call = core_ask_next_waiting(core, server)))
--- a/core_conf.c
+++ b/core_conf.c
@@ -44,6 +44,11 @@
 	return x;
 }
 
+uint64_t core_host_score(uint64_t item_hash, uint64_t host_hash)
+{
+	return core_mix_hash(core_mix_hash(item_hash) ^ host_hash);
+}
+
 /*
  * Rendezvous hashing: the host with the highest score owns the slot. As long as
  * the zone of the server has a host, only hosts of that zone own slots, because
@@ -52,13 +57,13 @@
 static bool core_owns_slot(const struct core_conf *conf, uint64_t server_hash,
 			   uint32_t slot, bool same_zone, uint32_t zone)
 {
-	uint64_t seed = core_mix_hash(server_hash + slot);
 	uint64_t best = 0;
 	uint64_t owner = 0;
 
 	for (uint32_t i = 0; i < conf->host_count; i++) {
 		const struct core_host_conf *host = &conf->hosts[i];
-		uint64_t score = core_mix_hash(seed ^ host->hash);
+		uint64_t score =
+			core_host_score(server_hash + slot, host->hash);
 
 		if (host->draining || (same_zone && host->zone != zone))
 			continue;
@@ -123,6 +128,9 @@
 	server->hash = from->hash;
 	server->max_connections =
 		MAX(from->max_connections / core->host_count, 1);
+	if (server->rate_limited)
+		core_rate_configure(core, server);
+	core->recheck_needed |= server->rate_limited;
 	server->own_slots = 0;
 	if (core_service(core, service)->policy == CORE_POLICY_SHARES)
 		server->own_slots = core_own_slots(conf, from, slots);
@@ -219,6 +227,11 @@
 {
 	core->zone = conf->zone;
 	core->host_count = core_non_draining_hosts(conf);
+	core->budget_hosts = conf->budget_hosts;
+	core->host_hash = conf->host_hash;
+	g_array_set_size(core->hosts, 0);
+	if (conf->host_count)
+		g_array_append_vals(core->hosts, conf->hosts, conf->host_count);
 	for (guint i = 0; i < core->services->len; i++)
 		core_service(core, i)->in_conf = false;
 	for (guint i = 0; i < core->servers->len; i++) {
@@ -231,5 +244,5 @@
 	for (uint32_t i = 0; i < conf->service_count; i++)
 		core_configure_service(core, conf, &conf->services[i]);
 	core->configured = true;
-	core_recheck_draining(core);
+	core_recheck_servers(core);
 }
--- a/core_pick.c
+++ b/core_pick.c
@@ -155,7 +155,7 @@
 
 static void core_collect_usable(struct core *core,
 				const struct core_service *service,
-				const struct core_call *call,
+				const struct core_call *call, bool hedge,
 				bool include_tried, struct core_server_set *set)
 {
 	bool eject = core_ejection_active(core, service);
@@ -167,6 +167,7 @@
 		const struct core_server *server = core_server(core, id);
 
 		if ((!include_tried && core_was_tried(call, id)) ||
+		    !core_rate_allows(core, server, hedge) ||
 		    !core_is_usable(core, service, server, eject))
 			continue;
 		set->ids[set->count] = id;
@@ -330,10 +331,10 @@
 		.ids = g_newa(uint32_t, service->server_count + 1)
 	};
 
-	core_collect_usable(core, service, call, false, &set);
+	core_collect_usable(core, service, call, hedge, false, &set);
 	/* A retry may use a server again if no other is left; a hedge not. */
 	if (!set.count && call->attempt_count && !hedge)
-		core_collect_usable(core, service, call, true, &set);
+		core_collect_usable(core, service, call, hedge, true, &set);
 	if (!set.count)
 		return false;
 	*server = core_pick_by_policy(core, service, &set);
--- a/core_probe.c
+++ b/core_probe.c
@@ -15,60 +15,13 @@
 	CORE_POOL_MAX_USES = 32,
 	CORE_HOT_PERCENTILE = 84,
 	CORE_RECHECK_US = 5 * CORE_US_PER_S,
+	CORE_LIMIT_RECHECK_GAP_US = 100 * CORE_US_PER_MS,
 	CORE_POOL_MIN = 2, /* responses needed to choose by them */
-	CORE_BURST_DIVISOR = 4, /* a burst may use a quarter of a second */
-	CORE_MAX_REFILL_US = 10 * CORE_US_PER_S,
 	CORE_MAX_LOAD = 1 << 16,
 	CORE_MAX_PACE_PERCENT = 10000,
 	CORE_REPORT_MEAN_SAMPLES = 32
 };
 
-/*
- * In any second at most DEPTH + RATE tokens are spent, which is the share of
- * this host. A share below two units a second gets a depth of one unit and
- * holds only over longer times. The bucket starts empty, so that a restart
- * yields no extra tokens.
- */
-void core_bucket_configure(struct core_bucket *bucket, uint64_t per_s,
-			   uint64_t unit, uint64_t now_us)
-{
-	unit *= CORE_TOKEN_SCALE;
-	bucket->depth = (int64_t)MAX(per_s / CORE_BURST_DIVISOR, unit);
-	bucket->rate_per_s =
-		per_s < 2 * unit ? per_s : per_s - (uint64_t)bucket->depth;
-	if (!bucket->refilled_us)
-		bucket->refilled_us = now_us;
-	bucket->tokens = MIN(bucket->tokens, bucket->depth);
-}
-
-static bool core_bucket_covers(struct core_bucket *bucket, uint64_t now_us,
-			       uint64_t amount)
-{
-	uint64_t age_us = MIN(now_us - bucket->refilled_us, CORE_MAX_REFILL_US);
-	/* Product and sum cannot overflow: rate < 2^50, age < 2^24. */
-	uint64_t gain =
-		bucket->rate_per_s / CORE_US_PER_MS * age_us / CORE_US_PER_MS;
-
-	bucket->refilled_us = now_us;
-	bucket->tokens = MIN(bucket->tokens + gain, bucket->depth);
-	return bucket->tokens >= (int64_t)amount * CORE_TOKEN_SCALE;
-}
-
-static void core_bucket_spend(struct core_bucket *bucket, uint64_t amount)
-{
-	bucket->tokens -= (int64_t)amount * CORE_TOKEN_SCALE;
-}
-
-/*
- * AMOUNT is negative if a probe took more than was reserved for it; the bucket
- * may then fall below zero.
- */
-static void core_bucket_refund(struct core_bucket *bucket, int64_t amount)
-{
-	bucket->tokens =
-		MIN(bucket->tokens + amount * CORE_TOKEN_SCALE, bucket->depth);
-}
-
 /*
  * Takes BYTES from the measuring budget, and for a server of another zone from
  * the cross-zone budget too. Takes nothing if one of them is short.
@@ -158,8 +111,32 @@
 	}
 }
 
-/* A draining server gets no calls, so only a probe can detect its return. */
-void core_recheck_draining(struct core *core)
+/*
+ * Whether a probe is due that may show that the server is no longer draining or
+ * rate limited; sets the time of the next one.
+ */
+static bool core_recheck_is_due(const struct core *core,
+				struct core_server *server)
+{
+	uint64_t reported_us = server->answer_leaving ? 0 : server->report_us;
+
+	if (!server->next_recheck_us)
+		server->next_recheck_us = core->now_us + CORE_RECHECK_US;
+	server->next_recheck_us =
+		MAX(server->next_recheck_us, reported_us + CORE_RECHECK_US);
+	if (core->now_us < server->next_recheck_us)
+		return false;
+	/* With hundreds of limited servers, their probes would be too many. */
+	return server->answer_leaving ||
+	       core->now_us >=
+		       core->last_limit_recheck_us + CORE_LIMIT_RECHECK_GAP_US;
+}
+
+/*
+ * A draining server gets no calls, and a limited one gets none from most hosts,
+ * so only a probe can detect the end of either.
+ */
+void core_recheck_servers(struct core *core)
 {
 	uint64_t next_us = core->now_us + CORE_RECHECK_US;
 	bool more = false;
@@ -169,20 +146,24 @@
 	for (guint i = 0; i < core->servers->len; i++) {
 		struct core_server *server = core_server(core, i);
 
-		if (!server->in_conf || !server->answer_leaving)
+		if (!server->in_conf ||
+		    (!server->answer_leaving && !server->rate_limited))
 			continue;
 		more = true;
-		if (!server->next_recheck_us)
-			server->next_recheck_us = next_us;
-		if (core->now_us >= server->next_recheck_us) {
+		if (core_recheck_is_due(core, server)) {
 			core_send_probe(core, i);
-			server->next_recheck_us = next_us;
+			server->next_recheck_us =
+				core->now_us + CORE_RECHECK_US;
+			if (!server->answer_leaving)
+				core->last_limit_recheck_us = core->now_us;
 		}
 		next_us = MIN(next_us, server->next_recheck_us);
 	}
 	core->recheck_needed = more;
 	if (more)
-		core_set_timer(core, next_us);
+		core_set_timer(core,
+			       MAX(next_us, core->last_limit_recheck_us +
+						    CORE_LIMIT_RECHECK_GAP_US));
 }
 
 static void core_pool_add(struct core *core, struct core_service *service,
--- a/core_queue.c
+++ b/core_queue.c
@@ -216,6 +216,10 @@
 		core_finish_call(core, call, ST_DEADLINE_NOT_RUN);
 		return;
 	}
+	if (core_rate_opens_us(core, service) >= call->deadline_us) {
+		core_finish_call(core, call, ST_RATE_LIMIT);
+		return;
+	}
 	if (!service->queued &&
 	    core_pick_server(core, service, call, false, &server)) {
 		core_send_attempt(core, call, server, false);
--- a/core_state.h
+++ b/core_state.h
@@ -46,6 +46,14 @@
 	enum core_sample_kind sample;
 };
 
+/* Token bucket, counted in millionths of a token. */
+struct core_bucket {
+	uint64_t rate_per_s;
+	int64_t depth;
+	int64_t tokens;
+	uint64_t refilled_us;
+};
+
 struct core_server {
 	uint32_t id;
 	bool in_conf; /* in the current configuration */
@@ -82,7 +90,11 @@
 	uint64_t backoff_us;
 	uint64_t backoff_until_us;
 	uint64_t slow_start_us; /* when slow start began; 0: no slow start */
-	/* Time of the next probe while ANSWER_LEAVING is set; 0: not set. */
+	/* Limit of requests a second that its answers name, of all hosts. */
+	bool rate_limited;
+	uint32_t rate_limit_milli; /* requests in 1000 s */
+	struct core_bucket rate_tokens; /* share of this host */
+	/* Next probe while it is leaving or rate limited; 0: not set. */
 	uint64_t next_recheck_us;
 };
 
@@ -99,14 +111,6 @@
 	bool is_active;
 };
 
-/* Token bucket, counted in millionths of a token. */
-struct core_bucket {
-	uint64_t rate_per_s;
-	int64_t depth;
-	int64_t tokens;
-	uint64_t refilled_us;
-};
-
 /* A probe response in the pool of policy "probes". */
 struct core_probe_result {
 	uint32_t server;
@@ -216,10 +220,14 @@
 	uint64_t now_us;
 	uint32_t zone;
 	uint32_t host_count; /* entry hosts that are not draining, at least 1 */
+	uint32_t budget_hosts; /* of the configuration */
+	uint64_t host_hash; /* of this host */
+	GArray *hosts; /* struct core_host_conf, of the configuration */
 	uint32_t queued; /* calls, over all services */
 	uint64_t timer_us; /* of the core itself; 0: not set */
 	bool configured; /* a configuration was applied before */
-	bool recheck_needed; /* a server may have ANSWER_LEAVING set */
+	bool recheck_needed; /* core_recheck_servers has servers to probe */
+	uint64_t last_limit_recheck_us;
 	GQueue asking; /* calls that wait for load reports or a slot */
 };
 
@@ -247,8 +255,14 @@
 void core_send_attempt(struct core *core, struct core_call *call,
 		       uint32_t server, bool hedge);
 
-/* core_conf.c: configuration. */
+/*
+ * core_conf.c: configuration.
+ *
+ * core_host_score - for rendezvous hashing: of those that may own an item, the
+ * hosts with the highest scores do.
+ */
 void core_on_conf(struct core *core, const struct core_conf *conf);
+uint64_t core_host_score(uint64_t item_hash, uint64_t host_hash);
 
 /*
  * core_ask.c: policy "ask", which asks a few servers for their load before it
@@ -331,26 +345,68 @@
 		      const struct core_service *service,
 		      const struct core_server *server);
 
+/*
+ * core_bucket.c: token buckets. They start empty, so that a restart yields no
+ * extra tokens.
+ *
+ * core_bucket_configure - share PER_S, in millionths of a token a second; UNIT
+ * is the largest single amount, in tokens. In any second at most DEPTH + RATE
+ * tokens are spent, which is the share. A share below two units a second gets a
+ * depth of one unit and holds only over longer times.
+ * core_bucket_set - rate PER_S and depth, both in millionths of a token.
+ * core_bucket_level - millionths of a token in the bucket.
+ * core_bucket_covers - whether AMOUNT tokens can be spent now.
+ * core_bucket_spend, core_bucket_refund - take or return AMOUNT tokens. A refund
+ * is negative if more was used than had been taken; the bucket may then fall
+ * below zero.
+ */
+void core_bucket_configure(struct core_bucket *bucket, uint64_t per_s,
+			   uint64_t unit, uint64_t now_us);
+void core_bucket_set(struct core_bucket *bucket, uint64_t per_s, uint64_t depth,
+		     uint64_t now_us);
+int64_t core_bucket_level(const struct core_bucket *bucket, uint64_t now_us);
+bool core_bucket_covers(struct core_bucket *bucket, uint64_t now_us,
+			uint64_t amount);
+void core_bucket_spend(struct core_bucket *bucket, uint64_t amount);
+void core_bucket_refund(struct core_bucket *bucket, int64_t amount);
+
+/*
+ * core_rate.c: limits of requests a second that servers name for all hosts
+ * together. This host keeps to its share of them.
+ *
+ * core_rate_on_limit - a server named, changed or ended its limit.
+ * core_rate_configure - compute the share anew, for other hosts or another limit.
+ * core_rate_allows - whether an attempt may go to the server now. A hedge may
+ * not go to a limited server, which is in need and would get work twice.
+ * core_rate_take - count an attempt that is sent to the server.
+ * core_rate_opens_us - when limits next allow an attempt at a server of the
+ * service; UINT64_MAX: they do not as they are.
+ */
+void core_rate_on_limit(struct core *core, const struct core_event *event);
+void core_rate_configure(const struct core *core, struct core_server *server);
+bool core_rate_allows(const struct core *core, const struct core_server *server,
+		      bool hedge);
+void core_rate_take(const struct core *core, struct core_server *server);
+uint64_t core_rate_opens_us(const struct core *core,
+			    const struct core_service *service);
+
 /*
  * core_probe.c: measuring budget, probes, load reports, probe responses.
  *
- * core_bucket_configure - set rate and depth for PER_S millionths of a token a
- * second; UNIT is the largest single amount, in tokens.
  * core_take_report_budget - whether an attempt may request a load report; takes
  * its bytes from the budget.
  * core_send_probe - emit a PROBE action; false: the budget is used up.
  * core_send_call_probes - for policy "probes", probe random servers for a new
  * call.
- * core_recheck_draining - send due probes to servers that answered x-draining.
+ * core_recheck_servers - send due probes to servers that answered x-draining or
+ * named a rate limit, which may have ended.
  * core_pick_from_pool - choose a server by pooled responses; false: too few.
  */
-void core_bucket_configure(struct core_bucket *bucket, uint64_t per_s,
-			   uint64_t unit, uint64_t now_us);
 bool core_take_report_budget(struct core *core, struct core_service *service,
 			     const struct core_server *server);
 bool core_send_probe(struct core *core, uint32_t id);
 void core_send_call_probes(struct core *core, struct core_service *service);
-void core_recheck_draining(struct core *core);
+void core_recheck_servers(struct core *core);
 void core_on_report(struct core *core, const struct core_event *event);
 bool core_pick_from_pool(struct core *core, struct core_service *service,
 			 const uint32_t *candidates, uint32_t count,
--- a/status.h
+++ b/status.h
@@ -23,6 +23,7 @@
 	X(CALLER_LIMIT, "caller-limit", 429, 1, true)                 \
 	X(QUEUE_FULL, "queue-full", 503, 1, true)                     \
 	X(NO_SERVER, "no-server", 503, 1, true)                       \
+	X(RATE_LIMIT, "rate-limit", 503, 1, true)                     \
 	X(REFUSED, "refused-by-server", 503, 1, true)                 \
 	X(CONNECT, "connect-failed", 503, 1, true)                    \
 	X(STOPPING, "stopping", 503, 1, true)                         \
--- a/tests/run_limit.sh
+++ b/tests/run_limit.sh
@@ -41,19 +41,33 @@
 			-w '%{http_code} %{time_total}\n' >>"$WORK/calls$1"
 	done 2>/dev/null
 }
-# check_limits SERVER FROM-MS TO-MS: no window has more requests than allowed,
-# and the whole time has at least half of what the limit allows.
-check_limits() {
-	local most count least
+# check_limit SERVER FROM-MS TO-MS: no window has more requests than allowed.
+check_limit() {
+	local most
 	most=$(busiest "$@")
-	count=$(requests "$@" | wc -l)
-	least=$((LIMIT_PER_S * ($3 - $2) / 2000))
-	say "server $1: at most $most of $ALLOWED in a window, $count in all, at least $least"
+	say "server $1: at most $most of $ALLOWED in a window"
 	check "server $1 got $most requests in $WINDOW_MS ms, allowed $ALLOWED" \
 		test "$most" -le $ALLOWED
+}
+# check_used SERVER FROM-MS TO-MS: the server got at least half of its limit.
+check_used() {
+	local count least
+	count=$(requests "$@" | wc -l)
+	least=$((LIMIT_PER_S * ($3 - $2) / 2000))
+	say "server $1: $count requests, at least $least"
 	check "server $1 got only $count requests, expected $least" \
 		test "$count" -ge $least
 }
+# mark_calls: calls_since_mark prints the outcomes of the calls from now on, at
+# the hosts that are not killed.
+mark_calls() {
+	for i in 0 1 2 3 4; do wc -l <"$WORK/calls$i" >"$WORK/mark$i"; done
+}
+calls_since_mark() {
+	for i in 0 1 2 3 4; do
+		tail -n +$(($(cat "$WORK/mark$i") + 1)) "$WORK/calls$i"
+	done
+}
 
 start_platform || exit 1
 for s in $(seq 0 $((SERVERS - 1))); do
@@ -68,46 +82,59 @@
 done
 for i in $(seq 0 $((HOSTS - 1))); do
 	run_caller "$i" &
-	caller_pids="${caller_pids:-} $!"
+	callers="${callers:-} $!"
 done
 sleep 1
 
-# One server names a limit; a host is killed and starts anew meanwhile.
+# One server names a limit; a host is killed and starts anew meanwhile. The other
+# servers have room for all calls.
 named=$(now_ms)
 set_limit 0 $LIMIT_PER_S
+mark_calls
 sleep 5
 kill -9 "$pid_entry5"
 start_follower 5
 sleep 4
-check_limits 0 $((named + SETTLE_MS)) "$(now_ms)"
+check_limit 0 $((named + SETTLE_MS)) "$(now_ms)"
+failed=$(calls_since_mark | grep -cv '^200')
+check "$failed calls failed although two servers are not limited" \
+	test "$failed" = 0
 
 # All servers name a limit. What they cannot take is refused at once.
 named=$(now_ms)
 for s in 1 2; do set_limit "$s" $LIMIT_PER_S; done
 sleep 3
-for i in $(seq 0 $((HOSTS - 1))); do
-	wc -l <"$WORK/calls$i" >"$WORK/before$i"
-done
+mark_calls
 sleep 6
 until=$(now_ms)
-for s in 0 1 2; do check_limits "$s" $((named + SETTLE_MS)) "$until"; done
-for i in 0 1 2 3 4; do
-	tail -n +$(($(cat "$WORK/before$i") + 1)) "$WORK/calls$i"
-done >"$WORK/refused"
-check "no call was refused" grep -q '^503' "$WORK/refused"
-slow=$(awk '$1 == 503 && $2 > 0.4' "$WORK/refused" | wc -l)
+for s in 0 1 2; do
+	check_limit "$s" $((named + SETTLE_MS)) "$until"
+	check_used "$s" $((named + SETTLE_MS)) "$until"
+done
+calls_since_mark >"$WORK/limited"
+check "no call was refused" grep -q '^503' "$WORK/limited"
+slow=$(awk '$1 == 503 && $2 > 0.4' "$WORK/limited" | wc -l)
 check "$slow calls were refused only after 0.4 s" test "$slow" = 0
 
-# The limits end.
-ended=$(now_ms)
-for s in 0 1 2; do set_limit "$s" ""; done
-sleep 9
-for s in 0 1 2; do
-	count=$(requests "$s" $((ended + 6000)) $((ended + 9000)) | wc -l)
-	say "server $s: $count requests in 3 s after its limit has ended"
-	check "server $s is still limited" test "$count" -gt $((LIMIT_PER_S * 3 * 2))
+# The limit of one server ends, and the others take nothing any more.
+set_limit 0 ""
+for s in 1 2; do set_limit "$s" 0; done
+sleep 6
+from=$(now_ms)
+mark_calls
+sleep 3
+until=$(now_ms)
+count=$(requests 0 "$from" "$until" | wc -l)
+say "server 0: $count requests in 3 s after its limit has ended"
+check "server 0 is still limited" test "$count" -gt $((LIMIT_PER_S * 3 * 2))
+for s in 1 2; do
+	count=$(requests "$s" "$from" "$until" | wc -l)
+	check "server $s got $count requests and takes none" test "$count" = 0
 done
+failed=$(calls_since_mark | grep -cv '^200')
+check "$failed calls failed although a server is not limited" \
+	test "$failed" = 0
 touch "$WORK/done"
-wait $caller_pids 2>/dev/null
+wait $callers 2>/dev/null
 say "failures: $failures"
 test $failures = 0
