Share the slack of retries when there are more hosts than retries

Change: if the slack is less than one retry for each host, the first hosts by their hash have one and the others none. These still earn retries by their calls.

Measured: hosts_share_the_slack_of_retries fails before for 100, 114 and 120 hosts (10000, 11400 and 12000 hundredths where 6000 are allowed) and passes now; test_rate 41 checks, 0 failed.

--- a/core_limit.c
+++ b/core_limit.c
@@ -28,6 +28,7 @@
 	CORE_MAX_SAVED_RETRIES = 10,
 	/* The rest is left for hosts that are not in the host list yet. */
 	CORE_SLACK_PERCENT = 80,
+	CORE_ONE_RETRY = 100, /* hundredths */
 	CORE_HISTOGRAM_MAX_SAMPLES = 4096,
 	/* Samples between two updates of the percentiles. */
 	CORE_PERCENTILE_EVERY_SAMPLES = 64,
@@ -330,7 +331,36 @@
 	server->others_load_q8 = 2 * server->slots * CORE_Q8;
 }
 
-/* The share of a host is at least one retry, which is 100 hundredths. */
+/* Number of other hosts whose hash sorts before that of this host. */
+static uint32_t core_hosts_before(const struct core *core)
+{
+	uint32_t before = 0;
+
+	for (guint i = 0; i < core->hosts->len; i++) {
+		const struct core_host_conf *host =
+			&g_array_index(core->hosts, struct core_host_conf, i);
+
+		before += !host->draining && host->hash < core->host_hash;
+	}
+	return before;
+}
+
+/*
+ * The share of a host, in hundredths, is at least one retry. If there are more
+ * hosts than retries, it is one for the first hosts and none for the others.
+ */
+static uint32_t core_retry_slack_share(const struct core *core, uint32_t hosts,
+				       uint32_t retry_slack)
+{
+	uint32_t slack = retry_slack * CORE_SLACK_PERCENT;
+
+	if (slack / hosts >= CORE_ONE_RETRY)
+		return slack / hosts;
+	return core_hosts_before(core) < slack / CORE_ONE_RETRY ?
+		       CORE_ONE_RETRY :
+		       0;
+}
+
 void core_configure_retries(const struct core *core,
 			    const struct core_conf *conf,
 			    const struct core_service_conf *from,
@@ -339,10 +369,9 @@
 	uint32_t hosts = MAX(core->host_count, conf->budget_hosts);
 
 	service->retry_percent = from->retry_percent;
-	service->retry_slack = 0;
-	if (from->retry_slack)
-		service->retry_slack = MAX(
-			from->retry_slack * CORE_SLACK_PERCENT / hosts, 100);
+	service->retry_window_used = from->retry_slack != 0;
+	service->retry_slack =
+		core_retry_slack_share(core, hosts, from->retry_slack);
 }
 
 static struct core_retry_second *
@@ -366,7 +395,7 @@
 	uint64_t earned = service->retry_slack;
 	uint64_t spent = 0;
 
-	if (!service->retry_slack)
+	if (!service->retry_window_used)
 		return service->retry_credit;
 	for (uint32_t i = 0; i < CORE_RETRY_WINDOW_S; i++) {
 		const struct core_retry_second *at = &service->retry_window[i];
@@ -374,7 +403,7 @@
 		if (at->second + CORE_RETRY_WINDOW_S <= now_s)
 			continue;
 		earned += (uint64_t)at->calls * service->retry_percent;
-		spent += (uint64_t)at->extra_attempts * 100;
+		spent += (uint64_t)at->extra_attempts * CORE_ONE_RETRY;
 	}
 	return earned > spent ? (uint32_t)(earned - spent) : 0;
 }
@@ -385,7 +414,7 @@
 	core_current_second(core, service)->calls++;
 	service->retry_credit =
 		MIN(service->retry_credit + service->retry_percent,
-		    100 * CORE_MAX_SAVED_RETRIES);
+		    CORE_ONE_RETRY * CORE_MAX_SAVED_RETRIES);
 }
 
 /* Retries and hedges share one budget. */
@@ -394,9 +423,9 @@
 {
 	if (!me_on(ME_RETRY_BUDGET))
 		return true;
-	if (core_retry_credit(core, service) < 100)
+	if (core_retry_credit(core, service) < CORE_ONE_RETRY)
 		return false;
 	core_current_second(core, service)->extra_attempts++;
-	service->retry_credit -= MIN(service->retry_credit, 100);
+	service->retry_credit -= MIN(service->retry_credit, CORE_ONE_RETRY);
 	return true;
 }
--- a/core_state.h
+++ b/core_state.h
@@ -147,10 +147,11 @@
 	/* Budget of retries and hedges, in hundredths of an attempt. */
 	uint32_t retry_credit;
 	/*
-	 * If RETRY_SLACK is set, it replaces RETRY_CREDIT: over the seconds of
-	 * RETRY_WINDOW, extra attempts may not exceed RETRY_PERCENT of the
-	 * calls plus RETRY_SLACK.
+	 * If RETRY_WINDOW_USED is set, RETRY_CREDIT does not count: over the
+	 * seconds of RETRY_WINDOW, extra attempts may not exceed RETRY_PERCENT
+	 * of the calls plus RETRY_SLACK.
 	 */
+	bool retry_window_used;
 	uint32_t retry_slack; /* share of this host, in hundredths */
 	struct core_retry_second retry_window[CORE_RETRY_WINDOW_S];
 	/* Measuring budget. */
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -1,6 +1,6 @@
 /*
- * Tests of the limits of requests a second that servers name for all hosts
- * together: each host is a core of its own.
+ * Tests of what is limited for all hosts together: the requests a second that a
+ * server takes, and retries. Each host is a core of its own.
  */
 #include <string.h>
 
@@ -17,6 +17,7 @@
 	TARGET_MS = 400,
 	TIMEOUT_MS = 2000,
 	STEP_MS = 5,
+	RETRY_SLACK = 60,
 	MILLI = 1000
 };
 
@@ -81,7 +82,7 @@
 		.policy = policy,
 		.queue_limit = 100,
 		.retry_percent = 100,
-		.retry_slack = 1000,
+		.retry_slack = RETRY_SLACK,
 		.probe_requests_per_s = 1000000,
 		.probe_bytes_per_s = 1 << 30,
 		.probe_cross_zone_bytes_per_s = 1 << 30,
@@ -384,6 +385,23 @@
 }
 END_TEST
 
+/*
+ * Guards against a budget of all hosts that grows with their number: with at
+ * least one retry for each of 120 hosts, 60 retries became 120.
+ */
+START_TEST(hosts_share_the_slack_of_retries)
+{
+	uint32_t credit = 0;
+
+	start_hosts(shares[_i].hosts);
+	for (uint32_t i = 0; i < host_count; i++)
+		credit += core_retry_credit(&cores[i],
+					    core_service(&cores[i], 0));
+	ck_assert_uint_le(credit, RETRY_SLACK * 100);
+	ck_assert_uint_ge(credit, RETRY_SLACK * 100 / 10);
+}
+END_TEST
+
 static const enum core_policy policies[] = {
 	CORE_POLICY_ASK,     CORE_POLICY_RANDOM, CORE_POLICY_LEAST_OF_TWO,
 	CORE_POLICY_REPORTS, CORE_POLICY_SHARES,
@@ -546,6 +564,8 @@
 	tcase_add_test(tests, host_without_host_list_sends_nothing);
 	tcase_add_test(tests,
 		       servers_without_host_in_their_zone_are_shared_by_all);
+	tcase_add_loop_test(tests, hosts_share_the_slack_of_retries, 0,
+			    G_N_ELEMENTS(shares));
 	tcase_add_loop_test(tests, limits_hold_under_load, 0,
 			    G_N_ELEMENTS(policies));
 	tcase_add_test(tests, retries_count);
