Let servers in the soak name limits of requests a second

Change: two more kinds of fault begin and end a limit of 3 requests a second at a server. At the end the time of each run is compared with the limits: in any 4 s from 3 s after a limit was named, at most one and a half times what it allows, and 5.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -9,6 +9,8 @@
 #   - a call answered 503 or 429 never ran
 #   - an order ran at most once
 #   - a call whose caller left while the host was paused never ran
+#   - a server that named a limit of requests a second did not get more than one
+#     and a half times that, and five, in any 4 s
 #   - within 5 s of the last fault every host has the newest manifest in force
 #     and serves a call by it
 # At least half of the calls must be answered 200.
@@ -19,7 +21,9 @@
 PORT_BASE=${PORT_BASE:-24000}
 set -- "$1"
 . "$(dirname "$0")/lib_platform.sh"
-HOSTS=4 SERVERS=4
+HOSTS=4 SERVERS=4 LIMIT_PER_S=3
+# A limit binds from SETTLE_MS after it was first named, in any WINDOW_MS.
+SETTLE_MS=3000 WINDOW_MS=4000
 RANDOM=$SEED
 store_port=$((PORT_BASE + 1))
 
@@ -65,6 +69,25 @@
 	call_host "$1" /safe/a "left-$((++departed))" -m 0.1 >/dev/null
 	call_host "$1" /order/a "left-$((++departed))" -m 0.1 -X POST >/dev/null
 }
+now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
+# set_limit I TEXT: server I names TEXT as its limit; empty: none.
+set_limit() {
+	curl -s -o /dev/null -X PUT -d "$2" \
+		"127.0.0.1:$((servers_port + 50 + $1))/limit"
+}
+# begin_limit I, end_limit I: server I names a limit, and no longer does. A line
+# "server from-ms to-ms" in "limits" says how long.
+begin_limit() {
+	test -z "${limited_since[$1]:-}" || return
+	limited_since[$1]=$(now_ms)
+	set_limit "$1" $LIMIT_PER_S
+}
+end_limit() {
+	test -n "${limited_since[$1]:-}" || return
+	say "${server_id[$1]} ${limited_since[$1]} $(now_ms)" >>"$WORK/limits"
+	limited_since[$1]=
+	set_limit "$1" "" 2>/dev/null
+}
 # Writes the next version of the manifest, which has a route of that version.
 put_next_manifest() {
 	version=$((version + 1))
@@ -77,7 +100,7 @@
 	local host=$((RANDOM % HOSTS)) server=$((RANDOM % SERVERS))
 	local modes=(reset silent up down slow)
 	local mode=${modes[$((RANDOM % 5))]}
-	local fault=$((RANDOM % 13))
+	local fault=$((RANDOM % 15))
 	say "$(date +%T) fault $fault host $host server $server $mode" >>"$WORK/faults"
 	case $fault in
 	0) kill -9 "${host_pid[$host]}"; sleep 0.2; start_entry $host ;;
@@ -90,7 +113,8 @@
 		echo pass >"$WORK/store.mode" ;;
 	5) echo "$mode" >"$WORK/server$server.mode"; sleep 1.5
 		echo pass >"$WORK/server$server.mode" ;;
-	6) kill -9 "${server_pid[$server]}"; drop_row servers "${server_id[$server]}"
+	6) end_limit $server
+		kill -9 "${server_pid[$server]}"; drop_row servers "${server_id[$server]}"
 		incarnation=$((incarnation + 1)); sleep 0.3
 		start_server $server $incarnation; put_server_state $server ready ;;
 	7) put_server_state $server draining; sleep 2.2; put_server_state $server ready ;;
@@ -101,6 +125,8 @@
 	11) platform_fault '{"late_txns":1,"late_ms":700}' ;;
 	12) kill -STOP "${server_pid[$server]}"; sleep 1
 		kill -CONT "${server_pid[$server]}" ;;
+	13) begin_limit $server; sleep 1 ;;
+	14) end_limit $server ;;
 	esac
 }
 # Whether every host serves a call on the route of the newest manifest.
@@ -111,7 +137,7 @@
 	done
 }
 
-declare -a host_pid server_pid server_id
+declare -a host_pid server_pid server_id limited_since
 version=0 incarnation=0 departed=0
 start_platform || exit 1
 start_proxy store "127.0.0.1:$store_port" "$real_platform"
@@ -136,6 +162,7 @@
 	inject_fault
 	test $((RANDOM % 3)) = 0 || sleep 0.$((RANDOM % 9))
 done
+for s in $(seq 0 $((SERVERS - 1))); do end_limit $s; done
 platform_fault '{"late_txns":0}'
 put_next_manifest || put_next_manifest ||
 	fail "the store does not take the last manifest"
@@ -158,3 +185,25 @@
 		cat "$WORK/faults"
 		fail "seed $SEED: answers and runs do not agree, or too few calls succeeded"
 	}
+
+# Joins the limits (server from to) with the runs (id server time).
+touch "$WORK/limits"
+sort -k3n "$WORK/runs" >"$WORK/runs_in_order"
+awk -v settle=$SETTLE_MS -v window=$WINDOW_MS -v allowed=$((LIMIT_PER_S * WINDOW_MS * 3 / 2000 + 5)) '
+	FILENAME == ARGV[1] { n++; server[n] = $1; from[n] = $2 + settle; to[n] = $3; next }
+	{ for (i = 1; i <= n; i++) {
+		if (server[i] != $2 || $3 < from[i] || $3 >= to[i]) continue
+		at[i, ++last[i]] = $3
+		while ($3 - at[i, first[i] + 1] >= window) first[i]++
+		if (last[i] - first[i] > most[i]) most[i] = last[i] - first[i]
+	} }
+	END { for (i = 1; i <= n; i++) {
+		bound += to[i] > from[i]
+		if (most[i] > greatest) greatest = most[i]
+		bad += most[i] > allowed
+	}
+	printf "%d limits that bound, at most %d of %d requests in a window\n", bound, greatest, allowed
+	exit bad > 0 }' "$WORK/limits" "$WORK/runs_in_order" || {
+		cat "$WORK/faults"
+		fail "seed $SEED: a server got more than its limit"
+	}
