Log when the store has come back from a copy

Cause: nothing told which state of the store an answer came from, or that a manifest was read and not taken, so the hypotheses on the incident CONFIG could not be told apart.

No decision changes.

--- a/counter.h
+++ b/counter.h
@@ -43,6 +43,8 @@
 	X(PLATFORM_WRITES, "platform_writes_total", "Writes at the platform") \
 	X(PLATFORM_ERRORS, "platform_errors_total",                           \
 	  "Failed platform requests")                                         \
+	X(RESTORES, "store_restores_total",                                   \
+	  "Times a table was found restored from a copy")                     \
 	X(LOG_DROPPED, "log_lines_dropped_total", "Lines of the log dropped") \
 	X(MANIFEST, "manifest_changes_total",                                 \
 	  "Versions of routes and servers taken")                             \
