--- a/tests/tool_platform.c
+++ b/tests/tool_platform.c
@@ -6,7 +6,7 @@
  * With a certificate and its key it serves HTTPS instead of HTTP. /fault sets
  * faults, named in a JSON object like the fields below. PUT /hosts sets the
  * list of hosts, which the table "hosts" shows after hosts_lag_ms. /stats
- * returns the numbers of reads and writes.
+ * returns the numbers of reads and writes, and the newest version.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -28,6 +28,16 @@
 	char *value; /* base64; NULL: removed, the row is kept for the feed */
 };
 
+/* What the store holds. A restore from a copy brings an earlier state back. */
+struct state {
+	GTree *rows; /* "table/key" to struct row */
+	GHashTable *objects;
+	uint64_t last_version;
+	/* Changes up to this version are gone; a feed after an earlier version
+	 * is answered with 410. */
+	uint64_t purged_version;
+};
+
 /* A request of the feed that is answered at the next change (long poll). */
 struct feed_waiter {
 	struct hd_request_ref *request_ref;
@@ -38,15 +48,12 @@
 	uv_loop_t loop;
 	struct tm_service timers;
 	struct hd_server http;
-	GTree *rows; /* "table/key" to struct row */
-	GHashTable *objects;
+	struct state state;
+	struct state copy; /* rows: NULL if none was made */
+	uint64_t era; /* rises with each restore; named in all answers */
 	GList *waiters;
 	json_t *next_hosts; /* published when hosts_timer fires */
 	struct tm_sub hosts_timer;
-	uint64_t last_version;
-	/* Changes up to this version are gone; a feed after an earlier version
-	 * is answered with 410. */
-	uint64_t purged_version;
 	uint64_t reads;
 	uint64_t writes;
 	/* Faults. They do not apply to /fault, /hosts and /stats. */
@@ -67,10 +74,19 @@
 	struct tm_sub timer;
 };
 
+static void add_era(h2o_req_t *req)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, platform.era);
+	hd_add_header(req, "Store-Era", text, strlen(text));
+}
+
 static void reply_json(h2o_req_t *req, int status, json_t *object)
 {
 	char *text = json_dumps(object, JSON_COMPACT | JSON_ENCODE_ANY);
 
+	add_era(req);
 	hd_reply(req, status, "application/json", text, strlen(text));
 	free(text);
 	json_decref(object);
@@ -139,7 +155,7 @@
 	listing->removed = feed;
 	listing->prefix = g_strconcat(table ? table : "", "/", NULL);
 	listing->from = g_strconcat(listing->prefix, from ? from : "", NULL);
-	g_tree_foreach(platform.rows, list_row, listing);
+	g_tree_foreach(platform.state.rows, list_row, listing);
 	g_free(listing->prefix);
 	g_free(listing->from);
 	g_free(table);
@@ -151,7 +167,7 @@
 	reply_json(req, 200,
 		   json_pack("{s:o, s:b, s:I}", "rows", listing->rows,
 			     "has-more", listing->more, "ver",
-			     (json_int_t)platform.last_version));
+			     (json_int_t)platform.state.last_version));
 }
 
 static uint64_t query_number(const h2o_req_t *req, const char *name,
@@ -186,7 +202,8 @@
 		.after = query_number(req, "after", 0),
 	};
 
-	if (listing.after < platform.purged_version) {
+	if (listing.after < platform.state.purged_version ||
+	    listing.after > platform.state.last_version) {
 		reply_json(req, 410, json_object());
 		return true;
 	}
@@ -260,7 +277,7 @@
 	for (size_t i = 0; i < json_array_size(conditions); i++) {
 		const json_t *item = json_array_get(conditions, i);
 		char *key = row_key(item);
-		struct row *row = g_tree_lookup(platform.rows, key);
+		struct row *row = g_tree_lookup(platform.state.rows, key);
 		uint64_t wanted = (uint64_t)json_integer_value(
 			json_object_get(item, "ver"));
 
@@ -275,9 +292,9 @@
 {
 	struct row *row = g_new0(struct row, 1);
 
-	row->version = platform.last_version;
+	row->version = platform.state.last_version;
 	row->value = g_strdup(value);
-	g_tree_replace(platform.rows, key, row);
+	g_tree_replace(platform.state.rows, key, row);
 }
 
 static void write_rows(const json_t *txn)
@@ -285,7 +302,7 @@
 	const json_t *puts = json_object_get(txn, "put");
 	const json_t *removals = json_object_get(txn, "remove");
 
-	platform.last_version++;
+	platform.state.last_version++;
 	for (size_t i = 0; i < json_array_size(puts); i++) {
 		const json_t *item = json_array_get(puts, i);
 
@@ -360,15 +377,15 @@
 	if (!conditions_hold(json_object_get(txn, "precondition"))) {
 		reply_json(req, 412,
 			   json_pack("{s:I}", "ver",
-				     (json_int_t)platform.last_version));
+				     (json_int_t)platform.state.last_version));
 	} else {
 		write_rows(txn);
 		if (!consume_fault(&platform.lose_txn_answers) &&
 		    !consume_fault(&platform.lose_answers))
-			reply_json(
-				req, 200,
-				json_pack("{s:I}", "ver",
-					  (json_int_t)platform.last_version));
+			reply_json(req, 200,
+				   json_pack("{s:I}", "ver",
+					     (json_int_t)platform.state
+						     .last_version));
 	}
 	json_decref(txn);
 }
@@ -381,18 +398,19 @@
 
 	if (hd_method_is(req, "PUT")) {
 		g_hash_table_replace(
-			platform.objects, g_strdup(name),
+			platform.state.objects, g_strdup(name),
 			g_bytes_new(req->entity.base, req->entity.len));
 		if (!consume_fault(&platform.lose_answers))
 			reply_json(req, 200, json_object());
 		return;
 	}
-	bytes = g_hash_table_lookup(platform.objects, name);
+	bytes = g_hash_table_lookup(platform.state.objects, name);
 	if (!bytes) {
 		reply_json(req, 404, json_object());
 		return;
 	}
 	data = g_bytes_get_data(bytes, &size);
+	add_era(req);
 	hd_reply(req, 200, "application/octet-stream", data, size);
 }
 
@@ -410,8 +428,8 @@
 {
 	GPtrArray *old = g_ptr_array_new();
 
-	platform.last_version++;
-	g_tree_foreach(platform.rows, collect_host, old);
+	platform.state.last_version++;
+	g_tree_foreach(platform.state.rows, collect_host, old);
 	for (guint i = 0; i < old->len; i++)
 		write_row(g_ptr_array_index(old, i), NULL);
 	g_ptr_array_free(old, TRUE);
@@ -444,7 +462,70 @@
 	reply_json(req, hosts ? 200 : 400, json_object());
 }
 
-/* Sets the faults of the request; "forget" purges all changes so far. */
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
+{
+	return strcmp(a, b);
+}
+
+static void init_state(struct state *state)
+{
+	state->rows = g_tree_new_full(compare_keys, NULL, g_free, free_row);
+	state->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       (GDestroyNotify)g_bytes_unref);
+}
+
+static void free_state(struct state *state)
+{
+	g_tree_destroy(state->rows);
+	g_hash_table_destroy(state->objects);
+}
+
+static gboolean copy_row(gpointer key, gpointer value, gpointer data)
+{
+	const struct row *from = value;
+	struct row *row = g_new0(struct row, 1);
+
+	row->version = from->version;
+	row->value = g_strdup(from->value);
+	g_tree_replace(data, g_strdup(key), row);
+	return FALSE;
+}
+
+static void copy_state(const struct state *from, struct state *to)
+{
+	GHashTableIter iter;
+	void *name;
+	void *bytes;
+
+	init_state(to);
+	to->last_version = from->last_version;
+	to->purged_version = from->purged_version;
+	g_tree_foreach(from->rows, copy_row, to->rows);
+	g_hash_table_iter_init(&iter, from->objects);
+	while (g_hash_table_iter_next(&iter, &name, &bytes))
+		g_hash_table_replace(to->objects, g_strdup(name),
+				     g_bytes_ref(bytes));
+}
+
+static void make_copy(void)
+{
+	if (platform.copy.rows)
+		free_state(&platform.copy);
+	copy_state(&platform.state, &platform.copy);
+}
+
+static void restore_copy(void)
+{
+	free_state(&platform.state);
+	copy_state(&platform.copy, &platform.state);
+	platform.era++;
+	answer_waiters();
+}
+
+/*
+ * Sets the faults of the request; "forget" purges all changes so far, "copy"
+ * copies the store and "restore" brings the copy back.
+ */
 static void set_faults(h2o_req_t *req)
 {
 	json_t *fault = json_loadb(req->entity.base, req->entity.len, 0, NULL);
@@ -460,7 +541,12 @@
 			    "refuse_status", &platform.refuse_status, "down",
 			    &platform.down, "silent", &platform.silent);
 	if (fault && json_is_true(json_object_get(fault, "forget")))
-		platform.purged_version = platform.last_version;
+		platform.state.purged_version = platform.state.last_version;
+	if (fault && json_is_true(json_object_get(fault, "copy")))
+		make_copy();
+	if (fault && json_is_true(json_object_get(fault, "restore")) &&
+	    platform.copy.rows)
+		restore_copy();
 	reply_json(req, fault ? 200 : 400, json_object());
 	json_decref(fault);
 }
@@ -534,20 +620,16 @@
 		put_hosts(req);
 	else if (hd_path_is(req, "/stats"))
 		reply_json(req, 200,
-			   json_pack("{s:I, s:I}", "reads",
+			   json_pack("{s:I, s:I, s:I}", "reads",
 				     (json_int_t)platform.reads, "writes",
-				     (json_int_t)platform.writes));
+				     (json_int_t)platform.writes, "version",
+				     (json_int_t)platform.state.last_version));
 	else if (platform.delay_ms)
 		delay_request(req);
 	else
 		serve_request(req);
 }
 
-static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
-{
-	return strcmp(a, b);
-}
-
 int main(int argc, char **argv)
 {
 	static struct se_tls files;
@@ -562,9 +644,8 @@
 	}
 	uv_loop_init(&platform.loop);
 	tm_init(&platform.timers, &platform.loop);
-	platform.rows = g_tree_new_full(compare_keys, NULL, g_free, free_row);
-	platform.objects = g_hash_table_new_full(
-		g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+	init_state(&platform.state);
+	platform.era = 1;
 	platform.hosts_timer.fire = publish_hosts;
 	if (hd_init(&platform.http, &platform.loop, &address, on_request, NULL,
 		    &status) != ST_OK) {
