Take every manifest that is written after the store was restored

Seen: after the store had come back from a copy, a confirmed manifest was never in force ("handled by version 9 or older; version 11 was acked more than 2000 ms before").

Cause: changes were read from the version up to which a host had read, and that version was given out again: a write under it, or below it, was never read. Besides, only a manifest with a higher number was taken, and a host could not tell the copy's rows from later ones. The class: an order by a counter that goes back.

Change: a state of the store is an era and a version (struct pf_position). When an answer, or another host, names a later era, the whole table is read again, and answers that were under way are discarded. Rows, reads of changes and the relay between hosts compare positions. Within an era the later row holds the later manifest, whatever its number. Across a restore, a manifest that was replaced before stays replaced; one with a lower number waits for 1.5 s, in which the operator writes again what is lost, and comes into force if it still stands then. A host of an earlier build names no era, and is served and read as before.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -469,7 +469,7 @@
 	struct fd_feed feed = { .handler = &handler };
 	const struct pf_row row = { .table = "servers",
 				    .key = "s1",
-				    .version = 3,
+				    .position = { .version = 3 },
 				    .value = "{}",
 				    .value_bytes = 2 };
 
