Do not reuse a connection on which a server has refused a request

Seen by callers of systems like this one: "not run, try again" for requests that a server was running, and such requests run at a second server.

Cause: a faulty server writes an earlier refusal once more on a kept connection. Where answers carry no id (own dialect, refused probes on the platform), or the id is the same (a retry at the same server), it looks like the answer to the request sent last.

Change: a connection is closed after a refusal, of a call or of a probe. The next request to that server needs a new one.

Measured: run_gateway has a server that writes its refusal again before each further answer.

--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -255,6 +255,8 @@
 
 	attempt->status = head->status;
 	attempt->refused = dl_is_not_run(gateway->dialect, head);
+	/* If it were sent once more, it would look like the next answer. */
+	request->close_after = attempt->refused;
 	gw_post_report(attempt, head);
 	gw_post_leaving_notice(attempt, head);
 	if (head->status == DL_MISDIRECTED && attempt->refused)
--- a/httpc.c
+++ b/httpc.c
@@ -320,7 +320,8 @@
 static void hc_conn_complete(struct hc_conn *conn, bool unparsed_data)
 {
 	struct hc_request *request = conn->request;
-	bool keep = http_should_keep_alive(&conn->parser);
+	bool keep =
+		http_should_keep_alive(&conn->parser) && !request->close_after;
 
 	request->state = HC_DONE;
 	hc_conn_release(conn, keep && !unparsed_data && !conn->writing);
--- a/httpc.h
+++ b/httpc.h
@@ -91,6 +91,7 @@
 	bool head_method; /* a HEAD request: the answer has no body */
 	bool new_connection; /* do not reuse an idle connection */
 	bool may_end_with_close; /* EOF may end an answer without a length */
+	bool close_after; /* do not reuse the connection; may be set in HEAD */
 	uint64_t max_idle_us; /* of a reused connection; 0: the pool's limit */
 	/* The fields below belong to the client. */
 	enum hc_state state;
--- a/probe.c
+++ b/probe.c
@@ -87,6 +87,8 @@
 
 	pb_count_bytes(probe, pb_head_bytes(head));
 	probe->ok = head->status == 200 && load;
+	/* If it were sent once more, it would look like the next answer. */
+	request->close_after = dl_is_not_run(dialect, head);
 	probe->draining = dl_find_header(head, dialect->draining) != NULL;
 	if (id && !hc_value_is(id, probe->target.expected_id))
 		probe->ok = false;
--- a/tests/run_gateway.sh
+++ b/tests/run_gateway.sh
@@ -132,6 +132,14 @@
 	check "the body is that of the caller's request" \
 		test "$(cat "$WORK/body")" = "/raw/own-$i"
 done
+# A server that writes an earlier refusal once more on its connection: a call that
+# is run must not be taken as refused, and run again.
+for i in $(seq 10); do
+	check "refused call" status_is 503 -X POST /raw/refuse-stale
+	check "call after a refusal" status_is 200 -X POST "/raw/hold-20-$i"
+	runs=$(grep -c "^begin /raw/hold-20-$i$" "$WORK/raw.out")
+	check "a call after a refusal ran $runs times" test "$runs" = 1
+done
 # An answer that arrives after the deadline must not reach the next caller.
 check "answer after the deadline" \
 	status_is 504 -H 'x-timeout-ms: 100' /raw/late-400
--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -18,7 +18,8 @@
  * part has "hold-MS", and answers it after MS milliseconds. If the peer closes
  * the connection before, it prints "cut PATH" and the milliseconds it took.
  * With "begun-hold-MS" the answer begins at once, with "refuse-hold-MS" it says
- * that the request was not run.
+ * that the request was not run. After "refuse-stale" it writes this refusal once
+ * more before each further answer on the connection.
  */
 #include <errno.h>
 #include <poll.h>
@@ -37,6 +38,7 @@
 enum { BACKLOG_FILL_CONNECTIONS = 16, LARGE_HEAD_BYTES = 40000 };
 
 #define OK_HEAD "HTTP/1.1 200 OK\r\n"
+#define REFUSAL "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
 
 /* Answers after which the connection is closed. */
 static const struct {
@@ -215,8 +217,7 @@
 	if (strstr(name, "begun-"))
 		return write_text(fd, "67890");
 	if (strstr(name, "refuse-"))
-		return write_text(fd, "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\n"
-				      "content-length: 0\r\n\r\n");
+		return write_text(fd, REFUSAL);
 	for (size_t i = 0; i < G_N_ELEMENTS(closing_answers); i++) {
 		if (strcmp(closing_answers[i].name, name) != 0)
 			continue;
@@ -244,6 +245,7 @@
 	char path[256];
 	size_t bytes = 0;
 	ssize_t n;
+	bool stale_refusal = false;
 
 	while ((n = recv(fd, head + bytes, sizeof(head) - 1 - bytes, 0)) > 0) {
 		bytes += (size_t)n;
@@ -252,8 +254,10 @@
 			continue;
 		bytes = 0;
 		if (sscanf(head, "%*s %255s", path) != 1 ||
+		    (stale_refusal && !write_text(fd, REFUSAL)) ||
 		    !send_answer(fd, path))
 			break;
+		stale_refusal |= strstr(path, "refuse-stale") != NULL;
 	}
 	close(fd);
 	return NULL;
