Let the store in the soak come back from a copy

Change: two more kinds of fault. One copies the store; the other writes a manifest, brings the copy back, writes the next manifest and the entries of servers, and requires that manifest to be in force within 5 s. A soak that fails early now ends its callers, which had run on.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -11,8 +11,8 @@
 #   - a call whose caller left while the host was paused never ran
 #   - a server that named a limit of requests a second did not get more than one
 #     and a half times that, and five, in any 4 s
-#   - within 5 s of the last fault every host has the newest manifest in force
-#     and serves a call by it
+#   - within 5 s of the last fault, and of each time when the store came back from
+#     a copy, every host has the newest manifest in force and serves a call by it
 # At least half of the calls must be answered 200.
 # usage: soak.sh DIRECTORY SEED [SECONDS]. The seed determines the faults and
 # their order; they are injected for 20 s by default.
@@ -46,7 +46,9 @@
 # put_server_state I STATE: writes the row of server I, with its proxy's
 # address.
 put_server_state() {
-	put_row servers "${server_id[$1]}" '{"service":"desk","address":"127.0.0.1:'$((servers_port + $1))'","zone":"gs-a","version":"v1","slots":6,"state":"'"$2"'","warmup-left-s":0,"sequence":1}'
+	server_state[$1]=$2
+	sequence=$((sequence + 1))
+	put_row servers "${server_id[$1]}" '{"service":"desk","address":"127.0.0.1:'$((servers_port + $1))'","zone":"gs-a","version":"v1","slots":6,"state":"'"$2"'","warmup-left-s":0,"sequence":'$sequence'}'
 }
 start_entry() { # I
 	platform_address=127.0.0.1:$store_port start_follower "$1"
@@ -94,13 +96,33 @@
 	put_manifest $version "$(print_route safe /safe/ safe desk),$(print_route order \
 		/order/ unsafe desk),$(print_route "v$version" "/v$version/" safe desk)"
 }
+# The store is away for half a second and comes back from its copy, which lacks the
+# last manifest. The operator writes the next one, and the servers write again what
+# is lost; those that have ended are gone.
+restore_store() {
+	test $((RANDOM % 2)) = 0 || platform_fault '{"copy":true}'
+	put_next_manifest
+	sleep 0.8
+	platform_fault '{"down":true}'
+	sleep 0.5
+	platform_fault '{"down":false,"restore":true}'
+	sleep 0.$((RANDOM % 9))
+	put_next_manifest && written=1 || written=0
+	for id in "${ended_ids[@]}"; do drop_row servers "$id"; done
+	for s in $(seq 0 $((SERVERS - 1))); do
+		put_server_state $s "${server_state[$s]}"
+	done
+	test $written = 0 || test ! -e "$WORK/lost" || { cat "$WORK/faults" "$WORK/lost"; fail "seed $SEED: a manifest is lost"; }
+within 5 manifest_in_force ||
+		say "version $version is not in force after a restore" >>"$WORK/lost"
+}
 # Injects one random fault, or writes the next manifest. A fault that lasts is
 # ended before the function returns, except for a late transaction.
 inject_fault() {
 	local host=$((RANDOM % HOSTS)) server=$((RANDOM % SERVERS))
 	local modes=(reset silent up down slow)
 	local mode=${modes[$((RANDOM % 5))]}
-	local fault=$((RANDOM % 15))
+	local fault=$((RANDOM % 17))
 	say "$(date +%T) fault $fault host $host server $server $mode" >>"$WORK/faults"
 	case $fault in
 	0) kill -9 "${host_pid[$host]}"; sleep 0.2; start_entry $host ;;
@@ -114,6 +136,7 @@
 	5) echo "$mode" >"$WORK/server$server.mode"; sleep 1.5
 		echo pass >"$WORK/server$server.mode" ;;
 	6) end_limit $server
+		ended_ids+=("${server_id[$server]}")
 		kill -9 "${server_pid[$server]}"; drop_row servers "${server_id[$server]}"
 		incarnation=$((incarnation + 1)); sleep 0.3
 		start_server $server $incarnation; put_server_state $server ready ;;
@@ -127,6 +150,8 @@
 		kill -CONT "${server_pid[$server]}" ;;
 	13) begin_limit $server; sleep 1 ;;
 	14) end_limit $server ;;
+	15) platform_fault '{"copy":true}' ;;
+	16) restore_store ;;
 	esac
 }
 # Whether every host serves a call on the route of the newest manifest.
@@ -137,8 +162,9 @@
 	done
 }
 
-declare -a host_pid server_pid server_id limited_since
-version=0 incarnation=0 departed=0
+declare -a host_pid server_pid server_id server_state limited_since
+declare -a ended_ids=()
+version=0 incarnation=0 departed=0 sequence=0
 start_platform || exit 1
 start_proxy store "127.0.0.1:$store_port" "$real_platform"
 for s in $(seq 0 $((SERVERS - 1))); do
@@ -148,6 +174,8 @@
 	put_server_state $s ready
 done
 put_next_manifest
+# So that the store can be restored before the first fault that makes a copy.
+platform_fault '{"copy":true}'
 for i in $(seq 0 $((HOSTS - 1))); do start_entry $i; done
 for i in $(seq 0 $((HOSTS - 1))); do
 	wait_ready $i || fail "host $i is not ready"
@@ -156,6 +184,7 @@
 for i in $(seq 0 $((HOSTS - 1))); do
 	run_caller $i &
 	caller_pids="$caller_pids $!"
+	PIDS="$PIDS $!" # stop_all ends it if the soak fails early
 done
 until=$((SECONDS + DURATION_S))
 while test $SECONDS -lt $until; do
