Refuse orders that a stopping host might not finish

Seen by callers of systems like this one: in a planned stop, requests that came late in the grace were taken and cut with no answer, among them requests that may not be repeated.

Cause: a stopping host took every call until it stopped listening, whatever its deadline. It did not know that it will be killed.

Change: stop_limit_s says how long after SIGTERM the process is killed; on the platform this is its grace. Calls that may be repeated are taken as before.

--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -94,7 +94,9 @@
 {
 	struct sv_host *host = ctx;
 	struct kn_msg msg = { KN_STOP, sizeof(msg) };
+	uint64_t now_us = tm_now_us();
 	uint64_t grace_us = host->settings.stop_grace_ms * SV_US_PER_MS;
+	uint64_t limit_us = host->settings.stop_limit_ms * SV_US_PER_MS;
 
 	if (host->stopping)
 		return;
@@ -106,10 +108,10 @@
 	}
 	lg_info("stop", "graceful stop begins");
 	kn_broadcast(&host->kernel, &msg);
-	gw_announce_stop(&host->gateway);
+	gw_announce_stop(&host->gateway, limit_us ? now_us + limit_us : 0);
 	host->stop_timer.fire = sv_on_grace_end;
 	host->stop_timer.ctx = host;
-	tm_subscribe(&host->timers, &host->stop_timer, tm_now_us() + grace_us);
+	tm_subscribe(&host->timers, &host->stop_timer, now_us + grace_us);
 }
 
 /*
@@ -123,6 +125,7 @@
 	struct se_settings *settings = &host->settings;
 
 	settings->stop_grace_ms = updated->stop_grace_ms;
+	settings->stop_limit_ms = updated->stop_limit_ms;
 	settings->fresh_ms = updated->fresh_ms;
 	settings->retry_percent = updated->retry_percent;
 	settings->retry_slack = updated->retry_slack;
--- a/gateway.c
+++ b/gateway.c
@@ -287,9 +287,10 @@
 		       gw_on_request, gateway, status);
 }
 
-void gw_announce_stop(struct gw_gateway *gateway)
+void gw_announce_stop(struct gw_gateway *gateway, uint64_t kill_us)
 {
 	gateway->stopping = true;
+	gateway->kill_us = kill_us;
 	hd_announce_stop(&gateway->http);
 }
 
--- a/gateway.h
+++ b/gateway.h
@@ -54,6 +54,7 @@
 	struct tm_sub caller_check;
 	uint64_t caller_check_us; /* time of the last one */
 	bool stopping;
+	uint64_t kill_us; /* end of the process by SIGKILL; 0: not known */
 	uint32_t calls_in_flight;
 	uint32_t host_count; /* entry hosts that share the servers' limits */
 };
@@ -71,9 +72,10 @@
 
 /*
  * gw_announce_stop - fail health checks and close each connection with its next
- * answer.
+ * answer. The process will be killed at KILL_US; 0: not known. Calls that must
+ * not run twice are refused if their deadline is later: they might be cut off.
  */
-void gw_announce_stop(struct gw_gateway *gateway);
+void gw_announce_stop(struct gw_gateway *gateway, uint64_t kill_us);
 /*
  * gw_stop_listening - accept no new connections and keep no idle ones to
  * servers.
--- a/gateway_call.c
+++ b/gateway_call.c
@@ -11,6 +11,8 @@
 enum {
 	/* Least time for the caller to read the rest of an answer or error. */
 	GW_READ_TIMEOUT_US = 500 * 1000,
+	/* For the answer at the deadline to leave before the process ends. */
+	GW_KILL_MARGIN_US = 200 * 1000,
 	GW_HEAD_BYTES = 512
 };
 
@@ -308,6 +310,25 @@
 	gw_call_unref(call);
 }
 
+/* Whether the host may be killed before the call has its answer. */
+static bool gw_outlasts_host(const struct gw_call *call)
+{
+	const struct gw_gateway *gateway = call->gateway;
+
+	return gateway->stopping && gateway->kill_us && !call->idempotent &&
+	       call->deadline_us + GW_KILL_MARGIN_US > gateway->kill_us;
+}
+
+static void gw_refuse_at_stop(struct gw_call *call)
+{
+	struct od_claim_result refused = {
+		.kind = ST_STOPPING,
+		.msg = "the host stops and might not finish the request",
+	};
+
+	gw_end_unsubmitted(call, &refused);
+}
+
 static void gw_on_claim(void *ctx, const struct od_claim_result *result)
 {
 	struct gw_call *call = ctx;
@@ -377,8 +398,10 @@
 		gateway->document, caller.base ? caller.base : "", caller.len);
 	call->service = gateway->service_ids[index];
 	call->idempotent = rule ? rule->idempotent : gw_is_safe_method(req);
-	if (key.base && !call->idempotent && gateway->orders &&
-	    me_on(ME_ORDER_CLAIM))
+	if (gw_outlasts_host(call))
+		gw_refuse_at_stop(call);
+	else if (key.base && !call->idempotent && gateway->orders &&
+		 me_on(ME_ORDER_CLAIM))
 		gw_claim_order(call, service->name, key);
 	else
 		gw_submit_call(call);
@@ -409,5 +432,8 @@
 	call->bulky = route->bulky;
 	call->max_attempts = route->max_attempts;
 	call->caller_index = route->priority;
-	gw_submit_call(call);
+	if (gw_outlasts_host(call))
+		gw_refuse_at_stop(call);
+	else
+		gw_submit_call(call);
 }
--- a/settings.c
+++ b/settings.c
@@ -16,6 +16,7 @@
 	SE_MAX_PROBES_PER_SERVER_S = 10000
 };
 enum { SE_MIN_SECRET_CHARS = 16, SE_MAX_STOP_GRACE_MS = 60000 };
+enum { SE_MAX_STOP_LIMIT_S = 3600, SE_MS_PER_S = 1000 };
 /*
  * With less than an hour, a host that was paused or has a wrong clock could
  * handle an order whose row was already deleted, and claim its key again.
@@ -183,18 +184,17 @@
 }
 
 /* Reads a decimal number, such as "0.2". */
-static double se_read_share(struct ym_node *map, const char *key,
-			    struct ym_errors *errors)
+static double se_read_decimal(struct ym_node *map, const char *key, int max,
+			      struct ym_errors *errors)
 {
 	const char *text = ym_string(map, key, "0", errors);
 	char *end;
-	double share = g_ascii_strtod(text, &end);
+	double number = g_ascii_strtod(text, &end);
 
-	if (*end || !(share >= 0) || share > SE_MAX_PROCESSOR_SHARE)
+	if (*end || !(number >= 0) || number > max)
 		ym_error(errors, ym_get(map, key), key,
-			 "\"%.20s\" is not a number from 0 to %d", text,
-			 SE_MAX_PROCESSOR_SHARE);
-	return share;
+			 "\"%.20s\" is not a number from 0 to %d", text, max);
+	return number;
 }
 
 static void se_read_platform(struct ym_node *root, struct se_settings *settings,
@@ -210,8 +210,8 @@
 	settings->follow_platform = ym_bool(map, "follow", false, errors);
 	if (settings->follow_platform)
 		se_read_address(map, "relay", &settings->relay, errors);
-	settings->processor_share =
-		se_read_share(map, "processor_share", errors);
+	settings->processor_share = se_read_decimal(
+		map, "processor_share", SE_MAX_PROCESSOR_SHARE, errors);
 	settings->fresh_ms =
 		ym_uint(map, "fresh_ms", SE_MIN_FRESH_MS, SE_MAX_FRESH_MS,
 			SE_DEFAULT_FRESH_MS, errors);
@@ -256,6 +256,10 @@
 		ym_uint(root, "random_seed", 0, UINT64_MAX, 0, errors);
 	settings->stop_grace_ms = ym_uint(root, "stop_grace_ms", 0,
 					  SE_MAX_STOP_GRACE_MS, 3000, errors);
+	settings->stop_limit_ms =
+		(uint64_t)(SE_MS_PER_S * se_read_decimal(root, "stop_limit_s",
+							 SE_MAX_STOP_LIMIT_S,
+							 errors));
 	settings->lease_ms =
 		ym_uint(root, "lease_ms", SE_MIN_LEASE_MS, SE_MAX_LEASE_MS,
 			SE_DEFAULT_LEASE_MS, errors);
--- a/settings.h
+++ b/settings.h
@@ -72,6 +72,8 @@
 	uint64_t order_retention_s; /* of order rows after their deadline */
 	/* From failing health checks to closing the callers' listener. */
 	uint64_t stop_grace_ms;
+	/* From SIGTERM to the end of the process by SIGKILL; 0: unknown. */
+	uint64_t stop_limit_ms;
 };
 
 /*
