Test that a later era of the store goes before a higher version

Change: a test of positions and of tables that other hosts relay; the note on leases tells what does not hold then.

--- a/lease.h
+++ b/lease.h
@@ -17,8 +17,10 @@
  * write is a transaction that requires the row to have the holder's token. The
  * transaction also rewrites the row, which extends the lease and yields the
  * next token. If the holder is paused until another host has taken the lease
- * over, its writes fail, because the row has a new version. The platform never
- * reuses a version.
+ * over, its writes fail, because the row has a new version. The platform reuses a
+ * version only when its store comes back from a copy. A lease does not protect
+ * from that: the sweep of expired orders, its only user, may then run twice at a
+ * time.
  *
  * Leases depend on no wall clock. A host takes a lease over when, by its own
  * monotonic clock, the row has not changed for the duration of the lease and a
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -496,6 +496,48 @@
 }
 END_TEST
 
+static void ignore_batch_end(void *ctx, struct fd_feed *feed)
+{
+}
+
+/*
+ * Guards against a copy of the store that comes back through another host: a host
+ * that has not heard of the restore yet, or one that has not read the table anew,
+ * must not bring earlier rows back. A later era starts with the whole table, and
+ * its versions count anew.
+ */
+START_TEST(later_era_goes_before_higher_version)
+{
+	const struct fd_handler handler = { .on_row = ignore_row,
+					    .on_batch_end = ignore_batch_end };
+	const struct pf_position earlier = { .era = 1, .version = 90 };
+	const struct pf_position later = { .era = 2, .version = 20 };
+	struct fd_feed feed = { .handler = &handler,
+				.table = "op",
+				.synced = true,
+				.position = { .era = 1, .version = 80 } };
+	struct pf_row row = { .table = "op", .key = "config" };
+
+	ck_assert(pf_is_later(&later, &earlier));
+	ck_assert(!pf_is_later(&earlier, &later));
+	feed.rows = g_hash_table_new(g_str_hash, g_str_equal);
+	ck_assert(!fd_may_be_copied(&feed, &row));
+	ck_assert(fd_begin_relayed_table(&feed, &later));
+	fd_end_relayed_table(&feed);
+	ck_assert_uint_eq(feed.position.era, 2);
+	ck_assert_uint_eq(feed.position.version, 20);
+	ck_assert(!fd_begin_relayed_table(&feed, &earlier));
+	fd_finish_relayed(&feed, &earlier, 1);
+	ck_assert_uint_eq(feed.position.era, 2);
+	ck_assert_uint_eq(feed.position.version, 20);
+	row.position = later;
+	ck_assert(fd_may_be_copied(&feed, &row));
+	row.position.version++;
+	ck_assert(!fd_may_be_copied(&feed, &row));
+	g_hash_table_destroy(feed.rows);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("platform");
@@ -515,6 +557,7 @@
 	tcase_add_loop_test(tests, answer_that_is_arriving_may_take_longer, 0,
 			    G_N_ELEMENTS(slow_answers));
 	tcase_add_test(tests, relayed_rows_count_only_in_a_relayed_table);
+	tcase_add_test(tests, later_era_goes_before_higher_version);
 	suite_add_tcase(suite, tests);
 	return suite_run(suite, CK_FORK_GETENV);
 }
