Send calls to a starting server if no other can take them

Cause: a server in slow start takes part in the choice with a probability that grows with its age. If it is the only one, a call that leaves it out has no candidate.

Change: if there is no candidate, servers in slow start are asked whatever their age.

--- a/core_ask.c
+++ b/core_ask.c
@@ -91,12 +91,12 @@
 /*
  * Chooses the servers to ask: the cheapest ones by the latest reports. A random
  * part of the cost keeps hosts with similar reports from all asking the same
- * server. Returns the number of servers.
+ * server. SLOW_START leaves servers out that have got their share of calls while
+ * they start. Returns the number of servers.
  */
-static uint32_t core_ask_candidates(struct core *core,
-				    struct core_service *service,
-				    const struct core_call *call,
-				    struct core_candidate *kept)
+static uint32_t core_ask_select(struct core *core, struct core_service *service,
+				const struct core_call *call, bool slow_start,
+				struct core_candidate *kept)
 {
 	bool eject = core_ejection_active(core, service);
 	uint32_t jitter_us =
@@ -109,7 +109,9 @@
 
 		if (core_was_tried(call, id) || core_was_asked(call, id) ||
 		    !core_rate_allows(core, server, call->ask_hedge) ||
-		    !core_is_usable(core, service, server, eject))
+		    !(slow_start ?
+			      core_is_usable(core, service, server, eject) :
+			      core_is_available(core, service, server, eject)))
 			continue;
 		core_keep_cheapest(
 			kept, &count, id,
@@ -119,6 +121,19 @@
 	return count;
 }
 
+/* A call that no other server can take goes to one that is still starting. */
+static uint32_t core_ask_candidates(struct core *core,
+				    struct core_service *service,
+				    const struct core_call *call,
+				    struct core_candidate *kept)
+{
+	uint32_t count = core_ask_select(core, service, call, true, kept);
+
+	if (!count && !call->ask_count)
+		count = core_ask_select(core, service, call, false, kept);
+	return count;
+}
+
 uint64_t core_ask_timer_us(const struct core_call *call)
 {
 	return call->ask_begin_us +
--- a/core_pick.c
+++ b/core_pick.c
@@ -136,19 +136,28 @@
 	return 2 * ejected <= all;
 }
 
-bool core_is_usable(struct core *core, const struct core_service *service,
-		    const struct core_server *server, bool eject)
+bool core_is_available(const struct core *core,
+		       const struct core_service *service,
+		       const struct core_server *server, bool eject)
 {
-	uint32_t share_q8;
-
 	if (!server->in_conf || core_is_leaving(server))
 		return false;
 	if (core_is_basic_policy(service))
 		return server->in_flight < server->max_connections;
 	if (eject && core_is_ejected(core, server))
 		return false;
-	if (!core_is_under_limit(core, service, server))
+	return core_is_under_limit(core, service, server);
+}
+
+bool core_is_usable(struct core *core, const struct core_service *service,
+		    const struct core_server *server, bool eject)
+{
+	uint32_t share_q8;
+
+	if (!core_is_available(core, service, server, eject))
 		return false;
+	if (core_is_basic_policy(service))
+		return true;
 	share_q8 = core_slow_start_share_q8(core, server);
 	return share_q8 == CORE_Q8 || core_random(core, CORE_Q8) < share_q8;
 }
--- a/core_state.h
+++ b/core_state.h
@@ -330,6 +330,7 @@
  * core_pick_server - choose a server for an attempt; false: none has room now.
  * core_was_tried - whether the call had an attempt at the server.
  * core_ejection_active - whether ejected servers of the service are avoided.
+ * core_is_available - the same as core_is_usable, without slow start.
  * core_is_usable - whether a server may get an attempt. EJECT excludes ejected
  * servers. During slow start the result is random.
  * core_load_q8 - estimated number of requests at a server.
@@ -340,6 +341,9 @@
 bool core_was_tried(const struct core_call *call, uint32_t id);
 bool core_ejection_active(const struct core *core,
 			  const struct core_service *service);
+bool core_is_available(const struct core *core,
+		       const struct core_service *service,
+		       const struct core_server *server, bool eject);
 bool core_is_usable(struct core *core, const struct core_service *service,
 		    const struct core_server *server, bool eject);
 uint32_t core_load_q8(const struct core *core,
--- a/tests/test_ask.c
+++ b/tests/test_ask.c
@@ -580,6 +580,24 @@
 }
 END_TEST
 
+/*
+ * Guards against refusing calls while the only server of their service has just
+ * started: it gets only a share of the calls then, chosen at random, and the rest
+ * have no other server.
+ */
+START_TEST(only_server_gets_all_calls_while_it_starts)
+{
+	for (uint32_t i = 1; i < SERVERS; i++)
+		core_server(core, i)->announced_leaving = true;
+	core_server(core, 0)->slow_start_us = now_us;
+	for (uint32_t i = 0; i < 20; i++) {
+		uint64_t id = start_call(true, 1);
+
+		ck_assert_ptr_null(find_action(CORE_ACT_FINISH, id));
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("ask");
@@ -601,6 +619,7 @@
 	tcase_add_test(tests, never_retries_order_that_may_have_run);
 	tcase_add_test(tests, pending_hedge_becomes_retry);
 	tcase_add_test(tests, limits_retries_per_window);
+	tcase_add_test(tests, only_server_gets_all_calls_while_it_starts);
 	suite_add_tcase(suite, tests);
 	return suite_run(suite, CK_FORK_GETENV);
 }
