--- a/gateway_call.c
+++ b/gateway_call.c
@@ -311,7 +311,7 @@
 }
 
 /* Whether the host may be killed before the call has its answer. */
-static bool gw_outlasts_host(const struct gw_call *call)
+static bool gw_may_be_cut_off(const struct gw_call *call)
 {
 	const struct gw_gateway *gateway = call->gateway;
 
@@ -398,7 +398,7 @@
 		gateway->document, caller.base ? caller.base : "", caller.len);
 	call->service = gateway->service_ids[index];
 	call->idempotent = rule ? rule->idempotent : gw_is_safe_method(req);
-	if (gw_outlasts_host(call))
+	if (gw_may_be_cut_off(call))
 		gw_refuse_at_stop(call);
 	else if (key.base && !call->idempotent && gateway->orders &&
 		 me_on(ME_ORDER_CLAIM))
@@ -432,7 +432,7 @@
 	call->bulky = route->bulky;
 	call->max_attempts = route->max_attempts;
 	call->caller_index = route->priority;
-	if (gw_outlasts_host(call))
+	if (gw_may_be_cut_off(call))
 		gw_refuse_at_stop(call);
 	else
 		gw_submit_call(call);
