Accept documents after the store has lost the one in force

Seen in the own mode on loopback: after the store had come back from a copy, every submission was refused (503, "the platform's row is older than what is in force") until all hosts were replaced.

Cause: a row with a lower generation than the one in force is taken for an outdated read, and reading it again does not help when the store has lost the later one.

Change: if the store is of a later era than when the generation was read, the next document is based on the one in force, under the condition that the row stays as the copy has it.

--- a/control.c
+++ b/control.c
@@ -414,7 +414,10 @@
 	}
 	control->row_was_read = true;
 	control->row_read_us = tm_now_us();
-	control->row_generation = MAX(control->row_generation, id.generation);
+	if (id.generation >= control->row_generation) {
+		control->row_generation = id.generation;
+		control->row_era = result->era;
+	}
 	cp_set_target(control, &id, true);
 }
 
--- a/control.h
+++ b/control.h
@@ -68,6 +68,7 @@
 	bool row_read_failed; /* the latest read of the row failed */
 	uint64_t row_read_us; /* last read that found a valid row; 0: never */
 	uint64_t row_generation; /* highest one read from the row */
+	uint64_t row_era; /* of the platform's store when it was read */
 	struct cp_doc_id target; /* to be put in force, or in force already */
 	struct cp_doc_id fetch_id; /* of the latest fetch from the platform */
 	bool fetching;
--- a/control_accept.c
+++ b/control_accept.c
@@ -393,6 +393,29 @@
 	return submission->current.generation < known;
 }
 
+/*
+ * Whether the row is stale because the store has come back from a copy, which lacks
+ * the document in force. The next document is then based on that one, under the
+ * condition that the row stays as the copy has it.
+ */
+static bool ca_take_lost_row(struct cp_submission *submission, uint64_t era)
+{
+	const struct cp_control *control = submission->control;
+	const struct doc_document *document = control->document;
+
+	if (!document || !control->row_era || era <= control->row_era ||
+	    document->generation < control->row_generation)
+		return false;
+	lg_warn("document",
+		"the store has lost generation %" G_GUINT64_FORMAT
+		", which is in force; it was restored from a copy",
+		document->generation);
+	submission->current.generation = document->generation;
+	g_strlcpy(submission->current.digest, document->digest,
+		  sizeof(submission->current.digest));
+	return true;
+}
+
 static void ca_on_current_row(void *ctx, const struct pf_result *result)
 {
 	struct cp_submission *submission = ctx;
@@ -410,7 +433,8 @@
 		ca_finish(submission);
 		return;
 	}
-	if (ca_row_is_stale(submission)) {
+	if (ca_row_is_stale(submission) &&
+	    !ca_take_lost_row(submission, result->era)) {
 		ca_retry(submission,
 			 "the platform's row is older than what is in force");
 		return;
