Wait in run_orders until a resumed host accepts orders again

Cause: traced in the logs of the second case. The paused host was stopped for 9.8 s. When it goes on, its calls to the platform have timed out, so its circuit breaker refuses keys for up to 250 ms ("the platform is unavailable, so the idempotency-key cannot be looked up"). The round began within that time, at the line that the lease is lost. The round with the platform down already waits for the same; this one did not.

Change: the round begins when that host accepts an order. What it checks stays.

--- a/tests/run_orders.sh
+++ b/tests/run_orders.sh
@@ -137,6 +137,9 @@
 	failures=$((failures + 1))
 }
 
+# A host refuses every key until it has found that the platform answers again.
+accepts_orders() { post_order "$1" "back$1" x | grep -q ^200; }
+
 lease_holder_is_not() { test "$(lease_holder)" != "$1"; }
 
 # The host that holds the lease is paused for longer than the lease, the
@@ -151,6 +154,8 @@
 eval "kill -CONT \$pid_entry$paused"
 wait_until "loss of the lease at the paused host" \
 	grep -q "order-sweep is lost" "$WORK/entry$paused.log"
+# Its calls to the platform have timed out meanwhile.
+wait_until "orders at the resumed host" accepts_orders "$paused"
 repeat_round pause 30 "$(caller_targets 1 2 0)" 2
 
 all_servers '{"factor": 1}'
@@ -158,8 +163,6 @@
 	platform_fault "{\"delay_ms\": 200}"; sleep 0.5;
 	platform_fault "{\"delay_ms\": 0, \"down\": true}"'
 platform_fault '{"down": false, "lose_answers": 0}'
-# A host refuses every key until it has found that the platform answers again.
-accepts_orders() { post_order "$1" "back$1" x | grep -q ^200; }
 for i in 0 1 2; do wait_until "orders at host $i" accepts_orders "$i"; done
 repeat_round platform 40 "$(caller_targets 1 2 0)" 1
 
