Write claims and results of orders again after the store was restored

Seen: of 40 orders, 35 ran twice when the store came back from a copy and the same keys were sent again (run_restored_orders).

Cause: a free key is one without a row, and a restored store lacks the rows that it had acknowledged since the copy was made.

Change: a host keeps the results that it has written for 30 s. When an answer names a later era, it inserts the claims of its running calls again and looks up the kept results, and writes what is missing; the result of a call that ends meanwhile waits for that. For 3 s it claims no key, since another host may not have written yet; an insert by which a host first hears of the restore is taken back. An idle host that has kept results reads a row every half second.

--- a/order.c
+++ b/order.c
@@ -13,9 +13,21 @@
 	OD_STOP_WAIT_US = 5 * 1000 * 1000,
 	OD_BREAKER_RETRY_US = 250 * 1000,
 	OD_SWEEP_US = 10 * 1000 * 1000,
-	OD_SWEEP_BUSY_US = 1000 * 1000
+	OD_SWEEP_BUSY_US = 1000 * 1000,
+	/* A copy of the store is some seconds old, its outage included. */
+	OD_KEEP_US = 30 * 1000 * 1000,
+	/* How often a host looks whether the store was restored. */
+	OD_ERA_CHECK_US = 500 * 1000,
+	/* Look-ups at a time after a restore; calls need connections, too. */
+	OD_MAX_CONFIRMING = 4
 };
 
+/*
+ * After a restore no key is claimed for this long: the time in which another host
+ * sees the restore, with one call that times out, and writes again what is lost.
+ */
+static const uint64_t OD_SETTLE_US = 3ULL * 1000 * 1000;
+
 /* How long the write of a result is retried. */
 static const uint64_t OD_RESULT_RETRY_LIMIT_US = 3600ULL * 1000 * 1000;
 /*
@@ -32,6 +44,10 @@
 	"the platform is unavailable, so the idempotency-key cannot be "
 	"claimed; an earlier call with the same key may have run";
 
+static const char od_restored_msg[] =
+	"the platform's store was restored from a copy, so the idempotency-key "
+	"cannot be claimed yet; an earlier call with the same key may have run";
+
 static const char *const od_state_names[] = {
 #define X(id, name) name,
 	OD_STATES(X)
@@ -43,7 +59,8 @@
 
 /*
  * Claim of one call with a key. Besides DEADLINE_TIMER it has at most one
- * outstanding operation at the platform or STEP_TIMER, never both.
+ * outstanding operation at the platform or STEP_TIMER, never both. It is in
+ * od_orders.claims, or in od_orders.kept once its result is written.
  */
 struct od_claim {
 	struct od_orders *orders;
@@ -63,8 +80,13 @@
 	bool maybe_inserted; /* an insert with a lost answer may have run */
 	bool other_row_seen; /* the key has a row of another call */
 	uint64_t row_version; /* of the claim's own row; 0: none known */
+	uint64_t row_era; /* of the store when the row was written last */
+	bool confirming; /* looked up, as a restored store may lack the row */
+	bool claiming_again; /* the store lacked the row of a running call */
+	GList kept_link;
 	enum od_end end;
 	uint64_t ended_us; /* when END was set */
+	uint64_t kept_us; /* when the result was written */
 	json_t *result_row; /* row to be written; NULL: remove the row */
 };
 
@@ -83,7 +105,10 @@
 
 static void od_insert_row(struct od_claim *claim);
 static void od_read_row(struct od_claim *claim);
+static void od_recheck_row(struct od_claim *claim);
+static void od_start_result(struct od_claim *claim);
 static void od_write_result(struct od_claim *claim);
+static void od_confirm_rows(struct od_orders *orders);
 
 static int64_t od_wall_ms(void)
 {
@@ -164,17 +189,69 @@
 	return !strcmp(row->id, claim->id);
 }
 
-static void od_free_claim(struct od_claim *claim)
+static void od_link_claim(struct od_claim *claim)
+{
+	struct od_orders *orders = claim->orders;
+
+	claim->next = orders->claims;
+	claim->prev_next = &orders->claims;
+	if (claim->next)
+		claim->next->prev_next = &claim->next;
+	orders->claims = claim;
+}
+
+static void od_unlink_claim(struct od_claim *claim)
 {
-	tm_cancel(claim->orders->timers, &claim->deadline_timer);
-	tm_cancel(claim->orders->timers, &claim->step_timer);
 	*claim->prev_next = claim->next;
 	if (claim->next)
 		claim->next->prev_next = claim->prev_next;
+}
+
+static void od_free_unlinked(struct od_claim *claim)
+{
+	tm_cancel(claim->orders->timers, &claim->deadline_timer);
+	tm_cancel(claim->orders->timers, &claim->step_timer);
 	json_decref(claim->result_row);
 	g_free(claim);
 }
 
+/* The store does not answer; od_on_era_check tries again. */
+static void od_defer_confirming(struct od_claim *claim)
+{
+	claim->orders->confirming -= claim->confirming;
+	claim->confirming = false;
+}
+
+/* The row of a claim was looked up after a restore; goes on to the next one. */
+static void od_end_confirming(struct od_claim *claim)
+{
+	if (!claim->confirming)
+		return;
+	od_defer_confirming(claim);
+	od_confirm_rows(claim->orders);
+}
+
+static void od_free_claim(struct od_claim *claim)
+{
+	od_unlink_claim(claim);
+	od_end_confirming(claim);
+	od_free_unlinked(claim);
+}
+
+/* The result is in the store. The claim is kept in case that is restored. */
+static void od_keep_claim(struct od_claim *claim, uint64_t era)
+{
+	struct od_orders *orders = claim->orders;
+
+	claim->row_era = era;
+	claim->kept_us = tm_now_us();
+	od_unlink_claim(claim);
+	g_queue_push_tail_link(&orders->kept, &claim->kept_link);
+	od_end_confirming(claim);
+	if (era < orders->era)
+		od_confirm_rows(orders);
+}
+
 /* Calls the claim's callback, unless that was done before. */
 static void od_notify(struct od_claim *claim,
 		      const struct od_claim_result *outcome)
@@ -186,6 +263,13 @@
 	claim->callback.done(claim->callback.ctx, outcome);
 }
 
+/* Whether other hosts may still be writing again what a restore has lost. */
+static bool od_is_settling(const struct od_orders *orders)
+{
+	return orders->restored_us &&
+	       tm_now_us() < orders->restored_us + OD_SETTLE_US;
+}
+
 static void od_notify_kind(struct od_claim *claim, enum st_kind kind)
 {
 	struct od_claim_result outcome = { .kind = kind };
@@ -194,7 +278,8 @@
 		outcome.msg = "the idempotency-key was used before for "
 			      "a different method, path or body";
 	else if (kind == ST_PLATFORM)
-		outcome.msg = od_outage_msg;
+		outcome.msg = od_is_settling(claim->orders) ? od_restored_msg :
+							      od_outage_msg;
 	od_notify(claim, &outcome);
 }
 
@@ -249,11 +334,18 @@
 }
 
 /* The row belongs to this claim: the call is sent unless it is too late. */
-static void od_grant_claim(struct od_claim *claim, uint64_t version)
+static void od_grant_claim(struct od_claim *claim, uint64_t version,
+			   uint64_t era)
 {
 	struct od_claim_result outcome = { .kind = ST_OK, .claim = claim };
 
 	claim->row_version = version;
+	claim->row_era = era;
+	if (od_is_settling(claim->orders)) {
+		od_notify_kind(claim, ST_PLATFORM);
+		od_release_claim(claim);
+		return;
+	}
 	if (!claim->notified && od_may_send(claim)) {
 		ct_add(CT_ORDERS, 1);
 		od_notify(claim, &outcome);
@@ -352,7 +444,7 @@
 		od_end_unowned(claim, ST_UNKNOWN);
 	} else if (od_is_own_row(claim, &row)) {
 		if (od_in_state(&row, OD_CLAIMED))
-			od_grant_claim(claim, result->version);
+			od_grant_claim(claim, result->version, result->era);
 		else
 			od_end_unowned(claim, ST_DEADLINE_NOT_RUN);
 	} else {
@@ -370,10 +462,32 @@
 	orders->breaker_retry_us = tm_now_us() + OD_BREAKER_RETRY_US;
 }
 
+/*
+ * Takes over the era that an answer of the store names. A later one means that the
+ * store has come back from a copy.
+ */
+static void od_observe_era(struct od_orders *orders, uint64_t era)
+{
+	orders->answered_us = tm_now_us();
+	if (era <= orders->era)
+		return;
+	if (orders->era) {
+		lg_warn("store-restored",
+			"orders: era %" G_GUINT64_FORMAT
+			" after %" G_GUINT64_FORMAT
+			"; looking up %u rows written lately",
+			era, orders->era, orders->kept.length);
+		orders->restored_us = tm_now_us();
+	}
+	orders->era = era;
+	od_confirm_rows(orders);
+}
+
 static void od_on_read(void *ctx, const struct pf_result *result)
 {
 	struct od_claim *claim = ctx;
 
+	od_observe_era(claim->orders, result->era);
 	switch (result->status.kind) {
 	case ST_OK:
 		od_handle_row(claim, result);
@@ -408,10 +522,11 @@
 {
 	struct od_claim *claim = ctx;
 
+	od_observe_era(claim->orders, result->era);
 	switch (result->status.kind) {
 	case ST_OK:
 		claim->orders->breaker_open = false;
-		od_grant_claim(claim, od_written_version(result));
+		od_grant_claim(claim, od_written_version(result), result->era);
 		break;
 	case ST_CONFLICT:
 		claim->orders->breaker_open = false;
@@ -435,8 +550,6 @@
 
 /* Writing the result */
 
-static void od_recheck_row(struct od_claim *claim);
-
 /* Retries the write after a wait, until the time limit. */
 static void od_retry_result(struct od_claim *claim)
 {
@@ -467,17 +580,57 @@
 	return od_in_state(&row, OD_CLAIMED);
 }
 
+/* Whether the store had the claim's row before it was restored. */
+static bool od_is_row_lost(const struct od_claim *claim,
+			   const struct pf_result *result)
+{
+	return result->status.kind == ST_NOT_FOUND && claim->row_era &&
+	       claim->row_era < claim->orders->era;
+}
+
+/*
+ * The row can't be replaced: it has the result already, or it is of another call.
+ * After a restore that call may be one that is refused, whose row then goes.
+ */
+static void od_end_rechecked(struct od_claim *claim,
+			     const struct pf_result *result)
+{
+	struct od_row row;
+	bool absent = result->status.kind == ST_NOT_FOUND;
+
+	if ((absent && claim->end == OD_END_RELEASE) ||
+	    (!absent && od_unpack_row(result->json, &row) &&
+	     od_is_own_row(claim, &row))) {
+		od_keep_claim(claim, result->era);
+	} else if (!absent && claim->confirming &&
+		   od_is_settling(claim->orders)) {
+		od_retry_result(claim);
+	} else {
+		if (claim->confirming)
+			lg_error("order",
+				 "a restored store has lost the row of call "
+				 "%s, and its key is in use",
+				 claim->id);
+		od_free_claim(claim);
+	}
+}
+
 static void od_on_rechecked(void *ctx, const struct pf_result *result)
 {
 	struct od_claim *claim = ctx;
 
+	od_observe_era(claim->orders, result->era);
 	if (result->status.kind == ST_OK &&
 	    od_is_replaceable(claim, result->json)) {
 		claim->row_version = result->version;
 		od_write_result(claim);
+	} else if (od_is_row_lost(claim, result) &&
+		   claim->end != OD_END_RELEASE) {
+		claim->row_version = 0;
+		od_write_result(claim);
 	} else if (result->status.kind == ST_OK ||
 		   result->status.kind == ST_NOT_FOUND) {
-		od_free_claim(claim);
+		od_end_rechecked(claim, result);
 	} else {
 		od_retry_result(claim);
 	}
@@ -492,22 +645,40 @@
 {
 	struct od_claim *claim = ctx;
 
-	if (result->status.kind == ST_OK)
-		od_free_claim(claim);
-	else if (result->status.kind == ST_CONFLICT)
+	od_observe_era(claim->orders, result->era);
+	if (result->status.kind == ST_OK) {
+		claim->row_version = od_written_version(result);
+		od_keep_claim(claim, result->era);
+	} else if (result->status.kind == ST_CONFLICT) {
 		od_recheck_row(claim);
-	else
+	} else {
 		od_retry_result(claim);
+	}
 }
 
+/* Without a version, the row is inserted again. */
 static void od_write_result(struct od_claim *claim)
 {
-	json_t *times = claim->end == OD_END_RELEASE ? json_null() : NULL;
+	json_t *times = NULL;
+
+	if (claim->end == OD_END_RELEASE)
+		times = json_null();
+	else if (!claim->row_version)
+		times = json_object();
 
 	od_put_row(claim, claim->row_version, json_incref(claim->result_row),
 		   times, od_on_result_written);
 }
 
+static void od_start_result(struct od_claim *claim)
+{
+	/* Without a version the insert may or may not have taken effect. */
+	if (claim->row_version)
+		od_write_result(claim);
+	else
+		od_recheck_row(claim);
+}
+
 static void od_end_claim(struct od_claim *claim, enum od_end end,
 			 json_t *result)
 {
@@ -515,11 +686,8 @@
 	claim->ended_us = tm_now_us();
 	claim->backoff_us = OD_BACKOFF_FIRST_US;
 	claim->result_row = result;
-	/* Without a version the insert may or may not have taken effect. */
-	if (claim->row_version)
-		od_write_result(claim);
-	else
-		od_recheck_row(claim);
+	if (!claim->claiming_again)
+		od_start_result(claim);
 }
 
 void od_store_answer(struct od_claim *claim, int http_status,
@@ -624,11 +792,8 @@
 	claim->deadline_timer.ctx = claim;
 	g_strlcpy(claim->id, request->id, sizeof(claim->id));
 	od_hash_request(claim, request);
-	claim->next = orders->claims;
-	claim->prev_next = &orders->claims;
-	if (claim->next)
-		claim->next->prev_next = &claim->next;
-	orders->claims = claim;
+	claim->kept_link.data = claim;
+	od_link_claim(claim);
 	return claim;
 }
 
@@ -657,6 +822,8 @@
 			      "idempotency-key must have 1 to %d printable "
 			      "ASCII characters without blanks",
 			      OD_MAX_KEY_BYTES);
+	if (od_is_settling(orders))
+		return st_set(status, ST_PLATFORM, "%s", od_restored_msg);
 	if (!od_breaker_allows_claim(orders))
 		return st_set(status, ST_PLATFORM, "%s", od_outage_msg);
 	claim = od_new_claim(orders, request, callback);
@@ -666,6 +833,127 @@
 	return ST_OK;
 }
 
+/* Rows that a restored store lacks */
+
+static void od_on_claimed_again(void *ctx, const struct pf_result *result)
+{
+	struct od_claim *claim = ctx;
+
+	claim->claiming_again = false;
+	od_observe_era(claim->orders, result->era);
+	if (result->status.kind == ST_OK) {
+		claim->row_version = od_written_version(result);
+		claim->row_era = result->era;
+	} else if (result->status.kind == ST_CONFLICT) {
+		/* The copy has the row. Its version is read with the result. */
+		claim->row_era = result->era;
+	}
+	if (claim->end != OD_END_NONE)
+		od_start_result(claim);
+	if (claim->row_era < claim->orders->era)
+		od_defer_confirming(claim);
+	else
+		od_end_confirming(claim);
+}
+
+/* The call runs. If the store lacks its row, the key looks free. */
+static void od_claim_again(struct od_claim *claim)
+{
+	claim->claiming_again = true;
+	od_put_row(claim, 0, od_new_row(claim, OD_CLAIMED), json_object(),
+		   od_on_claimed_again);
+}
+
+static void od_confirm_kept(struct od_claim *claim)
+{
+	struct od_orders *orders = claim->orders;
+
+	g_queue_unlink(&orders->kept, &claim->kept_link);
+	od_link_claim(claim);
+	claim->backoff_us = OD_BACKOFF_FIRST_US;
+	od_recheck_row(claim);
+}
+
+static bool od_is_unconfirmed(const struct od_claim *claim)
+{
+	return claim->row_era && claim->row_era < claim->orders->era &&
+	       !claim->confirming;
+}
+
+/* A claim whose row may be lost; those of running calls go first. */
+static struct od_claim *od_next_unconfirmed(const struct od_orders *orders)
+{
+	for (struct od_claim *c = orders->claims; c; c = c->next)
+		if (c->end == OD_END_NONE && od_is_unconfirmed(c))
+			return c;
+	for (GList *at = orders->kept.tail; at; at = at->prev)
+		if (od_is_unconfirmed(at->data))
+			return at->data;
+	return NULL;
+}
+
+static void od_confirm_rows(struct od_orders *orders)
+{
+	struct od_claim *claim;
+
+	while (orders->confirming < OD_MAX_CONFIRMING &&
+	       (claim = od_next_unconfirmed(orders))) {
+		claim->confirming = true;
+		orders->confirming++;
+		if (claim->end == OD_END_NONE)
+			od_claim_again(claim);
+		else
+			od_confirm_kept(claim);
+	}
+}
+
+static void od_drop_oldest_kept(struct od_orders *orders)
+{
+	uint64_t now_us = tm_now_us();
+	struct od_claim *claim;
+
+	while ((claim = g_queue_peek_head(&orders->kept)) &&
+	       now_us >= claim->kept_us + OD_KEEP_US) {
+		g_queue_unlink(&orders->kept, &claim->kept_link);
+		od_free_unlinked(claim);
+	}
+}
+
+static void od_on_era_read(void *ctx, const struct pf_result *result)
+{
+	struct od_orders *orders = ctx;
+
+	orders->era_check_pending = false;
+	if (result->era)
+		od_observe_era(orders, result->era);
+}
+
+/* Any answer of the store names its era. */
+static void od_read_era(struct od_orders *orders)
+{
+	struct pf_callback callback = { od_on_era_read, orders };
+	const struct od_claim *claim = g_queue_peek_head(&orders->kept);
+
+	if (!claim)
+		claim = orders->claims;
+	if (!claim || orders->era_check_pending ||
+	    tm_now_us() < orders->answered_us + OD_ERA_CHECK_US)
+		return;
+	orders->era_check_pending = true;
+	pf_get_row(orders->platform, od_table, claim->row_key, &callback);
+}
+
+static void od_on_era_check(void *ctx)
+{
+	struct od_orders *orders = ctx;
+
+	od_drop_oldest_kept(orders);
+	od_confirm_rows(orders);
+	od_read_era(orders);
+	tm_subscribe(orders->timers, &orders->era_check,
+		     tm_now_us() + OD_ERA_CHECK_US);
+}
+
 /* Sweep of expired rows */
 
 static void od_schedule_sweep(struct od_orders *orders, uint64_t wait_us)
@@ -762,6 +1050,10 @@
 	ls_init(&orders->lease, platform, timers, "order-sweep", holder,
 		settings->lease_ms * OD_US_PER_MS);
 	od_schedule_sweep(orders, OD_SWEEP_BUSY_US);
+	g_queue_init(&orders->kept);
+	orders->era_check.fire = od_on_era_check;
+	orders->era_check.ctx = orders;
+	tm_subscribe(timers, &orders->era_check, tm_now_us() + OD_ERA_CHECK_US);
 }
 
 void od_free(struct od_orders *orders)
@@ -770,8 +1062,13 @@
 
 	for (struct od_claim *c = orders->claims; c; c = next) {
 		next = c->next;
-		od_free_claim(c);
+		od_free_unlinked(c);
+	}
+	while ((next = g_queue_peek_head(&orders->kept))) {
+		g_queue_unlink(&orders->kept, &next->kept_link);
+		od_free_unlinked(next);
 	}
+	tm_cancel(orders->timers, &orders->era_check);
 	tm_cancel(orders->timers, &orders->sweep);
 	ls_free(&orders->lease);
 }
--- a/order.h
+++ b/order.h
@@ -21,6 +21,11 @@
  * are keyed by a digest of caller, service and key. A second row in
  * "order_times", written in the same transaction, lists the orders by deadline
  * for the sweep that removes expired ones.
+ *
+ * When the platform's store comes back from a copy, the claims and results that it
+ * had acknowledged since are gone, and their keys look free. So a host keeps what
+ * it has written for a while, and writes again what a restored store lacks. Until
+ * all hosts have had the time for it, no key is claimed.
  */
 
 enum {
@@ -103,6 +108,13 @@
 	uint64_t incarnation;
 	int64_t retention_ms;
 	struct od_claim *claims;
+	GQueue kept; /* struct od_claim with a written result, oldest first */
+	uint64_t era; /* of the store, by its answers; 0: not known yet */
+	uint64_t restored_us; /* when a later era was seen; 0: never */
+	uint64_t answered_us; /* last answer of the store to a claim */
+	uint32_t confirming; /* claims whose row is being looked up */
+	struct tm_sub era_check;
+	bool era_check_pending;
 	struct ls_lease lease; /* of the sweep; one host runs it */
 	struct tm_sub sweep;
 	bool sweeping;
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -29,6 +29,9 @@
 static struct {
 	json_t *rows; /* by "table/key": [version, value] */
 	uint64_t version;
+	json_t *copy; /* of ROWS, for a restore */
+	uint64_t copy_version;
+	uint64_t era; /* 0: answers name none */
 	GQueue operations;
 	struct pf_client *paused_client; /* its operations are not run */
 	bool down; /* every operation fails */
@@ -176,7 +179,7 @@
 
 static void run_operation(struct operation *operation)
 {
-	struct pf_result result = { 0 };
+	struct pf_result result = { .era = fake.down ? 0 : fake.era };
 
 	if (operation->writes) {
 		run_txn(operation, &result);
@@ -198,6 +201,21 @@
 	g_free(operation);
 }
 
+static void copy_store(void)
+{
+	json_decref(fake.copy);
+	fake.copy = json_deep_copy(fake.rows);
+	fake.copy_version = fake.version;
+}
+
+static void restore_store(void)
+{
+	json_decref(fake.rows);
+	fake.rows = json_deep_copy(fake.copy);
+	fake.version = fake.copy_version;
+	fake.era++;
+}
+
 /* Runs the operations of all clients but the paused one, and due timers. */
 static void run_pending(void)
 {
@@ -509,6 +527,83 @@
 }
 END_TEST
 
+/* Time in which all hosts see a restore and write again what is lost. */
+enum { RESTORE_US = 4 * 1000 * 1000 };
+
+/* Both hosts have had an answer of the store's first era. */
+static void begin_first_era(void)
+{
+	fake.era = 1;
+	for (int i = 0; i < 2; i++)
+		od_store_answer(
+			claim_key_and_wait(i, i, i ? "one" : "zero", "a", "x")
+				->claim,
+			200, "", "", 0, true);
+	run_pending_for(10 * 1000);
+}
+
+/*
+ * Guards against running orders again whose claims and results are gone because
+ * the store came back from a copy: at a host that hears of the restore by its own
+ * insert, and later. The result of a call that ran meanwhile is written as well.
+ */
+START_TEST(restored_store_gets_lost_orders_again)
+{
+	struct od_claim *running;
+
+	begin_first_era();
+	copy_store();
+	od_store_answer(claim_key_and_wait(0, 0, "done", "a", "x")->claim, 200,
+			"", "yes", 3, true);
+	od_store_unknown(claim_key_and_wait(0, 0, "unknown", "a", "x")->claim);
+	running = claim_key_and_wait(0, 0, "running", "a", "x")->claim;
+	ck_assert_ptr_nonnull(running);
+	run_pending_for(10 * 1000);
+	restore_store();
+	ck_result(claim_key_and_wait(1, 1, "done", "a", "x"), ST_PLATFORM);
+	ck_assert_int_eq(claim_key(1, 1, "running", "a", "x"), ST_PLATFORM);
+	run_pending_for(RESTORE_US);
+	ck_result(claim_key_and_wait(1, 1, "done", "a", "x"), ST_OK);
+	ck_assert_str_eq(outcomes[1].body, "yes");
+	ck_result(claim_key_and_wait(1, 1, "unknown", "a", "x"), ST_UNKNOWN);
+	claim_key(1, 1, "running", "a", "x");
+	run_pending_for(50 * 1000);
+	ck_assert_int_eq(outcomes[1].callbacks, 0);
+	od_store_answer(running, 200, "", "late", 4, true);
+	while (!outcomes[1].callbacks)
+		run_pending();
+	ck_result(&outcomes[1], ST_OK);
+	ck_assert_str_eq(outcomes[1].body, "late");
+	ck_claimed(claim_key_and_wait(1, 1, "new", "a", "x"));
+}
+END_TEST
+
+/*
+ * Guards against losing the result of a call that ends while its claim is written
+ * again, and against a claim that stays although its call was not run.
+ */
+START_TEST(call_may_end_while_its_claim_is_written_again)
+{
+	struct od_claim *ending, *released;
+
+	begin_first_era();
+	released = claim_key_and_wait(0, 0, "released", "a", "x")->claim;
+	copy_store();
+	ending = claim_key_and_wait(0, 0, "ending", "a", "x")->claim;
+	od_release_claim(released);
+	run_pending_for(10 * 1000);
+	restore_store();
+	claim_key(0, 0, "other", "a", "x");
+	while (hosts[0].era < fake.era)
+		run_operation(g_queue_pop_head(&fake.operations));
+	od_store_answer(ending, 200, "", "yes", 3, true);
+	run_pending_for(RESTORE_US);
+	ck_result(claim_key_and_wait(1, 1, "ending", "a", "x"), ST_OK);
+	ck_assert_str_eq(outcomes[1].body, "yes");
+	ck_claimed(claim_key_and_wait(1, 1, "released", "a", "x"));
+}
+END_TEST
+
 static const char long_key[] =
 	"0123456789012345678901234567890123456789012345678901234567890123"
 	"0123456789012345678901234567890123456789012345678901234567890123x";
@@ -662,6 +757,8 @@
 	tcase_add_test(tcase, tolerated_clock_skew_expires_no_claim);
 	tcase_add_test(tcase, call_claimed_after_deadline_is_not_sent);
 	tcase_add_test(tcase, outage_refuses_orders_and_retries_results);
+	tcase_add_test(tcase, restored_store_gets_lost_orders_again);
+	tcase_add_test(tcase, call_may_end_while_its_claim_is_written_again);
 	tcase_add_loop_test(tcase, invalid_key_is_refused, 0,
 			    G_N_ELEMENTS(invalid_keys));
 	tcase_add_test(tcase, sweep_removes_expired_rows_only);
