Keep a certificate's context for connections that have sent nothing yet

Cause: h2o keeps a plain pointer to the TLS context from accept until the first bytes of a connection arrive, and only then takes a reference. A renewed certificate freed the old context in between. Whoever holds a silent connection open over a renewal, and then sends bytes, could end a host.

Change: each accepted connection holds a reference until it is closed. run_tls opens a connection before the renewal and begins TLS on it afterwards, and prints the host's log when it fails.

Measured: that check fails before (heap-use-after-free) and passes now.

--- a/httpd.c
+++ b/httpd.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 #include <netinet/tcp.h>
 #include <openssl/crypto.h>
+#include <openssl/ssl.h>
 #include <sys/socket.h>
 
 #include "json_text.h"
@@ -24,6 +25,8 @@
 	struct hd_conn *next;
 	struct hd_conn **prev_next;
 	h2o_socket_t *sock; /* NULL once h2o has closed it */
+	/* Reference: h2o takes its own only when the first bytes arrive. */
+	SSL_CTX *tls; /* NULL: plaintext */
 	bool http2;
 	bool read_shut; /* the socket is shut down for reading */
 };
@@ -131,6 +134,7 @@
 	if (conn->next)
 		conn->next->prev_next = conn->prev_next;
 	conn->server->connections--;
+	SSL_CTX_free(conn->tls);
 	g_free(conn);
 }
 
@@ -174,6 +178,9 @@
 		h2o_uv_socket_create((uv_stream_t *)&conn->tcp, hd_conn_closed);
 	conn->sock->on_close.cb = hd_sock_closed;
 	conn->sock->on_close.data = conn;
+	conn->tls = server->accept.ssl_ctx;
+	if (conn->tls)
+		SSL_CTX_up_ref(conn->tls);
 	h2o_accept(&server->accept, conn->sock);
 }
 
--- a/tests/run_tls.sh
+++ b/tests/run_tls.sh
@@ -1,13 +1,18 @@
 #!/bin/bash
 # TLS of the listeners and towards the platform. Guards against plaintext
 # outside loopback, a renewed certificate that is used only after a restart, a
-# broken certificate that replaces a good one, and a platform whose certificate
-# is not verified.
+# broken certificate that replaces a good one, a connection that was opened before
+# the renewal and begins TLS after it, and a platform whose certificate is not
+# verified.
 set -u
 PORT_BASE=${PORT_BASE:-29000}
 . "$(dirname "$0")/lib.sh"
 
-fail() { say "FAILED: $*"; exit 1; }
+fail() {
+	say "FAILED: $*"
+	tail -100 "$WORK/entry0.log"
+	exit 1
+}
 # make_certificate NAME: makes a key and a self-signed certificate for the host.
 # A side that verifies it must trust NAME.ca.
 make_certificate() {
@@ -66,6 +71,7 @@
 test "$(tls_status first "$callers" /health)" = 200 ||
 	fail "the document is not in force"
 
+exec 3<>"/dev/tcp/127.0.0.1/$callers_port"
 make_certificate second
 for _ in $(seq 300); do
 	test "$(tls_status second "$callers" /health)" = 200 && break
@@ -75,6 +81,12 @@
 	fail "the renewed certificate is not in use"
 test "$(tls_status first "$callers" /health)" = 000 ||
 	fail "the old certificate is still in use"
+# The first bytes of a TLS record, on the connection that has sent none so far.
+printf '\x16\x03\x01\x00\x05hello' >&3
+sleep 0.2
+exec 3>&-
+test "$(tls_status second "$callers" /health)" = 200 ||
+	fail "a connection older than the certificate has ended the host"
 
 # A host must not use a platform whose certificate is from another authority.
 PLATFORM_TLS="ca: $WORK/second.ca"
--- a/tls.c
+++ b/tls.c
@@ -63,7 +63,7 @@
 
 static void tl_set_context(struct tl_listener *tls, SSL_CTX *ctx)
 {
-	/* Open connections have their own references to the old context. */
+	/* Open connections have references to the old context; see hd_conn. */
 	SSL_CTX_free(tls->ctx);
 	tls->ctx = ctx;
 	tls->http->accept.ssl_ctx = ctx;
