--- a/order.c
+++ b/order.c
@@ -1,4 +1,4 @@
-#include "order.h"
+#include "order_state.h"
 
 #include <string.h>
 
@@ -11,23 +11,9 @@
 	OD_POLL_BACKOFF_MAX_US = 500 * 1000,
 	OD_WRITE_BACKOFF_MAX_US = 5 * 1000 * 1000,
 	OD_STOP_WAIT_US = 5 * 1000 * 1000,
-	OD_BREAKER_RETRY_US = 250 * 1000,
-	OD_SWEEP_US = 10 * 1000 * 1000,
-	OD_SWEEP_BUSY_US = 1000 * 1000,
-	/* A copy of the store is some seconds old, its outage included. */
-	OD_KEEP_US = 30 * 1000 * 1000,
-	/* How often a host looks whether the store was restored. */
-	OD_ERA_CHECK_US = 500 * 1000,
-	/* Look-ups at a time after a restore; calls need connections, too. */
-	OD_MAX_CONFIRMING = 4
+	OD_BREAKER_RETRY_US = 250 * 1000
 };
 
-/*
- * After a restore no key is claimed for this long: the time in which another host
- * sees the restore, with one call that times out, and writes again what is lost.
- */
-static const uint64_t OD_SETTLE_US = 3ULL * 1000 * 1000;
-
 /* How long the write of a result is retried. */
 static const uint64_t OD_RESULT_RETRY_LIMIT_US = 3600ULL * 1000 * 1000;
 /*
@@ -37,9 +23,6 @@
  */
 static const uint64_t OD_UNCONFIRMED_RETRY_LIMIT_US = 10ULL * 1000 * 1000;
 
-static const char od_table[] = "orders";
-static const char od_times_table[] = "order_times";
-
 static const char od_outage_msg[] =
 	"the platform is unavailable, so the idempotency-key cannot be "
 	"claimed; an earlier call with the same key may have run";
@@ -54,42 +37,6 @@
 #undef X
 };
 
-/* What becomes of the row when a claim ends. */
-enum od_end { OD_END_NONE, OD_END_DONE, OD_END_RELEASE, OD_END_UNKNOWN };
-
-/*
- * Claim of one call with a key. Besides DEADLINE_TIMER it has at most one
- * outstanding operation at the platform or STEP_TIMER, never both. It is in
- * od_orders.claims, or in od_orders.kept once its result is written.
- */
-struct od_claim {
-	struct od_orders *orders;
-	struct od_claim *next;
-	struct od_claim **prev_next;
-	struct od_callback callback;
-	char id[OD_ID_BYTES];
-	char row_key[OD_DIGEST_BYTES]; /* of caller, service and key */
-	char request_digest[OD_DIGEST_BYTES]; /* of method, path, body */
-	uint64_t deadline_us; /* monotonic clock */
-	int64_t deadline_ms; /* wall clock */
-	struct tm_sub deadline_timer;
-	struct tm_sub step_timer;
-	void (*next_step)(struct od_claim *claim); /* when STEP_TIMER fires */
-	uint64_t backoff_us;
-	bool notified; /* CALLBACK was called */
-	bool maybe_inserted; /* an insert with a lost answer may have run */
-	bool other_row_seen; /* the key has a row of another call */
-	uint64_t row_version; /* of the claim's own row; 0: none known */
-	uint64_t row_era; /* of the store when the row was written last */
-	bool confirming; /* looked up, as a restored store may lack the row */
-	bool claiming_again; /* the store lacked the row of a running call */
-	GList kept_link;
-	enum od_end end;
-	uint64_t ended_us; /* when END was set */
-	uint64_t kept_us; /* when the result was written */
-	json_t *result_row; /* row to be written; NULL: remove the row */
-};
-
 /* Unpacked row of the table "orders"; the strings belong to the JSON. */
 struct od_row {
 	const char *host;
@@ -105,35 +52,26 @@
 
 static void od_insert_row(struct od_claim *claim);
 static void od_read_row(struct od_claim *claim);
-static void od_recheck_row(struct od_claim *claim);
-static void od_start_result(struct od_claim *claim);
 static void od_write_result(struct od_claim *claim);
-static void od_confirm_rows(struct od_orders *orders);
 
 static int64_t od_wall_ms(void)
 {
 	return g_get_real_time() / OD_US_PER_MS;
 }
 
-static void od_get_row(struct od_claim *claim,
-		       void (*done)(void *ctx, const struct pf_result *result))
+void od_get_row(struct od_claim *claim,
+		void (*done)(void *ctx, const struct pf_result *result))
 {
 	struct pf_callback callback = { done, claim };
 
 	ct_add(CT_ORDER_READS, 1);
-	pf_get_row(claim->orders->platform, od_table, claim->row_key,
+	pf_get_row(claim->orders->platform, OD_TABLE, claim->row_key,
 		   &callback);
 }
 
-/*
- * Replaces the claim's row by ROW (NULL: removes it) on the condition that it
- * has VERSION (0: does not exist), and writes TIMES, if not NULL, to its row in
- * the table of times. The order's row comes last, so that the answer carries
- * its version.
- */
-static void od_put_row(struct od_claim *claim, uint64_t version, json_t *row,
-		       json_t *times,
-		       void (*done)(void *ctx, const struct pf_result *result))
+void od_put_row(struct od_claim *claim, uint64_t version, json_t *row,
+		json_t *times,
+		void (*done)(void *ctx, const struct pf_result *result))
 {
 	struct pf_callback callback = { done, claim };
 	json_t *conditions = json_array();
@@ -141,23 +79,23 @@
 	char at[OD_DIGEST_BYTES + 32];
 
 	ct_add(CT_ORDER_WRITES, 1);
-	pf_add_condition(conditions, od_table, claim->row_key, version);
+	pf_add_condition(conditions, OD_TABLE, claim->row_key, version);
 	if (times) {
 		g_snprintf(at, sizeof(at), "%016" G_GINT64_FORMAT "-%s",
 			   claim->deadline_ms, claim->row_key);
-		pf_add_write(writes, od_times_table, at, times);
+		pf_add_write(writes, OD_TIMES_TABLE, at, times);
 	}
-	pf_add_write(writes, od_table, claim->row_key, row ? row : json_null());
+	pf_add_write(writes, OD_TABLE, claim->row_key, row ? row : json_null());
 	pf_run_txn(claim->orders->platform, conditions, writes, &callback);
 }
 
-static uint64_t od_written_version(const struct pf_result *result)
+uint64_t od_written_version(const struct pf_result *result)
 {
 	return (uint64_t)json_integer_value(
 		json_object_get(result->json, "version"));
 }
 
-static json_t *od_new_row(const struct od_claim *claim, enum od_state state)
+json_t *od_new_row(const struct od_claim *claim, enum od_state state)
 {
 	return json_pack("{s:s, s:I, s:s, s:s, s:s, s:I}", "host",
 			 claim->orders->host, "incarnation",
@@ -189,7 +127,7 @@
 	return !strcmp(row->id, claim->id);
 }
 
-static void od_link_claim(struct od_claim *claim)
+void od_link_claim(struct od_claim *claim)
 {
 	struct od_orders *orders = claim->orders;
 
@@ -200,14 +138,14 @@
 	orders->claims = claim;
 }
 
-static void od_unlink_claim(struct od_claim *claim)
+void od_unlink_claim(struct od_claim *claim)
 {
 	*claim->prev_next = claim->next;
 	if (claim->next)
 		claim->next->prev_next = claim->prev_next;
 }
 
-static void od_free_unlinked(struct od_claim *claim)
+void od_free_unlinked(struct od_claim *claim)
 {
 	tm_cancel(claim->orders->timers, &claim->deadline_timer);
 	tm_cancel(claim->orders->timers, &claim->step_timer);
@@ -215,22 +153,6 @@
 	g_free(claim);
 }
 
-/* The store does not answer; od_on_era_check tries again. */
-static void od_defer_confirming(struct od_claim *claim)
-{
-	claim->orders->confirming -= claim->confirming;
-	claim->confirming = false;
-}
-
-/* The row of a claim was looked up after a restore; goes on to the next one. */
-static void od_end_confirming(struct od_claim *claim)
-{
-	if (!claim->confirming)
-		return;
-	od_defer_confirming(claim);
-	od_confirm_rows(claim->orders);
-}
-
 static void od_free_claim(struct od_claim *claim)
 {
 	od_unlink_claim(claim);
@@ -238,20 +160,6 @@
 	od_free_unlinked(claim);
 }
 
-/* The result is in the store. The claim is kept in case that is restored. */
-static void od_keep_claim(struct od_claim *claim, uint64_t era)
-{
-	struct od_orders *orders = claim->orders;
-
-	claim->row_era = era;
-	claim->kept_us = tm_now_us();
-	od_unlink_claim(claim);
-	g_queue_push_tail_link(&orders->kept, &claim->kept_link);
-	od_end_confirming(claim);
-	if (era < orders->era)
-		od_confirm_rows(orders);
-}
-
 /* Calls the claim's callback, unless that was done before. */
 static void od_notify(struct od_claim *claim,
 		      const struct od_claim_result *outcome)
@@ -263,13 +171,6 @@
 	claim->callback.done(claim->callback.ctx, outcome);
 }
 
-/* Whether other hosts may still be writing again what a restore has lost. */
-static bool od_is_settling(const struct od_orders *orders)
-{
-	return orders->restored_us &&
-	       tm_now_us() < orders->restored_us + OD_SETTLE_US;
-}
-
 static void od_notify_kind(struct od_claim *claim, enum st_kind kind)
 {
 	struct od_claim_result outcome = { .kind = kind };
@@ -462,27 +363,6 @@
 	orders->breaker_retry_us = tm_now_us() + OD_BREAKER_RETRY_US;
 }
 
-/*
- * Takes over the era that an answer of the store names. A later one means that the
- * store has come back from a copy.
- */
-static void od_observe_era(struct od_orders *orders, uint64_t era)
-{
-	orders->answered_us = tm_now_us();
-	if (era <= orders->era)
-		return;
-	if (orders->era) {
-		lg_warn("store-restored",
-			"orders: era %" G_GUINT64_FORMAT
-			" after %" G_GUINT64_FORMAT
-			"; looking up %u rows written lately",
-			era, orders->era, orders->kept.length);
-		orders->restored_us = tm_now_us();
-	}
-	orders->era = era;
-	od_confirm_rows(orders);
-}
-
 static void od_on_read(void *ctx, const struct pf_result *result)
 {
 	struct od_claim *claim = ctx;
@@ -636,7 +516,7 @@
 	}
 }
 
-static void od_recheck_row(struct od_claim *claim)
+void od_recheck_row(struct od_claim *claim)
 {
 	od_get_row(claim, od_on_rechecked);
 }
@@ -670,7 +550,7 @@
 		   times, od_on_result_written);
 }
 
-static void od_start_result(struct od_claim *claim)
+void od_start_result(struct od_claim *claim)
 {
 	/* Without a version the insert may or may not have taken effect. */
 	if (claim->row_version)
@@ -833,209 +713,10 @@
 	return ST_OK;
 }
 
-/* Rows that a restored store lacks */
-
-static void od_on_claimed_again(void *ctx, const struct pf_result *result)
-{
-	struct od_claim *claim = ctx;
-
-	claim->claiming_again = false;
-	od_observe_era(claim->orders, result->era);
-	if (result->status.kind == ST_OK) {
-		claim->row_version = od_written_version(result);
-		claim->row_era = result->era;
-	} else if (result->status.kind == ST_CONFLICT) {
-		/* The copy has the row. Its version is read with the result. */
-		claim->row_era = result->era;
-	}
-	if (claim->end != OD_END_NONE)
-		od_start_result(claim);
-	if (claim->row_era < claim->orders->era)
-		od_defer_confirming(claim);
-	else
-		od_end_confirming(claim);
-}
-
-/* The call runs. If the store lacks its row, the key looks free. */
-static void od_claim_again(struct od_claim *claim)
-{
-	claim->claiming_again = true;
-	od_put_row(claim, 0, od_new_row(claim, OD_CLAIMED), json_object(),
-		   od_on_claimed_again);
-}
-
-static void od_confirm_kept(struct od_claim *claim)
-{
-	struct od_orders *orders = claim->orders;
-
-	g_queue_unlink(&orders->kept, &claim->kept_link);
-	od_link_claim(claim);
-	claim->backoff_us = OD_BACKOFF_FIRST_US;
-	od_recheck_row(claim);
-}
-
-static bool od_is_unconfirmed(const struct od_claim *claim)
-{
-	return claim->row_era && claim->row_era < claim->orders->era &&
-	       !claim->confirming;
-}
-
-/* A claim whose row may be lost; those of running calls go first. */
-static struct od_claim *od_next_unconfirmed(const struct od_orders *orders)
-{
-	for (struct od_claim *c = orders->claims; c; c = c->next)
-		if (c->end == OD_END_NONE && od_is_unconfirmed(c))
-			return c;
-	for (GList *at = orders->kept.tail; at; at = at->prev)
-		if (od_is_unconfirmed(at->data))
-			return at->data;
-	return NULL;
-}
-
-static void od_confirm_rows(struct od_orders *orders)
-{
-	struct od_claim *claim;
-
-	while (orders->confirming < OD_MAX_CONFIRMING &&
-	       (claim = od_next_unconfirmed(orders))) {
-		claim->confirming = true;
-		orders->confirming++;
-		if (claim->end == OD_END_NONE)
-			od_claim_again(claim);
-		else
-			od_confirm_kept(claim);
-	}
-}
-
-static void od_drop_oldest_kept(struct od_orders *orders)
-{
-	uint64_t now_us = tm_now_us();
-	struct od_claim *claim;
-
-	while ((claim = g_queue_peek_head(&orders->kept)) &&
-	       now_us >= claim->kept_us + OD_KEEP_US) {
-		g_queue_unlink(&orders->kept, &claim->kept_link);
-		od_free_unlinked(claim);
-	}
-}
-
-static void od_on_era_read(void *ctx, const struct pf_result *result)
-{
-	struct od_orders *orders = ctx;
-
-	orders->era_check_pending = false;
-	if (result->era)
-		od_observe_era(orders, result->era);
-}
-
-/* Any answer of the store names its era. */
-static void od_read_era(struct od_orders *orders)
-{
-	struct pf_callback callback = { od_on_era_read, orders };
-	const struct od_claim *claim = g_queue_peek_head(&orders->kept);
-
-	if (!claim)
-		claim = orders->claims;
-	if (!claim || orders->era_check_pending ||
-	    tm_now_us() < orders->answered_us + OD_ERA_CHECK_US)
-		return;
-	orders->era_check_pending = true;
-	pf_get_row(orders->platform, od_table, claim->row_key, &callback);
-}
-
-static void od_on_era_check(void *ctx)
-{
-	struct od_orders *orders = ctx;
-
-	od_drop_oldest_kept(orders);
-	od_confirm_rows(orders);
-	od_read_era(orders);
-	tm_subscribe(orders->timers, &orders->era_check,
-		     tm_now_us() + OD_ERA_CHECK_US);
-}
-
-/* Sweep of expired rows */
-
-static void od_schedule_sweep(struct od_orders *orders, uint64_t wait_us)
-{
-	tm_subscribe(orders->timers, &orders->sweep, tm_now_us() + wait_us);
-}
-
-static void od_on_swept(void *ctx, const struct pf_result *result)
-{
-	struct od_orders *orders = ctx;
-
-	orders->sweeping = false;
-	if (result->status.kind != ST_OK)
-		lg_warn("sweep",
-			"expired orders may not have been removed: %s; "
-			"the next sweep tries again",
-			result->status.msg);
-}
-
-/* Writes that remove the expired orders of PAGE, sorted by deadline. */
-static json_t *od_removals(const struct od_orders *orders, const json_t *page)
-{
-	json_t *writes = json_array();
-	int64_t limit_ms = orders->wall_ms() - orders->retention_ms;
-
-	for (size_t i = 0; i < json_array_size(page); i++) {
-		const char *at = json_string_value(
-			json_object_get(json_array_get(page, i), "key"));
-		char *key = NULL;
-
-		if (!at || g_ascii_strtoll(at, &key, 10) > limit_ms)
-			break;
-		pf_add_write(writes, od_times_table, at, json_null());
-		if (*key == '-')
-			pf_add_write(writes, od_table, key + 1, json_null());
-	}
-	return writes;
-}
-
-static void od_on_page(void *ctx, const struct pf_result *result)
-{
-	struct od_orders *orders = ctx;
-	struct pf_callback callback = { od_on_swept, orders };
-	json_t *writes;
-	size_t count;
-
-	orders->sweeping = false;
-	if (result->status.kind != ST_OK)
-		return;
-	writes = od_removals(orders, result->json);
-	count = json_array_size(writes);
-	if (!count) {
-		json_decref(writes);
-		return;
-	}
-	if (!ls_write_fenced(&orders->lease, writes, &callback))
-		return;
-	orders->sweeping = true;
-	ct_add(CT_ORDERS_SWEPT, count / 2);
-	if (count == 2 * OD_SWEEP_ROWS)
-		od_schedule_sweep(orders, OD_SWEEP_BUSY_US);
-}
-
-static void od_on_sweep(void *ctx)
-{
-	struct od_orders *orders = ctx;
-	struct pf_callback callback = { od_on_page, orders };
-
-	od_schedule_sweep(orders, OD_SWEEP_US);
-	if (orders->sweeping || !ls_is_held(&orders->lease))
-		return;
-	orders->sweeping = true;
-	pf_list_rows(orders->platform, od_times_table, "", OD_SWEEP_ROWS, false,
-		     &callback);
-}
-
 void od_init(struct od_orders *orders, struct pf_client *platform,
 	     struct tm_service *timers, const struct se_settings *settings,
 	     uint64_t incarnation)
 {
-	char holder[LS_HOLDER_BYTES];
-
 	memset(orders, 0, sizeof(*orders));
 	orders->platform = platform;
 	orders->timers = timers;
@@ -1043,17 +724,8 @@
 	orders->incarnation = incarnation;
 	orders->retention_ms = (int64_t)settings->order_retention_s * 1000;
 	orders->wall_ms = od_wall_ms;
-	orders->sweep.fire = od_on_sweep;
-	orders->sweep.ctx = orders;
-	g_snprintf(holder, sizeof(holder), "%s-%" G_GINT64_MODIFIER "x",
-		   settings->host, incarnation);
-	ls_init(&orders->lease, platform, timers, "order-sweep", holder,
-		settings->lease_ms * OD_US_PER_MS);
-	od_schedule_sweep(orders, OD_SWEEP_BUSY_US);
-	g_queue_init(&orders->kept);
-	orders->era_check.fire = od_on_era_check;
-	orders->era_check.ctx = orders;
-	tm_subscribe(timers, &orders->era_check, tm_now_us() + OD_ERA_CHECK_US);
+	od_start_sweep(orders, settings->lease_ms * OD_US_PER_MS);
+	od_start_era_checks(orders);
 }
 
 void od_free(struct od_orders *orders)
@@ -1064,11 +736,6 @@
 		next = c->next;
 		od_free_unlinked(c);
 	}
-	while ((next = g_queue_peek_head(&orders->kept))) {
-		g_queue_unlink(&orders->kept, &next->kept_link);
-		od_free_unlinked(next);
-	}
-	tm_cancel(orders->timers, &orders->era_check);
-	tm_cancel(orders->timers, &orders->sweep);
-	ls_free(&orders->lease);
+	od_free_kept(orders);
+	od_stop_sweep(orders);
 }
