Look for a restored store also while calls to it fail

Cause: read as a newcomer: a call that failed counted as an answer, so that a host whose calls fail did not look for a later era; and one whose store names no eras read a row every half second for nothing.

Change: only an answer that names an era counts, and without eras nothing is read.

--- a/order.h
+++ b/order.h
@@ -111,7 +111,7 @@
 	GQueue kept; /* struct od_claim with a written result, oldest first */
 	uint64_t era; /* of the store, by its answers; 0: not known yet */
 	uint64_t restored_us; /* when a later era was seen; 0: never */
-	uint64_t answered_us; /* last answer of the store to a claim */
+	uint64_t answered_us; /* last answer of the store that named an era */
 	uint32_t confirming; /* claims whose row is being looked up */
 	struct tm_sub era_check;
 	bool era_check_pending;
--- a/order_restored.c
+++ b/order_restored.c
@@ -56,7 +56,8 @@
 
 void od_observe_era(struct od_orders *orders, uint64_t era)
 {
-	orders->answered_us = tm_now_us();
+	if (era)
+		orders->answered_us = tm_now_us();
 	if (era <= orders->era)
 		return;
 	if (orders->era) {
@@ -160,8 +161,7 @@
 	struct od_orders *orders = ctx;
 
 	orders->era_check_pending = false;
-	if (result->era)
-		od_observe_era(orders, result->era);
+	od_observe_era(orders, result->era);
 }
 
 /* Any answer of the store names its era. */
@@ -172,7 +172,7 @@
 
 	if (!claim)
 		claim = orders->claims;
-	if (!claim || orders->era_check_pending ||
+	if (!claim || !orders->era || orders->era_check_pending ||
 	    tm_now_us() < orders->answered_us + OD_ERA_CHECK_US)
 		return;
 	orders->era_check_pending = true;
