Send the head of an answer with the first bytes of its body

Cause: the head of a server's answer was passed on at once. A call that ended before the first byte of the body got that head and an end that is no answer: for an answer without a length, h2o writes a broken chunk.

Change: the head is kept until the first bytes of the body or the end. A call that ends before, by its deadline or a broken answer, gets an error of the host instead.

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -117,13 +117,24 @@
 		hd_reset_on_close(call->req);
 }
 
+static void gw_on_proceed(h2o_generator_t *generator, h2o_req_t *req);
+static void gw_on_stop(h2o_generator_t *generator, h2o_req_t *req);
+
+static void gw_start_answer(struct gw_call *call)
+{
+	call->answer_started = true;
+	call->generator.proceed = gw_on_proceed;
+	call->generator.stop = gw_on_stop;
+	h2o_start_response(call->req, &call->generator);
+}
+
 void gw_flush_answer(struct gw_call *call)
 {
 	h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
 	GString *swap = call->sending;
 	h2o_iovec_t buf;
 
-	if (!call->req || !call->answer_started || call->send_in_progress ||
+	if (!call->req || !call->head_copied || call->send_in_progress ||
 	    call->final_sent)
 		return;
 	if (call->finished)
@@ -131,6 +142,8 @@
 						H2O_SEND_STATE_ERROR;
 	if (!call->unsent->len && !call->finished)
 		return;
+	if (!call->answer_started)
+		gw_start_answer(call);
 	call->sending = call->unsent;
 	call->unsent = swap;
 	g_string_truncate(call->unsent, 0);
@@ -192,18 +205,22 @@
 	}
 }
 
-void gw_forward_head(struct gw_call *call, const struct hc_head *head)
+void gw_copy_head(struct gw_call *call, const struct hc_head *head)
 {
 	if (!call->req)
 		return;
-	call->answer_started = true;
+	call->head_copied = true;
 	call->req->res.status = head->status;
 	call->req->res.reason = head->status < 400 ? "OK" : "Error";
 	if (head->content_length != UINT64_MAX && head->status != 204)
 		call->req->res.content_length = (size_t)head->content_length;
 	gw_copy_headers(call, head);
 	gw_add_outcome(call, ST_OK);
-	call->generator.proceed = gw_on_proceed;
-	call->generator.stop = gw_on_stop;
-	h2o_start_response(call->req, &call->generator);
+}
+
+void gw_drop_head(struct gw_call *call)
+{
+	call->head_copied = false;
+	call->req->res.headers.size = 0;
+	call->req->res.content_length = SIZE_MAX;
 }
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -224,7 +224,7 @@
 	event.u.attempt.call = call->id;
 	event.u.attempt.attempt = attempt->index;
 	gw_post_event(call->gateway, &event);
-	gw_forward_head(call, head);
+	gw_copy_head(call, head);
 }
 
 static void gw_close_attempt(struct gw_attempt *attempt, enum hc_state state);
--- a/gateway_call.c
+++ b/gateway_call.c
@@ -95,6 +95,19 @@
 	call->claim = NULL;
 }
 
+static void gw_end_answer(struct gw_call *call)
+{
+	bool complete = call->result == ST_OK && call->head_copied;
+
+	if (!call->req || call->answer_started || complete) {
+		gw_flush_answer(call);
+		return;
+	}
+	gw_drop_head(call);
+	gw_reply_error(call, call->result == ST_OK ? ST_INTERNAL : call->result,
+		       NULL);
+}
+
 void gw_finish_call(struct gw_gateway *gateway,
 		    const struct core_action *action)
 {
@@ -110,13 +123,7 @@
 	call->finished = true;
 	gw_end_claim(call);
 	call->answer_attempt = NULL;
-	if (call->req && !call->answer_started)
-		gw_reply_error(call,
-			       call->result == ST_OK ? ST_INTERNAL :
-						       call->result,
-			       NULL);
-	else
-		gw_flush_answer(call);
+	gw_end_answer(call);
 	gw_start_read_timeout(call);
 	gw_call_unref(call);
 }
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -98,7 +98,8 @@
 	GString *sending; /* in use by the listener until gw_on_proceed */
 	uint32_t refs; /* one for the core, one for the listener */
 	bool caller_left; /* the core was told */
-	bool answer_started;
+	bool head_copied; /* of a server's answer, to the answer to the caller */
+	bool answer_started; /* the head was given to h2o */
 	bool send_in_progress;
 	bool finished; /* RESULT is final */
 	bool final_sent; /* the end of the answer was given to h2o */
@@ -139,7 +140,10 @@
  *
  * gw_add_outcome - add the request id and the outcome header of KIND.
  * gw_reply_error - answer with an error; without MSG (NULL) a default is used.
- * gw_forward_head - start the answer with the head of a server's answer.
+ * gw_copy_head - take over the head of a server's answer. It is sent with the
+ * first bytes of the body or at the end, so that a call of which only the head has
+ * come can still end with an error.
+ * gw_drop_head - undo that.
  * gw_flush_answer - pass unsent bytes to the listener, and the end of the
  * answer once the call is finished.
  * gw_add_retry_after - add Retry-After if KIND is answered with status 503 and
@@ -148,7 +152,8 @@
  */
 void gw_add_outcome(struct gw_call *call, enum st_kind kind);
 void gw_reply_error(struct gw_call *call, enum st_kind kind, const char *msg);
-void gw_forward_head(struct gw_call *call, const struct hc_head *head);
+void gw_copy_head(struct gw_call *call, const struct hc_head *head);
+void gw_drop_head(struct gw_call *call);
 void gw_flush_answer(struct gw_call *call);
 bool gw_is_hop_header(const struct dl_dialect *dialect, const char *name,
 		      size_t bytes);
