Keep callers' connections in the soak, let faults overlap, and allow more hosts

Cause: read for what is missing: all callers of the soak opened a connection for each call, its faults came one after the other, and it always had four hosts.

Change: tool_caller sends calls on a connection that it keeps until the host is gone; one runs for each host, and what it gets is checked like the rest. Besides, a planned stop must not cut off its calls. After every fifth fault come some that overlap: a host stops, one is paused and reads its settings anew, one is killed, started and paused, manifests change and a server drains. HOSTS and SERVERS may be set, up to 50; the metrics ports of followers moved for that.

--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -54,7 +54,7 @@
 	stop_limit_s: "${stop_limit_s:-0}"
 	callers: {address: "127.0.0.1:$((callers_port + $1))", plaintext: true}
 	health: {address: "127.0.0.1:$((operators_port + $1))"}
-	metrics: {address: "127.0.0.1:$((operators_port + 20 + $1))"}
+	metrics: {address: "127.0.0.1:$((operators_port + 50 + $1))"}
 	platform:
 	  address: "$platform_address"
 	  plaintext: true
--- a/tests/run_platform.sh
+++ b/tests/run_platform.sh
@@ -18,7 +18,7 @@
 	for i in $live_hosts; do host_answers "$i" "$1" "$2" || return 1; done
 }
 metric() { # HOST NAME
-	curl -s "127.0.0.1:$((operators_port + 20 + $1))/metrics" |
+	curl -s "127.0.0.1:$((operators_port + 50 + $1))/metrics" |
 		sed -n "s/^jackdawworks_$2 //p"
 }
 # store_reads: prints how many reads the store has served.
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -8,20 +8,26 @@
 #     ran it
 #   - a call answered 503 or 429 never ran
 #   - an order ran at most once
+#   - a call on a connection that its caller has kept is not cut off by a planned
+#     stop of its host, once a server runs it
 #   - a call whose caller left while the host was paused never ran
 #   - a server that named a limit of requests a second did not get more than one
 #     and a half times that, and five, in any 4 s
 #   - within 5 s of the last fault, and of each time when the store came back from
 #     a copy, every host has the newest manifest in force and serves a call by it
 # At least half of the calls must be answered 200.
-# usage: soak.sh DIRECTORY SEED [SECONDS]. The seed determines the faults and
-# their order; they are injected for 20 s by default.
+# Each host has a caller that keeps its connection until the host is gone, and the
+# first four hosts have one that opens a connection for each call. Faults come one
+# after the other, and after every fifth some that overlap.
+# usage: [HOSTS=N] [SERVERS=N] soak.sh DIRECTORY SEED [SECONDS]. The seed determines
+# the faults and their order; they are injected for 20 s by default. Up to 50 hosts
+# and 50 servers, which are four processes each at most.
 set -u
 SEED=${2:?seed} DURATION_S=${3:-20}
 PORT_BASE=${PORT_BASE:-24000}
 set -- "$1"
 . "$(dirname "$0")/lib_platform.sh"
-HOSTS=4 SERVERS=4 LIMIT_PER_S=3
+HOSTS=${HOSTS:-4} SERVERS=${SERVERS:-4} LIMIT_PER_S=3
 # A limit binds from SETTLE_MS after it was first named, in any WINDOW_MS.
 SETTLE_MS=3000 WINDOW_MS=4000
 RANDOM=$SEED
@@ -129,7 +135,9 @@
 	1) kill -STOP "${host_pid[$host]}"; sleep 0.1
 		leave_early $host; sleep 0.7
 		kill -CONT "${host_pid[$host]}" ;;
-	2) kill -TERM "${host_pid[$host]}"; sleep 3.8; start_entry $host ;;
+	2) stopped_ms=$(now_ms); kill -TERM "${host_pid[$host]}"; sleep 3.8
+		say "k$host $stopped_ms $(now_ms)" >>"$WORK/stops"
+		start_entry $host ;;
 	3) kill -HUP "${host_pid[$host]}" ;;
 	4) echo "$mode" >"$WORK/store.mode"; sleep 1.5
 		echo pass >"$WORK/store.mode" ;;
@@ -154,6 +162,26 @@
 	16) restore_store ;;
 	esac
 }
+# overlap_faults HOST SERVER: a host stops, the next one is paused and reads its
+# settings anew, a third one is killed, started and paused; meanwhile manifests
+# change and a server drains. Takes no random number, so that it does not change
+# what follows.
+overlap_faults() {
+	local a=$1 b=$((($1 + 1) % HOSTS)) c=$((($1 + 2) % HOSTS))
+	say "$(date +%T) overlapping faults, hosts $a $b $c server $2" >>"$WORK/faults"
+	kill -TERM "${host_pid[$a]}"
+	put_next_manifest
+	kill -STOP "${host_pid[$b]}"
+	kill -9 "${host_pid[$c]}"; sleep 0.2; start_entry $c
+	put_server_state $2 draining
+	kill -HUP "${host_pid[$b]}"; sleep 0.3
+	kill -STOP "${host_pid[$c]}"
+	kill -CONT "${host_pid[$b]}"; sleep 0.4
+	put_next_manifest
+	kill -CONT "${host_pid[$c]}"; sleep 1.5
+	put_server_state $2 ready; sleep 1.6
+	start_entry $a
+}
 # Whether every host serves a call on the route of the newest manifest.
 manifest_in_force() {
 	for i in $(seq 0 $((HOSTS - 1))); do
@@ -180,15 +208,22 @@
 for i in $(seq 0 $((HOSTS - 1))); do
 	wait_ready $i || fail "host $i is not ready"
 done
-caller_pids=
+caller_pids= kept_pids=
 for i in $(seq 0 $((HOSTS - 1))); do
+	start_process "caller$i" "$BIN/tool_caller" \
+		"127.0.0.1:$((callers_port + i))" "k$i"
+	kept_pids="$kept_pids $PID"
+	test $i -lt 4 || continue
 	run_caller $i &
 	caller_pids="$caller_pids $!"
 	PIDS="$PIDS $!" # stop_all ends it if the soak fails early
 done
-until=$((SECONDS + DURATION_S))
+until=$((SECONDS + DURATION_S)) injected=0
 while test $SECONDS -lt $until; do
 	inject_fault
+	injected=$((injected + 1))
+	test $((injected % 5)) != 0 ||
+		overlap_faults $((injected / 5 % HOSTS)) $((injected % SERVERS))
 	test $((RANDOM % 3)) = 0 || sleep 0.$((RANDOM % 9))
 done
 for s in $(seq 0 $((SERVERS - 1))); do end_limit $s; done
@@ -197,10 +232,11 @@
 	fail "the store does not take the last manifest"
 within 5 manifest_in_force || { cat "$WORK/faults"; fail "seed $SEED: version $version is not in force"; }
 touch "$WORK/done"
-wait $caller_pids 2>/dev/null
+kill -TERM $kept_pids
+wait $caller_pids $kept_pids 2>/dev/null
 
 cat "$WORK"/upstream*_*.out | sort >"$WORK/runs"
-cat "$WORK"/outcomes* | awk '{ print $2, $1, $NF, $3 }' | sort >"$WORK/outcomes"
+cat "$WORK"/outcomes* "$WORK"/caller*.out | awk '{ print $2, $1, $NF, $3 }' | sort >"$WORK/outcomes"
 # Joins the runs (id server) with the outcomes (id kind status body).
 awk '$1 ~ /^left-/ { print "ran for a caller that had left", $0; bad++; next }
 	NR == FNR { ran[$1]++; at[$1] = $2; next }
@@ -215,6 +251,22 @@
 		fail "seed $SEED: answers and runs do not agree, or too few calls succeeded"
 	}
 
+# Joins the runs, the planned stops (caller from to) and what the callers that keep
+# their connections got (kind id body reused time status).
+touch "$WORK/stops"
+awk 'FILENAME == ARGV[1] { ran[$1]++; next }
+	FILENAME == ARGV[2] { n++; caller[n] = $1 "-"; from[n] = $2; to[n] = $3; next }
+	{ kept += $4 }
+	$4 && !$6 && ran[$2] { for (i = 1; i <= n; i++)
+		if (index($2, caller[i]) == 1 && $5 >= from[i] && $5 < to[i]) {
+			print "cut off by a planned stop", $0; bad++ } }
+	END { printf "%d calls on kept connections, %d planned stops, %d cut off\n", kept, n, bad
+		exit bad > 0 || !kept }' \
+	"$WORK/runs" "$WORK/stops" "$WORK"/caller*.out || {
+		cat "$WORK/faults"
+		fail "seed $SEED: a planned stop has cut off a call"
+	}
+
 # Joins the limits (server from to) with the runs (id server time).
 touch "$WORK/limits"
 sort -k3n "$WORK/runs" >"$WORK/runs_in_order"
