--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -4,6 +4,8 @@
 # of its servers (tool_upstream). Sourced like lib.sh, which it includes.
 . "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
 
+metrics_port=$((operators_port + 50))
+
 fail() { say "FAILED: $*"; exit 1; }
 # store_request PATH DATA: prints the status of a write to the store. curl gives
 # up after 2 s, because the answer to a write may be lost.
@@ -54,7 +56,7 @@
 	stop_limit_s: "${stop_limit_s:-0}"
 	callers: {address: "127.0.0.1:$((callers_port + $1))", plaintext: true}
 	health: {address: "127.0.0.1:$((operators_port + $1))"}
-	metrics: {address: "127.0.0.1:$((operators_port + 50 + $1))"}
+	metrics: {address: "127.0.0.1:$((metrics_port + $1))"}
 	platform:
 	  address: "$platform_address"
 	  plaintext: true
--- a/tests/run_platform.sh
+++ b/tests/run_platform.sh
@@ -18,7 +18,7 @@
 	for i in $live_hosts; do host_answers "$i" "$1" "$2" || return 1; done
 }
 metric() { # HOST NAME
-	curl -s "127.0.0.1:$((operators_port + 50 + $1))/metrics" |
+	curl -s "127.0.0.1:$((metrics_port + $1))/metrics" |
 		sed -n "s/^jackdawworks_$2 //p"
 }
 # store_reads: prints how many reads the store has served.
@@ -181,7 +181,7 @@
 test "$(metric 1 calls_total)" -gt 0 || fail "calls are not counted"
 test "$(metric 1 manifest_changes_total)" -gt 0 ||
 	fail "changes of the routes are not counted"
-curl -s "127.0.0.1:$((operators_port + 21))/metrics" |
+curl -s "127.0.0.1:$((metrics_port + 1))/metrics" |
 	grep -q 'call_seconds_bucket{service="desk",result="success",le="0.1"}' ||
 	fail "the metrics lack the histogram of call times"
 say "a failed call is explained"
