Read what servers have answered before a call is given up

Seen while the unreadable answer was traced: its server had answered 0.1 s before the deadline. On loopback, a host that is stopped for 1.5 s gives up all calls whose deadlines have passed meanwhile, though their answers are there, unread.

Cause: timers fire before the reads of the same turn of the event loop.

Change: a deadline that is noticed 10 ms late or more, which means that the loop was blocked, waits for one turn of reads, once for each call.

--- a/gateway_call.c
+++ b/gateway_call.c
@@ -11,6 +11,8 @@
 enum {
 	/* Least time for the caller to read the rest of an answer or error. */
 	GW_READ_TIMEOUT_US = 500 * 1000,
+	/* A deadline that is noticed this late shows that the loop was blocked. */
+	GW_LATE_TIMER_US = 10 * 1000,
 	/* For the answer at the deadline to leave before the process ends. */
 	GW_KILL_MARGIN_US = 200 * 1000,
 	GW_HEAD_BYTES = 512
@@ -159,11 +161,31 @@
 	gw_call_unref(call);
 }
 
+/*
+ * Timers come before reads. After the loop was blocked, the answer may be there
+ * unread, so the call is given up only once everything has been read.
+ */
+static bool gw_must_read_first(struct gw_call *call)
+{
+	uint64_t now_us = tm_now_us();
+
+	if (call->read_before_end ||
+	    now_us < call->deadline_us + GW_LATE_TIMER_US)
+		return false;
+	call->read_before_end = true;
+	/* A timer that is due already would fire before the reads as well. */
+	tm_subscribe(call->gateway->timers, &call->timer,
+		     now_us + GW_US_PER_MS);
+	return true;
+}
+
 static void gw_on_call_timer(void *ctx)
 {
 	struct gw_call *call = ctx;
 	struct core_event event = { .kind = CORE_EV_TIMER };
 
+	if (gw_must_read_first(call))
+		return;
 	event.u.call_ref.call = call->id;
 	gw_post_event(call->gateway, &event);
 }
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -92,6 +92,7 @@
 	GString *stored_body; /* answer that is stored with the order */
 	char *stored_type;
 	struct tm_sub timer;
+	bool read_before_end; /* see gw_must_read_first */
 	struct gw_attempt attempts[CORE_MAX_ATTEMPTS];
 	struct gw_attempt *answer_attempt;
 	GString *unsent; /* answer bytes not yet given to the listener */
