Define what several test scripts share once

Cause: read once more: now_ms stood in three scripts, set_limit in two, an order was sent by two functions that differed in what they print, and OD_BACKOFF_FIRST_US in two files. One check of run_restored_orders sent its order twice, once for the message and once for the test. A comment on claiming_again said what it is not.

Change: now_ms and within are in lib.sh, set_limit in lib_platform.sh, post_order and accepts_orders in orders.sh; the wait for orders in run_restored_orders keeps its 10 s. The constant is in order_state.h.

--- a/order_restored.c
+++ b/order_restored.c
@@ -3,7 +3,6 @@
 #include "log.h"
 
 enum {
-	OD_BACKOFF_FIRST_US = 20 * 1000,
 	/* A copy of the store is some seconds old, its outage included. */
 	OD_KEEP_US = 30 * 1000 * 1000,
 	/* How often a host looks whether the store was restored. */
--- a/order_state.h
+++ b/order_state.h
@@ -10,6 +10,8 @@
 #define OD_TABLE       "orders"
 #define OD_TIMES_TABLE "order_times"
 
+enum { OD_BACKOFF_FIRST_US = 20 * 1000 };
+
 /* What becomes of the row when a claim ends. */
 enum od_end { OD_END_NONE, OD_END_DONE, OD_END_RELEASE, OD_END_UNKNOWN };
 
@@ -38,7 +40,7 @@
 	uint64_t row_version; /* of the claim's own row; 0: none known */
 	uint64_t row_era; /* of the store when the row was written last */
 	bool confirming; /* looked up, as a restored store may lack the row */
-	bool claiming_again; /* the store lacked the row of a running call */
+	bool claiming_again; /* an insert of the running call's row is under way */
 	GList kept_link;
 	enum od_end end;
 	uint64_t ended_us; /* when END was set */
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -36,6 +36,20 @@
 	failures=$((failures + 1))
 }
 
+# now_ms: prints the time since the boot, in milliseconds.
+now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
+# within SECONDS COMMAND...: repeats COMMAND until it succeeds. Fails when the
+# time is over.
+within() {
+	local until=$(($(date +%s%N) + ${1%.*} * 1000000000))
+	shift
+	while test "$(date +%s%N)" -lt $until; do
+		"$@" && return
+		sleep 0.05
+	done
+	return 1
+}
+
 # start_process NAME COMMAND...: runs COMMAND in the background. Sets PID and
 # pid_NAME to its pid.
 start_process() {
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -45,6 +45,12 @@
 		"127.0.0.1:$((servers_port + $1))" "s$1" "$2"
 	wait_http "127.0.0.1:$((servers_port + $1))" /health
 }
+# set_limit I TEXT: the server at servers_port + I names TEXT as its limit of
+# requests a second; empty: none.
+set_limit() {
+	curl -s -o /dev/null -X PUT -d "$2" \
+		"127.0.0.1:$((servers_port + $1))/limit"
+}
 # start_follower I: starts entry host I, which follows the store. The address
 # for other hosts ("relay") is peers_port + I.
 start_follower() {
@@ -84,14 +90,3 @@
 		-H 'Deadline-Ms: 2000' -w ' %{http_code}' "${@:4}" \
 		"127.0.0.1:$((callers_port + $1))$2"
 }
-# within SECONDS COMMAND...: repeats COMMAND until it succeeds. Fails when the
-# time is over.
-within() {
-	local until=$(($(date +%s%N) + ${1%.*} * 1000000000))
-	shift
-	while test "$(date +%s%N)" -lt $until; do
-		"$@" && return
-		sleep 0.05
-	done
-	return 1
-}
--- a/tests/orders.sh
+++ b/tests/orders.sh
@@ -59,6 +59,24 @@
 		"$@" >"$WORK/$name.result"
 }
 
+# post_order HOST KEY BODY [CURL-ARGUMENT...]: sends an order. Prints "STATUS
+# OUTCOME BODY-BYTES".
+post_order() {
+	host=$1
+	key=$2
+	body=$3
+	shift 3
+	curl -s -o /dev/null -d "$body" -H "idempotency-key: $key" \
+		-H "x-caller: lamp-district-3" -H "x-echo: $key" \
+		-H "x-timeout-ms: 5000" \
+		-w '%{http_code} %header{x-request-outcome} %{size_download}' \
+		"$@" "127.0.0.1:$((callers_port + host))/orders${query:-}"
+}
+
+# accepts_orders HOST: whether the host takes an order with a key. After an outage
+# or a restore of the platform it refuses them for some time.
+accepts_orders() { post_order "$1" "back$1" x | grep -q ^200; }
+
 # snapshot_run_log NAME: copies the servers' run log at the end of a round.
 # Servers write a line when they begin to run an order.
 snapshot_run_log() { cp "$WORK/ordering.runs" "$WORK/$1.runs"; }
--- a/tests/run_limit.sh
+++ b/tests/run_limit.sh
@@ -13,12 +13,6 @@
 SETTLE_MS=3000 WINDOW_MS=4000
 ALLOWED=$((LIMIT_PER_S * WINDOW_MS / 1000 * 3 / 2 + 5))
 
-# set_limit SERVER TEXT: the server names TEXT as its limit; empty: none.
-set_limit() {
-	curl -s -o /dev/null -X PUT -d "$2" \
-		"127.0.0.1:$((servers_port + $1))/limit"
-}
-now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
 # requests SERVER FROM-MS TO-MS: prints when the server got requests.
 requests() {
 	awk -v from="$2" -v to="$3" '$3 >= from && $3 < to { print $3 }' \
--- a/tests/run_orders.sh
+++ b/tests/run_orders.sh
@@ -55,20 +55,6 @@
 	check_round "$1-again$4"
 }
 
-# post_order HOST KEY BODY [CURL-ARGUMENT...]: sends an order. Prints "STATUS
-# OUTCOME BODY-BYTES".
-post_order() {
-	host=$1
-	key=$2
-	body=$3
-	shift 3
-	curl -s -o /dev/null -d "$body" -H "idempotency-key: $key" \
-		-H "x-caller: lamp-district-3" -H "x-echo: $key" \
-		-H "x-timeout-ms: 5000" \
-		-w '%{http_code} %header{x-request-outcome} %{size_download}' \
-		"$@" "127.0.0.1:$((callers_port + host))/orders${query:-}"
-}
-
 expect_equal() { # WHAT WANTED GOT
 	test "$2" = "$3" && return
 	say "$1: expected \"$2\", got \"$3\""
@@ -137,9 +123,6 @@
 	failures=$((failures + 1))
 }
 
-# A host refuses every key until it has found that the platform answers again.
-accepts_orders() { post_order "$1" "back$1" x | grep -q ^200; }
-
 lease_holder_is_not() { test "$(lease_holder)" != "$1"; }
 
 # The host that holds the lease is paused for longer than the lease, the
--- a/tests/run_restored_orders.sh
+++ b/tests/run_restored_orders.sh
@@ -7,13 +7,7 @@
 . "$(dirname "$0")/orders.sh"
 
 # place HOST KEY: sends an order; prints "STATUS OUTCOME".
-place() {
-	curl -s -o /dev/null -d x -H "idempotency-key: $2" \
-		-H "x-caller: lamp-district-3" -H "x-echo: $2" \
-		-H "x-timeout-ms: 5000" \
-		-w '%{http_code} %header{x-request-outcome}' \
-		"127.0.0.1:$((callers_port + $1))/orders"
-}
+place() { post_order "$1" "$2" x | cut -d' ' -f1,2; }
 # place_all FIRST LAST SHIFT: sends orders kFIRST to kLAST, each at another host.
 place_all() {
 	for k in $(seq "$1" "$2"); do place $(((k + $3) % HOSTS)) "k$k" >/dev/null; done
@@ -25,14 +19,6 @@
 		check "order k$k ($1) ran $(runs "$k") times" test "$(runs "$k")" = 1
 	done
 }
-accepts_orders() { place "$1" "$2-$RANDOM$RANDOM" | grep -q ^200; }
-wait_orders() {
-	for _ in $(seq 100); do
-		accepts_orders "$1" back && return
-		sleep 0.1
-	done
-	return 1
-}
 
 start_orders
 place_all 1 5 0
@@ -41,7 +27,10 @@
 
 # The last ten are at a server while the store is restored.
 all_servers '{"factor": 200}'
-for k in $(seq 31 40); do place $((k % HOSTS)) "k$k" >"$WORK/k$k.first" & placed="${placed:-} $!"; done
+for k in $(seq 31 40); do
+	place $((k % HOSTS)) "k$k" >"$WORK/k$k.first" &
+	placed="${placed:-} $!"
+done
 sleep 0.2
 platform_fault '{"restore":true}'
 # Their callers try again at other hosts, which hear of the restore by this.
@@ -49,7 +38,7 @@
 wait $placed
 all_servers '{"factor": 1}'
 for i in 0 1 2; do
-	check "host $i takes no orders any more" wait_orders $i
+	check "host $i takes no orders any more" within 10 accepts_orders $i
 done
 for shift in 1 2; do place_all 1 40 $shift; done
 check_runs "in the copy" 1 5
@@ -58,8 +47,8 @@
 for k in $(seq 31 40); do
 	check "the first call of k$k got $(cat "$WORK/k$k.first")" \
 		grep -q '^200 completed' "$WORK/k$k.first"
-	check "a later call of k$k got $(place $(((k + 1) % HOSTS)) "k$k")" \
-		test "$(place $(((k + 1) % HOSTS)) "k$k")" = "200 completed"
+	later=$(place $(((k + 1) % HOSTS)) "k$k")
+	check "a later call of k$k got $later" test "$later" = "200 completed"
 done
 say "failures: $failures"
 test $failures = 0
--- a/tests/run_stalled.sh
+++ b/tests/run_stalled.sh
@@ -15,7 +15,6 @@
 		-H 'Host: x.example' -H "Attempt-Id: $3" \
 		-H "Deadline-Ms: $DEADLINE_MS" "127.0.0.1:$callers_port$2"
 }
-now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
 
 start_platform || exit 1
 start_upstream 0 $WORK_MS
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -77,24 +77,18 @@
 	call_host "$1" /safe/a "left-$((++departed))" -m 0.1 >/dev/null
 	call_host "$1" /order/a "left-$((++departed))" -m 0.1 -X POST >/dev/null
 }
-now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
-# set_limit I TEXT: server I names TEXT as its limit; empty: none.
-set_limit() {
-	curl -s -o /dev/null -X PUT -d "$2" \
-		"127.0.0.1:$((servers_port + 50 + $1))/limit"
-}
 # begin_limit I, end_limit I: server I names a limit, and no longer does. A line
 # "server from-ms to-ms" in "limits" says how long.
 begin_limit() {
 	test -z "${limited_since[$1]:-}" || return
 	limited_since[$1]=$(now_ms)
-	set_limit "$1" $LIMIT_PER_S
+	set_limit $((50 + $1)) $LIMIT_PER_S
 }
 end_limit() {
 	test -n "${limited_since[$1]:-}" || return
 	say "${server_id[$1]} ${limited_since[$1]} $(now_ms)" >>"$WORK/limits"
 	limited_since[$1]=
-	set_limit "$1" "" 2>/dev/null
+	set_limit $((50 + $1)) "" 2>/dev/null
 }
 # Writes the next version of the manifest, which has a route of that version.
 put_next_manifest() {
