Send nothing more to a server that said that it leaves

Cause: pd_dialect named no header for it, so the notice in a server's answers was dropped on the platform. Even with a name it would not have held: a probe that is answered without the header ended it, and one that is refused was not read.

Change: a notice holds for good where each start of a server has an id of its own (the platform); no later answer, row or restore revokes it. It is read from every answer of the server, those of failed health checks too, but not from another server's at its address. In the project's own dialect, which does not tell starts apart, a probe without the header ends it as before.

--- a/core.c
+++ b/core.c
@@ -657,6 +657,21 @@
 		core_on_attempt_event(core, call, event);
 }
 
+static void core_set_leaving(struct core_server *server,
+			     enum core_leaving_source source, bool leaving)
+{
+	switch (source) {
+	case CORE_LEAVING_ANNOUNCED:
+		server->announced_leaving = leaving;
+		break;
+	case CORE_LEAVING_IN_ANSWER:
+		server->answer_leaving = leaving;
+		break;
+	default:
+		server->left_for_good |= leaving;
+	}
+}
+
 static void core_on_server(struct core *core, const struct core_event *event)
 {
 	struct core_server *server;
@@ -666,10 +681,8 @@
 		return;
 	server = core_server(core, event->u.server.server);
 	before = core_is_leaving(server);
-	if (event->u.server.source == CORE_LEAVING_IN_ANSWER)
-		server->answer_leaving = event->u.server.leaving;
-	else
-		server->announced_leaving = event->u.server.leaving;
+	core_set_leaving(server, event->u.server.source,
+			 event->u.server.leaving);
 	if (before && !core_is_leaving(server))
 		server->slow_start_us = core->now_us;
 	if (!server->answer_leaving && !server->rate_limited)
--- a/core.h
+++ b/core.h
@@ -161,8 +161,15 @@
  * IN_ANSWER: an answer with an x-draining header, or one that shows another
  * server at the address; valid until a probe is answered without x-draining, or
  * an operator returns the server to use.
+ * FOR_GOOD: the same where the next start of the server gets another id; never
+ * revoked, whatever the configuration says of it later.
  */
-enum core_leaving_source { CORE_LEAVING_ANNOUNCED, CORE_LEAVING_IN_ANSWER };
+enum core_leaving_source {
+	CORE_LEAVING_ANNOUNCED,
+	CORE_LEAVING_IN_ANSWER,
+	CORE_LEAVING_FOR_GOOD,
+	CORE_LEAVING_SOURCE_COUNT
+};
 
 struct core_event {
 	enum core_event_kind kind;
--- a/core_limit.c
+++ b/core_limit.c
@@ -43,7 +43,7 @@
 	if (!me_on(ME_LEAVING))
 		return false;
 	return server->conf_leaving || server->announced_leaving ||
-	       server->answer_leaving;
+	       server->answer_leaving || server->left_for_good;
 }
 
 /* After the back-off, one trial call at a time is let through. */
--- a/core_state.h
+++ b/core_state.h
@@ -61,6 +61,7 @@
 	bool conf_leaving; /* by the configuration */
 	bool announced_leaving; /* CORE_LEAVING_ANNOUNCED */
 	bool answer_leaving; /* CORE_LEAVING_IN_ANSWER */
+	bool left_for_good; /* CORE_LEAVING_FOR_GOOD */
 	uint32_t service;
 	uint32_t zone;
 	uint32_t slots;
--- a/dialect.c
+++ b/dialect.c
@@ -68,6 +68,12 @@
 		(uint32_t)MIN(per_s * DL_MILLI, UINT32_MAX);
 }
 
+enum core_leaving_source dl_leaving_source(const struct dl_dialect *dialect)
+{
+	return dialect->leaves_for_good ? CORE_LEAVING_FOR_GOOD :
+					  CORE_LEAVING_IN_ANSWER;
+}
+
 bool dl_is_not_run(const struct dl_dialect *dialect, const struct hc_head *head)
 {
 	const struct hc_header *h = dl_find_header(head, dialect->not_run);
--- a/dialect.h
+++ b/dialect.h
@@ -21,6 +21,11 @@
 	const char *report; /* load of the answering server */
 	const char *report_wanted; /* requests a report; NULL: always sent */
 	const char *draining; /* the answering server is draining */
+	/*
+	 * DRAINING holds until the server's process ends: each of its starts is
+	 * another server here.
+	 */
+	bool leaves_for_good;
 	/* Requests a second that the answering server takes from all hosts. */
 	const char *rate_limit;
 	const char *not_run; /* the server has not run the call */
@@ -58,6 +63,11 @@
 void dl_parse_rate_limit(const struct dl_dialect *dialect,
 			 const struct hc_head *head, struct core_event *event);
 
+/*
+ * dl_leaving_source - source of a notice in an answer that its server leaves.
+ */
+enum core_leaving_source dl_leaving_source(const struct dl_dialect *dialect);
+
 /* dl_is_not_run - the answer proves that the server did not run the call. */
 bool dl_is_not_run(const struct dl_dialect *dialect,
 		   const struct hc_head *head);
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -78,13 +78,21 @@
 	    !me_on(ME_LEAVING))
 		return;
 	event.u.server.server = attempt->server;
-	event.u.server.source = CORE_LEAVING_IN_ANSWER;
+	event.u.server.source = dl_leaving_source(gateway->dialect);
 	event.u.server.leaving = true;
 	gw_post_event(gateway, &event);
 	g_strlcpy(msg.server, server->name, sizeof(msg.server));
 	kn_send(gateway->kernel, "peer", &msg.msg);
 }
 
+/* What the server of the attempt says of itself, whatever its answer. */
+static void gw_read_notices(struct gw_attempt *attempt,
+			    const struct hc_head *head)
+{
+	gw_post_leaving_notice(attempt, head);
+	gw_read_rate_limit(attempt, head);
+}
+
 static void gw_on_sent(struct hc_request *request)
 {
 	struct gw_attempt *attempt = (struct gw_attempt *)request;
@@ -258,11 +266,10 @@
 	/* If it were sent once more, it would look like the next answer. */
 	request->close_after = attempt->refused;
 	gw_post_report(attempt, head);
-	gw_post_leaving_notice(attempt, head);
 	if (head->status == DL_MISDIRECTED && attempt->refused)
 		gw_post_server_replaced(attempt);
 	else
-		gw_read_rate_limit(attempt, head);
+		gw_read_notices(attempt, head);
 	if (attempt->refused)
 		return;
 	if (gw_lacks_signature(attempt, head))
--- a/probe.c
+++ b/probe.c
@@ -16,6 +16,7 @@
 	uint64_t start_us;
 	uint32_t bytes;
 	bool ok;
+	bool of_target; /* the answer is not from another server */
 	bool draining;
 	struct core_event report;
 	struct core_event rate_limit;
@@ -29,12 +30,28 @@
 		ct_add(CT_PROBE_CROSS_BYTES, bytes);
 }
 
+/*
+ * A failed health check may also say that the server leaves; that it stays, only
+ * a complete and good answer says.
+ */
+static void pb_post_leaving(struct pb_probe *probe, bool ok)
+{
+	struct pb_prober *prober = probe->prober;
+	struct core_event state = { .kind = CORE_EV_SERVER };
+
+	if (!ok && !probe->draining)
+		return;
+	state.u.server.server = probe->target.server;
+	state.u.server.source = dl_leaving_source(prober->dialect);
+	state.u.server.leaving = probe->draining;
+	prober->post(prober->ctx, &state);
+}
+
 /* Posts the result to the core and frees the probe. */
 static void pb_finish(struct pb_probe *probe, bool ok)
 {
 	struct pb_prober *prober = probe->prober;
 	struct core_event *report = &probe->report;
-	struct core_event state = { .kind = CORE_EV_SERVER };
 
 	report->kind = CORE_EV_REPORT;
 	report->u.report.server = probe->target.server;
@@ -46,12 +63,8 @@
 	probe->rate_limit.u.rate_limit.source = CORE_FROM_PROBE;
 	if (ok)
 		prober->post(prober->ctx, &probe->rate_limit);
+	pb_post_leaving(probe, ok);
 	prober->post(prober->ctx, report);
-	state.u.server.server = probe->target.server;
-	state.u.server.source = CORE_LEAVING_IN_ANSWER;
-	state.u.server.leaving = probe->draining;
-	if (ok)
-		prober->post(prober->ctx, &state);
 	tm_cancel(prober->timers, &probe->timer);
 	*probe->prev_next = probe->next;
 	if (probe->next)
@@ -86,12 +99,12 @@
 	const struct hc_header *id = dl_find_header(head, dialect->server_id);
 
 	pb_count_bytes(probe, pb_head_bytes(head));
-	probe->ok = head->status == 200 && load;
+	probe->of_target = !id || hc_value_is(id, probe->target.expected_id);
+	probe->ok = head->status == 200 && load && probe->of_target;
 	/* If it were sent once more, it would look like the next answer. */
 	request->close_after = dl_is_not_run(dialect, head);
-	probe->draining = dl_find_header(head, dialect->draining) != NULL;
-	if (id && !hc_value_is(id, probe->target.expected_id))
-		probe->ok = false;
+	probe->draining =
+		probe->of_target && dl_find_header(head, dialect->draining);
 	if (load)
 		dialect->parse_report(load, &probe->report);
 	dl_parse_rate_limit(dialect, head, &probe->rate_limit);
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -29,6 +29,8 @@
 	uint64_t work_ms;
 	uint32_t running;
 	char limit[32]; /* requests a second; empty: none is named */
+	char leaving[32]; /* empty: it stays */
+	char pause[64]; /* value of Retry-After; empty: no pause */
 	GString *run_ids; /* attempt id of every run, one a line */
 } upstream;
 
@@ -53,6 +55,10 @@
 	add_header(req, "Instance-Id", upstream.id);
 	if (*upstream.limit)
 		add_header(req, "Server-Limit", upstream.limit);
+	if (*upstream.leaving)
+		add_header(req, "Server-Leaving", "1");
+	if (*upstream.pause)
+		add_header(req, "Retry-After", upstream.pause);
 }
 
 static void reply(h2o_req_t *req, int status, const char *body)
@@ -98,23 +104,66 @@
 		     tm_now_us() + upstream.work_ms * US_PER_MS);
 }
 
-static void on_request(void *ctx, h2o_req_t *req)
+/* Stores the body of a request that sets a behaviour of the server. */
+static void set_text(h2o_req_t *req, char *text, size_t text_bytes)
 {
-	h2o_iovec_t expected = hd_header(req, "expect-instance");
+	g_strlcpy(text, req->entity.len ? req->entity.base : "",
+		  MIN(req->entity.len + 1, text_bytes));
+	hd_reply(req, 200, "text/plain", "ok", strlen("ok"));
+}
 
-	if (hd_path_is(req, "/runs")) {
+/* Whether the request set or asked for something of the stand-in itself. */
+static bool on_control(h2o_req_t *req)
+{
+	if (hd_path_is(req, "/runs"))
 		hd_reply(req, 200, "text/plain", upstream.run_ids->str,
 			 upstream.run_ids->len);
-	} else if (hd_path_is(req, "/work")) {
+	else if (hd_path_is(req, "/limit"))
+		set_text(req, upstream.limit, sizeof(upstream.limit));
+	else if (hd_path_is(req, "/leaving"))
+		set_text(req, upstream.leaving, sizeof(upstream.leaving));
+	else if (hd_path_is(req, "/pause"))
+		set_text(req, upstream.pause, sizeof(upstream.pause));
+	else
+		return false;
+	return true;
+}
+
+static void print_notice(h2o_req_t *req)
+{
+	h2o_iovec_t id = hd_header(req, "attempt-id");
+
+	printf("notice %.*s %" G_GUINT64_FORMAT "\n", id.base ? (int)id.len : 1,
+	       id.base ? id.base : "-", tm_now_us() / US_PER_MS);
+	fflush(stdout);
+}
+
+static bool is_healthy(void)
+{
+	return !*upstream.leaving || !strcmp(upstream.leaving, "healthy");
+}
+
+static void refuse(h2o_req_t *req)
+{
+	add_header(req, "Not-Executed", "1");
+	reply(req, 503, "not now");
+}
+
+static void on_request(void *ctx, h2o_req_t *req)
+{
+	h2o_iovec_t expected = hd_header(req, "expect-instance");
+
+	if (on_control(req))
+		return;
+	if (*upstream.leaving || *upstream.pause)
+		print_notice(req);
+	if (hd_path_is(req, "/work")) {
 		upstream.work_ms = strtoull(req->entity.base, NULL, 10);
 		reply(req, 200, "ok");
-	} else if (hd_path_is(req, "/limit")) {
-		g_strlcpy(upstream.limit,
-			  req->entity.len ? req->entity.base : "",
-			  MIN(req->entity.len + 1, sizeof(upstream.limit)));
-		reply(req, 200, "ok");
+	} else if (*upstream.pause) {
+		refuse(req);
 	} else if (hd_path_is(req, "/health")) {
-		reply(req, 200, "ok");
+		reply(req, is_healthy() ? 200 : 503, "ok");
 	} else if (expected.len != strlen(upstream.id) ||
 		   memcmp(expected.base, upstream.id, expected.len) != 0) {
 		add_header(req, "Not-Executed", "1");
--- a/trace.c
+++ b/trace.c
@@ -31,7 +31,7 @@
 
 static const char *tr_leaving_source_name(uint32_t value)
 {
-	static const char *const names[] = { "told", "answer" };
+	static const char *const names[] = { "told", "answer", "for-good" };
 
 	return names[value];
 }
@@ -116,7 +116,8 @@
 
 static const struct tr_field tr_server_fields[] = {
 	TR_EV("server", TR_U32, u.server.server),
-	TR_EV_NAME("sign", u.server.source, tr_leaving_source_name, 2),
+	TR_EV_NAME("sign", u.server.source, tr_leaving_source_name,
+		   CORE_LEAVING_SOURCE_COUNT),
 	TR_EV("leaving", TR_BOOL, u.server.leaving),
 	TR_FIELDS_END,
 };
