Send nothing to servers that ask for a pause

Cause: nothing read Retry-After of a server's refusal. The host went on asking such a server for its load and sending it calls, as far as ejection let it, and told callers to come back after 20 ms whatever the servers had said.

Change: a refusal with Retry-After (status 503; to a call or to a probe) pauses the server at this host: no call, retry, hedge or probe until the time is over, which later answers do not shorten. While all servers of a service pause, calls are refused at once with the time until the first of them is back.

--- a/core.c
+++ b/core.c
@@ -235,6 +235,19 @@
 	core_emit_action(core, &action);
 }
 
+/* When the caller of a refused call may come back; 0: not known. */
+static uint64_t core_retry_at_us(const struct core *core,
+				 const struct core_call *call,
+				 enum st_kind result)
+{
+	uint64_t opens_us;
+
+	if (result != ST_PAUSED)
+		return 0;
+	opens_us = core_opens_us(core, core_service(core, call->service));
+	return opens_us == UINT64_MAX ? 0 : opens_us;
+}
+
 void core_finish_call(struct core *core, struct core_call *call,
 		      enum st_kind result)
 {
@@ -248,6 +261,7 @@
 		result = result == ST_DEADLINE_NOT_RUN ? ST_DEADLINE_UNKNOWN :
 							 ST_UNKNOWN;
 	action.result = result;
+	action.at_us = core_retry_at_us(core, call, result);
 	call->inputs.retry_credit =
 		core_retry_credit(core, core_service(core, call->service));
 	action.inputs = call->inputs;
@@ -720,6 +734,9 @@
 	case CORE_EV_RATE_LIMIT:
 		core_rate_on_limit(core, event);
 		break;
+	case CORE_EV_PAUSE:
+		core_on_pause(core, event);
+		break;
 	case CORE_EV_TIMER:
 		core_on_timer(core, event);
 		break;
--- a/core.h
+++ b/core.h
@@ -142,6 +142,7 @@
 	X(REPORT, "report")         \
 	X(SERVER, "server")         \
 	X(RATE_LIMIT, "rate-limit") \
+	X(PAUSE, "pause")           \
 	X(TIMER, "timer")
 
 enum core_event_kind {
@@ -233,6 +234,12 @@
 			bool limited;
 			uint32_t milli_per_s; /* requests in 1000 s */
 		} rate_limit;
+		/* SERVER wants nothing more from this host for so long. */
+		struct {
+			uint32_t server;
+			enum core_report_source source;
+			uint64_t duration_us;
+		} pause;
 	} u;
 };
 
@@ -277,7 +284,8 @@
 /*
  * SEND: start attempt ATTEMPT of CALL at SERVER.
  * CANCEL: abort an attempt; no ENDED event follows for it.
- * FINISH: the call is over with RESULT; ST_OK if the answer was passed on.
+ * FINISH: the call is over with RESULT; ST_OK if the answer was passed on. If
+ * AT_US is not 0, a server may take the call then, and none does before.
  * PROBE: request a load report from SERVER; the driver answers with exactly one
  * REPORT event from a probe.
  * TIMER: post a TIMER event for CALL at AT_US; replaces its earlier timer.
--- a/core_ask.c
+++ b/core_ask.c
@@ -222,6 +222,7 @@
 		uint64_t cost_us;
 
 		if (!server->in_conf || core_is_leaving(server) ||
+		    core_is_paused(core, server) ||
 		    core_is_ejected(core, server) ||
 		    !core_rate_allows(core, server, call->ask_hedge) ||
 		    (!all && !core_has_answered_ask(call, server)) ||
@@ -310,20 +311,21 @@
 
 	return !call->ask_hedge &&
 	       core->now_us + CORE_ASK_PAUSE_US <= call->wait_until_us &&
-	       core_rate_opens_us(core, service) <= call->wait_until_us;
+	       core_opens_us(core, service) <= call->wait_until_us;
 }
 
-/* No server can be asked: waits if only their limits are in the way. */
+/* No server can be asked: waits if only limits or pauses are in the way. */
 static void core_ask_no_server(struct core *core, struct core_call *call)
 {
 	const struct core_service *service = core_service(core, call->service);
-	bool limited = core_rate_opens_us(core, service) > core->now_us;
+	bool closed = core_opens_us(core, service) > core->now_us;
 
-	if (limited && core_ask_may_pause(core, call))
+	if (closed && core_ask_may_pause(core, call))
 		core_ask_pause(core, call);
 	else
 		core_ask_give_up(core, call,
-				 limited ? ST_RATE_LIMIT : ST_NO_SERVER);
+				 closed ? core_closed_kind(core, service) :
+					  ST_NO_SERVER);
 }
 
 /* No server meets the needs of the call: waits, accepts less or refuses. */
@@ -534,7 +536,8 @@
 	struct core_server *from = core_server(core, server);
 
 	from->probe_pending = false;
-	if (!ok && core_service(core, from->service)->policy == CORE_POLICY_ASK)
+	if (!ok && !core_is_paused(core, from) &&
+	    core_service(core, from->service)->policy == CORE_POLICY_ASK)
 		core_record_error(core, from);
 	for (GList *l = core->asking.head; l; l = next) {
 		struct core_call *call = l->data;
--- a/core_limit.c
+++ b/core_limit.c
@@ -280,7 +280,9 @@
 	server->latency_samples++;
 	if (++service->answer_count % CORE_MEDIAN_EVERY_ANSWERS == 0)
 		core_update_zone_latency(core, service);
-	core_adapt_limit(service, server, latency_us);
+	/* An answer to an earlier call says nothing of the time after a pause. */
+	if (!core_is_paused(core, server))
+		core_adapt_limit(service, server, latency_us);
 	server->error_rate_q8 -= server->error_rate_q8 / 4;
 	server->errors_in_row = 0;
 	if (!server->backoff_us)
--- a/core_pick.c
+++ b/core_pick.c
@@ -140,7 +140,8 @@
 		       const struct core_service *service,
 		       const struct core_server *server, bool eject)
 {
-	if (!server->in_conf || core_is_leaving(server))
+	if (!server->in_conf || core_is_leaving(server) ||
+	    core_is_paused(core, server))
 		return false;
 	if (core_is_basic_policy(service))
 		return server->in_flight < server->max_connections;
--- a/core_probe.c
+++ b/core_probe.c
@@ -92,7 +92,8 @@
 				      .service = service->id,
 				      .server = id };
 
-	if (!core_take_probe_budget(core, service, server))
+	if (core_is_paused(core, server) ||
+	    !core_take_probe_budget(core, service, server))
 		return false;
 	core->driver.on_action(core->driver.ctx, &action);
 	return true;
--- a/core_queue.c
+++ b/core_queue.c
@@ -216,8 +216,8 @@
 		core_finish_call(core, call, ST_DEADLINE_NOT_RUN);
 		return;
 	}
-	if (core_rate_opens_us(core, service) >= call->deadline_us) {
-		core_finish_call(core, call, ST_RATE_LIMIT);
+	if (core_opens_us(core, service) >= call->deadline_us) {
+		core_finish_call(core, call, core_closed_kind(core, service));
 		return;
 	}
 	if (!service->queued &&
--- a/core_rate.c
+++ b/core_rate.c
@@ -116,9 +116,8 @@
 		core_bucket_spend(&server->rate_tokens, 1);
 }
 
-/* When the share of this host allows the next attempt. */
-static uint64_t core_next_token_us(const struct core *core,
-				   const struct core_server *server)
+uint64_t core_rate_opens_us(const struct core *core,
+			    const struct core_server *server)
 {
 	const struct core_bucket *bucket = &server->rate_tokens;
 	int64_t missing =
@@ -131,21 +130,3 @@
 	return core->now_us +
 	       (uint64_t)missing * CORE_US_PER_S / bucket->rate_per_s;
 }
-
-uint64_t core_rate_opens_us(const struct core *core,
-			    const struct core_service *service)
-{
-	uint64_t opens_us = UINT64_MAX;
-	bool any = false;
-
-	for (uint32_t i = 0; i < service->server_count; i++) {
-		const struct core_server *server =
-			core_server(core, service->servers[i]);
-
-		if (core_is_leaving(server) || core_is_ejected(core, server))
-			continue;
-		any = true;
-		opens_us = MIN(opens_us, core_next_token_us(core, server));
-	}
-	return any ? opens_us : core->now_us;
-}
--- a/core_state.h
+++ b/core_state.h
@@ -95,6 +95,7 @@
 	bool rate_limited;
 	uint32_t rate_limit_milli; /* requests in 1000 s */
 	struct core_bucket rate_tokens; /* share of this host */
+	uint64_t paused_until_us; /* it wants nothing before; 0: no pause yet */
 	/* Next probe while it is leaving or rate limited; 0: not set. */
 	uint64_t next_recheck_us;
 };
@@ -385,8 +386,8 @@
  * core_rate_allows - whether an attempt may go to the server now. A hedge may
  * not go to a limited server, which is in need and would get work twice.
  * core_rate_take - count an attempt that is sent to the server.
- * core_rate_opens_us - when limits next allow an attempt at a server of the
- * service; UINT64_MAX: they do not as they are.
+ * core_rate_opens_us - when the share of this host next allows an attempt at the
+ * server; UINT64_MAX: it does not as it is.
  */
 void core_rate_on_limit(struct core *core, const struct core_event *event);
 void core_rate_configure(const struct core *core, struct core_server *server);
@@ -394,14 +395,31 @@
 		      bool hedge);
 void core_rate_take(const struct core *core, struct core_server *server);
 uint64_t core_rate_opens_us(const struct core *core,
-			    const struct core_service *service);
+			    const struct core_server *server);
+
+/*
+ * core_pause.c: pauses that servers ask for.
+ *
+ * core_on_pause - a server asked for a pause, or for a longer one.
+ * core_is_paused - whether nothing may go to the server now.
+ * core_closed_kind - why core_opens_us is in the future, for the caller.
+ * core_opens_us - when pauses and rate limits next allow an attempt at a server
+ * of the service; UINT64_MAX: they do not as they are.
+ */
+void core_on_pause(struct core *core, const struct core_event *event);
+bool core_is_paused(const struct core *core, const struct core_server *server);
+enum st_kind core_closed_kind(const struct core *core,
+			      const struct core_service *service);
+uint64_t core_opens_us(const struct core *core,
+		       const struct core_service *service);
 
 /*
  * core_probe.c: measuring budget, probes, load reports, probe responses.
  *
  * core_take_report_budget - whether an attempt may request a load report; takes
  * its bytes from the budget.
- * core_send_probe - emit a PROBE action; false: the budget is used up.
+ * core_send_probe - emit a PROBE action; false: the budget is used up, or the
+ * server wants a pause.
  * core_send_call_probes - for policy "probes", probe random servers for a new
  * call.
  * core_recheck_servers - send due probes to servers that answered x-draining or
--- a/counter.h
+++ b/counter.h
@@ -28,6 +28,8 @@
 	  "Times a server began to limit its requests a second")              \
 	X(LIMITED_ATTEMPTS, "limited_attempts_total",                         \
 	  "Attempts sent to servers with such a limit")                       \
+	X(PAUSES, "server_pauses_total",                                      \
+	  "Times a server refused a request and asked for a pause")           \
 	X(CONNECTS, "connects_total", "Connections opened to servers")        \
 	X(LATE, "late_connections_total",                                     \
 	  "Connections closed with an answer pending")                        \
--- a/dialect.c
+++ b/dialect.c
@@ -2,8 +2,16 @@
 
 #include <math.h>
 #include <string.h>
+#include <time.h>
 
-enum { DL_MILLI = 1000, DL_NUMBER_BYTES = 32 };
+#include <h2o.h>
+
+enum {
+	DL_MILLI = 1000,
+	DL_US_PER_S = 1000 * 1000,
+	DL_NUMBER_BYTES = 32,
+	DL_DATE_BYTES = 29 /* of an HTTP date */
+};
 
 static uint32_t dl_parse_field(const char *text, const char *key)
 {
@@ -68,6 +76,51 @@
 		(uint32_t)MIN(per_s * DL_MILLI, UINT32_MAX);
 }
 
+/* Seconds since 1970; false: the header is missing or holds no HTTP date. */
+static bool dl_parse_date(const struct hc_header *h, int64_t *seconds)
+{
+	struct tm date = { 0 };
+
+	if (!h || h->value_bytes != DL_DATE_BYTES ||
+	    h2o_time_parse_rfc1123(h->value, h->value_bytes, &date))
+		return false;
+	*seconds = timegm(&date);
+	return true;
+}
+
+/* The clock of this host may be wrong, so a date counts from the answer's. */
+static double dl_pause_s(const struct hc_head *head, const struct hc_header *h)
+{
+	char text[DL_NUMBER_BYTES];
+	int64_t until;
+	int64_t now;
+	char *end;
+	double seconds;
+
+	if (dl_parse_date(h, &until))
+		return dl_parse_date(hc_find_header(head, "date"), &now) ?
+			       (double)(until - now) :
+			       0;
+	if (!h->value_bytes || h->value_bytes >= sizeof(text))
+		return 0;
+	g_strlcpy(text, h->value, h->value_bytes + 1);
+	seconds = g_ascii_strtod(text, &end);
+	return end == text || *end || isnan(seconds) ? 0 : seconds;
+}
+
+bool dl_parse_pause(const struct hc_head *head, struct core_event *event)
+{
+	const struct hc_header *h = hc_find_header(head, "retry-after");
+	double max_s = (double)DL_MAX_PAUSE_US / DL_US_PER_S;
+
+	if (head->status != 503 || !h)
+		return false;
+	event->kind = CORE_EV_PAUSE;
+	event->u.pause.duration_us =
+		(uint64_t)(CLAMP(dl_pause_s(head, h), 0, max_s) * DL_US_PER_S);
+	return true;
+}
+
 enum core_leaving_source dl_leaving_source(const struct dl_dialect *dialect)
 {
 	return dialect->leaves_for_good ? CORE_LEAVING_FOR_GOOD :
--- a/dialect.h
+++ b/dialect.h
@@ -45,6 +45,9 @@
  */
 enum { DL_MISDIRECTED = 421 };
 
+/* A server that asks for more may have been mistaken. */
+static const uint64_t DL_MAX_PAUSE_US = 300 * 1000 * 1000;
+
 /*
  * dl_default - dialect of this project, used without a platform.
  * Source: dialect.c
@@ -63,6 +66,14 @@
 void dl_parse_rate_limit(const struct dl_dialect *dialect,
 			 const struct hc_head *head, struct core_event *event);
 
+/*
+ * dl_parse_pause - set the kind of EVENT to CORE_EV_PAUSE, and how long a server
+ * that refuses a request with HEAD wants nothing more. False: it does not say so.
+ * The duration is 0 if what it says is no time, or a date without the server's own
+ * to compare it with, and DL_MAX_PAUSE_US if it is longer.
+ */
+bool dl_parse_pause(const struct hc_head *head, struct core_event *event);
+
 /*
  * dl_leaving_source - source of a notice in an answer that its server leaves.
  */
--- a/gateway.c
+++ b/gateway.c
@@ -67,10 +67,19 @@
 	gw_post_event(gateway, event);
 }
 
+void gw_post_pause(struct gw_gateway *gateway, struct core_event *event)
+{
+	ct_add(CT_PAUSES, 1);
+	gw_log_pause(gateway, event);
+	gw_post_event(gateway, event);
+}
+
 static void gw_post_probe(void *ctx, struct core_event *event)
 {
 	if (event->kind == CORE_EV_RATE_LIMIT)
 		gw_post_rate_limit(ctx, event);
+	else if (event->kind == CORE_EV_PAUSE)
+		gw_post_pause(ctx, event);
 	else
 		gw_post_event(ctx, event);
 }
@@ -119,7 +128,7 @@
 	if (gateway->dialect->outcome)
 		hd_add_header(req, gateway->dialect->outcome, "not-run",
 			      strlen("not-run"));
-	gw_add_retry_after(gateway->dialect, req, kind);
+	gw_add_retry_after(gateway->dialect, req, kind, 0);
 	hd_reply_status(req, &status);
 }
 
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -27,23 +27,32 @@
 }
 
 void gw_add_retry_after(const struct dl_dialect *dialect, h2o_req_t *req,
-			enum st_kind kind)
+			enum st_kind kind, uint64_t after_us)
 {
+	uint64_t after_ms = MAX((after_us + GW_US_PER_MS - 1) / GW_US_PER_MS,
+				GW_RETRY_AFTER_MS);
 	char text[GW_DIGITS];
 	int bytes;
 
 	if (st_http_status(kind) != 503 || !st_not_run(kind))
 		return;
 	if (dialect->retry_after_fractions)
-		bytes = g_snprintf(text, sizeof(text), "%d.%03d",
-				   GW_RETRY_AFTER_MS / 1000,
-				   GW_RETRY_AFTER_MS % 1000);
+		bytes = g_snprintf(
+			text, sizeof(text), "%" G_GUINT64_FORMAT ".%03u",
+			after_ms / 1000, (unsigned)(after_ms % 1000));
 	else
-		bytes = g_snprintf(text, sizeof(text), "%d",
-				   (GW_RETRY_AFTER_MS + 999) / 1000);
+		bytes = g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT,
+				   (after_ms + 999) / 1000);
 	hd_add_header(req, "retry-after", text, (size_t)bytes);
 }
 
+static uint64_t gw_retry_after_us(const struct gw_call *call)
+{
+	uint64_t now_us = tm_now_us();
+
+	return call->retry_at_us - MIN(now_us, call->retry_at_us);
+}
+
 void gw_reply_error(struct gw_call *call, enum st_kind kind, const char *msg)
 {
 	struct st_status status;
@@ -53,7 +62,8 @@
 					 "the request may have run";
 	st_set(&status, kind, "request %s: %s", call->request_id, msg);
 	gw_add_outcome(call, kind);
-	gw_add_retry_after(call->gateway->dialect, call->req, kind);
+	gw_add_retry_after(call->gateway->dialect, call->req, kind,
+			   gw_retry_after_us(call));
 	call->final_sent = true;
 	hd_reply_status(call->req, &status);
 }
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -85,12 +85,25 @@
 	kn_send(gateway->kernel, "peer", &msg.msg);
 }
 
+static void gw_read_pause(struct gw_attempt *attempt,
+			  const struct hc_head *head)
+{
+	struct core_event event;
+
+	if (!dl_parse_pause(head, &event))
+		return;
+	event.u.pause.server = attempt->server;
+	event.u.pause.source = CORE_FROM_ANSWER;
+	gw_post_pause(attempt->call->gateway, &event);
+}
+
 /* What the server of the attempt says of itself, whatever its answer. */
 static void gw_read_notices(struct gw_attempt *attempt,
 			    const struct hc_head *head)
 {
 	gw_post_leaving_notice(attempt, head);
 	gw_read_rate_limit(attempt, head);
+	gw_read_pause(attempt, head);
 }
 
 static void gw_on_sent(struct hc_request *request)
--- a/gateway_call.c
+++ b/gateway_call.c
@@ -118,6 +118,7 @@
 
 	call->result = at_caller_result(action->result, call->may_have_run);
 	call->inputs = action->inputs;
+	call->retry_at_us = action->at_us;
 	gw_count_result(call->result);
 	gw_log_call_end(call);
 	tm_cancel(gateway->timers, &call->timer);
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -185,6 +185,11 @@
 	lg_write(LG_EV_STALL, line);
 }
 
+static const char *gw_source_name(enum core_report_source source)
+{
+	return source == CORE_FROM_PROBE ? "probe" : "answer";
+}
+
 void gw_log_rate_limit(const struct gw_server *server,
 		       enum core_report_source source)
 {
@@ -198,11 +203,30 @@
 			    json_boolean(server->rate_limited));
 	if (server->rate_limited)
 		gw_set_number(line, "milli_per_s", server->rate_limit_milli);
-	gw_set_text(line, "said_by",
-		    source == CORE_FROM_PROBE ? "probe" : "answer");
+	gw_set_text(line, "said_by", gw_source_name(source));
 	lg_write(LG_EV_LIMIT, line);
 }
 
+void gw_log_pause(const struct gw_gateway *gateway,
+		  const struct core_event *event)
+{
+	const struct gw_server *server =
+		g_ptr_array_index(gateway->servers, event->u.pause.server);
+	uint64_t duration_us = event->u.pause.duration_us;
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_PAUSE))
+		return;
+	line = json_object();
+	gw_set_text(line, "server", server->name);
+	gw_set_number(line, "ms", duration_us / GW_US_PER_MS);
+	json_object_set_new(
+		line, "bounded",
+		json_boolean(!duration_us || duration_us >= DL_MAX_PAUSE_US));
+	gw_set_text(line, "said_by", gw_source_name(event->u.pause.source));
+	lg_write(LG_EV_PAUSE, line);
+}
+
 void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
 		    enum st_kind kind)
 {
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -106,6 +106,8 @@
 	bool final_sent; /* the end of the answer was given to h2o */
 	bool read_paused; /* too many unsent bytes */
 	enum st_kind result;
+	uint64_t
+		retry_at_us; /* for the caller of a refused call; 0: not known */
 };
 
 /*
@@ -113,9 +115,11 @@
  * that are posted while the core handles one are queued. Source: gateway.c
  *
  * gw_post_rate_limit - pass a RATE_LIMIT event on if it states a change.
+ * gw_post_pause - count, log and pass on that a server asked for a pause.
  */
 void gw_post_event(struct gw_gateway *gateway, struct core_event *event);
 void gw_post_rate_limit(struct gw_gateway *gateway, struct core_event *event);
+void gw_post_pause(struct gw_gateway *gateway, struct core_event *event);
 
 /*
  * gateway_call.c
@@ -148,7 +152,8 @@
  * gw_flush_answer - pass unsent bytes to the listener, and the end of the
  * answer once the call is finished.
  * gw_add_retry_after - add Retry-After if KIND is answered with status 503 and
- * guarantees that the request was not run.
+ * guarantees that the request was not run. A server may take it after AFTER_US; 0:
+ * not known, it may be soon.
  * gw_is_hop_header - whether the header is hop-by-hop or set by this program.
  */
 void gw_add_outcome(struct gw_call *call, enum st_kind kind);
@@ -159,7 +164,7 @@
 bool gw_is_hop_header(const struct dl_dialect *dialect, const char *name,
 		      size_t bytes);
 void gw_add_retry_after(const struct dl_dialect *dialect, h2o_req_t *req,
-			enum st_kind kind);
+			enum st_kind kind, uint64_t after_us);
 
 /*
  * gateway_attempt.c: actions of the core.
@@ -186,6 +191,7 @@
  * gw_log_call_end - a call has its result; also updates the latency histogram.
  * gw_log_stall - the event loop was blocked for STALL_US.
  * gw_log_rate_limit - a server's limit began, changed or ended.
+ * gw_log_pause - a server asked for a pause; EVENT is a PAUSE event.
  * gw_log_refusal - a request was refused before it became a call.
  * gw_log_health_change - the core ejected a server or returned it to use; CTX
  * is the gateway.
@@ -196,6 +202,8 @@
 void gw_log_stall(const struct gw_gateway *gateway, uint64_t stall_us);
 void gw_log_rate_limit(const struct gw_server *server,
 		       enum core_report_source source);
+void gw_log_pause(const struct gw_gateway *gateway,
+		  const struct core_event *event);
 void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
 		    enum st_kind kind);
 void gw_log_health_change(void *ctx, const struct core_health_change *change);
--- a/log.h
+++ b/log.h
@@ -31,6 +31,7 @@
 	X(SERVER_OUT, "server-out", STATE, "a server is not used for now")  \
 	X(SERVER_BACK, "server-back", STATE, "a server is used again")      \
 	X(LIMIT, "limit", STATE, "a server's limit of requests a second")   \
+	X(PAUSE, "pause", STATE, "a server wants nothing for a time")       \
 	X(STALL, "stall", STATE, "the event loop was blocked")              \
 	X(DROPPED, "log-dropped", STATE, "lines were dropped")
 
--- a/probe.c
+++ b/probe.c
@@ -20,6 +20,8 @@
 	bool draining;
 	struct core_event report;
 	struct core_event rate_limit;
+	struct core_event pause;
+	bool pause_wanted;
 };
 
 static void pb_count_bytes(struct pb_probe *probe, size_t bytes)
@@ -64,6 +66,10 @@
 	if (ok)
 		prober->post(prober->ctx, &probe->rate_limit);
 	pb_post_leaving(probe, ok);
+	probe->pause.u.pause.server = probe->target.server;
+	probe->pause.u.pause.source = CORE_FROM_PROBE;
+	if (probe->pause_wanted)
+		prober->post(prober->ctx, &probe->pause);
 	prober->post(prober->ctx, report);
 	tm_cancel(prober->timers, &probe->timer);
 	*probe->prev_next = probe->next;
@@ -108,6 +114,8 @@
 	if (load)
 		dialect->parse_report(load, &probe->report);
 	dl_parse_rate_limit(dialect, head, &probe->rate_limit);
+	probe->pause_wanted =
+		probe->of_target && dl_parse_pause(head, &probe->pause);
 }
 
 static void pb_on_body(struct hc_request *request, const char *data,
--- a/tests/run_notices.sh
+++ b/tests/run_notices.sh
@@ -6,10 +6,16 @@
 # read, because its row still says ready, was written anew or cannot be read, or
 # because a later answer, of a health check too, lacks the header. Its next start
 # gets work again.
+#
+# A server that refuses a request may ask for a pause. Guards against more than
+# ALLOWED requests of a host, health checks included, from SETTLE_MS after its
+# refusal to the end of the pause, against callers that wait while all servers
+# pause, or are sent back before any of them takes work, and against pauses that do
+# not end.
 set -u
 PORT_BASE=${PORT_BASE:-28200}
 . "$(dirname "$0")/lib_platform.sh"
-SERVERS=3 DRAIN_MS=2000
+SERVERS=3 DRAIN_MS=2000 PAUSE_S=4 SETTLE_MS=500 ALLOWED=2
 
 # set_server I WHAT TEXT: sets a behaviour of the server at servers_port + I.
 set_server() {
@@ -94,6 +100,39 @@
 check "the next start of the server gets no calls" within 10 has_runs
 check "$(failed_calls) calls failed" test "$(failed_calls)" = 0
 
+# One server pauses. It refuses what it gets all the time.
+set_server 2 pause "$PAUSE_S.5"
+sleep 0.6
+from=$(now_ms)
+sleep $((PAUSE_S - 1))
+count=$(notices 2 "$from")
+check "a pausing server got $count requests, allowed $ALLOWED" \
+	test "$count" -le $ALLOWED
+check "$(failed_calls) calls failed" test "$(failed_calls)" = 0
+
+# Both servers that are left pause.
+set_server 2 pause 3
+set_server 0 pause 2.5
+sleep 2
+from=$(now_ms)
+call_host 0 /desk/a all-pause -D "$WORK/refusal" -o /dev/null \
+	-w '%{time_total}\n' >"$WORK/refused"
+check "a call is not refused while all servers pause" \
+	grep -q '^HTTP/1.1 503' "$WORK/refusal"
+check "a call waited for servers that pause" \
+	awk '$1 > 0.2 { exit 1 }' "$WORK/refused"
+after=$(grep -i '^retry-after' "$WORK/refusal" | tr -d '\r' | cut -d' ' -f2)
+check "Retry-After is \"$after\" while servers pause for 2.5 s and more" \
+	awk -v s="$after" 'BEGIN { exit !(s > 0.1 && s <= 3) }'
+
+# They end their pauses.
+set_server 0 pause ""
+set_server 2 pause ""
+sleep 5
+from=$(now_ms)
+has_run_both() { test "$(runs 0 "$from")" -ge 5 && test "$(runs 2 "$from")" -ge 5; }
+check "a server whose pause is over gets no calls" within 10 has_run_both
+
 touch "$WORK/done"
 wait $callers 2>/dev/null
 say "failures: $failures"
--- a/trace.c
+++ b/trace.c
@@ -130,6 +130,13 @@
 	TR_FIELDS_END,
 };
 
+static const struct tr_field tr_pause_fields[] = {
+	TR_EV("server", TR_U32, u.pause.server),
+	TR_EV_NAME("source", u.pause.source, tr_source_name, 3),
+	TR_EV("duration_us", TR_U64, u.pause.duration_us),
+	TR_FIELDS_END,
+};
+
 static const struct tr_field *const tr_event_fields[] = {
 	[CORE_EV_CALL] = tr_call_fields,
 	[CORE_EV_SENT] = tr_attempt_fields,
@@ -139,6 +146,7 @@
 	[CORE_EV_REPORT] = tr_report_fields,
 	[CORE_EV_SERVER] = tr_server_fields,
 	[CORE_EV_RATE_LIMIT] = tr_rate_limit_fields,
+	[CORE_EV_PAUSE] = tr_pause_fields,
 	[CORE_EV_TIMER] = tr_call_id_fields,
 };
 
