Block requests under which servers crash

Cause: nothing recognised such a request. What stays the same from try to try, by the logged requests: method, host, path with query, and body; all other requests differ.

Whether a server crashed is asked by new connections. Blocked calls are refused as not run with the time to come back.

--- a/core.c
+++ b/core.c
@@ -630,6 +630,7 @@
 	case CORE_EV_ENDED:
 		return event->u.ended.call;
 	case CORE_EV_GONE:
+	case CORE_EV_BLOCKED:
 	case CORE_EV_TIMER:
 		return event->u.call_ref.call;
 	default:
@@ -665,6 +666,8 @@
 		return;
 	if (event->kind == CORE_EV_GONE)
 		core_on_gone(core, call);
+	else if (event->kind == CORE_EV_BLOCKED)
+		core_finish_call(core, call, ST_BLOCKED);
 	else if (event->kind == CORE_EV_TIMER)
 		core_on_call_timer(core, call);
 	else
--- a/core.h
+++ b/core.h
@@ -143,6 +143,7 @@
 	X(SERVER, "server")         \
 	X(RATE_LIMIT, "rate-limit") \
 	X(PAUSE, "pause")           \
+	X(BLOCKED, "blocked")       \
 	X(TIMER, "timer")
 
 enum core_event_kind {
@@ -203,8 +204,9 @@
 			uint32_t attempt;
 			enum core_end end;
 		} ended;
-		/* GONE: the caller disconnected. TIMER: a timer expired;
-		   call 0 stands for the timer of the core itself. */
+		/* GONE: the caller disconnected. BLOCKED: the call must not
+		   be sent any more, as it crashes servers. TIMER: a timer
+		   expired; call 0 stands for the timer of the core itself. */
 		struct {
 			uint64_t call;
 		} call_ref;
--- a/counter.h
+++ b/counter.h
@@ -30,6 +30,10 @@
 	  "Attempts sent to servers with such a limit")                       \
 	X(PAUSES, "server_pauses_total",                                      \
 	  "Times a server refused a request and asked for a pause")           \
+	X(CRASHES, "server_crashes_total",                                    \
+	  "Servers that crashed while they ran calls of this host")           \
+	X(BLOCKED, "blocked_requests_total",                                  \
+	  "Requests blocked because servers crashed under them")              \
 	X(CONNECTS, "connects_total", "Connections opened to servers")        \
 	X(LATE, "late_connections_total",                                     \
 	  "Connections closed with an answer pending")                        \
--- a/gateway.c
+++ b/gateway.c
@@ -229,6 +229,12 @@
 	case KN_SERVER_STATE:
 		gw_update_server_state(gateway, (const void *)msg);
 		break;
+	case KN_CRASH:
+		gw_on_crash_message(gateway, (const void *)msg);
+		break;
+	case KN_BLOCK:
+		gw_on_block_message(gateway, (const void *)msg);
+		break;
 	default:
 		break;
 	}
@@ -279,6 +285,7 @@
 		    settings->trace_max_bytes, settings->host, status) != ST_OK)
 		return status->kind;
 	core_init(&gateway->core, &driver);
+	cg_init(&gateway->crash_guard);
 	pb_init(&gateway->prober, timers, dialect, gw_post_probe, gateway);
 	gateway->core_timer.fire = gw_on_core_timer;
 	gateway->core_timer.ctx = gateway;
@@ -330,6 +337,7 @@
 	gw_stop_listening(gateway);
 	hd_close_all(&gateway->http);
 	pb_free(&gateway->prober);
+	gw_close_crash_checks(gateway);
 	tm_cancel(gateway->timers, &gateway->caller_check);
 	tm_cancel(gateway->timers, &gateway->core_timer);
 	for (guint i = 0; i < gateway->servers->len; i++) {
@@ -344,6 +352,7 @@
 {
 	hd_free(&gateway->http);
 	core_free(&gateway->core);
+	cg_free(&gateway->crash_guard);
 	tr_close(&gateway->trace);
 	g_ptr_array_set_free_func(gateway->servers, g_free);
 	g_ptr_array_free(gateway->servers, TRUE);
--- a/gateway.h
+++ b/gateway.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "core_state.h"
+#include "crash_guard.h"
 #include "document.h"
 #include "httpd.h"
 #include "kernel.h"
@@ -50,6 +51,7 @@
 	bool handling_events;
 	struct tr_trace trace;
 	struct pb_prober prober;
+	struct cg_guard crash_guard;
 	struct tm_sub core_timer;
 	struct tm_sub caller_check;
 	uint64_t caller_check_us; /* time of the last one */
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -408,6 +408,10 @@
 	if (attempt->end != CORE_END_DONE)
 		gw_log_attempt_end(attempt, msg);
 	gw_free_buffered(attempt);
+	if (end == HC_NO_ANSWER || end == HC_BROKEN)
+		gw_on_connection_lost(attempt);
+	else if (attempt->end == CORE_END_DONE)
+		gw_on_good_answer(attempt->call);
 	gw_post_ended(attempt, attempt->end);
 }
 
@@ -424,6 +428,10 @@
 		gw_post_gone(call);
 		return false;
 	}
+	if (gw_is_blocked(call)) {
+		gw_post_blocked(call);
+		return false;
+	}
 	if (!at_may_send(call->idempotent, call->may_have_run))
 		return false;
 	if (call->claim && !od_may_send(call->claim))
--- a/gateway_call.c
+++ b/gateway_call.c
@@ -118,7 +118,8 @@
 
 	call->result = at_caller_result(action->result, call->may_have_run);
 	call->inputs = action->inputs;
-	call->retry_at_us = action->at_us;
+	if (action->at_us)
+		call->retry_at_us = action->at_us;
 	gw_count_result(call->result);
 	gw_log_call_end(call);
 	tm_cancel(gateway->timers, &call->timer);
@@ -359,6 +360,16 @@
 	gw_end_unsubmitted(call, &refused);
 }
 
+static void gw_refuse_blocked(struct gw_call *call)
+{
+	struct od_claim_result refused = {
+		.kind = ST_BLOCKED,
+		.msg = "servers crashed while they ran this request",
+	};
+
+	gw_end_unsubmitted(call, &refused);
+}
+
 static void gw_on_claim(void *ctx, const struct od_claim_result *result)
 {
 	struct gw_call *call = ctx;
@@ -430,6 +441,8 @@
 	call->idempotent = rule ? rule->idempotent : gw_is_safe_method(req);
 	if (gw_may_be_cut_off(call))
 		gw_refuse_at_stop(call);
+	else if (gw_is_blocked(call))
+		gw_refuse_blocked(call);
 	else if (key.base && !call->idempotent && gateway->orders &&
 		 me_on(ME_ORDER_CLAIM))
 		gw_claim_order(call, service->name, key);
@@ -464,6 +477,8 @@
 	call->caller_index = route->priority;
 	if (gw_may_be_cut_off(call))
 		gw_refuse_at_stop(call);
+	else if (gw_is_blocked(call))
+		gw_refuse_blocked(call);
 	else
 		gw_submit_call(call);
 }
--- a/gateway_conf.c
+++ b/gateway_conf.c
@@ -15,6 +15,15 @@
 	return MAX(of_server / gateway->host_count, 1);
 }
 
+static uint64_t gw_hash_name(const char *name)
+{
+	char digest[DOC_DIGEST_BYTES];
+
+	doc_digest(name, strlen(name), digest);
+	digest[16] = '\0';
+	return g_ascii_strtoull(digest, NULL, 16);
+}
+
 static struct gw_server *gw_get_server(struct gw_gateway *gateway,
 				       const struct doc_server *conf)
 {
@@ -31,6 +40,7 @@
 	}
 	server = g_new0(struct gw_server, 1);
 	server->id = gateway->servers->len;
+	server->start_hash = gw_hash_name(key);
 	g_strlcpy(server->name, conf->name, sizeof(server->name));
 	hc_pool_init(&server->pool, gateway->kernel->loop, &conf->address,
 		     connections);
@@ -50,15 +60,6 @@
 	return gateway->service_names->len - 1;
 }
 
-static uint64_t gw_hash_name(const char *name)
-{
-	char digest[DOC_DIGEST_BYTES];
-
-	doc_digest(name, strlen(name), digest);
-	digest[16] = '\0';
-	return g_ascii_strtoull(digest, NULL, 16);
-}
-
 static void gw_build_service_conf(struct gw_gateway *gateway,
 				  const struct doc_service *service,
 				  struct core_service_conf *conf)
--- /dev/null
+++ b/gateway_crash.c
@@ -0,0 +1,266 @@
+#include "gateway_state.h"
+
+#include <string.h>
+
+#include <openssl/evp.h>
+#include <openssl/sha.h>
+
+#include "counter.h"
+
+/*
+ * Calls that crash servers: tells crash_guard.h of crashes and good answers, and
+ * refuses what it blocks.
+ *
+ * When a server closes the connection of a call without an answer, it has crashed
+ * if it does not listen any more, which a new connection shows. Servers that are
+ * alive and break off answers are no reason to block a call.
+ */
+enum {
+	/*
+	 * The connections of a process that ends may be closed before the socket
+	 * on which it listens.
+	 */
+	GW_CRASH_CHECKS = 3,
+	GW_CRASH_CHECK_GAP_US = 20 * 1000
+};
+
+/* One for each server at a time, for all calls that it broke off meanwhile. */
+struct gw_crash_check {
+	struct hc_request http; /* first: callbacks cast back */
+	struct gw_gateway *gateway;
+	struct gw_server *server;
+	GArray *keys; /* struct cg_key of these calls */
+	struct tm_sub timer; /* of the next check */
+	uint32_t checks; /* made or begun */
+	bool listens; /* by the latest check */
+};
+
+static void gw_hash_text(EVP_MD_CTX *hash, const char *text, size_t bytes)
+{
+	uint64_t length = bytes;
+
+	EVP_DigestUpdate(hash, &length, sizeof(length));
+	EVP_DigestUpdate(hash, text, bytes);
+}
+
+static void gw_hash_call(const struct gw_call *call, EVP_MD_CTX *hash)
+{
+	const GString *head = call->request_head;
+	const char *line_end = strchr(head->str, '\n');
+	const char *host = strstr(head->str, "\nhost: ");
+
+	gw_hash_text(hash, head->str,
+		     line_end ? (size_t)(line_end - head->str) : head->len);
+	/* Without the caller's Host header, the path says which service it is. */
+	if (host)
+		gw_hash_text(hash, host + 1, strcspn(host + 1, "\r"));
+	if (call->request_body)
+		gw_hash_text(hash, call->request_body->str,
+			     call->request_body->len);
+}
+
+/*
+ * The same for each try of a request: method, host, path with query, and body. Its
+ * ids, times and other headers differ from try to try.
+ */
+static const struct cg_key *gw_call_key(struct gw_call *call)
+{
+	uint8_t digest[SHA256_DIGEST_LENGTH];
+	EVP_MD_CTX *hash;
+
+	if (call->has_key)
+		return &call->key;
+	hash = EVP_MD_CTX_new();
+	EVP_DigestInit_ex(hash, EVP_sha256(), NULL);
+	gw_hash_call(call, hash);
+	EVP_DigestFinal_ex(hash, digest, NULL);
+	EVP_MD_CTX_free(hash);
+	memcpy(call->key.bytes, digest, CG_KEY_BYTES);
+	call->has_key = true;
+	return &call->key;
+}
+
+bool gw_is_blocked(struct gw_call *call)
+{
+	struct gw_gateway *gateway = call->gateway;
+	uint64_t now_us = tm_now_us();
+	uint64_t left_us;
+
+	if (!cg_has_suspects(&gateway->crash_guard))
+		return false;
+	left_us =
+		cg_blocked_us(&gateway->crash_guard, gw_call_key(call), now_us);
+	if (left_us)
+		call->retry_at_us = now_us + left_us;
+	return left_us != 0;
+}
+
+void gw_post_blocked(struct gw_call *call)
+{
+	struct core_event event = { .kind = CORE_EV_BLOCKED };
+
+	event.u.call_ref.call = call->id;
+	gw_post_event(call->gateway, &event);
+}
+
+/*
+ * Ends the calls in progress that are blocked now. Those that may run only once
+ * and are at a server go on: their outcome would be unknown either way.
+ */
+static void gw_end_blocked_calls(struct gw_gateway *gateway)
+{
+	GList *calls = g_hash_table_get_values(gateway->calls);
+
+	for (GList *l = calls; l; l = l->next) {
+		struct gw_call *call = l->data;
+
+		if ((call->idempotent || !call->attempt_count) &&
+		    gw_is_blocked(call))
+			gw_post_blocked(call);
+	}
+	g_list_free(calls);
+}
+
+static void gw_on_blocked(struct gw_gateway *gateway, const struct cg_key *key,
+			  bool by_this_host)
+{
+	ct_add(CT_BLOCKED, 1);
+	gw_log_block(gateway, key, by_this_host);
+	gw_end_blocked_calls(gateway);
+}
+
+static void gw_add_crash(struct gw_gateway *gateway, const struct cg_key *key,
+			 uint64_t server)
+{
+	struct kn_msg_block msg = {
+		.msg = { KN_BLOCK, sizeof(msg) },
+		.key = *key,
+	};
+
+	if (!cg_add_crash(&gateway->crash_guard, key, server, tm_now_us()))
+		return;
+	msg.left_us = cg_blocked_us(&gateway->crash_guard, key, tm_now_us());
+	gw_on_blocked(gateway, key, true);
+	kn_send(gateway->kernel, "alerts", &msg.msg);
+}
+
+void gw_on_crash_message(struct gw_gateway *gateway,
+			 const struct kn_msg_crash *crash)
+{
+	gw_add_crash(gateway, &crash->key, crash->server);
+}
+
+void gw_on_block_message(struct gw_gateway *gateway,
+			 const struct kn_msg_block *block)
+{
+	if (cg_add_block(&gateway->crash_guard, &block->key, block->left_us,
+			 tm_now_us()))
+		gw_on_blocked(gateway, &block->key, false);
+}
+
+static void gw_report_crash(const struct gw_crash_check *check)
+{
+	struct gw_gateway *gateway = check->gateway;
+
+	ct_add(CT_CRASHES, 1);
+	gw_log_crash(check->server, check->keys->len);
+	for (guint i = 0; i < check->keys->len; i++) {
+		struct kn_msg_crash msg = {
+			.msg = { KN_CRASH, sizeof(msg) },
+			.key = g_array_index(check->keys, struct cg_key, i),
+			.server = check->server->start_hash,
+		};
+
+		kn_send(gateway->kernel, "alerts", &msg.msg);
+		gw_add_crash(gateway, &msg.key, msg.server);
+	}
+}
+
+static void gw_free_check(struct gw_crash_check *check)
+{
+	tm_cancel(check->gateway->timers, &check->timer);
+	check->server->crash_check = NULL;
+	g_array_free(check->keys, TRUE);
+	g_free(check);
+}
+
+/* Asked once the connection is there. Nothing is sent on it. */
+static bool gw_on_check_connected(struct hc_request *request)
+{
+	((struct gw_crash_check *)request)->listens = true;
+	return false;
+}
+
+/* A server that does not answer at all may be cut off rather than crashed. */
+static void gw_on_check_done(struct hc_request *request, enum hc_end end,
+			     const char *msg)
+{
+	struct gw_crash_check *check = (struct gw_crash_check *)request;
+
+	if (check->listens && check->checks < GW_CRASH_CHECKS) {
+		tm_subscribe(check->gateway->timers, &check->timer,
+			     tm_now_us() + GW_CRASH_CHECK_GAP_US);
+		return;
+	}
+	if (!check->listens && request->refused)
+		gw_report_crash(check);
+	gw_free_check(check);
+}
+
+static const struct hc_handler gw_check_handler = {
+	.may_send = gw_on_check_connected,
+	.done = gw_on_check_done,
+};
+
+static void gw_start_check(void *ctx)
+{
+	struct gw_crash_check *check = ctx;
+
+	check->checks++;
+	check->listens = false;
+	if (!hc_start(&check->server->pool, &check->http, g_string_new(NULL)))
+		gw_free_check(check);
+}
+
+void gw_on_connection_lost(struct gw_attempt *attempt)
+{
+	struct gw_gateway *gateway = attempt->call->gateway;
+	struct gw_server *server =
+		g_ptr_array_index(gateway->servers, attempt->server);
+	struct gw_crash_check *check = server->crash_check;
+
+	if (check) {
+		g_array_append_vals(check->keys, gw_call_key(attempt->call), 1);
+		return;
+	}
+	check = g_new0(struct gw_crash_check, 1);
+	check->gateway = gateway;
+	check->server = server;
+	check->keys = g_array_new(FALSE, FALSE, sizeof(struct cg_key));
+	g_array_append_vals(check->keys, gw_call_key(attempt->call), 1);
+	check->http.handler = &gw_check_handler;
+	check->http.new_connection = true;
+	check->timer.fire = gw_start_check;
+	check->timer.ctx = check;
+	server->crash_check = check;
+	gw_start_check(check);
+}
+
+void gw_on_good_answer(struct gw_call *call)
+{
+	cg_add_answer(&call->gateway->crash_guard, gw_call_key(call),
+		      tm_now_us());
+}
+
+void gw_close_crash_checks(struct gw_gateway *gateway)
+{
+	for (guint i = 0; i < gateway->servers->len; i++) {
+		struct gw_server *server =
+			g_ptr_array_index(gateway->servers, i);
+
+		if (!server->crash_check)
+			continue;
+		hc_cancel(&server->crash_check->http);
+		gw_free_check(server->crash_check);
+	}
+}
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -22,6 +22,14 @@
 	json_object_set_new(line, key, json_integer((json_int_t)value));
 }
 
+static void gw_set_key(json_t *line, const struct cg_key *key)
+{
+	char text[CG_KEY_TEXT_BYTES];
+
+	cg_key_to_text(key, text);
+	gw_set_text(line, "request_key", text);
+}
+
 /* Leaves out inputs that are unknown. */
 static void gw_set_inputs(json_t *line, const struct core_inputs *inputs)
 {
@@ -168,6 +176,8 @@
 		json_object_set_new(line, "idempotent",
 				    json_boolean(call->idempotent));
 		gw_set_inputs(line, &call->inputs);
+		if (call->result == ST_BLOCKED)
+			gw_set_key(line, &call->key);
 	}
 	json_object_set_new(line, "attempts", gw_attempt_list(call));
 	lg_write(id, line);
@@ -227,6 +237,35 @@
 	lg_write(LG_EV_PAUSE, line);
 }
 
+void gw_log_crash(const struct gw_server *server, uint32_t calls)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_CRASH))
+		return;
+	line = json_object();
+	gw_set_text(line, "server", server->name);
+	gw_set_number(line, "calls", calls);
+	lg_write(LG_EV_CRASH, line);
+}
+
+void gw_log_block(const struct gw_gateway *gateway, const struct cg_key *key,
+		  bool by_this_host)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_BLOCK))
+		return;
+	line = json_object();
+	gw_set_key(line, key);
+	gw_set_number(line, "left_ms",
+		      cg_blocked_us(&gateway->crash_guard, key, tm_now_us()) /
+			      GW_US_PER_MS);
+	gw_set_text(line, "found_by",
+		    by_this_host ? "this-host" : "other-host");
+	lg_write(LG_EV_BLOCK, line);
+}
+
 void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
 		    enum st_kind kind)
 {
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -12,6 +12,7 @@
  * gateway_call.c: calls, from a request to its end.
  * gateway_answer.c: answers to callers.
  * gateway_attempt.c: attempts at servers.
+ * gateway_crash.c: calls that crash servers.
  * gateway_conf.c: configuration from the document and the host list.
  * gateway_route.c: state that routes keep between calls.
  * gateway_log.c: log lines about calls.
@@ -27,6 +28,8 @@
 	bool rate_limited; /* by its latest answer */
 	uint32_t rate_limit_milli; /* requests in 1000 s, of all hosts */
 	struct hc_pool pool;
+	uint64_t start_hash; /* differs for each start of the server */
+	struct gw_crash_check *crash_check; /* in progress; NULL: none */
 };
 
 /* An answer that is buffered until it is complete. */
@@ -88,6 +91,8 @@
 	bool bulky; /* the route has large answers */
 	bool idempotent;
 	bool may_have_run; /* an ended attempt may have run the call */
+	bool has_key; /* KEY is set */
+	struct cg_key key; /* see gateway_crash.c */
 	struct od_claim *claim; /* of an order; NULL: none, or ended */
 	GString *stored_body; /* answer that is stored with the order */
 	char *stored_type;
@@ -182,6 +187,28 @@
 		    const struct core_action *action);
 size_t gw_format_decimal(uint64_t value, char out[GW_DIGITS]);
 
+/*
+ * gateway_crash.c
+ *
+ * gw_is_blocked - whether the call must not be sent because it crashes servers;
+ * sets when its caller may come back.
+ * gw_post_blocked - tell the core so.
+ * gw_on_connection_lost - the server closed the connection of the attempt before
+ * the end of its answer.
+ * gw_on_good_answer - the call had an answer that speaks for it.
+ * gw_on_crash_message, gw_on_block_message - what other hosts found.
+ * gw_close_crash_checks - cancel checks in progress.
+ */
+bool gw_is_blocked(struct gw_call *call);
+void gw_post_blocked(struct gw_call *call);
+void gw_on_connection_lost(struct gw_attempt *attempt);
+void gw_on_good_answer(struct gw_call *call);
+void gw_on_crash_message(struct gw_gateway *gateway,
+			 const struct kn_msg_crash *crash);
+void gw_on_block_message(struct gw_gateway *gateway,
+			 const struct kn_msg_block *block);
+void gw_close_crash_checks(struct gw_gateway *gateway);
+
 /*
  * gateway_log.c: lines about calls, see docs/OPERATIONS.md.
  *
@@ -192,6 +219,8 @@
  * gw_log_stall - the event loop was blocked for STALL_US.
  * gw_log_rate_limit - a server's limit began, changed or ended.
  * gw_log_pause - a server asked for a pause; EVENT is a PAUSE event.
+ * gw_log_crash - a server crashed while it ran CALLS calls of this host.
+ * gw_log_block - a request is blocked, found by this host or by another one.
  * gw_log_refusal - a request was refused before it became a call.
  * gw_log_health_change - the core ejected a server or returned it to use; CTX
  * is the gateway.
@@ -204,6 +233,9 @@
 		       enum core_report_source source);
 void gw_log_pause(const struct gw_gateway *gateway,
 		  const struct core_event *event);
+void gw_log_crash(const struct gw_server *server, uint32_t calls);
+void gw_log_block(const struct gw_gateway *gateway, const struct cg_key *key,
+		  bool by_this_host);
 void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
 		    enum st_kind kind);
 void gw_log_health_change(void *ctx, const struct core_health_change *change);
--- a/httpc.c
+++ b/httpc.c
@@ -565,6 +565,8 @@
 	if (conn->closing)
 		return;
 	if (error) {
+		if (conn->request)
+			conn->request->refused = error == UV_ECONNREFUSED;
 		hc_conn_fail(conn, uv_strerror(error));
 		return;
 	}
@@ -722,6 +724,7 @@
 	struct hc_conn *conn = NULL;
 
 	request->conn = NULL;
+	request->refused = false;
 	request->state = HC_NEW;
 	if (!pool->closing && !request->new_connection)
 		conn = hc_take_idle(pool, request->max_idle_us);
--- a/httpc.h
+++ b/httpc.h
@@ -96,6 +96,7 @@
 	/* The fields below belong to the client. */
 	enum hc_state state;
 	struct hc_conn *conn;
+	bool refused; /* nothing listens at the address; valid in DONE */
 };
 
 struct hc_pool {
--- a/kernel.h
+++ b/kernel.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "crash_guard.h"
 #include "status.h"
 
 /*
@@ -20,6 +21,8 @@
 	X(GENERATION, kn_msg_generation)     \
 	X(HOSTS, kn_msg_hosts)               \
 	X(SERVER_STATE, kn_msg_server_state) \
+	X(CRASH, kn_msg_crash)               \
+	X(BLOCK, kn_msg_block)               \
 	X(STOP, kn_msg)
 
 enum kn_kind {
@@ -72,6 +75,23 @@
 	bool leaving;
 };
 
+/*
+ * A server crashed while it ran a request; see crash_guard.h. From "gateway" for
+ * the other hosts, or to it from one of them.
+ */
+struct kn_msg_crash {
+	struct kn_msg msg;
+	struct cg_key key;
+	uint64_t server; /* a hash, different for each start of a server */
+};
+
+/* A request is blocked for LEFT_US more. From "gateway", or to it. */
+struct kn_msg_block {
+	struct kn_msg msg;
+	struct cg_key key;
+	uint64_t left_us;
+};
+
 /* Memory of the task and its name belong to the module and must stay valid. */
 struct kn_task {
 	const char *name;
--- a/log.h
+++ b/log.h
@@ -32,6 +32,8 @@
 	X(SERVER_BACK, "server-back", STATE, "a server is used again")      \
 	X(LIMIT, "limit", STATE, "a server's limit of requests a second")   \
 	X(PAUSE, "pause", STATE, "a server wants nothing for a time")       \
+	X(CRASH, "crash", STATE, "a server crashed while it ran calls")     \
+	X(BLOCK, "block", STATE, "a request that crashes servers")          \
 	X(STALL, "stall", STATE, "the event loop was blocked")              \
 	X(DROPPED, "log-dropped", STATE, "lines were dropped")
 
--- a/status.h
+++ b/status.h
@@ -25,6 +25,7 @@
 	X(NO_SERVER, "no-server", 503, 1, true)                       \
 	X(RATE_LIMIT, "rate-limit", 503, 1, true)                     \
 	X(PAUSED, "servers-paused", 503, 1, true)                     \
+	X(BLOCKED, "crashes-servers", 503, 1, true)                   \
 	X(REFUSED, "refused-by-server", 503, 1, true)                 \
 	X(CONNECT, "connect-failed", 503, 1, true)                    \
 	X(STOPPING, "stopping", 503, 1, true)                         \
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -8,11 +8,19 @@
  * milliseconds. GET /runs lists the attempt ids of all runs, one a line. PUT
  * /work with a number of milliseconds as the body sets the duration of a run.
  * PUT /limit with a number as the body names it in all answers as the requests a
- * second that the server takes; an empty body ends that.
+ * second that the server takes; an empty body ends that. PUT /leaving with a text
+ * as the body makes all answers say that the server leaves, and health checks fail
+ * unless the text is "healthy"; an empty body ends that. PUT /pause with a text as
+ * the body makes the server refuse everything with that Retry-After; an empty body
+ * ends that. Each request that a leaving or pausing server gets, health checks
+ * included, prints a line with "notice", the attempt id or "-", and the time. A
+ * request whose path ends with "deadly" ends the process after its work, without an
+ * answer.
  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <glib.h>
 
@@ -67,12 +75,22 @@
 	hd_reply(req, status, "text/plain", body, strlen(body));
 }
 
+static bool is_deadly(const h2o_req_t *req)
+{
+	size_t bytes = strlen("deadly");
+
+	return req->path.len >= bytes &&
+	       !memcmp(req->path.base + req->path.len - bytes, "deadly", bytes);
+}
+
 static void on_run_done(void *ctx)
 {
 	struct job *job = ctx;
 	h2o_req_t *req = job->request_ref->req;
 
 	upstream.running--;
+	if (req && is_deadly(req))
+		_exit(1);
 	if (req) {
 		h2o_iovec_t id = hd_header(req, "attempt-id");
 
