Take no answer for a refusal that names no call

Cause: an answer without the id of a call was taken as the answer to the call that waits on the connection. A second copy of a refused health check, sent late, says "not run": an order that runs was then refused as not run and sent to another server.

Change: on the platform, where servers name the call in their answers and sign what they ran, an answer with neither proves nothing. The attempt ends with an unknown outcome and its connection is closed.

--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -202,14 +202,22 @@
 		head->content_length <= GW_MAX_BUFFERED_BYTES);
 }
 
-/* A success without the signature header was not sent by a server. */
-static bool gw_lacks_signature(const struct gw_attempt *attempt,
+/*
+ * Whether nothing shows that the answer is a server's to this call: a success
+ * without the signature, or an answer with neither signature nor the call's id,
+ * such as the second copy of an answer to a probe. It proves nothing, in
+ * particular not that the call was not run.
+ */
+static bool gw_is_unattributed(const struct gw_attempt *attempt,
 			       const struct hc_head *head)
 {
-	const char *signature = attempt->call->gateway->dialect->signature;
+	const struct gw_call *call = attempt->call;
+	const struct dl_dialect *dialect = call->gateway->dialect;
 
-	return signature && head->status < 300 &&
-	       !hc_find_header(head, signature);
+	if (!dialect->signature || hc_find_header(head, dialect->signature))
+		return false;
+	return head->status < 300 ||
+	       (call->call_id && !dl_find_header(head, dialect->call_id));
 }
 
 static void gw_store_type(struct gw_call *call, const struct hc_head *head)
@@ -275,6 +283,11 @@
 	struct gw_gateway *gateway = call->gateway;
 
 	attempt->status = head->status;
+	if (gw_is_unattributed(attempt, head)) {
+		gw_discard_answer(attempt, HC_SENT, CORE_END_NO_ANSWER,
+				  gw_discarded_msg);
+		return;
+	}
 	attempt->refused = dl_is_not_run(gateway->dialect, head);
 	/* If it were sent once more, it would look like the next answer. */
 	request->close_after = attempt->refused;
@@ -285,11 +298,7 @@
 		gw_read_notices(attempt, head);
 	if (attempt->refused)
 		return;
-	if (gw_lacks_signature(attempt, head))
-		gw_discard_answer(attempt, HC_SENT, CORE_END_NO_ANSWER,
-				  gw_discarded_msg);
-	else if (head->status >= 500 &&
-		 core_can_retry(&gateway->core, call->id))
+	if (head->status >= 500 && core_can_retry(&gateway->core, call->id))
 		gw_discard_answer(attempt, HC_SENT, CORE_END_FAILED,
 				  gw_discarded_msg);
 	else if (gw_may_buffer(attempt, head))
--- a/tests/run_notices.sh
+++ b/tests/run_notices.sh
@@ -12,6 +12,8 @@
 # refusal to the end of the pause, against callers that wait while all servers
 # pause, or are sent back before any of them takes work, and against pauses that do
 # not end.
+#
+# Also guards against the second copy of an answer that is taken for another one.
 set -u
 PORT_BASE=${PORT_BASE:-28200}
 . "$(dirname "$0")/lib_platform.sh"
@@ -125,13 +127,36 @@
 check "Retry-After is \"$after\" while servers pause for 2.5 s and more" \
 	awk -v s="$after" 'BEGIN { exit !(s > 0.1 && s <= 3) }'
 
-# They end their pauses.
+# Their pauses are over. A few calls all go to one server, as long as it is idle, so
+# each in turn must take them while the other one pauses.
 set_server 0 pause ""
 set_server 2 pause ""
 sleep 5
-from=$(now_ms)
-has_run_both() { test "$(runs 0 "$from")" -ge 5 && test "$(runs 2 "$from")" -ge 5; }
-check "a server whose pause is over gets no calls" within 10 has_run_both
+for s in 0 2; do
+	set_server $((2 - s)) pause 2
+	from=$(now_ms)
+	has_run() { test "$(runs $s "$from")" -ge 5; }
+	check "server $s gets no calls after its pause" within 4 has_run
+	set_server $((2 - s)) pause ""
+	sleep 2.5
+done
+
+# A second copy of an answer to a health check, which bears no id of a call, comes
+# before the answer to an order. The order runs, so it was not refused.
+put_manifest 2 "$(print_route desk /desk/ safe desk),$(print_route order /order/ unsafe desk)"
+within 5 grep -q 'version 2 in force' "$WORK/entry0.log"
+set_server 0 stale 1
+set_server 2 stale 1
+for n in 1 2 3 4 5; do
+	call_host 0 /order/a "order-$n" -X POST -o /dev/null -w '%{http_code}\n'
+done >"$WORK/orders"
+refused=$(grep -c 503 "$WORK/orders")
+ran=$(cat "$WORK"/server[02].out | grep -c '^order-')
+check "no order ran" test "$ran" -gt 0
+check "$refused orders were refused as not run, of 5, $ran ran" \
+	test $((refused + ran)) -le 5
+set_server 0 stale ""
+set_server 2 stale ""
 
 touch "$WORK/done"
 wait $callers 2>/dev/null
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -4,6 +4,7 @@
  * header to the answer of a run.
  *
  * usage: tool_upstream ADDRESS ID WORK-MS
+ * A request with the header X-Work runs for that many milliseconds instead.
  * Every run prints a line with its attempt id, the server's ID and the time in
  * milliseconds. GET /runs lists the attempt ids of all runs, one a line. PUT
  * /work with a number of milliseconds as the body sets the duration of a run.
@@ -12,7 +13,9 @@
  * as the body makes all answers say that the server leaves, and health checks fail
  * unless the text is "healthy"; an empty body ends that. PUT /pause with a text as
  * the body makes the server refuse everything with that Retry-After; an empty body
- * ends that. Each request that a leaving or pausing server gets, health checks
+ * ends that. PUT /stale with a text as the body makes each answer to a call follow
+ * a second copy of a refused health check on the same connection; an empty body ends
+ * that. Each request that a leaving or pausing server gets, health checks
  * included, prints a line with "notice", the attempt id or "-", and the time. A
  * request whose path ends with "deadly" ends the process after its work, without an
  * answer.
@@ -39,6 +42,7 @@
 	char limit[32]; /* requests a second; empty: none is named */
 	char leaving[32]; /* empty: it stays */
 	char pause[64]; /* value of Retry-After; empty: no pause */
+	char stale[32]; /* empty: answers are sent once */
 	GString *run_ids; /* attempt id of every run, one a line */
 } upstream;
 
@@ -103,6 +107,24 @@
 	g_free(job);
 }
 
+static void send_stale_answer(h2o_req_t *req)
+{
+	static const char answer[] = "HTTP/1.1 503 Unavailable\r\n"
+				     "Not-Executed: 1\r\n"
+				     "Content-Length: 0\r\n\r\n";
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+
+	if (write(h2o_socket_get_fd(sock), answer, strlen(answer)) < 0)
+		perror("write");
+}
+
+static uint64_t get_work_ms(h2o_req_t *req)
+{
+	h2o_iovec_t own = hd_header(req, "x-work");
+
+	return own.base ? strtoull(own.base, NULL, 10) : upstream.work_ms;
+}
+
 static void run_request(h2o_req_t *req)
 {
 	struct job *job = g_new0(struct job, 1);
@@ -114,12 +136,14 @@
 	printf("%.*s %s %" G_GUINT64_FORMAT "\n", (int)id.len,
 	       id.base ? id.base : "", upstream.id, tm_now_us() / US_PER_MS);
 	fflush(stdout);
+	if (*upstream.stale)
+		send_stale_answer(req);
 	upstream.running++;
 	job->request_ref = hd_request_ref_new(req);
 	job->timer.fire = on_run_done;
 	job->timer.ctx = job;
 	tm_subscribe(&upstream.timers, &job->timer,
-		     tm_now_us() + upstream.work_ms * US_PER_MS);
+		     tm_now_us() + get_work_ms(req) * US_PER_MS);
 }
 
 /* Stores the body of a request that sets a behaviour of the server. */
@@ -140,6 +164,8 @@
 		set_text(req, upstream.limit, sizeof(upstream.limit));
 	else if (hd_path_is(req, "/leaving"))
 		set_text(req, upstream.leaving, sizeof(upstream.leaving));
+	else if (hd_path_is(req, "/stale"))
+		set_text(req, upstream.stale, sizeof(upstream.stale));
 	else if (hd_path_is(req, "/pause"))
 		set_text(req, upstream.pause, sizeof(upstream.pause));
 	else
