Answer calls before a stopping host is killed

Cause: a stopping host refused only orders that might be cut off. Calls that may be repeated were taken however long their work takes, and whatever outlasted the stop lost its connection without an answer.

Change: calls that may be repeated are refused (stopping, not run) if their answer is likely to come too late, by the usual latency of the service; 200 ms before the kill what still runs ends as at its deadline.

--- a/core.c
+++ b/core.c
@@ -443,6 +443,17 @@
 	return end == CORE_END_REFUSED ? ST_REFUSED : ST_CONNECT;
 }
 
+uint64_t core_usual_latency_us(const struct core *core, uint32_t id)
+{
+	const struct core_service *service;
+
+	if (id >= core->services->len)
+		return 0;
+	service = core_service(core, id);
+	return MAX(service->high_latency_us,
+		   core_base_latency_us(service, core->zone));
+}
+
 bool core_can_retry(struct core *core, uint64_t id)
 {
 	const struct core_call *call = g_hash_table_lookup(core->calls, &id);
@@ -588,6 +599,12 @@
 		core_set_call_timer(core, call);
 }
 
+static void core_expire_call(struct core *core, struct core_call *call)
+{
+	core_finish_call(core, call,
+			 call->answered ? ST_BROKEN : ST_DEADLINE_NOT_RUN);
+}
+
 static void core_on_call_timer(struct core *core, struct core_call *call)
 {
 	const struct core_service *service = core_service(core, call->service);
@@ -596,9 +613,7 @@
 		core_finish_call(core, call, ST_DEADLINE_NOT_RUN);
 	} else if (core->now_us >= call->deadline_us) {
 		core_record_no_answer(core, call);
-		core_finish_call(core, call,
-				 call->answered ? ST_BROKEN :
-						  ST_DEADLINE_NOT_RUN);
+		core_expire_call(core, call);
 	} else if (call->asking && core->now_us >= core_ask_timer_us(call)) {
 		core_ask_on_timer(core, call);
 	} else if (call->hedge_at_us && core->now_us >= call->hedge_at_us) {
@@ -631,6 +646,7 @@
 		return event->u.ended.call;
 	case CORE_EV_GONE:
 	case CORE_EV_BLOCKED:
+	case CORE_EV_EXPIRED:
 	case CORE_EV_TIMER:
 		return event->u.call_ref.call;
 	default:
@@ -668,6 +684,8 @@
 		core_on_gone(core, call);
 	else if (event->kind == CORE_EV_BLOCKED)
 		core_finish_call(core, call, ST_BLOCKED);
+	else if (event->kind == CORE_EV_EXPIRED)
+		core_expire_call(core, call);
 	else if (event->kind == CORE_EV_TIMER)
 		core_on_call_timer(core, call);
 	else
--- a/core.h
+++ b/core.h
@@ -144,6 +144,7 @@
 	X(RATE_LIMIT, "rate-limit") \
 	X(PAUSE, "pause")           \
 	X(BLOCKED, "blocked")       \
+	X(EXPIRED, "expired")       \
 	X(TIMER, "timer")
 
 enum core_event_kind {
@@ -205,7 +206,8 @@
 			enum core_end end;
 		} ended;
 		/* GONE: the caller disconnected. BLOCKED: the call must not
-		   be sent any more, as it crashes servers. TIMER: a timer
+		   be sent any more, as it crashes servers. EXPIRED: it must
+		   end now, as it would at its deadline. TIMER: a timer
 		   expired; call 0 stands for the timer of the core itself. */
 		struct {
 			uint64_t call;
@@ -338,6 +340,12 @@
  */
 bool core_can_retry(struct core *core, uint64_t call);
 
+/*
+ * core_usual_latency_us - time within which most answers of the service begin, as
+ * far as is known. Source: core.c
+ */
+uint64_t core_usual_latency_us(const struct core *core, uint32_t id);
+
 /* State of one service, for status pages. */
 struct core_service_stats {
 	uint32_t in_flight;
--- a/gateway.c
+++ b/gateway.c
@@ -303,10 +303,26 @@
 		       gw_on_request, gateway, status);
 }
 
+/* What still runs gets an answer rather than a connection that breaks. */
+static void gw_on_kill_near(void *ctx)
+{
+	struct gw_gateway *gateway = ctx;
+	GList *calls = g_hash_table_get_values(gateway->calls);
+
+	for (GList *l = calls; l; l = l->next)
+		gw_expire_call(l->data);
+	g_list_free(calls);
+}
+
 void gw_announce_stop(struct gw_gateway *gateway, uint64_t kill_us)
 {
 	gateway->stopping = true;
 	gateway->kill_us = kill_us;
+	gateway->kill_timer.fire = gw_on_kill_near;
+	gateway->kill_timer.ctx = gateway;
+	if (kill_us)
+		tm_subscribe(gateway->timers, &gateway->kill_timer,
+			     kill_us - GW_KILL_MARGIN_US);
 	hd_announce_stop(&gateway->http);
 }
 
@@ -339,6 +355,7 @@
 	pb_free(&gateway->prober);
 	gw_close_crash_checks(gateway);
 	tm_cancel(gateway->timers, &gateway->caller_check);
+	tm_cancel(gateway->timers, &gateway->kill_timer);
 	tm_cancel(gateway->timers, &gateway->core_timer);
 	for (guint i = 0; i < gateway->servers->len; i++) {
 		struct gw_server *server =
--- a/gateway.h
+++ b/gateway.h
@@ -54,6 +54,7 @@
 	struct cg_guard crash_guard;
 	struct tm_sub core_timer;
 	struct tm_sub caller_check;
+	struct tm_sub kill_timer; /* shortly before KILL_US */
 	uint64_t caller_check_us; /* time of the last one */
 	bool stopping;
 	uint64_t kill_us; /* end of the process by SIGKILL; 0: not known */
@@ -75,7 +76,9 @@
 /*
  * gw_announce_stop - fail health checks and close each connection with its next
  * answer. The process will be killed at KILL_US; 0: not known. Calls that must
- * not run twice are refused if their deadline is later: they might be cut off.
+ * not run twice are refused if their deadline is later, others if their answer is
+ * likely to be: they might be cut off. What still runs shortly before KILL_US ends
+ * as at its deadline.
  */
 void gw_announce_stop(struct gw_gateway *gateway, uint64_t kill_us);
 /*
--- a/gateway_call.c
+++ b/gateway_call.c
@@ -13,8 +13,6 @@
 	GW_READ_TIMEOUT_US = 500 * 1000,
 	/* A deadline that is noticed this late shows that the loop was blocked. */
 	GW_LATE_TIMER_US = 10 * 1000,
-	/* For the answer at the deadline to leave before the process ends. */
-	GW_KILL_MARGIN_US = 200 * 1000,
 	GW_HEAD_BYTES = 512
 };
 
@@ -341,13 +339,30 @@
 	gw_call_unref(call);
 }
 
-/* Whether the host may be killed before the call has its answer. */
+/*
+ * Whether the host may be killed before the call has its answer. One that may run
+ * again is refused only if its answer is likely to come too late; else its caller
+ * would lose time for nothing.
+ */
 static bool gw_may_be_cut_off(const struct gw_call *call)
 {
 	const struct gw_gateway *gateway = call->gateway;
+	uint64_t end_us = call->deadline_us;
+
+	if (!gateway->stopping || !gateway->kill_us)
+		return false;
+	if (call->idempotent)
+		end_us = tm_now_us() +
+			 core_usual_latency_us(&gateway->core, call->service);
+	return end_us + GW_KILL_MARGIN_US > gateway->kill_us;
+}
 
-	return gateway->stopping && gateway->kill_us && !call->idempotent &&
-	       call->deadline_us + GW_KILL_MARGIN_US > gateway->kill_us;
+void gw_expire_call(struct gw_call *call)
+{
+	struct core_event event = { .kind = CORE_EV_EXPIRED };
+
+	event.u.call_ref.call = call->id;
+	gw_post_event(call->gateway, &event);
 }
 
 static void gw_refuse_at_stop(struct gw_call *call)
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -17,7 +17,13 @@
  * gateway_route.c: state that routes keep between calls.
  * gateway_log.c: log lines about calls.
  */
-enum { GW_US_PER_MS = 1000, GW_REQUEST_ID_BYTES = 128, GW_DIGITS = 20 };
+enum {
+	GW_US_PER_MS = 1000,
+	GW_REQUEST_ID_BYTES = 128,
+	GW_DIGITS = 20,
+	/* For the last answers to leave before the process is killed. */
+	GW_KILL_MARGIN_US = 200 * 1000
+};
 
 /* An upstream server with its connections. */
 struct gw_server {
@@ -134,6 +140,7 @@
  * its named route or by the service at INDEX of the document. An order with a
  * key is passed on when its key has been claimed.
  * gw_finish_call - action of the core: the call has its result.
+ * gw_expire_call - end the call now, as at its deadline.
  * gw_caller_left - whether the caller has closed its connection or its stream.
  * gw_post_gone - tell the core, once, that the caller has left.
  */
@@ -142,6 +149,7 @@
 void gw_admit_service_call(struct gw_call *call, uint32_t index);
 void gw_finish_call(struct gw_gateway *gateway,
 		    const struct core_action *action);
+void gw_expire_call(struct gw_call *call);
 bool gw_caller_left(const struct gw_call *call);
 void gw_post_gone(struct gw_call *call);
 
--- a/tests/run_stop_limit.sh
+++ b/tests/run_stop_limit.sh
@@ -1,7 +1,9 @@
 #!/bin/bash
-# Guards against orders that are cut off without an answer because a stopping host
-# takes them although it may be killed before their deadline. They must be refused,
-# as not run; those with an earlier deadline must still be taken and answered.
+# Guards against calls that are cut off without an answer because a stopping host
+# takes them although it may be killed before their deadline. Orders must be refused,
+# as not run; those with an earlier deadline must still be taken and answered. Calls
+# that may be repeated must be refused if their work would end too late, and no call
+# may end with a broken connection.
 set -u
 PORT_BASE=${PORT_BASE:-28000}
 . "$(dirname "$0")/lib_platform.sh"
@@ -9,19 +11,34 @@
 
 # order ID: sends an order whose deadline is 2 s away. Prints the status; "not-run"
 # follows if the answer says when to come back.
-order() {
-	say $(call_host 0 /order/a "$1" -X POST -D "$WORK/head-$1" -o /dev/null)
-	grep -qi '^retry-after:' "$WORK/head-$1" && say not-run
+order() { send /order/a "$1"; }
+# send PATH ID [CURL-OPTIONS]
+send() {
+	say $(call_host 0 "$1" "$2" -X POST -D "$WORK/head-$2" -o /dev/null "${@:3}")
+	grep -qi '^retry-after:' "$WORK/head-$2" && say not-run
 }
 
 start_platform || exit 1
 start_upstream 0 $WORK_MS
 put_server 0 ready || fail "the store did not take the row of the server"
-put_manifest 1 "$(print_route order /order/ unsafe desk)" ||
+put_manifest 1 "$(print_route order /order/ unsafe desk),$(print_route inquiry /inquiry/ safe desk | sed 's/"timeout-s":2/"timeout-s":9/')" ||
 	fail "the store did not take the manifest"
 stop_limit_s=$STOP_LIMIT_S start_follower 0
 wait_ready 0 || fail "host 0 is not ready"
 
+# So that the host knows how long the work takes.
+for round in 1 2 3; do
+	known=
+	for n in 1 2 3 4; do
+		send "/inquiry/$n" "know-$round-$n" >/dev/null &
+		known="$known $!"
+	done
+	wait $known
+done
+
+send /inquiry/long long -H 'Deadline-Ms: 9000' -H 'X-Work: 9000' >"$WORK/long" &
+long=$!
+sleep 0.2
 kill -TERM "$pid_entry0"
 (sleep $STOP_LIMIT_S; kill -9 "$pid_entry0" 2>/dev/null) &
 order early >"$WORK/early" &
@@ -29,9 +46,13 @@
 sleep 1.6
 check "an order that might be cut off is not refused" \
 	test "$(order late | tr '\n' ' ')" = "503 not-run "
-wait $early
+check "an inquiry that would be cut off is not refused" \
+	test "$(send /inquiry/late inquiry-late | tr '\n' ' ')" = "503 not-run "
+wait $early $long
+check "a call that outlasted the stop was cut off without an answer: $(cat "$WORK/long")" \
+	test "$(cat "$WORK/long")" = 504
 check "an order with time enough is not answered" \
 	test "$(cat "$WORK/early")" = 200
-check "an order that was refused has run" test "$(grep -c late "$WORK/server0.out")" = 0
+check "an order that was refused has run" test "$(grep -c "^late" "$WORK/server0.out")" = 0
 say "failures: $failures"
 test $failures = 0
