--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -13,12 +13,15 @@
 #   - a call whose caller left while the host was paused never ran
 #   - a server that named a limit of requests a second did not get more than one
 #     and a half times that, and five, in any 4 s
+#   - a server that asked for a pause, or said that it leaves, got no more than a
+#     few requests of each host while that held
 #   - within 5 s of the last fault, and of each time when the store came back from
 #     a copy, every host has the newest manifest in force and serves a call by it
 # At least half of the calls must be answered 200.
 # Each host has a caller that keeps its connection until the host is gone, and the
 # first four hosts have one that opens a connection for each call. Faults come one
-# after the other, and after every fifth some that overlap.
+# after the other, after every fifth some that overlap, and after every seventh a
+# server asks for a pause and then leaves.
 # usage: [HOSTS=N] [SERVERS=N] soak.sh DIRECTORY SEED [SECONDS]. The seed determines
 # the faults and their order; they are injected for 20 s by default. Up to 50 hosts
 # and 50 servers, which are four processes each at most.
@@ -139,11 +142,7 @@
 		echo pass >"$WORK/store.mode" ;;
 	5) echo "$mode" >"$WORK/server$server.mode"; sleep 1.5
 		echo pass >"$WORK/server$server.mode" ;;
-	6) end_limit $server
-		ended_ids+=("${server_id[$server]}")
-		kill -9 "${server_pid[$server]}"; drop_row servers "${server_id[$server]}"
-		incarnation=$((incarnation + 1)); sleep 0.3
-		start_server $server $incarnation; put_server_state $server ready ;;
+	6) renew_server $server ;;
 	7) put_server_state $server draining; sleep 2.2; put_server_state $server ready ;;
 	8) platform_fault '{"refuse_status":429}'; sleep 1
 		platform_fault '{"refuse_status":0}' ;;
@@ -178,6 +177,33 @@
 	put_server_state $2 ready; sleep 1.6
 	start_entry $a
 }
+# renew_server SERVER: it ends, and its next start has another id.
+renew_server() {
+	end_limit $1
+	ended_ids+=("${server_id[$1]}")
+	kill -9 "${server_pid[$1]}"; drop_row servers "${server_id[$1]}"
+	incarnation=$((incarnation + 1)); sleep 0.3
+	start_server $1 $incarnation; put_server_state $1 ready
+}
+# give_notice SERVER WHAT TEXT SETTLE-MS: the server says so in its answers for some
+# time. A line "server from-ms to-ms" in "notices" says when it may get nothing.
+give_notice() {
+	curl -s -o /dev/null -X PUT -d "$3" \
+		"127.0.0.1:$((servers_port + 50 + $1))/$2"
+	local from=$(($(now_ms) + $4))
+	sleep $(($4 / 1000 + 1))
+	say "${server_id[$1]} $from $(now_ms)" >>"$WORK/notices"
+	curl -s -o /dev/null -X PUT -d "" \
+		"127.0.0.1:$((servers_port + 50 + $1))/$2"
+}
+# notice_faults SERVER: it asks for pauses, then leaves although its row says that it
+# is ready, and ends. Takes no random number.
+notice_faults() {
+	say "$(date +%T) notices of server $1" >>"$WORK/faults"
+	give_notice $1 pause 2.5 600
+	give_notice $1 leaving healthy 2000
+	renew_server $1
+}
 # Whether every host serves a call on the route of the newest manifest.
 manifest_in_force() {
 	for i in $(seq 0 $((HOSTS - 1))); do
@@ -220,6 +246,7 @@
 	injected=$((injected + 1))
 	test $((injected % 5)) != 0 ||
 		overlap_faults $((injected / 5 % HOSTS)) $((injected % SERVERS))
+	test $((injected % 7)) != 0 || notice_faults $((injected % SERVERS))
 	test $((RANDOM % 3)) = 0 || sleep 0.$((RANDOM % 9))
 done
 for s in $(seq 0 $((SERVERS - 1))); do end_limit $s; done
@@ -284,3 +311,19 @@
 		cat "$WORK/faults"
 		fail "seed $SEED: a server got more than its limit"
 	}
+
+# What servers got while they wanted nothing, of each host two requests at most: one
+# that was on its way, and one by which a host hears of it.
+bad=0
+touch "$WORK/notices"
+while read -r server from to; do
+	got=$(awk -v from=$from -v to=$to \
+		'$1 == "notice" && $3 >= from && $3 < to { n++ } END { print n + 0 }' \
+		"$WORK/upstream${server%%-*}_${server##*-}.out")
+	test $got -le $((2 * HOSTS)) || bad=$((bad + 1))
+done < <(sed 's/^s//' "$WORK/notices")
+say "$(wc -l <"$WORK/notices") notices, $bad not kept"
+test $bad = 0 || {
+	cat "$WORK/faults"
+	fail "seed $SEED: a server got requests that it wanted not"
+}
