--- a/settings.c
+++ b/settings.c
@@ -5,6 +5,10 @@
 enum {
 	SE_MIN_FRESH_MS = 1500,
 	SE_DEFAULT_FRESH_MS = 2000,
+	SE_RELAXED_FRESH_MS = 2500,
+	SE_FRESH_MARGIN_MS =
+		500, /* between FRESH_MS and the limit of a change */
+	SE_MAX_LIMIT_S = 3600,
 	SE_MAX_FRESH_MS = 60000
 };
 enum { SE_MAX_PROCESSOR_SHARE = 1024 };
@@ -197,6 +201,24 @@
 	return number;
 }
 
+/*
+ * By when a change, or that a server leaves, must count everywhere. Where that is
+ * longer than usual, hosts may pass the store's data on over one host more.
+ */
+static uint64_t se_default_fresh_ms(struct ym_node *map,
+				    struct ym_errors *errors)
+{
+	double change_s =
+		se_read_decimal(map, "change_limit_s", SE_MAX_LIMIT_S, errors);
+	double leaving_s =
+		se_read_decimal(map, "leaving_limit_s", SE_MAX_LIMIT_S, errors);
+	uint64_t limit_ms = (uint64_t)(MIN(change_s, leaving_s) * SE_MS_PER_S);
+
+	return CLAMP(limit_ms, SE_DEFAULT_FRESH_MS + SE_FRESH_MARGIN_MS,
+		     SE_RELAXED_FRESH_MS + SE_FRESH_MARGIN_MS) -
+	       SE_FRESH_MARGIN_MS;
+}
+
 static void se_read_platform(struct ym_node *root, struct se_settings *settings,
 			     struct ym_errors *errors)
 {
@@ -210,11 +232,12 @@
 	settings->follow_platform = ym_bool(map, "follow", false, errors);
 	if (settings->follow_platform)
 		se_read_address(map, "relay", &settings->relay, errors);
+	settings->first_start = ym_bool(map, "first_start", false, errors);
 	settings->processor_share = se_read_decimal(
 		map, "processor_share", SE_MAX_PROCESSOR_SHARE, errors);
 	settings->fresh_ms =
 		ym_uint(map, "fresh_ms", SE_MIN_FRESH_MS, SE_MAX_FRESH_MS,
-			SE_DEFAULT_FRESH_MS, errors);
+			se_default_fresh_ms(map, errors), errors);
 	settings->retry_percent = ym_uint(map, "retry_percent", 0, 100,
 					  SE_DEFAULT_RETRY_PERCENT, errors);
 	settings->retry_slack =
--- a/settings.h
+++ b/settings.h
@@ -47,6 +47,7 @@
 	struct nt_address relay;
 	/* Maximum staleness of the data from the platform's store. */
 	uint64_t fresh_ms;
+	bool first_start; /* no host of the system has run before */
 	double processor_share; /* processors of this host; 0: unknown */
 	/*
 	 * Of services from the platform's store: retries in percent of the
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -69,6 +69,7 @@
 	  follow: true
 	  relay: "127.0.0.1:$((peers_port + $1))"
 	  processor_share: "${processor_share:-0.2}"
+	  first_start: ${first_start:-false}
 	END
 	start_process "entry$1" "$BIN/jackdawworks" serve "$WORK/entry$1.yaml"
 }
