--- a/settings.c
+++ b/settings.c
@@ -6,8 +6,7 @@
 	SE_MIN_FRESH_MS = 1500,
 	SE_DEFAULT_FRESH_MS = 2000,
 	SE_RELAXED_FRESH_MS = 2500,
-	SE_FRESH_MARGIN_MS =
-		500, /* between FRESH_MS and the limit of a change */
+	SE_FRESH_MARGIN_MS = 300, /* of FRESH_MS below the limit of a change */
 	SE_MAX_LIMIT_S = 3600,
 	SE_MAX_FRESH_MS = 60000
 };
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -56,7 +56,7 @@
 start_follower() {
 	cat >"$WORK/entry$1.yaml" <<-END
 	host: entry-$1
-	zone: gs-a
+	zone: ${host_zone:-gs-a}
 	log_level: info
 	stop_grace_ms: 3000
 	stop_limit_s: "${stop_limit_s:-0}"
@@ -70,6 +70,8 @@
 	  relay: "127.0.0.1:$((peers_port + $1))"
 	  processor_share: "${processor_share:-0.2}"
 	  first_start: ${first_start:-false}
+	  change_limit_s: "${change_limit_s:-0}"
+	  leaving_limit_s: "${change_limit_s:-0}"
 	END
 	start_process "entry$1" "$BIN/jackdawworks" serve "$WORK/entry$1.yaml"
 }
