Keep blocks of requests over restarts of hosts

Cause: a host that starts knew no blocks until it had polled a neighbour, half a second later.

Change: the host that counts the third crash writes a row beside those of the hosts, with the end of the block by the store's steady clock; a host that starts reads that table first, at once rather than after half a second.

--- a/tests/run_crash.sh
+++ b/tests/run_crash.sh
@@ -110,6 +110,21 @@
 	is_refused 3 /desk/deadly after-start
 check "a new host let servers crash" test "$(live_servers)" = "$before"
 
+# All hosts end at once and start anew.
+for i in $(seq 0 $((HOSTS - 1))); do kill_process "entry$i"; done
+cat "$WORK"/entry*.log >"$WORK/entry.before.log"
+for i in $(seq 0 $((HOSTS - 1))); do start_follower "$i"; done
+for i in $(seq 0 $((HOSTS - 1))); do
+	wait_ready "$i" || fail "host $i is not ready after all ended"
+done
+sleep 0.2
+for i in $(seq 0 $((HOSTS - 1))); do
+	check "host $i runs the request again after all hosts ended" \
+		is_refused "$i" /desk/deadly "after-all-$i"
+done
+check "servers crashed after all hosts ended" \
+	test "$(live_servers)" = "$before"
+
 "$BIN/jackdawworks" explain last "$WORK"/entry*.log >"$WORK/explained"
 check "explain does not name the reason" \
 	grep -q crashes-servers "$WORK/explained"
--- a/tests/tool_platform.c
+++ b/tests/tool_platform.c
@@ -165,9 +165,10 @@
 static void reply_rows(h2o_req_t *req, struct listing *listing)
 {
 	reply_json(req, 200,
-		   json_pack("{s:o, s:b, s:I}", "rows", listing->rows,
+		   json_pack("{s:o, s:b, s:I, s:f}", "rows", listing->rows,
 			     "has-more", listing->more, "ver",
-			     (json_int_t)platform.state.last_version));
+			     (json_int_t)platform.state.last_version, "now-s",
+			     (double)tm_now_us() / 1e6));
 }
 
 static uint64_t query_number(const h2o_req_t *req, const char *name,
