--- a/crash_guard.h
+++ b/crash_guard.h
@@ -40,7 +40,7 @@
  * cg_add_block - another host has blocked the request for LEFT_US more. Returns
  *	true if this host blocks it now and did not before.
  * cg_blocked_us - for how long the request is still blocked; 0: it is not.
- * cg_has_blocks - whether any request is blocked.
+ * cg_has_suspects - whether any request is suspected or blocked.
  * cg_for_each_block - call VISIT for each of them.
  */
 void cg_init(struct cg_guard *guard);
--- a/httpd.c
+++ b/httpd.c
@@ -323,6 +323,15 @@
 	return value;
 }
 
+uint64_t hd_query_number(const h2o_req_t *req, const char *name)
+{
+	char *text = hd_query(req, name);
+	uint64_t value = text ? g_ascii_strtoull(text, NULL, 10) : 0;
+
+	g_free(text);
+	return value;
+}
+
 void hd_add_header(h2o_req_t *req, const char *name, const char *value,
 		   size_t value_bytes)
 {
--- a/httpd.h
+++ b/httpd.h
@@ -71,6 +71,8 @@
 bool hd_method_is(const h2o_req_t *req, const char *method);
 /* hd_query - decoded value of a query parameter, or NULL; g_free it. */
 char *hd_query(const h2o_req_t *req, const char *name);
+/* hd_query_number - query parameter as a number; 0 if it is missing or none. */
+uint64_t hd_query_number(const h2o_req_t *req, const char *name);
 /* hd_add_header - add a header to the answer; name and value are copied. */
 void hd_add_header(h2o_req_t *req, const char *name, const char *value,
 		   size_t value_bytes);
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -93,3 +93,13 @@
 		-H 'Deadline-Ms: 2000' -w ' %{http_code}' "${@:4}" \
 		"127.0.0.1:$((callers_port + $1))$2"
 }
+# call_desk_until_done HOST: sends calls to the host, one after the other, until there
+# is a file "done". Writes status and time of each to "callsHOST".
+call_desk_until_done() {
+	local n=0
+	while test ! -e "$WORK/done"; do
+		n=$((n + 1))
+		call_host "$1" /desk/a "c$BASHPID-$n" -o /dev/null \
+			-w '%{http_code} %{time_total}\n' >>"$WORK/calls$1"
+	done 2>/dev/null
+}
--- a/tests/run_limit.sh
+++ b/tests/run_limit.sh
@@ -26,15 +26,6 @@
 		if (NR - first > most) most = NR - first }
 		END { print most + 0 }'
 }
-# run_caller HOST: sends calls to the host, one after the other, until the end.
-run_caller() {
-	local n=0
-	while test ! -e "$WORK/done"; do
-		n=$((n + 1))
-		call_host "$1" /desk/a "c$BASHPID-$n" -o /dev/null \
-			-w '%{http_code} %{time_total}\n' >>"$WORK/calls$1"
-	done 2>/dev/null
-}
 # check_limit SERVER FROM-MS TO-MS: no window has more requests than allowed.
 check_limit() {
 	local most
@@ -75,7 +66,7 @@
 	wait_ready "$i" || fail "host $i is not ready"
 done
 for i in $(seq 0 $((HOSTS - 1))); do
-	run_caller "$i" &
+	call_desk_until_done "$i" &
 	callers="${callers:-} $!"
 done
 sleep 1
--- a/tests/run_notices.sh
+++ b/tests/run_notices.sh
@@ -40,15 +40,6 @@
 	awk -v from="$2" '$1 != "notice" && $3 >= from { n++ } END { print n + 0 }' \
 		"$WORK/server$1.out"
 }
-# run_caller HOST: sends calls to the host, one after the other, until the end.
-run_caller() {
-	local n=0
-	while test ! -e "$WORK/done"; do
-		n=$((n + 1))
-		call_host "$1" /desk/a "c$BASHPID-$n" -o /dev/null \
-			-w '%{http_code} %{time_total}\n' >>"$WORK/calls$1"
-	done 2>/dev/null
-}
 failed_calls() { cat "$WORK"/calls? | grep -cv '^200'; }
 
 start_platform || exit 1
@@ -60,9 +51,9 @@
 	fail "the store did not take the manifest"
 start_follower 0
 wait_ready 0 || fail "host 0 is not ready"
-run_caller 0 &
+call_desk_until_done 0 &
 callers="$!"
-run_caller 0 &
+call_desk_until_done 0 &
 callers="$callers $!"
 sleep 1
 
