--- a/crash_guard.c
+++ b/crash_guard.c
@@ -198,6 +198,14 @@
 	return suspect->blocked_until_us - now_us;
 }
 
+uint32_t cg_crash_count(const struct cg_guard *guard, const struct cg_key *key)
+{
+	const struct cg_suspect *suspect =
+		g_hash_table_lookup(guard->suspects, key);
+
+	return suspect ? suspect->crashes : 0;
+}
+
 bool cg_has_suspects(const struct cg_guard *guard)
 {
 	return guard->order.length > 0;
--- a/crash_guard.h
+++ b/crash_guard.h
@@ -40,6 +40,8 @@
  * cg_add_block - another host has blocked the request for LEFT_US more. Returns
  *	true if this host blocks it now and did not before.
  * cg_blocked_us - for how long the request is still blocked; 0: it is not.
+ * cg_crash_count - servers that crashed under the request, as far as they count for
+ *	the next block.
  * cg_has_suspects - whether any request is suspected or blocked.
  * cg_for_each_block - call VISIT for each of them.
  */
@@ -53,6 +55,7 @@
 		  uint64_t left_us, uint64_t now_us);
 uint64_t cg_blocked_us(const struct cg_guard *guard, const struct cg_key *key,
 		       uint64_t now_us);
+uint32_t cg_crash_count(const struct cg_guard *guard, const struct cg_key *key);
 bool cg_has_suspects(const struct cg_guard *guard);
 void cg_for_each_block(const struct cg_guard *guard, uint64_t now_us,
 		       void (*visit)(void *ctx, const struct cg_key *key,
--- a/gateway_crash.c
+++ b/gateway_crash.c
@@ -130,15 +130,18 @@
 }
 
 static void gw_add_crash(struct gw_gateway *gateway, const struct cg_key *key,
-			 uint64_t server)
+			 uint64_t server, bool by_this_host)
 {
 	struct kn_msg_block msg = {
 		.msg = { KN_BLOCK, sizeof(msg) },
 		.key = *key,
 	};
 
-	if (!cg_add_crash(&gateway->crash_guard, key, server, tm_now_us()))
+	if (!cg_add_crash(&gateway->crash_guard, key, server, tm_now_us())) {
+		if (cg_crash_count(&gateway->crash_guard, key))
+			gw_log_suspect(gateway, key, by_this_host);
 		return;
+	}
 	msg.left_us = cg_blocked_us(&gateway->crash_guard, key, tm_now_us());
 	gw_on_blocked(gateway, key, true);
 	kn_send(gateway->kernel, "alerts", &msg.msg);
@@ -147,7 +150,7 @@
 void gw_on_crash_message(struct gw_gateway *gateway,
 			 const struct kn_msg_crash *crash)
 {
-	gw_add_crash(gateway, &crash->key, crash->server);
+	gw_add_crash(gateway, &crash->key, crash->server, false);
 }
 
 void gw_on_block_message(struct gw_gateway *gateway,
@@ -172,7 +175,7 @@
 		};
 
 		kn_send(gateway->kernel, "alerts", &msg.msg);
-		gw_add_crash(gateway, &msg.key, msg.server);
+		gw_add_crash(gateway, &msg.key, msg.server, true);
 	}
 }
 
@@ -202,6 +205,10 @@
 			     tm_now_us() + GW_CRASH_CHECK_GAP_US);
 		return;
 	}
+	gw_log_check(check->server, check->keys->len,
+		     check->listens   ? "listens" :
+		     request->refused ? "refused" :
+					"no-answer");
 	if (!check->listens && request->refused)
 		gw_report_crash(check);
 	gw_free_check(check);
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -249,6 +249,41 @@
 	lg_write(LG_EV_CRASH, line);
 }
 
+void gw_log_check(const struct gw_server *server, uint32_t calls,
+		  const char *result)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_CHECK))
+		return;
+	line = json_object();
+	gw_set_text(line, "server", server->name);
+	gw_set_number(line, "calls", calls);
+	gw_set_text(line, "result", result);
+	lg_write(LG_EV_CHECK, line);
+}
+
+static void gw_set_finder(json_t *line, bool by_this_host)
+{
+	gw_set_text(line, "found_by",
+		    by_this_host ? "this-host" : "other-host");
+}
+
+void gw_log_suspect(const struct gw_gateway *gateway, const struct cg_key *key,
+		    bool by_this_host)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_SUSPECT))
+		return;
+	line = json_object();
+	gw_set_key(line, key);
+	gw_set_number(line, "crashes",
+		      cg_crash_count(&gateway->crash_guard, key));
+	gw_set_finder(line, by_this_host);
+	lg_write(LG_EV_SUSPECT, line);
+}
+
 void gw_log_block(const struct gw_gateway *gateway, const struct cg_key *key,
 		  bool by_this_host)
 {
@@ -261,8 +296,7 @@
 	gw_set_number(line, "left_ms",
 		      cg_blocked_us(&gateway->crash_guard, key, tm_now_us()) /
 			      GW_US_PER_MS);
-	gw_set_text(line, "found_by",
-		    by_this_host ? "this-host" : "other-host");
+	gw_set_finder(line, by_this_host);
 	lg_write(LG_EV_BLOCK, line);
 }
 
--- a/log.h
+++ b/log.h
@@ -33,6 +33,8 @@
 	X(LIMIT, "limit", STATE, "a server's limit of requests a second")   \
 	X(PAUSE, "pause", STATE, "a server wants nothing for a time")       \
 	X(CRASH, "crash", STATE, "a server crashed while it ran calls")     \
+	X(CHECK, "crash-check", STATE, "a server that broke off calls")     \
+	X(SUSPECT, "suspect", STATE, "a request under which one crashed")   \
 	X(BLOCK, "block", STATE, "a request that crashes servers")          \
 	X(STALL, "stall", STATE, "the event loop was blocked")              \
 	X(DROPPED, "log-dropped", STATE, "lines were dropped")
