--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -45,6 +45,15 @@
 		"127.0.0.1:$((servers_port + $1))" "s$1" "$2"
 	wait_http "127.0.0.1:$((servers_port + $1))" /health
 }
+# live_servers: how many of the SERVERS servers run.
+live_servers() {
+	local n=0 s pid
+	for s in $(seq 0 $((SERVERS - 1))); do
+		eval "pid=\$pid_server$s"
+		kill -0 "$pid" 2>/dev/null && n=$((n + 1))
+	done
+	echo $n
+}
 # set_limit I TEXT: the server at servers_port + I names TEXT as its limit of
 # requests a second; empty: none.
 set_limit() {
--- a/tests/run_crash.sh
+++ b/tests/run_crash.sh
@@ -11,15 +11,6 @@
 # A server for each crash that is needed, and one for a try that was on its way.
 MAX_CRASHES=4
 
-# live_servers: how many servers run.
-live_servers() {
-	local n=0 s pid
-	for s in $(seq 0 $((SERVERS - 1))); do
-		eval "pid=\$pid_server$s"
-		kill -0 "$pid" 2>/dev/null && n=$((n + 1))
-	done
-	echo $n
-}
 # send HOST PATH ID [CURL-OPTIONS]: prints the status of the answer.
 send() {
 	call_host "$1" "$2" "$3" -o /dev/null -w '%{http_code}\n' "${@:4}"
--- /dev/null
+++ b/tests/run_crash_gone_hosts.sh
@@ -0,0 +1,42 @@
+#!/bin/bash
+# Guards against a request that crashes three servers for each host, because the
+# hosts that count its crashes for all are gone or cannot be reached.
+set -u
+PORT_BASE=${PORT_BASE:-27500}
+. "$(dirname "$0")/lib_platform.sh"
+HOSTS=3 SERVERS=14 WORK_MS=30
+# A server for each crash that is needed, and one for a try that was on its way.
+MAX_CRASHES=4
+GONE_HOSTS=12
+
+start_platform || exit 1
+for s in $(seq 0 $((SERVERS - 1))); do
+	start_upstream "$s" $WORK_MS
+	put_server "$s" ready || fail "the store did not take the row of server $s"
+done
+put_manifest 1 "$(print_route desk /desk/ safe desk)" ||
+	fail "the store did not take the manifest"
+# Machines that were removed for good; their rows stay for a while.
+for i in $(seq 20 $((19 + GONE_HOSTS))); do
+	put_row hosts "entry-$i" '{"zone":"gs-a","address":"127.0.0.1:'$((peers_port + i))'","rank":9000000000000000}' ||
+		fail "the store did not take the row of host $i"
+done
+for i in $(seq 0 $((HOSTS - 1))); do start_follower "$i"; done
+for i in $(seq 0 $((HOSTS - 1))); do
+	wait_ready "$i" || fail "host $i is not ready"
+done
+sleep 1
+
+# Which hosts count a request depends on its content: two of them are tried.
+for path in /desk/1deadly /desk/2deadly; do
+	before=$(live_servers)
+	for n in $(seq 9); do
+		call_host $((n % HOSTS)) $path "$path-$n" -o /dev/null >/dev/null
+		sleep 0.5
+	done
+	crashed=$((before - $(live_servers)))
+	check "$path crashed $crashed servers, allowed $MAX_CRASHES" \
+		test $crashed -le $MAX_CRASHES
+done
+say "failures: $failures"
+test $failures = 0
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -18,7 +18,8 @@
  * that. Each request that a leaving or pausing server gets, health checks
  * included, prints a line with "notice", the attempt id or "-", and the time. A
  * request whose path ends with "deadly" ends the process after its work, without an
- * answer.
+ * answer. One that ends with "deadly-held" does the same where a supervisor keeps the
+ * socket and starts the server anew at once: it gets a new id, and keeps its address.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -36,7 +37,9 @@
 	uv_loop_t loop;
 	struct tm_service timers;
 	struct hd_server http;
-	const char *id;
+	const char *name;
+	char id[64]; /* of this start */
+	uint32_t starts;
 	uint64_t work_ms;
 	uint32_t running;
 	char limit[32]; /* requests a second; empty: none is named */
@@ -79,12 +82,19 @@
 	hd_reply(req, status, "text/plain", body, strlen(body));
 }
 
-static bool is_deadly(const h2o_req_t *req)
+static bool path_ends_with(const h2o_req_t *req, const char *text)
 {
-	size_t bytes = strlen("deadly");
+	size_t bytes = strlen(text);
 
 	return req->path.len >= bytes &&
-	       !memcmp(req->path.base + req->path.len - bytes, "deadly", bytes);
+	       !memcmp(req->path.base + req->path.len - bytes, text, bytes);
+}
+
+static void start_anew(void)
+{
+	upstream.starts++;
+	g_snprintf(upstream.id, sizeof(upstream.id), "%s-%u", upstream.name,
+		   upstream.starts);
 }
 
 static void on_run_done(void *ctx)
@@ -93,9 +103,12 @@
 	h2o_req_t *req = job->request_ref->req;
 
 	upstream.running--;
-	if (req && is_deadly(req))
+	if (req && path_ends_with(req, "deadly"))
 		_exit(1);
-	if (req) {
+	if (req && path_ends_with(req, "deadly-held")) {
+		start_anew();
+		hd_abort_connection(req);
+	} else if (req) {
 		h2o_iovec_t id = hd_header(req, "attempt-id");
 
 		hd_add_header(req, "Attempt-Id", id.base ? id.base : "-",
@@ -226,7 +239,8 @@
 		fprintf(stderr, "usage: tool_upstream ADDRESS ID WORK-MS\n");
 		return 2;
 	}
-	upstream.id = argv[2];
+	upstream.name = argv[2];
+	g_strlcpy(upstream.id, argv[2], sizeof(upstream.id));
 	upstream.work_ms = strtoull(argv[3], NULL, 10);
 	upstream.run_ids = g_string_new(NULL);
 	uv_loop_init(&upstream.loop);
