See crashes of servers that are started anew at once

Callers saw: a request that crashed server after server without end, where something keeps the servers' sockets and starts them anew within milliseconds. Cause: whether a server had crashed was asked by opening a connection; the next start of the server accepted it. Change: a health request is sent on it, and an answer under another id is a crash too. It ends after 400 ms. A server that answers is asked once, before three times.

--- a/gateway_crash.c
+++ b/gateway_crash.c
@@ -11,9 +11,10 @@
  * Calls that crash servers: tells crash_guard.h of crashes and good answers, and
  * refuses what it blocks.
  *
- * When a server closes the connection of a call without an answer, it has crashed
- * if it does not listen any more, which a new connection shows. Servers that are
- * alive and break off answers are no reason to block a call.
+ * When a server closes the connection of a call without an answer, a health request
+ * on a new connection shows whether it has crashed: nothing listens any more, or its
+ * next start answers, under another id. Servers that are alive and break off answers
+ * are no reason to block a call.
  */
 enum {
 	/*
@@ -21,7 +22,31 @@
 	 * on which it listens.
 	 */
 	GW_CRASH_CHECKS = 3,
-	GW_CRASH_CHECK_GAP_US = 20 * 1000
+	GW_CRASH_CHECK_GAP_US = 20 * 1000,
+	GW_CRASH_CHECK_TIMEOUT_US = 400 * 1000
+};
+
+/* What a check showed: identifier, name in log lines, whether it crashed. */
+#define GW_CHECK_RESULTS(X)              \
+	X(NO_ANSWER, "no-answer", false) \
+	X(ANSWERED, "listens", false)    \
+	X(REFUSED, "refused", true)      \
+	X(OTHER_START, "started-anew", true)
+
+enum gw_check_result {
+#define X(id, name, crashed) GW_CHECK_##id,
+	GW_CHECK_RESULTS(X)
+#undef X
+		GW_CHECK_RESULT_COUNT
+};
+
+static const struct {
+	const char *name;
+	bool crashed;
+} gw_check_results[GW_CHECK_RESULT_COUNT] = {
+#define X(id, name, crashed) { name, crashed },
+	GW_CHECK_RESULTS(X)
+#undef X
 };
 
 /* One for each server at a time, for all calls that it broke off meanwhile. */
@@ -30,9 +55,10 @@
 	struct gw_gateway *gateway;
 	struct gw_server *server;
 	GArray *keys; /* struct cg_key of these calls */
-	struct tm_sub timer; /* of the next check */
+	struct tm_sub timer; /* of the next check, or the end of this one */
 	uint32_t checks; /* made or begun */
-	bool listens; /* by the latest check */
+	bool running;
+	enum gw_check_result result; /* of the latest check */
 };
 
 static void gw_hash_text(EVP_MD_CTX *hash, const char *text, size_t bytes)
@@ -187,11 +213,27 @@
 	g_free(check);
 }
 
-/* Asked once the connection is there. Nothing is sent on it. */
-static bool gw_on_check_connected(struct hc_request *request)
+static void gw_finish_check(struct gw_crash_check *check)
 {
-	((struct gw_crash_check *)request)->listens = true;
-	return false;
+	gw_log_check(check->server, check->keys->len,
+		     gw_check_results[check->result].name);
+	if (gw_check_results[check->result].crashed)
+		gw_report_crash(check);
+	gw_free_check(check);
+}
+
+static void gw_on_check_head(struct hc_request *request,
+			     const struct hc_head *head)
+{
+	struct gw_crash_check *check = (struct gw_crash_check *)request;
+	const struct hc_header *id =
+		dl_find_header(head, check->gateway->dialect->server_id);
+
+	check->result = !id || hc_value_is(id, check->server->name) ?
+				GW_CHECK_ANSWERED :
+				GW_CHECK_OTHER_START;
+	hc_cancel(request);
+	gw_finish_check(check);
 }
 
 /* A server that does not answer at all may be cut off rather than crashed. */
@@ -200,33 +242,55 @@
 {
 	struct gw_crash_check *check = (struct gw_crash_check *)request;
 
-	if (check->listens && check->checks < GW_CRASH_CHECKS) {
+	check->running = false;
+	if (request->refused)
+		check->result = GW_CHECK_REFUSED;
+	if (end == HC_NOT_SENT || check->checks == GW_CRASH_CHECKS)
+		gw_finish_check(check);
+	else
 		tm_subscribe(check->gateway->timers, &check->timer,
 			     tm_now_us() + GW_CRASH_CHECK_GAP_US);
-		return;
-	}
-	gw_log_check(check->server, check->keys->len,
-		     check->listens   ? "listens" :
-		     request->refused ? "refused" :
-					"no-answer");
-	if (!check->listens && request->refused)
-		gw_report_crash(check);
-	gw_free_check(check);
 }
 
 static const struct hc_handler gw_check_handler = {
-	.may_send = gw_on_check_connected,
+	.head = gw_on_check_head,
 	.done = gw_on_check_done,
 };
 
-static void gw_start_check(void *ctx)
+static GString *gw_format_check(const struct gw_crash_check *check)
 {
-	struct gw_crash_check *check = ctx;
+	const struct gw_server *server = check->server;
+	const char *path = *server->probe_path ?
+				   server->probe_path :
+				   check->gateway->dialect->probe_path;
+	GString *out = hc_head_begin("GET", strlen("GET"), path, strlen(path),
+				     server->pool.address.text);
+
+	hc_head_end(out, NULL, 0);
+	return out;
+}
 
+static void gw_start_check(struct gw_crash_check *check)
+{
 	check->checks++;
-	check->listens = false;
-	if (!hc_start(&check->server->pool, &check->http, g_string_new(NULL)))
-		gw_free_check(check);
+	check->running = true;
+	tm_subscribe(check->gateway->timers, &check->timer,
+		     tm_now_us() + GW_CRASH_CHECK_TIMEOUT_US);
+	if (!hc_start(&check->server->pool, &check->http,
+		      gw_format_check(check)))
+		gw_finish_check(check);
+}
+
+static void gw_on_check_timer(void *ctx)
+{
+	struct gw_crash_check *check = ctx;
+
+	if (!check->running) {
+		gw_start_check(check);
+		return;
+	}
+	hc_cancel(&check->http);
+	gw_finish_check(check);
 }
 
 void gw_on_connection_lost(struct gw_attempt *attempt)
@@ -247,7 +311,7 @@
 	g_array_append_vals(check->keys, gw_call_key(attempt->call), 1);
 	check->http.handler = &gw_check_handler;
 	check->http.new_connection = true;
-	check->timer.fire = gw_start_check;
+	check->timer.fire = gw_on_check_timer;
 	check->timer.ctx = check;
 	server->crash_check = check;
 	gw_start_check(check);
