--- a/crash_guard.c
+++ b/crash_guard.c
@@ -4,7 +4,6 @@
 
 enum {
 	CG_US_PER_S = 1000 * 1000,
-	CG_MEMORY_US = 60 * CG_US_PER_S, /* of a suspicion */
 	/* Short, since servers may begin to crash under what they could answer. */
 	CG_ANSWER_MEMORY_US = 5 * CG_US_PER_S,
 	CG_FIRST_BLOCK_US = 60 * CG_US_PER_S,
@@ -198,12 +197,16 @@
 	return suspect->blocked_until_us - now_us;
 }
 
-uint32_t cg_crash_count(const struct cg_guard *guard, const struct cg_key *key)
+uint32_t cg_get_servers(const struct cg_guard *guard, const struct cg_key *key,
+			uint64_t servers[CG_CRASHES_TO_BLOCK])
 {
 	const struct cg_suspect *suspect =
 		g_hash_table_lookup(guard->suspects, key);
 
-	return suspect ? suspect->crashes : 0;
+	if (!suspect)
+		return 0;
+	memcpy(servers, suspect->servers, sizeof(suspect->servers));
+	return suspect->crashes;
 }
 
 bool cg_has_suspects(const struct cg_guard *guard)
--- a/crash_guard.h
+++ b/crash_guard.h
@@ -18,7 +18,11 @@
  * A block ends by itself. The next crash under the request then renews it, for
  * twice as long.
  */
-enum { CG_KEY_BYTES = 16, CG_CRASHES_TO_BLOCK = 3 };
+enum {
+	CG_KEY_BYTES = 16,
+	CG_CRASHES_TO_BLOCK = 3,
+	CG_MEMORY_US = 60 * 1000 * 1000 /* of a crash */
+};
 
 /* Digest of what stays the same whenever a request is sent again. */
 struct cg_key {
@@ -40,8 +44,8 @@
  * cg_add_block - another host has blocked the request for LEFT_US more. Returns
  *	true if this host blocks it now and did not before.
  * cg_blocked_us - for how long the request is still blocked; 0: it is not.
- * cg_crash_count - servers that crashed under the request, as far as they count for
- *	the next block.
+ * cg_get_servers - copies the servers that crashed under the request and count for
+ *	the next block; returns their number.
  * cg_has_suspects - whether any request is suspected or blocked.
  * cg_for_each_block - call VISIT for each of them.
  */
@@ -55,7 +59,8 @@
 		  uint64_t left_us, uint64_t now_us);
 uint64_t cg_blocked_us(const struct cg_guard *guard, const struct cg_key *key,
 		       uint64_t now_us);
-uint32_t cg_crash_count(const struct cg_guard *guard, const struct cg_key *key);
+uint32_t cg_get_servers(const struct cg_guard *guard, const struct cg_key *key,
+			uint64_t servers[CG_CRASHES_TO_BLOCK]);
 bool cg_has_suspects(const struct cg_guard *guard);
 void cg_for_each_block(const struct cg_guard *guard, uint64_t now_us,
 		       void (*visit)(void *ctx, const struct cg_key *key,
--- a/gateway_crash.c
+++ b/gateway_crash.c
@@ -155,6 +155,31 @@
 	gw_end_blocked_calls(gateway);
 }
 
+/*
+ * The crashes of a request that has had two are kept beyond this process. One is not
+ * enough: most requests that crash with a server are sound.
+ */
+static void gw_on_suspect(struct gw_gateway *gateway, const struct cg_key *key,
+			  bool by_this_host)
+{
+	struct kn_msg_crash msg = {
+		.msg = { KN_SUSPECT, sizeof(msg) },
+		.key = *key,
+	};
+	uint64_t servers[CG_CRASHES_TO_BLOCK];
+	uint32_t crashes = cg_get_servers(&gateway->crash_guard, key, servers);
+
+	if (!crashes || cg_blocked_us(&gateway->crash_guard, key, tm_now_us()))
+		return;
+	gw_log_suspect(gateway, key, crashes, by_this_host);
+	if (crashes < CG_CRASHES_TO_BLOCK - 1)
+		return;
+	for (uint32_t i = 0; i < crashes; i++) {
+		msg.server = servers[i];
+		kn_send(gateway->kernel, "alerts", &msg.msg);
+	}
+}
+
 static void gw_add_crash(struct gw_gateway *gateway, const struct cg_key *key,
 			 uint64_t server, bool by_this_host)
 {
@@ -164,8 +189,7 @@
 	};
 
 	if (!cg_add_crash(&gateway->crash_guard, key, server, tm_now_us())) {
-		if (cg_crash_count(&gateway->crash_guard, key))
-			gw_log_suspect(gateway, key, by_this_host);
+		gw_on_suspect(gateway, key, by_this_host);
 		return;
 	}
 	msg.left_us = cg_blocked_us(&gateway->crash_guard, key, tm_now_us());
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -270,7 +270,7 @@
 }
 
 void gw_log_suspect(const struct gw_gateway *gateway, const struct cg_key *key,
-		    bool by_this_host)
+		    uint32_t crashes, bool by_this_host)
 {
 	json_t *line;
 
@@ -278,8 +278,7 @@
 		return;
 	line = json_object();
 	gw_set_key(line, key);
-	gw_set_number(line, "crashes",
-		      cg_crash_count(&gateway->crash_guard, key));
+	gw_set_number(line, "crashes", crashes);
 	gw_set_finder(line, by_this_host);
 	lg_write(LG_EV_SUSPECT, line);
 }
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -230,7 +230,7 @@
  * gw_log_crash - a server crashed while it ran CALLS calls of this host.
  * gw_log_check - a server that broke off CALLS calls of this host was asked by new
  * connections; RESULT is what that showed.
- * gw_log_suspect - a server crashed under a request that is not blocked yet;
+ * gw_log_suspect - CRASHES servers have crashed under a request that is not blocked;
  * found by this host or by another one.
  * gw_log_block - a request is blocked, found by this host or by another one.
  * gw_log_refusal - a request was refused before it became a call.
@@ -249,7 +249,7 @@
 void gw_log_check(const struct gw_server *server, uint32_t calls,
 		  const char *result);
 void gw_log_suspect(const struct gw_gateway *gateway, const struct cg_key *key,
-		    bool by_this_host);
+		    uint32_t crashes, bool by_this_host);
 void gw_log_block(const struct gw_gateway *gateway, const struct cg_key *key,
 		  bool by_this_host);
 void gw_log_refusal(const struct gw_gateway *gateway, h2o_req_t *req,
--- a/kernel.h
+++ b/kernel.h
@@ -22,6 +22,7 @@
 	X(HOSTS, kn_msg_hosts)               \
 	X(SERVER_STATE, kn_msg_server_state) \
 	X(CRASH, kn_msg_crash)               \
+	X(SUSPECT, kn_msg_crash)             \
 	X(BLOCK, kn_msg_block)               \
 	X(STOP, kn_msg)
 
@@ -76,8 +77,9 @@
 };
 
 /*
- * A server crashed while it ran a request; see crash_guard.h. From "gateway" for
- * the other hosts, or to it from one of them.
+ * A server crashed while it ran a request; see crash_guard.h. CRASH: from "gateway"
+ * for the other hosts, or to it from one of them. SUSPECT: from "gateway", to be kept
+ * for hosts that start.
  */
 struct kn_msg_crash {
 	struct kn_msg msg;
