Look up the key of an order before a block of its request

Callers saw (own mode): an order that had been done, or may have run, was refused as not run once its request was blocked for crashing servers; a caller that trusts this orders again. Cause: the block was looked up before the claim of the key. Change: the claim comes first; a new claim of a blocked request is released and refused. Evidence: run_crash_orders failed for an order that was done and for one that may have run (503 not-run each); now 200 completed and 502 unknown, and it passes.

--- a/gateway_call.c
+++ b/gateway_call.c
@@ -395,6 +395,9 @@
 	} else if (!call->req) {
 		od_release_claim(result->claim);
 		gw_end_unsubmitted(call, &gone);
+	} else if (gw_is_blocked(call)) {
+		od_release_claim(result->claim);
+		gw_refuse_blocked(call);
 	} else {
 		call->claim = result->claim;
 		call->stored_body = g_string_new(NULL);
@@ -456,11 +459,12 @@
 	call->idempotent = rule ? rule->idempotent : gw_is_safe_method(req);
 	if (gw_may_be_cut_off(call))
 		gw_refuse_at_stop(call);
-	else if (gw_is_blocked(call))
-		gw_refuse_blocked(call);
 	else if (key.base && !call->idempotent && gateway->orders &&
 		 me_on(ME_ORDER_CLAIM))
+		/* Its key tells first whether an order was done or may have run. */
 		gw_claim_order(call, service->name, key);
+	else if (gw_is_blocked(call))
+		gw_refuse_blocked(call);
 	else
 		gw_submit_call(call);
 }
