Notice and log that a host reaches no server

Lines servers-unreachable and servers-reachable, server_cuts_total. Setting platform.server_source: source address of connections to servers.

--- a/counter.h
+++ b/counter.h
@@ -30,6 +30,7 @@
 	  "Attempts sent to servers with such a limit")                       \
 	X(PAUSES, "server_pauses_total",                                      \
 	  "Times a server refused a request and asked for a pause")           \
+	X(CUTS, "server_cuts_total", "Times that no server was reached")      \
 	X(CRASHES, "server_crashes_total",                                    \
 	  "Servers that crashed while they ran calls of this host")           \
 	X(BLOCKED, "blocked_requests_total",                                  \
--- a/gateway.c
+++ b/gateway.c
@@ -286,6 +286,7 @@
 		return status->kind;
 	core_init(&gateway->core, &driver);
 	cg_init(&gateway->crash_guard);
+	gw_init_reach(gateway);
 	pb_init(&gateway->prober, timers, dialect, gw_post_probe, gateway);
 	gateway->core_timer.fire = gw_on_core_timer;
 	gateway->core_timer.ctx = gateway;
@@ -354,6 +355,7 @@
 	hd_close_all(&gateway->http);
 	pb_free(&gateway->prober);
 	gw_close_crash_checks(gateway);
+	gw_close_reach(gateway);
 	tm_cancel(gateway->timers, &gateway->caller_check);
 	tm_cancel(gateway->timers, &gateway->kill_timer);
 	tm_cancel(gateway->timers, &gateway->core_timer);
--- a/gateway.h
+++ b/gateway.h
@@ -12,12 +12,23 @@
 #include "kernel.h"
 #include "order.h"
 #include "probe.h"
+#include "reach.h"
 #include "settings.h"
 #include "timer.h"
 #include "trace.h"
 
 enum { GW_ID_PREFIX_BYTES = SE_NAME_BYTES + 20 };
 
+/* Whether this host reaches the servers; see gateway_reach.c. */
+struct gw_reach {
+	struct rc_reach evidence;
+	struct hc_observer observer;
+	uint64_t cut_since_us; /* 0: it reaches some */
+	struct hc_request check; /* first use of a server while it is cut off */
+	bool checking;
+	struct tm_sub timer; /* of the next check */
+};
+
 /*
  * Listener for callers. It turns requests into events of the decision core,
  * runs the core's actions (attempts, cancellations, timers, probes) and streams
@@ -52,6 +63,8 @@
 	struct tr_trace trace;
 	struct pb_prober prober;
 	struct cg_guard crash_guard;
+	struct gw_reach reach;
+	uint32_t servers_in_use; /* of the document */
 	struct tm_sub core_timer;
 	struct tm_sub caller_check;
 	struct tm_sub kill_timer; /* shortly before KILL_US */
--- a/gateway_conf.c
+++ b/gateway_conf.c
@@ -46,6 +46,9 @@
 		     connections);
 	hc_pool_set_connect_timeout(&server->pool, gateway->timers,
 				    GW_CONNECT_TIMEOUT_US);
+	server->pool.observer = &gateway->reach.observer;
+	if (*gateway->settings->server_source.text)
+		server->pool.source = &gateway->settings->server_source;
 	g_ptr_array_add(gateway->servers, server);
 	g_hash_table_insert(gateway->server_ids, key, server);
 	return server;
@@ -138,10 +141,12 @@
 		hd_set_idle_timeout(&gateway->http, document->idle_timeout_ms);
 	g_free(gateway->service_ids);
 	gateway->service_ids = g_new0(uint32_t, document->service_count);
+	gateway->servers_in_use = 0;
 	for (uint32_t i = 0; i < document->service_count; i++) {
 		gw_build_service_conf(gateway, &document->services[i],
 				      &services[i]);
 		gateway->service_ids[i] = services[i].id;
+		gateway->servers_in_use += services[i].server_count;
 	}
 	for (uint32_t i = 0; i < document->caller_count; i++)
 		callers[i].weight = document->callers[i].weight;
--- a/gateway_crash.c
+++ b/gateway_crash.c
@@ -281,12 +281,11 @@
 	.done = gw_on_check_done,
 };
 
-static GString *gw_format_check(const struct gw_crash_check *check)
+GString *gw_format_health_request(const struct gw_gateway *gateway,
+				  const struct gw_server *server)
 {
-	const struct gw_server *server = check->server;
-	const char *path = *server->probe_path ?
-				   server->probe_path :
-				   check->gateway->dialect->probe_path;
+	const char *path = *server->probe_path ? server->probe_path :
+						 gateway->dialect->probe_path;
 	GString *out = hc_head_begin("GET", strlen("GET"), path, strlen(path),
 				     server->pool.address.text);
 
@@ -301,7 +300,7 @@
 	tm_subscribe(check->gateway->timers, &check->timer,
 		     tm_now_us() + GW_CRASH_CHECK_TIMEOUT_US);
 	if (!hc_start(&check->server->pool, &check->http,
-		      gw_format_check(check)))
+		      gw_format_health_request(check->gateway, check->server)))
 		gw_finish_check(check);
 }
 
@@ -313,7 +312,7 @@
 		gw_start_check(check);
 		return;
 	}
-	hc_cancel(&check->http);
+	hc_cancel_overdue(&check->http);
 	gw_finish_check(check);
 }
 
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -249,6 +249,34 @@
 	lg_write(LG_EV_CRASH, line);
 }
 
+void gw_log_cut(const struct gw_gateway *gateway)
+{
+	const struct rc_failures *failures = &gateway->reach.evidence.all;
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_CUT))
+		return;
+	line = json_object();
+	gw_set_number(line, "silent_ms",
+		      gw_elapsed_ms(failures->first_us, tm_now_us()));
+	gw_set_number(line, "failed_servers", failures->count);
+	gw_set_number(line, "servers", gateway->servers_in_use);
+	gw_set_number(line, "calls_in_flight", gateway->calls_in_flight);
+	lg_write(LG_EV_CUT, line);
+}
+
+void gw_log_reached(const struct gw_gateway *gateway)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_REACHED))
+		return;
+	line = json_object();
+	gw_set_number(line, "lasted_ms",
+		      gw_elapsed_ms(gateway->reach.cut_since_us, tm_now_us()));
+	lg_write(LG_EV_REACHED, line);
+}
+
 void gw_log_check(const struct gw_server *server, uint32_t calls,
 		  const char *result)
 {
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -13,6 +13,7 @@
  * gateway_answer.c: answers to callers.
  * gateway_attempt.c: attempts at servers.
  * gateway_crash.c: calls that crash servers.
+ * gateway_reach.c: whether the servers can be reached.
  * gateway_conf.c: configuration from the document and the host list.
  * gateway_route.c: state that routes keep between calls.
  * gateway_log.c: log lines about calls.
@@ -206,6 +207,7 @@
  * gw_on_good_answer - the call had an answer that speaks for it.
  * gw_on_crash_message, gw_on_block_message - what other hosts found.
  * gw_close_crash_checks - cancel checks in progress.
+ * gw_format_health_request - the request that asks a server for its health.
  */
 bool gw_is_blocked(struct gw_call *call);
 void gw_post_blocked(struct gw_call *call);
@@ -216,6 +218,18 @@
 void gw_on_block_message(struct gw_gateway *gateway,
 			 const struct kn_msg_block *block);
 void gw_close_crash_checks(struct gw_gateway *gateway);
+GString *gw_format_health_request(const struct gw_gateway *gateway,
+				  const struct gw_server *server);
+
+/*
+ * gateway_reach.c: whether this host reaches the servers.
+ *
+ * gw_init_reach, gw_close_reach - without sockets; cancel the check.
+ * gw_is_cut_off - no server is heard.
+ */
+void gw_init_reach(struct gw_gateway *gateway);
+void gw_close_reach(struct gw_gateway *gateway);
+bool gw_is_cut_off(struct gw_gateway *gateway);
 
 /*
  * gateway_log.c: lines about calls, see docs/OPERATIONS.md.
@@ -228,6 +242,7 @@
  * gw_log_rate_limit - a server's limit began, changed or ended.
  * gw_log_pause - a server asked for a pause; EVENT is a PAUSE event.
  * gw_log_crash - a server crashed while it ran CALLS calls of this host.
+ * gw_log_cut - no server is reached, by what failed last; gw_log_reached - one is.
  * gw_log_check - a server that broke off CALLS calls of this host was asked by new
  * connections; RESULT is what that showed.
  * gw_log_suspect - CRASHES servers have crashed under a request that is not blocked;
@@ -246,6 +261,8 @@
 void gw_log_pause(const struct gw_gateway *gateway,
 		  const struct core_event *event);
 void gw_log_crash(const struct gw_server *server, uint32_t calls);
+void gw_log_cut(const struct gw_gateway *gateway);
+void gw_log_reached(const struct gw_gateway *gateway);
 void gw_log_check(const struct gw_server *server, uint32_t calls,
 		  const char *result);
 void gw_log_suspect(const struct gw_gateway *gateway, const struct cg_key *key,
--- a/httpc.c
+++ b/httpc.c
@@ -42,6 +42,7 @@
 	uint64_t skipped_bytes; /* read before the head of the answer */
 	bool closing;
 	bool reading;
+	bool heard; /* bytes have come on it */
 	uint64_t idle_since_us;
 	struct tm_sub connect_timer;
 	struct ts_stream tls; /* in use when its SSL is set */
@@ -116,12 +117,35 @@
 	uv_close((uv_handle_t *)&conn->tcp, hc_conn_closed);
 }
 
+static void hc_observe_failure(struct hc_conn *conn)
+{
+	const struct hc_observer *observer = conn->pool->observer;
+	const struct hc_request *request = conn->request;
+
+	if (!observer || !request)
+		return;
+	if (request->state == HC_SENT ||
+	    (request->state == HC_CONNECTING && !conn->connected))
+		observer->failed(observer->ctx, conn->pool, !conn->heard);
+}
+
+static void hc_observe_bytes(struct hc_conn *conn)
+{
+	const struct hc_observer *observer = conn->pool->observer;
+	bool first = !conn->heard;
+
+	conn->heard = true;
+	if (observer)
+		observer->heard(observer->ctx, conn->pool, first);
+}
+
 /* Closes a connection that failed and ends its request. */
 static void hc_conn_fail(struct hc_conn *conn, const char *msg)
 {
 	struct hc_request *request = conn->request;
 	enum hc_end end = HC_NOT_SENT;
 
+	hc_observe_failure(conn);
 	hc_conn_close(conn);
 	if (!request)
 		return;
@@ -453,6 +477,8 @@
 
 	if (conn->closing || !nread)
 		return;
+	if (nread > 0)
+		hc_observe_bytes(conn);
 	if (conn->tls.ssl && nread > 0) {
 		hc_conn_read_tls(conn, buf->base, (size_t)nread);
 		return;
@@ -687,6 +713,10 @@
 		(const struct sockaddr *)&pool->address.addr;
 
 	ct_add(CT_CONNECTS, 1);
+	if (pool->source &&
+	    uv_tcp_bind(&conn->tcp,
+			(const struct sockaddr *)&pool->source->addr, 0))
+		return false;
 	if (uv_tcp_connect(&conn->connect, &conn->tcp, addr, hc_conn_connected))
 		return false;
 	conn->connect_timer.fire = hc_on_connect_timeout;
@@ -759,6 +789,13 @@
 	hc_conn_release(conn, true);
 }
 
+void hc_cancel_overdue(struct hc_request *request)
+{
+	if (request->conn)
+		hc_observe_failure(request->conn);
+	hc_cancel(request);
+}
+
 void hc_pause_reading(struct hc_request *request)
 {
 	if (!request->conn || !request->conn->reading)
--- a/httpc.h
+++ b/httpc.h
@@ -99,6 +99,21 @@
 	bool refused; /* nothing listens at the address; valid in DONE */
 };
 
+struct hc_pool;
+
+/*
+ * Told whether the other side of a pool shows signs of life. NEW_CONNECTION: the
+ * connection has never had any.
+ */
+struct hc_observer {
+	void (*heard)(void *ctx, const struct hc_pool *pool,
+		      bool new_connection);
+	/* A request got no byte: it was refused, was lost, or is overdue. */
+	void (*failed)(void *ctx, const struct hc_pool *pool,
+		       bool new_connection);
+	void *ctx;
+};
+
 struct hc_pool {
 	uv_loop_t *loop;
 	struct nt_address address;
@@ -108,6 +123,8 @@
 	struct tm_service *timers; /* NULL: no connect timeout */
 	uint64_t connect_timeout_us;
 	SSL_CTX *tls; /* NULL: plaintext; not owned */
+	const struct hc_observer *observer; /* NULL: none; not owned */
+	const struct nt_address *source; /* of new connections; NULL: any */
 	struct hc_conn *idle; /* most recently used first */
 	struct hc_conn *conns;
 	bool closing;
@@ -161,6 +178,9 @@
  */
 void hc_cancel(struct hc_request *request);
 
+/* hc_cancel_overdue - the same for a request whose answer should be there by now. */
+void hc_cancel_overdue(struct hc_request *request);
+
 /* hc_pause_reading, hc_resume_reading - stop and restart reading the answer. */
 void hc_pause_reading(struct hc_request *request);
 void hc_resume_reading(struct hc_request *request);
--- a/log.h
+++ b/log.h
@@ -33,6 +33,8 @@
 	X(LIMIT, "limit", STATE, "a server's limit of requests a second")   \
 	X(PAUSE, "pause", STATE, "a server wants nothing for a time")       \
 	X(CRASH, "crash", STATE, "a server crashed while it ran calls")     \
+	X(CUT, "servers-unreachable", STATE, "this host reaches no server") \
+	X(REACHED, "servers-reachable", STATE, "it reaches them again")     \
 	X(CHECK, "crash-check", STATE, "a server that broke off calls")     \
 	X(SUSPECT, "suspect", STATE, "a request under which one crashed")   \
 	X(BLOCK, "block", STATE, "a request that crashes servers")          \
--- a/probe.c
+++ b/probe.c
@@ -149,7 +149,7 @@
 {
 	struct pb_probe *probe = ctx;
 
-	hc_cancel(&probe->request);
+	hc_cancel_overdue(&probe->request);
 	pb_finish(probe, false);
 }
 
--- a/settings.c
+++ b/settings.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <netinet/in.h>
+
 enum {
 	SE_MIN_FRESH_MS = 1500,
 	SE_DEFAULT_FRESH_MS = 2000,
@@ -218,6 +220,21 @@
 	       SE_FRESH_MARGIN_MS;
 }
 
+/* An IP address without a port, which the system chooses. */
+static void se_read_source(struct ym_node *map, struct se_settings *settings,
+			   struct ym_errors *errors)
+{
+	const char *text = ym_string(map, "server_source", "", errors);
+	char *address = g_strconcat(text, ":1", NULL);
+
+	if (*text && !nt_parse(address, &settings->server_source))
+		ym_error(errors, ym_get(map, "server_source"), "server_source",
+			 "\"%.60s\" is not an IP address", text);
+	/* At the same place for both families. */
+	((struct sockaddr_in *)&settings->server_source.addr)->sin_port = 0;
+	g_free(address);
+}
+
 static void se_read_platform(struct ym_node *root, struct se_settings *settings,
 			     struct ym_errors *errors)
 {
@@ -231,6 +248,7 @@
 	settings->follow_platform = ym_bool(map, "follow", false, errors);
 	if (settings->follow_platform)
 		se_read_address(map, "relay", &settings->relay, errors);
+	se_read_source(map, settings, errors);
 	settings->first_start = ym_bool(map, "first_start", false, errors);
 	settings->processor_share = se_read_decimal(
 		map, "processor_share", SE_MAX_PROCESSOR_SHARE, errors);
--- a/settings.h
+++ b/settings.h
@@ -45,6 +45,8 @@
 	bool follow_platform;
 	/* Listener for hosts that read the store through this one. */
 	struct nt_address relay;
+	/* Source address of connections to servers; empty text: any. */
+	struct nt_address server_source;
 	/* Maximum staleness of the data from the platform's store. */
 	uint64_t fresh_ms;
 	bool first_start; /* no host of the system has run before */
