Show by a test that hosts without servers serve no caller

Change: run_stranded, listed as known red; the stand-in of servers can cut off a source address, silently, by resets, or only for new connections.

--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -60,6 +60,16 @@
 	curl -s -o /dev/null -X PUT -d "$2" \
 		"127.0.0.1:$((servers_port + $1))/limit"
 }
+# cut_source SOURCE MODE: cuts hosts with that source address off from all SERVERS
+# servers; see tool_upstream.c. heal_source: ends that.
+cut_source() {
+	local s
+	for s in $(seq 0 $((SERVERS - 1))); do
+		curl -s -o /dev/null -X PUT -d "$1 $2" \
+			"127.0.0.1:$((servers_port + s))/cut"
+	done
+}
+heal_source() { cut_source none none; }
 # start_follower I: starts entry host I, which follows the store. The address
 # for other hosts ("relay") is peers_port + I.
 start_follower() {
@@ -77,6 +87,7 @@
 	  plaintext: true
 	  follow: true
 	  relay: "127.0.0.1:$((peers_port + $1))"
+	  server_source: "${server_source:-}"
 	  processor_share: "${processor_share:-0.2}"
 	  first_start: ${first_start:-false}
 	  change_limit_s: "${change_limit_s:-0}"
--- /dev/null
+++ b/tests/run_stranded.sh
@@ -0,0 +1,92 @@
+#!/bin/bash
+# Guards against callers of a host that reaches no server being refused, while other
+# hosts reach the servers: with connections that hang, that are reset, or that live on
+# while new ones fail; with the store down; with a call that is passed from one such
+# host to another without end; and against hosts that stay on that way after the cut.
+set -u
+PORT_BASE=${PORT_BASE:-30700}
+. "$(dirname "$0")/lib_platform.sh"
+HOSTS=4 SERVERS=8 WORK_MS=20
+# Hosts 0 and 1 are cut off, 2 and 3 are not.
+CUT_SOURCE=127.0.0.2
+# Time after which a cut must not matter any more (stable-window-s).
+NOTICE_S=3
+CALLS=30
+# Two thirds of what the other hosts serve.
+MIN_SERVED=20
+
+# served HOST PATH: how many of CALLS calls have a server's answer.
+served() {
+	local n ok=0
+	for n in $(seq $CALLS); do
+		test "$(call_host "$1" "$2" "s$1-$n-$RANDOM" -o /dev/null)" = " 200" &&
+			ok=$((ok + 1))
+	done
+	echo $ok
+}
+check_served() { # WHAT
+	local host path ok
+	for host in 0 1 2; do
+		for path in /desk/a /order/a; do
+			ok=$(served $host $path)
+			check "$1: host $host served $ok of $CALLS calls to $path" \
+				test "$ok" -ge $MIN_SERVED
+		done
+	done
+}
+# Every call, also one that many hosts handled, runs once.
+check_runs() {
+	local doubled
+	doubled=$(cat "$WORK"/server*.out | awk '$1 ~ /^s[0-9]-/ { print $1 }' |
+		sort | uniq -d | wc -l)
+	check "$doubled calls ran more than once" test "$doubled" = 0
+}
+sends() { grep -c '"event":"send"' "$WORK/entry$1.log"; }
+
+start_platform || exit 1
+for s in $(seq 0 $((SERVERS - 1))); do
+	start_upstream "$s" $WORK_MS
+	put_server "$s" ready || fail "the store did not take the row of server $s"
+done
+put_manifest 1 "$(print_route desk /desk/ safe desk),$(print_route order /order/ unsafe desk)" ||
+	fail "the store did not take the manifest"
+for i in $(seq 0 $((HOSTS - 1))); do
+	server_source=$(test "$i" -lt 2 && echo $CUT_SOURCE)
+	start_follower "$i"
+done
+for i in $(seq 0 $((HOSTS - 1))); do
+	wait_ready "$i" || fail "host $i is not ready"
+done
+sleep 1.5
+check_served "before"
+for mode in hang reset reset-new; do
+	cut_source $CUT_SOURCE $mode
+	for host in 0 1; do
+		for n in 1 2 3 4 5 6; do
+			call_host $host /desk/a "notice$host-$n-$mode" -o /dev/null \
+				>/dev/null &
+		done
+	done
+	sleep $NOTICE_S
+	check_served "$mode"
+	heal_source
+	sleep 1
+done
+platform_fault '{"down": true}'
+cut_source $CUT_SOURCE hang
+sleep 0.5
+for host in 0 1; do
+	call_host $host /desk/a "notice$host-down" -o /dev/null >/dev/null &
+done
+sleep $NOTICE_S
+check_served "store down"
+platform_fault '{"down": false}'
+heal_source
+sleep 1.5
+before=$(sends 0)
+check_served "after"
+check "host 0 sends nothing to servers itself after the cut" \
+	test $(($(sends 0) - before)) -ge $MIN_SERVED
+check_runs
+say "failures: $failures"
+test $failures = 0
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -20,12 +20,19 @@
  * request whose path ends with "deadly" ends the process after its work, without an
  * answer. One that ends with "deadly-held" does the same where a supervisor keeps the
  * socket and starts the server anew at once: it gets a new id, and keeps its address.
+ *
+ * PUT /cut takes "SOURCE MODE": requests from that IP address get no answer (mode
+ * "hang"), have their connections reset ("reset"), or only those on connections that
+ * are newer than this ("reset-new"). An empty body ends that.
  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
+#include <arpa/inet.h>
+#include <sys/time.h>
+
 #include <glib.h>
 
 #include "httpd.h"
@@ -46,6 +53,8 @@
 	char leaving[32]; /* empty: it stays */
 	char pause[64]; /* value of Retry-After; empty: no pause */
 	char stale[32]; /* empty: answers are sent once */
+	char cut[64]; /* empty: all sources reach it */
+	struct timeval cut_at;
 	GString *run_ids; /* attempt id of every run, one a line */
 } upstream;
 
@@ -179,7 +188,10 @@
 		set_text(req, upstream.leaving, sizeof(upstream.leaving));
 	else if (hd_path_is(req, "/stale"))
 		set_text(req, upstream.stale, sizeof(upstream.stale));
-	else if (hd_path_is(req, "/pause"))
+	else if (hd_path_is(req, "/cut")) {
+		gettimeofday(&upstream.cut_at, NULL);
+		set_text(req, upstream.cut, sizeof(upstream.cut));
+	} else if (hd_path_is(req, "/pause"))
 		set_text(req, upstream.pause, sizeof(upstream.pause));
 	else
 		return false;
@@ -206,10 +218,41 @@
 	reply(req, 503, "not now");
 }
 
+static bool is_newer_than_cut(const h2o_req_t *req)
+{
+	return timercmp(&req->conn->connected_at, &upstream.cut_at, >);
+}
+
+/* Whether the request comes from a source that is cut off; it gets no answer. */
+static bool on_cut(h2o_req_t *req)
+{
+	struct sockaddr_storage peer;
+	const struct sockaddr_in *v4 = (const void *)&peer;
+	char source[INET_ADDRSTRLEN];
+	size_t bytes;
+
+	if (!*upstream.cut ||
+	    !req->conn->callbacks->get_peername(req->conn, (void *)&peer) ||
+	    !inet_ntop(AF_INET, &v4->sin_addr, source, sizeof(source)))
+		return false;
+	bytes = strlen(source);
+	if (strncmp(upstream.cut, source, bytes) != 0 ||
+	    upstream.cut[bytes] != ' ')
+		return false;
+	if (!strcmp(upstream.cut + bytes + 1, "reset-new") &&
+	    !is_newer_than_cut(req))
+		return false;
+	if (strcmp(upstream.cut + bytes + 1, "hang") != 0)
+		hd_abort_connection(req);
+	return true;
+}
+
 static void on_request(void *ctx, h2o_req_t *req)
 {
 	h2o_iovec_t expected = hd_header(req, "expect-instance");
 
+	if (on_cut(req))
+		return;
 	if (on_control(req))
 		return;
 	if (*upstream.leaving || *upstream.pause)
