Pass calls of a host that reaches no server to another host

Callers saw: while a host was cut off from all servers, each of their calls there was refused after 91 ms, or failed; most came back to a host that was cut as well. Cause: a host had one way to the servers only, and treated the loss of all servers as that many single faults. Change: gateway_forward.c. A host that hears no server passes calls to another host over the listener between hosts; if only new connections fail, those that it would refuse. A call from another host is never passed on.

--- a/cmd_serve.c
+++ b/cmd_serve.c
@@ -328,8 +328,12 @@
 
 	if (kind != ST_OK)
 		return kind;
-	return fo_init(&host->follower, &host->kernel, &host->timers,
+	kind = fo_init(&host->follower, &host->kernel, &host->timers,
 		       &host->platform, &host->settings, status);
+	host->follower.relay.is_call = gw_is_forwarded;
+	host->follower.relay.handle_call = gw_on_forwarded;
+	host->follower.relay.call_ctx = &host->gateway;
+	return kind;
 }
 
 static enum st_kind sv_start(struct sv_host *host, struct st_status *status)
--- a/gateway.c
+++ b/gateway.c
@@ -117,8 +117,8 @@
 	gw_post_event(ctx, &event);
 }
 
-static void gw_refuse_request(struct gw_gateway *gateway, h2o_req_t *req,
-			      enum st_kind kind, const char *msg)
+void gw_refuse_request(struct gw_gateway *gateway, h2o_req_t *req,
+		       enum st_kind kind, const char *msg)
 {
 	struct st_status status;
 
@@ -143,18 +143,13 @@
 		hd_reply(req, 200, "text/plain", "ok\n", 3);
 }
 
-static void gw_on_request(void *ctx, h2o_req_t *req)
+void gw_handle_call(struct gw_gateway *gateway, h2o_req_t *req, bool from_host)
 {
-	struct gw_gateway *gateway = ctx;
 	const struct doc_document *document = gateway->document;
 	const struct doc_route *route;
+	struct gw_call *call;
 	uint32_t index;
 
-	/* With a separate health listener, /health is a path like any other. */
-	if (!gateway->settings->has_health && hd_path_is(req, "/health")) {
-		gw_on_health(gateway, req);
-		return;
-	}
 	ct_add(CT_CALLS, 1);
 	if (!document) {
 		gw_refuse_request(gateway, req, ST_NOT_READY,
@@ -164,20 +159,32 @@
 	route = doc_find_route(document, req->authority.base,
 			       req->authority.len, req->path.base,
 			       req->path.len);
-	if (route) {
-		gw_admit_route_call(gw_call_new(gateway, req), route);
-		return;
-	}
-	index = document->route_count ?
+	index = route || document->route_count ?
 			DOC_NO_INDEX :
 			doc_find_service(document, req->path.base,
 					 req->path.len);
-	if (index == DOC_NO_INDEX) {
+	if (!route && index == DOC_NO_INDEX) {
 		gw_refuse_request(gateway, req, ST_NOT_FOUND,
 				  "no service has this route");
 		return;
 	}
-	gw_admit_service_call(gw_call_new(gateway, req), index);
+	call = gw_call_new(gateway, req);
+	call->from_host = from_host;
+	if (route)
+		gw_admit_route_call(call, route);
+	else
+		gw_admit_service_call(call, index);
+}
+
+static void gw_on_request(void *ctx, h2o_req_t *req)
+{
+	struct gw_gateway *gateway = ctx;
+
+	/* With a separate health listener, /health is a path like any other. */
+	if (!gateway->settings->has_health && hd_path_is(req, "/health"))
+		gw_on_health(gateway, req);
+	else
+		gw_handle_call(gateway, req, false);
 }
 
 /* The check is late by the time that the event loop was blocked. */
@@ -206,6 +213,7 @@
 			gw_post_gone(call);
 	}
 	g_list_free(calls);
+	gw_check_forward_callers(gateway);
 	gateway->caller_check_us = now_us;
 	tm_subscribe(gateway->timers, &gateway->caller_check,
 		     tm_now_us() + GW_CALLER_CHECK_US);
@@ -243,6 +251,8 @@
 static void gw_init_tables(struct gw_gateway *gateway)
 {
 	gateway->servers = g_ptr_array_new();
+	gateway->peers = g_ptr_array_new();
+	g_queue_init(&gateway->forwards);
 	gateway->service_names = g_ptr_array_new_with_free_func(g_free);
 	gateway->hosts = g_array_new(FALSE, TRUE, sizeof(struct gw_host));
 	gateway->server_ids =
@@ -313,6 +323,7 @@
 	for (GList *l = calls; l; l = l->next)
 		gw_expire_call(l->data);
 	g_list_free(calls);
+	gw_end_forwards(gateway);
 }
 
 void gw_announce_stop(struct gw_gateway *gateway, uint64_t kill_us)
@@ -365,6 +376,7 @@
 
 		hc_pool_close(&server->pool, NULL, NULL);
 	}
+	gw_close_peers(gateway);
 }
 
 void gw_free(struct gw_gateway *gateway)
@@ -375,6 +387,8 @@
 	tr_close(&gateway->trace);
 	g_ptr_array_set_free_func(gateway->servers, g_free);
 	g_ptr_array_free(gateway->servers, TRUE);
+	g_ptr_array_set_free_func(gateway->peers, g_free);
+	g_ptr_array_free(gateway->peers, TRUE);
 	g_ptr_array_free(gateway->service_names, TRUE);
 	g_array_free(gateway->hosts, TRUE);
 	g_hash_table_destroy(gateway->server_ids);
--- a/gateway.h
+++ b/gateway.h
@@ -64,6 +64,8 @@
 	struct pb_prober prober;
 	struct cg_guard crash_guard;
 	struct gw_reach reach;
+	GPtrArray *peers; /* struct gw_peer, all other hosts */
+	GQueue forwards; /* struct gw_forward: calls at other hosts */
 	uint32_t servers_in_use; /* of the document */
 	struct tm_sub core_timer;
 	struct tm_sub caller_check;
@@ -103,6 +105,12 @@
 bool gw_is_ready(const struct gw_gateway *gateway);
 /* gw_is_idle - no call is in flight, and od_is_idle holds for the orders. */
 bool gw_is_idle(const struct gw_gateway *gateway);
+/*
+ * gw_is_forwarded - whether another host passes the call on; gw_on_forwarded - takes
+ * it, CTX is the gateway. Only for requests on the listener for other hosts.
+ */
+bool gw_is_forwarded(h2o_req_t *req);
+void gw_on_forwarded(void *ctx, h2o_req_t *req);
 /*
  * gw_close - close all connections of callers and the idle ones to servers, and
  * cancel the timers. The loop must run before gw_free.
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -64,6 +64,8 @@
 	gw_add_outcome(call, kind);
 	gw_add_retry_after(call->gateway->dialect, call->req, kind,
 			   gw_retry_after_us(call));
+	if (call->from_host && st_not_run(kind) && gw_is_cut_off(call->gateway))
+		gw_add_unable(call->req);
 	call->final_sent = true;
 	hd_reply_status(call->req, &status);
 }
@@ -86,6 +88,10 @@
 	X("x-request-outcome") \
 	X("x-timeout-ms")      \
 	X("x-entry-zone")      \
+	X("x-entry-host")      \
+	X("x-entry-waited-ms") \
+	X("x-entry-attempts")  \
+	X("x-entry-unable")    \
 	X("host")              \
 	X("expect")
 
@@ -165,16 +171,25 @@
 	h2o_send(call->req, &buf, 1, state);
 }
 
+void gw_resume_answer(struct gw_call *call)
+{
+	struct hc_request *request = call->answer_attempt ?
+					     &call->answer_attempt->http :
+					     gw_forward_request(call);
+
+	if (!request)
+		return;
+	call->read_paused = false;
+	hc_resume_reading(request);
+}
+
 static void gw_on_proceed(h2o_generator_t *generator, h2o_req_t *req)
 {
 	struct gw_call *call = (struct gw_call *)generator;
 
 	call->send_in_progress = false;
-	if (call->read_paused && call->unsent->len < GW_BUFFER_LOW_BYTES &&
-	    call->answer_attempt) {
-		call->read_paused = false;
-		hc_resume_reading(&call->answer_attempt->http);
-	}
+	if (call->read_paused && call->unsent->len < GW_BUFFER_LOW_BYTES)
+		gw_resume_answer(call);
 	gw_flush_answer(call);
 }
 
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -249,6 +249,7 @@
 	struct core_event event = { .kind = CORE_EV_ANSWER };
 
 	call->answer_attempt = attempt;
+	call->answer_status = head->status;
 	gw_store_type(call, head);
 	event.u.attempt.call = call->id;
 	event.u.attempt.attempt = attempt->index;
--- a/gateway_call.c
+++ b/gateway_call.c
@@ -108,26 +108,33 @@
 		       NULL);
 }
 
+void gw_complete_call(struct gw_call *call, enum st_kind result)
+{
+	call->result = result;
+	gw_count_result(result);
+	gw_log_call_end(call);
+	tm_cancel(call->gateway->timers, &call->timer);
+	call->finished = true;
+	gw_end_claim(call);
+	call->answer_attempt = NULL;
+	gw_end_answer(call);
+	gw_start_read_timeout(call);
+	gw_call_unref(call);
+}
+
 void gw_finish_call(struct gw_gateway *gateway,
 		    const struct core_action *action)
 {
 	struct gw_call *call =
 		g_hash_table_lookup(gateway->calls, &action->call);
 
-	call->result = at_caller_result(action->result, call->may_have_run);
 	call->inputs = action->inputs;
 	if (action->at_us)
 		call->retry_at_us = action->at_us;
-	gw_count_result(call->result);
-	gw_log_call_end(call);
-	tm_cancel(gateway->timers, &call->timer);
 	g_hash_table_remove(gateway->calls, &call->id);
-	call->finished = true;
-	gw_end_claim(call);
-	call->answer_attempt = NULL;
-	gw_end_answer(call);
-	gw_start_read_timeout(call);
-	gw_call_unref(call);
+	if (!gw_forward_refused(call, action->result))
+		gw_complete_call(call, at_caller_result(action->result,
+							call->may_have_run));
 }
 
 bool gw_caller_left(const struct gw_call *call)
@@ -142,6 +149,10 @@
 	if (call->caller_left)
 		return;
 	call->caller_left = true;
+	if (call->forward) {
+		gw_leave_forward(call);
+		return;
+	}
 	event.u.call_ref.call = call->id;
 	gw_post_event(call->gateway, &event);
 }
@@ -153,8 +164,8 @@
 
 	call->req = NULL;
 	/* The rest of the answer is discarded; let the attempt complete. */
-	if (call->read_paused && call->answer_attempt)
-		hc_resume_reading(&call->answer_attempt->http);
+	if (call->read_paused)
+		gw_resume_answer(call);
 	call->read_paused = false;
 	if (!call->finished)
 		gw_post_gone(call);
@@ -298,6 +309,8 @@
 	struct gw_gateway *gateway = call->gateway;
 	struct core_event event = { .kind = CORE_EV_CALL };
 
+	if (gw_is_cut_off(gateway) && gw_forward_call(call))
+		return;
 	event.u.call.call = call->id;
 	event.u.call.service = call->service;
 	event.u.call.caller = call->caller_index;
@@ -484,7 +497,10 @@
 	if (route->target_ms)
 		call->target_us = call->begin_us +
 				  (uint64_t)route->target_ms * GW_US_PER_MS;
-	if (caller_timeout_ms)
+	call->max_attempts = route->max_attempts;
+	if (call->from_host)
+		gw_read_forwarded(call, route->max_attempts);
+	else if (caller_timeout_ms)
 		call->waited_us = gw_estimate_waited_ms(gateway, route,
 							caller_timeout_ms) *
 				  GW_US_PER_MS;
@@ -492,7 +508,6 @@
 	g_strlcpy(call->route, route->name, sizeof(call->route));
 	call->idempotent = route->idempotent;
 	call->bulky = route->bulky;
-	call->max_attempts = route->max_attempts;
 	call->caller_index = route->priority;
 	if (gw_may_be_cut_off(call))
 		gw_refuse_at_stop(call);
--- a/gateway_conf.c
+++ b/gateway_conf.c
@@ -15,7 +15,7 @@
 	return MAX(of_server / gateway->host_count, 1);
 }
 
-static uint64_t gw_hash_name(const char *name)
+uint64_t gw_hash_name(const char *name)
 {
 	char digest[DOC_DIGEST_BYTES];
 
@@ -181,6 +181,7 @@
 {
 	GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct gw_host));
 
+	gw_update_peers(gateway, hosts);
 	g_array_set_size(rows, hosts->count);
 	for (uint32_t i = 0; i < hosts->count; i++) {
 		struct gw_host *row = &g_array_index(rows, struct gw_host, i);
--- a/gateway_reach.c
+++ b/gateway_reach.c
@@ -52,9 +52,17 @@
 	ct_add(CT_CUTS, 1);
 	gw_log_cut(gateway);
 	tm_subscribe(gateway->timers, &reach->timer, now_us);
+	gw_forward_waiting_calls(gateway);
 	return true;
 }
 
+bool gw_reaches_badly(struct gw_gateway *gateway)
+{
+	return gw_is_cut_off(gateway) ||
+	       rc_opens_none(&gateway->reach.evidence, gateway->servers_in_use,
+			     tm_now_us());
+}
+
 /* A random server that wants requests; NULL: none. */
 static struct gw_server *gw_pick_server_to_check(struct gw_gateway *gateway)
 {
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -14,6 +14,7 @@
  * gateway_attempt.c: attempts at servers.
  * gateway_crash.c: calls that crash servers.
  * gateway_reach.c: whether the servers can be reached.
+ * gateway_forward.c: calls that are passed from host to host.
  * gateway_conf.c: configuration from the document and the host list.
  * gateway_route.c: state that routes keep between calls.
  * gateway_log.c: log lines about calls.
@@ -107,6 +108,11 @@
 	bool read_before_end; /* see gw_must_read_first */
 	struct gw_attempt attempts[CORE_MAX_ATTEMPTS];
 	struct gw_attempt *answer_attempt;
+	int answer_status; /* of the answer that is passed on; 0: none yet */
+	bool from_host; /* another host passed it on; it stays here */
+	bool pass_on; /* to another host, when the core has given it up */
+	struct gw_forward *forward; /* to another host; NULL: none */
+	char passed_to[SE_NAME_BYTES]; /* empty: no other host */
 	GString *unsent; /* answer bytes not yet given to the listener */
 	GString *sending; /* in use by the listener until gw_on_proceed */
 	uint32_t refs; /* one for the core, one for the listener */
@@ -128,10 +134,15 @@
  *
  * gw_post_rate_limit - pass a RATE_LIMIT event on if it states a change.
  * gw_post_pause - count, log and pass on that a server asked for a pause.
+ * gw_handle_call - admit a request, FROM_HOST or from a caller.
+ * gw_refuse_request - answer a request that does not become a call.
  */
 void gw_post_event(struct gw_gateway *gateway, struct core_event *event);
 void gw_post_rate_limit(struct gw_gateway *gateway, struct core_event *event);
 void gw_post_pause(struct gw_gateway *gateway, struct core_event *event);
+void gw_handle_call(struct gw_gateway *gateway, h2o_req_t *req, bool from_host);
+void gw_refuse_request(struct gw_gateway *gateway, h2o_req_t *req,
+		       enum st_kind kind, const char *msg);
 
 /*
  * gateway_call.c
@@ -141,6 +152,7 @@
  * its named route or by the service at INDEX of the document. An order with a
  * key is passed on when its key has been claimed.
  * gw_finish_call - action of the core: the call has its result.
+ * gw_complete_call - end a call that the core does not have (any more).
  * gw_expire_call - end the call now, as at its deadline.
  * gw_caller_left - whether the caller has closed its connection or its stream.
  * gw_post_gone - tell the core, once, that the caller has left.
@@ -150,6 +162,7 @@
 void gw_admit_service_call(struct gw_call *call, uint32_t index);
 void gw_finish_call(struct gw_gateway *gateway,
 		    const struct core_action *action);
+void gw_complete_call(struct gw_call *call, enum st_kind result);
 void gw_expire_call(struct gw_call *call);
 bool gw_caller_left(const struct gw_call *call);
 void gw_post_gone(struct gw_call *call);
@@ -163,6 +176,7 @@
  * first bytes of the body or at the end, so that a call of which only the head has
  * come can still end with an error.
  * gw_drop_head - undo that.
+ * gw_resume_answer - read on the answer, of which enough has been sent.
  * gw_flush_answer - pass unsent bytes to the listener, and the end of the
  * answer once the call is finished.
  * gw_add_retry_after - add Retry-After if KIND is answered with status 503 and
@@ -174,6 +188,7 @@
 void gw_reply_error(struct gw_call *call, enum st_kind kind, const char *msg);
 void gw_copy_head(struct gw_call *call, const struct hc_head *head);
 void gw_drop_head(struct gw_call *call);
+void gw_resume_answer(struct gw_call *call);
 void gw_flush_answer(struct gw_call *call);
 bool gw_is_hop_header(const struct dl_dialect *dialect, const char *name,
 		      size_t bytes);
@@ -226,10 +241,43 @@
  *
  * gw_init_reach, gw_close_reach - without sockets; cancel the check.
  * gw_is_cut_off - no server is heard.
+ * gw_reaches_badly - that, or no new connection to a server succeeds.
  */
 void gw_init_reach(struct gw_gateway *gateway);
 void gw_close_reach(struct gw_gateway *gateway);
 bool gw_is_cut_off(struct gw_gateway *gateway);
+bool gw_reaches_badly(struct gw_gateway *gateway);
+
+/*
+ * gateway_forward.c
+ *
+ * gw_update_peers - take over the list of hosts. gw_close_peers - close the
+ * connections to them.
+ * gw_forward_call - pass the call to another host; false: it cannot be. The call
+ * must not be in the core.
+ * gw_forward_refused - the same for one that the core has refused with RESULT, if
+ * that is for want of a way to the servers.
+ * gw_forward_waiting_calls - pass on the calls that were sent to no server.
+ * gw_expire_forward - end a call that was passed on, as at its deadline.
+ * gw_leave_forward - its caller has left.
+ * gw_check_forward_callers - find those that have; gw_end_forwards - expire all.
+ * gw_forward_request - the request to the other host; NULL: none.
+ * gw_read_forwarded - take over what the other host says of its call; the route
+ * allows MAX_ATTEMPTS.
+ * gw_add_unable - say that this host can do nothing for a call of another one.
+ */
+void gw_update_peers(struct gw_gateway *gateway, const struct pr_hosts *hosts);
+void gw_close_peers(struct gw_gateway *gateway);
+bool gw_forward_call(struct gw_call *call);
+bool gw_forward_refused(struct gw_call *call, enum st_kind result);
+void gw_forward_waiting_calls(struct gw_gateway *gateway);
+void gw_expire_forward(struct gw_call *call);
+void gw_leave_forward(struct gw_call *call);
+void gw_check_forward_callers(struct gw_gateway *gateway);
+void gw_end_forwards(struct gw_gateway *gateway);
+struct hc_request *gw_forward_request(struct gw_call *call);
+void gw_read_forwarded(struct gw_call *call, uint32_t max_attempts);
+void gw_add_unable(h2o_req_t *req);
 
 /*
  * gateway_log.c: lines about calls, see docs/OPERATIONS.md.
@@ -237,6 +285,7 @@
  * gw_log_attempt_start - an attempt starts.
  * gw_log_attempt_end - an attempt failed; not called for one that was cancelled
  * or could not be started.
+ * gw_log_pass_on - a call is passed to another host, the TRYth one.
  * gw_log_call_end - a call has its result; also updates the latency histogram.
  * gw_log_stall - the event loop was blocked for STALL_US.
  * gw_log_rate_limit - a server's limit began, changed or ended.
@@ -254,6 +303,7 @@
  */
 void gw_log_attempt_start(const struct gw_attempt *attempt, bool hedge);
 void gw_log_attempt_end(const struct gw_attempt *attempt, const char *msg);
+void gw_log_pass_on(const struct gw_call *call, uint32_t try_number);
 void gw_log_call_end(const struct gw_call *call);
 void gw_log_stall(const struct gw_gateway *gateway, uint64_t stall_us);
 void gw_log_rate_limit(const struct gw_server *server,
@@ -299,6 +349,7 @@
  * peer that a server is leaving, or that the last such notice has expired.
  */
 void gw_configure_core(struct gw_gateway *gateway);
+uint64_t gw_hash_name(const char *name);
 void gw_update_hosts(struct gw_gateway *gateway, const struct pr_hosts *hosts);
 void gw_update_server_state(struct gw_gateway *gateway,
 			    const struct kn_msg_server_state *state);
--- a/peer.h
+++ b/peer.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "net.h"
+
 /* The list of live entry hosts that the peer task publishes. */
 
 enum { PR_NAME_BYTES = 64 };
@@ -12,6 +14,7 @@
 struct pr_host {
 	char name[PR_NAME_BYTES];
 	char zone[PR_NAME_BYTES];
+	char address[NT_TEXT_BYTES]; /* for calls of other hosts; empty: none */
 	uint64_t incarnation;
 	bool draining;
 };
