Drop idle connections to servers when a host hears them again

Callers saw: for a second after a cut some calls were refused or late, since they met connections that the servers had closed meanwhile. Cause: what closed a connection during the cut did not get through. Change: a host that hears a server again keeps no idle connection of the time before.

--- a/gateway_reach.c
+++ b/gateway_reach.c
@@ -17,6 +17,17 @@
 				    offsetof(struct gw_server, pool));
 }
 
+/* Servers may have closed connections meanwhile, which did not get through. */
+static void gw_drop_idle_connections(struct gw_gateway *gateway)
+{
+	for (guint i = 0; i < gateway->servers->len; i++) {
+		struct gw_server *server =
+			g_ptr_array_index(gateway->servers, i);
+
+		hc_pool_drop_idle(&server->pool);
+	}
+}
+
 static void gw_on_server_heard(void *ctx, const struct hc_pool *pool,
 			       bool new_connection)
 {
@@ -27,6 +38,7 @@
 		return;
 	gw_log_reached(gateway);
 	gateway->reach.cut_since_us = 0;
+	gw_drop_idle_connections(gateway);
 }
 
 static void gw_on_server_failed(void *ctx, const struct hc_pool *pool,
