Take no calls of other hosts without routes, and say so

Callers saw: a cut host passed calls to a host that had just started with the store down, and passed its refusal on, although other hosts could run them. Cause: a host without a document refused them as it refuses its own callers. Change: it says that it is unable, as one that is cut off or stopping, so that the next host is tried; such a host is tried again after 0.3 s, an unreachable one after 1 s.

--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -31,7 +31,9 @@
 	GW_PEER_IDLE_US = 5 * 1000 * 1000,
 	/* Of a connection for a call that must not run twice. */
 	GW_PEER_FRESH_US = 1000 * 1000,
-	GW_PEER_BACKOFF_US = 1000 * 1000,
+	/* Of a host that cannot be reached, and of one that says it is unable. */
+	GW_PEER_LOST_BACKOFF_US = 1000 * 1000,
+	GW_PEER_UNABLE_BACKOFF_US = 300 * 1000,
 	/* For the other host's answer to come before the deadline here. */
 	GW_FORWARD_MARGIN_US = 10 * 1000,
 	GW_FORWARD_HIGH_BYTES = 256 * 1024
@@ -210,7 +212,7 @@
 	g_strlcpy(call->passed_to, peer->name, sizeof(call->passed_to));
 	gw_log_pass_on(call, forward->tries);
 	if (!hc_start(&peer->pool, &forward->http, gw_format_forward(call))) {
-		peer->backoff_until_us = tm_now_us() + GW_PEER_BACKOFF_US;
+		peer->backoff_until_us = tm_now_us() + GW_PEER_LOST_BACKOFF_US;
 		return gw_start_forward(forward);
 	}
 	peer->in_flight++;
@@ -280,7 +282,9 @@
 	forward->peer->in_flight--;
 	if (end == HC_NOT_SENT || forward->unable)
 		forward->peer->backoff_until_us =
-			tm_now_us() + GW_PEER_BACKOFF_US;
+			tm_now_us() + (forward->unable ?
+					       GW_PEER_UNABLE_BACKOFF_US :
+					       GW_PEER_LOST_BACKOFF_US);
 	if (end == HC_NO_ANSWER)
 		call->may_have_run = true;
 	if (end == HC_NOT_SENT || forward->unable ||
@@ -457,11 +461,12 @@
 {
 	struct gw_gateway *gateway = ctx;
 
-	if (gateway->stopping || gw_is_cut_off(gateway)) {
+	if (gateway->stopping || !gateway->document || gw_is_cut_off(gateway)) {
 		gw_add_unable(req);
 		gw_refuse_request(gateway, req,
 				  gateway->stopping ? ST_STOPPING :
-						      ST_NO_SERVER,
+				  gateway->document ? ST_NO_SERVER :
+						      ST_NOT_READY,
 				  "this host cannot run calls of others");
 		return;
 	}
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -23,7 +23,7 @@
  *
  * PUT /cut takes "SOURCE MODE": requests from that IP address get no answer (mode
  * "hang"), have their connections reset ("reset"), or only those on connections that
- * are newer than this ("reset-new"). An empty body ends that.
+ * are newer ("reset-new") or older than this ("reset-old"). An empty body ends that.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -242,6 +242,9 @@
 	if (!strcmp(upstream.cut + bytes + 1, "reset-new") &&
 	    !is_newer_than_cut(req))
 		return false;
+	if (!strcmp(upstream.cut + bytes + 1, "reset-old") &&
+	    is_newer_than_cut(req))
+		return false;
 	if (strcmp(upstream.cut + bytes + 1, "hang") != 0)
 		hd_abort_connection(req);
 	return true;
