Find hosts for passed calls in constant time, and leave gone ones alone

Cause: each list of hosts compared every name with every other (222,000 comparisons at 472 hosts), and a host that is gone cost a call 150 ms every second. Change: a table by name and address; a host that cannot be reached is tried again after 1 s, doubled up to 16 s.

--- a/gateway.c
+++ b/gateway.c
@@ -251,8 +251,7 @@
 static void gw_init_tables(struct gw_gateway *gateway)
 {
 	gateway->servers = g_ptr_array_new();
-	gateway->peers = g_ptr_array_new();
-	g_queue_init(&gateway->forwards);
+	gw_init_peers(gateway);
 	gateway->service_names = g_ptr_array_new_with_free_func(g_free);
 	gateway->hosts = g_array_new(FALSE, TRUE, sizeof(struct gw_host));
 	gateway->server_ids =
@@ -387,8 +386,7 @@
 	tr_close(&gateway->trace);
 	g_ptr_array_set_free_func(gateway->servers, g_free);
 	g_ptr_array_free(gateway->servers, TRUE);
-	g_ptr_array_set_free_func(gateway->peers, g_free);
-	g_ptr_array_free(gateway->peers, TRUE);
+	gw_free_peers(gateway);
 	g_ptr_array_free(gateway->service_names, TRUE);
 	g_array_free(gateway->hosts, TRUE);
 	g_hash_table_destroy(gateway->server_ids);
--- a/gateway.h
+++ b/gateway.h
@@ -64,7 +64,8 @@
 	struct pb_prober prober;
 	struct cg_guard crash_guard;
 	struct gw_reach reach;
-	GPtrArray *peers; /* struct gw_peer, all other hosts */
+	GPtrArray *peers; /* struct gw_peer, all other hosts, in their order */
+	GHashTable *peer_ids; /* the same by name and address */
 	GQueue forwards; /* struct gw_forward: calls at other hosts */
 	uint32_t servers_in_use; /* of the document */
 	struct tm_sub core_timer;
--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -31,8 +31,12 @@
 	GW_PEER_IDLE_US = 5 * 1000 * 1000,
 	/* Of a connection for a call that must not run twice. */
 	GW_PEER_FRESH_US = 1000 * 1000,
-	/* Of a host that cannot be reached, and of one that says it is unable. */
+	/*
+	 * Of a host that cannot be reached, doubled with each failure in a row, and of
+	 * one that says it is unable.
+	 */
 	GW_PEER_LOST_BACKOFF_US = 1000 * 1000,
+	GW_PEER_MAX_DOUBLINGS = 4,
 	GW_PEER_UNABLE_BACKOFF_US = 300 * 1000,
 	/* For the other host's answer to come before the deadline here. */
 	GW_FORWARD_MARGIN_US = 10 * 1000,
@@ -41,11 +45,13 @@
 
 /* Another host that calls can be passed to. */
 struct gw_peer {
+	char *id; /* name and address; key of the table */
 	char name[PR_NAME_BYTES];
 	uint64_t order; /* by a hash of both names; the lowest are used */
 	bool same_zone;
 	bool listed;
 	uint32_t in_flight; /* calls */
+	uint32_t failures; /* to connect, in a row */
 	uint64_t backoff_until_us;
 	struct hc_pool pool;
 };
@@ -62,38 +68,62 @@
 
 /* Hosts */
 
-static struct gw_peer *gw_find_peer(const struct gw_gateway *gateway,
-				    const struct pr_host *host)
+static void gw_free_peer(void *ptr)
 {
-	for (guint i = 0; i < gateway->peers->len; i++) {
-		struct gw_peer *peer = g_ptr_array_index(gateway->peers, i);
+	struct gw_peer *peer = ptr;
 
-		if (!strcmp(peer->name, host->name) &&
-		    !strcmp(peer->pool.address.text, host->address))
-			return peer;
-	}
-	return NULL;
+	g_free(peer->id);
+	g_free(peer);
 }
 
-static struct gw_peer *gw_add_peer(struct gw_gateway *gateway,
-				   const struct pr_host *host)
+void gw_init_peers(struct gw_gateway *gateway)
 {
-	struct nt_address address;
-	struct gw_peer *peer;
-	char *names;
+	gateway->peers = g_ptr_array_new();
+	gateway->peer_ids = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  gw_free_peer);
+	g_queue_init(&gateway->forwards);
+}
+
+void gw_free_peers(struct gw_gateway *gateway)
+{
+	g_ptr_array_free(gateway->peers, TRUE);
+	g_hash_table_destroy(gateway->peer_ids);
+}
+
+static struct gw_peer *gw_peer_new(struct gw_gateway *gateway,
+				   const struct pr_host *host,
+				   const struct nt_address *address)
+{
+	struct gw_peer *peer = g_new0(struct gw_peer, 1);
+	char *names =
+		g_strconcat(gateway->settings->host, " ", host->name, NULL);
 
-	if (!nt_parse(host->address, &address))
-		return NULL;
-	peer = g_new0(struct gw_peer, 1);
 	g_strlcpy(peer->name, host->name, sizeof(peer->name));
-	names = g_strconcat(gateway->settings->host, " ", host->name, NULL);
 	peer->order = gw_hash_name(names);
 	g_free(names);
-	hc_pool_init(&peer->pool, gateway->kernel->loop, &address,
+	hc_pool_init(&peer->pool, gateway->kernel->loop, address,
 		     GW_PEER_CONNECTIONS);
 	hc_pool_set_connect_timeout(&peer->pool, gateway->timers,
 				    GW_PEER_CONNECT_TIMEOUT_US);
 	peer->pool.max_idle_us = GW_PEER_IDLE_US;
+	return peer;
+}
+
+/* NULL: the host takes no calls of others. */
+static struct gw_peer *gw_get_peer(struct gw_gateway *gateway,
+				   const struct pr_host *host)
+{
+	char *id = g_strconcat(host->name, " ", host->address, NULL);
+	struct gw_peer *peer = g_hash_table_lookup(gateway->peer_ids, id);
+	struct nt_address address;
+
+	if (peer || !nt_parse(host->address, &address)) {
+		g_free(id);
+		return peer;
+	}
+	peer = gw_peer_new(gateway, host, &address);
+	peer->id = id;
+	g_hash_table_insert(gateway->peer_ids, id, peer);
 	g_ptr_array_add(gateway->peers, peer);
 	return peer;
 }
@@ -119,9 +149,7 @@
 
 		if (!strcmp(host->name, gateway->settings->host))
 			continue;
-		peer = gw_find_peer(gateway, host);
-		if (!peer)
-			peer = gw_add_peer(gateway, host);
+		peer = gw_get_peer(gateway, host);
 		if (!peer)
 			continue;
 		peer->listed = true;
@@ -157,6 +185,14 @@
 	return best;
 }
 
+static void gw_on_peer_lost(struct gw_peer *peer)
+{
+	peer->backoff_until_us =
+		tm_now_us() + ((uint64_t)GW_PEER_LOST_BACKOFF_US
+			       << MIN(peer->failures, GW_PEER_MAX_DOUBLINGS));
+	peer->failures++;
+}
+
 /* Passing a call on */
 
 static void gw_add_number(GString *out, const char *name, uint64_t value)
@@ -212,7 +248,7 @@
 	g_strlcpy(call->passed_to, peer->name, sizeof(call->passed_to));
 	gw_log_pass_on(call, forward->tries);
 	if (!hc_start(&peer->pool, &forward->http, gw_format_forward(call))) {
-		peer->backoff_until_us = tm_now_us() + GW_PEER_LOST_BACKOFF_US;
+		gw_on_peer_lost(peer);
 		return gw_start_forward(forward);
 	}
 	peer->in_flight++;
@@ -280,11 +316,13 @@
 	struct gw_call *call = forward->call;
 
 	forward->peer->in_flight--;
-	if (end == HC_NOT_SENT || forward->unable)
+	if (end == HC_NOT_SENT)
+		gw_on_peer_lost(forward->peer);
+	else
+		forward->peer->failures = 0;
+	if (forward->unable)
 		forward->peer->backoff_until_us =
-			tm_now_us() + (forward->unable ?
-					       GW_PEER_UNABLE_BACKOFF_US :
-					       GW_PEER_LOST_BACKOFF_US);
+			tm_now_us() + GW_PEER_UNABLE_BACKOFF_US;
 	if (end == HC_NO_ANSWER)
 		call->may_have_run = true;
 	if (end == HC_NOT_SENT || forward->unable ||
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -251,6 +251,7 @@
 /*
  * gateway_forward.c
  *
+ * gw_init_peers, gw_free_peers - the hosts that calls can be passed to.
  * gw_update_peers - take over the list of hosts. gw_close_peers - close the
  * connections to them.
  * gw_forward_call - pass the call to another host; false: it cannot be. The call
@@ -266,6 +267,8 @@
  * allows MAX_ATTEMPTS.
  * gw_add_unable - say that this host can do nothing for a call of another one.
  */
+void gw_init_peers(struct gw_gateway *gateway);
+void gw_free_peers(struct gw_gateway *gateway);
 void gw_update_peers(struct gw_gateway *gateway, const struct pr_hosts *hosts);
 void gw_close_peers(struct gw_gateway *gateway);
 bool gw_forward_call(struct gw_call *call);
