Try up to eight hosts for a call that is passed on

Callers saw: with 70 % of the hosts cut, a call at a cut host was refused after a few milliseconds although other hosts reached the servers. Cause: three hosts were tried for a call, and all three may be cut; a host that said so was tried again after 0.3 s each time. Change: eight hosts, of which three may be unreachable; the time for which a host is passed over doubles with each refusal in a row.

--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -24,7 +24,9 @@
 
 enum {
 	GW_PEERS_IN_USE = 8, /* connections must not grow with the hosts */
-	GW_MAX_FORWARDS = 3, /* hosts that are tried for a call */
+	/* Hosts that are tried for a call, and of these that cannot be reached. */
+	GW_MAX_FORWARDS = 8,
+	GW_MAX_LOST = 3,
 	GW_PEER_CONNECTIONS = 256,
 	GW_PEER_CONNECT_TIMEOUT_US = 150 * 1000,
 	/* Less than the time after which a host closes an idle connection. */
@@ -32,12 +34,12 @@
 	/* Of a connection for a call that must not run twice. */
 	GW_PEER_FRESH_US = 1000 * 1000,
 	/*
-	 * Of a host that cannot be reached, doubled with each failure in a row, and of
-	 * one that says it is unable.
+	 * Of a host that cannot be reached, and of one that says it is unable; doubled
+	 * with each time in a row.
 	 */
 	GW_PEER_LOST_BACKOFF_US = 1000 * 1000,
-	GW_PEER_MAX_DOUBLINGS = 4,
 	GW_PEER_UNABLE_BACKOFF_US = 300 * 1000,
+	GW_PEER_MAX_DOUBLINGS = 4,
 	/* For the other host's answer to come before the deadline here. */
 	GW_FORWARD_MARGIN_US = 10 * 1000,
 	GW_FORWARD_HIGH_BYTES = 256 * 1024
@@ -51,7 +53,7 @@
 	bool same_zone;
 	bool listed;
 	uint32_t in_flight; /* calls */
-	uint32_t failures; /* to connect, in a row */
+	uint32_t failures; /* to take a call, in a row */
 	uint64_t backoff_until_us;
 	struct hc_pool pool;
 };
@@ -62,6 +64,7 @@
 	struct gw_call *call;
 	struct gw_peer *peer;
 	uint32_t tries;
+	uint32_t lost; /* of these, hosts that could not be reached */
 	bool unable; /* says the answer */
 	GList link; /* in gw_gateway.forwards */
 };
@@ -185,11 +188,11 @@
 	return best;
 }
 
-static void gw_on_peer_lost(struct gw_peer *peer)
+static void gw_back_off(struct gw_peer *peer, uint64_t backoff_us)
 {
 	peer->backoff_until_us =
-		tm_now_us() + ((uint64_t)GW_PEER_LOST_BACKOFF_US
-			       << MIN(peer->failures, GW_PEER_MAX_DOUBLINGS));
+		tm_now_us() +
+		(backoff_us << MIN(peer->failures, GW_PEER_MAX_DOUBLINGS));
 	peer->failures++;
 }
 
@@ -240,7 +243,8 @@
 	struct gw_call *call = forward->call;
 	struct gw_peer *peer = gw_pick_peer(call->gateway);
 
-	if (!peer || forward->tries == GW_MAX_FORWARDS)
+	if (!peer || forward->tries == GW_MAX_FORWARDS ||
+	    forward->lost == GW_MAX_LOST)
 		return false;
 	forward->tries++;
 	forward->unable = false;
@@ -248,7 +252,8 @@
 	g_strlcpy(call->passed_to, peer->name, sizeof(call->passed_to));
 	gw_log_pass_on(call, forward->tries);
 	if (!hc_start(&peer->pool, &forward->http, gw_format_forward(call))) {
-		gw_on_peer_lost(peer);
+		forward->lost++;
+		gw_back_off(peer, GW_PEER_LOST_BACKOFF_US);
 		return gw_start_forward(forward);
 	}
 	peer->in_flight++;
@@ -266,13 +271,17 @@
 		gw_end_forward(forward, ST_NO_SERVER);
 }
 
-static bool gw_on_forward_connected(struct hc_request *request)
+/* Asked again once there is a connection. */
+static bool gw_is_wanted(const struct gw_call *call)
 {
-	const struct gw_call *call = ((struct gw_forward *)request)->call;
-
 	return !gw_caller_left(call) && tm_now_us() < call->deadline_us;
 }
 
+static bool gw_on_forward_connected(struct hc_request *request)
+{
+	return gw_is_wanted(((struct gw_forward *)request)->call);
+}
+
 static void gw_on_forward_head(struct hc_request *request,
 			       const struct hc_head *head)
 {
@@ -316,13 +325,14 @@
 	struct gw_call *call = forward->call;
 
 	forward->peer->in_flight--;
-	if (end == HC_NOT_SENT)
-		gw_on_peer_lost(forward->peer);
-	else
+	if (end == HC_NOT_SENT && gw_is_wanted(call)) {
+		forward->lost++;
+		gw_back_off(forward->peer, GW_PEER_LOST_BACKOFF_US);
+	} else if (forward->unable) {
+		gw_back_off(forward->peer, GW_PEER_UNABLE_BACKOFF_US);
+	} else if (end != HC_NOT_SENT) {
 		forward->peer->failures = 0;
-	if (forward->unable)
-		forward->peer->backoff_until_us =
-			tm_now_us() + GW_PEER_UNABLE_BACKOFF_US;
+	}
 	if (end == HC_NO_ANSWER)
 		call->may_have_run = true;
 	if (end == HC_NOT_SENT || forward->unable ||
--- /dev/null
+++ b/tests/run_stranded_most.sh
@@ -0,0 +1,46 @@
+#!/bin/bash
+# Guards against a call that is refused because the few hosts that were tried for it are
+# cut off from the servers as well, while there are others that are not.
+set -u
+PORT_BASE=${PORT_BASE:-31500}
+. "$(dirname "$0")/lib_platform.sh"
+HOSTS=8 SERVERS=6 WORK_MS=20
+# Hosts from this one on are not cut off.
+FIRST_SOUND=6
+CUT_SOURCE=127.0.0.2
+NOTICE_S=3
+CALLS=12
+
+start_platform || exit 1
+for s in $(seq 0 $((SERVERS - 1))); do
+	start_upstream "$s" $WORK_MS
+	put_server "$s" ready || fail "the store did not take the row of server $s"
+done
+put_manifest 1 "$(print_route desk /desk/ safe desk)" ||
+	fail "the store did not take the manifest"
+for i in $(seq 0 $((HOSTS - 1))); do
+	server_source=$(test "$i" -lt $FIRST_SOUND && echo $CUT_SOURCE)
+	start_follower "$i"
+done
+for i in $(seq 0 $((HOSTS - 1))); do
+	wait_ready "$i" || fail "host $i is not ready"
+done
+sleep 1.5
+cut_source $CUT_SOURCE hang
+for host in $(seq 0 $((FIRST_SOUND - 1))); do
+	for n in 1 2 3 4 5 6; do
+		call_host "$host" /desk/a "notice-$host-$n" -o /dev/null \
+			>/dev/null &
+	done
+done
+sleep $NOTICE_S
+# Far enough apart for a host to forget which ones could not help.
+ok=0
+for n in $(seq $CALLS); do
+	test "$(call_host 0 /desk/a "desk-$n" -o /dev/null)" = " 200" &&
+		ok=$((ok + 1))
+	sleep 0.6
+done
+check "$ok of $CALLS calls were served" test $ok = $CALLS
+say "failures: $failures"
+test $failures = 0
