Forget what a cut of this host seemed to show of the servers

Callers saw: right after a cut a part of the calls was refused at once with no-server or queue-full, with all servers idle. Cause: errors and long latencies during the cut were held against the servers: they were out, and their limits of attempts were halved again and again. Change: core event REACHED, when a host hears a server again: errors, latencies and limits of all servers start anew; a pause keeps its low limit.

--- a/core.c
+++ b/core.c
@@ -758,6 +758,9 @@
 	case CORE_EV_PAUSE:
 		core_on_pause(core, event);
 		break;
+	case CORE_EV_REACHED:
+		core_forget_cut(core);
+		break;
 	case CORE_EV_TIMER:
 		core_on_timer(core, event);
 		break;
--- a/core.h
+++ b/core.h
@@ -145,6 +145,7 @@
 	X(PAUSE, "pause")           \
 	X(BLOCKED, "blocked")       \
 	X(EXPIRED, "expired")       \
+	X(REACHED, "reached")       \
 	X(TIMER, "timer")
 
 enum core_event_kind {
@@ -207,8 +208,10 @@
 		} ended;
 		/* GONE: the caller disconnected. BLOCKED: the call must not
 		   be sent any more, as it crashes servers. EXPIRED: it must
-		   end now, as it would at its deadline. TIMER: a timer
-		   expired; call 0 stands for the timer of the core itself. */
+		   end now, as it would at its deadline. REACHED (call 0): this
+		   host was cut off from the servers and is not any more.
+		   TIMER: a timer expired; call 0 stands for the timer of the
+		   core itself. */
 		struct {
 			uint64_t call;
 		} call_ref;
--- a/core_limit.c
+++ b/core_limit.c
@@ -326,6 +326,25 @@
 		core_notify_health(core, server, true);
 }
 
+void core_forget_cut(struct core *core)
+{
+	for (guint i = 0; i < core->servers->len; i++) {
+		struct core_server *server = core_server(core, i);
+
+		if (server->backoff_us)
+			core_notify_health(core, server, false);
+		server->backoff_us = 0;
+		server->backoff_until_us = 0;
+		server->errors_in_row = 0;
+		server->error_rate_q8 = 0;
+		server->mean_latency_us = 0;
+		server->latency_samples = 0;
+		/* A pause lowers the limit too, for a gentle start after it. */
+		if (!core_is_paused(core, server))
+			server->limit_q8 = server->slots * CORE_Q8;
+	}
+}
+
 /* The server shed load; it counts as full until the next report. */
 void core_record_refusal(struct core *core, struct core_server *server)
 {
--- a/core_state.h
+++ b/core_state.h
@@ -469,6 +469,7 @@
  * core_oldest_attempt_us - age of its oldest unanswered attempt; 0: none.
  * core_record_success, core_record_min_latency, core_record_error,
  * core_record_refusal - update its state from the end of an attempt.
+ * core_forget_cut - errors and latencies so far were not the servers'; use them all.
  * core_retry_credit - retries or hedges allowed now, in hundredths.
  * core_take_retry_credit - take the credit for one; false: none is left.
  */
@@ -489,6 +490,7 @@
 			     uint32_t at_least_us);
 void core_record_error(struct core *core, struct core_server *server);
 void core_record_refusal(struct core *core, struct core_server *server);
+void core_forget_cut(struct core *core);
 void core_configure_retries(const struct core *core,
 			    const struct core_conf *conf,
 			    const struct core_service_conf *from,
--- a/gateway_reach.c
+++ b/gateway_reach.c
@@ -32,6 +32,7 @@
 			       bool new_connection)
 {
 	struct gw_gateway *gateway = ctx;
+	struct core_event event = { .kind = CORE_EV_REACHED };
 
 	rc_on_heard(&gateway->reach.evidence, new_connection);
 	if (!gateway->reach.cut_since_us)
@@ -39,6 +40,7 @@
 	gw_log_reached(gateway);
 	gateway->reach.cut_since_us = 0;
 	gw_drop_idle_connections(gateway);
+	gw_post_event(gateway, &event);
 }
 
 static void gw_on_server_failed(void *ctx, const struct hc_pool *pool,
--- a/tests/test_ask.c
+++ b/tests/test_ask.c
@@ -585,6 +585,40 @@
  * started: it gets only a share of the calls then, chosen at random, and the rest
  * have no other server.
  */
+static void post_failed_probe(uint32_t server)
+{
+	struct core_event event = { .kind = CORE_EV_REPORT };
+
+	event.u.report.server = server;
+	event.u.report.source = CORE_FROM_PROBE;
+	handle_event(event);
+}
+
+static uint32_t usable_servers(void)
+{
+	struct core_service_stats stats;
+
+	core_service_stats(core, 0, &stats);
+	return stats.servers_usable;
+}
+
+/*
+ * Guards against servers that stay out after a cut of this host, for errors that
+ * were not theirs.
+ */
+START_TEST(errors_of_a_cut_are_forgotten)
+{
+	struct core_event reached = { .kind = CORE_EV_REACHED };
+
+	for (uint32_t i = 0; i < 3; i++)
+		for (uint32_t server = 0; server < SERVERS; server++)
+			post_failed_probe(server);
+	ck_assert_uint_eq(usable_servers(), 0);
+	handle_event(reached);
+	ck_assert_uint_eq(usable_servers(), SERVERS);
+}
+END_TEST
+
 START_TEST(only_server_gets_all_calls_while_it_starts)
 {
 	for (uint32_t i = 1; i < SERVERS; i++)
@@ -619,6 +653,7 @@
 	tcase_add_test(tests, never_retries_order_that_may_have_run);
 	tcase_add_test(tests, pending_hedge_becomes_retry);
 	tcase_add_test(tests, limits_retries_per_window);
+	tcase_add_test(tests, errors_of_a_cut_are_forgotten);
 	tcase_add_test(tests, only_server_gets_all_calls_while_it_starts);
 	suite_add_tcase(suite, tests);
 	return suite_run(suite, CK_FORK_GETENV);
--- a/trace.c
+++ b/trace.c
@@ -145,6 +145,7 @@
 	[CORE_EV_GONE] = tr_call_id_fields,
 	[CORE_EV_BLOCKED] = tr_call_id_fields,
 	[CORE_EV_EXPIRED] = tr_call_id_fields,
+	[CORE_EV_REACHED] = tr_call_id_fields,
 	[CORE_EV_REPORT] = tr_report_fields,
 	[CORE_EV_SERVER] = tr_server_fields,
 	[CORE_EV_RATE_LIMIT] = tr_rate_limit_fields,
