--- a/counter.h
+++ b/counter.h
@@ -31,8 +31,9 @@
 	X(PAUSES, "server_pauses_total",                                      \
 	  "Times a server refused a request and asked for a pause")           \
 	X(CUTS, "server_cuts_total", "Times that no server was reached")      \
-	X(PASSED_ON, "calls_passed_on_total", "Calls passed to other hosts")  \
-	X(TAKEN_ON, "calls_taken_on_total", "Calls taken from other hosts")   \
+	X(FORWARDED, "calls_forwarded_total", "Calls passed to other hosts")  \
+	X(FROM_HOSTS, "calls_from_hosts_total",                               \
+	  "Calls taken from other hosts")                                     \
 	X(CRASHES, "server_crashes_total",                                    \
 	  "Servers that crashed while they ran calls of this host")           \
 	X(BLOCKED, "blocked_requests_total",                                  \
--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -249,8 +249,8 @@
 	forward->tries++;
 	forward->unable = false;
 	forward->peer = peer;
-	g_strlcpy(call->passed_to, peer->name, sizeof(call->passed_to));
-	gw_log_pass_on(call, forward->tries);
+	g_strlcpy(call->forwarded_to, peer->name, sizeof(call->forwarded_to));
+	gw_log_forward(call, forward->tries);
 	if (!hc_start(&peer->pool, &forward->http, gw_format_forward(call))) {
 		forward->lost++;
 		gw_back_off(peer, GW_PEER_LOST_BACKOFF_US);
@@ -399,7 +399,7 @@
 		g_free(forward);
 		return false;
 	}
-	ct_add(CT_PASSED_ON, 1);
+	ct_add(CT_FORWARDED, 1);
 	call->forward = forward;
 	forward->link.data = forward;
 	g_queue_push_tail_link(&gateway->forwards, &forward->link);
@@ -417,7 +417,7 @@
 {
 	bool no_way = result == ST_QUEUE_FULL || result == ST_NO_SERVER ||
 		      result == ST_CONNECT ||
-		      (result == ST_DEADLINE_NOT_RUN && call->pass_on);
+		      (result == ST_DEADLINE_NOT_RUN && call->forward_refused);
 
 	return no_way && !call->may_have_run &&
 	       gw_reaches_badly(call->gateway) && gw_forward_call(call);
@@ -436,7 +436,7 @@
 
 		if (call->may_have_run || (last && !last->end_us))
 			continue;
-		call->pass_on = true;
+		call->forward_refused = true;
 		gw_expire_call(call);
 	}
 	g_list_free(calls);
@@ -518,6 +518,6 @@
 				  "this host cannot run calls of others");
 		return;
 	}
-	ct_add(CT_TAKEN_ON, 1);
+	ct_add(CT_FROM_HOSTS, 1);
 	gw_handle_call(gateway, req, true);
 }
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -142,18 +142,18 @@
 	       call->answer_status < 500;
 }
 
-void gw_log_pass_on(const struct gw_call *call, uint32_t try_number)
+void gw_log_forward(const struct gw_call *call, uint32_t try_number)
 {
 	json_t *line;
 
-	if (!lg_should_write(LG_EV_PASS_ON))
+	if (!lg_should_write(LG_EV_FORWARD))
 		return;
 	line = gw_call_line(call);
-	gw_set_text(line, "to", call->passed_to);
+	gw_set_text(line, "to", call->forwarded_to);
 	gw_set_number(line, "try", try_number);
 	gw_set_number(line, "left_ms",
 		      gw_elapsed_ms(tm_now_us(), call->deadline_us));
-	lg_write(LG_EV_PASS_ON, line);
+	lg_write(LG_EV_FORWARD, line);
 }
 
 void gw_log_call_end(const struct gw_call *call)
@@ -175,8 +175,8 @@
 	gw_set_text(line, "outcome", at_outcome_name(call->result));
 	if (call->answer_status)
 		gw_set_number(line, "status", (uint64_t)call->answer_status);
-	if (*call->passed_to)
-		gw_set_text(line, "passed_to", call->passed_to);
+	if (*call->forwarded_to)
+		gw_set_text(line, "forwarded_to", call->forwarded_to);
 	gw_set_number(line, "took_ms", took_us / GW_US_PER_MS);
 	gw_set_number(line, "left_ms",
 		      gw_elapsed_ms(tm_now_us(), call->deadline_us));
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -110,9 +110,9 @@
 	struct gw_attempt *answer_attempt;
 	int answer_status; /* of the answer that is passed on; 0: none yet */
 	bool from_host; /* another host passed it on; it stays here */
-	bool pass_on; /* to another host, when the core has given it up */
+	bool forward_refused; /* once the core has given it up */
 	struct gw_forward *forward; /* to another host; NULL: none */
-	char passed_to[SE_NAME_BYTES]; /* empty: no other host */
+	char forwarded_to[SE_NAME_BYTES]; /* empty: no other host */
 	GString *unsent; /* answer bytes not yet given to the listener */
 	GString *sending; /* in use by the listener until gw_on_proceed */
 	uint32_t refs; /* one for the core, one for the listener */
@@ -288,7 +288,7 @@
  * gw_log_attempt_start - an attempt starts.
  * gw_log_attempt_end - an attempt failed; not called for one that was cancelled
  * or could not be started.
- * gw_log_pass_on - a call is passed to another host, the TRYth one.
+ * gw_log_forward - a call is passed to another host, the TRYth one.
  * gw_log_call_end - a call has its result; also updates the latency histogram.
  * gw_log_stall - the event loop was blocked for STALL_US.
  * gw_log_rate_limit - a server's limit began, changed or ended.
@@ -306,7 +306,7 @@
  */
 void gw_log_attempt_start(const struct gw_attempt *attempt, bool hedge);
 void gw_log_attempt_end(const struct gw_attempt *attempt, const char *msg);
-void gw_log_pass_on(const struct gw_call *call, uint32_t try_number);
+void gw_log_forward(const struct gw_call *call, uint32_t try_number);
 void gw_log_call_end(const struct gw_call *call);
 void gw_log_stall(const struct gw_gateway *gateway, uint64_t stall_us);
 void gw_log_rate_limit(const struct gw_server *server,
--- a/log.h
+++ b/log.h
@@ -25,7 +25,7 @@
 #define LG_EVENTS(X)                                                        \
 	X(SEND, "send", ORDINARY, "a call is sent to a server")             \
 	X(ATTEMPT, "attempt", FAILURE, "an attempt ended without answer")   \
-	X(PASS_ON, "pass-on", ORDINARY, "a call is passed to another host") \
+	X(FORWARD, "forward", ORDINARY, "a call is passed to another host") \
 	X(END, "end", ORDINARY, "a call was answered by a server")          \
 	X(FAIL, "fail", FAILURE, "a call ended without a server's success") \
 	X(REFUSE, "refuse", FAILURE, "a call was refused on arrival")       \
