Say in comments what a newcomer asked of forwarding

Cause: the last read stumbled on a test with an effect and on two words for one thing. Change: comments only. Result: the compiled code is the same.

--- a/gateway.h
+++ b/gateway.h
@@ -24,7 +24,7 @@
 	struct rc_reach evidence;
 	struct hc_observer observer;
 	uint64_t cut_since_us; /* 0: it reaches some */
-	struct hc_request check; /* first use of a server while it is cut off */
+	struct hc_request check; /* asks a server for its health */
 	bool checking;
 	struct tm_sub timer; /* of the next check */
 };
--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -7,11 +7,11 @@
 #include "peer.h"
 
 /*
- * Calls that are passed to another host, because this one reaches no server
- * (design.md, section 8), and those that other hosts pass to this one. A call is
- * passed on over the listener for other hosts, with its headers and
+ * Calls that are forwarded to another host, because this one reaches no server
+ * (design.md, section 8), and those that other hosts forward to this one. A call is
+ * sent to the other host's listener for hosts, with its headers and
  *
- *	x-entry-host		the host that passes it on
+ *	x-entry-host		the host that forwards it
  *	x-entry-waited-ms	time since the caller's first try
  *	x-entry-attempts	servers that may have run it
  *
@@ -196,7 +196,7 @@
 	peer->failures++;
 }
 
-/* Passing a call on */
+/* Forwarding a call */
 
 static void gw_add_number(GString *out, const char *name, uint64_t value)
 {
@@ -227,7 +227,7 @@
 	return out;
 }
 
-/* The last step of a call that was passed on. */
+/* The last step of a call that was forwarded. */
 static void gw_end_forward(struct gw_forward *forward, enum st_kind result)
 {
 	struct gw_call *call = forward->call;
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -240,7 +240,8 @@
  * gateway_reach.c: whether this host reaches the servers.
  *
  * gw_init_reach, gw_close_reach - without sockets; cancel the check.
- * gw_is_cut_off - no server is heard.
+ * gw_is_cut_off - no server is heard. The first call that finds so logs it, and
+ * forwards the calls that wait for a server.
  * gw_reaches_badly - that, or no new connection to a server succeeds.
  */
 void gw_init_reach(struct gw_gateway *gateway);
