Format health requests in one place

Cause: the check of a crash and the check of a cut host wrote again what probes do. Change: pb_format_request, which all three call.

--- a/gateway_crash.c
+++ b/gateway_crash.c
@@ -281,18 +281,6 @@
 	.done = gw_on_check_done,
 };
 
-GString *gw_format_health_request(const struct gw_gateway *gateway,
-				  const struct gw_server *server)
-{
-	const char *path = *server->probe_path ? server->probe_path :
-						 gateway->dialect->probe_path;
-	GString *out = hc_head_begin("GET", strlen("GET"), path, strlen(path),
-				     server->pool.address.text);
-
-	hc_head_end(out, NULL, 0);
-	return out;
-}
-
 static void gw_start_check(struct gw_crash_check *check)
 {
 	check->checks++;
@@ -300,7 +288,9 @@
 	tm_subscribe(check->gateway->timers, &check->timer,
 		     tm_now_us() + GW_CRASH_CHECK_TIMEOUT_US);
 	if (!hc_start(&check->server->pool, &check->http,
-		      gw_format_health_request(check->gateway, check->server)))
+		      pb_format_request(check->gateway->dialect,
+					check->server->probe_path,
+					&check->server->pool)))
 		gw_finish_check(check);
 }
 
--- a/gateway_reach.c
+++ b/gateway_reach.c
@@ -118,8 +118,10 @@
 	reach->check.handler = &gw_reach_handler;
 	reach->check.ctx = gateway;
 	reach->check.new_connection = true;
-	reach->checking = hc_start(&server->pool, &reach->check,
-				   gw_format_health_request(gateway, server));
+	reach->checking =
+		hc_start(&server->pool, &reach->check,
+			 pb_format_request(gateway->dialect, server->probe_path,
+					   &server->pool));
 }
 
 static void gw_on_reach_timer(void *ctx)
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -222,7 +222,6 @@
  * gw_on_good_answer - the call had an answer that speaks for it.
  * gw_on_crash_message, gw_on_block_message - what other hosts found.
  * gw_close_crash_checks - cancel checks in progress.
- * gw_format_health_request - the request that asks a server for its health.
  */
 bool gw_is_blocked(struct gw_call *call);
 void gw_post_blocked(struct gw_call *call);
@@ -233,8 +232,6 @@
 void gw_on_block_message(struct gw_gateway *gateway,
 			 const struct kn_msg_block *block);
 void gw_close_crash_checks(struct gw_gateway *gateway);
-GString *gw_format_health_request(const struct gw_gateway *gateway,
-				  const struct gw_server *server);
 
 /*
  * gateway_reach.c: whether this host reaches the servers.
--- a/probe.c
+++ b/probe.c
@@ -177,15 +177,23 @@
 	prober->probes = NULL;
 }
 
+GString *pb_format_request(const struct dl_dialect *dialect, const char *path,
+			   const struct hc_pool *pool)
+{
+	const char *used = *path ? path : dialect->probe_path;
+	GString *out = hc_head_begin("GET", strlen("GET"), used, strlen(used),
+				     pool->address.text);
+
+	hc_head_end(out, NULL, 0);
+	return out;
+}
+
 void pb_send_probe(struct pb_prober *prober, const struct pb_target *target)
 {
 	struct pb_probe *probe = g_new0(struct pb_probe, 1);
-	const char *path =
-		*target->path ? target->path : prober->dialect->probe_path;
-	GString *out = hc_head_begin("GET", strlen("GET"), path, strlen(path),
-				     target->pool->address.text);
+	GString *out =
+		pb_format_request(prober->dialect, target->path, target->pool);
 
-	hc_head_end(out, NULL, 0);
 	probe->prober = prober;
 	probe->target = *target;
 	probe->start_us = tm_now_us();
--- a/probe.h
+++ b/probe.h
@@ -48,4 +48,11 @@
  */
 void pb_send_probe(struct pb_prober *prober, const struct pb_target *target);
 
+/*
+ * pb_format_request - the request of a probe, to PATH of the server of POOL; an empty
+ * path is the default of the dialect. The caller frees it.
+ */
+GString *pb_format_request(const struct dl_dialect *dialect, const char *path,
+			   const struct hc_pool *pool);
+
 #endif
