Pause reading of an answer in one place

Cause: the answer of another host was read by a copy of what answers of servers go through, with its own constants of the same value. Change: gw_flush_read, and one time for which a connection may have been idle for a call that may run only once.

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -6,6 +6,7 @@
 
 enum {
 	GW_BUFFER_LOW_BYTES = 64 * 1024,
+	GW_BUFFER_HIGH_BYTES = 256 * 1024,
 	/*
 	 * Short, because slots become free continuously and the time of the
 	 * latency target runs on while the caller waits.
@@ -171,6 +172,17 @@
 	h2o_send(call->req, &buf, 1, state);
 }
 
+void gw_flush_read(struct gw_call *call, struct hc_request *request)
+{
+	if (!call->req)
+		return;
+	gw_flush_answer(call);
+	if (call->unsent->len > GW_BUFFER_HIGH_BYTES && !call->read_paused) {
+		call->read_paused = true;
+		hc_pause_reading(request);
+	}
+}
+
 void gw_resume_answer(struct gw_call *call)
 {
 	struct hc_request *request = call->answer_attempt ?
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -8,8 +8,6 @@
 #include "mechanism.h"
 
 enum {
-	GW_BUFFER_HIGH_BYTES = 256 * 1024,
-	GW_NON_IDEMPOTENT_IDLE_US = 1000 * 1000,
 	GW_ATTEMPT_HEAD_BYTES = 160,
 	/* Larger answers are forwarded before they are complete. */
 	GW_MAX_BUFFERED_BYTES = 256 * 1024,
@@ -361,13 +359,8 @@
 	struct gw_attempt *attempt = (struct gw_attempt *)request;
 	struct gw_call *call = attempt->call;
 
-	if (call->answer_attempt != attempt || !call->req)
-		return;
-	gw_flush_answer(call);
-	if (call->unsent->len > GW_BUFFER_HIGH_BYTES && !call->read_paused) {
-		call->read_paused = true;
-		hc_pause_reading(request);
-	}
+	if (call->answer_attempt == attempt)
+		gw_flush_read(call, request);
 }
 
 static enum core_end gw_core_end(const struct gw_attempt *attempt,
--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -31,8 +31,6 @@
 	GW_PEER_CONNECT_TIMEOUT_US = 150 * 1000,
 	/* Less than the time after which a host closes an idle connection. */
 	GW_PEER_IDLE_US = 5 * 1000 * 1000,
-	/* Of a connection for a call that must not run twice. */
-	GW_PEER_FRESH_US = 1000 * 1000,
 	/*
 	 * Of a host that cannot be reached, and of one that says it is unable; doubled
 	 * with each time in a row.
@@ -41,8 +39,7 @@
 	GW_PEER_UNABLE_BACKOFF_US = 300 * 1000,
 	GW_PEER_MAX_DOUBLINGS = 4,
 	/* For the other host's answer to come before the deadline here. */
-	GW_FORWARD_MARGIN_US = 10 * 1000,
-	GW_FORWARD_HIGH_BYTES = 256 * 1024
+	GW_FORWARD_MARGIN_US = 10 * 1000
 };
 
 /* Another host that calls can be passed to. */
@@ -307,15 +304,7 @@
 
 static void gw_on_forward_read(struct hc_request *request)
 {
-	struct gw_call *call = ((struct gw_forward *)request)->call;
-
-	if (!call->req)
-		return;
-	gw_flush_answer(call);
-	if (call->unsent->len > GW_FORWARD_HIGH_BYTES && !call->read_paused) {
-		call->read_paused = true;
-		hc_pause_reading(request);
-	}
+	gw_flush_read(((struct gw_forward *)request)->call, request);
 }
 
 static void gw_on_forward_done(struct hc_request *request, enum hc_end end,
@@ -394,7 +383,8 @@
 	forward->call = call;
 	forward->http.handler = &gw_forward_handler;
 	forward->http.head_method = call->head_method;
-	forward->http.max_idle_us = call->idempotent ? 0 : GW_PEER_FRESH_US;
+	forward->http.max_idle_us =
+		call->idempotent ? 0 : GW_NON_IDEMPOTENT_IDLE_US;
 	if (!gw_start_forward(forward)) {
 		g_free(forward);
 		return false;
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -23,6 +23,8 @@
 	GW_US_PER_MS = 1000,
 	GW_REQUEST_ID_BYTES = 128,
 	GW_DIGITS = 20,
+	/* Of a connection that is used again for a call that may run only once. */
+	GW_NON_IDEMPOTENT_IDLE_US = 1000 * 1000,
 	/* For the last answers to leave before the process is killed. */
 	GW_KILL_MARGIN_US = 200 * 1000
 };
@@ -176,6 +178,8 @@
  * first bytes of the body or at the end, so that a call of which only the head has
  * come can still end with an error.
  * gw_drop_head - undo that.
+ * gw_flush_read - flush what one read of REQUEST brought, and pause reading if the
+ * caller is slow.
  * gw_resume_answer - read on the answer, of which enough has been sent.
  * gw_flush_answer - pass unsent bytes to the listener, and the end of the
  * answer once the call is finished.
@@ -188,6 +192,7 @@
 void gw_reply_error(struct gw_call *call, enum st_kind kind, const char *msg);
 void gw_copy_head(struct gw_call *call, const struct hc_head *head);
 void gw_drop_head(struct gw_call *call);
+void gw_flush_read(struct gw_call *call, struct hc_request *request);
 void gw_resume_answer(struct gw_call *call);
 void gw_flush_answer(struct gw_call *call);
 bool gw_is_hop_header(const struct dl_dialect *dialect, const char *name,
