--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -54,6 +54,15 @@
 	done
 	echo $n
 }
+# start_upstreams: starts SERVERS servers, each with its row, whose work takes WORK_MS.
+start_upstreams() {
+	local s
+	for s in $(seq 0 $((SERVERS - 1))); do
+		start_upstream "$s" "$WORK_MS"
+		put_server "$s" ready ||
+			fail "the store did not take the row of server $s"
+	done
+}
 # set_limit I TEXT: the server at servers_port + I names TEXT as its limit of
 # requests a second; empty: none.
 set_limit() {
--- a/tests/run_crash.sh
+++ b/tests/run_crash.sh
@@ -37,10 +37,7 @@
 blocks() { cat "$WORK"/entry*.log | grep -c '"event":"block"'; }
 
 start_platform || exit 1
-for s in $(seq 0 $((SERVERS - 1))); do
-	start_upstream "$s" $WORK_MS
-	put_server "$s" ready || fail "the store did not take the row of server $s"
-done
+start_upstreams
 put_manifest 1 "$(print_route desk /desk/ safe desk),$(print_route order /order/ unsafe desk)" ||
 	fail "the store did not take the manifest"
 for i in $(seq 0 $((HOSTS - 1))); do start_follower "$i"; done
--- a/tests/run_crash_gone_hosts.sh
+++ b/tests/run_crash_gone_hosts.sh
@@ -10,10 +10,7 @@
 GONE_HOSTS=12
 
 start_platform || exit 1
-for s in $(seq 0 $((SERVERS - 1))); do
-	start_upstream "$s" $WORK_MS
-	put_server "$s" ready || fail "the store did not take the row of server $s"
-done
+start_upstreams
 put_manifest 1 "$(print_route desk /desk/ safe desk)" ||
 	fail "the store did not take the manifest"
 # Machines that were removed for good; their rows stay for a while.
--- a/tests/run_limit.sh
+++ b/tests/run_limit.sh
@@ -55,10 +55,7 @@
 }
 
 start_platform || exit 1
-for s in $(seq 0 $((SERVERS - 1))); do
-	start_upstream "$s" 20
-	put_server "$s" ready || fail "the store did not take the row of server $s"
-done
+WORK_MS=20 start_upstreams
 put_manifest 1 "$(print_route desk /desk/ safe desk)" ||
 	fail "the store did not take the manifest"
 for i in $(seq 0 $((HOSTS - 1))); do start_follower "$i"; done
