--- a/review/lib.sh
+++ b/review/lib.sh
@@ -63,8 +63,8 @@
 	put_rows '{"precondition":[],"remove":[],"put":[{"table":"'"$1"'","part":"","key":"'"$2"'","value":"'"$(printf '%s' "$3" | base64 -w0)"'"}]}' ||
 		cannot_run "the store does not take $1/$2"
 }
-put_server() { # I STATE
-	put_row servers "i-$1" '{"service":"ordering","address":"127.0.0.1:'$((PORT + 10 + $1))'","zone":"gs-baton","version":"v1","slots":6,"state":"'"$2"'","warmup-left-s":0,"sequence":1}'
+put_server() { # I STATE [SERVICE]
+	put_row servers "i-$1" '{"service":"'"${3:-ordering}"'","address":"127.0.0.1:'$((PORT + 10 + $1))'","zone":"gs-baton","version":"v1","slots":6,"state":"'"$2"'","warmup-left-s":0,"sequence":1}'
 }
 put_manifest() { # VERSION ROUTES
 	put_row op config '{"version":'"$1"',"routes":['"$2"'],"services":[{"name":"ordering","health-check-path":"/health","max-connections":260,"protocol":"h1","tls":false},{"name":"catalogue","health-check-path":"/health","max-connections":260,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15}}'
