Take names of any length and counts of any size from the store

Other names were cut, so that two became one, and counts were refused or wrapped around.

Cause: names were copied into arrays of 64 and 128 bytes. Larger arrays would move the fault and cost their size for each server. Names are now references to shared texts (text.h): they have any length, and a server costs pointers. Zones, priorities, services, routes and weights have no bound; numbers saturate at the range of their field. What is logged is shortened with its length and a digest.

--- a/cmd_explain.c
+++ b/cmd_explain.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "command.h"
+#include "log.h"
 #include "status.h"
 
 /*
@@ -107,6 +108,7 @@
 	return x->at_us < y->at_us ? -1 : x->at_us > y->at_us;
 }
 
+/* ID is as the logs have it; see lg_text. */
 static bool ex_is_of_call(const struct ex_line *line, const char *id)
 {
 	return !strcmp(ex_get_string(line->json, "id"), id);
@@ -211,6 +213,7 @@
 		       "call, up to 2 s before and after."
 	};
 	enum st_kind kind = ST_OK;
+	json_t *id;
 
 	if (argp_parse(&argp, argc, argv, 0, NULL, &options))
 		return st_exit_code(ST_USAGE);
@@ -224,7 +227,9 @@
 				" lines are malformed and skipped\n",
 				logs.malformed_count, logs.line_count);
 		g_array_sort(logs.lines, ex_compare_lines);
-		kind = ex_print_call(&logs, options.id);
+		id = lg_text(options.id, strlen(options.id));
+		kind = ex_print_call(&logs, json_string_value(id));
+		json_decref(id);
 	}
 	for (guint i = 0; i < logs.lines->len; i++)
 		json_decref(g_array_index(logs.lines, struct ex_line, i).json);
--- a/core.c
+++ b/core.c
@@ -102,6 +102,8 @@
 		if (g_ptr_array_index(service->flows, i))
 			core_flow_unref(g_ptr_array_index(service->flows, i));
 	g_ptr_array_free(service->flows, TRUE);
+	g_array_free(service->zone_latency_us, TRUE);
+	g_array_free(service->work_us, TRUE);
 	g_free(service->servers);
 	g_free(service);
 }
@@ -419,7 +421,9 @@
 		call->target_us - MIN(call->target_us, call->begin_us);
 	call->target_us -= MIN(event->u.call.waited_us, call->target_us);
 	core_ask_set_wait(call);
-	call->work_class = event->u.call.caller % CORE_WORK_CLASSES;
+	call->work_class = event->u.call.caller < core->weights->len ?
+				   event->u.call.caller + 1 :
+				   0;
 	call->max_attempts = event->u.call.max_attempts;
 	if (!call->max_attempts || call->max_attempts > CORE_MAX_ATTEMPTS)
 		call->max_attempts = CORE_MAX_ATTEMPTS;
--- a/core.h
+++ b/core.h
@@ -36,14 +36,19 @@
 
 enum {
 	CORE_MAX_ATTEMPTS = 4,
-	/* Largest size of a probe, request and answer together. */
+	/*
+	 * Size that the measuring budget expects of a probe, request and answer
+	 * together. It is charged what a probe really took, which may be more
+	 * where the path is long.
+	 */
 	CORE_PROBE_MAX_BYTES = 1024,
 	/*
 	 * Charged to the measuring budget for each load report on an answer:
 	 * the request for the report and the report itself.
 	 */
 	CORE_REPORT_BYTES = 80,
-	CORE_NO_CALLER = UINT32_MAX
+	CORE_NO_CALLER = UINT32_MAX,
+	CORE_NO_ZONE = UINT32_MAX
 };
 
 /*
--- a/core_conf.c
+++ b/core_conf.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-enum { CORE_MAX_SLOTS = 4096 };
+/* More than the requests that a host can have at one server. */
+enum { CORE_MAX_SLOTS = 1 << 20 };
 
 /* Applies a configuration: servers, shares of slots, budgets and callers. */
 
@@ -27,6 +28,9 @@
 
 		service->id = core->services->len;
 		service->flows = g_ptr_array_new();
+		service->zone_latency_us =
+			g_array_new(FALSE, TRUE, sizeof(uint32_t));
+		service->work_us = g_array_new(FALSE, TRUE, sizeof(uint32_t));
 		g_queue_init(&service->active_flows);
 		g_ptr_array_add(core->services, service);
 	}
--- a/core_limit.c
+++ b/core_limit.c
@@ -88,9 +88,26 @@
 	       core->now_us >= server->last_send_us + pause_us;
 }
 
+uint32_t core_get_by_index(const GArray *values, uint32_t index)
+{
+	return index < values->len ? g_array_index(values, uint32_t, index) : 0;
+}
+
+void core_set_by_index(GArray *values, uint32_t index, uint32_t value)
+{
+	if (index >= values->len)
+		g_array_set_size(values, index + 1);
+	g_array_index(values, uint32_t, index) = value;
+}
+
+uint32_t core_zone_latency_us(const struct core_service *service, uint32_t zone)
+{
+	return core_get_by_index(service->zone_latency_us, zone);
+}
+
 uint32_t core_base_latency_us(const struct core_service *service, uint32_t zone)
 {
-	uint32_t latency_us = service->zone_latency_us[zone % CORE_ZONES];
+	uint32_t latency_us = core_zone_latency_us(service, zone);
 
 	return latency_us ? latency_us : CORE_DEFAULT_LATENCY_US;
 }
@@ -178,8 +195,7 @@
 static bool core_is_straggler(const struct core_service *service,
 			      const struct core_server *server)
 {
-	uint32_t median_us =
-		service->zone_latency_us[server->zone % CORE_ZONES];
+	uint32_t median_us = core_zone_latency_us(service, server->zone);
 
 	return median_us &&
 	       server->latency_samples >= CORE_MIN_LATENCY_SAMPLES &&
@@ -216,9 +232,10 @@
 		const struct core_server *server =
 			core_server(core, service->servers[i]);
 
-		if (server->latency_samples < CORE_MIN_LATENCY_SAMPLES)
+		if (server->latency_samples < CORE_MIN_LATENCY_SAMPLES ||
+		    server->zone == CORE_NO_ZONE)
 			continue;
-		samples[count].zone = server->zone % CORE_ZONES;
+		samples[count].zone = server->zone;
 		samples[count++].latency_us = server->mean_latency_us;
 	}
 	qsort(samples, count, sizeof(*samples), core_compare_samples);
@@ -227,8 +244,9 @@
 
 		if (end < count && samples[end].zone == first->zone)
 			continue;
-		service->zone_latency_us[first->zone] =
-			samples[begin + (end - begin - 1) / 2].latency_us;
+		core_set_by_index(
+			service->zone_latency_us, first->zone,
+			samples[begin + (end - begin - 1) / 2].latency_us);
 		begin = end;
 	}
 }
--- a/core_pick.c
+++ b/core_pick.c
@@ -63,9 +63,8 @@
 				  const struct core_service *service,
 				  const struct core_server *server)
 {
-	uint32_t remote_us =
-		service->zone_latency_us[server->zone % CORE_ZONES];
-	uint32_t local_us = service->zone_latency_us[core->zone % CORE_ZONES];
+	uint32_t remote_us = core_zone_latency_us(service, server->zone);
+	uint32_t local_us = core_zone_latency_us(service, core->zone);
 
 	if (core_is_local(core, server) || !me_on(ME_ZONE_LOCAL))
 		return 0;
--- a/core_probe.c
+++ b/core_probe.c
@@ -17,7 +17,7 @@
 	CORE_RECHECK_US = 5 * CORE_US_PER_S,
 	CORE_LIMIT_RECHECK_GAP_US = 100 * CORE_US_PER_MS,
 	CORE_POOL_MIN = 2, /* responses needed to choose by them */
-	CORE_MAX_LOAD = 1 << 16,
+	CORE_MAX_LOAD = 1 << 21, /* twice CORE_MAX_SLOTS */
 	CORE_MAX_PACE_PERCENT = 10000,
 	CORE_REPORT_MEAN_SAMPLES = 32
 };
--- a/core_state.h
+++ b/core_state.h
@@ -9,7 +9,6 @@
 
 enum {
 	CORE_Q8 = 256, /* 1.0 in fixed point, suffix _q8 */
-	CORE_ZONES = 32,
 	CORE_US_PER_MS = 1000,
 	CORE_US_PER_S = 1000 * 1000,
 	CORE_TOKEN_SCALE = 1000 * 1000, /* buckets count in millionths */
@@ -24,8 +23,6 @@
 	 * not wait for a better one.
 	 */
 	CORE_PACE_NORMAL_MAX_PERCENT = 125,
-	/* Classes of callers, by caller index; each has a work estimate. */
-	CORE_WORK_CLASSES = 8,
 	CORE_LOAD_HISTORY_SIZE = 64
 };
 
@@ -171,12 +168,15 @@
 	uint32_t low_latency_us; /* CORE_LOW_LATENCY_PERCENTILE; 0: unknown */
 	/* CORE_HIGH_LATENCY_PERCENTILE, the hedge delay; 0: unknown. */
 	uint32_t high_latency_us;
-	uint32_t zone_latency_us[CORE_ZONES]; /* median; 0: unknown */
+	GArray *zone_latency_us; /* uint32_t by zone: median; 0: unknown */
 	uint32_t answer_count; /* good answers */
 	uint32_t mean_others_load_q8; /* per slot */
 	uint32_t mean_pace_percent; /* 0: unknown */
-	/* Time of a call on an idle server, by work class; 0: unknown. */
-	uint32_t work_us[CORE_WORK_CLASSES];
+	/*
+	 * Time of a call on an idle server, uint32_t by work class: the caller's
+	 * index + 1. 0: unknown.
+	 */
+	GArray *work_us;
 	/* Time of a call past the knee, relative to WORK_US; 0: unknown. */
 	uint32_t contention_percent;
 };
@@ -465,7 +465,10 @@
  * core_is_ejected - whether it is ejected and no trial call is due.
  * core_is_under_limit - whether its limits allow one more attempt.
  * core_slow_start_share_q8 - share of calls that it may get; CORE_Q8: all.
- * core_base_latency_us - median latency of a zone, or a default.
+ * core_zone_latency_us - median latency of a zone; 0: unknown.
+ * core_base_latency_us - the same, or a default.
+ * core_get_by_index, core_set_by_index - on an array of uint32_t in which what was
+ * not set is 0.
  * core_oldest_attempt_us - age of its oldest unanswered attempt; 0: none.
  * core_record_success, core_record_min_latency, core_record_error,
  * core_record_refusal - update its state from the end of an attempt.
@@ -480,6 +483,10 @@
 			 const struct core_server *server);
 uint32_t core_slow_start_share_q8(const struct core *core,
 				  const struct core_server *server);
+uint32_t core_zone_latency_us(const struct core_service *service,
+			      uint32_t zone);
+uint32_t core_get_by_index(const GArray *values, uint32_t index);
+void core_set_by_index(GArray *values, uint32_t index, uint32_t value);
 uint32_t core_base_latency_us(const struct core_service *service,
 			      uint32_t zone);
 uint64_t core_oldest_attempt_us(const struct core *core,
--- a/core_work.c
+++ b/core_work.c
@@ -58,7 +58,8 @@
 		      const struct core_service *service,
 		      const struct core_call *call)
 {
-	uint32_t known_work_us = service->work_us[call->work_class];
+	uint32_t known_work_us =
+		core_get_by_index(service->work_us, call->work_class);
 
 	if (known_work_us)
 		return known_work_us;
@@ -115,16 +116,15 @@
 		      const struct core_attempt *attempt)
 {
 	struct core_service *service = core_service(core, call->service);
-	uint32_t *known_work_us = &service->work_us[call->work_class];
+	uint32_t known_work_us = (uint32_t)core_work_us(core, service, call);
 	int64_t took_us = (int64_t)(attempt->answer_us - attempt->begin_us);
 	int64_t cost;
 
 	if (attempt->sample == CORE_SAMPLE_NONE)
 		return;
-	if (!*known_work_us)
-		*known_work_us = (uint32_t)core_work_us(core, service, call);
+	core_set_by_index(service->work_us, call->work_class, known_work_us);
 	if (attempt->sample == CORE_SAMPLE_CONTENTION) {
-		cost = MIN(took_us * 100 / MAX(*known_work_us, 1),
+		cost = MIN(took_us * 100 / MAX(known_work_us, 1),
 			   CORE_CONTENTION_MAX_PERCENT);
 		if (!service->contention_percent)
 			service->contention_percent = CORE_CONTENTION_PERCENT;
@@ -134,11 +134,12 @@
 			CORE_WORK_SAMPLES;
 		return;
 	}
-	took_us = MIN(took_us,
-		      (int64_t)*known_work_us * CORE_WORK_OUTLIER_FACTOR);
-	*known_work_us = (uint32_t)((int64_t)*known_work_us +
-				    (took_us - (int64_t)*known_work_us) /
-					    CORE_WORK_SAMPLES);
+	took_us =
+		MIN(took_us, (int64_t)known_work_us * CORE_WORK_OUTLIER_FACTOR);
+	known_work_us = (uint32_t)((int64_t)known_work_us +
+				   (took_us - (int64_t)known_work_us) /
+					   CORE_WORK_SAMPLES);
+	core_set_by_index(service->work_us, call->work_class, known_work_us);
 }
 
 uint64_t core_expected_latency_us(const struct core *core,
--- a/document.c
+++ b/document.c
@@ -53,6 +53,16 @@
 	g_strlcpy(out, name, DOC_NAME_BYTES);
 }
 
+/* The same for a name of text.h. */
+static void doc_read_text(struct ym_node *map, const char *field, char **out,
+			  struct ym_errors *errors)
+{
+	char name[DOC_NAME_BYTES];
+
+	doc_read_name(map, field, name, errors);
+	tx_set(out, name);
+}
+
 /* SEEN holds the names of the entries of the same kind read so far. */
 static void doc_check_unique(GHashTable *seen, const char *name,
 			     struct ym_node *map, const char *field,
@@ -103,6 +113,8 @@
 	struct ym_node *list =
 		doc_get_list(root, "zones", true, DOC_MAX_ZONES, errors);
 
+	if (list)
+		document->zones = g_new0(char *, list->children->len);
 	for (guint i = 0; list && i < list->children->len; i++) {
 		struct ym_node *item = g_ptr_array_index(list->children, i);
 		const char *name = item->value ? item->value : "";
@@ -113,7 +125,7 @@
 		if (*name && doc_find_zone(document, name) != DOC_NO_INDEX)
 			ym_error(errors, item, "zones", "\"%s\" is used twice",
 				 name);
-		g_strlcpy(document->zones[i], name, DOC_NAME_BYTES);
+		document->zones[i] = tx_new(name);
 		document->zone_count = i + 1;
 	}
 }
@@ -160,7 +172,7 @@
 	const char *address;
 	const char *zone;
 
-	doc_read_name(map, "name", server->name, errors);
+	doc_read_text(map, "name", &server->name, errors);
 	address = ym_string(map, "address", NULL, errors);
 	if (*address && !nt_parse(address, &server->address))
 		ym_error(errors, ym_get(map, "address"), "address",
@@ -445,7 +457,7 @@
 {
 	const char *route = ym_string(map, "route", NULL, errors);
 
-	doc_read_name(map, "name", service->name, errors);
+	doc_read_text(map, "name", &service->name, errors);
 	doc_check_path(map, "route", route, errors);
 	g_strlcpy(service->route, route, sizeof(service->route));
 	service->longest_deadline_ms = (uint32_t)ym_uint(
@@ -640,16 +652,35 @@
 	return document;
 }
 
+static void doc_free_service(struct doc_service *service)
+{
+	for (uint32_t i = 0; i < service->server_count; i++)
+		tx_unref(service->servers[i].name);
+	tx_unref(service->name);
+	tx_unref(service->probe_path);
+	g_free(service->servers);
+	g_free(service->rules);
+}
+
+static void doc_free_route(struct doc_route *route)
+{
+	tx_unref(route->name);
+	tx_unref(route->host);
+	tx_unref(route->prefix);
+	g_free(route->services);
+}
+
 void doc_unref(struct doc_document *document)
 {
 	if (!document || --document->refs)
 		return;
-	for (uint32_t i = 0; i < document->service_count; i++) {
-		g_free(document->services[i].servers);
-		g_free(document->services[i].rules);
-	}
+	for (uint32_t i = 0; i < document->service_count; i++)
+		doc_free_service(&document->services[i]);
 	for (uint32_t i = 0; i < document->route_count; i++)
-		g_free(document->routes[i].services);
+		doc_free_route(&document->routes[i]);
+	for (uint32_t i = 0; i < document->zone_count; i++)
+		tx_unref(document->zones[i]);
+	g_free(document->zones);
 	g_free(document->routes);
 	g_free(document->services);
 	g_free(document->callers);
@@ -702,14 +733,15 @@
 
 	for (uint32_t i = 0; i < document->route_count; i++) {
 		const struct doc_route *route = &document->routes[i];
-		size_t bytes = strlen(route->prefix);
 
-		if (bytes <= best_bytes || strlen(route->host) != host_bytes ||
+		if (route->prefix_bytes <= best_bytes ||
+		    route->prefix_bytes > path_bytes ||
+		    route->host_bytes != host_bytes ||
 		    g_ascii_strncasecmp(route->host, host, host_bytes) != 0 ||
-		    !doc_has_prefix(route->prefix, path, path_bytes))
+		    memcmp(route->prefix, path, route->prefix_bytes) != 0)
 			continue;
 		best = route;
-		best_bytes = bytes;
+		best_bytes = route->prefix_bytes;
 	}
 	return best;
 }
@@ -734,7 +766,7 @@
 uint32_t doc_find_zone(const struct doc_document *document, const char *name)
 {
 	for (uint32_t i = 0; i < document->zone_count; i++)
-		if (!strcmp(document->zones[i], name))
+		if (!g_strcmp0(document->zones[i], name))
 			return i;
 	return DOC_NO_INDEX;
 }
--- a/document.h
+++ b/document.h
@@ -10,6 +10,7 @@
 #include "core.h"
 #include "net.h"
 #include "status.h"
+#include "text.h"
 #include "yaml_tree.h"
 
 /*
@@ -18,6 +19,10 @@
  * built from the platform's manifest. Only the latter kind has routes.
  *
  * Of a limit "over all entry hosts" each host uses its share.
+ *
+ * Names of type char * are those of text.h: in the platform's store they may have
+ * any length. The sizes and counts of this enumeration bind YAML documents only,
+ * which are refused with an error beyond them.
  */
 enum {
 	DOC_NAME_BYTES = 64,
@@ -32,7 +37,7 @@
 };
 
 struct doc_server {
-	char name[DOC_NAME_BYTES];
+	char *name;
 	struct nt_address address;
 	uint32_t zone;
 	uint32_t slots;
@@ -62,9 +67,11 @@
  * route.
  */
 struct doc_route {
-	char name[DOC_NAME_BYTES];
-	char host[DOC_ROUTE_BYTES];
-	char prefix[DOC_ROUTE_BYTES];
+	char *name;
+	char *host;
+	char *prefix;
+	size_t host_bytes; /* lengths, for doc_find_route */
+	size_t prefix_bytes;
 	bool idempotent;
 	bool bulky; /* the responses are large */
 	uint32_t timeout_ms; /* longest deadline of a call */
@@ -84,7 +91,7 @@
 };
 
 struct doc_service {
-	char name[DOC_NAME_BYTES];
+	char *name;
 	char route[DOC_ROUTE_BYTES];
 	uint32_t deadline_ms;
 	uint32_t longest_deadline_ms;
@@ -99,7 +106,7 @@
 	struct doc_rule *rules;
 	uint32_t rule_count;
 	uint32_t connections; /* of every server, over all entry hosts */
-	char probe_path[DOC_ROUTE_BYTES]; /* empty: that of the dialect */
+	char *probe_path; /* NULL: that of the dialect */
 	/* Zones that need no server of the service; bit I is zone I. */
 	uint32_t remote_zones;
 };
@@ -118,7 +125,7 @@
 	size_t text_bytes;
 	char deployment[DOC_NAME_BYTES];
 	uint32_t latency_weight_percent;
-	char zones[DOC_MAX_ZONES][DOC_NAME_BYTES];
+	char **zones;
 	uint32_t zone_count;
 	struct doc_service *services;
 	uint32_t service_count;
--- a/gateway.c
+++ b/gateway.c
@@ -252,8 +252,11 @@
 {
 	gateway->servers = g_ptr_array_new();
 	gw_init_peers(gateway);
-	gateway->service_names = g_ptr_array_new_with_free_func(g_free);
-	gateway->hosts = g_array_new(FALSE, TRUE, sizeof(struct gw_host));
+	gateway->service_names =
+		g_ptr_array_new_with_free_func((GDestroyNotify)tx_unref);
+	gateway->service_indices =
+		g_hash_table_new(g_direct_hash, g_direct_equal);
+	gateway->hosts = gw_hosts_new();
 	gateway->server_ids =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	gateway->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -284,10 +287,9 @@
 	gateway->host_count = settings->follow_platform ?
 				      GW_ASSUMED_HOSTS :
 				      MAX(settings->seed_count, 1);
-	gateway->id_prefix_bytes = (size_t)g_snprintf(
-		gateway->id_prefix, sizeof(gateway->id_prefix),
-		"%s-%" G_GINT64_MODIFIER "x-", settings->host,
-		gateway->incarnation);
+	g_snprintf(gateway->id_prefix, sizeof(gateway->id_prefix),
+		   "%s-%" G_GINT64_MODIFIER "x-", settings->host,
+		   gateway->incarnation);
 	gw_init_tables(gateway);
 	if (*settings->trace_file &&
 	    tr_open(&gateway->trace, settings->trace_file,
@@ -378,15 +380,25 @@
 	gw_close_peers(gateway);
 }
 
+static void gw_free_server(void *ptr)
+{
+	struct gw_server *server = ptr;
+
+	tx_unref(server->name);
+	tx_unref(server->probe_path);
+	g_free(server);
+}
+
 void gw_free(struct gw_gateway *gateway)
 {
 	hd_free(&gateway->http);
 	core_free(&gateway->core);
 	cg_free(&gateway->crash_guard);
 	tr_close(&gateway->trace);
-	g_ptr_array_set_free_func(gateway->servers, g_free);
+	g_ptr_array_set_free_func(gateway->servers, gw_free_server);
 	g_ptr_array_free(gateway->servers, TRUE);
 	gw_free_peers(gateway);
+	g_hash_table_destroy(gateway->service_indices);
 	g_ptr_array_free(gateway->service_names, TRUE);
 	g_array_free(gateway->hosts, TRUE);
 	g_hash_table_destroy(gateway->server_ids);
--- a/gateway.h
+++ b/gateway.h
@@ -45,7 +45,9 @@
 	GRand *random;
 	struct doc_document *document;
 	GPtrArray *servers; /* struct gw_server by core id */
-	GPtrArray *service_names; /* names by core id */
+	GPtrArray *service_names; /* of text.h, by core id */
+	GHashTable
+		*service_indices; /* core id + 1, by the pointer of the name */
 	GHashTable *server_ids; /* "name address incarnation" to gw_server */
 	GArray *hosts; /* struct gw_host, the live entry hosts */
 	uint32_t *service_ids; /* core ids by index in the document */
@@ -57,7 +59,6 @@
 	   ignored. */
 	struct od_orders *orders;
 	char id_prefix[GW_ID_PREFIX_BYTES]; /* of request ids */
-	size_t id_prefix_bytes;
 	GArray *events; /* struct core_event, queued for the core */
 	bool handling_events;
 	struct tr_trace trace;
--- a/gateway_call.c
+++ b/gateway_call.c
@@ -33,6 +33,9 @@
 	if (call->stored_body)
 		g_string_free(call->stored_body, TRUE);
 	g_free(call->stored_type);
+	g_free(call->request_id);
+	tx_unref(call->route);
+	tx_unref(call->forwarded_to);
 	g_free(call);
 }
 
@@ -229,7 +232,7 @@
 			       req->authority.len);
 }
 
-/* Uses the call id from the caller if there is one that fits, or a new id. */
+/* Uses the call id from the caller if there is one, or a new id. */
 static void gw_set_request_id(struct gw_call *call, h2o_req_t *req)
 {
 	const struct gw_gateway *gateway = call->gateway;
@@ -237,14 +240,13 @@
 
 	if (gateway->dialect->call_id)
 		given = hd_header(req, gateway->dialect->call_id);
-	if (given.len && given.len < sizeof(call->request_id)) {
-		memcpy(call->request_id, given.base, given.len);
+	if (given.len) {
+		call->request_id = g_strndup(given.base, given.len);
 		call->call_id = call->request_id;
 		return;
 	}
-	memcpy(call->request_id, gateway->id_prefix, gateway->id_prefix_bytes);
-	gw_format_decimal(call->id,
-			  call->request_id + gateway->id_prefix_bytes);
+	call->request_id = g_strdup_printf("%s%" G_GUINT64_FORMAT,
+					   gateway->id_prefix, call->id);
 }
 
 struct gw_call *gw_call_new(struct gw_gateway *gateway, h2o_req_t *req)
@@ -505,7 +507,7 @@
 							caller_timeout_ms) *
 				  GW_US_PER_MS;
 	call->service = gateway->service_ids[route->services[picked].service];
-	g_strlcpy(call->route, route->name, sizeof(call->route));
+	call->route = tx_ref(route->name);
 	call->idempotent = route->idempotent;
 	call->bulky = route->bulky;
 	call->caller_index = route->priority;
--- a/gateway_conf.c
+++ b/gateway_conf.c
@@ -41,7 +41,7 @@
 	server = g_new0(struct gw_server, 1);
 	server->id = gateway->servers->len;
 	server->start_hash = gw_hash_name(key);
-	g_strlcpy(server->name, conf->name, sizeof(server->name));
+	server->name = tx_ref(conf->name);
 	hc_pool_init(&server->pool, gateway->kernel->loop, &conf->address,
 		     connections);
 	hc_pool_set_connect_timeout(&server->pool, gateway->timers,
@@ -54,13 +54,19 @@
 	return server;
 }
 
-static uint32_t gw_service_id(struct gw_gateway *gateway, const char *name)
+/* A service keeps its id as long as the process runs. */
+static uint32_t gw_service_id(struct gw_gateway *gateway, char *name)
 {
-	for (guint i = 0; i < gateway->service_names->len; i++)
-		if (!strcmp(g_ptr_array_index(gateway->service_names, i), name))
-			return i;
-	g_ptr_array_add(gateway->service_names, g_strdup(name));
-	return gateway->service_names->len - 1;
+	guint at = GPOINTER_TO_UINT(
+		g_hash_table_lookup(gateway->service_indices, name));
+
+	if (at)
+		return at - 1;
+	g_ptr_array_add(gateway->service_names, tx_ref(name));
+	at = gateway->service_names->len;
+	g_hash_table_insert(gateway->service_indices, name,
+			    GUINT_TO_POINTER(at));
+	return at - 1;
 }
 
 static void gw_build_service_conf(struct gw_gateway *gateway,
@@ -92,8 +98,8 @@
 		servers[i].max_connections = from->connections;
 		servers[i].leaving = from->leaving;
 		servers[i].warmup_ms = from->warmup_left_ms;
-		g_strlcpy(server->probe_path, service->probe_path,
-			  sizeof(server->probe_path));
+		tx_unref(server->probe_path);
+		server->probe_path = tx_ref(service->probe_path);
 		servers[i].hash = gw_hash_name(from->name);
 	}
 }
@@ -171,15 +177,28 @@
 
 		if (first->hash != second->hash ||
 		    first->draining != second->draining ||
-		    strcmp(first->zone, second->zone) != 0)
+		    first->zone != second->zone)
 			return false;
 	}
 	return true;
 }
 
+static void gw_clear_host(void *ptr)
+{
+	tx_unref(((struct gw_host *)ptr)->zone);
+}
+
+GArray *gw_hosts_new(void)
+{
+	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct gw_host));
+
+	g_array_set_clear_func(hosts, gw_clear_host);
+	return hosts;
+}
+
 void gw_update_hosts(struct gw_gateway *gateway, const struct pr_hosts *hosts)
 {
-	GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct gw_host));
+	GArray *rows = gw_hosts_new();
 
 	gw_update_peers(gateway, hosts);
 	g_array_set_size(rows, hosts->count);
@@ -188,7 +207,7 @@
 
 		row->hash = gw_hash_name(hosts->rows[i].name);
 		row->draining = hosts->rows[i].draining;
-		g_strlcpy(row->zone, hosts->rows[i].zone, sizeof(row->zone));
+		row->zone = tx_new(hosts->rows[i].zone);
 	}
 	if (gw_same_hosts(rows, gateway->hosts)) {
 		g_array_free(rows, TRUE);
--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -45,7 +45,7 @@
 /* Another host that calls can be passed to. */
 struct gw_peer {
 	char *id; /* name and address; key of the table */
-	char name[PR_NAME_BYTES];
+	char *name; /* of text.h */
 	uint64_t order; /* by a hash of both names; the lowest are used */
 	bool same_zone;
 	bool listed;
@@ -72,6 +72,7 @@
 {
 	struct gw_peer *peer = ptr;
 
+	tx_unref(peer->name);
 	g_free(peer->id);
 	g_free(peer);
 }
@@ -98,7 +99,7 @@
 	char *names =
 		g_strconcat(gateway->settings->host, " ", host->name, NULL);
 
-	g_strlcpy(peer->name, host->name, sizeof(peer->name));
+	peer->name = tx_new(host->name);
 	peer->order = gw_hash_name(names);
 	g_free(names);
 	hc_pool_init(&peer->pool, gateway->kernel->loop, address,
@@ -113,11 +114,12 @@
 static struct gw_peer *gw_get_peer(struct gw_gateway *gateway,
 				   const struct pr_host *host)
 {
-	char *id = g_strconcat(host->name, " ", host->address, NULL);
+	const char *text = host->address ? host->address : "";
+	char *id = g_strconcat(host->name, " ", text, NULL);
 	struct gw_peer *peer = g_hash_table_lookup(gateway->peer_ids, id);
 	struct nt_address address;
 
-	if (peer || !nt_parse(host->address, &address)) {
+	if (peer || !nt_parse(text, &address)) {
 		g_free(id);
 		return peer;
 	}
@@ -246,7 +248,8 @@
 	forward->tries++;
 	forward->unable = false;
 	forward->peer = peer;
-	g_strlcpy(call->forwarded_to, peer->name, sizeof(call->forwarded_to));
+	tx_unref(call->forwarded_to);
+	call->forwarded_to = tx_ref(peer->name);
 	gw_log_forward(call, forward->tries);
 	if (!hc_start(&peer->pool, &forward->http, gw_format_forward(call))) {
 		forward->lost++;
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -14,7 +14,7 @@
 
 static void gw_set_text(json_t *line, const char *key, const char *value)
 {
-	json_object_set_new(line, key, json_string(value));
+	json_object_set_new(line, key, lg_text(value, strlen(value)));
 }
 
 static void gw_set_number(json_t *line, const char *key, uint64_t value)
@@ -60,7 +60,7 @@
 	json_t *line = json_object();
 
 	gw_set_text(line, "id", call->request_id);
-	if (*call->route)
+	if (call->route)
 		gw_set_text(line, "route", call->route);
 	if (call->service < gateway->service_names->len)
 		gw_set_text(line, "service",
@@ -175,7 +175,7 @@
 	gw_set_text(line, "outcome", at_outcome_name(call->result));
 	if (call->answer_status)
 		gw_set_number(line, "status", (uint64_t)call->answer_status);
-	if (*call->forwarded_to)
+	if (call->forwarded_to)
 		gw_set_text(line, "forwarded_to", call->forwarded_to);
 	gw_set_number(line, "took_ms", took_us / GW_US_PER_MS);
 	gw_set_number(line, "left_ms",
@@ -355,12 +355,11 @@
 		return;
 	line = json_object();
 	json_object_set_new(line, "id",
-			    id.base ? json_stringn(id.base, id.len) : NULL);
-	json_object_set_new(
-		line, "host_header",
-		json_stringn(req->authority.base, req->authority.len));
+			    id.base ? lg_text(id.base, id.len) : NULL);
+	json_object_set_new(line, "host_header",
+			    lg_text(req->authority.base, req->authority.len));
 	json_object_set_new(line, "path",
-			    json_stringn(req->path.base, req->path.len));
+			    lg_text(req->path.base, req->path.len));
 	gw_set_text(line, "result", st_name(kind));
 	gw_set_number(line, "generation",
 		      gateway->document ? gateway->document->generation : 0);
--- a/gateway_route.c
+++ b/gateway_route.c
@@ -12,7 +12,7 @@
 };
 
 struct gw_route_state {
-	char name[DOC_NAME_BYTES]; /* first: key of the table */
+	char *name; /* of text.h; key of the table */
 	/* Weighted round robin: each service gets its weight of the calls. */
 	uint32_t service_count;
 	uint64_t weights_hash;
@@ -27,13 +27,14 @@
 {
 	struct gw_route_state *state = ptr;
 
+	tx_unref(state->name);
 	g_free(state->current_weights);
 	g_free(state);
 }
 
 GHashTable *gw_route_states_new(void)
 {
-	return g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	return g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
 				     gw_route_state_free);
 }
 
@@ -46,7 +47,7 @@
 	if (state)
 		return state;
 	state = g_new0(struct gw_route_state, 1);
-	g_strlcpy(state->name, route->name, sizeof(state->name));
+	state->name = tx_ref(route->name);
 	g_hash_table_insert(gateway->route_states, state->name, state);
 	return state;
 }
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -21,7 +21,6 @@
  */
 enum {
 	GW_US_PER_MS = 1000,
-	GW_REQUEST_ID_BYTES = 128,
 	GW_DIGITS = 20,
 	/* Of a connection that is used again for a call that may run only once. */
 	GW_NON_IDEMPOTENT_IDLE_US = 1000 * 1000,
@@ -29,12 +28,12 @@
 	GW_KILL_MARGIN_US = 200 * 1000
 };
 
-/* An upstream server with its connections. */
+/* An upstream server with its connections. Names here are those of text.h. */
 struct gw_server {
-	char name[DOC_NAME_BYTES];
+	char *name;
 	uint32_t id;
 	uint32_t zone;
-	char probe_path[DOC_ROUTE_BYTES];
+	char *probe_path; /* NULL: that of the dialect */
 	bool rate_limited; /* by its latest answer */
 	uint32_t rate_limit_milli; /* requests in 1000 s, of all hosts */
 	struct hc_pool pool;
@@ -53,7 +52,7 @@
 /* A live entry host. */
 struct gw_host {
 	uint64_t hash; /* of the name */
-	char zone[DOC_NAME_BYTES];
+	char *zone;
 	bool draining;
 };
 
@@ -81,13 +80,13 @@
 	h2o_generator_t generator; /* first: callbacks cast back */
 	struct gw_gateway *gateway;
 	uint64_t id;
-	char request_id[GW_REQUEST_ID_BYTES];
+	char *request_id;
 	h2o_req_t *req; /* NULL once the listener has dropped it */
 	bool head_method;
 	GString *request_head; /* without the headers of a single attempt */
 	GString *request_body;
 	const char *call_id; /* id that the caller sent; NULL: none */
-	char route[DOC_NAME_BYTES]; /* empty: no named route */
+	char *route; /* NULL: no named route */
 	uint64_t generation; /* of the document when the call arrived */
 	uint32_t attempt_count;
 	struct core_inputs inputs; /* of the core's last decision */
@@ -114,7 +113,7 @@
 	bool from_host; /* another host passed it on; it stays here */
 	bool forward_refused; /* once the core has given it up */
 	struct gw_forward *forward; /* to another host; NULL: none */
-	char forwarded_to[SE_NAME_BYTES]; /* empty: no other host */
+	char *forwarded_to; /* NULL: no other host */
 	GString *unsent; /* answer bytes not yet given to the listener */
 	GString *sending; /* in use by the listener until gw_on_proceed */
 	uint32_t refs; /* one for the core, one for the listener */
@@ -350,11 +349,13 @@
  * gateway_conf.c
  *
  * gw_configure_core - pass the document and the host list to the core.
+ * gw_hosts_new - empty list of entry hosts.
  * gw_update_hosts - replace the list of live entry hosts.
  * gw_update_server_state - pass to the core a notice from the platform or a
  * peer that a server is leaving, or that the last such notice has expired.
  */
 void gw_configure_core(struct gw_gateway *gateway);
+GArray *gw_hosts_new(void);
 uint64_t gw_hash_name(const char *name);
 void gw_update_hosts(struct gw_gateway *gateway, const struct pr_hosts *hosts);
 void gw_update_server_state(struct gw_gateway *gateway,
--- a/histogram.c
+++ b/histogram.c
@@ -2,7 +2,9 @@
 
 #include <string.h>
 
-enum { HG_US_PER_S = 1000 * 1000, HG_LABEL_BYTES = 64 };
+enum { HG_US_PER_S = 1000 * 1000 };
+
+#define HG_OTHER "other"
 
 static const uint64_t hg_bounds_us[] = {
 	5000,	10000,	25000,	50000,	 100000,  150000,  200000,
@@ -12,8 +14,8 @@
 enum { HG_BUCKETS = G_N_ELEMENTS(hg_bounds_us) };
 
 struct hg_series {
-	char service[HG_LABEL_BYTES];
-	char result[HG_LABEL_BYTES];
+	char *service;
+	char *result;
 	uint64_t buckets[HG_BUCKETS + 1]; /* the last one has no upper bound */
 	uint64_t count;
 	uint64_t sum_us;
@@ -33,10 +35,12 @@
 	if (hg_series_count == HG_MAX_SERIES)
 		return &hg_series_list[HG_MAX_SERIES - 1];
 	series = &hg_series_list[hg_series_count++];
-	if (hg_series_count == HG_MAX_SERIES)
-		service = "other";
-	g_strlcpy(series->service, service, sizeof(series->service));
-	g_strlcpy(series->result, result, sizeof(series->result));
+	if (hg_series_count == HG_MAX_SERIES) {
+		service = HG_OTHER;
+		result = HG_OTHER;
+	}
+	series->service = g_strdup(service);
+	series->result = g_strdup(result);
 	return series;
 }
 
@@ -52,9 +56,26 @@
 	series->sum_us += latency_us;
 }
 
+/* A label as the Prometheus text format wants it. */
+static char *hg_escape(const char *label)
+{
+	GString *out = g_string_new(NULL);
+
+	for (const char *at = label; *at; at++) {
+		if (*at == '"' || *at == '\\')
+			g_string_append_c(out, '\\');
+		if (*at == '\n')
+			g_string_append(out, "\\n");
+		else
+			g_string_append_c(out, *at);
+	}
+	return g_string_free(out, FALSE);
+}
+
 static void hg_write_series(GString *out, const struct hg_series *series)
 {
 	uint64_t cumulative = 0;
+	char *service = hg_escape(series->service);
 
 	for (uint32_t i = 0; i <= HG_BUCKETS; i++) {
 		char bound[G_ASCII_DTOSTR_BUF_SIZE] = "+Inf";
@@ -67,16 +88,16 @@
 			out,
 			"jackdawworks_call_seconds_bucket{service=\"%s\","
 			"result=\"%s\",le=\"%s\"} %" G_GUINT64_FORMAT "\n",
-			series->service, series->result, bound, cumulative);
+			service, series->result, bound, cumulative);
 	}
 	g_string_append_printf(
 		out,
 		"jackdawworks_call_seconds_sum{service=\"%s\",result=\"%s\"} "
 		"%.6f\njackdawworks_call_seconds_count{service=\"%s\","
 		"result=\"%s\"} %" G_GUINT64_FORMAT "\n",
-		series->service, series->result,
-		(double)series->sum_us / HG_US_PER_S, series->service,
-		series->result, series->count);
+		service, series->result, (double)series->sum_us / HG_US_PER_S,
+		service, series->result, series->count);
+	g_free(service);
 }
 
 void hg_write(GString *out)
--- a/histogram.h
+++ b/histogram.h
@@ -8,8 +8,7 @@
  * Latency histograms of calls, one series for each pair of service and result.
  *
  * hg_observe - count one call. There are at most HG_MAX_SERIES series; the last
- *	one has the service "other" and counts the calls of all further pairs
- *	under the result of the first of them.
+ *	one has service and result "other" and counts the calls of all further pairs.
  * hg_write - append the series to OUT in the Prometheus text format.
  *	Source: histogram.c
  */
--- a/log.c
+++ b/log.c
@@ -16,6 +16,10 @@
 	LG_BYTES_PER_S = 128 * 1024,
 	LG_BURST_BYTES = 256 * 1024,
 	LG_FLUSH_US = 100 * 1000,
+	/* Longer texts are shortened to these sizes. */
+	LG_FIELD_BYTES = 256,
+	LG_MESSAGE_BYTES = 1024,
+	LG_DIGEST_CHARS = 8,
 	LG_US_PER_S = 1000 * 1000
 };
 
@@ -118,6 +122,30 @@
 	ct_add(CT_LOG_DROPPED, 1);
 }
 
+static json_t *lg_shorten(const char *text, size_t text_bytes, size_t max_bytes)
+{
+	char *digest;
+	char *shown;
+	json_t *field;
+
+	if (text_bytes <= max_bytes)
+		return jt_string_n(text, text_bytes);
+	digest = g_compute_checksum_for_data(G_CHECKSUM_SHA256,
+					     (const guchar *)text, text_bytes);
+	shown = g_strdup_printf("%.*s... (%zu bytes, sha256 %.*s)",
+				(int)max_bytes, text, text_bytes,
+				LG_DIGEST_CHARS, digest);
+	field = jt_string(shown);
+	g_free(shown);
+	g_free(digest);
+	return field;
+}
+
+json_t *lg_text(const char *text, size_t text_bytes)
+{
+	return lg_shorten(text, text_bytes, LG_FIELD_BYTES);
+}
+
 static json_t *lg_new_line(const char *event)
 {
 	GDateTime *now = g_date_time_new_now_utc();
@@ -212,6 +240,7 @@
 					 const GLogField *fields, gsize count,
 					 gpointer data)
 {
+	const char *msg = lg_field(fields, count, "MESSAGE");
 	json_t *line;
 
 	/* GLib's flag of a more severe level is a smaller number. */
@@ -224,7 +253,7 @@
 	lg_write_dropped();
 	line = lg_new_line(lg_field(fields, count, "EVENT"));
 	json_object_set_new(line, "message",
-			    jt_string(lg_field(fields, count, "MESSAGE")));
+			    lg_shorten(msg, strlen(msg), LG_MESSAGE_BYTES));
 	json_object_set_new(line, "level", json_string(lg_level_name(level)));
 	lg_append_line(line);
 	return G_LOG_WRITER_HANDLED;
@@ -266,14 +295,17 @@
 
 void lg_event(GLogLevelFlags level, const char *event, const char *fmt, ...)
 {
-	char msg[1024];
 	va_list ap;
-	GLogField fields[] = { { "EVENT", event, -1 }, { "MESSAGE", msg, -1 } };
+	GLogField fields[] = { { "EVENT", event, -1 },
+			       { "MESSAGE", NULL, -1 } };
+	char *msg;
 
 	if (level > lg.min_level)
 		return;
 	va_start(ap, fmt);
-	vsnprintf(msg, sizeof(msg), fmt, ap);
+	msg = g_strdup_vprintf(fmt, ap);
 	va_end(ap);
+	fields[1].value = msg;
 	g_log_structured_array(level, fields, G_N_ELEMENTS(fields));
+	g_free(msg);
 }
--- a/log.h
+++ b/log.h
@@ -79,9 +79,15 @@
 void lg_write(enum lg_event_id id, json_t *fields);
 const char *lg_event_name(enum lg_event_id id);
 
+/*
+ * lg_text - a field for TEXT, of which only the beginning is written if it is long.
+ *	Its length and a digest follow then, so that no two texts look the same.
+ */
+json_t *lg_text(const char *text, size_t text_bytes);
+
 /*
  * lg_event - log a message of the process. EVENT is a short fixed name, FMT the
- * format of the message.
+ * format of the message; a long one is shortened like a field.
  */
 void lg_event(GLogLevelFlags level, const char *event, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
--- a/peer_gossip.c
+++ b/peer_gossip.c
@@ -693,8 +693,9 @@
 		return false;
 	gossip->table.hosts_changed = false;
 	rows = g_array_new(FALSE, FALSE, sizeof(struct pr_host));
-	g_strlcpy(self.name, gossip->conf.host, sizeof(self.name));
-	g_strlcpy(self.zone, gossip->conf.zone, sizeof(self.zone));
+	g_array_set_clear_func(rows, pr_clear_host);
+	self.name = tx_new(gossip->conf.host);
+	self.zone = tx_new(gossip->conf.zone);
 	g_array_append_val(rows, self);
 	pr_table_append_hosts(&gossip->table, rows);
 	g_array_sort(rows, pr_compare_names);
--- a/peer_member.c
+++ b/peer_member.c
@@ -452,8 +452,8 @@
 
 		if (!pr_member_is_live(member) || member->relist_at_us)
 			continue;
-		memcpy(row.name, member->name, sizeof(row.name));
-		memcpy(row.zone, member->zone, sizeof(row.zone));
+		row.name = tx_new(member->name);
+		row.zone = tx_new(member->zone);
 		row.incarnation = member->incarnation;
 		row.draining = member->draining || member->platform_draining;
 		g_array_append_val(rows, row);
--- a/probe.c
+++ b/probe.c
@@ -14,7 +14,8 @@
 	struct pb_target target;
 	struct tm_sub timer;
 	uint64_t start_us;
-	uint32_t bytes;
+	uint32_t bytes; /* both ways */
+	uint32_t answer_bytes;
 	bool ok;
 	bool of_target; /* the answer is not from another server */
 	bool draining;
@@ -32,6 +33,12 @@
 		ct_add(CT_PROBE_CROSS_BYTES, bytes);
 }
 
+static void pb_count_answer(struct pb_probe *probe, size_t bytes)
+{
+	probe->answer_bytes += (uint32_t)bytes;
+	pb_count_bytes(probe, bytes);
+}
+
 /*
  * A failed health check may also say that the server leaves; that it stays, only
  * a complete and good answer says.
@@ -104,7 +111,7 @@
 	const struct hc_header *load = dl_find_header(head, dialect->report);
 	const struct hc_header *id = dl_find_header(head, dialect->server_id);
 
-	pb_count_bytes(probe, pb_head_bytes(head));
+	pb_count_answer(probe, pb_head_bytes(head));
 	probe->of_target = !id || hc_value_is(id, probe->target.expected_id);
 	probe->ok = head->status == 200 && load && probe->of_target;
 	/* If it were sent once more, it would look like the next answer. */
@@ -123,8 +130,8 @@
 {
 	struct pb_probe *probe = (struct pb_probe *)request;
 
-	pb_count_bytes(probe, data_bytes);
-	if (probe->bytes <= CORE_PROBE_MAX_BYTES)
+	pb_count_answer(probe, data_bytes);
+	if (probe->answer_bytes <= CORE_PROBE_MAX_BYTES)
 		return;
 	hc_cancel(request);
 	pb_finish(probe, false);
@@ -180,7 +187,7 @@
 GString *pb_format_request(const struct dl_dialect *dialect, const char *path,
 			   const struct hc_pool *pool)
 {
-	const char *used = *path ? path : dialect->probe_path;
+	const char *used = path ? path : dialect->probe_path;
 	GString *out = hc_head_begin("GET", strlen("GET"), used, strlen(used),
 				     pool->address.text);
 
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -162,6 +162,7 @@
 	if (mf_decode_server(copy, text->len, &server, &status)) {
 		ck_assert_uint_ge(server.slots, 1);
 		ck_assert(*server.service && *server.zone);
+		mf_free_server(&server);
 	}
 	g_free(copy);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -76,6 +76,100 @@
 }
 END_TEST
 
+/* A text of BYTES - 1 times C, in OUT. */
+static const char *repeat(char c, char *out, size_t bytes)
+{
+	memset(out, c, bytes - 1);
+	out[bytes - 1] = '\0';
+	return out;
+}
+
+/*
+ * Guards against a manifest that never comes into force, or that sends calls to the
+ * wrong service, because of a long text in it, and against texts that are cut.
+ */
+START_TEST(texts_of_manifests_have_any_length)
+{
+	static char names[3][5001];
+	static char text[40000];
+	static char call[2100];
+	const char *name = repeat('n', names[0], 5001);
+	const char *host = repeat('h', names[1], 301);
+	const char *path = repeat('p', names[2], 2001);
+	struct doc_document *document;
+	const struct doc_route *route;
+
+	g_snprintf(text, sizeof(text),
+		   "{\"version\":9,\"services\":[{\"name\":\"%s1\","
+		   "\"max-connections\":9},{\"name\":\"%s2\","
+		   "\"health-check-path\":\"/%s\",\"max-connections\":9}],"
+		   "\"routes\":[{\"name\":\"%s1\",\"host\":\"%s\","
+		   "\"prefix\":\"/%s/1/\",\"route-kind\":\"safe\","
+		   "\"timeout-s\":1,\"max-attempts\":2,"
+		   "\"service\":\"%s2\"}]}",
+		   name, name, path, name, host, path, name);
+	g_snprintf(call, sizeof(call), "/%s/1/a", path);
+	document = decode_manifest(text);
+	ck_assert_ptr_nonnull(document);
+	route = doc_find_route(document, host, strlen(host), call,
+			       strlen(call));
+	ck_assert_ptr_nonnull(route);
+	ck_assert_uint_eq(route->services[0].service, 1);
+	ck_assert_uint_eq(strlen(route->name), 5001);
+	ck_assert_uint_eq(strlen(document->services[1].probe_path), 2001);
+	ck_assert_ptr_null(doc_find_route(document, host, strlen(host), call,
+					  strlen(call) - 2));
+	doc_unref(document);
+}
+END_TEST
+
+/* Guards against the same because of a large number or a long list. */
+START_TEST(counts_of_manifests_have_any_size)
+{
+	GString *text = g_string_new("{\"version\":9,\"extra\":1");
+	struct doc_document *document;
+
+	for (int i = 0; i < 40; i++)
+		g_string_append_c(text, '0');
+	g_string_append(text, ",\"services\":[{\"name\":\"a\","
+			      "\"max-connections\":123456789012}");
+	for (int i = 0; i < 3000; i++)
+		g_string_append_printf(
+			text, ",{\"name\":\"s%d\",\"max-connections\":1}", i);
+	g_string_append(text, "],\"routes\":[");
+	for (int i = 0; i < 12; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"name\":\"r%d\",\"host\":\"x\",\"prefix\":"
+			"\"/%d/\",\"route-kind\":\"safe\",\"timeout-s\":%s,"
+			"\"max-attempts\":99999999999,\"priority\":%d,"
+			"\"backends\":[{\"service\":\"s2999\",\"weight\":%s},"
+			"{\"service\":\"a\",\"weight\":%s}]}",
+			i ? "," : "", i, i, i ? "1e9" : "0.0001", i * 150000000,
+			i ? "0.75" : "9000000000", i ? "0.25" : "3000000000");
+	g_string_append(text, "],\"limits\":{\"idle-timeout-s\":1e12}}");
+	document = decode_manifest(text->str);
+	ck_assert_ptr_nonnull(document);
+	ck_assert_uint_eq(document->generation, 9);
+	ck_assert_uint_eq(document->services[0].connections, UINT32_MAX);
+	ck_assert_uint_eq(document->idle_timeout_ms, UINT32_MAX);
+	ck_assert_uint_eq(document->routes[0].timeout_ms, 1);
+	ck_assert_uint_eq(document->routes[1].timeout_ms, UINT32_MAX);
+	ck_assert_uint_eq(document->caller_count, 12);
+	for (uint32_t i = 0; i < 12; i++) {
+		const struct doc_route *route = &document->routes[i];
+
+		ck_assert_uint_eq(route->priority, i);
+		ck_assert_uint_eq(route->max_attempts, CORE_MAX_ATTEMPTS);
+		ck_assert_uint_eq(route->services[0].service, 3000);
+		ck_assert_uint_eq(route->services[0].weight,
+				  3 * route->services[1].weight + 1);
+	}
+	doc_unref(document);
+	g_string_free(text, TRUE);
+}
+END_TEST
+
 static const struct {
 	const char *text;
 	bool ok;
@@ -118,6 +212,33 @@
 	ck_assert(server.leaving);
 	ck_assert_uint_eq(server.warmup_left_ms, 1500);
 	ck_assert_uint_eq(server.incarnation, 1700000000000);
+	mf_free_server(&server);
+}
+END_TEST
+
+/* Guards against servers that are not used because of a long text or large number. */
+START_TEST(server_entries_have_any_size)
+{
+	static char names[3001];
+	static char text[8000];
+	const char *name = repeat('n', names, sizeof(names));
+	struct mf_server server;
+	struct st_status status;
+
+	g_snprintf(text, sizeof(text),
+		   "{\"service\":\"%s\",\"address\":\"10.0.0.1:80\","
+		   "\"zone\":\"%s\",\"slots\":999999999999999999,"
+		   "\"state\":\"ready\",\"warmup-left-s\":1e9,"
+		   "\"sequence\":4,\"born\":1700000000000}",
+		   name, name);
+	ck_assert(mf_decode_server(text, strlen(text), &server, &status));
+	ck_assert_str_eq(server.service, name);
+	ck_assert_str_eq(server.zone, name);
+	ck_assert_uint_eq(server.slots, UINT32_MAX);
+	ck_assert_uint_eq(server.warmup_left_ms, UINT32_MAX);
+	ck_assert_uint_eq(server.heartbeats, 4);
+	ck_assert_uint_eq(server.incarnation, 1700000000000);
+	mf_free_server(&server);
 }
 END_TEST
 
@@ -548,6 +669,9 @@
 			    G_N_ELEMENTS(bad_manifests));
 	tcase_add_loop_test(tests, server_entries_are_validated, 0,
 			    G_N_ELEMENTS(server_entries));
+	tcase_add_test(tests, texts_of_manifests_have_any_length);
+	tcase_add_test(tests, counts_of_manifests_have_any_size);
+	tcase_add_test(tests, server_entries_have_any_size);
 	tcase_add_test(tests, reports_are_decoded);
 	tcase_add_loop_test(tests, rate_limits_are_decoded, 0,
 			    G_N_ELEMENTS(rate_limits));
