--- a/tests/tool_platform.c
+++ b/tests/tool_platform.c
@@ -19,7 +19,11 @@
 #include "timer.h"
 #include "tls.h"
 
-enum { US_PER_MS = 1000, MAX_PAGE_ROWS = 500 };
+enum {
+	US_PER_MS = 1000,
+	MAX_PAGE_ROWS = 500,
+	MAX_PAGE_BYTES = 1 << 20 /* of values */
+};
 
 #define HOSTS_TABLE "hosts"
 
@@ -117,6 +121,7 @@
 	uint64_t after; /* version */
 	bool removed; /* include removed rows */
 	size_t limit;
+	size_t bytes; /* of the values so far */
 	json_t *rows;
 	bool more;
 };
@@ -131,10 +136,12 @@
 	    strcmp(key, listing->from) < 0 || row->version <= listing->after ||
 	    (!row->value && !listing->removed))
 		return FALSE;
-	if (json_array_size(listing->rows) >= listing->limit) {
+	if (json_array_size(listing->rows) >= listing->limit ||
+	    (!listing->removed && listing->bytes > MAX_PAGE_BYTES)) {
 		listing->more = true;
 		return TRUE;
 	}
+	listing->bytes += row->value ? strlen(row->value) : 0;
 	json = json_pack("{s:s, s:s, s:I}", "part", "", "key",
 			 (char *)key + strlen(listing->prefix), "ver",
 			 (json_int_t)row->version);
