--- a/mechanism.h
+++ b/mechanism.h
@@ -21,6 +21,7 @@
 	X(GRACEFUL_STOP, "graceful-stop")           \
 	X(GENERATION_ORDER, "generation-order")     \
 	X(ROW_READING, "row-reading")               \
+	X(ALL_ROWS, "all-rows")                     \
 	X(GENERATION_GOSSIP, "generation-gossip")   \
 	X(CONDITIONAL_ACCEPT, "conditional-accept") \
 	X(READ_BACK, "read-back")                   \
