Bound what all answers together may hold

900 callers that read nothing of answers without end took 252 MB of a host; the smallest hosts have 160 MB, so the process would have ended, with the requests of all others (LOST).

Cause: an answer was read on until 256 KB waited for its caller, whatever the number of callers. The bound now falls with the number of calls (8 MB over all, 4 KB each at least), also for answers that are buffered for a retry, and a single read of an answer is no larger. Up to 32 calls nothing changes.

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -5,8 +5,11 @@
 #include "attempt.h"
 
 enum {
-	GW_BUFFER_LOW_BYTES = 64 * 1024,
-	GW_BUFFER_HIGH_BYTES = 256 * 1024,
+	/* Of an answer, and of all together when there are many calls. */
+	GW_BUFFER_BYTES = 256 * 1024,
+	GW_ALL_BUFFERS_BYTES = 8 << 20,
+	GW_MIN_BUFFER_BYTES = 4 * 1024,
+	GW_LOW_DIVISOR = 4, /* reading goes on below this part of a buffer */
 	/*
 	 * Short, because slots become free continuously and the time of the
 	 * latency target runs on while the caller waits.
@@ -134,6 +137,14 @@
 		hd_reset_on_close(call->req);
 }
 
+uint32_t gw_buffer_bytes(const struct gw_gateway *gateway)
+{
+	uint32_t calls = MAX(gateway->calls_in_flight, 1);
+
+	return CLAMP(GW_ALL_BUFFERS_BYTES / calls, GW_MIN_BUFFER_BYTES,
+		     GW_BUFFER_BYTES);
+}
+
 static void gw_on_proceed(h2o_generator_t *generator, h2o_req_t *req);
 static void gw_on_stop(h2o_generator_t *generator, h2o_req_t *req);
 
@@ -174,10 +185,13 @@
 
 void gw_flush_read(struct gw_call *call, struct hc_request *request)
 {
+	uint32_t limit = gw_buffer_bytes(call->gateway);
+
 	if (!call->req)
 		return;
 	gw_flush_answer(call);
-	if (call->unsent->len > GW_BUFFER_HIGH_BYTES && !call->read_paused) {
+	request->max_read_bytes = limit;
+	if (call->unsent->len > limit && !call->read_paused) {
 		call->read_paused = true;
 		hc_pause_reading(request);
 	}
@@ -200,7 +214,8 @@
 	struct gw_call *call = (struct gw_call *)generator;
 
 	call->send_in_progress = false;
-	if (call->read_paused && call->unsent->len < GW_BUFFER_LOW_BYTES)
+	if (call->read_paused &&
+	    call->unsent->len < gw_buffer_bytes(call->gateway) / GW_LOW_DIVISOR)
 		gw_resume_answer(call);
 	gw_flush_answer(call);
 }
--- a/gateway_attempt.c
+++ b/gateway_attempt.c
@@ -9,8 +9,6 @@
 
 enum {
 	GW_ATTEMPT_HEAD_BYTES = 160,
-	/* Larger answers are forwarded before they are complete. */
-	GW_MAX_BUFFERED_BYTES = 256 * 1024,
 	/* A connection is closed rather than read on for a longer refusal. */
 	GW_MAX_REFUSAL_BYTES = 64 * 1024
 };
@@ -197,7 +195,7 @@
 	return call->gateway->dialect->signature && call->idempotent &&
 	       !call->head_method &&
 	       (head->content_length == UINT64_MAX ||
-		head->content_length <= GW_MAX_BUFFERED_BYTES);
+		head->content_length <= gw_buffer_bytes(call->gateway));
 }
 
 /*
@@ -341,7 +339,8 @@
 	if (attempt->buffered) {
 		g_string_append_len(attempt->buffered->body, data,
 				    (gssize)data_bytes);
-		if (attempt->buffered->body->len > GW_MAX_BUFFERED_BYTES)
+		if (attempt->buffered->body->len >
+		    gw_buffer_bytes(call->gateway))
 			gw_forward_buffered(attempt);
 		return;
 	}
@@ -526,6 +525,7 @@
 	attempt->server = action->server;
 	attempt->http.handler = &gw_http_handler;
 	attempt->http.head_method = call->head_method;
+	attempt->http.max_read_bytes = gw_buffer_bytes(gateway);
 	attempt->http.may_end_with_close = gateway->dialect->signature != NULL;
 	/*
 	 * A server may close a long idle connection just as the request is
--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -386,6 +386,7 @@
 	forward->call = call;
 	forward->http.handler = &gw_forward_handler;
 	forward->http.head_method = call->head_method;
+	forward->http.max_read_bytes = gw_buffer_bytes(gateway);
 	forward->http.max_idle_us =
 		call->idempotent ? 0 : GW_NON_IDEMPOTENT_IDLE_US;
 	if (!gw_start_forward(forward)) {
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -177,6 +177,9 @@
  * first bytes of the body or at the end, so that a call of which only the head has
  * come can still end with an error.
  * gw_drop_head - undo that.
+ * gw_buffer_bytes - how much of an answer is kept before it is sent on, and held for
+ * a caller that reads slowly: less if there are many calls. Bytes without end cost no
+ * more than that.
  * gw_flush_read - flush what one read of REQUEST brought, and pause reading if the
  * caller is slow.
  * gw_resume_answer - read on the answer, of which enough has been sent.
@@ -191,6 +194,7 @@
 void gw_reply_error(struct gw_call *call, enum st_kind kind, const char *msg);
 void gw_copy_head(struct gw_call *call, const struct hc_head *head);
 void gw_drop_head(struct gw_call *call);
+uint32_t gw_buffer_bytes(const struct gw_gateway *gateway);
 void gw_flush_read(struct gw_call *call, struct hc_request *request);
 void gw_resume_answer(struct gw_call *call);
 void gw_flush_answer(struct gw_call *call);
--- a/httpc.c
+++ b/httpc.c
@@ -66,7 +66,12 @@
 
 static void hc_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
-	*buf = uv_buf_init(hc_read_buffer, sizeof(hc_read_buffer));
+	const struct hc_conn *conn = handle->data;
+	uint32_t bytes = conn->request ? conn->request->max_read_bytes : 0;
+
+	if (!bytes || bytes > sizeof(hc_read_buffer))
+		bytes = sizeof(hc_read_buffer);
+	*buf = uv_buf_init(hc_read_buffer, bytes);
 }
 
 static void hc_pool_check_closed(struct hc_pool *pool)
--- a/httpc.h
+++ b/httpc.h
@@ -93,6 +93,7 @@
 	bool may_end_with_close; /* EOF may end an answer without a length */
 	bool close_after; /* do not reuse the connection; may be set in HEAD */
 	uint64_t max_idle_us; /* of a reused connection; 0: the pool's limit */
+	uint32_t max_read_bytes; /* of a read; 0: HC_READ_BYTES. May change */
 	/* The fields below belong to the client. */
 	enum hc_state state;
 	struct hc_conn *conn;
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -36,7 +36,7 @@
 put_manifest() {
 	put_row op config '{"version":'"$1"',"routes":['"$2"'],"services":[
 		{"name":"desk","health-check-path":"/health",
-		"max-connections":200},{"name":"other",
+		"max-connections":'"${max_connections:-200}"'},{"name":"other",
 		"health-check-path":"/health","max-connections":200}],
 		"limits":{"idle-timeout-s":15}}'
 }
--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -6,6 +6,9 @@
  *        tool_raw deaf ADDRESS          listens, never accepts, backlog full
  *        tool_raw send ADDRESS SECONDS  sends stdin, prints the answer
  *        tool_raw slow ADDRESS SECONDS  sends stdin, does not read the answer
+ *        tool_raw crowd ADDRESS COUNT   the same on COUNT connections at a time,
+ *                                       each with its number for every %d, and
+ *                                       for CROWD_MS
  *        tool_raw leave ADDRESS         sends stdin, then closes at once
  *        tool_raw abort ADDRESS         the same, with a reset
  *        tool_raw flood ADDRESS COUNT   opens connections, prints the number
@@ -35,6 +38,7 @@
 #include "net.h"
 
 enum { BIG_BODY_BYTES = 64 << 20, CHUNK_BYTES = 64 * 1024, SETTLE_MS = 500 };
+enum { CROWD_MS = 3000 };
 enum { BACKLOG_FILL_CONNECTIONS = 16, LARGE_HEAD_BYTES = 40000 };
 
 #define OK_HEAD "HTTP/1.1 200 OK\r\n"
@@ -400,6 +404,34 @@
 	return 0;
 }
 
+/* TEXT with NUMBER in place of each "%d". */
+static char *with_number(const char *text, int number)
+{
+	char *digits = g_strdup_printf("%d", number);
+	char **parts = g_strsplit(text, "%d", 0);
+	char *joined = g_strjoinv(digits, parts);
+
+	g_strfreev(parts);
+	g_free(digits);
+	return joined;
+}
+
+static int run_crowd(const struct nt_address *address, int count)
+{
+	char text[CHUNK_BYTES] = { 0 };
+	size_t bytes = fread(text, 1, sizeof(text) - 1, stdin);
+
+	text[bytes] = '\0';
+	for (int i = 0; i < count; i++) {
+		char *request = with_number(text, i);
+
+		write_text(connect_to(address, 0), request);
+		g_free(request);
+	}
+	g_usleep(CROWD_MS * 1000);
+	return 0;
+}
+
 int main(int argc, char **argv)
 {
 	struct nt_address address;
@@ -407,8 +439,8 @@
 
 	if (argc < 3 || !nt_parse(argv[2], &address)) {
 		fprintf(stderr,
-			"usage: tool_raw server|deaf|send|slow|leave|abort|"
-			"flood ADDRESS [SECONDS|COUNT]\n");
+			"usage: tool_raw server|deaf|send|slow|crowd|leave|"
+			"abort|flood ADDRESS [SECONDS|COUNT]\n");
 		return 2;
 	}
 	setvbuf(stdout, NULL, _IOLBF, 0);
@@ -416,6 +448,8 @@
 		return run_leaving_client(&address, !strcmp(argv[1], "abort"));
 	if (!strcmp(argv[1], "server"))
 		run_server(&address);
+	if (!strcmp(argv[1], "crowd"))
+		return run_crowd(&address, number);
 	if (!strcmp(argv[1], "deaf"))
 		run_full_backlog(&address);
 	if (!strcmp(argv[1], "flood"))
