Route calls of other hosts by no earlier document than theirs

Callers of hosts that reach no server got a 404 for routes that had been added more than 2 s before, or were served by the service that a route had left.

Cause: such a host passes its calls to another one, which routes them by its own document. A host that was frozen takes the calls that wait in its sockets before it has asked anybody for the manifest.

A forwarded call now names the revision of the document by which it was routed (x-entry-revision). A host with an earlier one keeps the call until the later document arrives, and after half a second says that it is unable, so that the next host is tried. Earlier builds do not name a revision and ignore it; what they are sent they handle as before.

--- a/document.c
+++ b/document.c
@@ -746,6 +746,11 @@
 	return best;
 }
 
+bool doc_is_earlier(const struct doc_revision *a, const struct doc_revision *b)
+{
+	return a->era < b->era || (a->era == b->era && a->version < b->version);
+}
+
 const struct doc_rule *doc_find_rule(const struct doc_service *service,
 				     const char *method, size_t method_bytes,
 				     const char *path, size_t path_bytes)
--- a/gateway.c
+++ b/gateway.c
@@ -143,7 +143,8 @@
 		hd_reply(req, 200, "text/plain", "ok\n", 3);
 }
 
-void gw_handle_call(struct gw_gateway *gateway, h2o_req_t *req, bool from_host)
+void gw_handle_call(struct gw_gateway *gateway, h2o_req_t *req, bool from_host,
+		    uint64_t arrived_us)
 {
 	const struct doc_document *document = gateway->document;
 	const struct doc_route *route;
@@ -168,7 +169,7 @@
 				  "no service has this route");
 		return;
 	}
-	call = gw_call_new(gateway, req);
+	call = gw_call_new(gateway, req, arrived_us);
 	call->from_host = from_host;
 	if (route)
 		gw_admit_route_call(call, route);
@@ -184,7 +185,7 @@
 	if (!gateway->settings->has_health && hd_path_is(req, "/health"))
 		gw_on_health(gateway, req);
 	else
-		gw_handle_call(gateway, req, false);
+		gw_handle_call(gateway, req, false, tm_now_us());
 }
 
 /* The check is late by the time that the event loop was blocked. */
@@ -230,6 +231,7 @@
 		doc_unref(gateway->document);
 		gateway->document = doc_ref(document->document);
 		gw_configure_core(gateway);
+		gw_take_early_calls(gateway);
 		break;
 	case KN_HOSTS:
 		gw_update_hosts(gateway, hosts->hosts);
@@ -368,6 +370,7 @@
 	pb_free(&gateway->prober);
 	gw_close_crash_checks(gateway);
 	gw_close_reach(gateway);
+	gw_close_early_calls(gateway);
 	tm_cancel(gateway->timers, &gateway->caller_check);
 	tm_cancel(gateway->timers, &gateway->kill_timer);
 	tm_cancel(gateway->timers, &gateway->core_timer);
--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -95,6 +95,7 @@
 	X("x-entry-host")      \
 	X("x-entry-waited-ms") \
 	X("x-entry-attempts")  \
+	X("x-entry-revision")  \
 	X("x-entry-unable")    \
 	X("host")              \
 	X("expect")
--- a/gateway_call.c
+++ b/gateway_call.c
@@ -249,7 +249,8 @@
 					   gateway->id_prefix, call->id);
 }
 
-struct gw_call *gw_call_new(struct gw_gateway *gateway, h2o_req_t *req)
+struct gw_call *gw_call_new(struct gw_gateway *gateway, h2o_req_t *req,
+			    uint64_t arrived_us)
 {
 	struct gw_call *call = g_new0(struct gw_call, 1);
 	struct gw_req_link *link;
@@ -258,9 +259,10 @@
 	call->id = ++gateway->last_call_id;
 	call->req = req;
 	call->refs = 2;
-	call->begin_us = tm_now_us();
+	call->begin_us = arrived_us;
 	call->caller_index = CORE_NO_CALLER;
 	call->generation = gateway->document->generation;
+	call->revision = gateway->document->revision;
 	gw_set_request_id(call, req);
 	call->head_method = hd_method_is(req, "HEAD");
 	call->request_head = g_string_sized_new(GW_HEAD_BYTES);
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -88,6 +88,7 @@
 	const char *call_id; /* id that the caller sent; NULL: none */
 	char *route; /* NULL: no named route */
 	uint64_t generation; /* of the document when the call arrived */
+	struct doc_revision revision; /* of the same */
 	uint32_t attempt_count;
 	struct core_inputs inputs; /* of the core's last decision */
 	uint64_t deadline_us;
@@ -135,13 +136,15 @@
  *
  * gw_post_rate_limit - pass a RATE_LIMIT event on if it states a change.
  * gw_post_pause - count, log and pass on that a server asked for a pause.
- * gw_handle_call - admit a request, FROM_HOST or from a caller.
+ * gw_handle_call - admit a request, FROM_HOST or from a caller, that came at
+ * ARRIVED_US.
  * gw_refuse_request - answer a request that does not become a call.
  */
 void gw_post_event(struct gw_gateway *gateway, struct core_event *event);
 void gw_post_rate_limit(struct gw_gateway *gateway, struct core_event *event);
 void gw_post_pause(struct gw_gateway *gateway, struct core_event *event);
-void gw_handle_call(struct gw_gateway *gateway, h2o_req_t *req, bool from_host);
+void gw_handle_call(struct gw_gateway *gateway, h2o_req_t *req, bool from_host,
+		    uint64_t arrived_us);
 void gw_refuse_request(struct gw_gateway *gateway, h2o_req_t *req,
 		       enum st_kind kind, const char *msg);
 
@@ -158,7 +161,8 @@
  * gw_caller_left - whether the caller has closed its connection or its stream.
  * gw_post_gone - tell the core, once, that the caller has left.
  */
-struct gw_call *gw_call_new(struct gw_gateway *gateway, h2o_req_t *req);
+struct gw_call *gw_call_new(struct gw_gateway *gateway, h2o_req_t *req,
+			    uint64_t arrived_us);
 void gw_admit_route_call(struct gw_call *call, const struct doc_route *route);
 void gw_admit_service_call(struct gw_call *call, uint32_t index);
 void gw_finish_call(struct gw_gateway *gateway,
@@ -271,6 +275,8 @@
  * gw_forward_request - the request to the other host; NULL: none.
  * gw_read_forwarded - take over what the other host says of its call; the route
  * allows MAX_ATTEMPTS.
+ * gw_take_early_calls - take the calls of other hosts that have waited for the document
+ * that is in force now. gw_close_early_calls - drop those that wait.
  * gw_add_unable - say that this host can do nothing for a call of another one.
  */
 void gw_init_peers(struct gw_gateway *gateway);
@@ -286,6 +292,8 @@
 void gw_end_forwards(struct gw_gateway *gateway);
 struct hc_request *gw_forward_request(struct gw_call *call);
 void gw_read_forwarded(struct gw_call *call, uint32_t max_attempts);
+void gw_take_early_calls(struct gw_gateway *gateway);
+void gw_close_early_calls(struct gw_gateway *gateway);
 void gw_add_unable(h2o_req_t *req);
 
 /*
