Split forwarded calls by subject

gateway_forward.c had over 600 lines about three things: the hosts that calls can be passed to (gateway_peer.c), forwarding (gateway_forward.c) and calls of other hosts (gateway_forwarded.c).

--- /dev/null
+++ b/gateway_forward.h
@@ -0,0 +1,55 @@
+#ifndef GATEWAY_FORWARD_H
+#define GATEWAY_FORWARD_H
+
+#include "gateway_state.h"
+#include "peer.h"
+
+/*
+ * Calls that are forwarded to another host, because this one reaches no server
+ * (design.md, section 8), and those that other hosts forward to this one:
+ *
+ * gateway_peer.c: the hosts that calls can be passed to.
+ * gateway_forward.c: forwarding a call.
+ * gateway_forwarded.c: calls of other hosts.
+ *
+ * A call is sent to the other host's listener for hosts, with its headers and
+ *
+ *	x-entry-host		the host that forwards it
+ *	x-entry-waited-ms	time since the caller's first try
+ *	x-entry-attempts	servers that may have run it
+ *	x-entry-revision	of the document by which it was routed
+ *
+ * An answer with x-entry-unable says that the host can do nothing for the call.
+ */
+#define GW_FROM_HOST "x-entry-host"
+#define GW_WAITED    "x-entry-waited-ms"
+#define GW_ATTEMPTS  "x-entry-attempts"
+#define GW_REVISION  "x-entry-revision"
+#define GW_UNABLE    "x-entry-unable"
+
+/* Another host that calls can be passed to. */
+struct gw_peer {
+	char *id; /* name and address; key of the table */
+	char *name; /* of text.h */
+	uint64_t order; /* by a hash of both names; the lowest are used */
+	bool same_zone;
+	bool listed;
+	uint32_t in_flight; /* calls */
+	uint32_t failures; /* to take a call, in a row */
+	uint64_t backoff_until_us;
+	struct hc_pool pool;
+};
+
+/*
+ * gw_pick_peer - the host for the next call; NULL: none is listed, or all of those in
+ * use have to be left alone for a while.
+ * gw_peer_was_lost - it could not be reached. gw_peer_was_unable - it said that it can
+ * do nothing for a call. Each leaves it alone for a while, longer with each time in a
+ * row. gw_peer_took - it has taken a call.
+ */
+struct gw_peer *gw_pick_peer(struct gw_gateway *gateway);
+void gw_peer_was_lost(struct gw_peer *peer);
+void gw_peer_was_unable(struct gw_peer *peer);
+void gw_peer_took(struct gw_peer *peer);
+
+#endif
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -14,7 +14,7 @@
  * gateway_attempt.c: attempts at servers.
  * gateway_crash.c: calls that crash servers.
  * gateway_reach.c: whether the servers can be reached.
- * gateway_forward.c: calls that are passed from host to host.
+ * gateway_forward.h: calls that are passed from host to host.
  * gateway_conf.c: configuration from the document and the host list.
  * gateway_route.c: state that routes keep between calls.
  * gateway_log.c: log lines about calls.
@@ -259,7 +259,7 @@
 bool gw_reaches_badly(struct gw_gateway *gateway);
 
 /*
- * gateway_forward.c
+ * gateway_peer.c, gateway_forward.c, gateway_forwarded.c
  *
  * gw_init_peers, gw_free_peers - the hosts that calls can be passed to.
  * gw_update_peers - take over the list of hosts. gw_close_peers - close the
