Count what a lost host may have sent a forwarded call to

Calls of hosts that reach no server ran on more servers than max-attempts allows.

Cause: when the connection to the host that had such a call was lost, the next host was told that no attempt had been made, and began to count anew.

A host is granted a number of servers now. If it is lost, all that it was granted counts as used, since nobody knows what it did; without a rest the call ends with an unknown outcome. Of three and more, one is kept for that case.

--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -20,6 +20,9 @@
 	struct gw_peer *peer;
 	uint32_t tries;
 	uint32_t lost; /* of these, hosts that could not be reached */
+	uint32_t granted; /* servers that the other host may send it to */
+	uint32_t
+		used; /* those that hosts which were lost may have sent it to */
 	bool unable; /* says the answer */
 	GList link; /* in gw_gateway.forwards */
 };
@@ -41,7 +44,7 @@
 	g_free(text);
 }
 
-static GString *gw_format_forward(const struct gw_call *call)
+static GString *gw_format_forward(const struct gw_call *call, uint32_t granted)
 {
 	const struct gw_gateway *gateway = call->gateway;
 	uint64_t now_us = tm_now_us();
@@ -56,8 +59,7 @@
 	hc_head_add(out, GW_FROM_HOST, strlen(GW_FROM_HOST),
 		    gateway->settings->host, strlen(gateway->settings->host));
 	gw_add_number(out, GW_WAITED, waited_us / GW_US_PER_MS);
-	gw_add_number(out, GW_ATTEMPTS,
-		      call->may_have_run ? call->attempt_count : 0);
+	gw_add_number(out, GW_ATTEMPTS, call->max_attempts - granted);
 	gw_add_revision(out, &call->revision);
 	hc_head_end(out, body ? body->str : NULL, body ? body->len : 0);
 	return out;
@@ -74,13 +76,29 @@
 	gw_complete_call(call, at_caller_result(result, call->may_have_run));
 }
 
+/*
+ * How many servers the next host may send the call to; 0: the call has used up what its
+ * route allows. What a host that is lost has done is not known, so all that it was
+ * granted counts as used. Of three and more, one is kept for that case; of two, both
+ * serve the call better at the other host.
+ */
+static uint32_t gw_next_grant(const struct gw_forward *forward)
+{
+	const struct gw_call *call = forward->call;
+	uint32_t left =
+		call->max_attempts - MIN(forward->used, call->max_attempts);
+
+	return call->idempotent && left > 2 ? left - 1 : left;
+}
+
 static bool gw_start_forward(struct gw_forward *forward)
 {
 	struct gw_call *call = forward->call;
 	struct gw_peer *peer = gw_pick_peer(call->gateway);
 
+	forward->granted = gw_next_grant(forward);
 	if (!peer || forward->tries == GW_MAX_FORWARDS ||
-	    forward->lost == GW_MAX_LOST)
+	    forward->lost == GW_MAX_LOST || !forward->granted)
 		return false;
 	forward->tries++;
 	forward->unable = false;
@@ -88,7 +106,8 @@
 	tx_unref(call->forwarded_to);
 	call->forwarded_to = tx_ref(peer->name);
 	gw_log_forward(call, forward->tries);
-	if (!hc_start(&peer->pool, &forward->http, gw_format_forward(call))) {
+	if (!hc_start(&peer->pool, &forward->http,
+		      gw_format_forward(call, forward->granted))) {
 		forward->lost++;
 		gw_peer_was_lost(peer);
 		return gw_start_forward(forward);
@@ -105,7 +124,8 @@
 		gw_end_forward(forward, ST_GONE);
 	else if (tm_now_us() + GW_FORWARD_MARGIN_US >= call->deadline_us ||
 		 !gw_start_forward(forward))
-		gw_end_forward(forward, ST_NO_SERVER);
+		gw_end_forward(forward,
+			       call->may_have_run ? ST_UNKNOWN : ST_NO_SERVER);
 }
 
 /* Asked again once there is a connection. */
@@ -157,13 +177,17 @@
 	if (end == HC_NOT_SENT && gw_is_wanted(call)) {
 		forward->lost++;
 		gw_peer_was_lost(forward->peer);
+	} else if (end == HC_NO_ANSWER) {
+		gw_peer_broke_off(forward->peer);
 	} else if (forward->unable) {
 		gw_peer_was_unable(forward->peer);
 	} else if (end != HC_NOT_SENT) {
 		gw_peer_took(forward->peer);
 	}
-	if (end == HC_NO_ANSWER)
+	if (end == HC_NO_ANSWER) {
 		call->may_have_run = true;
+		forward->used += forward->granted;
+	}
 	if (end == HC_NOT_SENT || forward->unable ||
 	    (end == HC_NO_ANSWER && call->idempotent))
 		gw_forward_to_next(forward);
--- a/gateway_forward.h
+++ b/gateway_forward.h
@@ -16,7 +16,8 @@
  *
  *	x-entry-host		the host that forwards it
  *	x-entry-waited-ms	time since the caller's first try
- *	x-entry-attempts	servers that may have run it
+ *	x-entry-attempts	servers of those that its route allows that it may not
+ *				be sent to any more
  *	x-entry-revision	of the document by which it was routed
  *
  * An answer with x-entry-unable says that the host can do nothing for the call.
@@ -45,11 +46,13 @@
  * use have to be left alone for a while.
  * gw_peer_was_lost - it could not be reached. gw_peer_was_unable - it said that it can
  * do nothing for a call. Each leaves it alone for a while, longer with each time in a
- * row. gw_peer_took - it has taken a call.
+ * row. gw_peer_broke_off - the same for a connection that was lost with a call: the
+ * others to it may be, too. gw_peer_took - it has taken a call.
  */
 struct gw_peer *gw_pick_peer(struct gw_gateway *gateway);
 void gw_peer_was_lost(struct gw_peer *peer);
 void gw_peer_was_unable(struct gw_peer *peer);
+void gw_peer_broke_off(struct gw_peer *peer);
 void gw_peer_took(struct gw_peer *peer);
 
 #endif
--- a/gateway_peer.c
+++ b/gateway_peer.c
@@ -154,6 +154,12 @@
 	gw_back_off(peer, GW_PEER_UNABLE_BACKOFF_US);
 }
 
+void gw_peer_broke_off(struct gw_peer *peer)
+{
+	gw_peer_was_unable(peer);
+	hc_pool_drop_idle(&peer->pool);
+}
+
 void gw_peer_took(struct gw_peer *peer)
 {
 	peer->failures = 0;
--- /dev/null
+++ b/tests/run_forwarded_attempts.sh
@@ -0,0 +1,68 @@
+#!/bin/bash
+# Guards against a call that runs on more servers than its route allows, because a host
+# that it was passed to is lost and the next one counts anew.
+set -u
+PORT_BASE=${PORT_BASE:-22800}
+. "$(dirname "$0")/lib_platform.sh"
+HOSTS=4 SERVERS=6 WORK_MS=20
+CUT_SOURCE=127.0.0.2 # of host 0
+CALLS=6
+
+# print_once NAME PREFIX ATTEMPTS: a route whose calls may be repeated.
+print_limited() {
+	print_route "$1" "$2" safe desk |
+		sed 's/"max-attempts":2/"max-attempts":'"$3"'/'
+}
+# runs ID: how many servers ran the call.
+runs() { cat "$WORK"/server*.out | grep -c "^$1 "; }
+
+start_platform || exit 1
+start_upstreams
+put_manifest 1 "$(print_limited one /one/ 1),$(print_limited three /three/ 3)" ||
+	fail "the store did not take the manifest"
+for i in $(seq 0 $((HOSTS - 1))); do
+	server_source=$(test "$i" = 0 && echo $CUT_SOURCE)
+	start_follower "$i"
+done
+for i in $(seq 0 $((HOSTS - 1))); do
+	wait_ready "$i" || fail "host $i is not ready"
+done
+sleep 1.5
+cut_source $CUT_SOURCE hang
+passed() {
+	for n in 1 2 3 4; do
+		call_host 0 /one/a "notice-$RANDOM" -o /dev/null >/dev/null &
+	done
+	sleep 0.2
+	grep -q '"event":"forward"' "$WORK/entry0.log"
+}
+check "host 0 passes no call on" within 6 passed
+# The hosts that have the calls are killed, one after the other.
+for route in one three; do
+	for n in $(seq $CALLS); do
+		call_host 0 /$route/a "$route-$n" -o /dev/null -H 'X-Work: 700' \
+			>>"$WORK/answers-$route" &
+		calls="${calls:-} $!"
+	done
+	sleep 0.3
+	victim=$(test $route = one && echo 1 || echo 2)
+	kill_process "entry$victim"
+	wait $calls
+	calls=
+done
+for n in $(seq $CALLS); do
+	check "call $n ran on $(runs "one-$n") servers, allowed 1" \
+		test "$(runs "one-$n")" -le 1
+	check "call $n ran on $(runs "three-$n") servers, allowed 3" \
+		test "$(runs "three-$n")" -le 3
+done
+moved=0
+for n in $(seq $CALLS); do
+	test "$(runs "three-$n")" -gt 1 && moved=$((moved + 1))
+done
+served=$(grep -o ' 200' "$WORK/answers-three" | wc -l)
+check "$served of $CALLS calls that may run three times were served" \
+	test "$served" = $CALLS
+check "no call was passed on again" test $moved -gt 0
+say "failures: $failures"
+test $failures = 0
