Pass no calls to hosts that do not answer

Calls of hosts that reach no server were passed to hosts that had lost power, and waited there until the caller's time was over; then the next ones went there.

Cause: the deadline of the call was the only bound, and a host that kept silent until then counted as sound.

Hosts that have calls are pinged. One that does not answer gets no more until it does; calls that may be repeated, and that their route allows on another server, are passed on to the next host, others end after the third ping or wait (orders). Every build answers the ping with a few bytes.

--- a/gateway.h
+++ b/gateway.h
@@ -68,6 +68,7 @@
 	GPtrArray *peers; /* struct gw_peer, all other hosts, in their order */
 	GHashTable *peer_ids; /* the same by name and address */
 	GQueue forwards; /* struct gw_forward: calls at other hosts */
+	struct tm_sub peer_timer; /* next check of the hosts that have them */
 	GQueue early_calls; /* of other hosts, which wait for a document */
 	struct tm_sub early_timer;
 	uint32_t servers_in_use; /* of the document */
--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -113,6 +113,7 @@
 		return gw_start_forward(forward);
 	}
 	peer->in_flight++;
+	gw_watch_peers(call->gateway);
 	return true;
 }
 
@@ -206,6 +207,36 @@
 	.done = gw_on_forward_done,
 };
 
+/* The host that has the call does not answer. */
+static void gw_leave_peer(struct gw_forward *forward, bool end)
+{
+	struct gw_call *call = forward->call;
+	bool sent = forward->http.state >= HC_SENT;
+	uint32_t used = forward->used + (sent ? forward->granted : 0);
+
+	if (!call->idempotent || call->head_copied ||
+	    (used >= call->max_attempts && !end))
+		return;
+	forward->peer->in_flight--;
+	hc_cancel(&forward->http);
+	forward->used = used;
+	call->may_have_run |= sent;
+	gw_forward_to_next(forward);
+}
+
+void gw_leave_silent_peer(struct gw_peer *peer, bool end)
+{
+	GList *next;
+
+	for (GList *l = peer->gateway->forwards.head; l; l = next) {
+		struct gw_forward *forward = l->data;
+
+		next = l->next;
+		if (forward->peer == peer)
+			gw_leave_peer(forward, end);
+	}
+}
+
 /* Ends the call while its request to the other host may be in progress. */
 static void gw_stop_forward(struct gw_forward *forward, enum st_kind result)
 {
--- a/gateway_forward.h
+++ b/gateway_forward.h
@@ -39,6 +39,11 @@
 	uint32_t failures; /* to take a call, in a row */
 	uint64_t backoff_until_us;
 	struct hc_pool pool;
+	struct gw_gateway *gateway;
+	struct hc_request ping; /* see gw_watch_peers */
+	bool pinging;
+	uint64_t pinged_us; /* start of the latest ping */
+	uint32_t silent_pings; /* without an answer, in a row */
 };
 
 /*
@@ -50,6 +55,16 @@
  * others to it may be, too. gw_peer_took - it has taken a call.
  */
 struct gw_peer *gw_pick_peer(struct gw_gateway *gateway);
+
+/*
+ * gw_watch_peers - ping the hosts that have calls of this one, until none has any. One
+ * that does not answer is silent: it may have lost power, and gets no calls until it
+ * answers a ping again. gw_leave_silent_peer - pass its calls on that may be repeated;
+ * END: also end those that cannot be passed on any more.
+ */
+void gw_watch_peers(struct gw_gateway *gateway);
+void gw_leave_silent_peer(struct gw_peer *peer, bool end);
+
 void gw_peer_was_lost(struct gw_peer *peer);
 void gw_peer_was_unable(struct gw_peer *peer);
 void gw_peer_broke_off(struct gw_peer *peer);
--- a/gateway_peer.c
+++ b/gateway_peer.c
@@ -1,7 +1,10 @@
 #include "gateway_forward.h"
 
+#include <stddef.h>
 #include <string.h>
 
+#include "log.h"
+
 enum {
 	GW_PEERS_IN_USE = 8, /* connections must not grow with the hosts */
 	GW_PEER_CONNECTIONS = 256,
@@ -14,9 +17,17 @@
 	 */
 	GW_PEER_LOST_BACKOFF_US = 1000 * 1000,
 	GW_PEER_UNABLE_BACKOFF_US = 300 * 1000,
-	GW_PEER_MAX_DOUBLINGS = 4
+	GW_PEER_MAX_DOUBLINGS = 4,
+	GW_PING_US = 150 * 1000,
+	/* A host whose event loop is blocked answers later than others. */
+	GW_PING_TIMEOUT_US = 350 * 1000,
+	/* Calls that cannot be passed on wait for so many pings. */
+	GW_SILENT_PINGS = 3
 };
 
+/* Every build answers this with a few bytes. */
+#define GW_PING_PATH "/alert"
+
 static void gw_free_peer(void *ptr)
 {
 	struct gw_peer *peer = ptr;
@@ -40,6 +51,13 @@
 	g_hash_table_destroy(gateway->peer_ids);
 }
 
+static void gw_on_ping_done(struct hc_request *request, enum hc_end end,
+			    const char *msg);
+
+static const struct hc_handler gw_ping_handler = {
+	.done = gw_on_ping_done,
+};
+
 static struct gw_peer *gw_peer_new(struct gw_gateway *gateway,
 				   const struct pr_host *host,
 				   const struct nt_address *address)
@@ -56,6 +74,8 @@
 	hc_pool_set_connect_timeout(&peer->pool, gateway->timers,
 				    GW_PEER_CONNECT_TIMEOUT_US);
 	peer->pool.max_idle_us = GW_PEER_IDLE_US;
+	peer->gateway = gateway;
+	peer->ping.handler = &gw_ping_handler;
 	return peer;
 }
 
@@ -122,7 +142,8 @@
 		struct gw_peer *peer = g_ptr_array_index(gateway->peers, i);
 		uint64_t cost;
 
-		if (!peer->listed || now_us < peer->backoff_until_us)
+		if (!peer->listed || peer->silent_pings ||
+		    now_us < peer->backoff_until_us)
 			continue;
 		used++;
 		cost = ((uint64_t)peer->in_flight * 2 + !peer->same_zone) *
@@ -165,11 +186,91 @@
 	peer->failures = 0;
 }
 
+/* Pings */
+
+static void gw_peer_is_silent(struct gw_peer *peer)
+{
+	peer->silent_pings++;
+	if (peer->silent_pings == 1) {
+		lg_info("forwarding", "%s does not answer, gets no calls",
+			peer->name);
+		gw_peer_was_lost(peer);
+	}
+	hc_pool_drop_idle(&peer->pool);
+	gw_leave_silent_peer(peer, peer->silent_pings >= GW_SILENT_PINGS);
+}
+
+static void gw_on_ping_done(struct hc_request *request, enum hc_end end,
+			    const char *msg)
+{
+	struct gw_peer *peer =
+		(struct gw_peer *)((char *)request -
+				   offsetof(struct gw_peer, ping));
+
+	peer->pinging = false;
+	if (end == HC_COMPLETE && peer->silent_pings) {
+		lg_info("forwarding", "%s answers again", peer->name);
+		peer->silent_pings = 0;
+	} else if (end == HC_NOT_SENT)
+		gw_peer_is_silent(peer);
+}
+
+static void gw_ping(struct gw_peer *peer)
+{
+	GString *out =
+		hc_head_begin("GET", strlen("GET"), GW_PING_PATH,
+			      strlen(GW_PING_PATH), peer->pool.address.text);
+
+	hc_head_end(out, NULL, 0);
+	peer->pinged_us = tm_now_us();
+	peer->pinging = hc_start(&peer->pool, &peer->ping, out);
+}
+
+static void gw_check_peer(struct gw_peer *peer, uint64_t now_us)
+{
+	if (peer->pinging && now_us >= peer->pinged_us + GW_PING_TIMEOUT_US) {
+		peer->pinging = false;
+		hc_cancel(&peer->ping);
+		gw_peer_is_silent(peer);
+	}
+	if (!peer->pinging && (peer->in_flight || peer->silent_pings))
+		gw_ping(peer);
+}
+
+static void gw_on_peer_timer(void *ctx)
+{
+	struct gw_gateway *gateway = ctx;
+	uint64_t now_us = tm_now_us();
+
+	for (guint i = 0; i < gateway->peers->len; i++) {
+		struct gw_peer *peer = g_ptr_array_index(gateway->peers, i);
+
+		if (peer->listed)
+			gw_check_peer(peer, now_us);
+	}
+	if (gateway->forwards.length)
+		gw_watch_peers(gateway);
+}
+
+void gw_watch_peers(struct gw_gateway *gateway)
+{
+	if (gateway->peer_timer.slot)
+		return;
+	gateway->peer_timer.fire = gw_on_peer_timer;
+	gateway->peer_timer.ctx = gateway;
+	tm_subscribe(gateway->timers, &gateway->peer_timer,
+		     tm_now_us() + GW_PING_US);
+}
+
 void gw_close_peers(struct gw_gateway *gateway)
 {
+	tm_cancel(gateway->timers, &gateway->peer_timer);
 	for (guint i = 0; i < gateway->peers->len; i++) {
 		struct gw_peer *peer = g_ptr_array_index(gateway->peers, i);
 
+		if (peer->pinging)
+			hc_cancel(&peer->ping);
+		peer->pinging = false;
 		hc_pool_close(&peer->pool, NULL, NULL);
 	}
 }
--- /dev/null
+++ b/tests/run_forwarded_dark.sh
@@ -0,0 +1,60 @@
+#!/bin/bash
+# Guards against calls that are passed again and again to hosts that do not answer, and
+# wait there until their deadline, while another host answers.
+set -u
+PORT_BASE=${PORT_BASE:-23200}
+. "$(dirname "$0")/lib_platform.sh"
+HOSTS=4 SERVERS=8 WORK_MS=100
+CUT_SOURCE=127.0.0.2 # of host 0; hosts 1 and 2 stand still, 3 is sound
+ROUNDS=20
+CALLS_PER_ROUND=3 # every 100 ms
+
+start_platform || exit 1
+start_upstreams
+put_manifest 1 "$(print_route desk /desk/ safe desk | sed 's/"max-attempts":2/"max-attempts":3/')" ||
+	fail "the store did not take the manifest"
+for i in $(seq 0 $((HOSTS - 1))); do
+	server_source=$(test "$i" = 0 && echo $CUT_SOURCE)
+	start_follower "$i"
+done
+for i in $(seq 0 $((HOSTS - 1))); do
+	wait_ready "$i" || fail "host $i is not ready"
+done
+sleep 1.5
+cut_source $CUT_SOURCE hang
+for n in 1 2 3 4 5 6; do
+	call_host 0 /desk/a "notice-$n" -o /dev/null >/dev/null &
+done
+sleep 2
+kill -STOP "$pid_entry1" "$pid_entry2"
+for n in $(seq $ROUNDS); do
+	for m in $(seq $CALLS_PER_ROUND); do
+		call_host 0 /desk/a "call-$n-$m" -o /dev/null \
+			-w '%{http_code}\n' >>"$WORK/answers" &
+		calls="${calls:-} $!"
+	done
+	sleep 0.1
+done
+wait $calls
+kill -CONT "$pid_entry1" "$pid_entry2"
+served=$(grep -c 200 "$WORK/answers")
+check "$served of $((ROUNDS * CALLS_PER_ROUND)) calls were served" \
+	test "$served" = $((ROUNDS * CALLS_PER_ROUND))
+late=$(grep '"event":"forward"' "$WORK/entry0.log" |
+	grep -cE '"id":"call-(1[0-9]|20)-.*"to":"entry-[12]"')
+check "$late calls went to hosts that had been silent for a second" \
+	test "$late" = 0
+# They get calls again when they answer.
+sleep 0.5
+for n in 1 2 3 4 5 6; do
+	call_host 0 /desk/a "again-$n" -o /dev/null >/dev/null &
+done
+wait $!
+again() {
+	call_host 0 /desk/a "again-$RANDOM" -o /dev/null >/dev/null
+	grep '"event":"forward"' "$WORK/entry0.log" |
+		grep -qE '"id":"again-.*"to":"entry-[12]"'
+}
+check "no call goes to them when they answer again" within 6 again
+say "failures: $failures"
+test $failures = 0
