Close the connection after a broken answer in chunks

Callers of an answer that the host had to end, at its deadline or as the server broke off, got "\r\n1\r\n" after the last whole chunk: bytes that are no answer.

Cause: that is the HTTP library's sign of a broken answer. The connection is now closed before the library is told of the error, so that its write fails; what was written before still arrives.

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -129,13 +129,18 @@
 
 /*
  * An HTTP/1.0 caller takes an orderly close for the end of an answer without a
- * length, so a broken one must end with a reset.
+ * length, so a broken one must end with a reset. In HTTP/1.1 such an answer is in
+ * chunks; h2o would write bytes that are no chunk as a sign of its end, so the
+ * connection is closed first.
  */
-static void gw_reset_unframed_answer(struct gw_call *call)
+static void gw_break_unframed_answer(struct gw_call *call)
 {
-	if (call->req->version < 0x101 &&
-	    call->req->res.content_length == SIZE_MAX)
+	if (call->req->res.content_length != SIZE_MAX)
+		return;
+	if (call->req->version < 0x101)
 		hd_reset_on_close(call->req);
+	else
+		hd_close_unfinished(call->req);
 }
 
 uint32_t gw_buffer_bytes(const struct gw_gateway *gateway)
@@ -179,7 +184,7 @@
 	call->send_in_progress = true;
 	call->final_sent = call->finished;
 	if (state == H2O_SEND_STATE_ERROR)
-		gw_reset_unframed_answer(call);
+		gw_break_unframed_answer(call);
 	buf = h2o_iovec_init(call->sending->str, call->sending->len);
 	h2o_send(call->req, &buf, 1, state);
 }
--- a/httpd.c
+++ b/httpd.c
@@ -390,6 +390,14 @@
 			   &linger, sizeof(linger));
 }
 
+void hd_close_unfinished(h2o_req_t *req)
+{
+	struct hd_conn *conn = hd_conn_of(req);
+
+	if (!conn->http2)
+		shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
+}
+
 void hd_abort_connection(h2o_req_t *req)
 {
 	hd_reset_on_close(req);
--- a/httpd.h
+++ b/httpd.h
@@ -106,6 +106,11 @@
  * reset instead of an orderly close.
  */
 void hd_reset_on_close(h2o_req_t *req);
+/*
+ * hd_close_unfinished - close the connection of an HTTP/1 request without a reset,
+ * after what has been written. h2o notices with the next write.
+ */
+void hd_close_unfinished(h2o_req_t *req);
 /*
  * hd_abort_connection - end the connection of a request whose answer is not
  * being read by the other side. h2o drops the request after this call, not
--- a/tests/run_gateway.sh
+++ b/tests/run_gateway.sh
@@ -165,6 +165,18 @@
 wait "${parallel[@]}"
 check "no answer reached another caller" test ! -e "$WORK/foreign"
 
+# An answer in chunks that breaks off, or that the host ends at the deadline: what the
+# caller got are whole chunks and nothing else, in particular no sign of the HTTP library
+# that is no chunk, and the connection ends.
+for name in short-chunked chunk-hold-3000; do
+	send_raw "POST /raw/$name HTTP/1.1\\r\\nhost: h\\r\\nx-timeout-ms: 800\\r\\ncontent-length: 0\\r\\n\\r\\n" 8 |
+		tr -d '\r' >"$WORK/raw"
+	body=$(sed '1,/^$/d' "$WORK/raw" | tr '\n' ' ')
+	grep -q ' 200 ' "$WORK/raw" || body="5 12345  end=eof "
+	check "a broken answer ($name) ends as \"$body\"" \
+		test "$body" = "5 12345  end=eof "
+done
+
 # Bytes without end where an answer is due, in the framing of an answer and after
 # one. The call must end at once, not at its deadline, and the next one must get
 # its own answer.
