Let the last report of servers count when no probe is answered

Beside load, 1 or 2 of some 400 calls were refused as if all servers were full, after 42 to 62 ms, although a server had said before that it had a slot.

Cause: a call that has waited for an eighth of its target takes a contended slot, but only at a server that has answered its probes. If none had, it was refused, while the choice before the wait does go by what servers said before.

--- a/core_ask.c
+++ b/core_ask.c
@@ -334,6 +334,9 @@
 	const struct core_service *service = core_service(core, call->service);
 	uint32_t best =
 		core_ask_best(core, service, call, true, CORE_NEED_NOTHING);
+	/* If no server has answered, what they said before counts. */
+	bool all = core_ask_best(core, service, call, false,
+				 CORE_NEED_NOTHING) == CORE_NO_SERVER;
 	uint32_t server = CORE_NO_SERVER;
 
 	core_ask_record_inputs(core, call, best);
@@ -342,10 +345,10 @@
 			core_ask_pause(core, call);
 			return;
 		}
-		server = core_ask_best(core, service, call, false,
-				       CORE_NEED_SLOT);
+		server =
+			core_ask_best(core, service, call, all, CORE_NEED_SLOT);
 		if (server == CORE_NO_SERVER)
-			server = core_ask_best(core, service, call, false,
+			server = core_ask_best(core, service, call, all,
 					       CORE_NEED_SPARE);
 	}
 	if (server != CORE_NO_SERVER)
--- a/tests/test_ask.c
+++ b/tests/test_ask.c
@@ -298,6 +298,27 @@
 }
 END_TEST
 
+/*
+ * Guards against refusing a call as if all servers were full, although each had a slot
+ * when it last said, because no probe of the call is answered in time.
+ */
+START_TEST(unanswered_probes_do_not_fill_servers)
+{
+	uint64_t id;
+
+	for (uint32_t s = 0; s < SERVERS; s++)
+		post_report(s, SLOTS - 1, 100);
+	now_us += 100 * MS;
+	id = start_call(true, 2);
+	for (int i = 0; i < 50 && !find_action(CORE_ACT_FINISH, id) &&
+			!find_action(CORE_ACT_SEND, id);
+	     i++)
+		fire_timer(id);
+	ck_assert_ptr_null(find_action(CORE_ACT_FINISH, id));
+	ck_assert_uint_eq(count_actions(CORE_ACT_SEND, id), 1);
+}
+END_TEST
+
 /*
  * Guards against overestimating the load: a report on an answer still counts
  * the answered call, a report of a probe counts only running calls.
@@ -641,6 +662,7 @@
 	tcase_add_test(tests, chooses_undisturbed_server);
 	tcase_add_test(tests, avoids_unresponsive_server);
 	tcase_add_test(tests, refuses_early_when_all_servers_are_full);
+	tcase_add_test(tests, unanswered_probes_do_not_fill_servers);
 	tcase_add_test(tests, answered_call_is_not_counted_as_running);
 	tcase_add_test(tests, waits_for_uncontended_slot);
 	tcase_add_test(tests, uses_all_slots_without_contention);
