Tell different hosts of a planned stop

Cause: news are pushed to four members that are drawn one by one, so that of three others one is left out in one of five cases. The next round comes after the stop. Four different members get them now, from a random one on.

--- a/peer_gossip.c
+++ b/peer_gossip.c
@@ -203,6 +203,25 @@
 			  member, NULL);
 }
 
+/* To PR_PUSH_FANOUT different live members, from a random one on. */
+static void pr_push_to_some(struct pr_gossip *gossip, uint64_t now_us)
+{
+	const GPtrArray *members = gossip->table.members;
+	guint first =
+		members->len ? g_rand_int(gossip->random) % members->len : 0;
+	uint32_t sent = 0;
+
+	for (guint i = 0; i < members->len && sent < PR_PUSH_FANOUT; i++) {
+		struct pr_member *member =
+			members->pdata[(first + i) % members->len];
+
+		if (!pr_member_is_live(member))
+			continue;
+		pr_send_call(gossip, member, now_us);
+		sent++;
+	}
+}
+
 /*
  * Calls random live members now, or at a later tick if the last push was less
  * than PR_PUSH_INTERVAL_US ago.
@@ -214,13 +233,7 @@
 		return;
 	gossip->push_pending = false;
 	gossip->last_push_us = now_us;
-	for (int i = 0; i < PR_PUSH_FANOUT; i++) {
-		struct pr_member *member =
-			pr_table_pick_random(&gossip->table, true);
-
-		if (member)
-			pr_send_call(gossip, member, now_us);
-	}
+	pr_push_to_some(gossip, now_us);
 }
 
 /* Calls a live member and suspects it if it does not reply. */
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -360,6 +360,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a host that ends while another one still counts it as live: of few
+ * hosts each must hear of a planned stop at once, though calls go to random ones.
+ */
+START_TEST(every_host_of_few_hears_of_a_stop)
+{
+	enum { COUNT = 4, SEEDS = 20 };
+
+	for (guint32 seed = 0; seed < SEEDS; seed++) {
+		struct sim sim;
+		const struct pr_member *member;
+
+		sim_init(&sim, COUNT);
+		sim_run(&sim, 5 * second_us);
+		g_rand_set_seed(sim.hosts[3].gossip.random, seed);
+		pr_gossip_drain(&sim.hosts[3].gossip, sim.now_us);
+		sim_run(&sim, second_us / 20);
+		for (int i = 0; i < COUNT - 1; i++) {
+			member = pr_table_find(&sim.hosts[i].gossip.table,
+					       sim.hosts[3].name);
+			ck_assert_ptr_nonnull(member);
+			ck_assert(member->draining);
+		}
+		sim_free(&sim);
+	}
+}
+END_TEST
+
 /* Returns the messages that a host sends in 10 s; BYTES receives their size. */
 static double measure_traffic_per_host(uint32_t count, double *bytes)
 {
@@ -433,6 +461,7 @@
 	tcase_add_test(members, paused_and_restarted_hosts_are_listed_again);
 	tcase_add_test(members, flapping_host_is_held_back);
 	tcase_add_test(members, platform_list_makes_no_host_live);
+	tcase_add_test(members, every_host_of_few_hears_of_a_stop);
 	tcase_add_test(members, traffic_per_host_does_not_grow_with_host_count);
 	tcase_add_test(members, generation_reaches_every_host);
 	suite_add_tcase(suite, wire);
