Ping silent hosts as long as servers are not reached

The pings ended with the last call at another host, so a host that had been silent then got no calls after it was back, until calls went to others.

--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -96,6 +96,7 @@
 	struct gw_call *call = forward->call;
 	struct gw_peer *peer = gw_pick_peer(call->gateway);
 
+	gw_watch_peers(call->gateway);
 	forward->granted = gw_next_grant(forward);
 	if (!peer || forward->tries == GW_MAX_FORWARDS ||
 	    forward->lost == GW_MAX_LOST || !forward->granted)
@@ -113,7 +114,6 @@
 		return gw_start_forward(forward);
 	}
 	peer->in_flight++;
-	gw_watch_peers(call->gateway);
 	return true;
 }
 
--- a/gateway_forward.h
+++ b/gateway_forward.h
@@ -57,9 +57,9 @@
 struct gw_peer *gw_pick_peer(struct gw_gateway *gateway);
 
 /*
- * gw_watch_peers - ping the hosts that have calls of this one, until none has any. One
- * that does not answer is silent: it may have lost power, and gets no calls until it
- * answers a ping again. gw_leave_silent_peer - pass its calls on that may be repeated;
+ * gw_watch_peers - ping the hosts that have calls of this one, until none has any, and
+ * silent ones as long as this host reaches no server. A silent host did not answer a
+ * ping: it may have lost power, and gets no calls until it answers one. gw_leave_silent_peer - pass its calls on that may be repeated;
  * END: also end those that cannot be passed on any more.
  */
 void gw_watch_peers(struct gw_gateway *gateway);
--- a/gateway_peer.c
+++ b/gateway_peer.c
@@ -21,6 +21,8 @@
 	GW_PING_US = 150 * 1000,
 	/* A host whose event loop is blocked answers later than others. */
 	GW_PING_TIMEOUT_US = 350 * 1000,
+	/* Of a host without calls, to notice that it answers again. */
+	GW_SILENT_PING_US = 1000 * 1000,
 	/* Calls that cannot be passed on wait for so many pings. */
 	GW_SILENT_PINGS = 3
 };
@@ -233,7 +235,9 @@
 		hc_cancel(&peer->ping);
 		gw_peer_is_silent(peer);
 	}
-	if (!peer->pinging && (peer->in_flight || peer->silent_pings))
+	if (!peer->pinging && (peer->in_flight ||
+			       (peer->silent_pings &&
+				now_us >= peer->pinged_us + GW_SILENT_PING_US)))
 		gw_ping(peer);
 }
 
@@ -241,14 +245,17 @@
 {
 	struct gw_gateway *gateway = ctx;
 	uint64_t now_us = tm_now_us();
+	bool any_silent = false;
 
 	for (guint i = 0; i < gateway->peers->len; i++) {
 		struct gw_peer *peer = g_ptr_array_index(gateway->peers, i);
 
 		if (peer->listed)
 			gw_check_peer(peer, now_us);
+		any_silent |= peer->listed && peer->silent_pings;
 	}
-	if (gateway->forwards.length)
+	if (gateway->forwards.length ||
+	    (any_silent && gateway->reach.cut_since_us))
 		gw_watch_peers(gateway);
 }
 
--- a/tests/run_forwarded_dark.sh
+++ b/tests/run_forwarded_dark.sh
@@ -56,5 +56,24 @@
 		grep -qE '"id":"again-.*"to":"entry-[12]"'
 }
 check "no call goes to them when they answer again" within 6 again
+
+# All of them stand still until no call is at any, and come back while none is made.
+kill -STOP "$pid_entry1" "$pid_entry2" "$pid_entry3"
+calls=
+for n in $(seq 12); do
+	call_host 0 /desk/a "none-$n" -o /dev/null >/dev/null &
+	calls="$calls $!"
+	sleep 0.2
+done
+wait $calls
+kill -CONT "$pid_entry1" "$pid_entry2" "$pid_entry3"
+sleep 3
+served=0
+for n in $(seq 12); do
+	test "$(call_host 0 /desk/a "back-$n" -o /dev/null)" = " 200" &&
+		served=$((served + 1))
+done
+check "$served of 12 calls were served after all hosts had come back" \
+	test $served = 12
 say "failures: $failures"
 test $failures = 0
--- a/tests/tool_endless.c
+++ b/tests/tool_endless.c
@@ -184,7 +184,7 @@
 /* Whether the connection comes from a host that is cut off. */
 static bool is_cut(int fd)
 {
-	struct sockaddr_in peer;
+	struct sockaddr_in peer = { 0 };
 	socklen_t bytes = sizeof(peer);
 
 	return !getpeername(fd, (struct sockaddr *)&peer, &bytes) &&
