--- a/console.c
+++ b/console.c
@@ -641,14 +641,13 @@
 	g_string_append(page, "<h2>Services</h2><table><tr><th>Service</th>"
 			      "<th>In flight</th><th>Queued</th>"
 			      "<th>Servers usable</th><th>Servers</th></tr>");
-	for (guint i = 0; i < gateway->service_names->len; i++) {
+	for (guint i = 0; i < tx_list_count(&gateway->services); i++) {
 		struct core_service_stats stats;
 
 		if (!core_service_stats(&gateway->core, i, &stats))
 			continue;
 		g_string_append(page, "<tr><td>");
-		cs_append_escaped(page,
-				  g_ptr_array_index(gateway->service_names, i));
+		cs_append_escaped(page, tx_list_name(&gateway->services, i));
 		g_string_append_printf(page,
 				       "</td><td>%u</td><td>%u</td><td>%u</td>"
 				       "<td>%u</td></tr>",
--- a/gateway.c
+++ b/gateway.c
@@ -254,10 +254,7 @@
 {
 	gateway->servers = g_ptr_array_new();
 	gw_init_peers(gateway);
-	gateway->service_names =
-		g_ptr_array_new_with_free_func((GDestroyNotify)tx_unref);
-	gateway->service_indices =
-		g_hash_table_new(g_direct_hash, g_direct_equal);
+	tx_list_init(&gateway->services);
 	gateway->hosts = gw_hosts_new();
 	gateway->server_ids =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -401,8 +398,7 @@
 	g_ptr_array_set_free_func(gateway->servers, gw_free_server);
 	g_ptr_array_free(gateway->servers, TRUE);
 	gw_free_peers(gateway);
-	g_hash_table_destroy(gateway->service_indices);
-	g_ptr_array_free(gateway->service_names, TRUE);
+	tx_list_free(&gateway->services);
 	g_array_free(gateway->hosts, TRUE);
 	g_hash_table_destroy(gateway->server_ids);
 	g_hash_table_destroy(gateway->calls);
--- a/gateway.h
+++ b/gateway.h
@@ -45,9 +45,7 @@
 	GRand *random;
 	struct doc_document *document;
 	GPtrArray *servers; /* struct gw_server by core id */
-	GPtrArray *service_names; /* of text.h, by core id */
-	GHashTable
-		*service_indices; /* core id + 1, by the pointer of the name */
+	struct tx_list services; /* names by core id */
 	GHashTable *server_ids; /* "name address incarnation" to gw_server */
 	GArray *hosts; /* struct gw_host, the live entry hosts */
 	uint32_t *service_ids; /* core ids by index in the document */
--- a/gateway_conf.c
+++ b/gateway_conf.c
@@ -54,21 +54,6 @@
 	return server;
 }
 
-/* A service keeps its id as long as the process runs. */
-static uint32_t gw_service_id(struct gw_gateway *gateway, char *name)
-{
-	guint at = GPOINTER_TO_UINT(
-		g_hash_table_lookup(gateway->service_indices, name));
-
-	if (at)
-		return at - 1;
-	g_ptr_array_add(gateway->service_names, tx_ref(name));
-	at = gateway->service_names->len;
-	g_hash_table_insert(gateway->service_indices, name,
-			    GUINT_TO_POINTER(at));
-	return at - 1;
-}
-
 static void gw_build_service_conf(struct gw_gateway *gateway,
 				  const struct doc_service *service,
 				  struct core_service_conf *conf)
@@ -76,7 +61,7 @@
 	struct core_server_conf *servers =
 		g_new0(struct core_server_conf, service->server_count);
 
-	conf->id = gw_service_id(gateway, service->name);
+	conf->id = tx_list_index(&gateway->services, service->name);
 	conf->policy = service->policy;
 	conf->queue_limit = service->queue_limit;
 	conf->retry_percent = service->retry_percent;
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -62,10 +62,9 @@
 	gw_set_text(line, "id", call->request_id);
 	if (call->route)
 		gw_set_text(line, "route", call->route);
-	if (call->service < gateway->service_names->len)
+	if (call->service < tx_list_count(&gateway->services))
 		gw_set_text(line, "service",
-			    g_ptr_array_index(gateway->service_names,
-					      call->service));
+			    tx_list_name(&gateway->services, call->service));
 	gw_set_number(line, "generation", call->generation);
 	if (call->waited_us)
 		gw_set_number(line, "waited_ms",
@@ -163,11 +162,10 @@
 	uint64_t took_us = tm_now_us() - call->begin_us;
 	json_t *line;
 
-	if (call->service < call->gateway->service_names->len)
-		hg_observe(g_ptr_array_index(call->gateway->service_names,
-					     call->service),
-			   success ? "success" : st_name(call->result),
-			   took_us);
+	if (call->service < tx_list_count(&call->gateway->services))
+		hg_observe(
+			tx_list_name(&call->gateway->services, call->service),
+			success ? "success" : st_name(call->result), took_us);
 	if (!lg_should_write(id))
 		return;
 	line = gw_call_line(call);
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -132,3 +132,21 @@
 			-w '%{http_code} %{time_total}\n' >>"$WORK/calls$1"
 	done 2>/dev/null
 }
+CUT_SOURCE=127.0.0.2
+# start_stranded_hosts ROUTES CUT: starts the store, SERVERS servers with a manifest of
+# these routes, and HOSTS hosts. The first CUT of these have CUT_SOURCE as their address
+# towards servers, and can be cut off by it.
+start_stranded_hosts() {
+	local i
+	start_platform || exit 1
+	start_upstreams
+	put_manifest 1 "$1" || fail "the store did not take the manifest"
+	for i in $(seq 0 $((HOSTS - 1))); do
+		server_source=$(test "$i" -lt "$2" && echo $CUT_SOURCE)
+		start_follower "$i"
+	done
+	for i in $(seq 0 $((HOSTS - 1))); do
+		wait_ready "$i" || fail "host $i is not ready"
+	done
+	sleep 1.5
+}
--- a/tests/run_forwarded_attempts.sh
+++ b/tests/run_forwarded_attempts.sh
@@ -5,10 +5,9 @@
 PORT_BASE=${PORT_BASE:-22800}
 . "$(dirname "$0")/lib_platform.sh"
 HOSTS=4 SERVERS=6 WORK_MS=20
-CUT_SOURCE=127.0.0.2 # of host 0
 CALLS=6
 
-# print_once NAME PREFIX ATTEMPTS: a route whose calls may be repeated.
+# print_limited NAME PREFIX ATTEMPTS: a route whose calls may be repeated.
 print_limited() {
 	print_route "$1" "$2" safe desk |
 		sed 's/"max-attempts":2/"max-attempts":'"$3"'/'
@@ -16,18 +15,7 @@
 # runs ID: how many servers ran the call.
 runs() { cat "$WORK"/server*.out | grep -c "^$1 "; }
 
-start_platform || exit 1
-start_upstreams
-put_manifest 1 "$(print_limited one /one/ 1),$(print_limited three /three/ 3)" ||
-	fail "the store did not take the manifest"
-for i in $(seq 0 $((HOSTS - 1))); do
-	server_source=$(test "$i" = 0 && echo $CUT_SOURCE)
-	start_follower "$i"
-done
-for i in $(seq 0 $((HOSTS - 1))); do
-	wait_ready "$i" || fail "host $i is not ready"
-done
-sleep 1.5
+start_stranded_hosts "$(print_limited one /one/ 1),$(print_limited three /three/ 3)" 1
 cut_source $CUT_SOURCE hang
 passed() {
 	for n in 1 2 3 4; do
--- a/tests/run_forwarded_config.sh
+++ b/tests/run_forwarded_config.sh
@@ -6,7 +6,7 @@
 PORT_BASE=${PORT_BASE:-22400}
 . "$(dirname "$0")/lib_platform.sh"
 HOSTS=3 SERVERS=4 WORK_MS=20
-CUT_SOURCE=127.0.0.2 # of host 0; host 1 stands still, host 2 is sound
+# Host 0 is cut off, host 1 stands still, host 2 is sound.
 CALLS=12
 
 start_platform || exit 1
--- a/tests/run_forwarded_dark.sh
+++ b/tests/run_forwarded_dark.sh
@@ -5,22 +5,11 @@
 PORT_BASE=${PORT_BASE:-23200}
 . "$(dirname "$0")/lib_platform.sh"
 HOSTS=4 SERVERS=8 WORK_MS=100
-CUT_SOURCE=127.0.0.2 # of host 0; hosts 1 and 2 stand still, 3 is sound
+# Host 0 is cut off, hosts 1 and 2 stand still, 3 is sound.
 ROUNDS=20
 CALLS_PER_ROUND=3 # every 100 ms
 
-start_platform || exit 1
-start_upstreams
-put_manifest 1 "$(print_route desk /desk/ safe desk | sed 's/"max-attempts":2/"max-attempts":3/')" ||
-	fail "the store did not take the manifest"
-for i in $(seq 0 $((HOSTS - 1))); do
-	server_source=$(test "$i" = 0 && echo $CUT_SOURCE)
-	start_follower "$i"
-done
-for i in $(seq 0 $((HOSTS - 1))); do
-	wait_ready "$i" || fail "host $i is not ready"
-done
-sleep 1.5
+start_stranded_hosts "$(print_route desk /desk/ safe desk | sed 's/"max-attempts":2/"max-attempts":3/')" 1
 cut_source $CUT_SOURCE hang
 for n in 1 2 3 4 5 6; do
 	call_host 0 /desk/a "notice-$n" -o /dev/null >/dev/null &
--- a/tests/run_stranded.sh
+++ b/tests/run_stranded.sh
@@ -10,7 +10,6 @@
 . "$(dirname "$0")/lib_platform.sh"
 HOSTS=4 SERVERS=8 WORK_MS=20
 # Hosts 0 and 1 are cut off, 2 and 3 are not.
-CUT_SOURCE=127.0.0.2
 # Time after which a cut must not matter any more (stable-window-s).
 NOTICE_S=3
 CALLS=30
@@ -57,18 +56,7 @@
 }
 sends() { grep -c '"event":"send"' "$WORK/entry$1.log"; }
 
-start_platform || exit 1
-start_upstreams
-put_manifest 1 "$(print_route desk /desk/ safe desk),$(print_route order /order/ unsafe desk)" ||
-	fail "the store did not take the manifest"
-for i in $(seq 0 $((HOSTS - 1))); do
-	server_source=$(test "$i" -lt 2 && echo $CUT_SOURCE)
-	start_follower "$i"
-done
-for i in $(seq 0 $((HOSTS - 1))); do
-	wait_ready "$i" || fail "host $i is not ready"
-done
-sleep 1.5
+start_stranded_hosts "$(print_route desk /desk/ safe desk),$(print_route order /order/ unsafe desk)" 2
 check_served "before"
 for mode in hang reset reset-new; do
 	cut_source $CUT_SOURCE $mode
--- a/tests/run_stranded_most.sh
+++ b/tests/run_stranded_most.sh
@@ -7,22 +7,10 @@
 HOSTS=8 SERVERS=6 WORK_MS=20
 # Hosts from this one on are not cut off.
 FIRST_SOUND=6
-CUT_SOURCE=127.0.0.2
 NOTICE_S=3
 CALLS=12
 
-start_platform || exit 1
-start_upstreams
-put_manifest 1 "$(print_route desk /desk/ safe desk)" ||
-	fail "the store did not take the manifest"
-for i in $(seq 0 $((HOSTS - 1))); do
-	server_source=$(test "$i" -lt $FIRST_SOUND && echo $CUT_SOURCE)
-	start_follower "$i"
-done
-for i in $(seq 0 $((HOSTS - 1))); do
-	wait_ready "$i" || fail "host $i is not ready"
-done
-sleep 1.5
+start_stranded_hosts "$(print_route desk /desk/ safe desk)" $FIRST_SOUND
 cut_source $CUT_SOURCE hang
 for host in $(seq 0 $((FIRST_SOUND - 1))); do
 	for n in 1 2 3 4 5 6; do
--- a/text.h
+++ b/text.h
@@ -1,6 +1,7 @@
 #ifndef TEXT_H
 #define TEXT_H
 
+#include <stdint.h>
 #include <glib.h>
 
 /*
@@ -35,4 +36,29 @@
 	*at = name;
 }
 
+/*
+ * A list of different names that keep their index.
+ *
+ * tx_list_init, tx_list_free - on memory of the caller.
+ * tx_list_index - index of NAME, which is added if it is new. Source: text.c
+ */
+struct tx_list {
+	GPtrArray *names;
+	GHashTable *indices; /* index + 1, by the pointer of the name */
+};
+
+void tx_list_init(struct tx_list *list);
+void tx_list_free(struct tx_list *list);
+uint32_t tx_list_index(struct tx_list *list, char *name);
+
+static inline uint32_t tx_list_count(const struct tx_list *list)
+{
+	return list->names->len;
+}
+
+static inline char *tx_list_name(const struct tx_list *list, uint32_t index)
+{
+	return g_ptr_array_index(list->names, index);
+}
+
 #endif
