run_restored: wait until hosts have read what the copy lacks

The test restored the store as soon as the new manifest was in force. The rows of the servers are read by another call, up to half a second later, so they could be lost before any host had read them, and then nobody can know them. All checks are as they were.

--- a/tests/run_restored.sh
+++ b/tests/run_restored.sh
@@ -79,6 +79,17 @@
 put_entry 2 other ready 1
 drop_row servers s3
 within 3 hosts_answer /second/a || fail "version 2 is not in force"
+# What no host has read before the restore, no host can know after it.
+rows_are_read() {
+	local i
+	for i in $HOSTS; do
+		grep -q '"s1 other at .* leaving"' "$WORK/entry$i.log" &&
+			grep -q '"s2 other at' "$WORK/entry$i.log" &&
+			grep -q 'entry of s3 was removed' "$WORK/entry$i.log" ||
+			return 1
+	done
+}
+within 3 rows_are_read || fail "the rows of the servers are not read"
 lost_version=$(store_version)
 restore_store
 
