--- a/document.c
+++ b/document.c
@@ -746,9 +746,14 @@
 	return best;
 }
 
-bool doc_is_earlier(const struct doc_revision *a, const struct doc_revision *b)
+GHashTable *doc_index_services(const struct doc_document *document)
 {
-	return a->era < b->era || (a->era == b->era && a->version < b->version);
+	GHashTable *index = g_hash_table_new(g_direct_hash, g_direct_equal);
+
+	for (uint32_t i = 0; i < document->service_count; i++)
+		g_hash_table_insert(index, document->services[i].name,
+				    GUINT_TO_POINTER(i + 1));
+	return index;
 }
 
 const struct doc_rule *doc_find_rule(const struct doc_service *service,
--- a/document.h
+++ b/document.h
@@ -9,6 +9,7 @@
 
 #include "core.h"
 #include "net.h"
+#include "position.h"
 #include "status.h"
 #include "text.h"
 #include "yaml_tree.h"
@@ -116,18 +117,15 @@
 	uint32_t weight;
 };
 
-/* Position in the platform's store; both 0: not from there. */
-struct doc_revision {
-	uint64_t era;
-	uint64_t version;
-};
-
 /* A checked document. Immutable; shared by reference count. */
 struct doc_document {
 	uint32_t refs;
 	uint64_t generation; /* 0 until it is accepted */
-	/* Orders documents from the platform, whose generations may go back. */
-	struct doc_revision revision;
+	/*
+	 * Of its manifest, to order documents from the platform, whose generations
+	 * may go back; both 0: not from there.
+	 */
+	struct ps_position revision;
 	char digest[DOC_DIGEST_BYTES];
 	char *text;
 	size_t text_bytes;
@@ -207,8 +205,11 @@
 				       const char *host, size_t host_bytes,
 				       const char *path, size_t path_bytes);
 
-/* doc_is_earlier - whether A comes before B. */
-bool doc_is_earlier(const struct doc_revision *a, const struct doc_revision *b);
+/*
+ * doc_index_services - index + 1 of each service by the pointer of its name. Of
+ * services of the same name the last one counts. Release with g_hash_table_destroy.
+ */
+GHashTable *doc_index_services(const struct doc_document *document);
 
 /* doc_find_rule - the first rule that matches METHOD and PATH, or NULL. */
 const struct doc_rule *doc_find_rule(const struct doc_service *service,
--- a/gateway_forward.c
+++ b/gateway_forward.c
@@ -21,8 +21,7 @@
 	uint32_t tries;
 	uint32_t lost; /* of these, hosts that could not be reached */
 	uint32_t granted; /* servers that the other host may send it to */
-	uint32_t
-		used; /* those that hosts which were lost may have sent it to */
+	uint32_t used; /* those that lost hosts may have sent it to */
 	bool unable; /* says the answer */
 	GList link; /* in gw_gateway.forwards */
 };
@@ -35,7 +34,7 @@
 		    gw_format_decimal(value, text));
 }
 
-static void gw_add_revision(GString *out, const struct doc_revision *revision)
+static void gw_add_revision(GString *out, const struct ps_position *revision)
 {
 	char *text = g_strdup_printf("%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
 				     revision->era, revision->version);
--- a/gateway_forward.h
+++ b/gateway_forward.h
@@ -51,23 +51,25 @@
  * use have to be left alone for a while.
  * gw_peer_was_lost - it could not be reached. gw_peer_was_unable - it said that it can
  * do nothing for a call. Each leaves it alone for a while, longer with each time in a
- * row. gw_peer_broke_off - the same for a connection that was lost with a call: the
- * others to it may be, too. gw_peer_took - it has taken a call.
+ * row.
+ * gw_peer_broke_off - the same for a connection that was lost with a call: the others
+ * to it may be, too.
+ * gw_peer_took - it has taken a call.
  */
 struct gw_peer *gw_pick_peer(struct gw_gateway *gateway);
+void gw_peer_was_lost(struct gw_peer *peer);
+void gw_peer_was_unable(struct gw_peer *peer);
+void gw_peer_broke_off(struct gw_peer *peer);
+void gw_peer_took(struct gw_peer *peer);
 
 /*
  * gw_watch_peers - ping the hosts that have calls of this one, until none has any, and
  * silent ones as long as this host reaches no server. A silent host did not answer a
- * ping: it may have lost power, and gets no calls until it answers one. gw_leave_silent_peer - pass its calls on that may be repeated;
- * END: also end those that cannot be passed on any more.
+ * ping: it may have lost power, and gets no calls until it answers one.
+ * gw_leave_silent_peer - pass its calls on that may be repeated; END: also end those
+ * that cannot be passed on any more.
  */
 void gw_watch_peers(struct gw_gateway *gateway);
 void gw_leave_silent_peer(struct gw_peer *peer, bool end);
 
-void gw_peer_was_lost(struct gw_peer *peer);
-void gw_peer_was_unable(struct gw_peer *peer);
-void gw_peer_broke_off(struct gw_peer *peer);
-void gw_peer_took(struct gw_peer *peer);
-
 #endif
--- a/gateway_forwarded.c
+++ b/gateway_forwarded.c
@@ -9,8 +9,10 @@
  * call by what is no longer in force; it may just have been frozen. It waits for the
  * later document, and is unable if that does not come soon.
  */
-/* Longer than a change takes from host to host. */
-enum { GW_OUTDATED_WAIT_US = 500 * 1000 };
+enum {
+	/* Longer than a change takes from host to host. */
+	GW_OUTDATED_WAIT_US = 500 * 1000
+};
 
 /* A call of another host that waits for a later document. */
 struct gw_early_call {
@@ -54,7 +56,7 @@
 static bool gw_is_outdated(const struct gw_gateway *gateway, h2o_req_t *req)
 {
 	h2o_iovec_t header = hd_header(req, GW_REVISION);
-	struct doc_revision revision = { 0 };
+	struct ps_position revision = { 0 };
 	char *text = g_strndup(header.base, header.len);
 	char *end;
 
@@ -64,7 +66,7 @@
 			revision.version = g_ascii_strtoull(end + 1, NULL, 10);
 	}
 	g_free(text);
-	return doc_is_earlier(&gateway->document->revision, &revision);
+	return ps_is_later(&revision, &gateway->document->revision);
 }
 
 static void gw_refuse_forwarded(struct gw_gateway *gateway, h2o_req_t *req)
--- a/gateway_peer.c
+++ b/gateway_peer.c
@@ -1,6 +1,5 @@
 #include "gateway_forward.h"
 
-#include <stddef.h>
 #include <string.h>
 
 #include "log.h"
@@ -78,6 +77,7 @@
 	peer->pool.max_idle_us = GW_PEER_IDLE_US;
 	peer->gateway = gateway;
 	peer->ping.handler = &gw_ping_handler;
+	peer->ping.ctx = peer;
 	return peer;
 }
 
@@ -205,25 +205,22 @@
 static void gw_on_ping_done(struct hc_request *request, enum hc_end end,
 			    const char *msg)
 {
-	struct gw_peer *peer =
-		(struct gw_peer *)((char *)request -
-				   offsetof(struct gw_peer, ping));
+	struct gw_peer *peer = request->ctx;
 
 	peer->pinging = false;
 	if (end == HC_COMPLETE && peer->silent_pings) {
 		lg_info("forwarding", "%s answers again", peer->name);
 		peer->silent_pings = 0;
-	} else if (end == HC_NOT_SENT)
+	} else if (end == HC_NOT_SENT) {
 		gw_peer_is_silent(peer);
+	}
 }
 
 static void gw_ping(struct gw_peer *peer)
 {
-	GString *out =
-		hc_head_begin("GET", strlen("GET"), GW_PING_PATH,
-			      strlen(GW_PING_PATH), peer->pool.address.text);
+	GString *out = pb_format_request(peer->gateway->dialect, GW_PING_PATH,
+					 &peer->pool);
 
-	hc_head_end(out, NULL, 0);
 	peer->pinged_us = tm_now_us();
 	peer->pinging = hc_start(&peer->pool, &peer->ping, out);
 }
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -88,7 +88,7 @@
 	const char *call_id; /* id that the caller sent; NULL: none */
 	char *route; /* NULL: no named route */
 	uint64_t generation; /* of the document when the call arrived */
-	struct doc_revision revision; /* of the same */
+	struct ps_position revision; /* of the same */
 	uint32_t attempt_count;
 	struct core_inputs inputs; /* of the core's last decision */
 	uint64_t deadline_us;
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -133,16 +133,12 @@
 	done 2>/dev/null
 }
 CUT_SOURCE=127.0.0.2
-# start_stranded_hosts ROUTES CUT: starts the store, SERVERS servers with a manifest of
-# these routes, and HOSTS hosts. The first CUT of these have CUT_SOURCE as their address
-# towards servers, and can be cut off by it.
-start_stranded_hosts() {
+# start_hosts_to_cut CUT: starts HOSTS hosts and waits until they are ready. The first
+# CUT of these have CUT_SOURCE as their address towards servers, and can be cut off by it.
+start_hosts_to_cut() {
 	local i
-	start_platform || exit 1
-	start_upstreams
-	put_manifest 1 "$1" || fail "the store did not take the manifest"
 	for i in $(seq 0 $((HOSTS - 1))); do
-		server_source=$(test "$i" -lt "$2" && echo $CUT_SOURCE)
+		server_source=$(test "$i" -lt "$1" && echo $CUT_SOURCE)
 		start_follower "$i"
 	done
 	for i in $(seq 0 $((HOSTS - 1))); do
@@ -150,3 +146,11 @@
 	done
 	sleep 1.5
 }
+# start_stranded_hosts ROUTES CUT: the same after the store and SERVERS servers, with a
+# manifest of these routes.
+start_stranded_hosts() {
+	start_platform || exit 1
+	start_upstreams
+	put_manifest 1 "$1" || fail "the store did not take the manifest"
+	start_hosts_to_cut "$2"
+}
--- a/tests/run_forwarded_config.sh
+++ b/tests/run_forwarded_config.sh
@@ -18,14 +18,7 @@
 routes=$(print_route desk /desk/ safe desk),$(print_route other /other/ safe other)
 put_manifest 1 "$routes,$(print_route order /order/ unsafe desk)" ||
 	fail "the store did not take the manifest"
-for i in $(seq 0 $((HOSTS - 1))); do
-	server_source=$(test "$i" = 0 && echo $CUT_SOURCE)
-	start_follower "$i"
-done
-for i in $(seq 0 $((HOSTS - 1))); do
-	wait_ready "$i" || fail "host $i is not ready"
-done
-sleep 1.5
+start_hosts_to_cut 1
 cut_source $CUT_SOURCE hang
 passed() {
 	for path in /desk/a /other/a; do
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -631,16 +631,16 @@
 {
 	const struct fd_handler handler = { .on_row = ignore_row,
 					    .on_batch_end = ignore_batch_end };
-	const struct pf_position earlier = { .era = 1, .version = 90 };
-	const struct pf_position later = { .era = 2, .version = 20 };
+	const struct ps_position earlier = { .era = 1, .version = 90 };
+	const struct ps_position later = { .era = 2, .version = 20 };
 	struct fd_feed feed = { .handler = &handler,
 				.table = "op",
 				.synced = true,
 				.position = { .era = 1, .version = 80 } };
 	struct pf_row row = { .table = "op", .key = "config" };
 
-	ck_assert(pf_is_later(&later, &earlier));
-	ck_assert(!pf_is_later(&earlier, &later));
+	ck_assert(ps_is_later(&later, &earlier));
+	ck_assert(!ps_is_later(&earlier, &later));
 	feed.rows = g_hash_table_new(g_str_hash, g_str_equal);
 	ck_assert(!fd_may_be_copied(&feed, &row));
 	ck_assert(fd_begin_relayed_table(&feed, &later));
--- a/tests/tool_endless.c
+++ b/tests/tool_endless.c
@@ -22,6 +22,7 @@
 #include <glib.h>
 
 #include "net.h"
+#include "tests/raw_io.h"
 
 #define CUT_SOURCE "127.0.0.2"
 
@@ -69,20 +70,6 @@
 static const char *health_file;
 static const char *cut_file;
 
-static bool write_all(int fd, const char *data, size_t bytes, size_t *written)
-{
-	while (bytes) {
-		ssize_t n = send(fd, data, bytes, MSG_NOSIGNAL);
-
-		if (n <= 0)
-			return false;
-		data += n;
-		bytes -= (size_t)n;
-		*written += (size_t)n;
-	}
-	return true;
-}
-
 /* The value of a header field of the request, or "". */
 static char *field(const char *head, const char *name)
 {
--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -37,6 +37,7 @@
 #include <glib.h>
 
 #include "net.h"
+#include "tests/raw_io.h"
 
 enum { BIG_BODY_BYTES = 64 << 20, CHUNK_BYTES = 64 * 1024, SETTLE_MS = 500 };
 enum { CROWD_MS = 3000 };
@@ -95,22 +96,9 @@
 	exit(2);
 }
 
-static bool write_all(int fd, const char *data, size_t bytes)
-{
-	while (bytes) {
-		ssize_t n = send(fd, data, bytes, MSG_NOSIGNAL);
-
-		if (n <= 0)
-			return false;
-		data += n;
-		bytes -= (size_t)n;
-	}
-	return true;
-}
-
 static bool write_text(int fd, const char *text)
 {
-	return write_all(fd, text, strlen(text));
+	return write_all(fd, text, strlen(text), NULL);
 }
 
 static bool write_big_body(int fd)
@@ -123,7 +111,7 @@
 	if (!write_text(fd, head))
 		return false;
 	for (int sent = 0; sent < BIG_BODY_BYTES; sent += CHUNK_BYTES)
-		if (!write_all(fd, chunk, sizeof(chunk)))
+		if (!write_all(fd, chunk, sizeof(chunk), NULL))
 			return false;
 	return true;
 }
@@ -191,7 +179,7 @@
 	while (block->len < CHUNK_BYTES)
 		g_string_append(block, repeat);
 	while (ok)
-		ok = write_all(fd, block->str, block->len);
+		ok = write_all(fd, block->str, block->len, NULL);
 	g_string_free(block, TRUE);
 	return false;
 }
@@ -338,7 +326,7 @@
 	ssize_t n;
 
 	while ((n = read(STDIN_FILENO, data, sizeof(data))) > 0)
-		if (!write_all(fd, data, (size_t)n))
+		if (!write_all(fd, data, (size_t)n, NULL))
 			return;
 }
 
