Log what callers have of an answer that ends before its end

Cause: nothing in the log told whether a failed call's answer had begun, how much of it had gone out, and how its end shows in its framing.

Change: the fail line of such a call has answer_bytes and framing.

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -135,11 +135,9 @@
  */
 static void gw_break_unframed_answer(struct gw_call *call)
 {
-	if (call->req->res.content_length != SIZE_MAX)
-		return;
-	if (call->req->version < 0x101)
+	if (hd_ends_with_connection(call->req))
 		hd_reset_on_close(call->req);
-	else
+	else if (call->req->res.content_length == SIZE_MAX)
 		hd_close_unfinished(call->req);
 }
 
@@ -185,6 +183,7 @@
 	call->final_sent = call->finished;
 	if (state == H2O_SEND_STATE_ERROR)
 		gw_break_unframed_answer(call);
+	call->answer_bytes += call->sending->len;
 	buf = h2o_iovec_init(call->sending->str, call->sending->len);
 	h2o_send(call->req, &buf, 1, state);
 }
--- a/gateway_log.c
+++ b/gateway_log.c
@@ -141,6 +141,25 @@
 	       call->answer_status < 500;
 }
 
+static const char *gw_framing_name(const h2o_req_t *req)
+{
+	if (req->res.content_length != SIZE_MAX)
+		return "length";
+	if (hd_ends_with_connection(req) || req->version >= 0x200)
+		return "end";
+	return "chunks";
+}
+
+/* What a caller has of an answer that ends before its end. */
+static void gw_set_begun_answer(json_t *line, const struct gw_call *call)
+{
+	if (!call->answer_started)
+		return;
+	gw_set_number(line, "answer_bytes", call->answer_bytes);
+	if (call->req)
+		gw_set_text(line, "framing", gw_framing_name(call->req));
+}
+
 void gw_log_forward(const struct gw_call *call, uint32_t try_number)
 {
 	json_t *line;
@@ -179,6 +198,7 @@
 	gw_set_number(line, "left_ms",
 		      gw_elapsed_ms(tm_now_us(), call->deadline_us));
 	if (!success) {
+		gw_set_begun_answer(line, call);
 		json_object_set_new(line, "caller_left",
 				    json_boolean(gw_caller_left(call)));
 		if (call->result == ST_GONE)
--- a/gateway_state.h
+++ b/gateway_state.h
@@ -121,6 +121,7 @@
 	bool caller_left; /* the core was told */
 	bool head_copied; /* of a server's answer, to the answer to the caller */
 	bool answer_started; /* the head was given to h2o */
+	uint64_t answer_bytes; /* of the body, given to h2o */
 	bool send_in_progress;
 	bool finished; /* RESULT is final */
 	bool final_sent; /* the end of the answer was given to h2o */
--- a/httpd.c
+++ b/httpd.c
@@ -380,6 +380,11 @@
 	       info.tcpi_state != TCP_ESTABLISHED;
 }
 
+bool hd_ends_with_connection(const h2o_req_t *req)
+{
+	return req->version < 0x101 && req->res.content_length == SIZE_MAX;
+}
+
 void hd_reset_on_close(h2o_req_t *req)
 {
 	struct hd_conn *conn = hd_conn_of(req);
--- a/httpd.h
+++ b/httpd.h
@@ -101,6 +101,11 @@
  * the end of TLS. Always false for HTTP/2, where h2o detects the close.
  */
 bool hd_peer_closed(h2o_req_t *req);
+/*
+ * hd_ends_with_connection - whether only the end of its connection can tell an HTTP/1.0
+ * caller where the answer to REQ ends.
+ */
+bool hd_ends_with_connection(const h2o_req_t *req);
 /*
  * hd_reset_on_close - make the connection of an HTTP/1 request end with a TCP
  * reset instead of an orderly close.
