Close a kept HTTP/1.0 connection after an answer without a length

Callers that speak HTTP/1.0 and ask to keep their connection could not tell where an answer without a length ended: the next answer followed on the same connection, as if it were the rest of the body.

Cause: h2o keeps such a connection, although only its end can tell the end of the answer. The host now has it closed after such an answer.

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -157,6 +157,8 @@
 	call->answer_started = true;
 	call->generator.proceed = gw_on_proceed;
 	call->generator.stop = gw_on_stop;
+	if (hd_ends_with_connection(call->req))
+		hd_close_after_answer(call->req);
 	h2o_start_response(call->req, &call->generator);
 }
 
--- a/httpd.c
+++ b/httpd.c
@@ -385,6 +385,11 @@
 	return req->version < 0x101 && req->res.content_length == SIZE_MAX;
 }
 
+void hd_close_after_answer(h2o_req_t *req)
+{
+	req->http1_is_persistent = 0;
+}
+
 void hd_reset_on_close(h2o_req_t *req)
 {
 	struct hd_conn *conn = hd_conn_of(req);
