Let no killed host make a cut HTTP/1.0 answer look whole

A caller that speaks HTTP/1.0 took half an answer without a length for a whole one when its host was killed: the system closes the connection of an ended process in order.

Cause: the reset that marks such an answer as broken was set only when the host itself ended it. It is set from the start of the answer now, and taken back with its last part.

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -128,17 +128,20 @@
 }
 
 /*
- * An HTTP/1.0 caller takes an orderly close for the end of an answer without a
- * length, so a broken one must end with a reset. In HTTP/1.1 such an answer is in
- * chunks; h2o would write bytes that are no chunk as a sign of its end, so the
- * connection is closed first.
+ * How the end of an answer without a length shows. In HTTP/1.0 an orderly close is the
+ * end of a whole one. In HTTP/1.1 it is in chunks; h2o would write bytes that are no
+ * chunk as a sign that it is broken, so the connection is closed first.
  */
-static void gw_break_unframed_answer(struct gw_call *call)
+static void gw_end_unframed_answer(struct gw_call *call, bool whole)
 {
-	if (hd_ends_with_connection(call->req))
-		hd_reset_on_close(call->req);
-	else if (call->req->res.content_length == SIZE_MAX)
-		hd_close_unfinished(call->req);
+	if (call->req->res.content_length != SIZE_MAX)
+		return;
+	if (!hd_ends_with_connection(call->req)) {
+		if (!whole)
+			hd_close_unfinished(call->req);
+	} else if (whole) {
+		hd_end_unframed(call->req);
+	}
 }
 
 uint32_t gw_buffer_bytes(const struct gw_gateway *gateway)
@@ -158,7 +161,7 @@
 	call->generator.proceed = gw_on_proceed;
 	call->generator.stop = gw_on_stop;
 	if (hd_ends_with_connection(call->req))
-		hd_close_after_answer(call->req);
+		hd_begin_unframed(call->req);
 	h2o_start_response(call->req, &call->generator);
 }
 
@@ -183,8 +186,8 @@
 	g_string_truncate(call->unsent, 0);
 	call->send_in_progress = true;
 	call->final_sent = call->finished;
-	if (state == H2O_SEND_STATE_ERROR)
-		gw_break_unframed_answer(call);
+	if (call->finished)
+		gw_end_unframed_answer(call, state == H2O_SEND_STATE_FINAL);
 	call->answer_bytes += call->sending->len;
 	buf = h2o_iovec_init(call->sending->str, call->sending->len);
 	h2o_send(call->req, &buf, 1, state);
--- a/httpd.c
+++ b/httpd.c
@@ -385,21 +385,32 @@
 	return req->version < 0x101 && req->res.content_length == SIZE_MAX;
 }
 
-void hd_close_after_answer(h2o_req_t *req)
-{
-	req->http1_is_persistent = 0;
-}
-
-void hd_reset_on_close(h2o_req_t *req)
+static void hd_set_reset_on_close(h2o_req_t *req, bool reset)
 {
 	struct hd_conn *conn = hd_conn_of(req);
-	struct linger linger = { .l_onoff = 1 };
+	struct linger linger = { .l_onoff = reset };
 
 	if (!conn->http2)
 		setsockopt(h2o_socket_get_fd(conn->sock), SOL_SOCKET, SO_LINGER,
 			   &linger, sizeof(linger));
 }
 
+void hd_begin_unframed(h2o_req_t *req)
+{
+	req->http1_is_persistent = 0;
+	hd_set_reset_on_close(req, true);
+}
+
+void hd_end_unframed(h2o_req_t *req)
+{
+	hd_set_reset_on_close(req, false);
+}
+
+void hd_reset_on_close(h2o_req_t *req)
+{
+	hd_set_reset_on_close(req, true);
+}
+
 void hd_close_unfinished(h2o_req_t *req)
 {
 	struct hd_conn *conn = hd_conn_of(req);
--- a/httpd.h
+++ b/httpd.h
@@ -104,12 +104,13 @@
 /*
  * hd_ends_with_connection - whether only the end of its connection can tell an HTTP/1.0
  * caller where the answer to REQ ends.
- * hd_close_after_answer - keep no connection of HTTP/1 for another request. To be called
- * before the answer starts; h2o by itself keeps one also where the caller cannot tell
- * the end of the answer.
+ * hd_begin_unframed - before such an answer starts: the connection is not kept, which
+ * h2o would do, and ends with a reset however it ends, also with the process.
+ * hd_end_unframed - before its last part is sent: the connection is closed in order.
  */
 bool hd_ends_with_connection(const h2o_req_t *req);
-void hd_close_after_answer(h2o_req_t *req);
+void hd_begin_unframed(h2o_req_t *req);
+void hd_end_unframed(h2o_req_t *req);
 /*
  * hd_reset_on_close - make the connection of an HTTP/1 request end with a TCP
  * reset instead of an orderly close.
