--- /dev/null
+++ b/tests/lib_wire.sh
@@ -0,0 +1,97 @@
+# Functions for runs that compare the bytes of answers on the wire. Sourced like
+# lib_platform.sh, which it includes.
+. "$(dirname "${BASH_SOURCE[0]}")/lib_platform.sh"
+DEADLINE_MS=900 QUIET_S=2
+# So many that none is ejected for its broken answers.
+SERVERS=60
+
+# print_request VERSION METHOD PATH ID [HEADER]: a request as the escapes of printf.
+print_request() {
+	local length=3 body=abc
+	test "$2" = HEAD && length=0 body=
+	say "$2 $3 HTTP/$1\\r\\nHost: x.example\\r\\nAttempt-Id: $4\\r\\nDeadline-Ms: $DEADLINE_MS\\r\\nContent-Length: $length\\r\\n${5:+$5\\r\\n}\\r\\n$body"
+}
+# read_wire: prints the bytes of answers in one line, each head as its status, each body
+# of an error as "error", those of a big body as their number, and how the connection
+# ended.
+read_wire() {
+	tr -d '\0\r' | sed 's/HTTP\/1\.1 /\n&/g; s/{"error"[^}]*}/error/g' | awk '
+		function flush() {
+			if (big != "")
+				printf "big-%d-%d ", x, y
+			if (held != "")
+				printf "%s ", held
+			held = big = ""
+			x = y = 0
+		}
+		/^HTTP\/1.1 / { flush(); printf "[%s] ", $2; head = 1; next }
+		head { if ($0 == "") head = 0; next }
+		# What stands before a part of a big body is the size of a chunk.
+		/^[xy]+$/ {
+			x += gsub(/x/, ""); y += gsub(/y/, "")
+			held = ""; big = 1; next }
+		big != "" && held == "" { held = $0; next }
+		{ flush(); held = $0 }
+		END { flush() }' | tr -s ' ' | sed 's/^ //; s/ $//'
+}
+METHOD=POST PREFIX=order
+# ask HOST VERSION NAME ID [HEADER]: sends a call that is answered in the way NAME, and
+# after it on the same connection one that gets a whole answer. Prints what came. Both
+# are sent at once: a host that closes a connection with unread bytes resets it.
+ask() {
+	printf "$(print_request "$2" $METHOD "/$PREFIX/$3" "$4" "${5:-}")$(
+		print_request "$2" POST /$PREFIX/length-whole "$4-next" "${5:-}")" \
+		>"$WORK/sent-$4"
+	"$BIN/tool_raw" send "127.0.0.1:$((callers_port + $1))" $QUIET_S \
+		<"$WORK/sent-$4" | read_wire
+}
+# The chunks of a whole answer come one by one or together. Of a half of a big body, a
+# reset may take a part.
+join_chunks() {
+	sed -E 's/big-[0-9]+-0 end/big-part end/
+		s/\] (5 12345 5 67890|a 1234567890) 0 /] whole-chunks /
+		s/\] (5 12345 5 67890|a 1234567890) end/] whole-chunks-open end/'
+}
+NEXT="[200] 1234567890"
+
+# expect WHAT WANTED ASK-ARGUMENTS...: starts a call whose wire is compared at the end.
+# WANTED has "|" between wires that are all right.
+cases=0 rounds=0
+expect() {
+	local n=$cases
+	cases=$((cases + 1))
+	ask "$3" "$4" "$5" "call-$rounds-$n" "${6:-}" | join_chunks >"$WORK/wire$n" &
+	callers="${callers:-} $!"
+	what_of[n]="$1: $METHOD $5 over HTTP/$4 ${6:-}" wanted_of[n]=$2
+}
+is_wanted() { # WIRE WANTED
+	case "|$2|" in *"|$1|"*) return 0 ;; esac
+	return 1
+}
+compare_all() {
+	local n wire
+	wait $callers
+	for n in $(seq 0 $((cases - 1))); do
+		wire=$(cat "$WORK/wire$n")
+		is_wanted "$wire" "${wanted_of[n]}" && continue
+		check "${what_of[n]}: \"$wire\", expected \"${wanted_of[n]}\"" false
+		grep -h "\"call-$rounds-$n\"" "$WORK"/entry*.log
+	done
+	cases=0 callers= rounds=$((rounds + 1))
+}
+
+# start_answers ROUTES: starts the servers and host 0, with a manifest of these routes.
+start_answers() {
+	local s
+	start_platform || exit 1
+	start_process servers "$BIN/tool_answers" "127.0.0.1:$servers_port" \
+		$SERVERS $CUT_SOURCE
+	for s in $(seq 0 $((SERVERS - 1))); do
+		put_row servers "s$s" '{"service":"desk","address":"127.0.0.1:'$((servers_port + s))'","zone":"gs-a","version":"v1","slots":200,"state":"ready","warmup-left-s":0,"sequence":1}' ||
+			fail "the store did not take the row of server $s"
+	done
+	put_manifest 1 "$1" || fail "the store did not take the manifest"
+	start_follower 0
+	wait_ready 0 || fail "host 0 is not ready"
+	sleep 1
+}
