Read no body after the head of a 204 or a 304

Callers of a server that sends a body with a 204 or a 304 got that body as bytes that belong to no answer, on a connection that they keep. A 304 that names the length of the answer that it stands for, which is allowed, and a 204 that names one were read on until the deadline, and ended with 502 or 504.

Cause: http-parser reads the body that a head names, whatever the status, unless it is told that there is none; only answers to HEAD were. Now a head with one of these statuses, or a preliminary one, ends its answer. What follows ends the connection to the server as any stray bytes do; after a 204 that names a body none is awaited.

run_answer_retries compares such answers.

--- a/httpc.c
+++ b/httpc.c
@@ -11,6 +11,7 @@
 #include "tls_stream.h"
 
 enum { HC_DEFAULT_IDLE_US = 20 * 1000 * 1000 };
+enum { HC_READ_BODY, HC_SKIP_BODY }; /* what http-parser does after a head */
 
 /* A header in head_text, as offsets because that buffer may be reallocated. */
 struct hc_span {
@@ -210,11 +211,16 @@
 	return hc_append_head_text(conn, at, len);
 }
 
-static bool hc_has_length(const http_parser *parser, bool head_method)
+/* Whatever its head says of a length: that is of another answer, or wrong. */
+static bool hc_has_no_body(const http_parser *parser, bool head_method)
 {
-	int status = (int)parser->status_code;
+	return head_method || parser->status_code < 200 ||
+	       parser->status_code == 204 || parser->status_code == 304;
+}
 
-	if (head_method || status == 204 || status == 304)
+static bool hc_has_length(const http_parser *parser, bool head_method)
+{
+	if (hc_has_no_body(parser, head_method))
 		return true;
 	if (parser->flags & F_CHUNKED)
 		return true;
@@ -259,14 +265,16 @@
 	struct hc_request *request = conn->request;
 	struct hc_header headers[HC_MAX_HEADERS];
 	struct hc_head head;
+	bool no_body;
 
 	if (!request || parser->upgrade)
 		return -1;
 	if (parser->status_code < 200)
-		return 0;
+		return HC_SKIP_BODY;
 	if (!hc_has_length(parser, request->head_method) &&
 	    !request->may_end_with_close)
 		return -1;
+	no_body = hc_has_no_body(parser, request->head_method);
 	hc_fill_head(conn, headers, &head);
 	if (!hc_coding_supported(&head))
 		return -1;
@@ -274,14 +282,14 @@
 	    !request->handler->accept(request, &head)) {
 		ct_add(CT_LATE, 1);
 		conn->skipping = true;
-		return request->head_method;
+		return no_body ? HC_SKIP_BODY : HC_READ_BODY;
 	}
 	request->state = HC_ANSWER_BEGUN;
 	if (request->handler->head)
 		request->handler->head(request, &head);
 	if (!conn->request)
 		return -1;
-	return request->head_method;
+	return no_body ? HC_SKIP_BODY : HC_READ_BODY;
 }
 
 static int hc_on_body(http_parser *parser, const char *at, size_t len)
@@ -346,11 +354,21 @@
 	hc_conn_start_reading(conn);
 }
 
+/* A 204 that names a body may be followed by it. */
+static bool hc_is_bad_204(const http_parser *parser)
+{
+	bool named = parser->content_length != 0 &&
+		     parser->content_length != ULLONG_MAX;
+
+	return parser->status_code == 204 &&
+	       (named || (parser->flags & F_CHUNKED));
+}
+
 static void hc_conn_complete(struct hc_conn *conn, bool unparsed_data)
 {
 	struct hc_request *request = conn->request;
-	bool keep =
-		http_should_keep_alive(&conn->parser) && !request->close_after;
+	bool keep = http_should_keep_alive(&conn->parser) &&
+		    !request->close_after && !hc_is_bad_204(&conn->parser);
 
 	request->state = HC_DONE;
 	hc_conn_release(conn, keep && !unparsed_data && !conn->writing);
--- a/tests/run_answer_retries.sh
+++ b/tests/run_answer_retries.sh
@@ -102,6 +102,12 @@
 # name a length, so any bytes after them are the fault of the server in the ways NAMES.
 expect_no_body() {
 	local name
+	for name in bare-whole headed-whole length-whole chunks-whole length-twice; do
+		expect "$1" "[204] $NEXT end=timeout" "$2" 1.1 204-$name
+	done
+	for name in $3; do
+		expect "$1" "[304] $NEXT end=timeout" "$2" 1.1 304-$name
+	done
 	METHOD=HEAD
 	for name in $3; do
 		expect "$1" "[200] $NEXT end=timeout" "$2" 1.1 $name
