Frame every HTTP/1.1 answer without a length in chunks

A caller over HTTP/1.1 got an answer that had broken off, and it looked whole: one with another status than 200, such as 201, 404 or 500, and without a length ended with its connection, in order, cut or not.

Cause: h2o frames only answers with status 200 in chunks. It closes the connection after others, and gw_flush_answer closed that of a broken one in the same way, as it takes HTTP/1.1 answers for chunked. Now h2o's filters see status 200 while they set up the framing, so that all of them are in chunks, a broken one lacks the last one, and the connection is kept after a whole one. Between hosts they end visibly as well.

run_answer_ends and run_answer_retries compare such answers.

--- a/httpd.c
+++ b/httpd.c
@@ -184,6 +184,22 @@
 	h2o_accept(&server->accept, conn->sock);
 }
 
+/*
+ * The library frames an HTTP/1.1 answer without a length in chunks only if its status
+ * is 200. Any other would end with its connection, so that a broken one would look
+ * whole. So the library sees 200 while it decides on the framing.
+ */
+static void hd_on_setup_ostream(h2o_filter_t *self, h2o_req_t *req,
+				h2o_ostream_t **slot)
+{
+	int status = req->res.status;
+
+	if (status >= 200 && status != 204 && status != 304)
+		req->res.status = 200;
+	h2o_setup_next_ostream(req, slot);
+	req->res.status = status;
+}
+
 static void hd_configure(struct hd_server *server)
 {
 	h2o_hostconf_t *host;
@@ -196,6 +212,9 @@
 	host = h2o_config_register_host(
 		&server->conf, h2o_iovec_init(H2O_STRLIT("default")), 65535);
 	path = h2o_config_register_path(host, "/", 0);
+	/* Runs before the filters that are there already. */
+	h2o_create_filter(path, sizeof(h2o_filter_t))->on_setup_ostream =
+		hd_on_setup_ostream;
 	handler =
 		(struct hd_handler *)h2o_create_handler(path, sizeof(*handler));
 	handler->super.on_req = hd_on_req;
--- a/tests/run_answer_ends.sh
+++ b/tests/run_answer_ends.sh
@@ -17,6 +17,10 @@
 		expect "$1" "$NEXT end=eof" "$2" 1.0 chunks-$way
 		expect "$1" "$NEXT end=eof" "$2" 1.0 chunks-$way "$keep"
 	done
+	for way in 201-chunks 404-close 500-chunks; do
+		expect "$1" "[${way%-*}] whole-chunks $NEXT end=timeout" "$2" 1.1 $way-whole
+		expect "$1" "[${way%-*}] 1234567890 end=eof" "$2" 1.0 $way-whole "$keep"
+	done
 	for way in whole pieces early; do
 		expect "$1" "[200] whole-chunks $NEXT end=timeout" "$2" 1.1 close-$way
 		expect "$1" "$NEXT end=eof" "$2" 1.0 close-$way
@@ -30,6 +34,10 @@
 	expect "$1" "[200] whole-chunks-open end=eof" "$2" 1.1 close-lateend
 	expect "$1" "[200] 1234567890 end=reset" "$2" 1.0 close-lateend
 	expect "$1" "[200] 1234567890 end=reset" "$2" 1.0 close-lateend "$keep"
+	for way in 201-chunks-fin 201-close-rst 404-chunks-stall 500-chunks-bad; do
+		expect "$1" "[${way%%-*}] 5 12345 end=eof" "$2" 1.1 $way
+		expect "$1" "[${way%%-*}] 12345 end=reset" "$2" 1.0 $way
+	done
 	for way in stall fin rst; do
 		expect "$1" "[200] 12345 end=eof" "$2" 1.1 length-$way
 		expect "$1" "[200] 12345 end=eof" "$2" 1.0 length-$way
--- a/tests/run_answer_retries.sh
+++ b/tests/run_answer_retries.sh
@@ -71,6 +71,8 @@
 	done
 	for status in 500 503; do
 		expect "$1" "[$status] 1234567890 $NEXT end=timeout" "$2" 1.1 $status-length-whole
+		expect "$1" "[$status] whole-chunks $NEXT end=timeout" "$2" 1.1 $status-chunks-whole
+		expect "$1" "[$status] whole-chunks $NEXT end=timeout" "$2" 1.1 $status-close-whole
 		expect "$1" "[$status] 1234567890 end=eof" "$2" 1.0 $status-chunks-whole "$keep"
 	done
 }
