Give h2o no empty buffer at the end of an answer over TLS

A host ended with an abort under the answers of callers over TLS: 'stream.c: uv__check_before_write: Assertion nbufs > 0 failed'. All callers lost their connections.

Cause: the end of an answer with a length, or over HTTP/1.0, that shows only after its last bytes was given to h2o as one empty buffer. Over TLS h2o makes no record of it, and writes none; libuv ends the process for that. Now no buffer is given, for which h2o writes nothing.

run_answer_streams asks over HTTP/2, with all streams on one connection, and over TLS, and compares whole and broken answers. Before, it failed with that abort; now it passes. Broken streams end with an error of their own, and the others go on: that held before.

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -190,7 +190,8 @@
 		gw_end_unframed_answer(call, state == H2O_SEND_STATE_FINAL);
 	call->answer_bytes += call->sending->len;
 	buf = h2o_iovec_init(call->sending->str, call->sending->len);
-	h2o_send(call->req, &buf, 1, state);
+	/* Over TLS the library must not be given empty buffers alone. */
+	h2o_send(call->req, &buf, buf.len ? 1 : 0, state);
 }
 
 void gw_flush_read(struct gw_call *call, struct hc_request *request)
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -88,7 +88,7 @@
 	log_level: info
 	stop_grace_ms: 3000
 	stop_limit_s: "${stop_limit_s:-0}"
-	callers: {address: "127.0.0.1:$((callers_port + $1))", plaintext: true}
+	callers: {address: "127.0.0.1:$((callers_port + $1))", ${CALLERS_TLS:-plaintext: true}}
 	health: {address: "127.0.0.1:$((operators_port + $1))"}
 	metrics: {address: "127.0.0.1:$((metrics_port + $1))"}
 	platform:
