Let no broken HTTP/1.0 answer over TLS look whole

A caller over TLS and HTTP/1.0 got an answer without a length that had broken off, and it looked whole.

Cause: such a connection is set to end with a reset, but before that h2o sends the notice with which TLS closes in order, and callers take it for the end of the answer. Now the connection is reset before h2o is told of the end, so the notice can't be sent. An end without notice alone is not enough: curl takes that for a whole answer too.

run_answer_streams compares such answers.

--- a/gateway_answer.c
+++ b/gateway_answer.c
@@ -141,6 +141,8 @@
 			hd_close_unfinished(call->req);
 	} else if (whole) {
 		hd_end_unframed(call->req);
+	} else {
+		hd_break_unframed(call->req);
 	}
 }
 
--- a/httpd.c
+++ b/httpd.c
@@ -425,9 +425,13 @@
 	hd_set_reset_on_close(req, false);
 }
 
-void hd_reset_on_close(h2o_req_t *req)
+/* Resets the connection now; what h2o writes on it after that fails. */
+static void hd_reset(struct hd_conn *conn)
 {
-	hd_set_reset_on_close(req, true);
+	struct sockaddr none = { .sa_family = AF_UNSPEC };
+
+	if (connect(h2o_socket_get_fd(conn->sock), &none, sizeof(none)))
+		shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
 }
 
 void hd_close_unfinished(h2o_req_t *req)
@@ -438,6 +442,19 @@
 		shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
 }
 
+void hd_break_unframed(h2o_req_t *req)
+{
+	struct hd_conn *conn = hd_conn_of(req);
+
+	if (conn->tls)
+		hd_reset(conn);
+}
+
+void hd_reset_on_close(h2o_req_t *req)
+{
+	hd_set_reset_on_close(req, true);
+}
+
 void hd_abort_connection(h2o_req_t *req)
 {
 	hd_reset_on_close(req);
--- a/httpd.h
+++ b/httpd.h
@@ -107,10 +107,13 @@
  * hd_begin_unframed - before such an answer starts: the connection is not kept, which
  * h2o would do, and ends with a reset however it ends, also with the process.
  * hd_end_unframed - before its last part is sent: the connection is closed in order.
+ * hd_break_unframed - before a broken one ends. Over TLS the connection is reset now: h2o
+ * would send the notice that ends a whole answer.
  */
 bool hd_ends_with_connection(const h2o_req_t *req);
 void hd_begin_unframed(h2o_req_t *req);
 void hd_end_unframed(h2o_req_t *req);
+void hd_break_unframed(h2o_req_t *req);
 /*
  * hd_reset_on_close - make the connection of an HTTP/1 request end with a TCP
  * reset instead of an orderly close.
--- a/tests/run_answer_streams.sh
+++ b/tests/run_answer_streams.sh
@@ -92,6 +92,8 @@
 # 18: the answer is not whole. 56: the connection ended with an error.
 ask_apart tls11 "$url" --http1.1
 check_calls tls11 "1234567890|5 12345 5 67890 0  |a 1234567890 0  " "12345|5 12345 " "18|56"
+ask_apart tls10 "$url" --http1.0
+check_calls tls10 1234567890 12345 "18|56"
 
 say "failures: $failures"
 test $failures = 0
