--- a/tests/lib_wire.sh
+++ b/tests/lib_wire.sh
@@ -87,7 +87,7 @@
 	start_process servers "$BIN/tool_answers" "127.0.0.1:$servers_port" \
 		$SERVERS $CUT_SOURCE
 	for s in $(seq 0 $((SERVERS - 1))); do
-		put_row servers "s$s" '{"service":"desk","address":"127.0.0.1:'$((servers_port + s))'","zone":"gs-a","version":"v1","slots":200,"state":"ready","warmup-left-s":0,"sequence":1}' ||
+		put_row servers "s$s" '{"service":"desk","address":"127.0.0.1:'$((servers_port + s))'","zone":"gs-a","version":"v1","slots":'"${SLOTS:-200}"',"state":"ready","warmup-left-s":0,"sequence":1}' ||
 			fail "the store did not take the row of server $s"
 	done
 	put_manifest 1 "$1" || fail "the store did not take the manifest"
--- a/tests/tool_answers.c
+++ b/tests/tool_answers.c
@@ -4,12 +4,12 @@
  *
  * usage: tool_answers FIRST-ADDRESS COUNT [SOURCE]
  * The servers listen on consecutive ports and have the ids s0, s1 and so on.
- * The last part of the path says what is sent, in the form [STATUS-][big]FRAMING-WAY,
+ * The last part of the path says what is sent, in the form [STATUS-][big|own]FRAMING-WAY,
  * with "+" between those for the first attempt at a call, for the second and so on.
  * FRAMING is "length", "chunks", "close" for an answer that ends with its connection,
  * "bare" for no body and no header that frames it, or "headed" for a length without a
- * body. The body is "1234567890", or BIG_HALF_BYTES of "x" and as many of "y"; WAY is
- * one of
+ * body. The body is "1234567890", or BIG_HALF_BYTES of "x" and as many of "y", or the
+ * call's id with ":" and again with ";"; WAY is one of
  *	whole		all at once
  *	pieces		the second half after PIECE_MS
  *	stall		the second half after STALL_MS
@@ -294,11 +294,13 @@
 }
 
 /* Reads a part of a path; its way points into PART. */
-static bool parse_plan(const char *part, struct plan *plan)
+static bool parse_plan(const char *part, char *const own_halves[2],
+		       struct plan *plan)
 {
 	static const char *const small_halves[] = { "12345", "67890" };
 	char *end;
 	bool big;
+	bool own;
 
 	plan->status = (unsigned)strtoul(part, &end, 10);
 	if (end != part && *end == '-')
@@ -306,9 +308,12 @@
 	else
 		plan->status = DEFAULT_STATUS;
 	big = g_str_has_prefix(part, "big");
-	part += big ? strlen("big") : 0;
+	own = g_str_has_prefix(part, "own");
+	part += big || own ? strlen("big") : 0;
 	for (uint32_t i = 0; i < G_N_ELEMENTS(plan->halves); i++)
-		plan->halves[i] = big ? big_halves[i] : small_halves[i];
+		plan->halves[i] = big ? big_halves[i] :
+				  own ? own_halves[i] :
+					small_halves[i];
 	for (enum framing f = BY_LENGTH; f <= HEADED; f++) {
 		if (!g_str_has_prefix(part, framings[f].name))
 			continue;
@@ -332,20 +337,29 @@
 	return n;
 }
 
-static bool answer_by(int fd, struct request *request, const char *part)
+static bool answer_as(int fd, struct request *request, const struct plan *plan)
 {
-	struct plan plan;
-	bool early;
+	bool early = is_way(plan, "early");
 
-	if (!parse_plan(part, &plan))
-		return false;
-	early = is_way(&plan, "early");
 	if (!early && !skip_body(fd, request))
 		return false;
-	return send_answer(fd, request, &plan) &&
+	return send_answer(fd, request, plan) &&
 	       (!early || skip_body(fd, request));
 }
 
+static bool answer_by(int fd, struct request *request, const char *part)
+{
+	char *own_halves[] = { g_strconcat(request->call_id, ":", NULL),
+			       g_strconcat(request->call_id, ";", NULL) };
+	struct plan plan;
+	bool ok = parse_plan(part, own_halves, &plan) &&
+		  answer_as(fd, request, &plan);
+
+	g_free(own_halves[0]);
+	g_free(own_halves[1]);
+	return ok;
+}
+
 static bool answer(const struct connection *conn, struct request *request)
 {
 	const char *name = strrchr(request->path, '/') + 1;
