Let no test run end a process that it did not start

stop_all killed the pids of all processes that a run had started, also of those that had ended; such a pid may belong to a process of another run by then. On a machine with several runs, beside run_answer_ends, which kills a host, a sed of another run was killed; that stop_all did it is likely, not shown.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -19,7 +19,10 @@
 say() { printf '%s\n' "$*"; }
 
 stop_all() {
-	for pid in $PIDS; do kill -9 "$pid" 2>/dev/null; done
+	# Without those that have ended: their pids may be in use by others.
+	for pid in $(jobs -rp); do
+		case " $PIDS " in *" $pid "*) kill -9 "$pid" 2>/dev/null ;; esac
+	done
 	for pid in $PIDS; do wait "$pid" 2>/dev/null; done
 	rm -rf "$WORK"
 }
