Compare answers to idempotent calls through another host

run_answer_retries asks a host that reaches no server as well: failures, big answers and heads without a body.

--- a/tests/lib_wire.sh
+++ b/tests/lib_wire.sh
@@ -95,3 +95,17 @@
 	wait_ready 0 || fail "host 0 is not ready"
 	sleep 1
 }
+
+is_passed_on() {
+	call_host 3 /order/length-whole "notice-$RANDOM" -o /dev/null -X POST -d abc >/dev/null &
+	sleep 0.2
+	grep -q '"event":"forward"' "$WORK/entry3.log"
+}
+# start_cut_off_host: starts host 3, which reaches no server and passes its calls to
+# another host.
+start_cut_off_host() {
+	server_source=$CUT_SOURCE start_follower 3
+	wait_ready 3 || fail "host 3 is not ready"
+	check "host 3 passes no call on" within 8 is_passed_on
+	sleep 1
+}
--- a/tests/run_answer_ends.sh
+++ b/tests/run_answer_ends.sh
@@ -55,16 +55,8 @@
 	compare_all
 done
 
-# A host that reaches no server passes its calls to another host.
-server_source=$CUT_SOURCE start_follower 3
-wait_ready 3 || fail "host 3 is not ready"
-is_passed_on() {
-	call_host 3 /order/length-whole "notice-$RANDOM" -o /dev/null -X POST -d abc >/dev/null &
-	sleep 0.2
-	grep -q '"event":"forward"' "$WORK/entry3.log"
-}
-check "host 3 passes no call on" within 8 is_passed_on
-sleep 1
+# The same through another host.
+start_cut_off_host
 for how in expect_whole expect_broken; do
 	$how "answer through another host" 3
 	compare_all
--- a/tests/run_answer_retries.sh
+++ b/tests/run_answer_retries.sh
@@ -142,5 +142,14 @@
 expect_no_body "order" 0 "bare-whole headed-whole"
 compare_all
 
+start_cut_off_host
+PREFIX=safe
+for how in expect_failures expect_big; do
+	$how "idempotent call through another host" 3
+	compare_all
+done
+expect_no_body "idempotent call through another host" 3 "bare-whole headed-whole"
+compare_all
+
 say "failures: $failures"
 test $failures = 0
