--- /dev/null
+++ b/tests/run_crash_rows.sh
@@ -0,0 +1,50 @@
+#!/bin/bash
+# Guards against a request that crashes servers again because the store came back from
+# a copy without its block and then all hosts started anew.
+set -u
+PORT_BASE=${PORT_BASE:-22000}
+. "$(dirname "$0")/lib_platform.sh"
+HOSTS=3 SERVERS=10 WORK_MS=30
+
+# row_names: the names of the rows of blocks and crashes, one a line.
+row_names() {
+	curl -s "$platform_address/jackdawworks/rows-get?table=hosts&part=" |
+		grep -oE '(blocked|crashed)/[0-9a-f]+(/[0-9]+)?' | sort
+}
+start_hosts() {
+	for i in $(seq 0 $((HOSTS - 1))); do start_follower "$i"; done
+	for i in $(seq 0 $((HOSTS - 1))); do
+		wait_ready "$i" || fail "host $i is not ready"
+	done
+	sleep 1
+}
+# try_each COUNT: sends the request to one host after the other.
+try_each() {
+	for n in $(seq "$1"); do
+		call_host $((n % HOSTS)) /desk/deadly "deadly-$SECONDS-$n" \
+			-o /dev/null >/dev/null
+		sleep 0.3
+	done
+}
+
+start_platform || exit 1
+start_upstreams
+put_manifest 1 "$(print_route desk /desk/ safe desk)" ||
+	fail "the store did not take the manifest"
+start_hosts
+platform_fault '{"copy": true}'
+try_each 5
+check "the store has no row of the block" test "$(row_names | grep -c blocked)" = 1
+platform_fault '{"down": true}'
+sleep 0.5
+platform_fault '{"down": false, "restore": true}'
+check "the block was not written again" \
+	within 8 eval 'test "$(row_names | grep -c blocked)" = 1'
+before=$(live_servers)
+for i in $(seq 0 $((HOSTS - 1))); do kill_process "entry$i"; done
+start_hosts
+try_each 3
+check "$((before - $(live_servers))) servers crashed after a restore and a restart" \
+	test "$(live_servers)" = "$before"
+say "failures: $failures"
+test $failures = 0
