Soak: a request that crashes servers, and proxies that end with these

The soak had no such request, and its proxies went on listening when their server was gone, which no real machine does. A proxy now listens only while its target does. After every third fault each host gets, twice, a request that crashes its servers, the same in four rounds. At most six servers may run it, three until it is known and three in retries, and no other request may be refused for crashes.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -15,13 +15,16 @@
 #     and a half times that, and five, in any 4 s
 #   - a server that asked for a pause, or said that it leaves, got no more than a
 #     few requests of each host while that held
+#   - a request that crashes its servers reaches no more than three of them, and
+#     three more in retries; no other request is refused for crashes
 #   - within 5 s of the last fault, and of each time when the store came back from
 #     a copy, every host has the newest manifest in force and serves a call by it
 # At least half of the calls must be answered 200.
 # Each host has a caller that keeps its connection until the host is gone, and the
 # first four hosts have one that opens a connection for each call. Faults come one
 # after the other, after every fifth some that overlap, and after every seventh a
-# server asks for a pause and then leaves.
+# server asks for a pause and then leaves. After every third, hosts get a request
+# that crashes servers; DURATION does not count the time that this takes.
 # usage: [HOSTS=N] [SERVERS=N] soak.sh DIRECTORY SEED [SECONDS]. The seed determines
 # the faults and their order; they are injected for 20 s by default. Up to 50 hosts
 # and 50 servers, which are four processes each at most.
@@ -33,6 +36,8 @@
 HOSTS=${HOSTS:-4} SERVERS=${SERVERS:-4} LIMIT_PER_S=3
 # A limit binds from SETTLE_MS after it was first named, in any WINDOW_MS.
 SETTLE_MS=3000 WINDOW_MS=4000
+# Servers that may run a request that crashes them: until it is known, and in retries.
+MAX_CRASHES=$((3 + 3))
 RANDOM=$SEED
 store_port=$((PORT_BASE + 1))
 
@@ -60,6 +65,8 @@
 	put_row servers "${server_id[$1]}" '{"service":"desk","address":"127.0.0.1:'$((servers_port + $1))'","zone":"gs-a","version":"v1","slots":6,"state":"'"$2"'","warmup-left-s":0,"sequence":'$sequence'}'
 }
 start_entry() { # I
+	# The log of an earlier start would be overwritten.
+	test ! -e "$WORK/entry$1.log" || cat "$WORK/entry$1.log" >>"$WORK/entries.log"
 	platform_address=127.0.0.1:$store_port start_follower "$1"
 	host_pid[$1]=$PID
 }
@@ -180,11 +187,37 @@
 # renew_server SERVER: it ends, and its next start has another id.
 renew_server() {
 	end_limit $1
+	kill -9 "${server_pid[$1]}"
+	replace_server $1
+}
+# replace_server SERVER: starts it anew after its end.
+replace_server() {
 	ended_ids+=("${server_id[$1]}")
-	kill -9 "${server_pid[$1]}"; drop_row servers "${server_id[$1]}"
+	drop_row servers "${server_id[$1]}"
 	incarnation=$((incarnation + 1)); sleep 0.3
 	start_server $1 $incarnation; put_server_state $1 ready
 }
+# replace_crashed: starts the servers anew that have crashed.
+replace_crashed() {
+	for s in $(seq 0 $((SERVERS - 1))); do
+		kill -0 "${server_pid[$s]}" 2>/dev/null && continue
+		end_limit $s
+		replace_server $s
+	done
+}
+# crash_servers: each host in turn gets a request that crashes the servers that run it,
+# the same as the last DEADLY_ROUNDS - 1 times at most. Takes no random number.
+DEADLY_ROUNDS=4
+crash_servers() {
+	local path=/safe/$((deadly / DEADLY_ROUNDS))/deadly try
+	say "$(date +%T) $path" >>"$WORK/faults"
+	for try in $(seq 8); do
+		call_host $((try % HOSTS)) $path "deadly-$((deadly / DEADLY_ROUNDS))-$deadly-$try" \
+			-o /dev/null >/dev/null
+		test $((try % 4)) != 0 || replace_crashed
+	done
+	deadly=$((deadly + 1))
+}
 # give_notice SERVER WHAT TEXT SETTLE-MS: the server says so in its answers for some
 # time. A line "server from-ms to-ms" in "notices" says when it may get nothing.
 give_notice() {
@@ -214,7 +247,7 @@
 
 declare -a host_pid server_pid server_id server_state limited_since
 declare -a ended_ids=()
-version=0 incarnation=0 departed=0 sequence=0
+version=0 incarnation=0 departed=0 sequence=0 deadly=0
 start_platform || exit 1
 start_proxy store "127.0.0.1:$store_port" "$real_platform"
 for s in $(seq 0 $((SERVERS - 1))); do
@@ -247,6 +280,11 @@
 	test $((injected % 5)) != 0 ||
 		overlap_faults $((injected / 5 % HOSTS)) $((injected % SERVERS))
 	test $((injected % 7)) != 0 || notice_faults $((injected % SERVERS))
+	test $((injected % 3)) != 0 || {
+		crash_began=$SECONDS
+		crash_servers
+		until=$((until + SECONDS - crash_began))
+	}
 	test $((RANDOM % 3)) = 0 || sleep 0.$((RANDOM % 9))
 done
 for s in $(seq 0 $((SERVERS - 1))); do end_limit $s; done
@@ -290,6 +328,18 @@
 		fail "seed $SEED: a planned stop has cut off a call"
 	}
 
+# How many servers ran each request that crashes them, and what was refused for it.
+cat "$WORK"/entr*.log | grep '"result":"crashes-servers"' >"$WORK/refused"
+refused=$(grep -cv '"id":"deadly-' "$WORK/refused")
+grep -o '^deadly-[0-9]*' "$WORK/runs" | sort | uniq -c | awk -v allowed=$MAX_CRASHES \
+	-v requests=$(((deadly + DEADLY_ROUNDS - 1) / DEADLY_ROUNDS)) '
+	$1 > most { most = $1 }
+	END { printf "%d requests that crash servers, at most %d of %d ran\n", requests, most, allowed
+		exit most > allowed || requests && !most }' && test "$refused" = 0 || {
+		cat "$WORK/faults"
+		fail "seed $SEED: servers crashed under a request, or $refused sound ones were refused"
+	}
+
 # Joins the limits (server from to) with the runs (id server time).
 touch "$WORK/limits"
 sort -k3n "$WORK/runs" >"$WORK/runs_in_order"
--- a/tests/tool_soak_proxy.c
+++ b/tests/tool_soak_proxy.c
@@ -11,6 +11,7 @@
  *	down	forward only data from the target, discard the other direction
  *	slow	forward everything with a delay of 150 ms
  * The end of a connection whose data is discarded is not forwarded either.
+ * While nothing listens at TARGET, the proxy does not listen either.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -58,11 +59,16 @@
 static uv_loop_t loop;
 static struct tm_service timers;
 static struct tm_sub control_timer;
+static struct nt_address address;
 static struct nt_address target;
+static uv_tcp_t listener;
+static bool listening;
 static const char *control_path;
 static enum mode mode;
 static GQueue pairs;
 
+static void check_target(void);
+
 static void on_closed(uv_handle_t *handle)
 {
 	struct side *side = handle->data;
@@ -126,6 +132,8 @@
 	struct pair *pair = side->pair;
 	struct chunk *chunk;
 
+	if (nread < 0 && !side->to_target)
+		check_target();
 	if (nread < 0 && !is_blocked(side))
 		close_pair(pair, false);
 	else if (nread < 0)
@@ -150,6 +158,7 @@
 
 	if (status) {
 		close_pair(pair, true);
+		check_target();
 		return;
 	}
 	for (int i = 0; i < 2; i++)
@@ -177,6 +186,58 @@
 		close_pair(pair, true);
 }
 
+static bool start_listening(void)
+{
+	uv_tcp_init(&loop, &listener);
+	if (uv_tcp_bind(&listener, (const struct sockaddr *)&address.addr, 0) ||
+	    uv_listen((uv_stream_t *)&listener, 128, on_accept)) {
+		fprintf(stderr, "cannot listen on %s\n", address.text);
+		return false;
+	}
+	listening = true;
+	return true;
+}
+
+static void on_listener_closed(uv_handle_t *handle)
+{
+	listening = false;
+}
+
+/* A connection that shows whether something listens at the target. */
+struct check {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+};
+
+static void on_check_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void on_checked(uv_connect_t *connect, int status)
+{
+	struct check *check = connect->data;
+
+	if (status == UV_ECONNREFUSED && listening &&
+	    !uv_is_closing((uv_handle_t *)&listener))
+		uv_close((uv_handle_t *)&listener, on_listener_closed);
+	else if (!status && !listening && !start_listening())
+		exit(1);
+	uv_close((uv_handle_t *)&check->tcp, on_check_closed);
+}
+
+static void check_target(void)
+{
+	struct check *check = g_new0(struct check, 1);
+
+	check->tcp.data = check;
+	check->connect.data = check;
+	uv_tcp_init(&loop, &check->tcp);
+	if (uv_tcp_connect(&check->connect, &check->tcp,
+			   (const struct sockaddr *)&target.addr, on_checked))
+		uv_close((uv_handle_t *)&check->tcp, on_check_closed);
+}
+
 static void read_control_file(void *ctx)
 {
 	char *text = NULL;
@@ -188,15 +249,14 @@
 	g_free(text);
 	while (mode == RESET && pairs.head)
 		close_pair(pairs.head->data, true);
+	if (!listening)
+		check_target();
 	tm_subscribe(&timers, &control_timer,
 		     tm_now_us() + CONTROL_READ_INTERVAL_US);
 }
 
 int main(int argc, char **argv)
 {
-	struct nt_address address;
-	uv_tcp_t listener;
-
 	if (argc != 4 || !nt_parse(argv[1], &address) ||
 	    !nt_parse(argv[2], &target)) {
 		fprintf(stderr,
@@ -207,13 +267,9 @@
 	uv_loop_init(&loop);
 	tm_init(&timers, &loop);
 	control_timer.fire = read_control_file;
-	read_control_file(NULL);
-	uv_tcp_init(&loop, &listener);
-	if (uv_tcp_bind(&listener, (const struct sockaddr *)&address.addr, 0) ||
-	    uv_listen((uv_stream_t *)&listener, 128, on_accept)) {
-		fprintf(stderr, "cannot listen on %s\n", address.text);
+	if (!start_listening())
 		return 1;
-	}
+	read_control_file(NULL);
 	uv_run(&loop, UV_RUN_DEFAULT);
 	return 0;
 }
