Soak: read every byte of answers, from servers that stutter too

The callers that keep their connections used the project's own client, which closes a connection with bytes that are no answer and says nothing, and servers answered by a length at once. So bytes that are no answer, an answer of another call or two answers did not fail the soak.

Of each four servers one answers in chunks, the last bytes late and every tenth time never, one in chunks and once more late, one without a length.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -15,6 +15,8 @@
 #     and a half times that, and five, in any 4 s
 #   - a server that asked for a pause, or said that it leaves, got no more than a
 #     few requests of each host while that held
+#   - callers that keep their connections read nothing but whole answers to their
+#     own calls, or the beginning of one on a connection that ends
 #   - a request that crashes its servers reaches no more than three of them, and
 #     three more in retries; no other request is refused for crashes
 #   - within 5 s of the last fault, and of each time when the store came back from
@@ -43,12 +45,21 @@
 
 # Hosts reach the store and the servers through proxies.
 real_platform=$platform_address
-# start_proxy NAME LISTEN TARGET: the word in NAME.mode sets how it forwards;
+# start_proxy NAME LISTEN TARGET [MODE]: the word in NAME.mode sets how it forwards;
 # see tool_soak_proxy.c.
 start_proxy() {
-	echo pass >"$WORK/$1.mode"
+	echo "${4:-pass}" >"$WORK/$1.mode"
 	start_process "$1" "$BIN/tool_soak_proxy" "$2" "$3" "$WORK/$1.mode"
 }
+# How server I answers: by a length; in chunks and pieces, some of which never come; in
+# chunks, and once more later; without a length.
+framings=("" chunks chunks close)
+forwarding=(pass ends twice pass)
+# set_pieces MODE: how servers that answer in pieces are forwarded from now on.
+set_pieces() {
+	for s in $(seq 1 4 $((SERVERS - 1))); do echo "$1" >"$WORK/server$s.mode"; done
+	sleep 0.2 # until it is read, and answers that have begun are over
+}
 # start_server I INCARNATION: starts server I under a new id.
 start_server() {
 	server_id[$1]=s$1-$2
@@ -56,6 +67,8 @@
 		"127.0.0.1:$((servers_port + 50 + $1))" "s$1-$2" 20
 	server_pid[$1]=$PID
 	wait_http "127.0.0.1:$((servers_port + 50 + $1))" /health
+	curl -s -o /dev/null -X PUT -d "${framings[$(($1 % 4))]}" \
+		"127.0.0.1:$((servers_port + 50 + $1))/framing"
 }
 # put_server_state I STATE: writes the row of server I, with its proxy's
 # address.
@@ -141,14 +154,16 @@
 	1) kill -STOP "${host_pid[$host]}"; sleep 0.1
 		leave_early $host; sleep 0.7
 		kill -CONT "${host_pid[$host]}" ;;
-	2) stopped_ms=$(now_ms); kill -TERM "${host_pid[$host]}"; sleep 3.8
+	2) set_pieces pieces # what a server breaks off is not cut off by the stop
+		stopped_ms=$(now_ms); kill -TERM "${host_pid[$host]}"; sleep 3.8
 		say "k$host $stopped_ms $(now_ms)" >>"$WORK/stops"
+		set_pieces ends
 		start_entry $host ;;
 	3) kill -HUP "${host_pid[$host]}" ;;
 	4) echo "$mode" >"$WORK/store.mode"; sleep 1.5
 		echo pass >"$WORK/store.mode" ;;
 	5) echo "$mode" >"$WORK/server$server.mode"; sleep 1.5
-		echo pass >"$WORK/server$server.mode" ;;
+		echo "${forwarding[$((server % 4))]}" >"$WORK/server$server.mode" ;;
 	6) renew_server $server ;;
 	7) put_server_state $server draining; sleep 2.2; put_server_state $server ready ;;
 	8) platform_fault '{"refuse_status":429}'; sleep 1
@@ -252,7 +267,7 @@
 start_proxy store "127.0.0.1:$store_port" "$real_platform"
 for s in $(seq 0 $((SERVERS - 1))); do
 	start_proxy "server$s" "127.0.0.1:$((servers_port + s))" \
-		"127.0.0.1:$((servers_port + 50 + s))"
+		"127.0.0.1:$((servers_port + 50 + s))" "${forwarding[$((s % 4))]}"
 	start_server $s 0
 	put_server_state $s ready
 done
@@ -328,6 +343,13 @@
 		fail "seed $SEED: a planned stop has cut off a call"
 	}
 
+cat "$WORK"/caller*.log >"$WORK/wrong_answers"
+say "$(wc -l <"$WORK/wrong_answers") answers on kept connections were wrong"
+test ! -s "$WORK/wrong_answers" || {
+	cat "$WORK/faults" "$WORK/wrong_answers"
+	fail "seed $SEED: callers got what is no answer to their call"
+}
+
 # How many servers ran each request that crashes them, and what was refused for it.
 cat "$WORK"/entr*.log | grep '"result":"crashes-servers"' >"$WORK/refused"
 refused=$(grep -cv '"id":"deadly-' "$WORK/refused")
--- a/tests/tool_soak_proxy.c
+++ b/tests/tool_soak_proxy.c
@@ -10,6 +10,10 @@
  *	up	forward only data to the target, discard the other direction
  *	down	forward only data from the target, discard the other direction
  *	slow	forward everything with a delay of 150 ms
+ *	pieces	forward the last 12 bytes of what comes from the target 40 ms later,
+ *		which in a short answer are a part of the body
+ *	ends	the same, but every tenth time end the connection instead
+ *	twice	forward what comes from the target once more 40 ms later
  * The end of a connection whose data is discarded is not forwarded either.
  * While nothing listens at TARGET, the proxy does not listen either.
  */
@@ -23,15 +27,20 @@
 #include "timer.h"
 
 enum {
+	US_PER_MS = 1000,
 	CONTROL_READ_INTERVAL_US = 100 * 1000,
 	SLOW_DELAY_US = 150 * 1000,
+	PIECE_DELAY_US = 40 * 1000,
+	LAST_PIECE_BYTES = 12,
+	PIECES_PER_END = 10,
 	BUFFER_BYTES = 16384
 };
 
-enum mode { PASS, RESET, SILENT, UP, DOWN, SLOW, MODES };
+enum mode { PASS, RESET, SILENT, UP, DOWN, SLOW, PIECES, ENDS, TWICE, MODES };
 
-static const char *const mode_names[MODES] = { "pass", "reset", "silent",
-					       "up",   "down",	"slow" };
+static const char *const mode_names[MODES] = { "pass",	 "reset", "silent",
+					       "up",	 "down",  "slow",
+					       "pieces", "ends",  "twice" };
 
 /* One of the two connections of a pair. */
 struct side {
@@ -39,6 +48,7 @@
 	struct pair *pair;
 	bool to_target; /* data read here goes to the target */
 	bool closed;
+	uint64_t sent_at_us; /* when the last data read here is forwarded */
 };
 
 /* A proxied connection. */
@@ -48,12 +58,12 @@
 	GList link;
 };
 
-/* Data that is being forwarded, delayed in mode SLOW. */
+/* Data that is being forwarded. */
 struct chunk {
 	struct side *to;
 	uv_write_t write;
 	struct tm_sub timer;
-	GString *data;
+	GString *data; /* empty: the connection is closed */
 };
 
 static uv_loop_t loop;
@@ -106,6 +116,8 @@
 		uv_buf_init(chunk->data->str, (unsigned)chunk->data->len);
 
 	chunk->write.data = chunk;
+	if (!chunk->data->len && !uv_is_closing((uv_handle_t *)&chunk->to->tcp))
+		close_pair(chunk->to->pair, false);
 	if (uv_is_closing((uv_handle_t *)&chunk->to->tcp) ||
 	    uv_write(&chunk->write, (uv_stream_t *)&chunk->to->tcp, &buf, 1,
 		     on_written))
@@ -126,11 +138,43 @@
 	*buf = uv_buf_init(buffer, sizeof(buffer));
 }
 
+/* Forwards data read from SIDE, after the data that was read before. */
+static void forward(struct side *side, const char *data, size_t data_bytes,
+		    uint64_t delay_us)
+{
+	struct chunk *chunk = g_new0(struct chunk, 1);
+	uint64_t at_us = tm_now_us() + delay_us;
+	bool waits = delay_us || side->sent_at_us >= tm_now_us();
+
+	chunk->to = &side->pair->sides[side == &side->pair->sides[0]];
+	chunk->data = g_string_new_len(data, (gssize)data_bytes);
+	chunk->timer.fire = forward_chunk;
+	chunk->timer.ctx = chunk;
+	if (!waits) {
+		forward_chunk(chunk);
+		return;
+	}
+	side->sent_at_us = MAX(at_us, side->sent_at_us + US_PER_MS);
+	tm_subscribe(&timers, &chunk->timer, side->sent_at_us);
+}
+
+static void forward_pieces(struct side *side, const char *data,
+			   size_t data_bytes)
+{
+	static uint32_t pieces;
+	size_t last = MIN(data_bytes, LAST_PIECE_BYTES);
+	size_t first = data_bytes - last;
+
+	if (mode == ENDS && ++pieces % PIECES_PER_END == 0)
+		last = 0;
+	forward(side, data, first, 0);
+	forward(side, data + first, last, PIECE_DELAY_US);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
 {
 	struct side *side = stream->data;
 	struct pair *pair = side->pair;
-	struct chunk *chunk;
 
 	if (nread < 0 && !side->to_target)
 		check_target();
@@ -140,16 +184,14 @@
 		uv_read_stop(stream);
 	if (nread <= 0 || is_blocked(side))
 		return;
-	chunk = g_new0(struct chunk, 1);
-	chunk->to = &pair->sides[side == &pair->sides[0]];
-	chunk->data = g_string_new_len(buf->base, nread);
-	chunk->timer.fire = forward_chunk;
-	chunk->timer.ctx = chunk;
-	if (mode == SLOW)
-		tm_subscribe(&timers, &chunk->timer,
-			     tm_now_us() + SLOW_DELAY_US);
-	else
-		forward_chunk(chunk);
+	if ((mode == PIECES || mode == ENDS) && !side->to_target) {
+		forward_pieces(side, buf->base, (size_t)nread);
+		return;
+	}
+	forward(side, buf->base, (size_t)nread,
+		mode == SLOW ? SLOW_DELAY_US : 0);
+	if (mode == TWICE && !side->to_target)
+		forward(side, buf->base, (size_t)nread, PIECE_DELAY_US);
 }
 
 static void on_connected(uv_connect_t *connect, int status)
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -55,6 +55,7 @@
 	char leaving[32]; /* empty: it stays */
 	char pause[64]; /* value of Retry-After; empty: no pause */
 	char stale[32]; /* empty: answers are sent once */
+	char framing[32]; /* "chunks", "close"; empty: by a length */
 	char cut[64]; /* empty: all sources reach it */
 	struct timeval cut_at;
 	GString *run_ids; /* attempt id of every run, one a line */
@@ -93,6 +94,39 @@
 	hd_reply(req, status, "text/plain", body, strlen(body));
 }
 
+/* Sends an answer whose length is not told. */
+static void reply_without_length(h2o_req_t *req, const char *body)
+{
+	static h2o_generator_t generator;
+	h2o_iovec_t buf = h2o_strdup(&req->pool, body, strlen(body));
+
+	if (!strcmp(upstream.framing, "close")) {
+		/* h2o sends chunks to callers of HTTP/1.1 only. */
+		req->version = 0x100;
+		req->http1_is_persistent = 0;
+	}
+	req->res.status = 200;
+	req->res.reason = "OK";
+	req->res.content_length = SIZE_MAX;
+	add_load_headers(req);
+	h2o_start_response(req, &generator);
+	h2o_send(req, &buf, 1, H2O_SEND_STATE_FINAL);
+}
+
+static void reply_to_call(h2o_req_t *req, const h2o_iovec_t *call_id)
+{
+	bool named = hd_header(req, "x-name-call").base != NULL;
+	char *body = named ? g_strdup_printf("%s %.*s", upstream.id,
+					     (int)call_id->len, call_id->base) :
+			     g_strdup(upstream.id);
+
+	if (*upstream.framing)
+		reply_without_length(req, body);
+	else
+		reply(req, 200, body);
+	g_free(body);
+}
+
 static bool path_ends_with(const h2o_req_t *req, const char *text)
 {
 	size_t bytes = strlen(text);
@@ -122,10 +156,11 @@
 	} else if (req) {
 		h2o_iovec_t id = hd_header(req, "attempt-id");
 
-		hd_add_header(req, "Attempt-Id", id.base ? id.base : "-",
-			      id.base ? id.len : 1);
+		if (!id.base)
+			id = h2o_iovec_init("-", 1);
+		hd_add_header(req, "Attempt-Id", id.base, id.len);
 		add_header(req, "Response-Signature", "signed");
-		reply(req, 200, upstream.id);
+		reply_to_call(req, &id);
 	}
 	hd_request_ref_release(job->request_ref);
 	g_free(job);
@@ -190,6 +225,8 @@
 		set_text(req, upstream.leaving, sizeof(upstream.leaving));
 	else if (hd_path_is(req, "/stale"))
 		set_text(req, upstream.stale, sizeof(upstream.stale));
+	else if (hd_path_is(req, "/framing"))
+		set_text(req, upstream.framing, sizeof(upstream.framing));
 	else if (hd_path_is(req, "/cut")) {
 		gettimeofday(&upstream.cut_at, NULL);
 		set_text(req, upstream.cut, sizeof(upstream.cut));
