Use a renewed certificate whose file is older than the key's

Cause: a listener looked at the later one of the times of its two files. A certificate that was put in place with its own, earlier time did not change that, so the withdrawn one stayed in use until the next restart.

Change: each file's inode, size and times are compared.

Result: run_tls_withdrawn failed before (the new certificate was not in use after 10 s, the withdrawn one was) and passes now. What it shows of restarts, a kill, a planned stop, a broken key and a withdrawn token of the operators, passed before as well.

--- a/tls.c
+++ b/tls.c
@@ -21,21 +21,29 @@
 	return reason ? reason : "unknown reason";
 }
 
-static int64_t tl_mtime_ns(const char *path)
+static int64_t tl_time_ns(const struct timespec *time)
+{
+	return time->tv_sec * TL_NS_PER_S + time->tv_nsec;
+}
+
+static void tl_read_stamp(const char *path, struct tl_stamp *stamp)
 {
 	struct stat st;
 
+	memset(stamp, 0, sizeof(*stamp));
 	if (stat(path, &st))
-		return 0;
-	return st.st_mtim.tv_sec * TL_NS_PER_S + st.st_mtim.tv_nsec;
+		return;
+	stamp->inode = st.st_ino;
+	stamp->bytes = st.st_size;
+	stamp->modified_ns = tl_time_ns(&st.st_mtim);
+	stamp->changed_ns = tl_time_ns(&st.st_ctim);
 }
 
-static int64_t tl_newest_mtime_ns(const struct se_tls *files)
+static void tl_read_stamps(const struct se_tls *files,
+			   struct tl_stamp stamps[TL_FILES])
 {
-	int64_t certificate_ns = tl_mtime_ns(files->certificate);
-	int64_t key_ns = tl_mtime_ns(files->key);
-
-	return certificate_ns > key_ns ? certificate_ns : key_ns;
+	tl_read_stamp(files->certificate, &stamps[TL_CERTIFICATE]);
+	tl_read_stamp(files->key, &stamps[TL_KEY]);
 }
 
 static SSL_CTX *tl_load_context(const struct se_tls *files,
@@ -78,12 +86,13 @@
 static void tl_on_check(void *ctx)
 {
 	struct tl_listener *tls = ctx;
-	int64_t modified_ns = tl_newest_mtime_ns(tls->files);
+	struct tl_stamp stamps[TL_FILES];
 	struct st_status status;
 	SSL_CTX *loaded;
 
 	tl_schedule_check(tls);
-	if (modified_ns == tls->modified_ns)
+	tl_read_stamps(tls->files, stamps);
+	if (!memcmp(stamps, tls->stamps, sizeof(stamps)))
 		return;
 	/*
 	 * Loading fails while a file is incomplete or only one of the two has
@@ -96,7 +105,7 @@
 			status.msg);
 		return;
 	}
-	tls->modified_ns = modified_ns;
+	memcpy(tls->stamps, stamps, sizeof(stamps));
 	tl_set_context(tls, loaded);
 	lg_info("tls", "reloaded certificate %s", tls->files->certificate);
 }
@@ -115,7 +124,7 @@
 	tls->timer.ctx = tls;
 	if (files->plaintext)
 		return ST_OK;
-	tls->modified_ns = tl_newest_mtime_ns(files);
+	tl_read_stamps(files, tls->stamps);
 	ctx = tl_load_context(files, status);
 	if (!ctx)
 		return ST_INVALID;
--- a/tls.h
+++ b/tls.h
@@ -9,6 +9,16 @@
 #include "status.h"
 #include "timer.h"
 
+enum { TL_CERTIFICATE, TL_KEY, TL_FILES };
+
+/* Differs when a file has changed or was replaced, with whatever times. */
+struct tl_stamp {
+	uint64_t inode;
+	int64_t bytes;
+	int64_t modified_ns;
+	int64_t changed_ns; /* also when a file takes the place of another */
+};
+
 /*
  * TLS with the certificate, key and CA files that the settings name. A listener
  * checks its files every few seconds for changes and uses a changed certificate
@@ -20,7 +30,7 @@
 	struct tm_service *timers;
 	struct tm_sub timer;
 	SSL_CTX *ctx; /* NULL: plaintext */
-	int64_t modified_ns; /* latest modification time of the files in use */
+	struct tl_stamp stamps[TL_FILES]; /* of the files in use */
 };
 
 /*
