tool_strict: free what its callers hold

With the sanitizers run_answer_mix failed although no caller saw a fault: tool_strict ended with leaks.

--- a/tests/tool_strict.c
+++ b/tests/tool_strict.c
@@ -456,7 +456,9 @@
 		pthread_join(callers[i].thread, NULL);
 		for (uint32_t e = 0; e < END_COUNT; e++)
 			ends[e] += callers[i].ends[e];
+		g_rand_free(callers[i].rand);
 	}
+	g_free(callers);
 	for (uint32_t e = 0; e < END_COUNT; e++)
 		printf("%s: %" G_GUINT64_FORMAT "\n", end_names[e], ends[e]);
 	return ends[END_FAULT] || !ends[END_WHOLE];
