run_answer_retries: a deadline that a late half meets on a busy machine

With the sanitizers, beside other runs, two big answers through another host broke off visibly, whose second half came 600 ms after the first: by the log one was sent to its server 300 ms after it came, and the other one's last bytes came as its deadline of 900 ms passed. The deadline is 1800 ms now, for all cases of this run; stalled answers still come after it.

--- a/tests/run_answer_retries.sh
+++ b/tests/run_answer_retries.sh
@@ -7,6 +7,8 @@
 PORT_BASE=${PORT_BASE:-25600}
 . "$(dirname "$0")/lib_wire.sh"
 PREFIX=safe
+# A late half comes well before it, on a busy machine too; a stalled one after it.
+DEADLINE_MS=1800 QUIET_S=3
 BIG="[200] big-300000-300000"
 CUT="[200] big-part"
 keep="Connection: keep-alive"
