Put what both files of the control task need below them

control.c called control_accept.c, which called control.c for the document in force, rows, bodies and delays: neither could be read or changed without the other.

These functions are in control_state.c now, moved as they were. control_accept.c calls only control_state.c, and control.c, the entry point of the task, calls both.

--- a/control.h
+++ b/control.h
@@ -102,7 +102,8 @@
  * owns. cp_free answers pending submissions with ST_STOPPING. The event loop
  * must not run between cp_free and pf_free, because only pf_free cancels the
  * platform operations whose callbacks use CONTROL.
- * Source: control.c, acceptance in control_accept.c
+ * Source: control.c, which follows documents; acceptance in control_accept.c;
+ * the document in force in control_state.c
  */
 enum st_kind cp_init(struct cp_control *control, struct kn_kernel *kernel,
 		     struct tm_service *timers, struct pf_client *platform,
--- a/control_accept.c
+++ b/control_accept.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "control_state.h"
 #include "json_text.h"
 #include "log.h"
 #include "mechanism.h"
