--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -359,6 +359,7 @@
 	END { printf "%d requests that crash servers, at most %d of %d ran\n", requests, most, allowed
 		exit most > allowed || requests && !most }' && test "$refused" = 0 || {
 		cat "$WORK/faults"
+		grep '^deadly-' "$WORK/runs" | sort -k3n
 		fail "seed $SEED: servers crashed under a request, or $refused sound ones were refused"
 	}
 
