See a crash when the connection of its check is reset

Callers saw a request run on more than three servers: some crashes were not counted.

Cause: a server that ends closes its connections before the socket on which it listens. The health request that asks whether it has crashed may then have a connection that the server never accepts, and that is reset before this host sees it open. Such a request counts as not sent, and a check that could not be sent ended at once as "no-answer", without the two further tries that are there for just this.

Only a refused connection ends a check early now.

--- a/gateway_crash.c
+++ b/gateway_crash.c
@@ -19,7 +19,8 @@
 enum {
 	/*
 	 * The connections of a process that ends may be closed before the socket
-	 * on which it listens.
+	 * on which it listens, and a connection that this one has not accepted is
+	 * reset then, before or after it is seen to be open.
 	 */
 	GW_CRASH_CHECKS = 3,
 	GW_CRASH_CHECK_GAP_US = 20 * 1000,
@@ -269,7 +270,7 @@
 	check->running = false;
 	if (request->refused)
 		check->result = GW_CHECK_REFUSED;
-	if (end == HC_NOT_SENT || check->checks == GW_CRASH_CHECKS)
+	if (request->refused || check->checks == GW_CRASH_CHECKS)
 		gw_finish_check(check);
 	else
 		tm_subscribe(check->gateway->timers, &check->timer,
