Tell other hosts of no crash under a request that is known to be sound

By its logs a host that had been started anew a second before counted three crashes in 60 ms, two of them told by hosts that knew good answers of that request, and the block spread.

Cause: a host that has had a good answer does not suspect the request, but told the others of the crash all the same; one that has just started knows no good answers. It tells nothing of such requests now. One that crashes servers has no good answers, so its crashes are told as before.

--- a/crash_guard.c
+++ b/crash_guard.c
@@ -114,8 +114,8 @@
 	return &guard->answers[cg_hash_key(key) & (CG_ANSWERS - 1)];
 }
 
-static bool cg_was_answered(const struct cg_guard *guard,
-			    const struct cg_key *key, uint64_t now_us)
+bool cg_was_answered(const struct cg_guard *guard, const struct cg_key *key,
+		     uint64_t now_us)
 {
 	const struct cg_answer *answer = cg_answer_place(guard, key);
 
--- a/crash_guard.h
+++ b/crash_guard.h
@@ -41,6 +41,7 @@
  * cg_add_crash - SERVER, a hash that differs for each start of a server, crashed
  *	while it ran the request. Returns true if this blocks the request.
  * cg_add_answer - the request had a good answer.
+ * cg_was_answered - it had one lately, so it is not suspected.
  * cg_add_block - another host has blocked the request for LEFT_US more. Returns
  *	true if this host blocks it now and did not before.
  * cg_blocked_us - for how long the request is still blocked; 0: it is not.
@@ -55,6 +56,8 @@
 		  uint64_t server, uint64_t now_us);
 void cg_add_answer(struct cg_guard *guard, const struct cg_key *key,
 		   uint64_t now_us);
+bool cg_was_answered(const struct cg_guard *guard, const struct cg_key *key,
+		     uint64_t now_us);
 bool cg_add_block(struct cg_guard *guard, const struct cg_key *key,
 		  uint64_t left_us, uint64_t now_us);
 uint64_t cg_blocked_us(const struct cg_guard *guard, const struct cg_key *key,
--- a/gateway_crash.c
+++ b/gateway_crash.c
@@ -212,6 +212,10 @@
 		gw_on_blocked(gateway, &block->key, false);
 }
 
+/*
+ * Other hosts are told of no request that this one knows to be sound: a host that has
+ * just started knows no good answers, and would count what all others have seen.
+ */
 static void gw_report_crash(const struct gw_crash_check *check)
 {
 	struct gw_gateway *gateway = check->gateway;
@@ -225,6 +229,9 @@
 			.server = check->server->start_hash,
 		};
 
+		if (cg_was_answered(&gateway->crash_guard, &msg.key,
+				    tm_now_us()))
+			continue;
 		kn_send(gateway->kernel, "alerts", &msg.msg);
 		gw_add_crash(gateway, &msg.key, msg.server, true);
 	}
