--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 CHECK_LIBS = $(shell pkg-config --libs check)
 
 # build/release is the product. build/test has the sanitizers and the switches
-# that turn single mechanisms off (mechanism.h). build/proof has the switches
+# that turn single mechanisms off (base/mechanism.h). build/proof has the switches
 # but no sanitizers.
 VARIANT ?= release
 CFLAGS_release = -O2 -g
@@ -30,7 +30,9 @@
 OUT = build/$(VARIANT)
 ALL_CFLAGS = $(BASE_CFLAGS) $(CFLAGS_$(VARIANT)) $(CFLAGS)
 
-SRCS = $(filter-out jackdawworks.c,$(wildcard *.c platform/*.c))
+# A folder for each subject; docs/design.md says what each is for.
+DIRS = base core http document control orders gateway peer admin platform cli
+SRCS = $(wildcard $(DIRS:%=%/*.c))
 GEN_SRCS = $(wildcard gen/*.c)
 LIB_OBJS = $(SRCS:%.c=$(OUT)/%.o) $(GEN_SRCS:%.c=$(OUT)/%.o)
 # Programs in tests/: tool_*.c are test doubles, the load tool and other helpers
@@ -39,7 +41,7 @@
 TOOLS = $(TOOL_SRCS:tests/%.c=$(OUT)/%)
 TEST_SRCS = $(wildcard tests/test_*.c)
 TESTS = $(TEST_SRCS:tests/%.c=$(OUT)/%)
-FORMATTED = $(wildcard *.[ch] platform/*.[ch] tests/*.[ch])
+FORMATTED = $(wildcard *.[ch] $(DIRS:%=%/*.[ch]) tests/*.[ch])
 
 all: build/jackdawworks
 
@@ -115,20 +117,20 @@
 
 lint:
 	@mkdir -p build
-	@printf '%s\n' $(wildcard *.c platform/*.c tests/*.c) | \
+	@printf '%s\n' $(wildcard *.c $(DIRS:%=%/*.c) tests/*.c) | \
 		xargs -P 8 -I{} clang-tidy --quiet {} -- $(BASE_CFLAGS) \
 		-DME_SWITCHES 2>build/lint.err
 
 gen:
 	@mkdir -p gen
 	rm -f gen/peer_rpc.h gen/peer_rpc_xdr.c
-	rpcgen -h -o gen/peer_rpc.h peer_rpc.x
-	rpcgen -c -o gen/peer_rpc_xdr.c peer_rpc.x
+	cd peer && rpcgen -h -o ../gen/peer_rpc.h peer_rpc.x
+	cd peer && rpcgen -c -o ../gen/peer_rpc_xdr.c peer_rpc.x
 
 clean:
 	rm -rf build
 
--include $(wildcard $(OUT)/*.d $(OUT)/platform/*.d $(OUT)/gen/*.d $(OUT)/tests/*.d)
+-include $(wildcard $(OUT)/*.d $(OUT)/*/*.d)
 
 .PHONY: all link release proof test variant deps demo check proofs bench browser format \
 	format-check lint gen clean
--- a/admin.c
+++ b/admin/admin.c
@@ -1,12 +1,12 @@
-#include "admin.h"
+#include "admin/admin.h"
 
 #include <string.h>
 
 #include <jansson.h>
 
-#include "counter.h"
-#include "json_text.h"
-#include "log.h"
+#include "base/counter.h"
+#include "base/json_text.h"
+#include "base/log.h"
 
 enum {
 	AD_DEFAULT_AUDIT_ROWS = 100,
--- a/admin.h
+++ b/admin/admin.h
@@ -1,10 +1,10 @@
-#ifndef ADMIN_H
-#define ADMIN_H
+#ifndef ADMIN_ADMIN_H
+#define ADMIN_ADMIN_H
 
-#include "console.h"
-#include "control.h"
-#include "gateway.h"
-#include "httpd.h"
+#include "admin/console.h"
+#include "control/control.h"
+#include "gateway/gateway.h"
+#include "http/httpd.h"
 
 /*
  * HTTP listener for operators. A request must carry the operators' token of
@@ -26,7 +26,7 @@
  * ad_init - listen on the operators' address of the settings. DRAIN is called
  * with DRAIN_CTX when an operator requests a graceful stop. The objects passed
  * in are borrowed. Errors: ST_IO when the address cannot be bound.
- * Source: admin.c
+ * Source: admin/admin.c
  */
 enum st_kind ad_init(struct ad_admin *admin, uv_loop_t *loop,
 		     struct cp_control *control, struct gw_gateway *gateway,
--- a/console.c
+++ b/admin/console.c
@@ -1,4 +1,4 @@
-#include "console.h"
+#include "admin/console.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -6,10 +6,10 @@
 #include <glib.h>
 #include <jansson.h>
 
-#include "counter.h"
-#include "form.h"
-#include "httpd.h"
-#include "log.h"
+#include "base/counter.h"
+#include "admin/form.h"
+#include "http/httpd.h"
+#include "base/log.h"
 
 enum {
 	CS_SESSION_LIFETIME_S = 8 * 3600,
--- a/console.h
+++ b/admin/console.h
@@ -1,11 +1,11 @@
-#ifndef CONSOLE_H
-#define CONSOLE_H
+#ifndef ADMIN_CONSOLE_H
+#define ADMIN_CONSOLE_H
 
 #include <h2o.h>
 
-#include "control.h"
-#include "gateway.h"
-#include "settings.h"
+#include "control/control.h"
+#include "gateway/gateway.h"
+#include "base/settings.h"
 
 /*
  * Web console: HTML forms under /console on the operators' listener.
@@ -23,7 +23,7 @@
 	const struct se_settings *settings;
 };
 
-/* cs_init - borrows what is passed; no cleanup is needed. Source: console.c */
+/* cs_init - borrows what is passed; no cleanup is needed. Source: admin/console.c */
 void cs_init(struct cs_console *console, struct cp_control *control,
 	     const struct gw_gateway *gateway, struct pf_client *platform,
 	     const struct se_settings *settings);
--- a/form.c
+++ b/admin/form.c
@@ -1,9 +1,9 @@
-#include "form.h"
+#include "admin/form.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "core.h"
+#include "core/core.h"
 
 #define FM_COUNT(a) ((uint32_t)(sizeof(a) / sizeof((a)[0])))
 
--- a/form.h
+++ b/admin/form.h
@@ -1,11 +1,11 @@
-#ifndef FORM_H
-#define FORM_H
+#ifndef ADMIN_FORM_H
+#define ADMIN_FORM_H
 
 #include <stdbool.h>
 #include <stdint.h>
 #include <glib.h>
 
-#include "yaml_tree.h"
+#include "base/yaml_tree.h"
 
 /*
  * The document as a form: a tree of nodes with text fields. It can be read
@@ -55,7 +55,7 @@
 	GPtrArray **children; /* one list per child type */
 };
 
-/* fm_new, fm_free - a form of an empty document. Source: form.c */
+/* fm_new, fm_free - a form of an empty document. Source: admin/form.c */
 struct fm_node *fm_new(void);
 void fm_free(struct fm_node *root);
 
--- a/counter.c
+++ b/base/counter.c
@@ -1,6 +1,6 @@
-#include "counter.h"
+#include "base/counter.h"
 
-#include "histogram.h"
+#include "base/histogram.h"
 
 static uint64_t ct_values[CT_COUNT];
 static uint64_t ct_results[ST_KIND_COUNT];
--- a/counter.h
+++ b/base/counter.h
@@ -1,10 +1,10 @@
-#ifndef COUNTER_H
-#define COUNTER_H
+#ifndef BASE_COUNTER_H
+#define BASE_COUNTER_H
 
 #include <stdint.h>
 #include <glib.h>
 
-#include "status.h"
+#include "base/status.h"
 
 /*
  * Counters of the process, exposed in the Prometheus text format. Columns:
@@ -80,7 +80,7 @@
 		CT_COUNT
 };
 
-/* ct_add - add N to a counter. Source: counter.c */
+/* ct_add - add N to a counter. Source: base/counter.c */
 void ct_add(enum ct_id id, uint64_t n);
 
 /* ct_get - current value. */
--- a/histogram.c
+++ b/base/histogram.c
@@ -1,4 +1,4 @@
-#include "histogram.h"
+#include "base/histogram.h"
 
 #include <string.h>
 
--- a/histogram.h
+++ b/base/histogram.h
@@ -1,5 +1,5 @@
-#ifndef HISTOGRAM_H
-#define HISTOGRAM_H
+#ifndef BASE_HISTOGRAM_H
+#define BASE_HISTOGRAM_H
 
 #include <stdint.h>
 #include <glib.h>
@@ -10,7 +10,7 @@
  * hg_observe - count one call. There are at most HG_MAX_SERIES series; the last
  *	one has service and result "other" and counts the calls of all further pairs.
  * hg_write - append the series to OUT in the Prometheus text format.
- *	Source: histogram.c
+ *	Source: base/histogram.c
  */
 enum { HG_MAX_SERIES = 512 };
 
--- a/json_text.c
+++ b/base/json_text.c
@@ -1,4 +1,4 @@
-#include "json_text.h"
+#include "base/json_text.h"
 
 #include <string.h>
 #include <glib.h>
--- a/json_text.h
+++ b/base/json_text.h
@@ -1,5 +1,5 @@
-#ifndef JSON_TEXT_H
-#define JSON_TEXT_H
+#ifndef BASE_JSON_TEXT_H
+#define BASE_JSON_TEXT_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -11,7 +11,7 @@
  *
  * jt_string - a JSON string; invalid sequences become U+FFFD. NULL gives "".
  * jt_string_n - the same for TEXT_BYTES bytes; NUL bytes become U+FFFD too.
- * Source: json_text.c
+ * Source: base/json_text.c
  */
 json_t *jt_string(const char *text);
 json_t *jt_string_n(const char *text, size_t text_bytes);
--- a/kernel.c
+++ b/base/kernel.c
@@ -1,4 +1,4 @@
-#include "kernel.h"
+#include "base/kernel.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/kernel.h
+++ b/base/kernel.h
@@ -1,11 +1,11 @@
-#ifndef KERNEL_H
-#define KERNEL_H
+#ifndef BASE_KERNEL_H
+#define BASE_KERNEL_H
 
 #include <stdint.h>
 #include <uv.h>
 
-#include "crash_guard.h"
-#include "status.h"
+#include "core/crash_guard.h"
+#include "base/status.h"
 
 /*
  * Message passing inside the process. Tasks, one for each module that takes
@@ -77,7 +77,7 @@
 };
 
 /*
- * A server crashed while it ran a request; see crash_guard.h. CRASH: from "gateway"
+ * A server crashed while it ran a request; see core/crash_guard.h. CRASH: from "gateway"
  * for the other hosts, or to it from one of them. SUSPECT: from "gateway", to be kept
  * for hosts that start.
  */
@@ -112,7 +112,7 @@
 
 /*
  * kn_init - set up a kernel in memory of the calling module.
- * kn_free - drop undelivered messages. Source: kernel.c
+ * kn_free - drop undelivered messages. Source: base/kernel.c
  */
 void kn_init(struct kn_kernel *kernel, uv_loop_t *loop);
 void kn_free(struct kn_kernel *kernel);
--- a/log.c
+++ b/base/log.c
@@ -1,4 +1,4 @@
-#include "log.h"
+#include "base/log.h"
 
 #include <poll.h>
 #include <stdarg.h>
@@ -6,8 +6,8 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "counter.h"
-#include "json_text.h"
+#include "base/counter.h"
+#include "base/json_text.h"
 
 enum {
 	/* A writable pipe takes this much (PIPE_BUF) without blocking. */
--- a/log.h
+++ b/base/log.h
@@ -1,12 +1,12 @@
-#ifndef LOG_H
-#define LOG_H
+#ifndef BASE_LOG_H
+#define BASE_LOG_H
 
 #include <stdbool.h>
 #include <stdint.h>
 #include <glib.h>
 #include <jansson.h>
 
-#include "timer.h"
+#include "base/timer.h"
 
 /*
  * Logs as JSON lines on standard output.
@@ -61,7 +61,7 @@
  *	far as standard output takes it without blocking.
  * lg_detach - stop the timer and write buffered lines.
  * lg_set_level - change MIN_LEVEL.
- * Source: log.c
+ * Source: base/log.c
  */
 void lg_init(const char *host, const char *min_level);
 void lg_attach(struct tm_service *timers);
--- a/mechanism.c
+++ b/base/mechanism.c
@@ -1,4 +1,4 @@
-#include "mechanism.h"
+#include "base/mechanism.h"
 
 #ifdef ME_SWITCHES
 
--- a/mechanism.h
+++ b/base/mechanism.h
@@ -1,5 +1,5 @@
-#ifndef MECHANISM_H
-#define MECHANISM_H
+#ifndef BASE_MECHANISM_H
+#define BASE_MECHANISM_H
 
 #include <stdbool.h>
 
@@ -52,7 +52,7 @@
 };
 
 #ifdef ME_SWITCHES
-/* me_on - whether a mechanism is switched on. Source: mechanism.c */
+/* me_on - whether a mechanism is switched on. Source: base/mechanism.c */
 bool me_on(enum me_kind kind);
 #else
 static inline bool me_on(enum me_kind kind)
--- a/net.c
+++ b/base/net.c
@@ -1,4 +1,4 @@
-#include "net.h"
+#include "base/net.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/net.h
+++ b/base/net.h
@@ -1,5 +1,5 @@
-#ifndef NET_H
-#define NET_H
+#ifndef BASE_NET_H
+#define BASE_NET_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -16,7 +16,7 @@
 /*
  * nt_parse - parse an address such as "127.0.0.1:80" or "[::1]:80". Host names
  * are not resolved. Returns false when TEXT is not a numeric address with port.
- * Source: net.c
+ * Source: base/net.c
  */
 bool nt_parse(const char *text, struct nt_address *address);
 
--- a/position.h
+++ b/base/position.h
@@ -1,5 +1,5 @@
-#ifndef POSITION_H
-#define POSITION_H
+#ifndef BASE_POSITION_H
+#define BASE_POSITION_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/settings.c
+++ b/base/settings.c
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "base/settings.h"
 
 #include <string.h>
 
--- a/settings.h
+++ b/base/settings.h
@@ -1,12 +1,12 @@
-#ifndef SETTINGS_H
-#define SETTINGS_H
+#ifndef BASE_SETTINGS_H
+#define BASE_SETTINGS_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "net.h"
-#include "status.h"
-#include "yaml_tree.h"
+#include "base/net.h"
+#include "base/status.h"
+#include "base/yaml_tree.h"
 
 enum { SE_NAME_BYTES = 64, SE_MAX_SEEDS = 64, SE_SECRET_BYTES = 128 };
 
@@ -81,7 +81,7 @@
 
 /*
  * se_read_file - read and check a settings file. Every error is added to ERRORS
- * with line and field. Returns ST_OK, ST_INVALID or ST_IO. Source: settings.c
+ * with line and field. Returns ST_OK, ST_INVALID or ST_IO. Source: base/settings.c
  * se_parse - the same for the text of a settings file.
  */
 enum st_kind se_read_file(const char *path, struct se_settings *settings,
--- a/status.c
+++ b/base/status.c
@@ -1,4 +1,4 @@
-#include "status.h"
+#include "base/status.h"
 
 #include <stdarg.h>
 #include <stdio.h>
--- a/status.h
+++ b/base/status.h
@@ -1,5 +1,5 @@
-#ifndef STATUS_H
-#define STATUS_H
+#ifndef BASE_STATUS_H
+#define BASE_STATUS_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -62,7 +62,7 @@
  * st_set - store a kind and a formatted message in STATUS, return the kind.
  * STATUS may be NULL. The message is truncated to ST_MSG_BYTES, which include
  * the terminating NUL.
- * Source: status.c
+ * Source: base/status.c
  */
 enum st_kind st_set(struct st_status *status, enum st_kind kind,
 		    const char *fmt, ...) __attribute__((format(printf, 3, 4)));
--- a/text.c
+++ b/base/text.c
@@ -1,4 +1,4 @@
-#include "text.h"
+#include "base/text.h"
 
 void tx_list_init(struct tx_list *list)
 {
--- a/text.h
+++ b/base/text.h
@@ -1,5 +1,5 @@
-#ifndef TEXT_H
-#define TEXT_H
+#ifndef BASE_TEXT_H
+#define BASE_TEXT_H
 
 #include <stdint.h>
 #include <glib.h>
@@ -40,7 +40,7 @@
  * A list of different names that keep their index.
  *
  * tx_list_init, tx_list_free - on memory of the caller.
- * tx_list_index - index of NAME, which is added if it is new. Source: text.c
+ * tx_list_index - index of NAME, which is added if it is new. Source: base/text.c
  */
 struct tx_list {
 	GPtrArray *names;
--- a/timer.c
+++ b/base/timer.c
@@ -1,4 +1,4 @@
-#include "timer.h"
+#include "base/timer.h"
 
 #include <string.h>
 
--- a/timer.h
+++ b/base/timer.h
@@ -1,5 +1,5 @@
-#ifndef TIMER_H
-#define TIMER_H
+#ifndef BASE_TIMER_H
+#define BASE_TIMER_H
 
 #include <stdint.h>
 #include <uv.h>
@@ -27,7 +27,7 @@
 /*
  * tm_init - set up the timers in memory of the calling module.
  * tm_free - cancel all subscriptions and close the libuv handle. The loop must
- *	run once more before the memory is freed. Source: timer.c
+ *	run once more before the memory is freed. Source: base/timer.c
  */
 void tm_init(struct tm_service *timers, uv_loop_t *loop);
 void tm_free(struct tm_service *timers);
--- a/yaml_tree.c
+++ b/base/yaml_tree.c
@@ -1,4 +1,4 @@
-#include "yaml_tree.h"
+#include "base/yaml_tree.h"
 
 #include <errno.h>
 #include <stdarg.h>
--- a/yaml_tree.h
+++ b/base/yaml_tree.h
@@ -1,12 +1,12 @@
-#ifndef YAML_TREE_H
-#define YAML_TREE_H
+#ifndef BASE_YAML_TREE_H
+#define BASE_YAML_TREE_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <glib.h>
 
-#include "status.h"
+#include "base/status.h"
 
 /*
  * YAML text as a tree with line numbers, and functions that read fields from
@@ -43,7 +43,7 @@
 /*
  * ym_parse - parse TEXT into a tree. The root must be a mapping.
  * Duplicate keys, aliases and nesting deeper than YM_MAX_DEPTH are errors.
- * Returns NULL when it added an error to ERRORS. Source: yaml_tree.c
+ * Returns NULL when it added an error to ERRORS. Source: base/yaml_tree.c
  */
 struct ym_node *ym_parse(const char *text, size_t text_bytes,
 			 struct ym_errors *errors);
--- a/command.h
+++ b/cli/command.h
@@ -1,5 +1,5 @@
-#ifndef COMMAND_H
-#define COMMAND_H
+#ifndef CLI_COMMAND_H
+#define CLI_COMMAND_H
 
 /*
  * Subcommands: name, help. Each takes its own argument vector, with its name in
--- a/cmd_explain.c
+++ b/cli/explain.c
@@ -5,9 +5,9 @@
 #include <glib.h>
 #include <jansson.h>
 
-#include "command.h"
-#include "log.h"
-#include "status.h"
+#include "cli/command.h"
+#include "base/log.h"
+#include "base/status.h"
 
 /*
  * Prints the log lines about one call, from the logs of one or more hosts, in
--- a/cmd_operator.c
+++ b/cli/operator.c
@@ -1,9 +1,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "command.h"
-#include "json_text.h"
-#include "operator_client.h"
+#include "cli/command.h"
+#include "base/json_text.h"
+#include "cli/operator_client.h"
 
 static const struct co_command co_check = {
 	.args_doc = "FILE",
--- a/operator_client.c
+++ b/cli/operator_client.c
@@ -1,12 +1,12 @@
-#include "operator_client.h"
+#include "cli/operator_client.h"
 
 #include <argp.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "json_text.h"
-#include "tls.h"
+#include "base/json_text.h"
+#include "http/tls.h"
 
 enum {
 	CO_TIMEOUT_US = 30 * 1000 * 1000,
--- a/operator_client.h
+++ b/cli/operator_client.h
@@ -1,5 +1,5 @@
-#ifndef OPERATOR_CLIENT_H
-#define OPERATOR_CLIENT_H
+#ifndef CLI_OPERATOR_CLIENT_H
+#define CLI_OPERATOR_CLIENT_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -8,9 +8,9 @@
 #include <jansson.h>
 #include <uv.h>
 
-#include "document.h"
-#include "httpc.h"
-#include "timer.h"
+#include "document/document.h"
+#include "http/httpc.h"
+#include "base/timer.h"
 
 /*
  * Functions shared by the operators' commands: command line options, requests
@@ -89,7 +89,7 @@
 
 /*
  * co_parse_options - parse the arguments of a command; false after a usage
- * error. Source: operator_client.c
+ * error. Source: cli/operator_client.c
  */
 bool co_parse_options(int argc, char **argv, const struct co_command *command,
 		      struct co_options *options);
--- a/cmd_replay.c
+++ b/cli/replay.c
@@ -4,12 +4,12 @@
 
 #include <glib.h>
 
-#include "command.h"
-#include "core_state.h"
-#include "status.h"
-#include "trace.h"
-#include "trace_check.h"
-#include "yaml_tree.h"
+#include "cli/command.h"
+#include "core/state.h"
+#include "base/status.h"
+#include "core/trace.h"
+#include "core/trace_check.h"
+#include "base/yaml_tree.h"
 
 /*
  * Replays the events and random numbers of a trace into a new decision core and
--- a/cmd_serve.c
+++ b/cli/serve.c
@@ -6,22 +6,22 @@
 #include <glib.h>
 #include <uv.h>
 
-#include "admin.h"
-#include "command.h"
-#include "control.h"
-#include "counter.h"
-#include "gateway.h"
-#include "kernel.h"
-#include "log.h"
-#include "mechanism.h"
-#include "order.h"
-#include "peer_task.h"
+#include "admin/admin.h"
+#include "cli/command.h"
+#include "control/control.h"
+#include "base/counter.h"
+#include "gateway/gateway.h"
+#include "base/kernel.h"
+#include "base/log.h"
+#include "base/mechanism.h"
+#include "orders/order.h"
+#include "peer/task.h"
 #include "platform/dialect.h"
 #include "platform/follow.h"
 #include "platform/store.h"
-#include "settings.h"
-#include "timer.h"
-#include "tls.h"
+#include "base/settings.h"
+#include "base/timer.h"
+#include "http/tls.h"
 
 enum {
 	SV_IDLE_POLL_US = 20 * 1000,
--- a/control_accept.c
+++ b/control/accept.c
@@ -1,11 +1,11 @@
-#include "control_accept.h"
+#include "control/accept.h"
 
 #include <string.h>
 
-#include "control_state.h"
-#include "json_text.h"
-#include "log.h"
-#include "mechanism.h"
+#include "control/state.h"
+#include "base/json_text.h"
+#include "base/log.h"
+#include "base/mechanism.h"
 
 enum {
 	CA_BACKOFF_US = 100 * 1000,
--- a/control.c
+++ b/control/control.c
@@ -1,12 +1,12 @@
-#include "control.h"
+#include "control/control.h"
 
 #include <string.h>
 
-#include "control_accept.h"
-#include "control_state.h"
-#include "log.h"
-#include "mechanism.h"
-#include "peer.h"
+#include "control/accept.h"
+#include "control/state.h"
+#include "base/log.h"
+#include "base/mechanism.h"
+#include "peer/peer.h"
 
 enum {
 	/* Limits the reads of all hosts together to about ten a second. */
--- a/control.h
+++ b/control/control.h
@@ -1,15 +1,15 @@
-#ifndef CONTROL_H
-#define CONTROL_H
+#ifndef CONTROL_CONTROL_H
+#define CONTROL_CONTROL_H
 
 #include <stdbool.h>
 #include <stdint.h>
 #include <glib.h>
 
-#include "document.h"
-#include "kernel.h"
+#include "document/document.h"
+#include "base/kernel.h"
 #include "platform/store.h"
-#include "settings.h"
-#include "timer.h"
+#include "base/settings.h"
+#include "base/timer.h"
 
 /*
  * Control task, registered as "control".
@@ -102,8 +102,8 @@
  * owns. cp_free answers pending submissions with ST_STOPPING. The event loop
  * must not run between cp_free and pf_free, because only pf_free cancels the
  * platform operations whose callbacks use CONTROL.
- * Source: control.c, which follows documents; acceptance in control_accept.c;
- * the document in force in control_state.c
+ * Source: control/control.c, which follows documents; acceptance in control/accept.c;
+ * the document in force in state.c
  */
 enum st_kind cp_init(struct cp_control *control, struct kn_kernel *kernel,
 		     struct tm_service *timers, struct pf_client *platform,
--- a/control_state.c
+++ b/control/state.c
@@ -1,9 +1,9 @@
-#include "control_state.h"
+#include "control/state.h"
 
 #include <string.h>
 
-#include "log.h"
-#include "mechanism.h"
+#include "base/log.h"
+#include "base/mechanism.h"
 
 enum { CP_MAX_BACKOFF_SHIFT = 8, CP_DIGEST_CHARS = DOC_DIGEST_BYTES - 1 };
 
--- a/control_state.h
+++ b/control/state.h
@@ -1,10 +1,10 @@
 #ifndef CONTROL_STATE_H
 #define CONTROL_STATE_H
 
-#include "control.h"
+#include "control/control.h"
 
 /*
- * The document in force, and what control.c and control_accept.c need to read one
+ * The document in force, and what control.c and accept.c need to read one
  * from the store. Calls neither of them.
  *
  * cp_may_replace - whether GENERATION may replace the one in force.
@@ -17,7 +17,7 @@
  *	document, generation or audit. Returns false when they are malformed.
  * cp_backoff_us - delay before the next retry: FIRST_US, doubled after each of
  *	FAILURES earlier failures up to MAX_US, with a random part of up to one
- *	half subtracted. Source: control_state.c
+ *	half subtracted. Source: control/state.c
  */
 bool cp_may_replace(const struct cp_control *control, uint64_t generation);
 void cp_put_in_force(struct cp_control *control, struct doc_document *document);
--- a/core_ask.c
+++ b/core/ask.c
@@ -1,6 +1,6 @@
-#include "core_state.h"
+#include "core/state.h"
 
-#include "mechanism.h"
+#include "base/mechanism.h"
 
 /*
  * Policy "ask": before a call is sent, probes ask a few servers for their load
--- a/core_bucket.c
+++ b/core/bucket.c
@@ -1,4 +1,4 @@
-#include "core_state.h"
+#include "core/state.h"
 
 /* Token buckets, which count in millionths of a token. */
 enum {
--- a/core_conf.c
+++ b/core/conf.c
@@ -1,4 +1,4 @@
-#include "core_state.h"
+#include "core/state.h"
 
 #include <string.h>
 
--- a/core.c
+++ b/core/core.c
@@ -1,8 +1,8 @@
-#include "core_state.h"
+#include "core/state.h"
 
 #include <string.h>
 
-#include "mechanism.h"
+#include "base/mechanism.h"
 
 /* Calls, their attempts, and the processing of events. */
 
--- a/core.h
+++ b/core/core.h
@@ -1,10 +1,10 @@
-#ifndef CORE_H
-#define CORE_H
+#ifndef CORE_CORE_H
+#define CORE_CORE_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "status.h"
+#include "base/status.h"
 
 /*
  * Decision core: admission, queue, choice of server, limits, retries, hedges
@@ -329,7 +329,7 @@
 
 /*
  * core_init, core_free - set up and release a decision core in memory that the
- * caller provides; core_state.h defines the structure. Source: core.c
+ * caller provides; core/state.h defines the structure. Source: core/core.c
  *
  * core_handle_event - process one event. Actions are emitted only during this
  * call. The driver must not call it from within an action; it has to queue the
@@ -344,13 +344,13 @@
  * its open attempt ended with CORE_END_FAILED now. The driver checks it before
  * it discards an error response of a server. Takes no retry credit. Always
  * false for policies other than "ask", and if less than half of the median
- * latency is left until the deadline. Source: core.c
+ * latency is left until the deadline. Source: core/core.c
  */
 bool core_can_retry(struct core *core, uint64_t call);
 
 /*
  * core_usual_latency_us - time within which most answers of the service begin, as
- * far as is known. Source: core.c
+ * far as is known. Source: core/core.c
  */
 uint64_t core_usual_latency_us(const struct core *core, uint32_t id);
 
--- a/crash_guard.c
+++ b/core/crash_guard.c
@@ -1,4 +1,4 @@
-#include "crash_guard.h"
+#include "core/crash_guard.h"
 
 #include <string.h>
 
--- a/crash_guard.h
+++ b/core/crash_guard.h
@@ -1,5 +1,5 @@
-#ifndef CRASH_GUARD_H
-#define CRASH_GUARD_H
+#ifndef CORE_CRASH_GUARD_H
+#define CORE_CRASH_GUARD_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -36,7 +36,7 @@
 };
 
 /*
- * cg_init, cg_free - on memory of the caller. Source: crash_guard.c
+ * cg_init, cg_free - on memory of the caller. Source: core/crash_guard.c
  *
  * cg_add_crash - SERVER, a hash that differs for each start of a server, crashed
  *	while it ran the request. Returns true if this blocks the request.
--- a/core_limit.c
+++ b/core/limit.c
@@ -1,9 +1,9 @@
-#include "core_state.h"
+#include "core/state.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "mechanism.h"
+#include "base/mechanism.h"
 
 /*
  * Limits of a server: adaptive concurrency limit, outlier ejection (the switch
--- a/core_pause.c
+++ b/core/pause.c
@@ -1,4 +1,4 @@
-#include "core_state.h"
+#include "core/state.h"
 
 /*
  * Pauses that servers ask for. A server that refuses a request may name a time
--- a/core_queue.c
+++ b/core/queue.c
@@ -1,6 +1,6 @@
-#include "core_state.h"
+#include "core/state.h"
 
-#include "mechanism.h"
+#include "base/mechanism.h"
 
 /*
  * Admission and queue.
--- a/core_rate.c
+++ b/core/rate.c
@@ -1,4 +1,4 @@
-#include "core_state.h"
+#include "core/state.h"
 
 /*
  * A server in need names how many requests a second it takes from all hosts
--- a/reach.c
+++ b/core/reach.c
@@ -1,4 +1,4 @@
-#include "reach.h"
+#include "core/reach.h"
 
 #include <glib.h>
 
--- a/reach.h
+++ b/core/reach.h
@@ -1,5 +1,5 @@
-#ifndef REACH_H
-#define REACH_H
+#ifndef CORE_REACH_H
+#define CORE_REACH_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -31,7 +31,7 @@
  * rc_on_failed - a request to SERVER got no byte: the connection was refused, was
  *	lost or stayed silent.
  * rc_hears_none - no server is heard; SERVERS is the number of those in use.
- * rc_opens_none - no new connection to a server succeeds. Source: reach.c
+ * rc_opens_none - no new connection to a server succeeds. Source: core/reach.c
  */
 void rc_on_heard(struct rc_reach *reach, bool new_connection);
 void rc_on_failed(struct rc_reach *reach, uint32_t server, bool new_connection,
--- a/core_state.h
+++ b/core/state.h
@@ -3,9 +3,9 @@
 
 #include <glib.h>
 
-#include "core.h"
+#include "core/core.h"
 
-/* Internal state and functions of the decision core (core*.c). */
+/* Internal state and functions of the decision core (core/). */
 
 enum {
 	CORE_Q8 = 256, /* 1.0 in fixed point, suffix _q8 */
@@ -259,7 +259,7 @@
 		       uint32_t server, bool hedge);
 
 /*
- * core_conf.c: configuration.
+ * conf.c: configuration.
  *
  * core_host_score - for rendezvous hashing: of those that may own an item, the
  * hosts with the highest scores do.
@@ -268,7 +268,7 @@
 uint64_t core_host_score(uint64_t item_hash, uint64_t host_hash);
 
 /*
- * core_ask.c: policy "ask", which asks a few servers for their load before it
+ * ask.c: policy "ask", which asks a few servers for their load before it
  * sends a call.
  *
  * core_ask_set_wait - set how long a new call may wait for a free slot.
@@ -289,7 +289,7 @@
 uint64_t core_ask_timer_us(const struct core_call *call);
 
 /*
- * core_work.c: estimates of the time of a call at a server, and free slots.
+ * work.c: estimates of the time of a call at a server, and free slots.
  *
  * core_work_us - time of a call of this work class on an idle server.
  * core_expected_latency_us - time from sending a call to SERVER to its answer.
@@ -327,7 +327,7 @@
 			 const struct core_server *server);
 
 /*
- * core_pick.c: choice of a server.
+ * pick.c: choice of a server.
  *
  * core_pick_server - choose a server for an attempt; false: none has room now.
  * core_was_tried - whether the call had an attempt at the server.
@@ -353,7 +353,7 @@
 		      const struct core_server *server);
 
 /*
- * core_bucket.c: token buckets. They start empty, so that a restart yields no
+ * bucket.c: token buckets. They start empty, so that a restart yields no
  * extra tokens.
  *
  * core_bucket_configure - share PER_S, in millionths of a token a second; UNIT
@@ -378,7 +378,7 @@
 void core_bucket_refund(struct core_bucket *bucket, int64_t amount);
 
 /*
- * core_rate.c: limits of requests a second that servers name for all hosts
+ * rate.c: limits of requests a second that servers name for all hosts
  * together. This host keeps to its share of them.
  *
  * core_rate_on_limit - a server named, changed or ended its limit.
@@ -398,7 +398,7 @@
 			    const struct core_server *server);
 
 /*
- * core_pause.c: pauses that servers ask for.
+ * pause.c: pauses that servers ask for.
  *
  * core_on_pause - a server asked for a pause, or for a longer one.
  * core_is_paused - whether nothing may go to the server now.
@@ -414,7 +414,7 @@
 		       const struct core_service *service);
 
 /*
- * core_probe.c: measuring budget, probes, load reports, probe responses.
+ * probe.c: measuring budget, probes, load reports, probe responses.
  *
  * core_take_report_budget - whether an attempt may request a load report; takes
  * its bytes from the budget.
@@ -437,7 +437,7 @@
 			 uint32_t *server);
 
 /*
- * core_queue.c: admission and queue.
+ * queue.c: admission and queue.
  *
  * core_flow_ref, core_flow_unref - get the flow of a caller with a new
  * reference; release it.
@@ -459,7 +459,7 @@
 		      const struct core_call *call, uint32_t ahead);
 
 /*
- * core_limit.c: limits of a server, outlier ejection, slow start, retry budget.
+ * limit.c: limits of a server, outlier ejection, slow start, retry budget.
  *
  * core_is_leaving - whether new calls avoid the server because it is draining.
  * core_is_ejected - whether it is ejected and no trial call is due.
--- a/trace.c
+++ b/core/trace.c
@@ -1,4 +1,4 @@
-#include "trace.h"
+#include "core/trace.h"
 
 #include <errno.h>
 #include <stddef.h>
@@ -6,7 +6,7 @@
 
 #include <jansson.h>
 
-#include "log.h"
+#include "base/log.h"
 
 enum { TR_MAX_SERVICES = 4096, TR_MAX_LIST_ITEMS = 65536 };
 
--- a/trace.h
+++ b/core/trace.h
@@ -1,13 +1,13 @@
-#ifndef TRACE_H
-#define TRACE_H
+#ifndef CORE_TRACE_H
+#define CORE_TRACE_H
 
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <glib.h>
 
-#include "core.h"
-#include "status.h"
+#include "core/core.h"
+#include "base/status.h"
 
 /*
  * Traces: the events, random numbers and actions of a decision core, recorded
@@ -29,7 +29,7 @@
  * stops before the first event whose lines would exceed MAX_BYTES in total, so
  * the trace ends with a complete event. HOST is written to the header.
  * tr_close - stop recording and close the file; does nothing when TRACE is not
- * open. Errors: ST_IO. Source: trace.c
+ * open. Errors: ST_IO. Source: core/trace.c
  */
 enum st_kind tr_open(struct tr_trace *trace, const char *path,
 		     uint64_t max_bytes, const char *host,
--- a/trace_check.c
+++ b/core/trace_check.c
@@ -1,4 +1,4 @@
-#include "trace_check.h"
+#include "core/trace_check.h"
 
 #include <string.h>
 
--- a/trace_check.h
+++ b/core/trace_check.h
@@ -1,12 +1,12 @@
-#ifndef TRACE_CHECK_H
-#define TRACE_CHECK_H
+#ifndef CORE_TRACE_CHECK_H
+#define CORE_TRACE_CHECK_H
 
 #include <stdbool.h>
 #include <stdint.h>
 #include <glib.h>
 
-#include "core.h"
-#include "yaml_tree.h"
+#include "core/core.h"
+#include "base/yaml_tree.h"
 
 /*
  * Outcomes that a replayed trace can be checked for: identifier, name in the
@@ -52,7 +52,7 @@
  * tr_parse_outcomes - parse a file of expected outcomes, YAML or JSON. The
  * field "recorded", a description of how the trace was made, is required.
  * Returns false and adds rows to ERRORS when the text is invalid.
- * Source: trace_check.c
+ * Source: core/trace_check.c
  */
 bool tr_parse_outcomes(const char *text, size_t text_bytes,
 		       struct tr_outcomes *outcomes, struct ym_errors *errors);
--- a/core_work.c
+++ b/core/work.c
@@ -1,4 +1,4 @@
-#include "core_state.h"
+#include "core/state.h"
 
 /*
  * Estimates the time of a call at a server from the work of its class, the pace
--- a/document_diff.c
+++ b/document/diff.c
@@ -1,8 +1,8 @@
-#include "document.h"
+#include "document/document.h"
 
 #include <string.h>
 
-#include "json_text.h"
+#include "base/json_text.h"
 
 /*
  * Each document is converted to a list of objects with named fields. Objects of
--- a/document.c
+++ b/document/document.c
@@ -1,4 +1,4 @@
-#include "document.h"
+#include "document/document.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -53,7 +53,7 @@
 	g_strlcpy(out, name, DOC_NAME_BYTES);
 }
 
-/* The same for a name of text.h. */
+/* The same for a name of base/text.h. */
 static void doc_read_text(struct ym_node *map, const char *field, char **out,
 			  struct ym_errors *errors)
 {
--- a/document.h
+++ b/document/document.h
@@ -1,5 +1,5 @@
-#ifndef DOCUMENT_H
-#define DOCUMENT_H
+#ifndef DOCUMENT_DOCUMENT_H
+#define DOCUMENT_DOCUMENT_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -7,12 +7,12 @@
 #include <glib.h>
 #include <jansson.h>
 
-#include "core.h"
-#include "net.h"
-#include "position.h"
-#include "status.h"
-#include "text.h"
-#include "yaml_tree.h"
+#include "core/core.h"
+#include "base/net.h"
+#include "base/position.h"
+#include "base/status.h"
+#include "base/text.h"
+#include "base/yaml_tree.h"
 
 /*
  * Documents: the configuration of services, servers and callers. A document is
@@ -21,7 +21,7 @@
  *
  * Of a limit "over all entry hosts" each host uses its share.
  *
- * Names of type char * are those of text.h: in the platform's store they may have
+ * Names of type char * are those of base/text.h: in the platform's store they may have
  * any length. The sizes and counts of this enumeration bind YAML documents only,
  * which are refused with an error beyond them.
  */
@@ -147,7 +147,7 @@
  * are added to ERRORS with line and field. Some checks that compare the routes
  * of services run only if the rest of the document has no errors. The result
  * has one reference and generation 0; release it with doc_unref.
- * Source: document.c
+ * Source: document/document.c
  */
 struct doc_document *doc_parse(const char *text, size_t text_bytes,
 			       struct ym_errors *errors);
@@ -173,7 +173,7 @@
  * doc_diff - list the differences from OLD to NEW by service, server, rule and
  * field; either may be NULL, which counts as an empty document. Returns an
  * array of struct doc_change; release it with g_ptr_array_unref.
- * Source: document_diff.c
+ * Source: document/diff.c
  */
 GPtrArray *doc_diff(const struct doc_document *old,
 		    const struct doc_document *new);
--- a/gateway_answer.c
+++ b/gateway/answer.c
@@ -1,8 +1,8 @@
-#include "gateway_state.h"
+#include "gateway/state.h"
 
 #include <string.h>
 
-#include "attempt.h"
+#include "gateway/attempt_state.h"
 
 enum {
 	/* Of an answer, and of all together when there are many calls. */
--- a/gateway_attempt.c
+++ b/gateway/attempt.c
@@ -1,11 +1,11 @@
-#include "gateway_state.h"
+#include "gateway/state.h"
 
 #include <string.h>
 
-#include "attempt.h"
-#include "counter.h"
-#include "log.h"
-#include "mechanism.h"
+#include "gateway/attempt_state.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "base/mechanism.h"
 
 enum {
 	GW_ATTEMPT_HEAD_BYTES = 160,
--- a/attempt.c
+++ b/gateway/attempt_state.c
@@ -1,8 +1,8 @@
-#include "attempt.h"
+#include "gateway/attempt_state.h"
 
 #include <glib.h>
 
-#include "mechanism.h"
+#include "base/mechanism.h"
 
 static const struct at_row at_rows[] = {
 #define X(id, state, refused, end, non_idempotent, idempotent, result)      \
--- a/attempt.h
+++ b/gateway/attempt_state.h
@@ -1,11 +1,11 @@
-#ifndef ATTEMPT_H
-#define ATTEMPT_H
+#ifndef GATEWAY_ATTEMPT_STATE_H
+#define GATEWAY_ATTEMPT_STATE_H
 
 #include <stdbool.h>
 
-#include "core.h"
-#include "httpc.h"
-#include "status.h"
+#include "core/core.h"
+#include "http/httpc.h"
+#include "base/status.h"
 
 /*
  * Table of the states in which an attempt can end. For each of them it gives
@@ -45,7 +45,7 @@
 };
 
 /*
- * at_find_row - row of an attempt that ended in STATE. Source: attempt.c
+ * at_find_row - row of an attempt that ended in STATE. Source: gateway/attempt_state.c
  * at_end_state - last state of a request of the HTTP client that ended with END.
  */
 const struct at_row *at_find_row(enum hc_state state, bool refused);
--- a/gateway_call.c
+++ b/gateway/call.c
@@ -1,10 +1,10 @@
-#include "gateway_state.h"
+#include "gateway/state.h"
 
 #include <string.h>
 
-#include "attempt.h"
-#include "counter.h"
-#include "mechanism.h"
+#include "gateway/attempt_state.h"
+#include "base/counter.h"
+#include "base/mechanism.h"
 
 /* A call from its request to its end. */
 
--- a/gateway_conf.c
+++ b/gateway/conf.c
@@ -1,9 +1,9 @@
-#include "gateway_state.h"
+#include "gateway/state.h"
 
 #include <string.h>
 
-#include "mechanism.h"
-#include "peer.h"
+#include "base/mechanism.h"
+#include "peer/peer.h"
 
 /* Below the one second after which a lost first packet is sent again. */
 enum { GW_CONNECT_TIMEOUT_US = 200 * 1000 };
--- a/gateway_crash.c
+++ b/gateway/crash.c
@@ -1,14 +1,14 @@
-#include "gateway_state.h"
+#include "gateway/state.h"
 
 #include <string.h>
 
 #include <openssl/evp.h>
 #include <openssl/sha.h>
 
-#include "counter.h"
+#include "base/counter.h"
 
 /*
- * Calls that crash servers: tells crash_guard.h of crashes and good answers, and
+ * Calls that crash servers: tells core/crash_guard.h of crashes and good answers, and
  * refuses what it blocks.
  *
  * When a server closes the connection of a call without an answer, a health request
--- a/dialect.c
+++ b/gateway/dialect.c
@@ -1,4 +1,4 @@
-#include "dialect.h"
+#include "gateway/dialect.h"
 
 #include <math.h>
 #include <string.h>
--- a/dialect.h
+++ b/gateway/dialect.h
@@ -1,10 +1,10 @@
-#ifndef DIALECT_H
-#define DIALECT_H
+#ifndef GATEWAY_DIALECT_H
+#define GATEWAY_DIALECT_H
 
 #include <stdbool.h>
 
-#include "core.h"
-#include "httpc.h"
+#include "core/core.h"
+#include "http/httpc.h"
 
 /*
  * Names of the HTTP headers that callers and servers use, and the format of
@@ -50,7 +50,7 @@
 
 /*
  * dl_default - dialect of this project, used without a platform.
- * Source: dialect.c
+ * Source: gateway/dialect.c
  */
 extern const struct dl_dialect dl_default;
 
--- a/gateway_forward.c
+++ b/gateway/forward.c
@@ -1,9 +1,9 @@
-#include "gateway_forward.h"
+#include "gateway/forward.h"
 
 #include <string.h>
 
-#include "attempt.h"
-#include "counter.h"
+#include "gateway/attempt_state.h"
+#include "base/counter.h"
 
 enum {
 	/* Hosts that are tried for a call, and of these that cannot be reached. */
--- a/gateway_forward.h
+++ b/gateway/forward.h
@@ -1,16 +1,16 @@
 #ifndef GATEWAY_FORWARD_H
 #define GATEWAY_FORWARD_H
 
-#include "gateway_state.h"
-#include "peer.h"
+#include "gateway/state.h"
+#include "peer/peer.h"
 
 /*
  * Calls that are forwarded to another host, because this one reaches no server
  * (design.md, section 8), and those that other hosts forward to this one:
  *
- * gateway_peer.c: the hosts that calls can be passed to.
- * gateway_forward.c: forwarding a call.
- * gateway_forwarded.c: calls of other hosts.
+ * peer.c: the hosts that calls can be passed to.
+ * forward.c: forwarding a call.
+ * forwarded.c: calls of other hosts.
  *
  * A call is sent to the other host's listener for hosts, with its headers and
  *
@@ -31,7 +31,7 @@
 /* Another host that calls can be passed to. */
 struct gw_peer {
 	char *id; /* name and address; key of the table */
-	char *name; /* of text.h */
+	char *name; /* of base/text.h */
 	uint64_t order; /* by a hash of both names; the lowest are used */
 	bool same_zone;
 	bool listed;
--- a/gateway_forwarded.c
+++ b/gateway/forwarded.c
@@ -1,8 +1,8 @@
-#include "gateway_forward.h"
+#include "gateway/forward.h"
 
 #include <string.h>
 
-#include "counter.h"
+#include "base/counter.h"
 
 /*
  * Calls of other hosts. A host with a document of an earlier revision would route the
--- a/gateway.c
+++ b/gateway/gateway.c
@@ -1,8 +1,8 @@
-#include "gateway_state.h"
+#include "gateway/state.h"
 
 #include <string.h>
 
-#include "counter.h"
+#include "base/counter.h"
 
 enum {
 	GW_CALLER_CHECK_US = 100 * 1000,
--- a/gateway.h
+++ b/gateway/gateway.h
@@ -1,25 +1,25 @@
-#ifndef GATEWAY_H
-#define GATEWAY_H
+#ifndef GATEWAY_GATEWAY_H
+#define GATEWAY_GATEWAY_H
 
 #include <stdbool.h>
 #include <stdint.h>
 #include <glib.h>
 
-#include "core_state.h"
-#include "crash_guard.h"
-#include "document.h"
-#include "httpd.h"
-#include "kernel.h"
-#include "order.h"
-#include "probe.h"
-#include "reach.h"
-#include "settings.h"
-#include "timer.h"
-#include "trace.h"
+#include "core/state.h"
+#include "core/crash_guard.h"
+#include "document/document.h"
+#include "http/httpd.h"
+#include "base/kernel.h"
+#include "orders/order.h"
+#include "gateway/probe.h"
+#include "core/reach.h"
+#include "base/settings.h"
+#include "base/timer.h"
+#include "core/trace.h"
 
 enum { GW_ID_PREFIX_BYTES = SE_NAME_BYTES + 20 };
 
-/* Whether this host reaches the servers; see gateway_reach.c. */
+/* Whether this host reaches the servers; see reach.c. */
 struct gw_reach {
 	struct rc_reach evidence;
 	struct hc_observer observer;
@@ -82,7 +82,7 @@
 
 /*
  * gw_init, gw_free - set up and release a gateway in the caller's memory.
- * Errors: those of tr_open, kn_register and hd_init. Source: gateway.c
+ * Errors: those of tr_open, kn_register and hd_init. Source: gateway/gateway.c
  */
 enum st_kind gw_init(struct gw_gateway *gateway, struct kn_kernel *kernel,
 		     struct tm_service *timers,
--- a/gateway_log.c
+++ b/gateway/log.c
@@ -1,11 +1,11 @@
-#include "gateway_state.h"
+#include "gateway/state.h"
 
 #include <string.h>
 
-#include "attempt.h"
-#include "counter.h"
-#include "histogram.h"
-#include "log.h"
+#include "gateway/attempt_state.h"
+#include "base/counter.h"
+#include "base/histogram.h"
+#include "base/log.h"
 
 static uint64_t gw_elapsed_ms(uint64_t from_us, uint64_t to_us)
 {
--- a/gateway_peer.c
+++ b/gateway/peer.c
@@ -1,8 +1,8 @@
-#include "gateway_forward.h"
+#include "gateway/forward.h"
 
 #include <string.h>
 
-#include "log.h"
+#include "base/log.h"
 
 enum {
 	GW_PEERS_IN_USE = 8, /* connections must not grow with the hosts */
--- a/probe.c
+++ b/gateway/probe.c
@@ -1,8 +1,8 @@
-#include "probe.h"
+#include "gateway/probe.h"
 
 #include <string.h>
 
-#include "counter.h"
+#include "base/counter.h"
 
 enum { PB_TIMEOUT_US = 400 * 1000 };
 
--- a/probe.h
+++ b/gateway/probe.h
@@ -1,13 +1,13 @@
-#ifndef PROBE_H
-#define PROBE_H
+#ifndef GATEWAY_PROBE_H
+#define GATEWAY_PROBE_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core.h"
-#include "dialect.h"
-#include "httpc.h"
-#include "timer.h"
+#include "core/core.h"
+#include "gateway/dialect.h"
+#include "http/httpc.h"
+#include "base/timer.h"
 
 /*
  * Carries out the core's PROBE action: sends a GET request to a server. Posts
@@ -34,7 +34,7 @@
 
 /*
  * pb_init, pb_free - prober on caller-owned memory. POST passes an event on to
- * the core. pb_free cancels probes without events. Source: probe.c
+ * the core. pb_free cancels probes without events. Source: gateway/probe.c
  */
 void pb_init(struct pb_prober *prober, struct tm_service *timers,
 	     const struct dl_dialect *dialect,
--- a/gateway_reach.c
+++ b/gateway/reach.c
@@ -1,11 +1,11 @@
-#include "gateway_state.h"
+#include "gateway/state.h"
 
 #include <string.h>
 
-#include "counter.h"
+#include "base/counter.h"
 
 /*
- * Whether this host reaches the servers: gathers the evidence for reach.h from all
+ * Whether this host reaches the servers: gathers the evidence for core/reach.h from all
  * connections to them. While it reaches none, checks one server after the other, on
  * new connections, so that the end is seen although no calls are sent.
  */
--- a/gateway_route.c
+++ b/gateway/route.c
@@ -1,4 +1,4 @@
-#include "gateway_state.h"
+#include "gateway/state.h"
 
 #include <string.h>
 
@@ -12,7 +12,7 @@
 };
 
 struct gw_route_state {
-	char *name; /* of text.h; key of the table */
+	char *name; /* of base/text.h; key of the table */
 	/* Weighted round robin: each service gets its weight of the calls. */
 	uint32_t service_count;
 	uint64_t weights_hash;
--- a/gateway_state.h
+++ b/gateway/state.h
@@ -1,23 +1,23 @@
 #ifndef GATEWAY_STATE_H
 #define GATEWAY_STATE_H
 
-#include "dialect.h"
-#include "gateway.h"
-#include "httpc.h"
+#include "gateway/dialect.h"
+#include "gateway/gateway.h"
+#include "http/httpc.h"
 
 /*
- * State that the gateway*.c files share:
+ * State that the files of gateway/ share:
  *
  * gateway.c: the listener, events and actions of the core.
- * gateway_call.c: calls, from a request to its end.
- * gateway_answer.c: answers to callers.
- * gateway_attempt.c: attempts at servers.
- * gateway_crash.c: calls that crash servers.
- * gateway_reach.c: whether the servers can be reached.
- * gateway_forward.h: calls that are passed from host to host.
- * gateway_conf.c: configuration from the document and the host list.
- * gateway_route.c: state that routes keep between calls.
- * gateway_log.c: log lines about calls.
+ * call.c: calls, from a request to its end.
+ * answer.c: answers to callers.
+ * attempt.c: attempts at servers.
+ * crash.c: calls that crash servers.
+ * reach.c: whether the servers can be reached.
+ * forward.h: calls that are passed from host to host.
+ * conf.c: configuration from the document and the host list.
+ * route.c: state that routes keep between calls.
+ * log.c: log lines about calls.
  */
 enum {
 	GW_US_PER_MS = 1000,
@@ -28,7 +28,7 @@
 	GW_KILL_MARGIN_US = 200 * 1000
 };
 
-/* An upstream server with its connections. Names here are those of text.h. */
+/* An upstream server with its connections. Names here are those of base/text.h. */
 struct gw_server {
 	char *name;
 	uint32_t id;
@@ -102,7 +102,7 @@
 	bool idempotent;
 	bool may_have_run; /* an ended attempt may have run the call */
 	bool has_key; /* KEY is set */
-	struct cg_key key; /* see gateway_crash.c */
+	struct cg_key key; /* see crash.c */
 	struct od_claim *claim; /* of an order; NULL: none, or ended */
 	GString *stored_body; /* answer that is stored with the order */
 	char *stored_type;
@@ -133,7 +133,7 @@
 
 /*
  * gw_post_event - set the time of EVENT to now and pass it to the core. Events
- * that are posted while the core handles one are queued. Source: gateway.c
+ * that are posted while the core handles one are queued. Source: gateway/gateway.c
  *
  * gw_post_rate_limit - pass a RATE_LIMIT event on if it states a change.
  * gw_post_pause - count, log and pass on that a server asked for a pause.
@@ -150,7 +150,7 @@
 		       enum st_kind kind, const char *msg);
 
 /*
- * gateway_call.c
+ * call.c
  *
  * gw_call_new - state of a new call for REQ.
  * gw_admit_route_call, gw_admit_service_call - pass a new call to the core, by
@@ -174,7 +174,7 @@
 void gw_post_gone(struct gw_call *call);
 
 /*
- * gateway_answer.c
+ * answer.c
  *
  * gw_add_outcome - add the request id and the outcome header of KIND.
  * gw_reply_error - answer with an error; without MSG (NULL) a default is used.
@@ -209,7 +209,7 @@
 			enum st_kind kind, uint64_t after_us);
 
 /*
- * gateway_attempt.c: actions of the core.
+ * attempt.c: actions of the core.
  *
  * gw_free_buffered - discard the buffered answer, if there is one.
  * gw_format_decimal - write VALUE without a terminator; returns the number of
@@ -225,7 +225,7 @@
 size_t gw_format_decimal(uint64_t value, char out[GW_DIGITS]);
 
 /*
- * gateway_crash.c
+ * crash.c
  *
  * gw_is_blocked - whether the call must not be sent because it crashes servers;
  * sets when its caller may come back.
@@ -247,7 +247,7 @@
 void gw_close_crash_checks(struct gw_gateway *gateway);
 
 /*
- * gateway_reach.c: whether this host reaches the servers.
+ * reach.c: whether this host reaches the servers.
  *
  * gw_init_reach, gw_close_reach - without sockets; cancel the check.
  * gw_is_cut_off - no server is heard. The first call that finds so logs it, and
@@ -260,7 +260,7 @@
 bool gw_reaches_badly(struct gw_gateway *gateway);
 
 /*
- * gateway_peer.c, gateway_forward.c, gateway_forwarded.c
+ * peer.c, forward.c, forwarded.c
  *
  * gw_init_peers, gw_free_peers - the hosts that calls can be passed to.
  * gw_update_peers - take over the list of hosts. gw_close_peers - close the
@@ -298,7 +298,7 @@
 void gw_add_unable(h2o_req_t *req);
 
 /*
- * gateway_log.c: lines about calls, see docs/OPERATIONS.md.
+ * log.c: lines about calls, see docs/OPERATIONS.md.
  *
  * gw_log_attempt_start - an attempt starts.
  * gw_log_attempt_end - an attempt failed; not called for one that was cancelled
@@ -342,7 +342,7 @@
 void gw_log_health_change(void *ctx, const struct core_health_change *change);
 
 /*
- * gateway_route.c
+ * route.c
  *
  * gw_route_states_new - empty table of route states.
  * gw_pick_route_service - index, among the services of ROUTE, of the one that
@@ -359,7 +359,7 @@
 			       uint64_t caller_timeout_ms);
 
 /*
- * gateway_conf.c
+ * conf.c
  *
  * gw_configure_core - pass the document and the host list to the core.
  * gw_hosts_new - empty list of entry hosts.
--- a/httpc.c
+++ b/http/httpc.c
@@ -1,4 +1,4 @@
-#include "httpc.h"
+#include "http/httpc.h"
 
 #include <string.h>
 
@@ -6,9 +6,9 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
-#include "counter.h"
-#include "mechanism.h"
-#include "tls_stream.h"
+#include "base/counter.h"
+#include "base/mechanism.h"
+#include "http/tls_stream.h"
 
 enum { HC_DEFAULT_IDLE_US = 20 * 1000 * 1000 };
 enum { HC_READ_BODY, HC_SKIP_BODY }; /* what http-parser does after a head */
--- a/httpc.h
+++ b/http/httpc.h
@@ -1,5 +1,5 @@
-#ifndef HTTPC_H
-#define HTTPC_H
+#ifndef HTTP_HTTPC_H
+#define HTTP_HTTPC_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -8,8 +8,8 @@
 #include <openssl/ssl.h>
 #include <uv.h>
 
-#include "net.h"
-#include "timer.h"
+#include "base/net.h"
+#include "base/timer.h"
 
 /*
  * HTTP/1.1 client on libuv.
@@ -137,7 +137,7 @@
  * hc_pool_init - set up a pool of at most MAX_CONNECTIONS connections.
  * hc_pool_close - refuse new requests and close idle connections; requests in
  * progress go on. CLOSED is called when no connection is left, possibly during
- * this call. The pool's memory must stay valid until then. Source: httpc.c
+ * this call. The pool's memory must stay valid until then. Source: http/httpc.c
  */
 void hc_pool_init(struct hc_pool *pool, uv_loop_t *loop,
 		  const struct nt_address *address, uint32_t max_connections);
--- a/httpd.c
+++ b/http/httpd.c
@@ -1,4 +1,4 @@
-#include "httpd.h"
+#include "http/httpd.h"
 
 #include <string.h>
 
@@ -9,7 +9,7 @@
 #include <openssl/ssl.h>
 #include <sys/socket.h>
 
-#include "json_text.h"
+#include "base/json_text.h"
 
 enum { HD_BACKLOG = 1024 };
 
--- a/httpd.h
+++ b/http/httpd.h
@@ -1,13 +1,13 @@
-#ifndef HTTPD_H
-#define HTTPD_H
+#ifndef HTTP_HTTPD_H
+#define HTTP_HTTPD_H
 
 #include <stdbool.h>
 #include <stdint.h>
 #include <h2o.h>
 #include <uv.h>
 
-#include "net.h"
-#include "status.h"
+#include "base/net.h"
+#include "base/status.h"
 
 /*
  * HTTP/1 and HTTP/2 listener on h2o and libuv. One handler gets every request.
@@ -35,7 +35,7 @@
 
 /*
  * hd_init - listen on ADDRESS and pass every valid request to HANDLE.
- * Errors: ST_IO when binding or listening fails. Source: httpd.c
+ * Errors: ST_IO when binding or listening fails. Source: http/httpd.c
  */
 enum st_kind hd_init(struct hd_server *server, uv_loop_t *loop,
 		     const struct nt_address *address,
--- a/tls.c
+++ b/http/tls.c
@@ -1,4 +1,4 @@
-#include "tls.h"
+#include "http/tls.h"
 
 #include <string.h>
 
@@ -7,7 +7,7 @@
 #include <openssl/err.h>
 #include <sys/stat.h>
 
-#include "log.h"
+#include "base/log.h"
 
 enum { TL_CHECK_INTERVAL_US = 5 * 1000 * 1000 };
 
--- a/tls.h
+++ b/http/tls.h
@@ -1,13 +1,13 @@
-#ifndef TLS_H
-#define TLS_H
+#ifndef HTTP_TLS_H
+#define HTTP_TLS_H
 
 #include <stdbool.h>
 #include <openssl/ssl.h>
 
-#include "httpd.h"
-#include "settings.h"
-#include "status.h"
-#include "timer.h"
+#include "http/httpd.h"
+#include "base/settings.h"
+#include "base/status.h"
+#include "base/timer.h"
 
 enum { TL_CERTIFICATE, TL_KEY, TL_FILES };
 
@@ -36,7 +36,7 @@
 /*
  * tl_listen - enable TLS on the listener HTTP, unless the settings ask for
  *	plaintext. Errors: ST_INVALID when certificate or key cannot be used.
- * tl_free - stop checking the files and release the context. Source: tls.c
+ * tl_free - stop checking the files and release the context. Source: http/tls.c
  */
 enum st_kind tl_listen(struct tl_listener *tls, struct hd_server *http,
 		       const struct se_tls *files, struct tm_service *timers,
--- a/tls_stream.c
+++ b/http/tls_stream.c
@@ -1,4 +1,4 @@
-#include "tls_stream.h"
+#include "http/tls_stream.h"
 
 #include <limits.h>
 
--- a/tls_stream.h
+++ b/http/tls_stream.h
@@ -1,5 +1,5 @@
-#ifndef TLS_STREAM_H
-#define TLS_STREAM_H
+#ifndef HTTP_TLS_STREAM_H
+#define HTTP_TLS_STREAM_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -20,7 +20,7 @@
 /*
  * ts_init - set up a stream that requires a certificate for the IP address IP.
  *	Returns false when OpenSSL refuses; ts_free is needed also then.
- * ts_free - release it. Source: tls_stream.c
+ * ts_free - release it. Source: http/tls_stream.c
  */
 bool ts_init(struct ts_stream *stream, SSL_CTX *ctx, const char *ip);
 void ts_free(struct ts_stream *stream);
--- a/jackdawworks.c
+++ b/jackdawworks.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "command.h"
-#include "status.h"
+#include "cli/command.h"
+#include "base/status.h"
 
 const char *argp_program_version = "jackdawworks 0.1.0";
 
--- a/lease.c
+++ b/orders/lease.c
@@ -1,11 +1,11 @@
-#include "lease.h"
+#include "orders/lease.h"
 
 #include <string.h>
 
 #include <glib.h>
 
-#include "log.h"
-#include "mechanism.h"
+#include "base/log.h"
+#include "base/mechanism.h"
 
 enum {
 	LS_RENEWALS_PER_DURATION = 3,
--- a/lease.h
+++ b/orders/lease.h
@@ -1,13 +1,13 @@
-#ifndef LEASE_H
-#define LEASE_H
+#ifndef ORDERS_LEASE_H
+#define ORDERS_LEASE_H
 
 #include <stdbool.h>
 #include <stdint.h>
 #include <jansson.h>
 
 #include "platform/store.h"
-#include "status.h"
-#include "timer.h"
+#include "base/status.h"
+#include "base/timer.h"
 
 /*
  * Leases for jobs that only one host may do at a time. Each lease is a row of
@@ -53,7 +53,7 @@
  * A lease is valid for DURATION_US after each renewal. HOLDER must be unique
  * per process, so that a restarted host does not act under the lease of the
  * earlier process.
- * ls_free - stop acquiring and renewing; a held lease expires. Source: lease.c
+ * ls_free - stop acquiring and renewing; a held lease expires. Source: orders/lease.c
  */
 void ls_init(struct ls_lease *lease, struct pf_client *platform,
 	     struct tm_service *timers, const char *name, const char *holder,
--- a/order.c
+++ b/orders/order.c
@@ -1,9 +1,9 @@
-#include "order_state.h"
+#include "orders/state.h"
 
 #include <string.h>
 
-#include "counter.h"
-#include "log.h"
+#include "base/counter.h"
+#include "base/log.h"
 
 enum {
 	OD_US_PER_MS = 1000,
--- a/order.h
+++ b/orders/order.h
@@ -1,5 +1,5 @@
-#ifndef ORDER_H
-#define ORDER_H
+#ifndef ORDERS_ORDER_H
+#define ORDERS_ORDER_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -7,11 +7,11 @@
 #include <glib.h>
 #include <jansson.h>
 
-#include "lease.h"
+#include "orders/lease.h"
 #include "platform/store.h"
-#include "settings.h"
-#include "status.h"
-#include "timer.h"
+#include "base/settings.h"
+#include "base/status.h"
+#include "base/timer.h"
 
 /*
  * Orders: non-idempotent calls with an idempotency key.
@@ -138,7 +138,7 @@
 
 /*
  * od_init, od_free - set up and release orders in the caller's memory.
- * INCARNATION differs for every start of a host. Source: order.c
+ * INCARNATION differs for every start of a host. Source: orders/order.c
  */
 void od_init(struct od_orders *orders, struct pf_client *platform,
 	     struct tm_service *timers, const struct se_settings *settings,
--- a/order_restored.c
+++ b/orders/restored.c
@@ -1,6 +1,6 @@
-#include "order_state.h"
+#include "orders/state.h"
 
-#include "log.h"
+#include "base/log.h"
 
 enum {
 	/* A copy of the store is some seconds old, its outage included. */
--- a/order_state.h
+++ b/orders/state.h
@@ -1,11 +1,11 @@
-#ifndef ORDER_STATE_H
-#define ORDER_STATE_H
+#ifndef ORDERS_STATE_H
+#define ORDERS_STATE_H
 
 #include <glib.h>
 
-#include "order.h"
+#include "orders/order.h"
 
-/* Internal state and functions of orders (order*.c). */
+/* Internal state and functions of orders (orders/). */
 
 #define OD_TABLE       "orders"
 #define OD_TIMES_TABLE "order_times"
@@ -78,7 +78,7 @@
 void od_free_unlinked(struct od_claim *claim);
 
 /*
- * order_restored.c: rows that the store lacks after it was restored.
+ * restored.c: rows that the store lacks after it was restored.
  *
  * od_start_era_checks, od_free_kept - set up and release.
  * od_observe_era - take over the era that an answer of the store names. A later one
@@ -98,7 +98,7 @@
 void od_end_confirming(struct od_claim *claim);
 
 /*
- * order_sweep.c: removal of expired rows.
+ * sweep.c: removal of expired rows.
  *
  * od_start_sweep, od_stop_sweep - set up and release. LEASE_US is the duration of
  * the lease that keeps all hosts but one from sweeping.
--- a/order_sweep.c
+++ b/orders/sweep.c
@@ -1,7 +1,7 @@
-#include "order_state.h"
+#include "orders/state.h"
 
-#include "counter.h"
-#include "log.h"
+#include "base/counter.h"
+#include "base/log.h"
 
 enum {
 	OD_US_PER_S = 1000 * 1000,
--- a/peer_fetch.c
+++ b/peer/fetch.c
@@ -1,10 +1,10 @@
-#include "peer_fetch.h"
+#include "peer/fetch.h"
 
 #include <string.h>
 
-#include "counter.h"
-#include "log.h"
-#include "mechanism.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "base/mechanism.h"
 
 enum {
 	PR_LISTEN_BACKLOG = 64,
--- a/peer_fetch.h
+++ b/peer/fetch.h
@@ -5,9 +5,9 @@
 #include <stdint.h>
 #include <uv.h>
 
-#include "document.h"
-#include "peer_gossip.h"
-#include "timer.h"
+#include "document/document.h"
+#include "peer/gossip.h"
+#include "base/timer.h"
 
 /*
  * Transfer of document bodies between entry hosts: ONC RPC over TCP with record
@@ -46,7 +46,7 @@
 
 /*
  * pr_fetch_init - listen for fetches of peers at the address of GOSSIP.
- * Errors: ST_IO when the address cannot be bound. Source: peer_fetch.c
+ * Errors: ST_IO when the address cannot be bound. Source: peer/fetch.c
  */
 enum st_kind pr_fetch_init(struct pr_fetch *fetch, uv_loop_t *loop,
 			   struct tm_service *timers, struct pr_gossip *gossip,
--- a/peer_gossip.c
+++ b/peer/gossip.c
@@ -1,10 +1,10 @@
-#include "peer_gossip.h"
+#include "peer/gossip.h"
 
 #include <string.h>
 
-#include "counter.h"
-#include "log.h"
-#include "mechanism.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "base/mechanism.h"
 
 enum { PR_CONTACT_TRIES = 4, PR_LEAVING_TRANSMITS = 16, PR_US_PER_MS = 1000 };
 
--- a/peer_gossip.h
+++ b/peer/gossip.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 #include <glib.h>
 
-#include "peer_member.h"
+#include "peer/member.h"
 
 /*
  * Gossip protocol of one entry host, without sockets and clock.
@@ -117,7 +117,7 @@
 
 /*
  * pr_gossip_init, pr_gossip_free - on memory of the caller. Strings and seeds
- * that CONF points to must outlive GOSSIP. Source: peer_gossip.c
+ * that CONF points to must outlive GOSSIP. Source: peer/gossip.c
  */
 void pr_gossip_init(struct pr_gossip *gossip,
 		    const struct pr_gossip_conf *conf);
--- a/peer_member.c
+++ b/peer/member.c
@@ -1,4 +1,4 @@
-#include "peer_member.h"
+#include "peer/member.h"
 
 #include <string.h>
 
--- a/peer_member.h
+++ b/peer/member.h
@@ -5,9 +5,9 @@
 #include <stdint.h>
 #include <glib.h>
 
-#include "net.h"
-#include "peer.h"
-#include "peer_wire.h"
+#include "base/net.h"
+#include "peer/peer.h"
+#include "peer/wire.h"
 
 /*
  * Membership table of the entry hosts: which are alive, suspected, dead or
@@ -93,7 +93,7 @@
 
 /*
  * pr_table_add - add a member that is not in the table yet, as PR_DEAD.
- * Returns NULL when the table is full. Source: peer_member.c
+ * Returns NULL when the table is full. Source: peer/member.c
  */
 struct pr_member *pr_table_add(struct pr_table *table, const char *name,
 			       const char *zone,
--- a/peer.c
+++ b/peer/peer.c
@@ -1,10 +1,10 @@
-#include "peer_task.h"
+#include "peer/task.h"
 
 #include <string.h>
 
-#include "counter.h"
-#include "log.h"
-#include "mechanism.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "base/mechanism.h"
 
 /* Platform table of entry hosts and servers. */
 #define PR_HOSTS_TABLE "hosts"
--- a/peer.h
+++ b/peer/peer.h
@@ -1,16 +1,16 @@
-#ifndef PEER_H
-#define PEER_H
+#ifndef PEER_PEER_H
+#define PEER_PEER_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "text.h"
+#include "base/text.h"
 
 /* The list of live entry hosts that the peer task, or the relay, publishes. */
 
 enum { PR_NAME_BYTES = 64 }; /* in messages between peers */
 
-/* A live entry host, with names of text.h. */
+/* A live entry host, with names of base/text.h. */
 struct pr_host {
 	char *name;
 	char *zone;
--- a/peer_task.h
+++ b/peer/task.h
@@ -4,14 +4,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "control.h"
-#include "kernel.h"
-#include "peer.h"
-#include "peer_fetch.h"
-#include "peer_gossip.h"
+#include "control/control.h"
+#include "base/kernel.h"
+#include "peer/peer.h"
+#include "peer/fetch.h"
+#include "peer/gossip.h"
 #include "platform/store.h"
-#include "settings.h"
-#include "timer.h"
+#include "base/settings.h"
+#include "base/timer.h"
 
 /*
  * Task for membership and messages between entry hosts, registered as "peer".
@@ -55,7 +55,7 @@
  * pr_init - start the peer task. INCARNATION must be higher than at every
  * earlier start of this host; peers detect a restart by it. Errors: ST_IO when
  * the address of the settings cannot be bound; the process has to exit then.
- * Source: peer.c
+ * Source: peer/peer.c
  */
 enum st_kind pr_init(struct pr_peer *peer, struct kn_kernel *kernel,
 		     struct tm_service *timers, struct pf_client *platform,
--- a/peer_wire.c
+++ b/peer/wire.c
@@ -1,11 +1,11 @@
-#include "peer_wire.h"
+#include "peer/wire.h"
 
 #include <string.h>
 
 #include <glib.h>
 #include <openssl/crypto.h>
 
-#include "mechanism.h"
+#include "base/mechanism.h"
 
 enum {
 	PR_AUTH_FLAVOR = 0x4a57, /* of the verifier */
--- a/peer_wire.h
+++ b/peer/wire.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 #include <peer_rpc.h>
 
-#include "document.h"
+#include "document/document.h"
 
 /*
  * Encoding, authentication and replay protection of messages between entry
@@ -38,7 +38,7 @@
 /*
  * pr_wire_encode - encode and sign MSG.
  * Returns the size in bytes, or 0 when it does not fit into OUT.
- * Source: peer_wire.c
+ * Source: peer/wire.c
  */
 size_t pr_wire_encode(const char *key, struct pr_msg *msg, char *out,
 		      size_t out_bytes);
--- a/tests/peer_sim.h
+++ b/tests/peer_sim.h
@@ -10,7 +10,7 @@
 
 #include <glib.h>
 
-#include "peer_gossip.h"
+#include "peer/gossip.h"
 
 enum {
 	SIM_STEP_US = 5000,
--- a/tests/proof_gateway.sh
+++ b/tests/proof_gateway.sh
@@ -3,7 +3,7 @@
 # fail with its mechanism switched off and pass with it on. Guards against calls
 # in flight that are cut off when a host stops, and against calls to a server
 # that has announced that it is leaving. JACKDAWWORKS_OFF switches a mechanism
-# off; see mechanism.h. Prints one line per requirement:
+# off; see base/mechanism.h. Prints one line per requirement:
 # PROOF name without=fail with=pass figure
 set -u
 BIN=${1:?directory of the built programs}
--- a/tests/run_events.sh
+++ b/tests/run_events.sh
@@ -6,8 +6,9 @@
 cd "$(dirname "$0")/.." || exit 1
 page=docs/OPERATIONS.md
 in_code=$({
-	sed -n 's/^\tX([A-Z_]*, "\([a-z-]*\)", \(ORDINARY\|FAILURE\|STATE\).*/\1/p' log.h
-	grep -hoE 'lg_(info|warn|error|debug)\(\s*"[a-z-]+"' ./*.c platform/*.c |
+	sed -n 's/^\tX([A-Z_]*, "\([a-z-]*\)", \(ORDINARY\|FAILURE\|STATE\).*/\1/p' base/log.h
+	grep -hoE 'lg_(info|warn|error|debug)\(\s*"[a-z-]+"' \
+		$(git ls-files '*.c' | grep -vE '^(tests|gen)/') |
 		sed 's/.*"\(.*\)"/\1/'
 } | sort -u)
 on_page=$(sed -n '/^| event |/,/^$/p' $page | sed 1,2d | cut -d'|' -f2 |
--- a/tests/test_ask.c
+++ b/tests/test_ask.c
@@ -4,7 +4,7 @@
  */
 #include <string.h>
 
-#include "core_state.h"
+#include "core/state.h"
 #include "tests/suite.h"
 
 enum { MS = 1000, SERVERS = 9, SLOTS = 4, TARGET_MS = 400, TIMEOUT_MS = 2000 };
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -2,11 +2,11 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "kernel.h"
-#include "net.h"
-#include "status.h"
-#include "timer.h"
-#include "yaml_tree.h"
+#include "base/kernel.h"
+#include "base/net.h"
+#include "base/status.h"
+#include "base/timer.h"
+#include "base/yaml_tree.h"
 #include "tests/suite.h"
 
 struct message_log {
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "control.h"
+#include "control/control.h"
 #include "tests/suite.h"
 
 enum { SEEDS = 5, SECOND_US = 1000 * 1000, MAX_LOOP_TURNS = 1000 };
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -1,6 +1,6 @@
 /*
  * Tests of the decision core with simulated time and a fixed random seed. Each
- * rule_...() function tests one mechanism of mechanism.h: it sets up a
+ * rule_...() function tests one mechanism of base/mechanism.h: it sets up a
  * situation and returns whether the core keeps the rule. Every rule is tested
  * twice: it must hold, and it must not hold when its mechanism is switched off.
  * The second run shows that the rule tests the mechanism at all.
@@ -11,7 +11,7 @@
 #include <check.h>
 #include <glib.h>
 
-#include "core_state.h"
+#include "core/state.h"
 #include "tests/suite.h"
 
 enum { MS = 1000, SECOND = 1000 * MS, MAX_SERVERS = 8, DEADLINE = 10 * SECOND };
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -1,5 +1,5 @@
 /*
- * Tests of crash_guard.h. The pattern: a few callers send a request under which
+ * Tests of core/crash_guard.h. The pattern: a few callers send a request under which
  * each server crashes, and send it again, through many hosts, while sound requests
  * run on the same servers and crash with them. Guards against a request that ends
  * server after server, and against sound requests that are blocked for it: because
@@ -8,7 +8,7 @@
  */
 #include <string.h>
 
-#include "crash_guard.h"
+#include "core/crash_guard.h"
 #include "tests/suite.h"
 
 enum { S = 1000 * 1000, MINUTE = 60 * S };
--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "document.h"
+#include "document/document.h"
 #include "tests/suite.h"
 
 enum { MUTATIONS = 3000, FUZZ_SEED = 20261204 };
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -11,9 +11,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "crash_guard.h"
-#include "dialect.h"
-#include "net.h"
+#include "core/crash_guard.h"
+#include "gateway/dialect.h"
+#include "base/net.h"
 #include "platform/dialect.h"
 #include "platform/manifest.h"
 #include "platform/store.h"
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -6,8 +6,8 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "attempt.h"
-#include "order.h"
+#include "gateway/attempt_state.h"
+#include "orders/order.h"
 #include "tests/suite.h"
 
 /* TEST_LIMIT_US: longest wait for an event that must happen. */
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -6,8 +6,8 @@
  */
 #include <string.h>
 
-#include "core_state.h"
-#include "dialect.h"
+#include "core/state.h"
+#include "gateway/dialect.h"
 #include "tests/suite.h"
 
 enum {
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -2,7 +2,7 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "counter.h"
+#include "base/counter.h"
 #include "peer_sim.h"
 #include "tests/suite.h"
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -6,8 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "dialect.h"
-#include "httpc.h"
+#include "gateway/dialect.h"
+#include "http/httpc.h"
 #include "platform/dialect.h"
 #include "platform/feed.h"
 #include "platform/manifest.h"
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -4,7 +4,7 @@
  */
 #include <string.h>
 
-#include "core_state.h"
+#include "core/state.h"
 #include "tests/suite.h"
 
 enum {
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -1,9 +1,9 @@
 /*
- * Tests of reach.h. The pattern: a host is cut off from all servers while its
+ * Tests of core/reach.h. The pattern: a host is cut off from all servers while its
  * callers and the other hosts reach it. Guards against a host that does not notice,
  * that notices while only some servers fail, and that does not see the end.
  */
-#include "reach.h"
+#include "core/reach.h"
 #include "tests/suite.h"
 
 enum { MS = 1000, SERVERS = 30 };
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -4,7 +4,7 @@
  */
 #include <string.h>
 
-#include "gateway_state.h"
+#include "gateway/state.h"
 #include "tests/suite.h"
 
 enum { CALLS = 1000, FIRST_TRY_TIMEOUT_MS = 2000 };
--- a/tests/tool_answers.c
+++ b/tests/tool_answers.c
@@ -36,7 +36,7 @@
 
 #include <glib.h>
 
-#include "net.h"
+#include "base/net.h"
 #include "tests/raw_io.h"
 
 enum { PIECE_MS = 100, BREAK_MS = 300, STALL_MS = 2500 };
--- a/tests/tool_caller.c
+++ b/tests/tool_caller.c
@@ -24,9 +24,9 @@
 
 #include <glib.h>
 
-#include "net.h"
+#include "base/net.h"
 #include "tests/raw_io.h"
-#include "timer.h"
+#include "base/timer.h"
 
 enum {
 	US_PER_MS = 1000,
--- a/tests/tool_endless.c
+++ b/tests/tool_endless.c
@@ -21,7 +21,7 @@
 
 #include <glib.h>
 
-#include "net.h"
+#include "base/net.h"
 #include "tests/raw_io.h"
 
 #define CUT_SOURCE "127.0.0.2"
--- a/tests/tool_load.c
+++ b/tests/tool_load.c
@@ -21,8 +21,8 @@
 #include <glib.h>
 #include <jansson.h>
 
-#include "httpc.h"
-#include "timer.h"
+#include "http/httpc.h"
+#include "base/timer.h"
 
 enum { US_PER_MS = 1000, US_PER_S = 1000000, MAX_TARGETS = 64 };
 /*
--- a/tests/tool_platform.c
+++ b/tests/tool_platform.c
@@ -15,9 +15,9 @@
 #include <glib.h>
 #include <jansson.h>
 
-#include "httpd.h"
-#include "timer.h"
-#include "tls.h"
+#include "http/httpd.h"
+#include "base/timer.h"
+#include "http/tls.h"
 
 enum {
 	US_PER_MS = 1000,
--- a/tests/tool_policy.c
+++ b/tests/tool_policy.c
@@ -16,7 +16,7 @@
 
 #include <glib.h>
 
-#include "core_state.h"
+#include "core/state.h"
 
 enum { HOSTS = 16, ZONES = 3, SERVERS = 30, ORDER_PERCENT = 20 };
 enum {
--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -36,7 +36,7 @@
 
 #include <glib.h>
 
-#include "net.h"
+#include "base/net.h"
 #include "tests/raw_io.h"
 
 enum { BIG_BODY_BYTES = 64 << 20, CHUNK_BYTES = 64 * 1024, SETTLE_MS = 500 };
--- a/tests/tool_server.c
+++ b/tests/tool_server.c
@@ -30,8 +30,8 @@
 #include <jansson.h>
 #include <sys/socket.h>
 
-#include "httpd.h"
-#include "timer.h"
+#include "http/httpd.h"
+#include "base/timer.h"
 
 enum {
 	US_PER_MS = 1000,
--- a/tests/tool_soak_proxy.c
+++ b/tests/tool_soak_proxy.c
@@ -23,8 +23,8 @@
 
 #include <glib.h>
 
-#include "net.h"
-#include "timer.h"
+#include "base/net.h"
+#include "base/timer.h"
 
 enum {
 	US_PER_MS = 1000,
--- a/tests/tool_strict.c
+++ b/tests/tool_strict.c
@@ -25,7 +25,7 @@
 
 #include <glib.h>
 
-#include "net.h"
+#include "base/net.h"
 #include "tests/raw_io.h"
 
 enum {
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -35,8 +35,8 @@
 
 #include <glib.h>
 
-#include "httpd.h"
-#include "timer.h"
+#include "http/httpd.h"
+#include "base/timer.h"
 
 #define HEALTH_PATH "/health"
 
