Reset a connection whose caller does not read its answer

A caller over HTTP/1.0 that read late took a part of an answer without a length for a whole one: the host gave the answer up, and the end of the connection came before the reset.

Cause: hd_abort_connection shut the socket down, which ends it in order once all is sent, and left the reset to the close after it. It resets the connection now.

--- a/http/httpd.c
+++ b/http/httpd.c
@@ -450,15 +450,9 @@
 		hd_reset(conn);
 }
 
-void hd_reset_on_close(h2o_req_t *req)
-{
-	hd_set_reset_on_close(req, true);
-}
-
 void hd_abort_connection(h2o_req_t *req)
 {
-	hd_reset_on_close(req);
-	shutdown(h2o_socket_get_fd(hd_conn_of(req)->sock), SHUT_RDWR);
+	hd_reset(hd_conn_of(req));
 }
 
 bool hd_same_secret(const char *given, size_t given_bytes, const char *secret)
--- a/http/httpd.h
+++ b/http/httpd.h
@@ -114,18 +114,13 @@
 void hd_begin_unframed(h2o_req_t *req);
 void hd_end_unframed(h2o_req_t *req);
 void hd_break_unframed(h2o_req_t *req);
-/*
- * hd_reset_on_close - make the connection of an HTTP/1 request end with a TCP
- * reset instead of an orderly close.
- */
-void hd_reset_on_close(h2o_req_t *req);
 /*
  * hd_close_unfinished - close the connection of an HTTP/1 request without a reset,
  * after what has been written. h2o notices with the next write.
  */
 void hd_close_unfinished(h2o_req_t *req);
 /*
- * hd_abort_connection - end the connection of a request whose answer is not
+ * hd_abort_connection - reset the connection of a request whose answer is not
  * being read by the other side. h2o drops the request after this call, not
  * during it.
  */
