Let a killed host reset an HTTP/1.0 answer until its last bytes are written

A caller over HTTP/1.0 took a part of an answer without a length for a whole one when its host was killed while the last part waited for a caller that reads late.

Cause: the reset was taken back as the last part was given to h2o, not when it was written. The end is told to h2o apart from the last bytes now, once these are written.

Evidence: run_slow_callers asks for 40 answers a little larger than what the system holds of one that nobody reads, kills the host and reads them.

--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -167,28 +167,41 @@
 	h2o_start_response(call->req, &call->generator);
 }
 
+/*
+ * The last bytes of an answer that ends with its connection are written before its end
+ * is told: until then a host that is killed must reset the connection.
+ */
+static h2o_send_state_t gw_send_state(const struct gw_call *call)
+{
+	if (!call->finished)
+		return H2O_SEND_STATE_IN_PROGRESS;
+	if (call->result != ST_OK)
+		return H2O_SEND_STATE_ERROR;
+	if (hd_ends_with_connection(call->req) && call->unsent->len)
+		return H2O_SEND_STATE_IN_PROGRESS;
+	return H2O_SEND_STATE_FINAL;
+}
+
 void gw_flush_answer(struct gw_call *call)
 {
-	h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
+	h2o_send_state_t state;
 	GString *swap = call->sending;
 	h2o_iovec_t buf;
 
 	if (!call->req || !call->head_copied || call->send_in_progress ||
 	    call->final_sent)
 		return;
-	if (call->finished)
-		state = call->result == ST_OK ? H2O_SEND_STATE_FINAL :
-						H2O_SEND_STATE_ERROR;
 	if (!call->unsent->len && !call->finished)
 		return;
 	if (!call->answer_started)
 		gw_start_answer(call);
+	state = gw_send_state(call);
 	call->sending = call->unsent;
 	call->unsent = swap;
 	g_string_truncate(call->unsent, 0);
 	call->send_in_progress = true;
-	call->final_sent = call->finished;
-	if (call->finished)
+	call->final_sent = state != H2O_SEND_STATE_IN_PROGRESS;
+	if (call->final_sent)
 		gw_end_unframed_answer(call, state == H2O_SEND_STATE_FINAL);
 	call->answer_bytes += call->sending->len;
 	buf = h2o_iovec_init(call->sending->str, call->sending->len);
--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -23,7 +23,8 @@
  * With "begun-hold-MS" half of the answer comes at once, with "headed-hold-MS" only
  * its head, with "chunk-hold-MS" that and a chunk; with "refuse-hold-MS" it says that
  * the request was not run. After "refuse-stale" it writes this refusal once
- * more before each further answer on the connection.
+ * more before each further answer on the connection. "sized-BYTES" has a body of that
+ * size in chunks.
  */
 #include <errno.h>
 #include <poll.h>
@@ -116,6 +117,27 @@
 	return true;
 }
 
+/* A body of that many bytes in chunks. */
+static bool write_sized_body(int fd, size_t bytes)
+{
+	static char chunk[CHUNK_BYTES];
+	char size[32];
+
+	if (!write_text(fd, OK_HEAD "transfer-encoding: chunked\r\n\r\n"))
+		return false;
+	while (bytes) {
+		size_t part = MIN(bytes, sizeof(chunk));
+
+		snprintf(size, sizeof(size), "%zx\r\n", part);
+		if (!write_text(fd, size) ||
+		    !write_all(fd, chunk, part, NULL) ||
+		    !write_text(fd, "\r\n"))
+			return false;
+		bytes -= part;
+	}
+	return write_text(fd, "0\r\n\r\n");
+}
+
 static bool write_large_head(int fd)
 {
 	char *value = g_strnfill(LARGE_HEAD_BYTES, 'a');
@@ -237,6 +259,9 @@
 						   endless_answers[i].repeat);
 	if (!strcmp(name, "big"))
 		return write_big_body(fd);
+	if (g_str_has_prefix(name, "sized-"))
+		return write_sized_body(
+			fd, strtoul(name + strlen("sized-"), NULL, 10));
 	if (!strcmp(name, "large-head"))
 		return write_large_head(fd);
 	return write_echo(fd, path);
