run_answer_ends: whose head it is, requests in chunks, hosts that end with their calls

Heads must have the id and the signature of their call now, once each. Requests whose bodies are in chunks are among the cases, and the host that is stopped ends with its calls by a second signal; before, their deadlines came first, so the end of the process was not tested.

--- a/tests/lib_wire.sh
+++ b/tests/lib_wire.sh
@@ -5,17 +5,27 @@
 # So many that none is ejected for its broken answers.
 SERVERS=60
 
-# print_request VERSION METHOD PATH ID [HEADER]: a request as the escapes of printf.
+IN_CHUNKS="Transfer-Encoding: chunked"
+# print_request VERSION METHOD PATH ID [HEADER]: a request as the escapes of printf. With
+# the header IN_CHUNKS its body is in chunks.
 print_request() {
-	local length=3 body=abc
-	test "$2" = HEAD && length=0 body=
-	say "$2 $3 HTTP/$1\\r\\nHost: x.example\\r\\nAttempt-Id: $4\\r\\nDeadline-Ms: $DEADLINE_MS\\r\\nContent-Length: $length\\r\\n${5:+$5\\r\\n}\\r\\n$body"
+	local length="Content-Length: 3\\r\\n" body=abc
+	test "$2" != HEAD || length= body=
+	test "${5:-}" != "$IN_CHUNKS" || length= body='1\r\na\r\n2\r\nbc\r\n0\r\n\r\n'
+	say "$2 $3 HTTP/$1\\r\\nHost: x.example\\r\\nAttempt-Id: $4\\r\\nDeadline-Ms: $DEADLINE_MS\\r\\n$length${5:+$5\\r\\n}\\r\\n$body"
 }
-# read_wire: prints the bytes of answers in one line, each head as its status, each body
-# of an error as "error", those of a big body as their number, and how the connection
-# ended.
+# read_wire ID: prints the bytes of answers to the calls ID and ID-next in one line, each
+# head as its status, each body of an error as "error", those of a big body as their
+# number, and how the connection ended. A head without the id and the signature of its
+# call, once each, is marked, but for errors of the host, which have neither.
 read_wire() {
-	tr -d '\0\r' | sed 's/HTTP\/1\.1 /\n&/g; s/{"error"[^}]*}/error/g' | awk '
+	tr -d '\0\r' | sed 's/HTTP\/1\.1 /\n&/g; s/{"error"[^}]*}/error/g' | awk -v id="$1" '
+		function check_head() {
+			if (!ids && !signatures && status ~ /^50[234]$/)
+				return
+			if (ids != 1 || signatures != 1 || call != id || signed != "s." id)
+				printf "(not the head of this call) "
+		}
 		function flush() {
 			if (big != "")
 				printf "big-%d-%d ", x, y
@@ -24,8 +34,13 @@
 			held = big = ""
 			x = y = 0
 		}
-		/^HTTP\/1.1 / { flush(); printf "[%s] ", $2; head = 1; next }
-		head { if ($0 == "") head = 0; next }
+		/^HTTP\/1.1 / {
+			flush(); printf "[%s] ", $2
+			if (status != "") id = id "-next"
+			status = $2; ids = signatures = 0; head = 1; next }
+		head && tolower($1) == "attempt-id:" { ids++; call = $2 }
+		head && tolower($1) == "response-signature:" { signatures++; signed = $2 }
+		head { if ($0 == "") { check_head(); head = 0 }; next }
 		# What stands before a part of a big body is the size of a chunk.
 		/^[xy]+$/ {
 			x += gsub(/x/, ""); y += gsub(/y/, "")
@@ -43,7 +58,7 @@
 		print_request "$2" POST /$PREFIX/length-whole "$4-next" "${5:-}")" \
 		>"$WORK/sent-$4"
 	"$BIN/tool_raw" send "127.0.0.1:$((callers_port + $1))" $QUIET_S \
-		<"$WORK/sent-$4" | read_wire
+		<"$WORK/sent-$4" | read_wire "$4"
 }
 # The chunks of a whole answer come one by one or together. Of a half of a big body, a
 # reset may take a part.
--- a/tests/run_answer_ends.sh
+++ b/tests/run_answer_ends.sh
@@ -17,6 +17,9 @@
 		expect "$1" "$NEXT end=eof" "$2" 1.0 chunks-$way
 		expect "$1" "$NEXT end=eof" "$2" 1.0 chunks-$way "$keep"
 	done
+	# Requests whose bodies are in chunks, too.
+	expect "$1" "$NEXT $NEXT end=timeout" "$2" 1.1 length-early "$IN_CHUNKS"
+	expect "$1" "[200] whole-chunks $NEXT end=timeout" "$2" 1.1 close-pieces "$IN_CHUNKS"
 	for way in 201-chunks 404-close 500-chunks; do
 		expect "$1" "[${way%-*}] whole-chunks $NEXT end=timeout" "$2" 1.1 $way-whole
 		expect "$1" "[${way%-*}] 1234567890 end=eof" "$2" 1.0 $way-whole "$keep"
@@ -38,6 +41,12 @@
 		expect "$1" "[${way%%-*}] 5 12345 end=eof" "$2" 1.1 $way
 		expect "$1" "[${way%%-*}] 12345 end=reset" "$2" 1.0 $way
 	done
+	for way in length-stall length-fin length-rst; do
+		expect "$1" "[200] 12345 end=eof" "$2" 1.1 $way "$IN_CHUNKS"
+	done
+	for way in chunks-stall chunks-rst chunks-bad close-stall; do
+		expect "$1" "[200] 5 12345 end=eof" "$2" 1.1 $way "$IN_CHUNKS"
+	done
 	for way in stall fin rst; do
 		expect "$1" "[200] 12345 end=eof" "$2" 1.1 length-$way
 		expect "$1" "[200] 12345 end=eof" "$2" 1.0 length-$way
@@ -62,12 +71,16 @@
 	compare_all
 done
 
-# Hosts that are killed, and a planned stop that the call does not outlast.
+# Hosts that are killed, and hosts that a second signal to stop ends with their calls.
 for i in 1 2; do start_follower $i; done
 for i in 1 2; do wait_ready $i || fail "host $i is not ready"; done
 sleep 1
 end_of() { # I
-	case $1 in 1) kill -9 "$pid_entry1" ;; 2) kill -TERM "$pid_entry2" ;; esac
+	case $1 in
+	1) kill -9 "$pid_entry1" ;;
+	# The second signal ends the process with its calls.
+	2) kill -TERM "$pid_entry2"; sleep 0.2; kill -TERM "$pid_entry2" ;;
+	esac
 }
 DEADLINE_MS=1900
 for i in 1 2; do
