Run the test scripts in two lanes

The scripts alone take over ten minutes with those of this issue, one after the other. Two lanes run them side by side, with ports of their own and the same checks and time limits.

--- a/tests/check.sh
+++ b/tests/check.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
 # Runs every unit test program (test_*) and every test script (run_*.sh). A
 # failure that KNOWN-RED.txt lists by name is printed and does not fail the run;
-# every other failure does.
+# every other failure does. The scripts run in LANES lanes side by side, each with ports
+# of its own.
 # usage: check.sh DIRECTORY
 set -u
 BIN=${1:?directory of the built programs}
@@ -56,11 +57,26 @@
 	case $program in *.*) continue ;; esac
 	test -x "$program" && check_program "$program"
 done
-for run in tests/run_*.sh; do
-	test -e "$run" || continue
+LANES=2 FIRST_PORT=${FIRST_PORT:-10000} LANE_PORTS=2000
+# run_lane LANE SCRIPT...: runs each LANESth script. Writes the output of each, and its
+# status, into $OUT.
+run_lane() {
+	local lane=$1 turn=0 run name
+	export PORT_BASE=$((FIRST_PORT + lane * LANE_PORTS))
+	for run in "${@:2}"; do
+		turn=$((turn + 1))
+		test $((turn % LANES)) = "$lane" || continue
+		name=$(basename "$run" .sh)
+		timeout 120 "$run" "$BIN" >"$OUT/$name" 2>&1
+		echo $? >"$OUT/$name.status"
+	done
+}
+scripts=(tests/run_*.sh)
+for lane in $(seq 0 $((LANES - 1))); do run_lane "$lane" "${scripts[@]}" & done
+wait
+for run in "${scripts[@]}"; do
 	name=$(basename "$run" .sh)
-	timeout 120 "$run" "$BIN" >"$OUT/$name" 2>&1
-	report "$name" $? "$OUT/$name"
+	report "$name" "$(cat "$OUT/$name.status")" "$OUT/$name"
 done
 printf '%d passed, %d failed\n' $passed $failed
 test $known = 0 || printf 'known red: %d, see KNOWN-RED.txt\n' $known
