Retry a lost call on a connection of its own

Callers got 502 for a call that may be sent twice, when bytes that are no answer came from two servers, each after the answer to an earlier call and as this one went out on the same connection.

Cause: the retry takes an idle connection as the first attempt does, and that one can be as bad.

Change: once an attempt has lost its connection, the later ones of the call open new ones.

Calls that must not be sent twice are lost as before.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -407,6 +407,8 @@
 	/* No byte of a buffered answer has reached the caller. */
 	if (attempt->buffered)
 		attempt->end = CORE_END_NO_ANSWER;
+	if (attempt->end == CORE_END_NO_ANSWER)
+		attempt->call->connection_lost = true;
 	if (attempt->end != CORE_END_DONE)
 		gw_log_attempt_end(attempt, msg);
 	gw_free_buffered(attempt);
@@ -533,6 +535,8 @@
 	 */
 	if (!call->idempotent)
 		attempt->http.max_idle_us = GW_NON_IDEMPOTENT_IDLE_US;
+	/* Other idle connections may be as bad as the one that was lost. */
+	attempt->http.new_connection = call->connection_lost;
 	if (!gw_may_send(&attempt->http)) {
 		gw_end_unsent(attempt);
 		return;
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -101,6 +101,7 @@
 	bool bulky; /* the route has large answers */
 	bool idempotent;
 	bool may_have_run; /* an ended attempt may have run the call */
+	bool connection_lost; /* of an attempt, before an answer was passed on */
 	bool has_key; /* KEY is set */
 	struct cg_key key; /* see crash.c */
 	struct od_claim *claim; /* of an order; NULL: none, or ended */
