--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -659,6 +659,136 @@
 }
 END_TEST
 
+/* A feed of one table, and the test as its store. */
+struct outage {
+	struct fd_handler handler;
+	struct fd_feed feed;
+	struct pf_client client;
+	struct tm_service timers;
+	struct nt_address address;
+	uv_loop_t loop;
+	GRand *random;
+	int listener;
+};
+
+static void init_outage(struct outage *outage)
+{
+	struct fd_feed *feed = &outage->feed;
+
+	memset(outage, 0, sizeof(*outage));
+	outage->listener = listen_on_free_port(&outage->address);
+	uv_loop_init(&outage->loop);
+	tm_init(&outage->timers, &outage->loop);
+	pf_init(&outage->client, &outage->loop, &outage->timers,
+		&outage->address);
+	outage->random = g_rand_new_with_seed(1);
+	outage->handler.on_row = ignore_row;
+	outage->handler.on_batch_end = ignore_batch_end;
+	feed->table = "servers";
+	feed->store = &outage->client;
+	feed->timers = &outage->timers;
+	feed->handler = &outage->handler;
+	feed->random = outage->random;
+	feed->interval_ms = 60 * 1000;
+	feed->synced = true;
+	feed->position = (struct ps_position){ .era = 1, .version = 5 };
+	fd_init(feed);
+}
+
+static void free_outage(struct outage *outage)
+{
+	fd_free(&outage->feed);
+	pf_free(&outage->client);
+	tm_free(&outage->timers);
+	uv_run(&outage->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&outage->loop);
+	g_rand_free(outage->random);
+	close(outage->listener);
+}
+
+/* Answers the next call of the feed. Returns when the call had begun. */
+static uint64_t answer_call(struct outage *outage, int status, int era)
+{
+	char answer[160];
+	char request[4096];
+	struct fd_feed *feed = &outage->feed;
+	uint64_t begin_us;
+	int fd;
+
+	while (!feed->call_pending)
+		uv_run(&outage->loop, UV_RUN_ONCE);
+	begin_us = feed->call_start_us;
+	fd = accept(outage->listener, NULL, NULL);
+	while (recv(fd, request, sizeof(request), MSG_DONTWAIT) <= 0)
+		uv_run(&outage->loop, UV_RUN_NOWAIT);
+	g_snprintf(answer, sizeof(answer),
+		   "HTTP/1.1 %d x\r\nstore-era: %d\r\nconnection: close\r\n"
+		   "content-length: 20\r\n\r\n{\"ver\":9,\"rows\":[] }",
+		   status, era);
+	send(fd, answer, strlen(answer), MSG_NOSIGNAL);
+	/* The call ends with the answer, and may be followed by another one. */
+	while (feed->call_pending && feed->call_start_us == begin_us)
+		uv_run(&outage->loop, UV_RUN_ONCE);
+	close(fd);
+	return begin_us;
+}
+
+/*
+ * What another host relays after a call of this host has failed, and what the store
+ * answers then. FROM_EARLIER: the other host had read the store before that.
+ */
+enum relayed { NOTHING, FROM_EARLIER, FROM_LATER };
+
+static const struct {
+	enum relayed relayed;
+	bool fails_again;
+	int era;
+	bool known_end; /* the outage ended when the other host read the store */
+} outages[] = {
+	{ NOTHING, false, 1, false },
+	{ FROM_EARLIER, false, 1, false },
+	{ FROM_LATER, false, 1, true },
+	{ FROM_LATER, true, 1, false },
+	/* The store has come back from a copy. */
+	{ FROM_LATER, false, 2, false },
+};
+
+/*
+ * Guards against a server that gets calls long after its entry was removed. A host
+ * that could not read the store gets the rows from another host, and reads the store
+ * again much later. The outage did not last until then, so entries that are missing
+ * have not lapsed because of it. It did if no other host has read the store since, or
+ * if what is missing may be missing from a copy.
+ */
+START_TEST(outage_ends_when_another_host_reads_the_store)
+{
+	struct outage outage;
+	struct fd_feed *feed = &outage.feed;
+	uint64_t begin_us;
+	uint64_t read_us;
+
+	init_outage(&outage);
+	begin_us = answer_call(&outage, 503, 1);
+	ck_assert_uint_eq(feed->failures, 1);
+	read_us =
+		outages[_i].relayed == FROM_LATER ? tm_now_us() + 1 : begin_us;
+	if (outages[_i].relayed != NOTHING)
+		fd_finish_relayed(feed, &feed->position, read_us);
+	ck_assert_uint_eq(feed->recovered_us, 0);
+	if (outages[_i].fails_again)
+		answer_call(&outage, 503, 1);
+	begin_us = answer_call(&outage, 200, outages[_i].era);
+	if (outages[_i].era > 1)
+		answer_call(&outage, 200, outages[_i].era);
+	ck_assert_uint_eq(feed->failures, 0);
+	if (outages[_i].known_end)
+		ck_assert_uint_eq(feed->recovered_us, read_us);
+	else
+		ck_assert_uint_ge(feed->recovered_us, begin_us);
+	free_outage(&outage);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("platform");
@@ -682,6 +812,9 @@
 			    G_N_ELEMENTS(slow_answers));
 	tcase_add_test(tests, relayed_rows_count_only_in_a_relayed_table);
 	tcase_add_test(tests, later_era_goes_before_higher_version);
+	tcase_add_loop_test(tests,
+			    outage_ends_when_another_host_reads_the_store, 0,
+			    G_N_ELEMENTS(outages));
 	suite_add_tcase(suite, tests);
 	return suite_run(suite, CK_FORK_GETENV);
 }
