Take no host for lost by a time when this one stood still

Callers of a host that reaches no server got a 504 for orders although another host reached the servers.

Cause: libuv calls timers before it reads. After the loop had been blocked, because the process was stopped or got no processor, the timeout of a connection to the other host ended it although it had been established meanwhile, and an answered ping counted as not answered. The other host got no calls for a second or more then. With no host left to pass its calls to, the host sent them to servers that it did not hear.

A timer may now ask that what came is read first if its callback is late by 10 ms or more, as the deadline of a call does. The timeout of a connection and the check of pings ask so. A connection that is not established still times out.

--- a/base/timer.c
+++ b/base/timer.c
@@ -4,9 +4,13 @@
 
 #include <glib.h>
 
-enum { US_PER_MS = 1000 };
+enum {
+	US_PER_MS = 1000,
+	/* A callback that is this late shows that the loop was blocked. */
+	TM_LATE_US = 10 * 1000
+};
 
-static void tm_arm(struct tm_service *timers);
+static void tm_arm(struct tm_service *timers, uint64_t wait_us);
 
 uint64_t tm_now_us(void)
 {
@@ -67,31 +71,47 @@
 	tm_sift_down(timers, last->slot - 1);
 }
 
+/* Whether the callback is put off until libuv, which calls timers first, has read. */
+static bool tm_wait_for_reads(struct tm_service *timers, struct tm_sub *sub,
+			      uint64_t now_us)
+{
+	if (!sub->reads_first || sub->has_waited ||
+	    now_us < sub->at_us + TM_LATE_US)
+		return false;
+	tm_subscribe(timers, sub, now_us + US_PER_MS);
+	sub->has_waited = true;
+	return true;
+}
+
 static void tm_fire(uv_timer_t *handle)
 {
 	struct tm_service *timers = handle->data;
 	uint64_t now_us = tm_now_us();
+	uint64_t wait_us = 0;
 
 	while (timers->count && timers->heap[0]->at_us <= now_us) {
 		struct tm_sub *sub = timers->heap[0];
 
 		tm_remove(timers, sub);
-		sub->fire(sub->ctx);
+		if (tm_wait_for_reads(timers, sub, now_us))
+			wait_us = US_PER_MS;
+		else
+			sub->fire(sub->ctx);
 	}
-	tm_arm(timers);
+	tm_arm(timers, wait_us);
 }
 
-static void tm_arm(struct tm_service *timers)
+/* libuv reads before it calls a timer that has a millisecond or more to wait. */
+static void tm_arm(struct tm_service *timers, uint64_t wait_us)
 {
 	uint64_t now_us = tm_now_us();
-	uint64_t wait_us = 0;
 
 	if (!timers->count) {
 		uv_timer_stop(&timers->handle);
 		return;
 	}
 	if (timers->heap[0]->at_us > now_us)
-		wait_us = timers->heap[0]->at_us - now_us;
+		wait_us = MAX(wait_us, timers->heap[0]->at_us - now_us);
 	uv_update_time(timers->loop);
 	uv_timer_start(&timers->handle, tm_fire,
 		       (wait_us + US_PER_MS - 1) / US_PER_MS, 0);
@@ -124,10 +144,11 @@
 				       timers->capacity);
 	}
 	sub->at_us = at_us;
+	sub->has_waited = false;
 	timers->heap[timers->count++] = sub;
 	tm_sift_up(timers, timers->count - 1);
 	if (sub->slot == 1)
-		tm_arm(timers);
+		tm_arm(timers, 0);
 }
 
 void tm_cancel(struct tm_service *timers, struct tm_sub *sub)
--- a/base/timer.h
+++ b/base/timer.h
@@ -1,6 +1,7 @@
 #ifndef BASE_TIMER_H
 #define BASE_TIMER_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <uv.h>
 
@@ -11,6 +12,12 @@
  */
 struct tm_sub {
 	uint64_t at_us; /* on the clock of tm_now_us */
+	/*
+	 * For timeouts: if the loop was blocked and the callback is late, what came
+	 * meanwhile is read first, and may cancel it.
+	 */
+	bool reads_first;
+	bool has_waited; /* for these reads */
 	uint32_t slot; /* index in the heap plus one; 0: not scheduled */
 	void (*fire)(void *ctx);
 	void *ctx;
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -262,6 +262,7 @@
 		return;
 	gateway->peer_timer.fire = gw_on_peer_timer;
 	gateway->peer_timer.ctx = gateway;
+	gateway->peer_timer.reads_first = true;
 	tm_subscribe(gateway->timers, &gateway->peer_timer,
 		     tm_now_us() + GW_PING_US);
 }
--- a/http/httpc.c
+++ b/http/httpc.c
@@ -744,6 +744,7 @@
 		return false;
 	conn->connect_timer.fire = hc_on_connect_timeout;
 	conn->connect_timer.ctx = conn;
+	conn->connect_timer.reads_first = true;
 	if (pool->timers)
 		tm_subscribe(pool->timers, &conn->connect_timer,
 			     tm_now_us() + pool->connect_timeout_us);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -496,6 +496,63 @@
 }
 END_TEST
 
+/* Connections that are made, or not, while the loop is blocked. */
+enum { CONNECT_TIMEOUT_US = 100 * 1000, FULL_BACKLOG = 16 };
+
+/* Fills the backlog of LISTENER, so that it takes no further connection. */
+static void fill_backlog(int listener, const struct nt_address *address,
+			 int *fds)
+{
+	ck_assert_int_eq(listen(listener, 0), 0);
+	for (uint32_t i = 0; i < FULL_BACKLOG; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		connect(fds[i], (const struct sockaddr *)&address->addr,
+			nt_sockaddr_size(address));
+	}
+}
+
+/*
+ * Guards against a host that stood still, or was busy, and takes another one for
+ * unreachable although the connection has been established meanwhile.
+ */
+START_TEST(connect_timeout_spares_what_is_established)
+{
+	struct exchange exchange = { .request.handler = &handler };
+	struct tm_service timers;
+	struct nt_address address;
+	struct hc_pool pool;
+	uv_loop_t loop;
+	GString *out;
+	int filling[FULL_BACKLOG];
+	int listener = listen_on_free_port(&address);
+	bool full = _i;
+
+	if (full)
+		fill_backlog(listener, &address, filling);
+	uv_loop_init(&loop);
+	tm_init(&timers, &loop);
+	hc_pool_init(&pool, &loop, &address, 1);
+	hc_pool_set_connect_timeout(&pool, &timers, CONNECT_TIMEOUT_US);
+	out = hc_head_begin("GET", 3, "/", 1, "x");
+	hc_head_end(out, NULL, 0);
+	ck_assert(hc_start(&pool, &exchange.request, out));
+	g_usleep(2 * CONNECT_TIMEOUT_US);
+	while (!exchange.sent && !exchange.done)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert(exchange.sent == !full);
+	if (full)
+		ck_assert_int_eq(exchange.end, HC_NOT_SENT);
+	hc_cancel(&exchange.request);
+	hc_pool_close(&pool, NULL, NULL);
+	tm_free(&timers);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+	for (uint32_t i = 0; full && i < FULL_BACKLOG; i++)
+		close(filling[i]);
+	close(listener);
+}
+END_TEST
+
 /* An answer of the store that arrives a byte at a time. */
 enum { SLOW_TIMEOUT_US = 200 * 1000, SLOW_PIECE_US = 100 * 1000 };
 
@@ -808,6 +865,8 @@
 	tcase_add_test(tests, not_run_answers_are_recognized);
 	tcase_add_loop_test(tests, answer_ends_are_classified, 0,
 			    G_N_ELEMENTS(exchanges));
+	tcase_add_loop_test(tests, connect_timeout_spares_what_is_established,
+			    0, 2);
 	tcase_add_loop_test(tests, answer_that_is_arriving_may_take_longer, 0,
 			    G_N_ELEMENTS(slow_answers));
 	tcase_add_test(tests, relayed_rows_count_only_in_a_relayed_table);
