Count calls that fail at the same moment once against a host

Callers of a host that reaches no server were not served for up to 16 s after one bad moment of the host that takes its calls.

Cause: a host that cannot be reached is left alone for a second, and twice as long with each time in a row. Each call counted as a time. When 40 calls were under way, one event was the fortieth in a row. The same for calls that the other host is unable to take: 4.8 s in place of 0.3 s.

Failures while a host is left alone no longer add to the times in a row; the longer of two back-offs holds, as before for the later one.

test_forward (calls_that_fail_together_count_once) failed before: 16 s of 1 s, and 4.8 s of 0.3 s.

--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -159,12 +159,17 @@
 	return best;
 }
 
+/* Calls that were under way when the back-off began are no new evidence. */
 static void gw_back_off(struct gw_peer *peer, uint64_t backoff_us)
 {
+	uint64_t now_us = tm_now_us();
+	uint32_t doublings;
+
+	if (!peer->failures || now_us >= peer->backoff_until_us)
+		peer->failures++;
+	doublings = MIN(peer->failures - 1, GW_PEER_MAX_DOUBLINGS);
 	peer->backoff_until_us =
-		tm_now_us() +
-		(backoff_us << MIN(peer->failures, GW_PEER_MAX_DOUBLINGS));
-	peer->failures++;
+		MAX(peer->backoff_until_us, now_us + (backoff_us << doublings));
 }
 
 void gw_peer_was_lost(struct gw_peer *peer)
