Send no call to a server while none is heard

Callers of a host that reached no server, and had no other host to pass calls to, waited for their deadline and got a 504, so that they could not know whether an order had run.

Cause: the host knew that it was cut off, but offered the call to its core as any other. Policy "ask" asks nine servers for their load; if none answers, what they said before counts, and the call is sent to one of them.

The last check before sending now gives such a call up: it is passed to another host if there is one by now, and else refused at once as not run. Servers are still asked for each call, so the first that answers ends the cut. A call that the core was told to give up is reported as "no-server", not "deadline-not-run". Policies that do not ask are not changed.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -419,6 +419,28 @@
 	gw_post_ended(attempt, attempt->end);
 }
 
+/*
+ * Whether the call would go to a server although none is heard. Policy "ask" has asked
+ * some for their load before, in vain; the others learn by their calls.
+ */
+static bool gw_is_blind(const struct gw_call *call)
+{
+	struct gw_gateway *gateway = call->gateway;
+	const struct core_service *service =
+		core_service(&gateway->core, call->service);
+
+	return service->policy == CORE_POLICY_ASK && gw_is_cut_off(gateway);
+}
+
+/* Refuses the call, or passes it on, unless it has been sent before. */
+static void gw_give_up_unsent(struct gw_call *call)
+{
+	if (call->may_have_run || call->attempt_count > 1)
+		return;
+	call->forward_refused = true;
+	gw_expire_call(call);
+}
+
 /*
  * Last check before sending; things may have changed since the admission. While
  * the host was slow or stopped, a request may have been read, or a connection
@@ -436,6 +458,10 @@
 		gw_post_blocked(call);
 		return false;
 	}
+	if (gw_is_blind(call)) {
+		gw_give_up_unsent(call);
+		return false;
+	}
 	if (!at_may_send(call->idempotent, call->may_have_run))
 		return false;
 	if (call->claim && !od_may_send(call->claim))
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -125,6 +125,15 @@
 	gw_call_unref(call);
 }
 
+/* A call that the core was told to give up has not met its deadline. */
+static enum st_kind gw_final_result(const struct gw_call *call,
+				    enum st_kind result)
+{
+	if (call->forward_refused && result == ST_DEADLINE_NOT_RUN)
+		result = ST_NO_SERVER;
+	return at_caller_result(result, call->may_have_run);
+}
+
 void gw_finish_call(struct gw_gateway *gateway,
 		    const struct core_action *action)
 {
@@ -136,8 +145,7 @@
 		call->retry_at_us = action->at_us;
 	g_hash_table_remove(gateway->calls, &call->id);
 	if (!gw_forward_refused(call, action->result))
-		gw_complete_call(call, at_caller_result(action->result,
-							call->may_have_run));
+		gw_complete_call(call, gw_final_result(call, action->result));
 }
 
 bool gw_caller_left(const struct gw_call *call)
