--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -638,6 +638,58 @@
 }
 END_TEST
 
+/* A store that takes calls and answers none, as the hosts call it. */
+enum {
+	SILENT_TIMEOUT_US = 1000 * 1000,
+	SILENT_MIN_RETRY_US = 200 * 1000,
+	SILENT_MAX_RETRY_US = 800 * 1000,
+	SILENT_FAILURES = 5, /* so many that the wait is the longest one */
+	/*
+	 * The call that the store does not answer any more ends after a second; a
+	 * manifest must be in force everywhere 2 s after the store is back.
+	 */
+	MAX_SILENT_GAP_US = 1500 * 1000
+};
+
+/*
+ * Guards against a host that waits for its call to a silent store to end, and then as
+ * long again, while the store answers already.
+ */
+START_TEST(unanswered_call_counts_as_waiting)
+{
+	struct fd_feed feed = { .table = "op" };
+	struct tm_service timers;
+	struct nt_address address;
+	struct pf_client client;
+	uint64_t first_us;
+	uv_loop_t loop;
+	int listener = listen_on_free_port(&address);
+
+	uv_loop_init(&loop);
+	tm_init(&timers, &loop);
+	pf_init(&client, &loop, &timers, &address);
+	client.timeout_us = SILENT_TIMEOUT_US;
+	feed.store = &client;
+	feed.timers = &timers;
+	feed.random = g_rand_new_with_seed(1);
+	feed.failures = SILENT_FAILURES;
+	fd_init(&feed);
+	fd_set_retry(&feed, SILENT_MIN_RETRY_US, SILENT_MAX_RETRY_US);
+	first_us = feed.call_start_us;
+	while (feed.call_start_us == first_us)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_uint_ge(feed.call_start_us - first_us, SILENT_TIMEOUT_US);
+	ck_assert_uint_lt(feed.call_start_us - first_us, MAX_SILENT_GAP_US);
+	close(listener);
+	pf_free(&client);
+	fd_free(&feed);
+	g_rand_free(feed.random);
+	tm_free(&timers);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+}
+END_TEST
+
 /* No change is relevant. */
 static bool ignore_row(void *ctx, const struct fd_feed *feed,
 		       const struct pf_row *row)
@@ -869,6 +921,7 @@
 			    0, 2);
 	tcase_add_loop_test(tests, answer_that_is_arriving_may_take_longer, 0,
 			    G_N_ELEMENTS(slow_answers));
+	tcase_add_test(tests, unanswered_call_counts_as_waiting);
 	tcase_add_test(tests, relayed_rows_count_only_in_a_relayed_table);
 	tcase_add_test(tests, later_era_goes_before_higher_version);
 	tcase_add_loop_test(tests,
