--- a/tests/tool_platform.c
+++ b/tests/tool_platform.c
@@ -6,7 +6,8 @@
  * With a certificate and its key it serves HTTPS instead of HTTP. /fault sets
  * faults, named in a JSON object like the fields below. PUT /hosts sets the
  * list of hosts, which the table "hosts" shows after hosts_lag_ms. /stats
- * returns the numbers of reads and writes, and the newest version.
+ * returns the numbers of reads and writes, of these the reads of changes of the table
+ * "hosts", and the newest version.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -60,6 +61,7 @@
 	struct tm_sub hosts_timer;
 	uint64_t reads;
 	uint64_t writes;
+	uint64_t hosts_changes; /* reads of the changes of HOSTS_TABLE */
 	/* Faults. They do not apply to /fault, /hosts and /stats. */
 	int64_t delay_ms; /* of every call */
 	int64_t lose_answers; /* of the next N writes that take effect */
@@ -241,11 +243,21 @@
 	free_waiter(waiter);
 }
 
+static void count_feed(const h2o_req_t *req)
+{
+	char *table = hd_query(req, "table");
+
+	if (!g_strcmp0(table, HOSTS_TABLE))
+		platform.hosts_changes++;
+	g_free(table);
+}
+
 static void serve_feed(h2o_req_t *req)
 {
 	uint64_t wait_ms = query_number(req, "wait-ms", 0);
 	struct feed_waiter *waiter;
 
+	count_feed(req);
 	if (answer_feed(req, !wait_ms))
 		return;
 	waiter = g_new0(struct feed_waiter, 1);
@@ -627,11 +639,13 @@
 	else if (hd_path_is(req, "/hosts") && hd_method_is(req, "PUT"))
 		put_hosts(req);
 	else if (hd_path_is(req, "/stats"))
-		reply_json(req, 200,
-			   json_pack("{s:I, s:I, s:I}", "reads",
-				     (json_int_t)platform.reads, "writes",
-				     (json_int_t)platform.writes, "version",
-				     (json_int_t)platform.state.last_version));
+		reply_json(
+			req, 200,
+			json_pack("{s:I, s:I, s:I, s:I}", "reads",
+				  (json_int_t)platform.reads, "writes",
+				  (json_int_t)platform.writes, "hosts_changes",
+				  (json_int_t)platform.hosts_changes, "version",
+				  (json_int_t)platform.state.last_version));
 	else if (platform.delay_ms)
 		delay_request(req);
 	else
