Read answers strictly in one place

tool_caller and tool_strict each had a reader of answers that takes every byte. answer_reader.h has one with the stricter rule of the two for each thing that can be wrong: in tool_strict, more than one framing or id, interim answers, and a status line or a chunk that is cut in a wrong place are faults as well now. tool_strict waits 10 s for an answer in all, where it was 10 s for each part of one.

--- a/tests/tool_strict.c
+++ b/tests/tool_strict.c
@@ -13,31 +13,26 @@
  * nothing tells it from a longer answer.
  */
 #include <arpa/inet.h>
-#include <errno.h>
-#include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <sys/time.h>
-#include <unistd.h>
 
 #include <glib.h>
 
 #include "base/net.h"
+#include "tests/answer_reader.h"
 #include "tests/raw_io.h"
 
 enum {
-	TIMEOUT_S = 10,
+	TIMEOUT_MS = 10 * 1000, /* of an answer */
 	DEADLINE_MS = 900,
 	MAX_PAUSE_MS = 60, /* between two calls on a connection */
 	RECONNECT_MS = 20, /* after a host could not be reached */
 	MAX_REQUEST_BODY_BYTES = 100000,
-	WIRE_BYTES = 64 * 1024, /* more than the bytes of an answer */
+	MAX_ANSWER_BYTES = 64 * 1024, /* more than one has */
 	NAME_BYTES = 64,
 	SHOWN_BYTES = 160, /* of what came, in the line of a fault */
-	US_PER_MS = 1000,
 };
 
 #define ENDS(X)                    \
@@ -71,26 +66,6 @@
 	uint32_t body_bytes;
 };
 
-/* What a connection has brought. */
-struct wire {
-	int fd; /* -1: not connected */
-	char bytes[WIRE_BYTES];
-	size_t size;
-	size_t at; /* what is read next */
-	bool reset; /* how it has ended, if it has */
-	bool late; /* nothing came for TIMEOUT_S */
-};
-
-struct answer {
-	unsigned status;
-	uint64_t length; /* UINT64_MAX: none */
-	bool chunked;
-	bool close;
-	char id[NAME_BYTES]; /* empty: none */
-	GString *body;
-	const char *fault; /* NULL: none */
-};
-
 struct caller {
 	pthread_t thread;
 	uint32_t index;
@@ -160,178 +135,20 @@
 	return ok;
 }
 
-static bool connect_wire(struct caller *caller)
+static bool connect_caller(struct caller *caller)
 {
-	struct wire *wire = &caller->wire;
 	struct sockaddr_in addr = first_address;
-	struct timeval timeout = { .tv_sec = TIMEOUT_S };
 	uint32_t host =
 		(uint32_t)g_rand_int_range(caller->rand, 0, (int)host_count);
 
 	addr.sin_port = htons((uint16_t)(ntohs(addr.sin_port) + host));
-	wire->fd = socket(AF_INET, SOCK_STREAM, 0);
-	wire->size = 0;
-	wire->at = 0;
-	wire->reset = false;
-	wire->late = false;
-	setsockopt(wire->fd, SOL_SOCKET, SO_RCVTIMEO, &timeout,
-		   sizeof(timeout));
-	if (!connect(wire->fd, (struct sockaddr *)&addr, sizeof(addr)))
-		return true;
-	close(wire->fd);
-	wire->fd = -1;
-	return false;
-}
-
-static void close_wire(struct wire *wire)
-{
-	close(wire->fd);
-	wire->fd = -1;
-}
-
-/* Returns false when the connection has ended. */
-static bool read_more(struct wire *wire)
-{
-	ssize_t n;
-
-	if (wire->size == sizeof(wire->bytes))
-		return false;
-	n = recv(wire->fd, wire->bytes + wire->size,
-		 sizeof(wire->bytes) - wire->size, 0);
-	if (n > 0) {
-		wire->size += (size_t)n;
-		return true;
-	}
-	wire->late = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-	wire->reset = n < 0 && !wire->late;
-	return false;
-}
-
-/* Reads up to a CRLF; NULL when the connection has ended before. */
-static char *read_line(struct wire *wire)
-{
-	char *line;
-	char *end;
-
-	while (!(end = memmem(wire->bytes + wire->at, wire->size - wire->at,
-			      "\r\n", 2)))
-		if (!read_more(wire))
-			return NULL;
-	line = g_strndup(wire->bytes + wire->at,
-			 (gsize)(end - wire->bytes) - wire->at);
-	wire->at = (size_t)(end + 2 - wire->bytes);
-	return line;
-}
-
-static bool read_bytes(struct wire *wire, uint64_t bytes, GString *to)
-{
-	while (bytes) {
-		size_t part = MIN(bytes, wire->size - wire->at);
-
-		g_string_append_len(to, wire->bytes + wire->at, (gssize)part);
-		wire->at += part;
-		bytes -= part;
-		if (bytes && wire->at == wire->size && !read_more(wire))
-			return false;
-	}
-	return true;
-}
-
-static void read_header(struct answer *answer, const char *line)
-{
-	const char *value = strchr(line, ':');
-
-	if (!value) {
-		answer->fault = "no header";
-		return;
-	}
-	value += strspn(value, ": ");
-	if (!g_ascii_strncasecmp(line, "content-length:", 15))
-		answer->length = g_ascii_strtoull(value, NULL, 10);
-	else if (!g_ascii_strncasecmp(line, "transfer-encoding:", 18))
-		answer->chunked = !g_ascii_strcasecmp(value, "chunked");
-	else if (!g_ascii_strncasecmp(line, "connection:", 11))
-		answer->close = !g_ascii_strcasecmp(value, "close");
-	else if (!g_ascii_strncasecmp(line, "attempt-id:", 11))
-		g_strlcpy(answer->id, value, sizeof(answer->id));
-}
-
-/* Returns false when the connection has ended before the end of the head. */
-static bool read_head(struct wire *wire, struct answer *answer)
-{
-	char *line = read_line(wire);
-
-	if (!line)
-		return false;
-	if (sscanf(line, "HTTP/1.1 %3u ", &answer->status) != 1)
-		answer->fault = "no status line";
-	while (!answer->fault) {
-		g_free(line);
-		line = read_line(wire);
-		if (!line)
-			return false;
-		if (!*line)
-			break;
-		read_header(answer, line);
-	}
-	g_free(line);
-	return true;
-}
-
-/* Reads a chunk. Returns false when the connection has ended. */
-static bool read_chunk(struct wire *wire, struct answer *answer, bool *last)
-{
-	char *line = read_line(wire);
-	char *end;
-	uint64_t bytes;
-
-	if (!line)
-		return false;
-	bytes = g_ascii_strtoull(line, &end, 16);
-	if (end == line || *end)
-		answer->fault = "no size of a chunk";
-	g_free(line);
-	if (answer->fault)
-		return true;
-	*last = !bytes;
-	if (!read_bytes(wire, bytes, answer->body))
-		return false;
-	line = read_line(wire);
-	if (line && *line)
-		answer->fault = "no end of a chunk";
-	g_free(line);
-	return line != NULL;
-}
-
-static bool read_chunks(struct wire *wire, struct answer *answer)
-{
-	bool last = false;
-
-	while (!last && !answer->fault)
-		if (!read_chunk(wire, answer, &last))
-			return false;
-	return true;
-}
-
-/* Returns whether the body is whole, as far as its frame tells. */
-static bool read_body(struct wire *wire, const struct call *call,
-		      struct answer *answer)
-{
-	if (answer->chunked)
-		return read_chunks(wire, answer);
-	if (answer->length != UINT64_MAX)
-		return read_bytes(wire, answer->length, answer->body);
-	if (!call->http10)
-		answer->fault = "no frame";
-	answer->close = true;
-	read_bytes(wire, UINT64_MAX, answer->body);
-	return !wire->reset && !wire->late;
+	return wire_connect(&caller->wire, &addr);
 }
 
 static const char *find_body_fault(const struct call *call,
 				   const struct answer *answer, bool whole)
 {
-	bool own = answer->id[0] != '\0';
+	bool own = answer->id != NULL;
 	const char *text = answer->body->str;
 
 	if (own && strcmp(answer->id, call->id) != 0)
@@ -360,24 +177,23 @@
 			       0 :
 			       g_rand_int_range(caller->rand, 0, MAX_PAUSE_MS);
 
-	if (wire->at < wire->size)
+	if (wire_left(wire))
 		return true;
-	wire->at = 0;
-	wire->size = 0;
+	wire_drop_taken(wire);
 	if (poll(&fd, 1, pause_ms) <= 0)
 		return false;
-	if (read_more(wire))
+	if (wire_read(wire))
 		return true;
-	close_wire(wire);
+	wire_close(wire);
 	return false;
 }
 
 static void print_fault(const struct caller *caller, const struct call *call,
 			const char *fault)
 {
-	const struct wire *wire = &caller->wire;
-	size_t begin = wire->size - MIN(wire->size, SHOWN_BYTES);
-	char *shown = g_strndup(wire->bytes + begin, wire->size - begin);
+	const GString *bytes = caller->wire.bytes;
+	size_t begin = bytes->len - MIN(bytes->len, SHOWN_BYTES);
+	char *shown = g_strndup(bytes->str + begin, bytes->len - begin);
 	char *escaped = g_strescape(shown, NULL);
 
 	printf("FAULT %s: %s %s over HTTP/1.%d: \"%s\"\n", fault, call->id,
@@ -395,7 +211,7 @@
 		answer->fault = "nothing came for long";
 	if (!answer->fault)
 		answer->fault = find_body_fault(call, answer, whole);
-	if (!answer->fault && whole && !answer->close &&
+	if (!answer->fault && whole && !answer->closes &&
 	    has_stray_bytes(caller))
 		answer->fault = "bytes when no call waits";
 	if (answer->fault) {
@@ -404,27 +220,37 @@
 	}
 	if (!whole)
 		return END_BROKEN;
-	return answer->id[0] ? END_WHOLE : END_REFUSED;
+	return answer->id ? END_WHOLE : END_REFUSED;
+}
+
+static enum progress read_body(struct wire *wire, const struct call *call,
+			       struct answer *answer)
+{
+	if (answer->framing == BY_CLOSE && !call->http10)
+		return answer_wrong(answer, "no frame");
+	answer->closes |= answer->framing == BY_CLOSE;
+	return answer_read_body(wire, answer);
 }
 
 static enum end read_answer(struct caller *caller, const struct call *call)
 {
 	struct wire *wire = &caller->wire;
-	struct answer answer = { .length = UINT64_MAX };
+	struct answer answer = { .body = g_string_new(NULL) };
 	enum end end = END_NOTHING;
-	bool whole = false;
-
-	answer.body = g_string_new(NULL);
-	if (read_head(wire, &answer)) {
-		whole = !answer.fault && read_body(wire, call, &answer);
-		end = judge(caller, call, &answer, whole);
-	} else if (wire->size > wire->at || wire->late) {
+	enum progress progress;
+
+	wire->until_us = tm_now_us() + TIMEOUT_MS * US_PER_MS;
+	progress = answer_read_head(wire, &answer);
+	if (progress == COMPLETE) {
+		progress = read_body(wire, call, &answer);
+		end = judge(caller, call, &answer, progress == COMPLETE);
+	} else if (progress == WRONG || wire_left(wire) || wire->late) {
 		end = judge(caller, call, &answer, false);
 	}
 	if (wire->fd >= 0 && ((end != END_WHOLE && end != END_REFUSED) ||
-			      answer.close || (call->http10 && !call->keep)))
-		close_wire(wire);
-	g_string_free(answer.body, TRUE);
+			      answer.closes || (call->http10 && !call->keep)))
+		wire_close(wire);
+	answer_free(&answer);
 	return end;
 }
 
@@ -436,7 +262,7 @@
 
 	for (uint32_t n = 0; g_get_monotonic_time() < stop_us; n++) {
 		make_call(caller, n, &call);
-		if (caller->wire.fd < 0 && !connect_wire(caller)) {
+		if (caller->wire.fd < 0 && !connect_caller(caller)) {
 			g_usleep(RECONNECT_MS * US_PER_MS);
 			continue;
 		}
@@ -457,6 +283,7 @@
 		for (uint32_t e = 0; e < END_COUNT; e++)
 			ends[e] += callers[i].ends[e];
 		g_rand_free(callers[i].rand);
+		g_string_free(callers[i].wire.bytes, TRUE);
 	}
 	g_free(callers);
 	for (uint32_t e = 0; e < END_COUNT; e++)
@@ -485,7 +312,11 @@
 	callers = g_new0(struct caller, count);
 	for (uint32_t i = 0; i < count; i++) {
 		callers[i].index = i;
-		callers[i].wire.fd = -1;
+		callers[i].wire = (struct wire){
+			.fd = -1,
+			.bytes = g_string_new(NULL),
+			.max_bytes = MAX_ANSWER_BYTES,
+		};
 		callers[i].rand = g_rand_new_with_seed(seed * 1000 + i);
 		pthread_create(&callers[i].thread, NULL, run_caller,
 			       &callers[i]);
