Serve raw connections of test doubles in one place

tool_raw, tool_endless and tool_answers each listened, started a thread for each connection, read requests, looked up header fields and the address of the peer, and wrote bytes without end. raw_io.h does that.

--- a/tests/tool_answers.c
+++ b/tests/tool_answers.c
@@ -28,7 +28,6 @@
  */
 #include <arpa/inet.h>
 #include <poll.h>
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -90,36 +89,14 @@
 	char head[MAX_HEAD_BYTES];
 	size_t bytes; /* read so far, of the head and what follows it */
 	char path[256];
-	char call_id[256];
+	char *call_id;
 	size_t body_bytes; /* of the body, not read yet */
 };
 
-static bool send_text(int fd, const char *text)
-{
-	return write_all(fd, text, strlen(text), NULL);
-}
-
-static void find_value(const char *head, const char *name, char *value,
-		       size_t size)
-{
-	const char *at = head;
-
-	*value = '\0';
-	while ((at = strchr(at, '\n'))) {
-		at++;
-		if (strncasecmp(at, name, strlen(name)) != 0)
-			continue;
-		at += strlen(name);
-		at += strspn(at, ": ");
-		g_strlcpy(value, at, MIN(size, strcspn(at, "\r\n") + 1));
-		return;
-	}
-}
-
 static bool read_head(int fd, struct request *request)
 {
 	char *end;
-	char length[32];
+	char *length;
 
 	request->bytes = 0;
 	do {
@@ -133,10 +110,11 @@
 	} while (!(end = strstr(request->head, "\r\n\r\n")));
 	if (sscanf(request->head, "%*s %255s", request->path) != 1)
 		return false;
-	find_value(request->head, "attempt-id", request->call_id,
-		   sizeof(request->call_id));
-	find_value(request->head, "content-length", length, sizeof(length));
+	g_free(request->call_id);
+	request->call_id = find_field(request->head, "attempt-id");
+	length = find_field(request->head, "content-length");
 	request->body_bytes = strtoul(length, NULL, 10);
+	g_free(length);
 	request->body_bytes -=
 		MIN(request->body_bytes,
 		    request->bytes - (size_t)(end + 4 - request->head));
@@ -176,7 +154,7 @@
 		"Response-Signature: s.%s\r\nServer-Load: 1,0,200,100\r\n"
 		"%s\r\n",
 		plan->status, request->call_id, request->call_id, frame);
-	bool ok = send_text(fd, head);
+	bool ok = write_text(fd, head);
 
 	g_free(head);
 	g_free(frame);
@@ -186,10 +164,10 @@
 static bool send_chunk(int fd, const char *data)
 {
 	char *size = g_strdup_printf("%zx\r\n", strlen(data));
-	bool ok = send_text(fd, size);
+	bool ok = write_text(fd, size);
 
 	g_free(size);
-	return ok && send_text(fd, data) && send_text(fd, "\r\n");
+	return ok && write_text(fd, data) && write_text(fd, "\r\n");
 }
 
 static bool send_half(int fd, const struct plan *plan, uint32_t half)
@@ -198,13 +176,13 @@
 		return true;
 	if (plan->framing == BY_CHUNKS)
 		return send_chunk(fd, plan->halves[half]);
-	return send_text(fd, plan->halves[half]);
+	return write_text(fd, plan->halves[half]);
 }
 
 static bool send_rest(int fd, const struct plan *plan)
 {
 	return send_half(fd, plan, 1) &&
-	       (plan->framing != BY_CHUNKS || send_text(fd, "0\r\n\r\n"));
+	       (plan->framing != BY_CHUNKS || write_text(fd, "0\r\n\r\n"));
 }
 
 static bool send_whole(int fd, const struct request *request,
@@ -241,7 +219,7 @@
 	if (!strcmp(plan->way, "rst"))
 		reset_on_close(fd);
 	if (!strcmp(plan->way, "bad"))
-		send_text(fd, "zz\r\n");
+		write_text(fd, "zz\r\n");
 	return false;
 }
 
@@ -290,7 +268,7 @@
 		ok = wait_readable(fd);
 	if (ok &&
 	    (g_str_has_suffix(plan->way, "extra") || is_way(plan, "latestray")))
-		ok = send_text(fd, "extra bytes\r\n\r\n");
+		ok = write_text(fd, "extra bytes\r\n\r\n");
 	return ok && plan->framing != BY_CLOSE;
 }
 
@@ -300,7 +278,7 @@
 				     "Server-Load: 0,0,200,100\r\n"
 				     "Content-Length: 0\r\n\r\n",
 				     conn->server->id);
-	bool ok = send_text(conn->fd, text);
+	bool ok = write_text(conn->fd, text);
 
 	g_free(text);
 	return ok;
@@ -392,43 +370,22 @@
 	return ok;
 }
 
-static bool is_cut_off(int fd)
-{
-	struct sockaddr_in peer = { 0 };
-	socklen_t size = sizeof(peer);
-	struct in_addr source;
-
-	return cut_source && inet_pton(AF_INET, cut_source, &source) == 1 &&
-	       !getpeername(fd, (struct sockaddr *)&peer, &size) &&
-	       peer.sin_addr.s_addr == source.s_addr;
-}
-
 static void *serve_connection(void *arg)
 {
 	struct connection *conn = arg;
-	struct request request;
+	struct request request = { .call_id = NULL };
 
 	/* One that is cut off stays open. */
-	if (!is_cut_off(conn->fd)) {
+	if (!cut_source || !comes_from(conn->fd, cut_source)) {
 		while (read_head(conn->fd, &request) && answer(conn, &request))
 			;
 		close(conn->fd);
 	}
+	g_free(request.call_id);
 	g_free(conn);
 	return NULL;
 }
 
-static void start_thread(void *(*run)(void *arg), void *arg)
-{
-	pthread_t thread;
-
-	if (pthread_create(&thread, NULL, run, arg)) {
-		perror("pthread_create");
-		exit(2);
-	}
-	pthread_detach(thread);
-}
-
 static void *accept_connections(void *arg)
 {
 	struct server *server = arg;
@@ -450,19 +407,11 @@
 {
 	struct server *server = g_new0(struct server, 1);
 	struct sockaddr_in addr;
-	int one = 1;
 
 	memcpy(&addr, &first->addr, sizeof(addr));
 	addr.sin_port = htons((uint16_t)(ntohs(addr.sin_port) + index));
 	g_snprintf(server->id, sizeof(server->id), "s%u", index);
-	server->listener = socket(AF_INET, SOCK_STREAM, 0);
-	setsockopt(server->listener, SOL_SOCKET, SO_REUSEADDR, &one,
-		   sizeof(one));
-	if (bind(server->listener, (struct sockaddr *)&addr, sizeof(addr)) ||
-	    listen(server->listener, BACKLOG)) {
-		perror("listen");
-		exit(2);
-	}
+	server->listener = listen_on(&addr, sizeof(addr), BACKLOG);
 	start_thread(accept_connections, server);
 }
 
--- a/tests/tool_endless.c
+++ b/tests/tool_endless.c
@@ -10,14 +10,9 @@
  * CUT_SOURCE are closed at once. One thread serves each connection. A line is
  * printed for each answer: its name, and the kilobytes that were taken.
  */
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <arpa/inet.h>
 
 #include <glib.h>
 
@@ -27,7 +22,6 @@
 #define CUT_SOURCE "127.0.0.2"
 
 enum {
-	BLOCK_BYTES = 256 * 1024,
 	BACKLOG = 512,
 	BYTES_PER_KB = 1024,
 	WORK_MS = 100,
@@ -70,20 +64,9 @@
 static const char *health_file;
 static const char *cut_file;
 
-/* The value of a header field of the request, or "". */
-static char *field(const char *head, const char *name)
-{
-	const char *at = strcasestr(head, name);
-
-	if (!at)
-		return g_strdup("");
-	at += strlen(name);
-	return g_strndup(at, strcspn(at, "\r\n"));
-}
-
 static char *sound_head(const char *request, int status)
 {
-	char *id = field(request, "\nattempt-id: ");
+	char *id = find_field(request, "attempt-id");
 	char *head = g_strdup_printf("HTTP/1.1 %d Status\r\nAttempt-Id: %s\r\n"
 				     "Response-Signature: signed\r\n"
 				     "Instance-Id: %s\r\n"
@@ -96,7 +79,6 @@
 
 static bool send_endless(int fd, const char *request, size_t kind)
 {
-	GString *block = g_string_new(NULL);
 	size_t written = 0;
 	bool ok = true;
 	char *head;
@@ -108,11 +90,8 @@
 	}
 	ok = ok && write_all(fd, answers[kind].begin,
 			     strlen(answers[kind].begin), &written);
-	while (block->len < BLOCK_BYTES)
-		g_string_append(block, answers[kind].repeat);
-	while (ok)
-		ok = write_all(fd, block->str, block->len, &written);
-	g_string_free(block, TRUE);
+	if (ok)
+		write_endless(fd, answers[kind].repeat, &written);
 	printf("%s %zu\n", answers[kind].name, written / BYTES_PER_KB);
 	return false;
 }
@@ -168,45 +147,23 @@
 	return ok;
 }
 
-/* Whether the connection comes from a host that is cut off. */
-static bool is_cut(int fd)
+static bool answer_unless_cut(int fd, const char *request, void *ctx)
 {
-	struct sockaddr_in peer = { 0 };
-	socklen_t bytes = sizeof(peer);
+	bool cut = comes_from(fd, CUT_SOURCE) &&
+		   g_file_test(cut_file, G_FILE_TEST_EXISTS);
 
-	return !getpeername(fd, (struct sockaddr *)&peer, &bytes) &&
-	       !strcmp(inet_ntoa(peer.sin_addr), CUT_SOURCE) &&
-	       g_file_test(cut_file, G_FILE_TEST_EXISTS);
+	return !cut && answer_request(fd, request);
 }
 
 static void *serve_connection(void *arg)
 {
-	int fd = GPOINTER_TO_INT(arg);
-	char request[8192];
-	size_t bytes = 0;
-	ssize_t n;
-
-	while ((n = recv(fd, request + bytes, sizeof(request) - 1 - bytes, 0)) >
-	       0) {
-		bytes += (size_t)n;
-		request[bytes] = '\0';
-		if (is_cut(fd))
-			break;
-		if (!strstr(request, "\r\n\r\n"))
-			continue;
-		bytes = 0;
-		if (!answer_request(fd, request))
-			break;
-	}
-	close(fd);
+	read_requests(GPOINTER_TO_INT(arg), answer_unless_cut, NULL);
 	return NULL;
 }
 
 int main(int argc, char **argv)
 {
 	struct nt_address address;
-	int listener;
-	int one = 1;
 
 	if (argc != 5 || !nt_parse(argv[1], &address)) {
 		fprintf(stderr,
@@ -217,22 +174,7 @@
 	health_file = argv[3];
 	cut_file = argv[4];
 	setvbuf(stdout, NULL, _IOLBF, 0);
-	listener = socket(address.addr.ss_family, SOCK_STREAM, 0);
-	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(listener, (const struct sockaddr *)&address.addr,
-		 nt_sockaddr_size(&address)) ||
-	    listen(listener, BACKLOG)) {
-		perror(argv[1]);
-		return 1;
-	}
-	for (;;) {
-		int fd = accept(listener, NULL, NULL);
-		pthread_t thread;
-
-		if (fd < 0)
-			continue;
-		pthread_create(&thread, NULL, serve_connection,
-			       GINT_TO_POINTER(fd));
-		pthread_detach(thread);
-	}
+	accept_all(
+		listen_on(&address.addr, nt_sockaddr_size(&address), BACKLOG),
+		serve_connection);
 }
--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -28,7 +28,6 @@
  */
 #include <errno.h>
 #include <poll.h>
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -41,7 +40,7 @@
 #include "tests/raw_io.h"
 
 enum { BIG_BODY_BYTES = 64 << 20, CHUNK_BYTES = 64 * 1024, SETTLE_MS = 500 };
-enum { CROWD_MS = 3000 };
+enum { CROWD_MS = 3000, BACKLOG = 128 };
 enum { BACKLOG_FILL_CONNECTIONS = 16, LARGE_HEAD_BYTES = 40000 };
 
 #define OK_HEAD "HTTP/1.1 200 OK\r\n"
@@ -91,17 +90,6 @@
 			   "content-length: 6\r\n\r\nstolen" },
 };
 
-static void fail(const char *what)
-{
-	perror(what);
-	exit(2);
-}
-
-static bool write_text(int fd, const char *text)
-{
-	return write_all(fd, text, strlen(text), NULL);
-}
-
 static bool write_big_body(int fd)
 {
 	static char chunk[CHUNK_BYTES];
@@ -195,14 +183,8 @@
 /* Sends the answer until the peer closes the connection. */
 static bool send_endless_answer(int fd, const char *begin, const char *repeat)
 {
-	GString *block = g_string_new(NULL);
-	bool ok = write_text(fd, begin);
-
-	while (block->len < CHUNK_BYTES)
-		g_string_append(block, repeat);
-	while (ok)
-		ok = write_all(fd, block->str, block->len, NULL);
-	g_string_free(block, TRUE);
+	if (write_text(fd, begin))
+		write_endless(fd, repeat, NULL);
 	return false;
 }
 
@@ -267,43 +249,30 @@
 	return write_echo(fd, path);
 }
 
-static void *serve_connection(void *arg)
+static bool answer_request(int fd, const char *request, void *ctx)
 {
-	int fd = GPOINTER_TO_INT(arg);
-	char head[8192];
+	bool *stale_refusal = ctx;
 	char path[256];
-	size_t bytes = 0;
-	ssize_t n;
+
+	if (sscanf(request, "%*s %255s", path) != 1 ||
+	    (*stale_refusal && !write_text(fd, REFUSAL)) ||
+	    !send_answer(fd, path))
+		return false;
+	*stale_refusal |= strstr(path, "refuse-stale") != NULL;
+	return true;
+}
+
+static void *serve_connection(void *arg)
+{
 	bool stale_refusal = false;
 
-	while ((n = recv(fd, head + bytes, sizeof(head) - 1 - bytes, 0)) > 0) {
-		bytes += (size_t)n;
-		head[bytes] = '\0';
-		if (!strstr(head, "\r\n\r\n"))
-			continue;
-		bytes = 0;
-		if (sscanf(head, "%*s %255s", path) != 1 ||
-		    (stale_refusal && !write_text(fd, REFUSAL)) ||
-		    !send_answer(fd, path))
-			break;
-		stale_refusal |= strstr(path, "refuse-stale") != NULL;
-	}
-	close(fd);
+	read_requests(GPOINTER_TO_INT(arg), answer_request, &stale_refusal);
 	return NULL;
 }
 
-static int listen_on(const struct nt_address *address, int backlog)
+static int listen_at(const struct nt_address *address, int backlog)
 {
-	int fd = socket(address->addr.ss_family, SOCK_STREAM, 0);
-	int one = 1;
-
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (const struct sockaddr *)&address->addr,
-		 nt_sockaddr_size(address)))
-		fail("bind");
-	if (listen(fd, backlog))
-		fail("listen");
-	return fd;
+	return listen_on(&address->addr, nt_sockaddr_size(address), backlog);
 }
 
 static int connect_to(const struct nt_address *address, int flags)
@@ -319,26 +288,10 @@
 	return fd;
 }
 
-_Noreturn static void run_server(const struct nt_address *address)
-{
-	int listener = listen_on(address, 128);
-
-	for (;;) {
-		int fd = accept(listener, NULL, NULL);
-		pthread_t thread;
-
-		if (fd < 0)
-			continue;
-		pthread_create(&thread, NULL, serve_connection,
-			       GINT_TO_POINTER(fd));
-		pthread_detach(thread);
-	}
-}
-
 /* Fills the backlog, so that the kernel accepts no further connection. */
 _Noreturn static void run_full_backlog(const struct nt_address *address)
 {
-	listen_on(address, 0);
+	listen_at(address, 0);
 	for (int i = 0; i < BACKLOG_FILL_CONNECTIONS; i++)
 		connect_to(address, SOCK_NONBLOCK);
 	for (;;)
@@ -465,7 +418,7 @@
 	if (!strcmp(argv[1], "leave") || !strcmp(argv[1], "abort"))
 		return run_leaving_client(&address, !strcmp(argv[1], "abort"));
 	if (!strcmp(argv[1], "server"))
-		run_server(&address);
+		accept_all(listen_at(&address, BACKLOG), serve_connection);
 	if (!strcmp(argv[1], "crowd"))
 		return run_crowd(&address, number);
 	if (!strcmp(argv[1], "deaf"))
