--- a/tests/suite.h
+++ b/tests/suite.h
@@ -22,4 +22,14 @@
 	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
+/* suite_run_case - the same for a suite of one case of that name. */
+static inline int suite_run_case(const char *name, TCase *tcase,
+				 enum fork_status fork)
+{
+	Suite *suite = suite_create(name);
+
+	suite_add_tcase(suite, tcase);
+	return suite_run(suite, fork);
+}
+
 #endif
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -166,7 +166,6 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("base");
 	TCase *tcase = tcase_create("base");
 
 	tcase_add_test(tcase, kernel_delivery_is_not_reentrant);
@@ -175,6 +174,5 @@
 			    sizeof(bad_yaml) / sizeof(bad_yaml[0]));
 	tcase_add_test(tcase, yaml_errors_name_line_and_field);
 	tcase_add_test(tcase, addresses_are_numeric);
-	suite_add_tcase(suite, tcase);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("base", tcase, CK_FORK_GETENV);
 }
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -265,13 +265,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("control");
 	TCase *tcase = tcase_create("control");
 
 	tcase_add_test(tcase, bootstrapping_host_waits_for_majority_of_seeds);
 	tcase_add_test(tcase, offered_bodies_must_match_digest_and_be_newer);
 	tcase_add_test(tcase, platform_read_rate_is_bounded);
 	tcase_add_test(tcase, pending_submissions_are_answered_on_stop);
-	suite_add_tcase(suite, tcase);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("control", tcase, CK_FORK_GETENV);
 }
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -225,7 +225,6 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("crash");
 	TCase *tc = tcase_create("crash");
 
 	tcase_add_checked_fixture(tc, setup, teardown);
@@ -239,6 +238,5 @@
 	tcase_add_test(tc, memory_is_bounded);
 	tcase_add_test(tc, only_blocks_are_listed);
 	tcase_add_test(tc, key_is_read_as_written);
-	suite_add_tcase(suite, tc);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("crash", tc, CK_FORK_GETENV);
 }
--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -420,7 +420,6 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("document");
 	TCase *tcase = tcase_create("document");
 
 	tcase_add_loop_test(tcase,
@@ -432,6 +431,5 @@
 	tcase_add_loop_test(tcase, sample_documents_are_accepted, 0,
 			    G_N_ELEMENTS(samples));
 	tcase_add_test(tcase, mutated_documents_are_rejected_or_parsed);
-	suite_add_tcase(suite, tcase);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("document", tcase, CK_FORK_GETENV);
 }
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -305,13 +305,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("fuzz");
 	TCase *tc = tcase_create("fuzz");
 
 	tcase_add_loop_test(tc, odd_texts_do_not_end_the_host, 0,
 			    G_N_ELEMENTS(readers));
 	tcase_add_loop_test(tc, odd_row_costs_no_other_row, 0,
 			    G_N_ELEMENTS(odd_rows));
-	suite_add_tcase(suite, tc);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("fuzz", tc, CK_FORK_GETENV);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -900,7 +900,6 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("platform");
 	TCase *tests = tcase_create("platform");
 
 	tcase_add_test(tests, manifest_is_decoded);
@@ -927,6 +926,5 @@
 	tcase_add_loop_test(tests,
 			    outage_ends_when_another_host_reads_the_store, 0,
 			    G_N_ELEMENTS(outages));
-	suite_add_tcase(suite, tests);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("platform", tests, CK_FORK_GETENV);
 }
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -552,7 +552,6 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("rate");
 	TCase *tests = tcase_create("rate");
 
 	tcase_add_checked_fixture(tests, setup, teardown);
@@ -576,6 +575,5 @@
 		G_N_ELEMENTS(policies));
 	tcase_add_test(tests, call_waits_for_a_limit_that_soon_allows_it);
 	tcase_add_test(tests, ended_limit_is_noticed_without_calls);
-	suite_add_tcase(suite, tests);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("rate", tests, CK_FORK_GETENV);
 }
--- a/tests/test_reach.c
+++ b/tests/test_reach.c
@@ -75,7 +75,6 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("reach");
 	TCase *tc = tcase_create("reach");
 
 	tcase_add_checked_fixture(tc, setup, NULL);
@@ -83,6 +82,5 @@
 	tcase_add_test(tc, one_server_is_no_cut);
 	tcase_add_test(tc, failing_servers_among_others_are_no_cut);
 	tcase_add_test(tc, new_connections_are_judged_by_themselves);
-	suite_add_tcase(suite, tc);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("reach", tc, CK_FORK_GETENV);
 }
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -77,12 +77,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("route");
 	TCase *tests = tcase_create("route");
 
 	tcase_add_checked_fixture(tests, setup, teardown);
 	tcase_add_test(tests, calls_are_split_by_weight);
 	tcase_add_test(tests, shorter_timeout_marks_second_try);
-	suite_add_tcase(suite, tests);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("route", tests, CK_FORK_GETENV);
 }
