Share the simulated core of the unit tests

test_ask, test_pause and test_core each had a core with recorded actions, its random numbers, its configuration of alike servers and the search for actions. core_fixture.h has them once.

--- a/tests/test_ask.c
+++ b/tests/test_ask.c
@@ -4,39 +4,15 @@
  */
 #include <string.h>
 
-#include "core/state.h"
+#include "tests/core_fixture.h"
 #include "tests/suite.h"
 
-enum { MS = 1000, SERVERS = 9, SLOTS = 4, TARGET_MS = 400, TIMEOUT_MS = 2000 };
+enum { SERVERS = 9, SLOTS = 4, TARGET_MS = 400, TIMEOUT_MS = 2000 };
 
-static struct core *core;
-static GArray *actions;
-static uint64_t now_us;
-static uint64_t last_call;
 static uint32_t slack;
 
-static void record_action(void *ctx, const struct core_action *action)
-{
-	g_array_append_val(actions, *action);
-}
-
-static uint32_t random_u32(void *ctx)
-{
-	static uint32_t state = 1;
-
-	state = state * 1664525 + 1013904223;
-	return state;
-}
-
-static void handle_event(struct core_event event)
-{
-	event.now_us = now_us;
-	core_handle_event(core, &event);
-}
-
 static void apply_conf(void)
 {
-	struct core_server_conf servers[SERVERS] = { 0 };
 	struct core_service_conf service = {
 		.policy = CORE_POLICY_ASK,
 		.queue_limit = 100,
@@ -45,48 +21,21 @@
 		.probe_requests_per_s = 10000,
 		.probe_bytes_per_s = 1 << 28,
 		.probe_cross_zone_bytes_per_s = 1 << 28,
-		.servers = servers,
-		.server_count = SERVERS,
 	};
-	struct core_conf conf = {
-		.latency_weight_percent = 100,
-		.services = &service,
-		.service_count = 1,
-	};
-	struct core_event event = { .kind = CORE_EV_CONF };
 
-	for (uint32_t i = 0; i < SERVERS; i++) {
-		servers[i].id = i;
-		servers[i].slots = SLOTS;
-		servers[i].max_connections = 100;
-		servers[i].hash = i + 1;
-	}
-	event.u.conf = &conf;
-	handle_event(event);
+	apply_service(service, SERVERS, SLOTS);
 }
 
 static void setup(void)
 {
-	struct core_driver driver = { record_action, random_u32, NULL, NULL };
-
-	actions = g_array_new(FALSE, FALSE, sizeof(struct core_action));
-	now_us = 1000 * MS;
 	last_call = 0;
 	slack = 100;
-	core = g_new0(struct core, 1);
-	core_init(core, &driver);
+	init_core(1000 * MS, random_u32);
 	apply_conf();
 	/* The token buckets of the measuring budget start empty. */
 	now_us += 1000 * MS;
 }
 
-static void teardown(void)
-{
-	core_free(core);
-	g_free(core);
-	g_array_free(actions, TRUE);
-}
-
 /* Starts a call WAITED_MS after the first try of its caller. */
 static uint64_t start_call_after(bool idempotent, uint32_t max_attempts,
 				 uint32_t waited_ms)
@@ -109,29 +58,12 @@
 	return start_call_after(idempotent, max_attempts, 0);
 }
 
-static const struct core_action *find_action(enum core_action_kind kind,
-					     uint64_t id)
-{
-	for (guint i = actions->len; i--;) {
-		const struct core_action *action =
-			&g_array_index(actions, struct core_action, i);
-
-		if (action->kind == kind && action->call == id)
-			return action;
-	}
-	return NULL;
-}
-
 static uint32_t count_actions(enum core_action_kind kind, uint64_t id)
 {
 	uint32_t n = 0;
 
-	for (guint i = 0; i < actions->len; i++) {
-		const struct core_action *action =
-			&g_array_index(actions, struct core_action, i);
-
-		n += action->kind == kind && action->call == id;
-	}
+	for (guint i = 0; i < actions->len; i++)
+		n += action_at(i)->kind == kind && action_at(i)->call == id;
 	return n;
 }
 
@@ -167,8 +99,7 @@
 			  uint32_t undisturbed, uint32_t running)
 {
 	for (guint i = from; i < actions->len; i++) {
-		struct core_action action =
-			g_array_index(actions, struct core_action, i);
+		struct core_action action = *action_at(i);
 
 		if (action.kind != CORE_ACT_PROBE ||
 		    action.server == unresponsive)
@@ -184,29 +115,17 @@
 /* Moves the time to the call's timer and fires it. */
 static void fire_timer(uint64_t id)
 {
-	struct core_event event = { .kind = CORE_EV_TIMER };
 	const struct core_action *action = find_action(CORE_ACT_TIMER, id);
 
 	ck_assert_ptr_nonnull(action);
 	now_us = MAX(now_us, action->at_us);
-	event.u.call_ref.call = id;
-	handle_event(event);
+	expire_timer(id);
 }
 
 /* Ends the latest attempt of a call. */
 static void end_attempt(uint64_t id, enum core_end end)
 {
-	struct core_event event = { .kind = CORE_EV_SENT };
-	const struct core_action *send = find_action(CORE_ACT_SEND, id);
-
-	event.u.attempt.call = id;
-	event.u.attempt.attempt = send->attempt;
-	handle_event(event);
-	event.kind = CORE_EV_ENDED;
-	event.u.ended.call = id;
-	event.u.ended.attempt = send->attempt;
-	event.u.ended.end = end;
-	handle_event(event);
+	end_call_attempt(*find_action(CORE_ACT_SEND, id), true, end);
 }
 
 /*
@@ -240,8 +159,7 @@
 START_TEST(chooses_undisturbed_server)
 {
 	uint64_t id = start_call(true, 2);
-	const struct core_action *probe =
-		&g_array_index(actions, struct core_action, actions->len - 2);
+	const struct core_action *probe = action_at(actions->len - 2);
 	uint32_t undisturbed;
 
 	ck_assert_uint_eq(count_actions(CORE_ACT_SEND, id), 0);
@@ -258,13 +176,9 @@
 	uint64_t id = start_call(false, 2);
 	uint32_t unresponsive = NO_SERVER;
 
-	for (guint i = 0; i < actions->len; i++) {
-		const struct core_action *action =
-			&g_array_index(actions, struct core_action, i);
-
-		if (action->kind == CORE_ACT_PROBE)
-			unresponsive = action->server;
-	}
+	for (guint i = 0; i < actions->len; i++)
+		if (action_at(i)->kind == CORE_ACT_PROBE)
+			unresponsive = action_at(i)->server;
 	ck_assert_uint_ne(unresponsive, NO_SERVER);
 	answer_probes(0, unresponsive, NO_SERVER, 0);
 	for (int i = 0; i < 5 && !count_actions(CORE_ACT_SEND, id); i++) {
@@ -655,10 +569,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("ask");
 	TCase *tests = tcase_create("ask");
 
-	tcase_add_checked_fixture(tests, setup, teardown);
+	tcase_add_checked_fixture(tests, setup, stop_core);
 	tcase_add_test(tests, chooses_undisturbed_server);
 	tcase_add_test(tests, avoids_unresponsive_server);
 	tcase_add_test(tests, refuses_early_when_all_servers_are_full);
@@ -677,6 +590,5 @@
 	tcase_add_test(tests, limits_retries_per_window);
 	tcase_add_test(tests, errors_of_a_cut_are_forgotten);
 	tcase_add_test(tests, only_server_gets_all_calls_while_it_starts);
-	suite_add_tcase(suite, tests);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("ask", tests, CK_FORK_GETENV);
 }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -11,36 +11,21 @@
 #include <check.h>
 #include <glib.h>
 
-#include "core/state.h"
+#include "tests/core_fixture.h"
 #include "tests/suite.h"
 
-enum { MS = 1000, SECOND = 1000 * MS, MAX_SERVERS = 8, DEADLINE = 10 * SECOND };
+enum { SECOND = 1000 * MS, MAX_SERVERS = 8, DEADLINE = 10 * SECOND };
 
-static struct core *core;
 static GRand *rng;
-static GArray *actions;
-static uint64_t now_us;
-static uint64_t last_call;
 static struct core_server_conf servers[MAX_SERVERS];
 static struct core_service_conf service;
 static struct core_conf conf;
 
-static void record_action(void *ctx, const struct core_action *action)
-{
-	g_array_append_val(actions, *action);
-}
-
-static uint32_t random_u32(void *ctx)
+static uint32_t draw_u32(void *ctx)
 {
 	return g_rand_int(rng);
 }
 
-static void handle_event(struct core_event event)
-{
-	event.now_us = now_us;
-	core_handle_event(core, &event);
-}
-
 static void apply_conf(void)
 {
 	struct core_event event = { .kind = CORE_EV_CONF };
@@ -52,11 +37,7 @@
 /* Starts a core with COUNT servers in one zone, each with SLOTS slots. */
 static void start_core(enum core_policy policy, uint32_t count, uint32_t slots)
 {
-	struct core_driver driver = { record_action, random_u32, NULL, NULL };
-
-	now_us = SECOND;
 	rng = g_rand_new_with_seed(7);
-	actions = g_array_new(FALSE, FALSE, sizeof(struct core_action));
 	for (uint32_t i = 0; i < MAX_SERVERS; i++) {
 		servers[i].id = i;
 		servers[i].slots = slots;
@@ -71,16 +52,13 @@
 	conf.latency_weight_percent = 100;
 	conf.services = &service;
 	conf.service_count = 1;
-	core = g_new0(struct core, 1);
-	core_init(core, &driver);
+	init_core(SECOND, draw_u32);
 	apply_conf();
 }
 
-static void stop_core(void)
+static void end_test(void)
 {
-	core_free(core);
-	g_free(core);
-	g_array_free(actions, TRUE);
+	stop_core();
 	g_rand_free(rng);
 }
 
@@ -102,26 +80,12 @@
 	return start_call_by(CORE_NO_CALLER, DEADLINE, true);
 }
 
-/* The latest action of this kind for a call, or NULL. */
-static const struct core_action *find_action(enum core_action_kind kind,
-					     uint64_t id)
-{
-	for (guint i = actions->len; i--;) {
-		const struct core_action *action =
-			&g_array_index(actions, struct core_action, i);
-
-		if (action->kind == kind && action->call == id)
-			return action;
-	}
-	return NULL;
-}
-
 static uint32_t count_actions(enum core_action_kind kind)
 {
 	uint32_t n = 0;
 
 	for (guint i = 0; i < actions->len; i++)
-		n += g_array_index(actions, struct core_action, i).kind == kind;
+		n += action_at(i)->kind == kind;
 	return n;
 }
 
@@ -136,27 +100,10 @@
 /* Ends the latest attempt of a call; returns its server. */
 static uint32_t end_attempt(uint64_t id, bool sent, enum core_end end)
 {
-	const struct core_action *send = find_action(CORE_ACT_SEND, id);
-	struct core_event event = { .kind = CORE_EV_SENT };
-	uint32_t server = send->server;
-	uint32_t attempt = send->attempt;
-
-	event.u.ended.call = id;
-	event.u.ended.attempt = attempt;
-	event.u.ended.end = end;
-	if (sent)
-		handle_event(event);
-	event.kind = CORE_EV_ENDED;
-	handle_event(event);
-	return server;
-}
-
-static void fire_timer(uint64_t id)
-{
-	struct core_event event = { .kind = CORE_EV_TIMER };
+	struct core_action send = *find_action(CORE_ACT_SEND, id);
 
-	event.u.call_ref.call = id;
-	handle_event(event);
+	end_call_attempt(send, sent, end);
+	return send.server;
 }
 
 static void post_report(uint32_t server, enum core_report_source source,
@@ -298,13 +245,13 @@
 	/* Server 1 stays marked when it is removed and added again. */
 	service.server_count = 1;
 	apply_conf();
-	fire_timer(0);
+	expire_timer(0);
 	service.server_count = 3;
 	apply_conf();
 	start_call();
 	ck_assert_uint_eq(in_flight(1), 0);
 	now_us += 5 * SECOND;
-	fire_timer(0);
+	expire_timer(0);
 	ck_assert_uint_eq(count_actions(CORE_ACT_PROBE), 1);
 	ck_assert_uint_eq(find_action(CORE_ACT_PROBE, 0)->server, 1);
 	post_leaving(1, CORE_LEAVING_ANNOUNCED, false);
@@ -537,8 +484,8 @@
 	inquiry = start_call();
 	order = start_call_by(CORE_NO_CALLER, DEADLINE, false);
 	now_us += 10 * MS;
-	fire_timer(inquiry);
-	fire_timer(order);
+	expire_timer(inquiry);
+	expire_timer(order);
 	ck_assert_uint_eq(find_action(CORE_ACT_SEND, order)->attempt, 0);
 	if (!find_action(CORE_ACT_SEND, inquiry)->hedge)
 		return false;
@@ -616,7 +563,7 @@
 
 	setenv("JACKDAWWORKS_OFF", on ? "" : rules[i].mechanism, 1);
 	holds = rules[i].holds();
-	stop_core();
+	end_test();
 	ck_assert_msg(holds == on, "%s: the rule %s", rules[i].mechanism,
 		      holds ? "holds without its mechanism" : "is broken");
 }
@@ -655,7 +602,7 @@
 		ids[i] = start_call();
 	for (int i = 0; i < 24; i++)
 		ck_assert_ptr_nonnull(find_action(CORE_ACT_SEND, ids[i]));
-	stop_core();
+	end_test();
 }
 END_TEST
 
@@ -674,9 +621,9 @@
 	event.u.call.max_attempts = 1;
 	handle_event(event);
 	now_us += 10 * MS;
-	fire_timer(last_call);
+	expire_timer(last_call);
 	ck_assert(!find_action(CORE_ACT_SEND, last_call)->hedge);
-	stop_core();
+	end_test();
 }
 END_TEST
 
@@ -706,13 +653,12 @@
 	end_attempt(id, false, CORE_END_REFUSED);
 	ck_assert_uint_eq(count_actions(CORE_ACT_SEND), sends + 1);
 	ck_assert(has_result(id, ST_GONE));
-	stop_core();
+	end_test();
 }
 END_TEST
 
 int main(void)
 {
-	Suite *suite = suite_create("core");
 	TCase *tcase = tcase_create("core");
 
 	tcase_add_loop_test(tcase, rule_holds_with_mechanism, 0, RULES);
@@ -720,7 +666,6 @@
 	tcase_add_test(tcase, uniformly_slow_servers_stay_usable);
 	tcase_add_test(tcase, call_with_one_attempt_is_not_hedged);
 	tcase_add_test(tcase, refused_order_of_departed_caller_is_not_retried);
-	suite_add_tcase(suite, tcase);
 	/* Switches are read once per process; each rule runs in its own. */
-	return suite_run(suite, CK_FORK);
+	return suite_run_case("core", tcase, CK_FORK);
 }
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -6,12 +6,11 @@
  */
 #include <string.h>
 
-#include "core/state.h"
 #include "gateway/dialect.h"
+#include "tests/core_fixture.h"
 #include "tests/suite.h"
 
 enum {
-	MS = 1000,
 	S = 1000 * MS,
 	SERVERS = 4,
 	SLOTS = 6,
@@ -20,10 +19,6 @@
 	PAUSE_MS = 3000
 };
 
-static struct core *core;
-static GArray *actions;
-static uint64_t now_us;
-static uint64_t last_call;
 static enum core_policy policy;
 
 static const enum core_policy policies[] = { CORE_POLICY_ASK,
@@ -31,28 +26,8 @@
 					     CORE_POLICY_PROBES,
 					     CORE_POLICY_ROUND_ROBIN };
 
-static void record_action(void *ctx, const struct core_action *action)
-{
-	g_array_append_val(actions, *action);
-}
-
-static uint32_t random_u32(void *ctx)
-{
-	static uint32_t state = 1;
-
-	state = state * 1664525 + 1013904223;
-	return state;
-}
-
-static void handle_event(struct core_event event)
-{
-	event.now_us = now_us;
-	core_handle_event(core, &event);
-}
-
 static void apply_conf(void)
 {
-	struct core_server_conf servers[SERVERS] = { 0 };
 	struct core_service_conf service = {
 		.policy = policy,
 		.queue_limit = 100,
@@ -61,46 +36,19 @@
 		.probe_requests_per_s = 100000,
 		.probe_bytes_per_s = 1 << 28,
 		.probe_cross_zone_bytes_per_s = 1 << 28,
-		.servers = servers,
-		.server_count = SERVERS,
-	};
-	struct core_conf conf = {
-		.latency_weight_percent = 100,
-		.services = &service,
-		.service_count = 1,
 	};
-	struct core_event event = { .kind = CORE_EV_CONF };
 
-	for (uint32_t i = 0; i < SERVERS; i++) {
-		servers[i].id = i;
-		servers[i].slots = SLOTS;
-		servers[i].max_connections = 100;
-		servers[i].hash = i + 1;
-	}
-	event.u.conf = &conf;
-	handle_event(event);
+	apply_service(service, SERVERS, SLOTS);
 }
 
 static void start_core(enum core_policy with)
 {
-	struct core_driver driver = { record_action, random_u32, NULL, NULL };
-
 	policy = with;
-	actions = g_array_new(FALSE, FALSE, sizeof(struct core_action));
-	now_us = S;
-	core = g_new0(struct core, 1);
-	core_init(core, &driver);
+	init_core(S, random_u32);
 	apply_conf();
 	now_us += S;
 }
 
-static void stop_core(void)
-{
-	core_free(core);
-	g_free(core);
-	g_array_free(actions, TRUE);
-}
-
 static uint64_t start_call(void)
 {
 	struct core_event event = { .kind = CORE_EV_CALL };
@@ -139,32 +87,20 @@
 static void answer_probes(guint from)
 {
 	for (guint i = from; i < actions->len; i++) {
-		struct core_action action =
-			g_array_index(actions, struct core_action, i);
+		struct core_action action = *action_at(i);
 
 		if (action.kind == CORE_ACT_PROBE)
 			post_report(action.server);
 	}
 }
 
-static void end_attempt(const struct core_action *send, enum core_end end)
-{
-	struct core_event event = { .kind = CORE_EV_ENDED };
-
-	event.u.ended.call = send->call;
-	event.u.ended.attempt = send->attempt;
-	event.u.ended.end = end;
-	handle_event(event);
-}
-
 /* Number of calls and probes that went to SERVER since the action at FROM. */
 static uint32_t count_to(uint32_t server, guint from)
 {
 	uint32_t n = 0;
 
 	for (guint i = from; i < actions->len; i++) {
-		const struct core_action *action =
-			&g_array_index(actions, struct core_action, i);
+		const struct core_action *action = action_at(i);
 
 		n += action->server == server &&
 		     (action->kind == CORE_ACT_SEND ||
@@ -173,18 +109,6 @@
 	return n;
 }
 
-static const struct core_action *find_finish(uint64_t call)
-{
-	for (guint i = actions->len; i--;) {
-		const struct core_action *action =
-			&g_array_index(actions, struct core_action, i);
-
-		if (action->kind == CORE_ACT_FINISH && action->call == call)
-			return action;
-	}
-	return NULL;
-}
-
 /* Starts COUNT calls, one a millisecond, and answers those that were sent. */
 static void run_calls(uint32_t count)
 {
@@ -194,11 +118,10 @@
 		start_call();
 		answer_probes(from);
 		for (guint i = from; i < actions->len; i++) {
-			struct core_action action =
-				g_array_index(actions, struct core_action, i);
+			struct core_action action = *action_at(i);
 
 			if (action.kind == CORE_ACT_SEND)
-				end_attempt(&action, CORE_END_DONE);
+				end_call_attempt(action, false, CORE_END_DONE);
 		}
 		now_us += MS;
 	}
@@ -206,8 +129,6 @@
 
 START_TEST(nothing_goes_to_a_pausing_server)
 {
-	struct core_event tick = { .kind = CORE_EV_TIMER };
-
 	start_core(policies[_i]);
 	run_calls(20);
 	pause_server(1, PAUSE_MS);
@@ -215,7 +136,7 @@
 		guint from = actions->len;
 
 		run_calls(50);
-		handle_event(tick);
+		expire_timer(0);
 		now_us += 50 * MS;
 		ck_assert_uint_eq(count_to(1, from), 0);
 		ck_assert_uint_gt(count_to(0, from) + count_to(2, from), 10);
@@ -252,28 +173,23 @@
 	for (uint32_t n = 0; n < 50; n++) {
 		guint from = actions->len;
 		uint64_t call = start_call();
-		struct core_event tick = { .kind = CORE_EV_TIMER };
 		uint32_t first = UINT32_MAX;
 
 		answer_probes(from);
 		for (guint i = from; i < actions->len; i++)
-			if (g_array_index(actions, struct core_action, i)
-				    .kind == CORE_ACT_SEND)
-				first = g_array_index(actions,
-						      struct core_action, i)
-						.server;
+			if (action_at(i)->kind == CORE_ACT_SEND)
+				first = action_at(i)->server;
 		ck_assert_uint_ne(first, UINT32_MAX);
 		pause_server((first + 1) % SERVERS, 1000);
 		from = actions->len;
-		tick.u.call_ref.call = call;
 		for (uint32_t ms = 0; ms < 900; ms += 10) {
 			now_us += 10 * MS;
-			handle_event(tick);
+			expire_timer(call);
 			answer_probes(from);
 		}
 		ck_assert_uint_eq(count_to((first + 1) % SERVERS, from), 0);
 		now_us += 2 * S;
-		handle_event(tick);
+		expire_timer(call);
 	}
 	stop_core();
 }
@@ -288,7 +204,7 @@
 	for (uint32_t i = 0; i < SERVERS; i++)
 		pause_server(i, PAUSE_MS + i * 100);
 	call = start_call();
-	finish = find_finish(call);
+	finish = find_action(CORE_ACT_FINISH, call);
 	ck_assert_ptr_nonnull(finish);
 	ck_assert_int_eq(finish->result, ST_PAUSED);
 	ck_assert_uint_eq(finish->at_us, now_us + PAUSE_MS * MS);
@@ -315,8 +231,7 @@
 		answer_probes(begin);
 	}
 	for (guint i = from; i < actions->len; i++)
-		sent += g_array_index(actions, struct core_action, i).kind ==
-			CORE_ACT_SEND;
+		sent += action_at(i)->kind == CORE_ACT_SEND;
 	ck_assert_uint_eq(sent, 1);
 	stop_core();
 }
@@ -379,7 +294,6 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("pause");
 	TCase *tc = tcase_create("pause");
 	int policy_count = G_N_ELEMENTS(policies);
 
@@ -395,6 +309,5 @@
 			    policy_count - 1);
 	tcase_add_loop_test(tc, retry_after_is_read_and_bounded, 0,
 			    G_N_ELEMENTS(pause_headers));
-	suite_add_tcase(suite, tc);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("pause", tc, CK_FORK_GETENV);
 }
