Name what happens when a caller leaves

"Gone" stood for a caller that left before its answer, for hosts that are lost, and in HTTP for status 410. The event of the core, the result and the counter are named CALLER_LEFT and CALLERS_LEFT now, as the field caller_left is; names in traces, logs and metrics stay. The candidates among which a server is chosen are no longer named "kept".

--- a/base/counter.h
+++ b/base/counter.h
@@ -16,7 +16,8 @@
 	X(REFUSED, "calls_refused_total", "Calls refused, not run")           \
 	X(UNKNOWN, "calls_unknown_total", "Calls ended, outcome unknown")     \
 	X(BROKEN, "calls_broken_total", "Answers broken off")                 \
-	X(GONE, "calls_gone_total", "Callers that left before the answer")    \
+	X(CALLERS_LEFT, "calls_gone_total",                                   \
+	  "Callers that left before the answer")                              \
 	X(STALLS, "loop_stalls_total",                                        \
 	  "Times the event loop was blocked for 200 ms or more")              \
 	X(STALL_MS, "loop_stall_ms_total", "Duration of these in ms")         \
--- a/base/status.h
+++ b/base/status.h
@@ -38,7 +38,7 @@
 	X(DEADLINE_UNKNOWN, "deadline-unknown", 504, 1, false)        \
 	X(UNKNOWN, "outcome-unknown", 502, 1, false)                  \
 	X(BROKEN, "answer-broken", 502, 1, false)                     \
-	X(GONE, "caller-gone", 499, 1, false)                         \
+	X(CALLER_LEFT, "caller-gone", 499, 1, false)                  \
 	X(REPLAY, "replay-differs", 500, 6, false)                    \
 	X(IO, "input-output", 500, 1, false)                          \
 	X(INTERNAL, "internal", 500, 1, false)
--- a/core/ask.c
+++ b/core/ask.c
@@ -63,21 +63,22 @@
 }
 
 /* Inserts a server into the CORE_ASK_FANOUT cheapest ones, cheapest first. */
-static void core_keep_cheapest(struct core_candidate *kept, uint32_t *count,
-			       uint32_t id, uint64_t cost_us)
+static void core_insert_candidate(struct core_candidate *candidates,
+				  uint32_t *count, uint32_t id,
+				  uint64_t cost_us)
 {
 	uint32_t at = *count;
 
-	if (at == CORE_ASK_FANOUT && cost_us >= kept[at - 1].cost_us)
+	if (at == CORE_ASK_FANOUT && cost_us >= candidates[at - 1].cost_us)
 		return;
 	if (at == CORE_ASK_FANOUT)
 		at--;
 	else
 		(*count)++;
-	for (; at && kept[at - 1].cost_us > cost_us; at--)
-		kept[at] = kept[at - 1];
-	kept[at].id = id;
-	kept[at].cost_us = cost_us;
+	for (; at && candidates[at - 1].cost_us > cost_us; at--)
+		candidates[at] = candidates[at - 1];
+	candidates[at].id = id;
+	candidates[at].cost_us = cost_us;
 }
 
 static bool core_was_asked(const struct core_call *call, uint32_t id)
@@ -96,7 +97,7 @@
  */
 static uint32_t core_ask_select(struct core *core, struct core_service *service,
 				const struct core_call *call, bool slow_start,
-				struct core_candidate *kept)
+				struct core_candidate *candidates)
 {
 	bool eject = core_ejection_active(core, service);
 	uint32_t jitter_us =
@@ -113,8 +114,8 @@
 			      core_is_usable(core, service, server, eject) :
 			      core_is_available(core, service, server, eject)))
 			continue;
-		core_keep_cheapest(
-			kept, &count, id,
+		core_insert_candidate(
+			candidates, &count, id,
 			core_ask_cost_us(core, service, server, call) +
 				core_random(core, jitter_us));
 	}
@@ -125,12 +126,12 @@
 static uint32_t core_ask_candidates(struct core *core,
 				    struct core_service *service,
 				    const struct core_call *call,
-				    struct core_candidate *kept)
+				    struct core_candidate *candidates)
 {
-	uint32_t count = core_ask_select(core, service, call, true, kept);
+	uint32_t count = core_ask_select(core, service, call, true, candidates);
 
 	if (!count && !call->ask_count)
-		count = core_ask_select(core, service, call, false, kept);
+		count = core_ask_select(core, service, call, false, candidates);
 	return count;
 }
 
@@ -428,8 +429,8 @@
 static bool core_ask_next_round(struct core *core, struct core_call *call)
 {
 	struct core_service *service = core_service(core, call->service);
-	struct core_candidate kept[CORE_ASK_FANOUT];
-	uint32_t count = core_ask_candidates(core, service, call, kept);
+	struct core_candidate candidates[CORE_ASK_FANOUT];
+	uint32_t count = core_ask_candidates(core, service, call, candidates);
 	uint32_t best =
 		core_ask_best(core, service, call, false, CORE_NEED_NOTHING);
 	uint64_t id = call->id;
@@ -438,21 +439,22 @@
 		return false;
 	if (best != CORE_NO_SERVER) {
 		count = MIN(count, CORE_ASK_FANOUT - 1);
-		kept[count++].id = best;
+		candidates[count++].id = best;
 	}
 	call->ask_paused = false;
 	call->ask_rounds++;
 	call->ask_count = count;
 	call->ask_begin_us = core->now_us;
 	for (uint32_t i = 0; i < count; i++)
-		call->ask_servers[i] = kept[i].id;
+		call->ask_servers[i] = candidates[i].id;
 	for (uint32_t i = 0; i < count; i++) {
-		struct core_server *server = core_server(core, kept[i].id);
+		struct core_server *server =
+			core_server(core, candidates[i].id);
 
 		if (!server->probe_pending &&
 		    !core_report_is_fresh(core, server))
 			server->probe_pending =
-				core_send_probe(core, kept[i].id);
+				core_send_probe(core, candidates[i].id);
 	}
 	core_ask_decide(core, call, !core_ask_pending(core, call));
 	call = g_hash_table_lookup(core->calls, &id);
--- a/core/core.c
+++ b/core/core.c
@@ -532,7 +532,7 @@
 	else if (core_has_open_attempt(call))
 		return;
 	else if (call->caller_left)
-		core_finish_call(core, call, ST_GONE);
+		core_finish_call(core, call, ST_CALLER_LEFT);
 	else if (core_reserve_retry(core, call))
 		core_place_call(core, call);
 	else
@@ -627,7 +627,7 @@
 	}
 }
 
-static void core_on_gone(struct core *core, struct core_call *call)
+static void core_on_caller_left(struct core *core, struct core_call *call)
 {
 	call->caller_left = true;
 	/*
@@ -637,7 +637,7 @@
 	if (core_may_have_run(call) && core_has_open_attempt(call) &&
 	    !call->idempotent)
 		return;
-	core_finish_call(core, call, ST_GONE);
+	core_finish_call(core, call, ST_CALLER_LEFT);
 }
 
 static uint64_t core_event_call(const struct core_event *event)
@@ -648,7 +648,7 @@
 		return event->u.attempt.call;
 	case CORE_EV_ENDED:
 		return event->u.ended.call;
-	case CORE_EV_GONE:
+	case CORE_EV_CALLER_LEFT:
 	case CORE_EV_BLOCKED:
 	case CORE_EV_EXPIRED:
 	case CORE_EV_TIMER:
@@ -684,8 +684,8 @@
 
 	if (!call)
 		return;
-	if (event->kind == CORE_EV_GONE)
-		core_on_gone(core, call);
+	if (event->kind == CORE_EV_CALLER_LEFT)
+		core_on_caller_left(core, call);
 	else if (event->kind == CORE_EV_BLOCKED)
 		core_finish_call(core, call, ST_BLOCKED);
 	else if (event->kind == CORE_EV_EXPIRED)
--- a/core/core.h
+++ b/core/core.h
@@ -143,7 +143,7 @@
 	X(SENT, "sent")             \
 	X(ANSWER, "answer")         \
 	X(ENDED, "ended")           \
-	X(GONE, "gone")             \
+	X(CALLER_LEFT, "gone")      \
 	X(REPORT, "report")         \
 	X(SERVER, "server")         \
 	X(RATE_LIMIT, "rate-limit") \
@@ -211,7 +211,7 @@
 			uint32_t attempt;
 			enum core_end end;
 		} ended;
-		/* GONE: the caller disconnected. BLOCKED: the call must not
+		/* CALLER_LEFT: the caller disconnected. BLOCKED: the call must not
 		   be sent any more, as it crashes servers. EXPIRED: it must
 		   end now, as it would at its deadline. REACHED (call 0): this
 		   host was cut off from the servers and is not any more.
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -53,8 +53,8 @@
 	ct_add_result(result);
 	if (result == ST_OK)
 		ct_add(CT_COMPLETED, 1);
-	else if (result == ST_GONE)
-		ct_add(CT_GONE, 1);
+	else if (result == ST_CALLER_LEFT)
+		ct_add(CT_CALLERS_LEFT, 1);
 	else if (result == ST_BROKEN)
 		ct_add(CT_BROKEN, 1);
 	else
@@ -155,7 +155,7 @@
 
 void gw_post_gone(struct gw_call *call)
 {
-	struct core_event event = { .kind = CORE_EV_GONE };
+	struct core_event event = { .kind = CORE_EV_CALLER_LEFT };
 
 	if (call->caller_left)
 		return;
@@ -413,13 +413,13 @@
 static void gw_on_claim(void *ctx, const struct od_claim_result *result)
 {
 	struct gw_call *call = ctx;
-	struct od_claim_result gone = { .kind = ST_GONE };
+	struct od_claim_result left = { .kind = ST_CALLER_LEFT };
 
 	if (!result->claim) {
 		gw_end_unsubmitted(call, result);
 	} else if (!call->req) {
 		od_release_claim(result->claim);
-		gw_end_unsubmitted(call, &gone);
+		gw_end_unsubmitted(call, &left);
 	} else if (gw_is_blocked(call)) {
 		od_release_claim(result->claim);
 		gw_refuse_blocked(call);
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -121,7 +121,7 @@
 	const struct gw_call *call = forward->call;
 
 	if (gw_caller_left(call))
-		gw_end_forward(forward, ST_GONE);
+		gw_end_forward(forward, ST_CALLER_LEFT);
 	else if (tm_now_us() + GW_FORWARD_MARGIN_US >= call->deadline_us ||
 		 !gw_start_forward(forward))
 		gw_end_forward(forward,
@@ -262,7 +262,7 @@
 void gw_leave_forward(struct gw_call *call)
 {
 	if (call->idempotent || call->forward->http.state < HC_SENT)
-		gw_stop_forward(call->forward, ST_GONE);
+		gw_stop_forward(call->forward, ST_CALLER_LEFT);
 }
 
 bool gw_forward_call(struct gw_call *call)
--- a/gateway/log.c
+++ b/gateway/log.c
@@ -201,7 +201,7 @@
 		gw_set_begun_answer(line, call);
 		json_object_set_new(line, "caller_left",
 				    json_boolean(gw_caller_left(call)));
-		if (call->result == ST_GONE)
+		if (call->result == ST_CALLER_LEFT)
 			gw_set_number(
 				line, "check_gap_ms",
 				gw_elapsed_ms(call->gateway->caller_check_us,
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -634,7 +634,7 @@
 START_TEST(refused_order_of_departed_caller_is_not_retried)
 {
 	struct core_event sent = { .kind = CORE_EV_SENT };
-	struct core_event gone = { .kind = CORE_EV_GONE };
+	struct core_event left = { .kind = CORE_EV_CALLER_LEFT };
 	uint32_t sends;
 	uint64_t id;
 
@@ -646,13 +646,13 @@
 	id = start_call_by(CORE_NO_CALLER, DEADLINE, false);
 	sent.u.attempt.call = id;
 	handle_event(sent);
-	gone.u.call_ref.call = id;
-	handle_event(gone);
+	left.u.call_ref.call = id;
+	handle_event(left);
 	ck_assert_uint_eq(count_actions(CORE_ACT_CANCEL), 0);
 	ck_assert(!find_action(CORE_ACT_FINISH, id));
 	end_attempt(id, false, CORE_END_REFUSED);
 	ck_assert_uint_eq(count_actions(CORE_ACT_SEND), sends + 1);
-	ck_assert(has_result(id, ST_GONE));
+	ck_assert(has_result(id, ST_CALLER_LEFT));
 	end_test();
 }
 END_TEST
