--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, release, proof, test, demo, check, proofs, bench, browser,
+# Targets: all, release, proof, test, demo, check, soak, proofs, bench, browser,
 # deploy, format, format-check, lint, gen, clean. "make deps" installs the
 # Debian packages in PACKAGES.
 
@@ -97,6 +97,12 @@
 check: test
 	tests/check.sh build/test
 
+# The soaks of .ci/run. The first one that fails ends them.
+soak: release
+	tests/soak.sh build/release 7 10
+	tests/soak.sh build/release 2003 15
+	tests/soak.sh build/release 3019 20
+
 proofs: proof
 	tests/proofs.sh build/proof
 
@@ -132,8 +138,8 @@
 
 -include $(wildcard $(OUT)/*.d $(OUT)/*/*.d)
 
-.PHONY: all link release proof test variant deps demo check proofs bench browser format \
-	format-check lint gen clean
+.PHONY: all link release proof test variant deps demo check soak proofs bench browser \
+	format format-check lint gen clean
 
 # Builds only the program and installs it in target/, where the users' platform
 # expects it.
