--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -76,7 +76,6 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("forward");
 	TCase *tests = tcase_create("forward");
 
 	tcase_add_loop_test(tests, calls_that_fail_together_count_once, 0,
@@ -84,6 +83,5 @@
 	tcase_add_loop_test(tests, backoff_grows_with_each_time_in_a_row, 0,
 			    G_N_ELEMENTS(failures));
 	tcase_add_test(tests, longer_backoff_holds);
-	suite_add_tcase(suite, tests);
-	return suite_run(suite, CK_FORK_GETENV);
+	return suite_run_case("forward", tests, CK_FORK_GETENV);
 }
