Reset only the stream of an HTTP/2 caller that reads no more of it

Callers over HTTP/2 lost the answers on all streams of a connection when they had stopped reading one of them: 0.5 s after that call had ended, or at its deadline, the host reset the whole connection (gw_on_read_timeout, hd_abort_connection). Whole and slow answers on other streams broke, and so did errors that wait for the window of their stream. A broken answer that is read ended with RST_STREAM already, in each framing and way.

Now the host sends RST_STREAM (CANCEL) for that stream. h2o_send cannot: h2o asks for no more while the window of the stream is shut, and sends no error state either. h2o has functions that do it, as for a RST_STREAM that it gets; they are exported, and h2o/http2_internal.h is installed with them. It includes klib's khash.h, which is not: http/khash has what it names. Over HTTP/1 nothing changes.

A caller that reads nothing of its whole connection still gets a reset of it: the frame would wait behind what it does not read.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	-Wno-unused-parameter
 # -fno-strict-aliasing because pointers to socket addresses are cast between
 # types.
-BASE_CFLAGS = -std=gnu11 -D_GNU_SOURCE -fno-strict-aliasing $(WARN) -I. -Igen \
+BASE_CFLAGS = -std=gnu11 -D_GNU_SOURCE -fno-strict-aliasing $(WARN) -I. -Igen -Ihttp/khash \
 	$(shell pkg-config --cflags $(LIBS) | sed 's/-I/-isystem /g')
 LDLIBS = $(shell pkg-config --libs $(LIBS)) -lhttp_parser -lm
 CHECK_LIBS = $(shell pkg-config --libs check)
@@ -41,7 +41,7 @@
 TOOLS = $(TOOL_SRCS:tests/%.c=$(OUT)/%)
 TEST_SRCS = $(wildcard tests/test_*.c)
 TESTS = $(TEST_SRCS:tests/%.c=$(OUT)/%)
-FORMATTED = $(wildcard *.[ch] $(DIRS:%=%/*.[ch]) tests/*.[ch])
+FORMATTED = $(wildcard *.[ch] $(DIRS:%=%/*.[ch]) http/khash/*.h tests/*.[ch])
 
 all: build/jackdawworks
 
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -61,12 +61,21 @@
 		ct_add(st_not_run(result) ? CT_REFUSED : CT_UNKNOWN, 1);
 }
 
-/* The caller has not read its answer in time. */
+/*
+ * The caller has not read its answer in time. Over HTTP/2 only its stream is reset,
+ * unless nothing of the connection is read, so that the reset would wait as well.
+ */
 static void gw_on_read_timeout(void *ctx)
 {
 	struct gw_call *call = ctx;
 
-	hd_abort_connection(call->req);
+	if (!hd_is_http2(call->req) || hd_is_stalled(call->req)) {
+		hd_abort_connection(call->req);
+		return;
+	}
+	tm_subscribe(call->gateway->timers, &call->timer,
+		     tm_now_us() + GW_READ_TIMEOUT_US);
+	hd_reset_stream(call->req); /* may free the call */
 }
 
 static void gw_start_read_timeout(struct gw_call *call)
--- a/http/httpd.c
+++ b/http/httpd.c
@@ -4,14 +4,17 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <openssl/crypto.h>
 #include <openssl/ssl.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "base/json_text.h"
 
 enum { HD_BACKLOG = 1024 };
+enum { HD_STALL_MS = 500 };
 
 struct hd_handler {
 	h2o_handler_t super;
@@ -102,7 +105,7 @@
 {
 	if (!hd_is_visible(req->method) || !hd_is_visible(req->path))
 		return ST_INVALID;
-	conn->http2 = req->version >= 0x200;
+	conn->http2 = hd_is_http2(req);
 	return conn->http2 ? hd_check_http2(req) : hd_check_http1(conn->sock);
 }
 
@@ -387,18 +390,34 @@
 	return ref;
 }
 
+static bool hd_get_tcp_info(const struct hd_conn *conn, struct tcp_info *info)
+{
+	socklen_t bytes = sizeof(*info);
+
+	return !getsockopt(h2o_socket_get_fd(conn->sock), IPPROTO_TCP, TCP_INFO,
+			   info, &bytes);
+}
+
 bool hd_peer_closed(h2o_req_t *req)
 {
 	struct hd_conn *conn = hd_conn_of(req);
 	struct tcp_info info;
-	socklen_t bytes = sizeof(info);
 
-	return !conn->http2 &&
-	       !getsockopt(h2o_socket_get_fd(conn->sock), IPPROTO_TCP, TCP_INFO,
-			   &info, &bytes) &&
+	return !conn->http2 && hd_get_tcp_info(conn, &info) &&
 	       info.tcpi_state != TCP_ESTABLISHED;
 }
 
+bool hd_is_stalled(h2o_req_t *req)
+{
+	struct hd_conn *conn = hd_conn_of(req);
+	struct tcp_info info;
+	int waiting_bytes = 0;
+
+	ioctl(h2o_socket_get_fd(conn->sock), SIOCOUTQ, &waiting_bytes);
+	return waiting_bytes > 0 && hd_get_tcp_info(conn, &info) &&
+	       info.tcpi_last_data_sent >= HD_STALL_MS;
+}
+
 bool hd_ends_with_connection(const h2o_req_t *req)
 {
 	return req->version < 0x101 && req->res.content_length == SIZE_MAX;
@@ -450,6 +469,11 @@
 		hd_reset(conn);
 }
 
+bool hd_is_http2(const h2o_req_t *req)
+{
+	return req->version >= 0x200;
+}
+
 void hd_abort_connection(h2o_req_t *req)
 {
 	hd_reset(hd_conn_of(req));
--- a/http/httpd.h
+++ b/http/httpd.h
@@ -119,6 +119,17 @@
  * after what has been written. h2o notices with the next write.
  */
 void hd_close_unfinished(h2o_req_t *req);
+/*
+ * hd_is_http2 - whether REQ is a stream of a connection that may have others.
+ * hd_is_stalled - whether the other side has read so little of the connection of REQ that
+ * nothing could be sent for HD_STALL_MS.
+ * hd_reset_stream - end the answer to a request over HTTP/2 with RST_STREAM, also while
+ * its caller takes no bytes of it. Drops the request, during this call or when frames
+ * that are being written are out.
+ */
+bool hd_is_http2(const h2o_req_t *req);
+bool hd_is_stalled(h2o_req_t *req);
+void hd_reset_stream(h2o_req_t *req);
 /*
  * hd_abort_connection - reset the connection of a request whose answer is not
  * being read by the other side. h2o drops the request after this call, not
--- a/tests/run_slow_callers.sh
+++ b/tests/run_slow_callers.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
 # Callers over HTTP/1.0 that read an answer without a length late. Guards against a part of
 # it that looks whole: given up by the host, which then closes the connection, or cut when
-# the host is killed, while its last bytes still wait in the host.
+# the host is killed, while its last bytes still wait in the host. And callers over HTTP/2
+# that read nothing of their connection: a reset of their stream would wait with the rest.
 set -u
 PORT_BASE=${PORT_BASE:-20900}
 . "$(dirname "$0")/lib.sh"
@@ -55,6 +56,23 @@
 		grep -q ' reset$' "$WORK/given-up"
 done
 
+# curl ends with 56 when its connection is reset, with 92 when its stream is.
+pids=
+for n in 1 2 3; do
+	curl -s --http2-prior-knowledge --limit-rate 1M -d '' -H 'x-timeout-ms: 500' \
+		-o "$WORK/stopped$n" "127.0.0.1:$callers_port/raw/sized-$HUGE" &
+	pids="$pids $!"
+done
+sleep 0.3
+kill -STOP $pids
+sleep 2.5
+kill -CONT $pids
+for pid in $pids; do
+	wait "$pid"
+	status=$?
+	check "a caller over HTTP/2 that had stopped ended with $status" test $status = 56
+done
+
 # Answers a little larger than what the system holds of one that nobody reads: of some the
 # host has all, and the last part is not written yet.
 held=$(cut -d' ' -f1 "$WORK/given-up")
