--- a/tests/lib_wire.sh
+++ b/tests/lib_wire.sh
@@ -49,6 +49,18 @@
 		{ flush(); held = $0 }
 		END { flush() }' | tr -s ' ' | sed 's/^ //; s/ $//'
 }
+# send_expecting VERSION PAUSE_S: sends the head of a call that expects "100 Continue", and
+# its body after a pause. Prints the statuses that came, the body, and the connection's end.
+send_expecting() {
+	local request
+	request=$(print_request "$1" POST /order/length-whole "expect-$1-$2" "Expect: 100-continue")
+	{
+		printf "${request%abc}"
+		sleep "$2"
+		printf abc
+	} | "$BIN/tool_raw" send "127.0.0.1:$callers_port" $QUIET_S | tr -d '\0\r' |
+		sed -n 's/^HTTP.1.1 \([0-9]*\).*/\1/p; s/^1234567890$/body/p; s/^end=/&/p' | tr '\n' ' '
+}
 METHOD=POST PREFIX=order
 # ask HOST VERSION NAME ID [HEADER]: sends a call that is answered in the way NAME, and
 # after it on the same connection one that gets a whole answer. Prints what came. Both
--- /dev/null
+++ b/tests/run_expect.sh
@@ -0,0 +1,14 @@
+#!/bin/bash
+# Guards against a caller over HTTP/1.1 that sends "expect: 100-continue", waits for the
+# interim answer and gets none, or gets one in place of its answer.
+set -u
+PORT_BASE=${PORT_BASE:-31100}
+. "$(dirname "$0")/lib_wire.sh"
+
+start_answers "$(print_route order /order/ unsafe desk)"
+for pause_s in 0 0.3; do
+	came=$(send_expecting 1.1 $pause_s)
+	check "body after $pause_s s: $came" test "$came" = "100 200 body end=timeout "
+done
+say "failures: $failures"
+test $failures = 0
