Soak: fail when a host that should be paused goes on

The soak did not look whether the host stood still, and what let it go on is not known.

It now looks after both callers have left, and names the host and its state if it does not stand still. The check of the runs is unchanged.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -100,6 +100,15 @@
 	call_host "$1" /safe/a "left-$((++departed))" -m 0.1 >/dev/null
 	call_host "$1" /order/a "left-$((++departed))" -m 0.1 -X POST >/dev/null
 }
+# expect_paused I: host I has stood still until now. A caller that left while its host
+# went on, because another process let it, may have been served.
+expect_paused() {
+	local state
+	state=$(sed 's/.*) //' "/proc/${host_pid[$1]}/stat" 2>/dev/null | cut -c1)
+	test "$state" = T && return
+	cat "$WORK/faults"
+	fail "seed $SEED: host $1 did not stand still while its callers left, state ${state:-none}"
+}
 # begin_limit I, end_limit I: server I names a limit, and no longer does. A line
 # "server from-ms to-ms" in "limits" says how long.
 begin_limit() {
@@ -152,7 +161,7 @@
 	case $fault in
 	0) kill -9 "${host_pid[$host]}"; sleep 0.2; start_entry $host ;;
 	1) kill -STOP "${host_pid[$host]}"; sleep 0.1
-		leave_early $host; sleep 0.7
+		leave_early $host; expect_paused $host; sleep 0.7
 		kill -CONT "${host_pid[$host]}" ;;
 	2) set_pieces pieces # what a server breaks off is not cut off by the stop
 		stopped_ms=$(now_ms); kill -TERM "${host_pid[$host]}"; sleep 3.8
