Let the new test scripts start and end as the others do

Cause: they came in beside the functions of lib.sh and lib_platform.sh for these lines. Change: they use them; checks and bounds are the same.

--- a/tests/run_expect.sh
+++ b/tests/run_expect.sh
@@ -10,5 +10,4 @@
 	came=$(send_expecting 1.1 $pause_s)
 	check "body after $pause_s s: $came" test "$came" = "100 200 body end=timeout "
 done
-say "failures: $failures"
-test $failures = 0
+report_failures
--- a/tests/run_expect_http10.sh
+++ b/tests/run_expect_http10.sh
@@ -11,5 +11,4 @@
 	came=$(send_expecting 1.0 $pause_s)
 	check "body after $pause_s s: $came" test "$came" = "200 body end=eof "
 done
-say "failures: $failures"
-test $failures = 0
+report_failures
--- a/tests/run_forwarded_paused.sh
+++ b/tests/run_forwarded_paused.sh
@@ -45,5 +45,4 @@
 	test "$served" = $((ROUNDS * CALLS))
 check "host 0 took host 1 for silent" \
 	test "$(grep -c 'does not answer' "$WORK/entry0.log")" = 0
-say "failures: $failures"
-test $failures = 0
+report_failures
--- a/tests/run_gone_servers.sh
+++ b/tests/run_gone_servers.sh
@@ -24,10 +24,7 @@
 		grep -q "polling entry-$2"
 }
 
-start_platform || exit 1
-start_upstreams
-put_manifest 1 "$(print_route desk /desk/ safe desk)" ||
-	fail "the store did not take the manifest"
+start_deployment "$(print_route desk /desk/ safe desk)"
 # Host 0 comes first in rank because of its larger processor share. It reaches the
 # store through a proxy.
 proxy_address=127.0.0.1:$((PORT_BASE + 1))
@@ -78,5 +75,4 @@
 failed_calls=$(cat "$WORK"/calls? | grep -cv '^200')
 check "$failed_calls calls failed" test "$failed_calls" = 0
 test $failures = 0 || tail -40 "$WORK/entry0.log"
-say "failures: $failures"
-test $failures = 0
+report_failures
--- a/tests/run_start_waiting.sh
+++ b/tests/run_start_waiting.sh
@@ -6,38 +6,22 @@
 set -u
 PORT_BASE=${PORT_BASE:-23200}
 . "$(dirname "$0")/lib_platform.sh"
-HOSTS=12
+HOSTS=12 SERVERS=1 WORK_MS=5
 # The hosts table is read after 2 s, and the store after 2.5 s more at the latest.
 START_S=10
 # The host that reads the store first may be polled by nobody for a moment.
 MAX_CALLS=1
 
-hosts_changes() {
-	curl -s "$platform_address/stats" |
-		tr ',' '\n' | awk -F: '/"hosts_changes"/ { print $2 + 0 }'
-}
-
-start_platform || exit 1
-start_upstream 0 5
-put_server 0 ready || fail "the store did not take the row of the server"
-put_manifest 1 "$(print_route desk /desk/ safe desk)" ||
-	fail "the store did not take the manifest"
+start_deployment "$(print_route desk /desk/ safe desk)"
 silent=127.0.0.1:$((peers_port + 90))
 start_process deaf "$BIN/tool_raw" deaf "$silent"
 put_row hosts entry-deaf '{"zone":"gs-a","address":"'"$silent"'","rank":1}' ||
 	fail "the store did not take the row of the silent host"
 first_start=true
-for i in $(seq 0 $((HOSTS - 1))); do start_follower "$i"; done
-all_ready() {
-	local i
-	for i in $(seq 0 $((HOSTS - 1))); do
-		grep -q 'version 1 in force' "$WORK/entry$i.log" || return 1
-	done
-}
-check "the hosts do not have their tables" within $START_S all_ready
-calls=$(hosts_changes)
+for i in $(all_hosts); do start_follower "$i"; done
+check "the hosts do not have their tables" within $START_S in_force 1 $(all_hosts)
+calls=$(store_stat hosts_changes)
 say "$HOSTS hosts read the changes of the hosts table $calls times while they started"
 check "$HOSTS hosts read the changes of the hosts table $calls times while they started" \
 	test "$calls" -le $MAX_CALLS
-say "failures: $failures"
-test $failures = 0
+report_failures
--- a/tests/run_stranded_alone.sh
+++ b/tests/run_stranded_alone.sh
@@ -38,5 +38,4 @@
 heal_source
 served() { test "$(call_host 0 /order/a "healed-$RANDOM" -o /dev/null)" = " 200"; }
 check "no call is served after the cut" within 2 served
-say "failures: $failures"
-test $failures = 0
+report_failures
--- a/tests/run_unread_streams.sh
+++ b/tests/run_unread_streams.sh
@@ -88,5 +88,4 @@
 start_cut_off_host
 compare passed-on "127.0.0.1:$((callers_port + 3))"
 
-say "failures: $failures"
-test $failures = 0
+report_failures
