--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -506,8 +506,8 @@
 	ck_assert_int_eq(listen(listener, 0), 0);
 	for (uint32_t i = 0; i < FULL_BACKLOG; i++) {
 		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		connect(fds[i], (const struct sockaddr *)&address->addr,
-			nt_sockaddr_size(address));
+		(void)connect(fds[i], (const struct sockaddr *)&address->addr,
+			      nt_sockaddr_size(address));
 	}
 }
 
