run_leaving: let callers over TLS leave once a server has their request

Cause: a caller left 0.4 s after the start of openssl. The test waited for a time, not for what it is about.

These callers now leave 0.4 s after their own request has reached a server, which must be within 5 s, and the check waits for them. The checks and their bounds are unchanged: all three requests reach a server, and each server is free within 0.5 s.

--- a/tests/run_leaving.sh
+++ b/tests/run_leaving.sh
@@ -25,18 +25,24 @@
 	printf '\r\n'
 }
 # leave HOW ADDRESS [EXTRA]: sends the request on stdin, then EXTRA, and leaves
-# after LEAVE_AFTER_MS, HOW being "leave" (an orderly close), "abort" (a reset)
-# or "tls" (an orderly end of TLS and of the connection).
+# after LEAVE_AFTER_MS, HOW being "leave" (an orderly close) or "abort" (a reset).
 leave() {
 	{
 		cat
 		sleep 0.2
 		printf '%s' "${3:-}"
 		sleep 0.2
-	} | case $1 in
-	tls) openssl s_client -connect "$2" -quiet -no_ign_eof ;;
-	*) "$BIN/tool_raw" "$1" "$2" ;;
-	esac >/dev/null 2>&1
+	} | "$BIN/tool_raw" "$1" "$2" >/dev/null 2>&1
+}
+# leave_tls PATH: the same with an orderly end of TLS and of the connection, after
+# the request has reached a server: openssl takes long to start on a busy machine.
+leave_tls() {
+	{
+		request GET "$1"
+		within 5 grep -qxF "begin $1" "$WORK"/raw*.out
+		sleep 0.4
+	} | openssl s_client -connect "$TLS_HOST" -quiet -no_ign_eof \
+		>/dev/null 2>&1
 }
 # begun NAME: prints how many requests with NAME at the end of their path reached
 # a server.
@@ -91,11 +97,13 @@
 		leave leave "$HOST" "$(request GET /raw/next)" &
 	request GET "/raw/hold-$WORK_MS?reset-behind" |
 		leave abort "$HOST" "$(request GET /raw/next)" &
-	request GET "/raw/hold-$WORK_MS?close-tls" | leave tls "$TLS_HOST" &
+	leave_tls "/raw/$i/hold-$WORK_MS?close-tls" &
+	leaving="${leaving:-} $!"
 	request GET "/raw/begun-hold-$WORK_MS?mid-answer" |
 		leave leave "$HOST" &
 done
-sleep 1.5
+wait $leaving
+sleep 1.1
 for name in close reset close-behind reset-behind close-tls mid-answer; do
 	check_freed $name 3
 done
