--- a/tests/run_crash_lost_block.sh
+++ b/tests/run_crash_lost_block.sh
@@ -11,30 +11,18 @@
 # found_by FINDER: prints the hosts whose logs say that it found the block.
 found_by() {
 	local i
-	for i in $(seq 0 $((HOSTS - 1))); do
+	for i in $(all_hosts); do
 		grep '"block"' "$WORK/entry$i.log" | grep -q "\"$1\"" &&
 			say "$i"
 	done
 }
-start_hosts() {
-	for i in "$@"; do start_follower "$i"; done
-	for i in "$@"; do
-		wait_ready "$i" || fail "host $i is not ready"
-	done
-	sleep 1
-}
 
-start_platform || exit 1
-start_upstreams
-put_manifest 1 "$(print_route desk /desk/ safe desk)" ||
-	fail "the store did not take the manifest"
-start_hosts $(seq 0 $((HOSTS - 1)))
+start_deployment "$(print_route desk /desk/ safe desk)"
+start_followers $(all_hosts)
+sleep 1
 
 platform_fault '{"down": true}'
-for n in 1 2 3 4; do
-	call_host 0 /desk/deadly "block-$n" -o /dev/null >/dev/null
-	sleep 0.5
-done
+call_in_turn /desk/deadly block 4 0.5 0
 counting=$(found_by this-host)
 told=$(found_by other-host)
 test -n "$counting" || fail "no host has blocked the request"
@@ -46,12 +34,9 @@
 
 before=$(live_servers)
 for i in $told; do kill_process "entry$i"; done
-start_hosts $(seq 0 $((HOSTS - 1)))
-for i in $(seq 0 $((HOSTS - 1))); do
-	call_host "$i" /desk/deadly "late-$i" -o /dev/null >/dev/null
-	sleep 0.5
-done
+start_followers $(all_hosts)
+sleep 1
+call_in_turn /desk/deadly late $HOSTS 0.5 $(all_hosts)
 check "$((before - $(live_servers))) servers crashed under a request that had been blocked" \
 	test "$(live_servers)" = "$before"
-say "failures: $failures"
-test $failures = 0
+report_failures
