run_answer_retries: leave stray bytes to the end

Cause: the connections that expect_new_connection leaves stay until a call goes out on them, so later cases met them. In the log the first attempt has its 500, and the retry ends at once with "invalid constant string". Such a retry opens no new connection, as no connection was lost before it.

Change: those connections come last in the script. All checks are the same.

--- a/tests/run_answer_retries.sh
+++ b/tests/run_answer_retries.sh
@@ -150,8 +150,6 @@
 expect_no_body "idempotent call" 0 "bare-whole headed-whole length-whole chunks-whole length-twice"
 expect_stray "idempotent call" 0 "length-extra length-lateextra"
 compare_all
-expect_new_connection
-compare_all
 for why in retry hedge; do
 	check "no $why" grep -q '"why":"'$why'"' "$WORK/entry0.log"
 done
@@ -170,5 +168,9 @@
 expect_no_body "idempotent call through another host" 3 "bare-whole headed-whole"
 compare_all
 
+# Last, since the connections stay until a call goes out on them.
+expect_new_connection
+compare_all
+
 say "failures: $failures"
 test $failures = 0
