Ask in one place whether a host passes calls on

Change: passes_on in lib_platform.sh and check_expecting in lib_wire.sh. The checks, their bounds and what is expected are the same.

--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -164,6 +164,15 @@
 		call_host "$1" /desk/a "$3-$n" -o /dev/null >/dev/null &
 	done
 }
+# passes_on I PATH: sends four calls to host I; whether it has passed a call to another host.
+passes_on() {
+	local n
+	for n in 1 2 3 4; do
+		call_host "$1" "$2" "notice-$RANDOM" -o /dev/null >/dev/null &
+	done
+	sleep 0.2
+	grep -q '"event":"forward"' "$WORK/entry$1.log"
+}
 # call_in_turn PATH ID COUNT PAUSE_S I...: sends calls, one after the other, each to the
 # next of these hosts.
 call_in_turn() {
--- a/tests/lib_wire.sh
+++ b/tests/lib_wire.sh
@@ -61,6 +61,14 @@
 	} | "$BIN/tool_raw" send "127.0.0.1:$callers_port" $QUIET_S | tr -d '\0\r' |
 		sed -n 's/^HTTP.1.1 \([0-9]*\).*/\1/p; s/^1234567890$/body/p; s/^end=/&/p' | tr '\n' ' '
 }
+# check_expecting VERSION WANTED: what send_expecting prints, whenever the body comes.
+check_expecting() {
+	local pause_s came
+	for pause_s in 0 0.3; do
+		came=$(send_expecting "$1" $pause_s)
+		check "body after $pause_s s: $came" test "$came" = "$2"
+	done
+}
 METHOD=POST PREFIX=order
 # ask HOST VERSION NAME ID [HEADER]: sends a call that is answered in the way NAME, and
 # after it on the same connection one that gets a whole answer. Prints what came. Both
--- a/tests/run_expect.sh
+++ b/tests/run_expect.sh
@@ -6,8 +6,5 @@
 . "$(dirname "$0")/lib_wire.sh"
 
 start_answers "$(print_route order /order/ unsafe desk)"
-for pause_s in 0 0.3; do
-	came=$(send_expecting 1.1 $pause_s)
-	check "body after $pause_s s: $came" test "$came" = "100 200 body end=timeout "
-done
+check_expecting 1.1 "100 200 body end=timeout "
 report_failures
--- a/tests/run_expect_http10.sh
+++ b/tests/run_expect_http10.sh
@@ -7,8 +7,5 @@
 . "$(dirname "$0")/lib_wire.sh"
 
 start_answers "$(print_route order /order/ unsafe desk)"
-for pause_s in 0 0.3; do
-	came=$(send_expecting 1.0 $pause_s)
-	check "body after $pause_s s: $came" test "$came" = "200 body end=eof "
-done
+check_expecting 1.0 "200 body end=eof "
 report_failures
--- a/tests/run_forwarded_attempts.sh
+++ b/tests/run_forwarded_attempts.sh
@@ -17,14 +17,7 @@
 
 start_stranded_hosts "$(print_limited one /one/ 1),$(print_limited three /three/ 3)" 1
 cut_source $CUT_SOURCE hang
-passed() {
-	for n in 1 2 3 4; do
-		call_host 0 /one/a "notice-$RANDOM" -o /dev/null >/dev/null &
-	done
-	sleep 0.2
-	grep -q '"event":"forward"' "$WORK/entry0.log"
-}
-check "host 0 passes no call on" within 6 passed
+check "host 0 passes no call on" within 6 passes_on 0 /one/a
 # The hosts that have the calls are killed, one after the other.
 for route in one three; do
 	for n in $(seq $CALLS); do
--- a/tests/run_forwarded_paused.sh
+++ b/tests/run_forwarded_paused.sh
@@ -12,14 +12,7 @@
 
 start_stranded_hosts "$(print_route desk /desk/ safe desk),$(print_route order /order/ unsafe desk)" 1
 cut_source $CUT_SOURCE hang
-passed() {
-	for n in 1 2 3 4; do
-		call_host 0 /desk/a "notice-$RANDOM" -o /dev/null >/dev/null &
-	done
-	sleep 0.2
-	grep -q '"event":"forward"' "$WORK/entry0.log"
-}
-check "host 0 passes no call on" within 6 passed
+check "host 0 passes no call on" within 6 passes_on 0 /desk/a
 sleep 1
 for round in $(seq $ROUNDS); do
 	# While its call is there, host 1 is pinged. It answers after 0.2 s, when host 0
