Add types for customers, evacuated zones and cold servers

Two deployments need customers with keys and quotas, zones that are emptied, and servers that bear few requests while they are cold.

--- a/base/status.h
+++ b/base/status.h
@@ -21,6 +21,7 @@
 	X(CONFLICT, "conflict", 409, 4, true)                         \
 	X(KEY_REUSED, "key-reused", 422, 1, true)                     \
 	X(CALLER_LIMIT, "caller-limit", 429, 1, true)                 \
+	X(OVER_QUOTA, "over-quota", 429, 1, true)                     \
 	X(QUEUE_FULL, "queue-full", 503, 1, true)                     \
 	X(NO_SERVER, "no-server", 503, 1, true)                       \
 	X(RATE_LIMIT, "rate-limit", 503, 1, true)                     \
--- a/core/conf.c
+++ b/core/conf.c
@@ -216,6 +216,10 @@
 		g_array_append_val(core->weights, conf->callers[i].weight);
 	for (guint i = 0; i < core->services->len; i++)
 		core_drop_flows(core_service(core, i));
+	g_array_set_size(core->customer_weights, 0);
+	for (uint32_t i = 0; i < conf->customer_count; i++)
+		g_array_append_val(core->customer_weights,
+				   conf->customers[i].weight);
 }
 
 static uint32_t core_non_draining_hosts(const struct core_conf *conf)
--- a/core/core.c
+++ b/core/core.c
@@ -117,6 +117,7 @@
 	core->services = g_ptr_array_new_with_free_func(core_service_free);
 	g_queue_init(&core->asking);
 	core->weights = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	core->customer_weights = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	core->hosts = g_array_new(FALSE, FALSE, sizeof(struct core_host_conf));
 	core->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    core_call_free);
@@ -148,6 +149,7 @@
 	g_ptr_array_free(core->services, TRUE);
 	g_ptr_array_free(core->servers, TRUE);
 	g_array_free(core->weights, TRUE);
+	g_array_free(core->customer_weights, TRUE);
 	g_array_free(core->hosts, TRUE);
 }
 
@@ -421,9 +423,10 @@
 		call->target_us - MIN(call->target_us, call->begin_us);
 	call->target_us -= MIN(event->u.call.waited_us, call->target_us);
 	core_ask_set_wait(call);
-	call->work_class = event->u.call.caller < core->weights->len ?
-				   event->u.call.caller + 1 :
-				   0;
+	call->customer = event->u.call.customer;
+	call->work_class = event->u.call.work_class;
+	if (!call->work_class && event->u.call.caller < core->weights->len)
+		call->work_class = event->u.call.caller + 1;
 	call->max_attempts = event->u.call.max_attempts;
 	if (!call->max_attempts || call->max_attempts > CORE_MAX_ATTEMPTS)
 		call->max_attempts = CORE_MAX_ATTEMPTS;
--- a/core/core.h
+++ b/core/core.h
@@ -62,6 +62,13 @@
 	uint32_t max_connections; /* of all entry hosts together */
 	uint32_t warmup_ms; /* time left until it runs at full speed */
 	bool leaving;
+	/*
+	 * The operator wants no calls sent to its zone. Unlike a leaving server, it
+	 * returns without slow start.
+	 */
+	bool evacuated;
+	/* Requests in 1000 s of all hosts that it bears while cold; 0: any. */
+	uint32_t warmup_milli_per_s;
 	uint64_t hash; /* of the name; the same on all hosts */
 };
 
@@ -88,6 +95,10 @@
 	uint32_t weight;
 };
 
+struct core_customer_conf {
+	uint32_t weight; /* of its fair share, at least 1 */
+};
+
 /* One of the live entry hosts, this host included. */
 struct core_host_conf {
 	uint64_t hash; /* of the name */
@@ -110,6 +121,8 @@
 	uint32_t service_count;
 	const struct core_caller_conf *callers;
 	uint32_t caller_count;
+	const struct core_customer_conf *customers;
+	uint32_t customer_count;
 	const struct core_host_conf *hosts;
 	uint32_t host_count;
 };
@@ -148,6 +161,7 @@
 	X(SERVER, "server")         \
 	X(RATE_LIMIT, "rate-limit") \
 	X(PAUSE, "pause")           \
+	X(WARMUP, "warmup")         \
 	X(BLOCKED, "blocked")       \
 	X(EXPIRED, "expired")       \
 	X(REACHED, "reached")       \
@@ -190,6 +204,10 @@
 			uint64_t call;
 			uint32_t service;
 			uint32_t caller; /* index or CORE_NO_CALLER */
+			uint32_t customer; /* index + 1; 0: none */
+			/* Index + 1 of the callers whose calls take as long;
+			   0: that of CALLER. */
+			uint32_t work_class;
 			uint64_t deadline_us;
 			/* An answer by then earns full benefit; 0: no target. */
 			uint64_t target_us;
@@ -252,6 +270,11 @@
 			enum core_report_source source;
 			uint64_t duration_us;
 		} pause;
+		/* SERVER is cold for so long. */
+		struct {
+			uint32_t server;
+			uint64_t left_us;
+		} warmup;
 	} u;
 };
 
--- a/core/state.h
+++ b/core/state.h
@@ -185,6 +185,7 @@
 	uint64_t id;
 	uint32_t service;
 	struct core_flow *flow;
+	uint32_t customer; /* index + 1; 0: none */
 	uint64_t deadline_us;
 	uint64_t hedge_at_us; /* 0: no hedge planned */
 	uint64_t begin_us; /* arrival of the call */
@@ -220,6 +221,7 @@
 	GPtrArray *services; /* struct core_service by id */
 	GHashTable *calls; /* by id; looked up, never iterated */
 	GArray *weights; /* uint32_t by caller */
+	GArray *customer_weights; /* uint32_t by customer */
 	uint64_t now_us;
 	uint32_t zone;
 	uint32_t host_count; /* entry hosts that are not draining, at least 1 */
--- a/core/trace.c
+++ b/core/trace.c
@@ -80,6 +80,8 @@
 	TR_EV_OPTIONAL("waited_us", TR_U64, u.call.waited_us),
 	TR_EV_OPTIONAL("max_attempts", TR_U32, u.call.max_attempts),
 	TR_EV_OPTIONAL("bulky", TR_BOOL, u.call.bulky),
+	TR_EV_OPTIONAL("customer", TR_U32, u.call.customer),
+	TR_EV_OPTIONAL("work_class", TR_U32, u.call.work_class),
 	TR_FIELDS_END,
 };
 
@@ -137,6 +139,12 @@
 	TR_FIELDS_END,
 };
 
+static const struct tr_field tr_warmup_fields[] = {
+	TR_EV("server", TR_U32, u.warmup.server),
+	TR_EV("left_us", TR_U64, u.warmup.left_us),
+	TR_FIELDS_END,
+};
+
 static const struct tr_field *const tr_event_fields[] = {
 	[CORE_EV_CALL] = tr_call_fields,
 	[CORE_EV_SENT] = tr_attempt_fields,
@@ -150,6 +158,7 @@
 	[CORE_EV_SERVER] = tr_server_fields,
 	[CORE_EV_RATE_LIMIT] = tr_rate_limit_fields,
 	[CORE_EV_PAUSE] = tr_pause_fields,
+	[CORE_EV_WARMUP] = tr_warmup_fields,
 	[CORE_EV_TIMER] = tr_call_id_fields,
 };
 
@@ -185,6 +194,11 @@
 	TR_FIELDS_END,
 };
 
+static const struct tr_field tr_customer_fields[] = {
+	TR_FIELD(struct core_customer_conf, "weight", TR_U32, weight),
+	TR_FIELDS_END,
+};
+
 static const struct tr_field tr_host_fields[] = {
 	TR_FIELD(struct core_host_conf, "hash", TR_HASH, hash),
 	TR_FIELD(struct core_host_conf, "zone", TR_U32, zone),
@@ -219,6 +233,11 @@
 	{ "cold_ms", offsetof(struct core_server_conf, warmup_ms), NULL, TR_U32,
 	  0, true },
 	TR_FIELD(struct core_server_conf, "leaving", TR_BOOL, leaving),
+	{ "evacuated", offsetof(struct core_server_conf, evacuated), NULL,
+	  TR_BOOL, 0, true },
+	{ "warmup_milli_per_s",
+	  offsetof(struct core_server_conf, warmup_milli_per_s), NULL, TR_U32,
+	  0, true },
 	TR_FIELD(struct core_server_conf, "hash", TR_HASH, hash),
 	TR_FIELDS_END,
 };
@@ -291,6 +310,10 @@
 	tr_put_fields(out, tr_conf_fields, conf);
 	tr_put_list(out, "callers", tr_caller_fields, conf->callers,
 		    sizeof(conf->callers[0]), conf->caller_count);
+	if (conf->customer_count)
+		tr_put_list(out, "customers", tr_customer_fields,
+			    conf->customers, sizeof(conf->customers[0]),
+			    conf->customer_count);
 	tr_put_list(out, "hosts", tr_host_fields, conf->hosts,
 		    sizeof(conf->hosts[0]), conf->host_count);
 	g_string_append(out, ",\"services\":[");
@@ -541,6 +564,13 @@
 			    sizeof(to->callers[0]), &to->caller_count, status);
 	if (!to->callers)
 		return false;
+	if (json_object_get(object, "customers")) {
+		to->customers = tr_get_list(
+			conf, object, "customers", tr_customer_fields,
+			sizeof(to->customers[0]), &to->customer_count, status);
+		if (!to->customers)
+			return false;
+	}
 	to->hosts = tr_get_list(conf, object, "hosts", tr_host_fields,
 				sizeof(to->hosts[0]), &to->host_count, status);
 	return to->hosts && tr_get_services(conf, object, status);
--- /dev/null
+++ b/document/customer.h
@@ -0,0 +1,48 @@
+#ifndef DOCUMENT_CUSTOMER_H
+#define DOCUMENT_CUSTOMER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <glib.h>
+
+/*
+ * Customers: organisations whose callers identify themselves by API keys. A table
+ * of customers is shared by all documents that are built from one configuration,
+ * so that a change of the servers does not copy it.
+ */
+struct doc_customer {
+	char *name; /* of base/text.h */
+	char **keys;
+	uint32_t key_count;
+	bool has_priority; /* PRIORITY replaces that of the route */
+	uint32_t priority; /* 0 is the highest */
+	/* Quota of all entry hosts together; RATE_MILLI 0: none. */
+	uint32_t rate_milli; /* requests in 1000 s */
+	uint32_t burst_milli; /* thousandths of a request */
+};
+
+struct doc_customers {
+	uint32_t refs;
+	struct doc_customer *rows;
+	uint32_t count;
+	GHashTable *by_key; /* index + 1 of the customer */
+};
+
+/*
+ * doc_customers_new - COUNT cleared rows, with one reference.
+ * doc_customers_add_key - add KEY to the customer at INDEX. Returns false, and
+ *	adds nothing, if a customer holds it already.
+ * doc_customers_ref, doc_customers_unref - NULL is allowed.
+ * doc_customers_find - index of the customer that holds the key, or DOC_NO_INDEX.
+ * Source: document/customer.c
+ */
+struct doc_customers *doc_customers_new(uint32_t count);
+bool doc_customers_add_key(struct doc_customers *customers, uint32_t index,
+			   const char *key);
+struct doc_customers *doc_customers_ref(struct doc_customers *customers);
+void doc_customers_unref(struct doc_customers *customers);
+uint32_t doc_customers_find(const struct doc_customers *customers,
+			    const char *key, size_t key_bytes);
+
+#endif
--- a/document/document.c
+++ b/document/document.c
@@ -680,6 +680,8 @@
 		doc_free_route(&document->routes[i]);
 	for (uint32_t i = 0; i < document->zone_count; i++)
 		tx_unref(document->zones[i]);
+	doc_customers_unref(document->customers);
+	g_free(document->zone_evacuated);
 	g_free(document->zones);
 	g_free(document->routes);
 	g_free(document->services);
--- a/document/document.h
+++ b/document/document.h
@@ -8,6 +8,7 @@
 #include <jansson.h>
 
 #include "core/core.h"
+#include "document/customer.h"
 #include "base/net.h"
 #include "base/position.h"
 #include "base/status.h"
@@ -80,6 +81,7 @@
 	uint32_t target_ms;
 	uint32_t max_attempts; /* servers that one call may be sent to */
 	uint32_t priority; /* 0 is the highest */
+	bool is_public; /* calls need no key of a customer */
 	struct doc_weighted_service *services;
 	uint32_t service_count;
 };
@@ -108,6 +110,8 @@
 	uint32_t rule_count;
 	uint32_t connections; /* of every server, over all entry hosts */
 	char *probe_path; /* NULL: that of the dialect */
+	/* Requests in 1000 s that a cold server bears, of all hosts; 0: any. */
+	uint32_t warmup_milli_per_s;
 	/* Zones that need no server of the service; bit I is zone I. */
 	uint32_t remote_zones;
 };
@@ -133,10 +137,12 @@
 	uint32_t latency_weight_percent;
 	char **zones;
 	uint32_t zone_count;
+	bool *zone_evacuated; /* by zone: its servers get no calls; NULL: none */
 	struct doc_service *services;
 	uint32_t service_count;
 	struct doc_caller *callers;
 	uint32_t caller_count;
+	struct doc_customers *customers; /* NULL: calls need no key */
 	struct doc_route *routes;
 	uint32_t route_count;
 	uint32_t idle_timeout_ms; /* of callers' connections; 0: not set */
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -36,6 +36,7 @@
 	g_free(call->request_id);
 	tx_unref(call->route);
 	tx_unref(call->forwarded_to);
+	tx_unref(call->customer);
 	g_free(call);
 }
 
@@ -278,6 +279,7 @@
 	call->refs = 2;
 	call->begin_us = arrived_us;
 	call->caller_index = CORE_NO_CALLER;
+	call->customer_index = DOC_NO_INDEX;
 	call->generation = gateway->document->generation;
 	call->revision = gateway->document->revision;
 	gw_set_request_id(call, req);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -97,6 +97,8 @@
 	uint64_t waited_us; /* estimate, since the caller's first try */
 	uint32_t service; /* core id */
 	uint32_t caller_index; /* of the core's callers, or CORE_NO_CALLER */
+	char *customer; /* name, of base/text.h; NULL: none */
+	uint32_t customer_index; /* in the document, or DOC_NO_INDEX */
 	uint32_t max_attempts; /* of the route; 0: the core's limit only */
 	bool bulky; /* the route has large answers */
 	bool idempotent;
--- a/tests/tool_policy.c
+++ b/tests/tool_policy.c
@@ -330,8 +330,13 @@
 		.servers = server_confs,
 		.server_count = SERVERS,
 	};
-	struct core_conf conf = { 0, 0,	   100, 0,	    &service,
-				  1, NULL, 0,	host_confs, HOSTS };
+	struct core_conf conf = {
+		.latency_weight_percent = 100,
+		.services = &service,
+		.service_count = 1,
+		.hosts = host_confs,
+		.host_count = HOSTS,
+	};
 	struct core_event event = { .kind = CORE_EV_CONF, .u.conf = &conf };
 
 	now_us = 1;
