Check the keys of customers and name them to servers

Cause: a deployment has customers that identify themselves by keys; the types for them existed without code that fills or uses them. The gateway finds the customer of a call, refuses calls without a key with 401, and sends the customer's name to servers and other hosts, never the key. The customer's priority replaces that of the route. With key_limit_s, calls that need a key are refused when the keys were not confirmed for so long.

--- a/base/counter.h
+++ b/base/counter.h
@@ -14,6 +14,15 @@
 	X(CALLS, "calls_total", "Calls that arrived")                         \
 	X(COMPLETED, "calls_completed_total", "Calls answered by a server")   \
 	X(REFUSED, "calls_refused_total", "Calls refused, not run")           \
+	X(KEY_MISSING, "key_missing_total", "Calls refused without a key")    \
+	X(KEY_MALFORMED, "key_malformed_total",                               \
+	  "Calls refused for a malformed or repeated key")                    \
+	X(KEY_UNKNOWN, "key_unknown_total",                                   \
+	  "Calls refused for a key of no customer")                           \
+	X(KEY_REMOVED, "key_removed_total",                                   \
+	  "Waiting calls refused because their key was removed")              \
+	X(KEY_UNCONFIRMED, "key_unconfirmed_total",                           \
+	  "Calls refused because the keys were not confirmed lately")         \
 	X(UNKNOWN, "calls_unknown_total", "Calls ended, outcome unknown")     \
 	X(BROKEN, "calls_broken_total", "Answers broken off")                 \
 	X(CALLERS_LEFT, "calls_gone_total",                                   \
--- a/base/settings.c
+++ b/base/settings.c
@@ -255,6 +255,10 @@
 	settings->fresh_ms =
 		ym_uint(map, "fresh_ms", SE_MIN_FRESH_MS, SE_MAX_FRESH_MS,
 			se_default_fresh_ms(map, errors), errors);
+	settings->key_limit_ms =
+		(uint64_t)(SE_MS_PER_S * se_read_decimal(map, "key_limit_s",
+							 SE_MAX_LIMIT_S,
+							 errors));
 	settings->retry_percent = ym_uint(map, "retry_percent", 0, 100,
 					  SE_DEFAULT_RETRY_PERCENT, errors);
 	settings->retry_slack =
--- a/base/settings.h
+++ b/base/settings.h
@@ -49,6 +49,11 @@
 	struct nt_address server_source;
 	/* Maximum staleness of the data from the platform's store. */
 	uint64_t fresh_ms;
+	/*
+	 * Calls that need a key are refused when the data was not confirmed for
+	 * so long; 0: they never are.
+	 */
+	uint64_t key_limit_ms;
 	bool first_start; /* no host of the system has run before */
 	double processor_share; /* processors of this host; 0: unknown */
 	/*
--- a/cli/serve.c
+++ b/cli/serve.c
@@ -333,6 +333,8 @@
 	host->follower.relay.is_call = gw_is_forwarded;
 	host->follower.relay.handle_call = gw_on_forwarded;
 	host->follower.relay.call_ctx = &host->gateway;
+	host->gateway.get_confirmed_us = fo_confirmed_us;
+	host->gateway.confirmed_ctx = &host->follower;
 	return kind;
 }
 
--- a/document/customer.c
+++ b/document/customer.c
@@ -1,5 +1,7 @@
 #include "document/document.h"
 
+#include <string.h>
+
 struct doc_customers *doc_customers_new(uint32_t count)
 {
 	struct doc_customers *customers = g_new0(struct doc_customers, 1);
@@ -64,3 +66,15 @@
 	g_free(text);
 	return at ? at - 1 : DOC_NO_INDEX;
 }
+
+uint32_t doc_customers_find_name(const struct doc_customers *customers,
+				 const char *name, size_t name_bytes)
+{
+	for (uint32_t i = 0; i < customers->count; i++) {
+		const char *row = customers->rows[i].name;
+
+		if (strlen(row) == name_bytes && !memcmp(row, name, name_bytes))
+			return i;
+	}
+	return DOC_NO_INDEX;
+}
--- a/document/customer.h
+++ b/document/customer.h
@@ -35,6 +35,8 @@
  *	adds nothing, if a customer holds it already.
  * doc_customers_ref, doc_customers_unref - NULL is allowed.
  * doc_customers_find - index of the customer that holds the key, or DOC_NO_INDEX.
+ * doc_customers_find_name - index of the customer of that name, or DOC_NO_INDEX.
+ *	Takes time by the number of customers.
  * Source: document/customer.c
  */
 struct doc_customers *doc_customers_new(uint32_t count);
@@ -44,5 +46,7 @@
 void doc_customers_unref(struct doc_customers *customers);
 uint32_t doc_customers_find(const struct doc_customers *customers,
 			    const char *key, size_t key_bytes);
+uint32_t doc_customers_find_name(const struct doc_customers *customers,
+				 const char *name, size_t name_bytes);
 
 #endif
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -50,6 +50,13 @@
 	hd_add_header(req, "retry-after", text, (size_t)bytes);
 }
 
+void gw_add_challenge(h2o_req_t *req, enum st_kind kind)
+{
+	if (kind == ST_UNAUTHORIZED)
+		hd_add_header(req, "www-authenticate", "Bearer",
+			      strlen("Bearer"));
+}
+
 static uint64_t gw_retry_after_us(const struct gw_call *call)
 {
 	uint64_t now_us = tm_now_us();
@@ -66,6 +73,7 @@
 					 "the request may have run";
 	st_set(&status, kind, "request %s: %s", call->request_id, msg);
 	gw_add_outcome(call, kind);
+	gw_add_challenge(call->req, kind);
 	gw_add_retry_after(call->gateway->dialect, call->req, kind,
 			   gw_retry_after_us(call));
 	if (call->from_host && st_not_run(kind) && gw_is_cut_off(call->gateway))
@@ -97,6 +105,7 @@
 	X("x-entry-attempts")  \
 	X("x-entry-revision")  \
 	X("x-entry-unable")    \
+	X("x-entry-customer")  \
 	X("host")              \
 	X("expect")
 
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -441,6 +441,17 @@
 	gw_expire_call(call);
 }
 
+/* Ends the call unless another attempt runs, which may still be answered. */
+static void gw_give_up_revoked(const struct gw_attempt *attempt)
+{
+	struct gw_call *call = attempt->call;
+
+	for (uint32_t i = 0; i < call->attempt_count; i++)
+		if (i != attempt->index && !call->attempts[i].end_us)
+			return;
+	gw_expire_call(call);
+}
+
 /*
  * Last check before sending; things may have changed since the admission. While
  * the host was slow or stopped, a request may have been read, or a connection
@@ -458,6 +469,10 @@
 		gw_post_blocked(call);
 		return false;
 	}
+	if (gw_has_lost_key(call)) {
+		gw_give_up_revoked((struct gw_attempt *)request);
+		return false;
+	}
 	if (gw_is_blind(call)) {
 		gw_give_up_unsent(call);
 		return false;
@@ -523,6 +538,9 @@
 		      gw_format_decimal(left_ms, text));
 	gw_add_header(out, dialect->expect_server, server->name,
 		      strlen(server->name));
+	if (call->customer)
+		gw_add_header(out, dialect->customer, call->customer,
+			      strlen(call->customer));
 	if (report)
 		gw_add_header(out, dialect->report_wanted, "1", 1);
 	hc_head_end(out, call->request_body ? call->request_body->str : NULL,
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -36,7 +36,7 @@
 	g_free(call->request_id);
 	tx_unref(call->route);
 	tx_unref(call->forwarded_to);
-	tx_unref(call->customer);
+	gw_clear_customer(call);
 	g_free(call);
 }
 
@@ -141,6 +141,8 @@
 {
 	if (call->forward_refused && result == ST_DEADLINE_NOT_RUN)
 		result = ST_NO_SERVER;
+	if (call->key_removed && result == ST_DEADLINE_NOT_RUN)
+		result = ST_UNAUTHORIZED;
 	return at_caller_result(result, call->may_have_run);
 }
 
@@ -238,7 +240,9 @@
 	for (size_t i = 0; i < req->headers.size; i++) {
 		h2o_header_t *h = &req->headers.entries[i];
 
-		if (!gw_is_hop_header(dialect, h->name->base, h->name->len))
+		if (!gw_is_hop_header(dialect, h->name->base, h->name->len) &&
+		    !gw_is_customer_header(call->gateway, h->name->base,
+					   h->name->len))
 			hc_head_add(call->request_head, h->name->base,
 				    h->name->len, h->value.base, h->value.len);
 	}
@@ -337,6 +341,9 @@
 	event.u.call.call = call->id;
 	event.u.call.service = call->service;
 	event.u.call.caller = call->caller_index;
+	event.u.call.work_class = call->work_class;
+	if (call->customer)
+		event.u.call.customer = call->customer_index + 1;
 	event.u.call.deadline_us = call->deadline_us;
 	event.u.call.target_us = call->target_us;
 	event.u.call.waited_us = call->waited_us;
@@ -531,7 +538,7 @@
 	call->route = tx_ref(route->name);
 	call->idempotent = route->idempotent;
 	call->bulky = route->bulky;
-	call->caller_index = route->priority;
+	gw_set_priority(call, route);
 	if (gw_may_be_cut_off(call))
 		gw_refuse_at_stop(call);
 	else if (gw_is_blocked(call))
--- a/gateway/conf.c
+++ b/gateway/conf.c
@@ -8,6 +8,8 @@
 /* Below the one second after which a lost first packet is sent again. */
 enum { GW_CONNECT_TIMEOUT_US = 200 * 1000 };
 
+enum { GW_MILLI = 1000 };
+
 /* This host's share of the connections that a server allows. */
 static uint32_t gw_connection_share(const struct gw_gateway *gateway,
 				    uint32_t of_server)
@@ -106,6 +108,19 @@
 	return hosts;
 }
 
+/* The quota in requests per second is the customer's weight. */
+static struct core_customer_conf *
+gw_build_customer_confs(const struct doc_customers *customers)
+{
+	struct core_customer_conf *confs =
+		g_new0(struct core_customer_conf, customers->count);
+
+	for (uint32_t i = 0; i < customers->count; i++)
+		confs[i].weight =
+			MAX(customers->rows[i].rate_milli / GW_MILLI, 1);
+	return confs;
+}
+
 void gw_configure_core(struct gw_gateway *gateway)
 {
 	struct doc_document *document = gateway->document;
@@ -141,6 +156,10 @@
 	}
 	for (uint32_t i = 0; i < document->caller_count; i++)
 		callers[i].weight = document->callers[i].weight;
+	if (document->customers) {
+		conf.customers = gw_build_customer_confs(document->customers);
+		conf.customer_count = document->customers->count;
+	}
 	event.u.conf = &conf;
 	gw_post_event(gateway, &event);
 	for (uint32_t i = 0; i < document->service_count; i++)
@@ -148,6 +167,7 @@
 	g_free(services);
 	g_free(hosts);
 	g_free(callers);
+	g_free((void *)conf.customers);
 }
 
 static bool gw_same_hosts(const GArray *a, const GArray *b)
--- a/gateway/dialect.c
+++ b/gateway/dialect.c
@@ -44,6 +44,7 @@
 	.draining = "x-draining",
 	.rate_limit = "x-rate-limit",
 	.not_run = "x-not-run",
+	.customer = "x-customer",
 	.probe_path = "/load",
 	.parse_report = dl_parse_report,
 };
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -32,6 +32,7 @@
 	const char *server_id; /* id of the server that answers a probe */
 	const char *expect_server; /* only the server with this id runs it */
 	const char *signature; /* on every complete answer made by a server */
+	const char *customer; /* name of the customer; sent to servers */
 	const char *probe_path;
 	bool keep_host; /* pass the caller's Host header on to servers */
 	bool retry_after_fractions; /* send fractions of a second in Retry-After */
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -60,6 +60,9 @@
 	gw_add_number(out, GW_WAITED, waited_us / GW_US_PER_MS);
 	gw_add_number(out, GW_ATTEMPTS, call->max_attempts - granted);
 	gw_add_revision(out, &call->revision);
+	if (call->customer)
+		hc_head_add(out, GW_CUSTOMER, strlen(GW_CUSTOMER),
+			    call->customer, strlen(call->customer));
 	hc_head_end(out, body ? body->str : NULL, body ? body->len : 0);
 	return out;
 }
@@ -118,10 +121,12 @@
 
 static void gw_forward_to_next(struct gw_forward *forward)
 {
-	const struct gw_call *call = forward->call;
+	struct gw_call *call = forward->call;
 
 	if (gw_caller_left(call))
 		gw_end_forward(forward, ST_CALLER_LEFT);
+	else if (gw_has_lost_key(call))
+		gw_end_forward(forward, ST_UNAUTHORIZED);
 	else if (tm_now_us() + GW_FORWARD_MARGIN_US >= call->deadline_us ||
 		 !gw_start_forward(forward))
 		gw_end_forward(forward,
@@ -304,7 +309,7 @@
 		      result == ST_CONNECT ||
 		      (result == ST_DEADLINE_NOT_RUN && call->forward_refused);
 
-	return no_way && !call->may_have_run &&
+	return no_way && !call->key_removed && !call->may_have_run &&
 	       gw_reaches_badly(call->gateway) && gw_forward_call(call);
 }
 
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -19,6 +19,7 @@
  *	x-entry-attempts	servers of those that its route allows that it may not
  *				be sent to any more
  *	x-entry-revision	of the document by which it was routed
+ *	x-entry-customer	name of its customer, whose key is not passed on
  *
  * An answer with x-entry-unable says that the host can do nothing for the call.
  */
@@ -27,6 +28,7 @@
 #define GW_ATTEMPTS  "x-entry-attempts"
 #define GW_REVISION  "x-entry-revision"
 #define GW_UNABLE    "x-entry-unable"
+#define GW_CUSTOMER  "x-entry-customer"
 
 /* Another host that calls can be passed to. */
 struct gw_peer {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -128,6 +128,7 @@
 	if (gateway->dialect->outcome)
 		hd_add_header(req, gateway->dialect->outcome, "not-run",
 			      strlen("not-run"));
+	gw_add_challenge(req, kind);
 	gw_add_retry_after(gateway->dialect, req, kind, 0);
 	hd_reply_status(req, &status);
 }
@@ -148,6 +149,7 @@
 {
 	const struct doc_document *document = gateway->document;
 	const struct doc_route *route;
+	struct gw_identity identity;
 	struct gw_call *call;
 	uint32_t index;
 
@@ -169,8 +171,11 @@
 				  "no service has this route");
 		return;
 	}
+	if (!gw_identify_customer(gateway, req, route, from_host, &identity))
+		return;
 	call = gw_call_new(gateway, req, arrived_us);
 	call->from_host = from_host;
+	gw_set_customer(call, &identity);
 	if (route)
 		gw_admit_route_call(call, route);
 	else
@@ -230,6 +235,7 @@
 	case KN_DOCUMENT:
 		doc_unref(gateway->document);
 		gateway->document = doc_ref(document->document);
+		gw_end_revoked_calls(gateway);
 		gw_configure_core(gateway);
 		gw_take_early_calls(gateway);
 		break;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -69,6 +69,9 @@
 	struct tm_sub peer_timer; /* next check of the hosts that have them */
 	GQueue early_calls; /* of other hosts, which wait for a document */
 	struct tm_sub early_timer;
+	/* When the document was last confirmed; NULL: not known, always. */
+	uint64_t (*get_confirmed_us)(void *ctx);
+	void *confirmed_ctx;
 	uint32_t servers_in_use; /* of the document */
 	struct tm_sub core_timer;
 	struct tm_sub caller_check;
--- a/gateway/log.c
+++ b/gateway/log.c
@@ -65,6 +65,8 @@
 	if (call->service < tx_list_count(&gateway->services))
 		gw_set_text(line, "service",
 			    tx_list_name(&gateway->services, call->service));
+	if (call->customer)
+		gw_set_text(line, "customer", call->customer);
 	gw_set_number(line, "generation", call->generation);
 	if (call->waited_us)
 		gw_set_number(line, "waited_ms",
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -17,6 +17,7 @@
  * forward.h: calls that are passed from host to host.
  * conf.c: configuration from the document and the host list.
  * route.c: state that routes keep between calls.
+ * customer.c: customers of calls, by their keys.
  * log.c: log lines about calls.
  */
 enum {
@@ -98,7 +99,12 @@
 	uint32_t service; /* core id */
 	uint32_t caller_index; /* of the core's callers, or CORE_NO_CALLER */
 	char *customer; /* name, of base/text.h; NULL: none */
-	uint32_t customer_index; /* in the document, or DOC_NO_INDEX */
+	uint32_t customer_index; /* in CUSTOMERS, or DOC_NO_INDEX */
+	struct doc_customers
+		*customers; /* that its key was last looked up in */
+	char *api_key; /* NULL: none, or another host has checked it */
+	bool key_removed; /* by a later document */
+	uint32_t work_class; /* of the core's callers, + 1; 0: CALLER_INDEX */
 	uint32_t max_attempts; /* of the route; 0: the core's limit only */
 	bool bulky; /* the route has large answers */
 	bool idempotent;
@@ -134,6 +140,12 @@
 		retry_at_us; /* for the caller of a refused call; 0: not known */
 };
 
+/* The customer of a request. */
+struct gw_identity {
+	uint32_t index; /* in the document; DOC_NO_INDEX: none */
+	h2o_iovec_t key; /* empty if another host has checked it */
+};
+
 /*
  * gw_post_event - set the time of EVENT to now and pass it to the core. Events
  * that are posted while the core handles one are queued. Source: gateway/gateway.c
@@ -196,6 +208,7 @@
  * gw_add_retry_after - add Retry-After if KIND is answered with status 503 and
  * guarantees that the request was not run. A server may take it after AFTER_US; 0:
  * not known, it may be soon.
+ * gw_add_challenge - add the header that an answer of status 401 must have.
  * gw_is_hop_header - whether the header is hop-by-hop or set by this program.
  */
 void gw_add_outcome(struct gw_call *call, enum st_kind kind);
@@ -210,6 +223,31 @@
 		      size_t bytes);
 void gw_add_retry_after(const struct dl_dialect *dialect, h2o_req_t *req,
 			enum st_kind kind, uint64_t after_us);
+void gw_add_challenge(h2o_req_t *req, enum st_kind kind);
+
+/*
+ * customer.c
+ *
+ * gw_identify_customer - find the customer of a request to ROUTE, or to no named
+ * route (NULL). False: it has none and needs one, and was refused.
+ * gw_set_customer, gw_clear_customer - of a new call; of one that ends.
+ * gw_set_priority - that of its customer or else of its route.
+ * gw_is_customer_header - whether the header of a caller is not passed on because
+ * it holds a key, or may be taken for the customer's name.
+ * gw_has_lost_key - whether the document in force has removed the key of the call;
+ * if another customer has got it, so has the call.
+ * gw_end_revoked_calls - end those of them that wait for a server.
+ */
+bool gw_identify_customer(struct gw_gateway *gateway, h2o_req_t *req,
+			  const struct doc_route *route, bool from_host,
+			  struct gw_identity *identity);
+void gw_set_customer(struct gw_call *call, const struct gw_identity *identity);
+void gw_clear_customer(struct gw_call *call);
+void gw_set_priority(struct gw_call *call, const struct doc_route *route);
+bool gw_is_customer_header(const struct gw_gateway *gateway, const char *name,
+			   size_t bytes);
+bool gw_has_lost_key(struct gw_call *call);
+void gw_end_revoked_calls(struct gw_gateway *gateway);
 
 /*
  * attempt.c: actions of the core.
