--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -32,9 +32,9 @@
 		"max-attempts":2,"service":"%s"}' "$1" "$2" "$3" "$4"
 }
 # put_manifest VERSION ROUTES: writes the manifest, which holds the routes and
-# services of all hosts.
+# services of all hosts, and the list "customers" if it is set.
 put_manifest() {
-	put_row op config '{"version":'"$1"',"routes":['"$2"'],"services":[
+	put_row op config '{"version":'"$1"','"${customers:+\"tenants\":$customers,}"'"routes":['"$2"'],"services":[
 		{"name":"desk","health-check-path":"/health",
 		"max-connections":'"${max_connections:-200}"'},{"name":"other",
 		"health-check-path":"/health","max-connections":200}],
@@ -112,6 +112,7 @@
 	  first_start: ${first_start:-false}
 	  change_limit_s: "${change_limit_s:-0}"
 	  leaving_limit_s: "${change_limit_s:-0}"
+	  key_limit_s: "${key_limit_s:-0}"
 	END
 	start_process "entry$1" "$BIN/jackdawworks" serve "$WORK/entry$1.yaml"
 }
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -15,7 +15,8 @@
  * the body makes the server refuse everything with that Retry-After; an empty body
  * ends that. PUT /stale with a text as the body makes each answer to a call follow
  * a second copy of a refused health check on the same connection; an empty body ends
- * that. Each request that a leaving or pausing server gets, health checks
+ * that. After PUT /heads with a text as the body, GET /heads lists the headers of all
+ * runs, one a line after the attempt id. Each request that a leaving or pausing server gets, health checks
  * included, prints a line with "notice", the attempt id or "-", and the time. A
  * request whose path ends with "deadly" ends the process after its work, without an
  * answer. One that ends with "deadly-held" does the same where a supervisor keeps the
@@ -59,6 +60,8 @@
 	char cut[64]; /* empty: all sources reach it */
 	struct timeval cut_at;
 	GString *run_ids; /* attempt id of every run, one a line */
+	char heads_wanted[32]; /* empty: heads are not kept */
+	GString *heads; /* of runs */
 } upstream;
 
 /* A request that is being run. */
@@ -184,6 +187,19 @@
 	return own.base ? strtoull(own.base, NULL, 10) : upstream.work_ms;
 }
 
+/* Keeps the headers of a run, one a line, after its attempt id. */
+static void keep_head(const h2o_req_t *req, const h2o_iovec_t *call_id)
+{
+	for (size_t i = 0; i < req->headers.size; i++) {
+		const h2o_header_t *h = &req->headers.entries[i];
+
+		g_string_append_printf(upstream.heads, "%.*s %.*s: %.*s\n",
+				       (int)call_id->len, call_id->base,
+				       (int)h->name->len, h->name->base,
+				       (int)h->value.len, h->value.base);
+	}
+}
+
 static void run_request(h2o_req_t *req)
 {
 	struct job *job = g_new0(struct job, 1);
@@ -195,6 +211,8 @@
 	printf("%.*s %s %" G_GUINT64_FORMAT "\n", (int)id.len,
 	       id.base ? id.base : "", upstream.id, tm_now_us() / US_PER_MS);
 	fflush(stdout);
+	if (*upstream.heads_wanted && id.base)
+		keep_head(req, &id);
 	if (*upstream.stale)
 		send_stale_answer(req);
 	upstream.running++;
@@ -219,6 +237,12 @@
 	if (hd_path_is(req, "/runs"))
 		hd_reply(req, 200, "text/plain", upstream.run_ids->str,
 			 upstream.run_ids->len);
+	else if (hd_path_is(req, "/heads") && hd_method_is(req, "GET"))
+		hd_reply(req, 200, "text/plain", upstream.heads->str,
+			 upstream.heads->len);
+	else if (hd_path_is(req, "/heads"))
+		set_text(req, upstream.heads_wanted,
+			 sizeof(upstream.heads_wanted));
 	else if (hd_path_is(req, "/limit"))
 		set_text(req, upstream.limit, sizeof(upstream.limit));
 	else if (hd_path_is(req, "/leaving"))
@@ -335,6 +359,7 @@
 	g_strlcpy(upstream.id, argv[2], sizeof(upstream.id));
 	upstream.work_ms = strtoull(argv[3], NULL, 10);
 	upstream.run_ids = g_string_new(NULL);
+	upstream.heads = g_string_new(NULL);
 	uv_loop_init(&upstream.loop);
 	tm_init(&upstream.timers, &upstream.loop);
 	if (hd_init(&upstream.http, &upstream.loop, &address, on_request, NULL,
