--- a/tests/run_customers.sh
+++ b/tests/run_customers.sh
@@ -101,6 +101,10 @@
 check "a call with trailers fails" \
 	test "$(send_trailers t-2 "$BEARER $KEY" "tenant: forged")" = 200
 check "a trailer reaches the server" sees_only t-2 acme
+printf 't-3 /desk/a 2000 all %s tenant forged\n' $KEY |
+	"$BIN/tool_streams" "127.0.0.1:$((callers_port + 1))" 3 >"$WORK/streams.out"
+check "a call with trailers over HTTP/2" grep -q '^t-3 200 ' "$WORK/streams.out"
+check "a trailer reaches the server over HTTP/2" sees_only t-3 acme
 
 # A key is removed while calls wait for a server, and on a connection that is kept.
 exec 5<>"/dev/tcp/127.0.0.1/$((callers_port + 1))"
--- a/tests/tool_streams.c
+++ b/tests/tool_streams.c
@@ -4,7 +4,8 @@
  *
  * usage: tool_streams ADDRESS SECONDS [CA-FILE]
  * With CA-FILE, over TLS. Each line of stdin is a call: ID PATH DEADLINE-MS WINDOW.
- * WINDOW is how many bytes of the answer the caller takes, or "all". After a line "then"
+ * WINDOW is how many bytes of the answer the caller takes, or "all". It may be followed by
+ * KEY NAME VALUE: a key ("-": none) and a trailer. After a line "then"
  * calls are sent one by one, each when all before it have ended. Prints a line a call:
  * ID STATUS BODY END. Of a big body it prints the numbers of "x" and "y". END is
  *	whole		END_STREAM
@@ -49,6 +50,9 @@
 	char path[128];
 	unsigned deadline_ms;
 	uint32_t window_bytes;
+	char key[64]; /* empty or "-": none */
+	char trailer[64]; /* its name; empty: none */
+	char trailer_value[96];
 	bool after_others; /* sent when all before it have ended */
 	bool sent;
 	bool ended;
@@ -153,9 +157,22 @@
 	append_field(payload, ":authority", "x.example");
 	append_field(payload, "attempt-id", call->id);
 	append_field(payload, "deadline-ms", deadline);
+	if (*call->key && strcmp(call->key, "-") != 0) {
+		char *value = g_strconcat("Bearer ", call->key, NULL);
+
+		append_field(payload, "authorization", value);
+		g_free(value);
+	}
 	write_frame(caller, HEADERS, END_HEADERS, stream, payload);
 	g_string_assign(payload, REQUEST_BODY);
-	write_frame(caller, DATA, END_STREAM, stream, payload);
+	write_frame(caller, DATA, *call->trailer ? 0 : END_STREAM, stream,
+		    payload);
+	if (*call->trailer) {
+		g_string_truncate(payload, 0);
+		append_field(payload, call->trailer, call->trailer_value);
+		write_frame(caller, HEADERS, END_HEADERS | END_STREAM, stream,
+			    payload);
+	}
 	g_string_free(payload, TRUE);
 	if (call->window_bytes)
 		write_window(caller, stream, call->window_bytes);
@@ -341,8 +358,9 @@
 			after_others = true;
 			continue;
 		}
-		if (sscanf(line, "%63s %127s %u %15s", call.id, call.path,
-			   &call.deadline_ms, window) != 4)
+		if (sscanf(line, "%63s %127s %u %15s %63s %63s %95[^\n]",
+			   call.id, call.path, &call.deadline_ms, window,
+			   call.key, call.trailer, call.trailer_value) < 4)
 			fail("a call is ID PATH DEADLINE-MS WINDOW");
 		call.window_bytes = strcmp(window, "all") != 0 ?
 					    (uint32_t)atoi(window) :
