Test retries, traces and the time at which waiting calls end

Cause: run_customers did not show the name on retries, took a late 401 for one in time, and no replay of a trace from the platform ran under the sanitizers. Change: these checks. The replay's table of leaving sources gets a place for each source: it was one short, so that a notice for good was written past its end (found by the new check: core/trace_check.c, index 3 of bool [3]).

--- a/core/trace_check.c
+++ b/core/trace_check.c
@@ -22,7 +22,7 @@
 	uint32_t service;
 	uint32_t zone;
 	/* [0]: in the configuration; [1 + S]: enum core_leaving_source S */
-	bool leaving[3];
+	bool leaving[1 + CORE_LEAVING_SOURCE_COUNT];
 	uint64_t leaving_since_us; /* 0: not leaving */
 };
 
@@ -167,7 +167,7 @@
 	bool any = false;
 
 	server->leaving[index] = leaving;
-	for (int i = 0; i < 3; i++)
+	for (size_t i = 0; i < G_N_ELEMENTS(server->leaving); i++)
 		any |= server->leaving[i];
 	if (!any)
 		server->leaving_since_us = 0;
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -91,7 +91,7 @@
 }
 heal_source() { cut_source none none; }
 # start_follower I: starts entry host I, which follows the store. The address
-# for other hosts ("relay") is peers_port + I.
+# for other hosts ("relay") is peers_port + I. "more_settings" is a line of its settings.
 start_follower() {
 	cat >"$WORK/entry$1.yaml" <<-END
 	host: entry-$1
@@ -113,6 +113,7 @@
 	  change_limit_s: "${change_limit_s:-0}"
 	  leaving_limit_s: "${change_limit_s:-0}"
 	  key_limit_s: "${key_limit_s:-0}"
+	${more_settings:-}
 	END
 	start_process "entry$1" "$BIN/jackdawworks" serve "$WORK/entry$1.yaml"
 }
--- a/tests/run_customers.sh
+++ b/tests/run_customers.sh
@@ -8,7 +8,7 @@
 HOSTS=3 SERVERS=2 WORK_MS=5
 KEY=key-of-acme-1 OTHER=key-of-beta-1
 BEARER="Authorization: Bearer"
-HELD_MS=4000 SLOTS=6
+HELD_MS=6000 SLOTS=6 RETRIED=40
 ACME='{"name":"acme","api-keys":["'$KEY'"],"priority":0}'
 BETA='{"name":"beta","api-keys":["'$OTHER'"],"rate-per-s":5,"burst":5}'
 routes="$(print_route desk /desk/ safe desk),$(print_route open /open/ safe desk |
@@ -46,7 +46,7 @@
 	curl -s -o /dev/null -X PUT -d on "127.0.0.1:$((servers_port + s))/heads"
 done
 server_source=$CUT_SOURCE start_follower 0
-start_follower 1
+more_settings="trace: {file: $WORK/trace, max_bytes: 16000000}" start_follower 1
 key_limit_s=3 start_follower 2
 for i in $(all_hosts); do wait_ready "$i" || fail "host $i is not ready"; done
 
@@ -85,6 +85,17 @@
 call_host 0 /open/a head-5 "${FORGED[@]}" -H "$BEARER $OTHER" >/dev/null
 check "the call was not passed on" within 2 grep -q '"event":"forward".*"head-4"' "$WORK/entry0.log"
 heal_source
+# Server 0 answers each call with something else first, so that calls are retried.
+curl -s -o /dev/null -X PUT -d on "127.0.0.1:$servers_port/stale"
+for n in $(seq $RETRIED); do
+	call_host 1 /desk/a "retry-$n" "${FORGED[@]}" -H "$BEARER $OTHER" >/dev/null
+done
+curl -s -o /dev/null -X PUT "127.0.0.1:$servers_port/stale"
+check "no call was retried" within 2 grep -q '"id":"retry-.*"why":"retry"' "$WORK/entry1.log"
+heads 'retry-[0-9]*' >"$WORK/retried"
+check "attempts of retried calls without the name" \
+	test "$(grep -c '^tenant: beta$' "$WORK/retried")" = "$(grep -c '^attempt-id:' "$WORK/retried")"
+check "other headers of attempts" test "$(grep -ciE 'authoriz|forged' "$WORK/retried")" = 0
 check "headers over HTTP/1" sees_only head-1 acme
 check "headers over HTTP/2" sees_only head-2 acme
 check "headers of a public route" sees_only head-3 ""
@@ -139,8 +150,10 @@
 customers="[{\"name\":\"acme\"},$BETA]" put_manifest 2 "$routes"
 check "a change is not in force in time" within 2.5 in_force 2 $(all_hosts)
 check "a removed key on a connection that is kept" test "$(send_kept)" = 401
+# While all slots are held
+waiting_ended() { test "$(cat "$WORK/waited")" = " 401 401" && test ! -s "$WORK/held"; }
+check "calls that wait do not end with 401" within 1 waiting_ended
 wait $calls
-check "calls that waited: $(cat "$WORK/waited")" test "$(cat "$WORK/waited")" = " 401 401"
 check "calls that ran: $(cat "$WORK/held")" test "$(grep -o 200 "$WORK/held" | wc -l)" = $SLOTS
 check "a call whose key was removed ran" \
 	test "$(curl -s "127.0.0.1:$((servers_port + 2))/runs" | grep -c wait-)" = 0
@@ -165,6 +178,8 @@
 
 # Nothing holds a key; the customer's name is in the lines of calls.
 check "a log holds a key" test "$(cat "$WORK"/entry*.log | grep -c key-of)" = 0
+check "a trace holds a key" test "$(grep -c key-of "$WORK/trace")" = 0
+check "a trace with customers differs" "$BIN/jackdawworks" replay "$WORK/trace" >/dev/null
 check "no line names the customer" grep -q '"event":"end".*"customer":"acme"' "$WORK/entry1.log"
 metrics=$(curl -s "127.0.0.1:$((metrics_port + 1))/metrics")
 for reason in missing malformed unknown removed; do
