core: evacuated servers and cold servers

Cause: servers of an evacuated zone must get nothing, and a cold server crashes at a rate well above the one that its service states. Change: an evacuated server is excluded wherever servers are chosen or probed; calls are refused when all servers of a service are. The division of a rate limit among the hosts also bounds what a cold server gets, by the lower of both limits.

--- a/base/counter.h
+++ b/base/counter.h
@@ -29,6 +29,11 @@
 	  "Times a server began to limit its requests a second")              \
 	X(LIMITED_ATTEMPTS, "limited_attempts_total",                         \
 	  "Attempts sent to servers with such a limit")                       \
+	X(COLD, "cold_servers_total", "Times a server was found cold")        \
+	X(COLD_ATTEMPTS, "cold_attempts_total",                               \
+	  "Attempts sent to cold servers")                                    \
+	X(EVACUATIONS, "zone_evacuations_total",                              \
+	  "Times a zone was found evacuated")                                 \
 	X(PAUSES, "server_pauses_total",                                      \
 	  "Times a server refused a request and asked for a pause")           \
 	X(CUTS, "server_cuts_total", "Times that no server was reached")      \
--- a/base/log.h
+++ b/base/log.h
@@ -33,6 +33,8 @@
 	X(SERVER_BACK, "server-back", STATE, "a server is used again")      \
 	X(LIMIT, "limit", STATE, "a server's limit of requests a second")   \
 	X(PAUSE, "pause", STATE, "a server wants nothing for a time")       \
+	X(COLD, "server-cold", STATE, "a server is cold")                   \
+	X(WARM, "server-warm", STATE, "a cold server says that it is warm") \
 	X(CRASH, "crash", STATE, "a server crashed while it ran calls")     \
 	X(CUT, "servers-unreachable", STATE, "this host reaches no server") \
 	X(REACHED, "servers-reachable", STATE, "it reaches them again")     \
--- a/core/ask.c
+++ b/core/ask.c
@@ -25,6 +25,11 @@
 	CORE_ASK_PAUSE_US = 20 * CORE_US_PER_MS,
 	/* The transfer of a large answer between zones is rarely worthwhile. */
 	CORE_BULKY_ZONE_COST_US = 300 * CORE_US_PER_MS,
+	/*
+	 * A cold server always costs more than a warm one, so it would get no call
+	 * while others have room.
+	 */
+	CORE_UNTRIED_COST_DIVISOR = 2,
 	/* Cost at an error rate of 1, as a multiple of the work. */
 	CORE_ERROR_COST_FACTOR = 4,
 	CORE_NO_SERVER = UINT32_MAX
@@ -51,6 +56,8 @@
 	uint64_t threshold_us =
 		3 * (uint64_t)core_base_latency_us(service, server->zone);
 
+	if (core_rate_is_untried(core, server))
+		return work_us / CORE_UNTRIED_COST_DIVISOR;
 	if (server->zone != core->zone)
 		cost_us += work_us * CORE_ZONE_COST_PERCENT / 100;
 	if (server->zone != core->zone && call->bulky)
@@ -222,7 +229,7 @@
 		const struct core_server *server = core_server(core, id);
 		uint64_t cost_us;
 
-		if (!server->in_conf || core_is_leaving(server) ||
+		if (!server->in_conf || core_is_withdrawn(server) ||
 		    core_is_paused(core, server) ||
 		    core_is_ejected(core, server) ||
 		    !core_rate_allows(core, server, call->ask_hedge) ||
--- a/core/conf.c
+++ b/core/conf.c
@@ -120,11 +120,8 @@
 	if (returns)
 		server->answer_leaving = false;
 	core->recheck_needed |= server->answer_leaving;
-	if (from->warmup_ms && !server->was_in_conf)
-		server->warmup_until_us =
-			core->now_us +
-			(uint64_t)from->warmup_ms * CORE_US_PER_MS;
 	server->in_conf = true;
+	server->evacuated = from->evacuated;
 	server->service = service;
 	server->conf_leaving = from->leaving;
 	server->zone = from->zone;
@@ -132,9 +129,7 @@
 	server->hash = from->hash;
 	server->max_connections =
 		MAX(from->max_connections / core->host_count, 1);
-	if (server->rate_limited)
-		core_rate_configure(core, server);
-	core->recheck_needed |= server->rate_limited;
+	core_rate_configure_server(core, from, server);
 	server->own_slots = 0;
 	if (core_service(core, service)->policy == CORE_POLICY_SHARES)
 		server->own_slots = core_own_slots(conf, from, slots);
--- a/core/core.c
+++ b/core/core.c
@@ -232,7 +232,7 @@
 
 	if (!a->open)
 		return;
-	if (!a->answer_us)
+	if (!a->answer_us && !core_began_cold(core_server(core, a->server), a))
 		core_record_min_latency(core, core_server(core, a->server),
 					(uint32_t)(core->now_us - a->begin_us));
 	core_close_attempt(core, call, attempt);
@@ -364,7 +364,7 @@
 		struct core_call *call = core_next_queued(core, service);
 		uint32_t server;
 
-		if (!service->in_conf) {
+		if (!service->in_conf || core_is_evacuated(core, service)) {
 			core_finish_call(core, call, ST_NO_SERVER);
 			continue;
 		}
@@ -499,9 +499,7 @@
 
 	switch (end) {
 	case CORE_END_DONE:
-		core_record_success(
-			core, server,
-			(uint32_t)(attempt->answer_us - attempt->begin_us));
+		core_record_success(core, server, attempt);
 		break;
 	case CORE_END_REFUSED:
 		core_record_refusal(core, server);
@@ -765,6 +763,9 @@
 	case CORE_EV_PAUSE:
 		core_on_pause(core, event);
 		break;
+	case CORE_EV_WARMUP:
+		core_rate_on_warmup(core, event);
+		break;
 	case CORE_EV_REACHED:
 		core_forget_cut(core);
 		break;
@@ -797,7 +798,7 @@
 		const struct core_server *server =
 			core_server(core, s->servers[i]);
 
-		stats->servers_usable += !core_is_leaving(server) &&
+		stats->servers_usable += !core_is_withdrawn(server) &&
 					 !core_is_ejected(core, server);
 	}
 	return s->in_conf;
--- a/core/limit.c
+++ b/core/limit.c
@@ -46,6 +46,27 @@
 	       server->answer_leaving || server->left_for_good;
 }
 
+bool core_is_withdrawn(const struct core_server *server)
+{
+	return server->evacuated || core_is_leaving(server);
+}
+
+bool core_is_evacuated(const struct core *core,
+		       const struct core_service *service)
+{
+	bool any = false;
+
+	for (uint32_t i = 0; i < service->server_count; i++) {
+		const struct core_server *server =
+			core_server(core, service->servers[i]);
+
+		if (!core_is_withdrawn(server))
+			return false;
+		any |= server->evacuated;
+	}
+	return any;
+}
+
 /* After the back-off, one trial call at a time is let through. */
 bool core_is_ejected(const struct core *core, const struct core_server *server)
 {
@@ -59,8 +80,9 @@
 {
 	uint64_t age_us = core->now_us - server->slow_start_us;
 
+	/* Servers with a warm-up rate say themselves when they are warm. */
 	if (!server->slow_start_us || age_us >= CORE_SLOW_START_US ||
-	    !me_on(ME_SLOW_START))
+	    server->warmup_milli_per_s || !me_on(ME_SLOW_START))
 		return CORE_Q8;
 	return CORE_SLOW_START_MIN_Q8 +
 	       (uint32_t)((CORE_Q8 - CORE_SLOW_START_MIN_Q8) * age_us /
@@ -287,8 +309,8 @@
 		core->driver.health_changed(core->driver.ctx, &change);
 }
 
-void core_record_success(struct core *core, struct core_server *server,
-			 uint32_t latency_us)
+static void core_record_latency(struct core *core, struct core_server *server,
+				uint32_t latency_us)
 {
 	struct core_service *service = core_service(core, server->service);
 
@@ -301,6 +323,16 @@
 	/* An answer to an earlier call says nothing of the time after a pause. */
 	if (!core_is_paused(core, server))
 		core_adapt_limit(service, server, latency_us);
+}
+
+void core_record_success(struct core *core, struct core_server *server,
+			 const struct core_attempt *attempt)
+{
+	/* Later calls are not as slow, and would get a smaller share for it. */
+	if (!core_began_cold(server, attempt))
+		core_record_latency(
+			core, server,
+			(uint32_t)(attempt->answer_us - attempt->begin_us));
 	server->error_rate_q8 -= server->error_rate_q8 / 4;
 	server->errors_in_row = 0;
 	if (!server->backoff_us)
--- a/core/pause.c
+++ b/core/pause.c
@@ -29,11 +29,13 @@
 enum st_kind core_closed_kind(const struct core *core,
 			      const struct core_service *service)
 {
+	if (core_is_evacuated(core, service))
+		return ST_NO_SERVER;
 	for (uint32_t i = 0; i < service->server_count; i++) {
 		const struct core_server *server =
 			core_server(core, service->servers[i]);
 
-		if (!core_is_leaving(server) && core_is_paused(core, server))
+		if (!core_is_withdrawn(server) && core_is_paused(core, server))
 			return ST_PAUSED;
 	}
 	return ST_RATE_LIMIT;
@@ -50,12 +52,13 @@
 			core_server(core, service->servers[i]);
 		bool paused = core_is_paused(core, server);
 
-		if (core_is_leaving(server) ||
+		if (core_is_withdrawn(server) ||
 		    (!paused && core_is_ejected(core, server)))
 			continue;
 		any = true;
 		opens_us = MIN(opens_us, MAX(server->paused_until_us,
 					     core_rate_opens_us(core, server)));
 	}
-	return any ? opens_us : core->now_us;
+	return any || core_is_evacuated(core, service) ? opens_us :
+							 core->now_us;
 }
--- a/core/pick.c
+++ b/core/pick.c
@@ -127,7 +127,7 @@
 		const struct core_server *server =
 			core_server(core, service->servers[i]);
 
-		if (core_is_leaving(server))
+		if (core_is_withdrawn(server))
 			continue;
 		all++;
 		ejected += server->backoff_us != 0;
@@ -139,7 +139,7 @@
 		       const struct core_service *service,
 		       const struct core_server *server, bool eject)
 {
-	if (!server->in_conf || core_is_leaving(server) ||
+	if (!server->in_conf || core_is_withdrawn(server) ||
 	    core_is_paused(core, server))
 		return false;
 	if (core_is_basic_policy(service))
--- a/core/probe.c
+++ b/core/probe.c
@@ -92,7 +92,7 @@
 				      .service = service->id,
 				      .server = id };
 
-	if (core_is_paused(core, server) ||
+	if (server->evacuated || core_is_paused(core, server) ||
 	    !core_take_probe_budget(core, service, server))
 		return false;
 	core->driver.on_action(core->driver.ctx, &action);
@@ -107,14 +107,14 @@
 		uint32_t at = core_random(core, service->server_count);
 		uint32_t id = service->servers[at];
 
-		if (!core_is_leaving(core_server(core, id)))
+		if (!core_is_withdrawn(core_server(core, id)))
 			core_send_probe(core, id);
 	}
 }
 
 /*
- * Whether a probe is due that may show that the server is no longer draining or
- * rate limited; sets the time of the next one.
+ * Whether a probe is due that may show that the server is no longer draining,
+ * rate limited or cold; sets the time of the next one.
  */
 static bool core_recheck_is_due(const struct core *core,
 				struct core_server *server)
@@ -134,7 +134,7 @@
 }
 
 /*
- * A draining server gets no calls, and a limited one gets none from most hosts,
+ * A draining server gets no calls, and a limited or cold one none from most hosts,
  * so only a probe can detect the end of either.
  */
 void core_recheck_servers(struct core *core)
@@ -147,9 +147,10 @@
 	for (guint i = 0; i < core->servers->len; i++) {
 		struct core_server *server = core_server(core, i);
 
-		if (!server->in_conf ||
-		    (!server->answer_leaving && !server->rate_limited))
+		if (!server->in_conf || (!server->answer_leaving &&
+					 !core_rate_is_limited(core, server)))
 			continue;
+		core_rate_refresh(core, server);
 		more = true;
 		if (core_recheck_is_due(core, server)) {
 			core_send_probe(core, i);
--- a/core/rate.c
+++ b/core/rate.c
@@ -11,11 +11,21 @@
  * limit allows in a second and CORE_MIN_SAVED more. This bounds what the server
  * gets at once, and so how many hosts can have a share: each must be able to
  * save one request.
+ *
+ * A cold server may get 1.5 times its warm-up rate and 8 more requests in any
+ * second. Each of the hosts that share it has an eighth of that, and by one list of
+ * hosts there are four of these. So the bound also holds while eight hosts take
+ * themselves for one of them, because their lists differ. An eighth is the same
+ * whatever the number of hosts: when all start together, each knows few others.
  */
 enum {
 	CORE_MILLI = 1000,
 	CORE_TOKENS_PER_MILLI = CORE_TOKEN_SCALE / CORE_MILLI,
-	CORE_MIN_SAVED = 3
+	CORE_MIN_SAVED = 3,
+	CORE_COLD_OWNERS = 4,
+	CORE_COLD_RATE_PERCENT = 75, /* of the warm-up rate, of all owners */
+	/* Longer than most warm-ups; also finds the end of one told wrongly. */
+	CORE_COLD_RECHECK_US = 5 * CORE_US_PER_S
 };
 
 /* Only hosts in the zone of the server count, as long as there are any. */
@@ -68,18 +78,124 @@
 	return before < most ? MIN(others + 1, most) : 0;
 }
 
-void core_rate_configure(const struct core *core, struct core_server *server)
+bool core_is_cold(const struct core *core, const struct core_server *server)
+{
+	return server->warmup_milli_per_s &&
+	       core->now_us < server->warmup_until_us;
+}
+
+bool core_began_cold(const struct core_server *server,
+		     const struct core_attempt *attempt)
+{
+	return server->warmup_milli_per_s &&
+	       attempt->begin_us < server->warmup_until_us;
+}
+
+bool core_rate_is_limited(const struct core *core,
+			  const struct core_server *server)
+{
+	return server->rate_limited || core_is_cold(core, server);
+}
+
+static void core_rate_configure(const struct core *core,
+				struct core_server *server)
+{
+	uint64_t milli_per_s = UINT64_MAX;
+	uint64_t saved_milli = UINT64_MAX;
+	uint64_t tokens_per_milli;
+	uint32_t owners;
+
+	server->rate_is_cold = core_is_cold(core, server);
+	if (server->rate_limited) {
+		milli_per_s = server->rate_limit_milli;
+		saved_milli =
+			milli_per_s + (uint64_t)CORE_MIN_SAVED * CORE_MILLI;
+	}
+	if (server->rate_is_cold) {
+		uint64_t cold_milli = (uint64_t)server->warmup_milli_per_s *
+				      CORE_COLD_RATE_PERCENT / 100;
+
+		milli_per_s = MIN(milli_per_s, cold_milli);
+		saved_milli = MIN(saved_milli,
+				  (uint64_t)CORE_COLD_OWNERS * CORE_MILLI);
+	}
+	owners = core_rate_owners(core, server,
+				  (uint32_t)(saved_milli / CORE_MILLI));
+	tokens_per_milli = owners ? CORE_TOKENS_PER_MILLI : 0;
+	if (server->rate_is_cold)
+		owners = (uint32_t)(saved_milli / CORE_MILLI);
+	core_bucket_set(&server->rate_tokens,
+			milli_per_s * tokens_per_milli / MAX(owners, 1),
+			saved_milli * tokens_per_milli / MAX(owners, 1),
+			core->now_us);
+}
+
+void core_rate_refresh(const struct core *core, struct core_server *server)
+{
+	if (server->rate_limited && server->rate_is_cold &&
+	    !core_is_cold(core, server))
+		core_rate_configure(core, server);
+}
+
+/* What was saved before the limit began does not count. */
+static void core_rate_begin(const struct core *core, struct core_server *server)
 {
-	uint64_t saved_milli = (uint64_t)server->rate_limit_milli +
-			       (uint64_t)CORE_MIN_SAVED * CORE_MILLI;
-	uint32_t owners = core_rate_owners(
-		core, server, (uint32_t)(saved_milli / CORE_MILLI));
-	uint64_t tokens_per_milli = owners ? CORE_TOKENS_PER_MILLI : 0;
+	server->rate_tokens =
+		(struct core_bucket){ .refilled_us = core->now_us };
+}
+
+static void core_rate_set_cold(struct core *core, struct core_server *server,
+			       uint64_t left_us)
+{
+	bool was_cold = core_is_cold(core, server);
 
-	core_bucket_set(
-		&server->rate_tokens,
-		server->rate_limit_milli * tokens_per_milli / MAX(owners, 1),
-		saved_milli * tokens_per_milli / MAX(owners, 1), core->now_us);
+	if (!core_rate_is_limited(core, server))
+		core_rate_begin(core, server);
+	server->warmup_until_us = core->now_us + left_us;
+	if (was_cold || !core_is_cold(core, server))
+		return;
+	server->cold_since_us = core->now_us;
+	server->next_recheck_us = core->now_us + CORE_COLD_RECHECK_US;
+	core_rate_configure(core, server);
+}
+
+void core_rate_configure_server(struct core *core,
+				const struct core_server_conf *from,
+				struct core_server *server)
+{
+	uint64_t left_us = (uint64_t)from->warmup_ms * CORE_US_PER_MS;
+
+	server->warmup_milli_per_s = from->warmup_milli_per_s;
+	if (left_us && from->warmup_milli_per_s)
+		core_rate_set_cold(core, server, left_us);
+	else if (left_us && !server->was_in_conf)
+		server->warmup_until_us = core->now_us + left_us;
+	if (!core_rate_is_limited(core, server))
+		return;
+	core_rate_configure(core, server);
+	/*
+	 * Nobody can have sent to a server that has just joined. A host that has
+	 * just started may have done so before, and saves first.
+	 */
+	if (core->configured && !server->was_in_conf && !server->last_send_us &&
+	    server->cold_since_us == core->now_us)
+		server->rate_tokens.tokens = server->rate_tokens.depth;
+	core->recheck_needed = true;
+}
+
+void core_rate_on_warmup(struct core *core, const struct core_event *event)
+{
+	struct core_server *server;
+
+	if (event->u.warmup.server >= core->servers->len)
+		return;
+	server = core_server(core, event->u.warmup.server);
+	if (!server->warmup_milli_per_s)
+		return;
+	core_rate_set_cold(core, server, event->u.warmup.left_us);
+	core_rate_refresh(core, server);
+	core->recheck_needed |= core_is_cold(core, server);
+	core_recheck_servers(core);
 }
 
 void core_rate_on_limit(struct core *core, const struct core_event *event)
@@ -89,12 +205,11 @@
 	if (event->u.rate_limit.server >= core->servers->len)
 		return;
 	server = core_server(core, event->u.rate_limit.server);
-	if (!server->rate_limited)
-		server->rate_tokens =
-			(struct core_bucket){ .refilled_us = core->now_us };
+	if (!core_rate_is_limited(core, server))
+		core_rate_begin(core, server);
 	server->rate_limited = event->u.rate_limit.limited;
 	server->rate_limit_milli = event->u.rate_limit.milli_per_s;
-	if (server->rate_limited)
+	if (core_rate_is_limited(core, server))
 		core_rate_configure(core, server);
 	core->recheck_needed |= server->rate_limited;
 	core_recheck_servers(core);
@@ -103,16 +218,26 @@
 bool core_rate_allows(const struct core *core, const struct core_server *server,
 		      bool hedge)
 {
-	if (!server->rate_limited)
+	if (!core_rate_is_limited(core, server))
 		return true;
 	return !hedge && core_bucket_level(&server->rate_tokens,
 					   core->now_us) >= CORE_TOKEN_SCALE;
 }
 
+bool core_rate_is_untried(const struct core *core,
+			  const struct core_server *server)
+{
+	return core_is_cold(core, server) &&
+	       server->last_send_us < server->cold_since_us &&
+	       core_rate_allows(core, server, false);
+}
+
 void core_rate_take(const struct core *core, struct core_server *server)
 {
-	if (server->rate_limited &&
-	    core_bucket_covers(&server->rate_tokens, core->now_us, 1))
+	if (!core_rate_is_limited(core, server))
+		return;
+	core_rate_refresh(core, server);
+	if (core_bucket_covers(&server->rate_tokens, core->now_us, 1))
 		core_bucket_spend(&server->rate_tokens, 1);
 }
 
@@ -122,11 +247,13 @@
 	const struct core_bucket *bucket = &server->rate_tokens;
 	int64_t missing =
 		CORE_TOKEN_SCALE - core_bucket_level(bucket, core->now_us);
+	uint64_t opens_us = UINT64_MAX;
 
-	if (!server->rate_limited || missing <= 0)
+	if (!core_rate_is_limited(core, server) || missing <= 0)
 		return core->now_us;
-	if (!bucket->rate_per_s)
-		return UINT64_MAX;
-	return core->now_us +
-	       (uint64_t)missing * CORE_US_PER_S / bucket->rate_per_s;
+	if (bucket->rate_per_s)
+		opens_us = core->now_us + (uint64_t)missing * CORE_US_PER_S /
+						  bucket->rate_per_s;
+	return server->rate_limited ? opens_us :
+				      MIN(opens_us, server->warmup_until_us);
 }
--- a/core/state.h
+++ b/core/state.h
@@ -56,6 +56,7 @@
 	bool in_conf; /* in the current configuration */
 	bool was_in_conf; /* in the previous configuration */
 	bool conf_leaving; /* by the configuration */
+	bool evacuated; /* by the configuration */
 	bool announced_leaving; /* CORE_LEAVING_ANNOUNCED */
 	bool answer_leaving; /* CORE_LEAVING_IN_ANSWER */
 	bool left_for_good; /* CORE_LEAVING_FOR_GOOD */
@@ -77,6 +78,8 @@
 	uint32_t sent_since_report; /* attempts of this host */
 	bool probe_pending; /* a probe of policy "ask" is unanswered */
 	uint64_t warmup_until_us; /* expected end of the server's warm-up */
+	uint64_t cold_since_us; /* start of the latest one, if it has a rate */
+	uint32_t warmup_milli_per_s; /* of the configuration; 0: no rate */
 	/* Adaptive concurrency limit for the attempts of this host. */
 	uint32_t mean_latency_us; /* moving average; 0: no sample yet */
 	uint32_t latency_samples; /* in the moving average */
@@ -92,8 +95,9 @@
 	bool rate_limited;
 	uint32_t rate_limit_milli; /* requests in 1000 s */
 	struct core_bucket rate_tokens; /* share of this host */
+	bool rate_is_cold; /* RATE_TOKENS are the share of a cold server */
 	uint64_t paused_until_us; /* it wants nothing before; 0: no pause yet */
-	/* Next probe while it is leaving or rate limited; 0: not set. */
+	/* Next probe while it is leaving, rate limited or cold; 0: not set. */
 	uint64_t next_recheck_us;
 };
 
@@ -380,11 +384,18 @@
 void core_bucket_refund(struct core_bucket *bucket, int64_t amount);
 
 /*
- * rate.c: limits of requests a second that servers name for all hosts
+ * rate.c: limits of requests a second that servers name, or bear while cold, for all hosts
  * together. This host keeps to its share of them.
  *
  * core_rate_on_limit - a server named, changed or ended its limit.
- * core_rate_configure - compute the share anew, for other hosts or another limit.
+ * core_rate_on_warmup - a server told how long it is cold, or that it is warm.
+ * core_rate_configure_server - apply a configuration, after its other fields.
+ * core_rate_refresh - give the server its share as a warm one if it was cold.
+ * core_is_cold - whether the server is cold and states what it bears then.
+ * core_began_cold - whether the attempt began while it was.
+ * core_rate_is_limited - whether any such limit applies now.
+ * core_rate_is_untried - whether the server is cold, has room for a request of this
+ * host, and has had none since it is.
  * core_rate_allows - whether an attempt may go to the server now. A hedge may
  * not go to a limited server, which is in need and would get work twice.
  * core_rate_take - count an attempt that is sent to the server.
@@ -392,7 +403,18 @@
  * server; UINT64_MAX: it does not as it is.
  */
 void core_rate_on_limit(struct core *core, const struct core_event *event);
-void core_rate_configure(const struct core *core, struct core_server *server);
+void core_rate_on_warmup(struct core *core, const struct core_event *event);
+void core_rate_configure_server(struct core *core,
+				const struct core_server_conf *from,
+				struct core_server *server);
+void core_rate_refresh(const struct core *core, struct core_server *server);
+bool core_is_cold(const struct core *core, const struct core_server *server);
+bool core_began_cold(const struct core_server *server,
+		     const struct core_attempt *attempt);
+bool core_rate_is_limited(const struct core *core,
+			  const struct core_server *server);
+bool core_rate_is_untried(const struct core *core,
+			  const struct core_server *server);
 bool core_rate_allows(const struct core *core, const struct core_server *server,
 		      bool hedge);
 void core_rate_take(const struct core *core, struct core_server *server);
@@ -420,12 +442,12 @@
  *
  * core_take_report_budget - whether an attempt may request a load report; takes
  * its bytes from the budget.
- * core_send_probe - emit a PROBE action; false: the budget is used up, or the
- * server wants a pause.
+ * core_send_probe - emit a PROBE action; false: the budget is used up, the server
+ * wants a pause or is evacuated.
  * core_send_call_probes - for policy "probes", probe random servers for a new
  * call.
  * core_recheck_servers - send due probes to servers that answered x-draining or
- * named a rate limit, which may have ended.
+ * named a rate limit or are cold, which may have ended.
  * core_pick_from_pool - choose a server by pooled responses; false: too few.
  */
 bool core_take_report_budget(struct core *core, struct core_service *service,
@@ -464,6 +486,9 @@
  * limit.c: limits of a server, outlier ejection, slow start, retry budget.
  *
  * core_is_leaving - whether new calls avoid the server because it is draining.
+ * core_is_withdrawn - the same, or because its zone is evacuated.
+ * core_is_evacuated - whether all servers of the service are withdrawn, and some by
+ * an evacuation. Its calls cannot wait for any of them.
  * core_is_ejected - whether it is ejected and no trial call is due.
  * core_is_under_limit - whether its limits allow one more attempt.
  * core_slow_start_share_q8 - share of calls that it may get; CORE_Q8: all.
@@ -479,6 +504,9 @@
  * core_take_retry_credit - take the credit for one; false: none is left.
  */
 bool core_is_leaving(const struct core_server *server);
+bool core_is_withdrawn(const struct core_server *server);
+bool core_is_evacuated(const struct core *core,
+		       const struct core_service *service);
 bool core_is_ejected(const struct core *core, const struct core_server *server);
 bool core_is_under_limit(const struct core *core,
 			 const struct core_service *service,
@@ -494,7 +522,7 @@
 uint64_t core_oldest_attempt_us(const struct core *core,
 				const struct core_server *server);
 void core_record_success(struct core *core, struct core_server *server,
-			 uint32_t latency_us);
+			 const struct core_attempt *attempt);
 void core_record_min_latency(struct core *core, struct core_server *server,
 			     uint32_t at_least_us);
 void core_record_error(struct core *core, struct core_server *server);
