Evacuated zones and cold servers: platform, gateway

Cause: the operator evacuates a zone by a row, and servers tell of their warm-up in their entries and health check responses. The end of a warm-up is kept by the clock of the host. A cold state that begins later is taken over from heartbeats and from the header of health check responses.

--- a/core/core.h
+++ b/core/core.h
@@ -60,7 +60,10 @@
 	uint32_t zone;
 	uint32_t slots;
 	uint32_t max_connections; /* of all entry hosts together */
-	uint32_t warmup_ms; /* time left until it runs at full speed */
+	/*
+	 * Time left until it runs at full speed. 0: nothing new is known of that.
+	 */
+	uint32_t warmup_ms;
 	bool leaving;
 	/*
 	 * The operator wants no calls sent to its zone. Unlike a leaving server, it
--- a/document/document.h
+++ b/document/document.h
@@ -44,7 +44,7 @@
 	uint32_t zone;
 	uint32_t slots;
 	uint32_t connections; /* over all entry hosts */
-	uint32_t warmup_left_ms; /* remaining warm-up time after its start */
+	uint64_t warm_at_us; /* end of its warm-up, by tm_now_us; 0: not cold */
 	uint64_t incarnation; /* changes with each start; 0: not known */
 	bool leaving; /* is being taken out of service */
 };
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -571,6 +571,9 @@
 	ct_add(CT_RETRIES, action->attempt > 0 && !action->hedge);
 	ct_add(CT_HEDGES, action->hedge);
 	ct_add(CT_LIMITED_ATTEMPTS, server->rate_limited);
+	ct_add(CT_COLD_ATTEMPTS,
+	       core_is_cold(&gateway->core,
+			    core_server(&gateway->core, server->id)));
 	gw_log_attempt_start(attempt, action->hedge);
 	if (!hc_start(&server->pool, &attempt->http,
 		      gw_format_request(call, server, action->report)))
--- a/gateway/conf.c
+++ b/gateway/conf.c
@@ -54,6 +54,36 @@
 	return server;
 }
 
+/*
+ * Time that the server is cold yet, if its entry is one that the core does not have
+ * yet: health check responses say later what holds.
+ */
+static uint32_t gw_new_warmup_ms(struct gw_server *server,
+				 const struct doc_server *from)
+{
+	uint64_t now_us = tm_now_us();
+	uint64_t left_us;
+
+	if (from->warm_at_us == server->warm_at_us)
+		return 0;
+	server->warm_at_us = from->warm_at_us;
+	if (from->warm_at_us <= now_us)
+		return 0;
+	left_us = from->warm_at_us - now_us;
+	if (server->warmup_milli_per_s)
+		gw_note_cold(server, left_us, false);
+	return (uint32_t)MIN(left_us / GW_US_PER_MS + 1, UINT32_MAX);
+}
+
+static bool gw_is_zone_evacuated(const struct gw_gateway *gateway,
+				 uint32_t zone)
+{
+	const struct doc_document *document = gateway->document;
+
+	return document->zone_evacuated && zone < document->zone_count &&
+	       document->zone_evacuated[zone];
+}
+
 static void gw_build_service_conf(struct gw_gateway *gateway,
 				  const struct doc_service *service,
 				  struct core_service_conf *conf)
@@ -82,7 +112,13 @@
 		servers[i].slots = from->slots;
 		servers[i].max_connections = from->connections;
 		servers[i].leaving = from->leaving;
-		servers[i].warmup_ms = from->warmup_left_ms;
+		server->warmup_milli_per_s = service->warmup_milli_per_s;
+		servers[i].warmup_milli_per_s = service->warmup_milli_per_s;
+		servers[i].warmup_ms = gw_new_warmup_ms(server, from);
+		servers[i].evacuated =
+			gw_is_zone_evacuated(gateway, from->zone);
+		/* Those that get no requests show nothing of the path to them. */
+		gateway->servers_in_use += !servers[i].evacuated;
 		tx_unref(server->probe_path);
 		server->probe_path = tx_ref(service->probe_path);
 		servers[i].hash = gw_hash_name(from->name);
@@ -137,7 +173,6 @@
 		gw_build_service_conf(gateway, &document->services[i],
 				      &services[i]);
 		gateway->service_ids[i] = services[i].id;
-		gateway->servers_in_use += services[i].server_count;
 	}
 	for (uint32_t i = 0; i < document->caller_count; i++)
 		callers[i].weight = document->callers[i].weight;
--- a/gateway/dialect.c
+++ b/gateway/dialect.c
@@ -9,6 +9,7 @@
 enum {
 	DL_MILLI = 1000,
 	DL_US_PER_S = 1000 * 1000,
+	DL_US_PER_MS = 1000,
 	DL_NUMBER_BYTES = 32,
 	DL_DATE_BYTES = 29 /* of an HTTP date */
 };
@@ -43,6 +44,7 @@
 	.report_wanted = "x-load-wanted",
 	.draining = "x-draining",
 	.rate_limit = "x-rate-limit",
+	.warmup_ms = "x-warmup-ms",
 	.not_run = "x-not-run",
 	.probe_path = "/load",
 	.parse_report = dl_parse_report,
@@ -76,6 +78,29 @@
 		(uint32_t)MIN(per_s * DL_MILLI, UINT32_MAX);
 }
 
+bool dl_parse_warmup(const struct dl_dialect *dialect,
+		     const struct hc_head *head, struct core_event *event)
+{
+	const struct hc_header *h = dl_find_header(head, dialect->warmup_ms);
+	char text[DL_NUMBER_BYTES];
+	char *end;
+	double left_us;
+
+	event->kind = CORE_EV_WARMUP;
+	event->u.warmup.left_us = 0;
+	if (!h)
+		return true;
+	if (!h->value_bytes || h->value_bytes >= sizeof(text))
+		return false;
+	g_strlcpy(text, h->value, h->value_bytes + 1);
+	left_us = g_ascii_strtod(text, &end) * DL_US_PER_MS;
+	if (end == text || *end || isnan(left_us) || left_us < 0)
+		return false;
+	event->u.warmup.left_us =
+		(uint64_t)MIN(left_us, (double)DL_MAX_WARMUP_US);
+	return true;
+}
+
 /* Seconds since 1970; false: the header is missing or holds no HTTP date. */
 static bool dl_parse_date(const struct hc_header *h, int64_t *seconds)
 {
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -28,6 +28,8 @@
 	bool leaves_for_good;
 	/* Requests a second that the answering server takes from all hosts. */
 	const char *rate_limit;
+	/* Time that the server is cold yet, on answers to probes; none: it is warm. */
+	const char *warmup_ms;
 	const char *not_run; /* the server has not run the call */
 	const char *server_id; /* id of the server that answers a probe */
 	const char *expect_server; /* only the server with this id runs it */
@@ -47,6 +49,7 @@
 
 /* A server that asks for more may have been mistaken. */
 static const uint64_t DL_MAX_PAUSE_US = 300 * 1000 * 1000;
+static const uint64_t DL_MAX_WARMUP_US = 300 * 1000 * 1000;
 
 /*
  * dl_default - dialect of this project, used without a platform.
@@ -66,6 +69,14 @@
 void dl_parse_rate_limit(const struct dl_dialect *dialect,
 			 const struct hc_head *head, struct core_event *event);
 
+/*
+ * dl_parse_warmup - set the kind of EVENT to CORE_EV_WARMUP, and how long the server
+ * that answers a probe with HEAD is cold yet: 0 if it does not say so, at most
+ * DL_MAX_WARMUP_US. False: what it says is no time.
+ */
+bool dl_parse_warmup(const struct dl_dialect *dialect,
+		     const struct hc_head *head, struct core_event *event);
+
 /*
  * dl_parse_pause - set the kind of EVENT to CORE_EV_PAUSE, and how long a server
  * that refuses a request with HEAD wants nothing more. False: it does not say so.
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -67,6 +67,35 @@
 	gw_post_event(gateway, event);
 }
 
+void gw_note_cold(struct gw_server *server, uint64_t left_us, bool by_probe)
+{
+	uint64_t now_us = tm_now_us();
+
+	if (now_us >= server->cold_until_us) {
+		ct_add(CT_COLD, 1);
+		gw_log_cold(server, left_us, by_probe);
+	}
+	server->cold_until_us = now_us + left_us;
+}
+
+/* Most servers are warm; the core is told nothing of these. */
+void gw_post_warmup(struct gw_gateway *gateway, struct core_event *event)
+{
+	struct gw_server *server =
+		g_ptr_array_index(gateway->servers, event->u.warmup.server);
+	uint64_t left_us = event->u.warmup.left_us;
+
+	if (!server->warmup_milli_per_s || (!left_us && !server->cold_until_us))
+		return;
+	if (!left_us) {
+		gw_log_warm(server);
+		server->cold_until_us = 0;
+	} else {
+		gw_note_cold(server, left_us, true);
+	}
+	gw_post_event(gateway, event);
+}
+
 void gw_post_pause(struct gw_gateway *gateway, struct core_event *event)
 {
 	ct_add(CT_PAUSES, 1);
@@ -78,6 +107,8 @@
 {
 	if (event->kind == CORE_EV_RATE_LIMIT)
 		gw_post_rate_limit(ctx, event);
+	else if (event->kind == CORE_EV_WARMUP)
+		gw_post_warmup(ctx, event);
 	else if (event->kind == CORE_EV_PAUSE)
 		gw_post_pause(ctx, event);
 	else
--- a/gateway/log.c
+++ b/gateway/log.c
@@ -250,6 +250,32 @@
 	lg_write(LG_EV_LIMIT, line);
 }
 
+void gw_log_cold(const struct gw_server *server, uint64_t left_us,
+		 bool by_probe)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_COLD))
+		return;
+	line = json_object();
+	gw_set_text(line, "server", server->name);
+	gw_set_number(line, "left_ms", left_us / GW_US_PER_MS);
+	gw_set_number(line, "milli_per_s", server->warmup_milli_per_s);
+	gw_set_text(line, "said_by", by_probe ? "probe" : "entry");
+	lg_write(LG_EV_COLD, line);
+}
+
+void gw_log_warm(const struct gw_server *server)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_WARM))
+		return;
+	line = json_object();
+	gw_set_text(line, "server", server->name);
+	lg_write(LG_EV_WARM, line);
+}
+
 void gw_log_pause(const struct gw_gateway *gateway,
 		  const struct core_event *event)
 {
--- a/gateway/probe.c
+++ b/gateway/probe.c
@@ -23,6 +23,8 @@
 	struct core_event rate_limit;
 	struct core_event pause;
 	bool pause_wanted;
+	struct core_event warmup;
+	bool warmup_told;
 };
 
 static void pb_count_bytes(struct pb_probe *probe, size_t bytes)
@@ -56,6 +58,16 @@
 	prober->post(prober->ctx, &state);
 }
 
+/* That a server is warm, only a complete and good answer says. */
+static void pb_post_warmup(struct pb_probe *probe, bool ok)
+{
+	struct pb_prober *prober = probe->prober;
+
+	probe->warmup.u.warmup.server = probe->target.server;
+	if (probe->warmup_told && (ok || probe->warmup.u.warmup.left_us))
+		prober->post(prober->ctx, &probe->warmup);
+}
+
 /* Posts the result to the core and frees the probe. */
 static void pb_finish(struct pb_probe *probe, bool ok)
 {
@@ -72,6 +84,7 @@
 	probe->rate_limit.u.rate_limit.source = CORE_FROM_PROBE;
 	if (ok)
 		prober->post(prober->ctx, &probe->rate_limit);
+	pb_post_warmup(probe, ok);
 	pb_post_leaving(probe, ok);
 	probe->pause.u.pause.server = probe->target.server;
 	probe->pause.u.pause.source = CORE_FROM_PROBE;
@@ -121,6 +134,8 @@
 	if (load)
 		dialect->parse_report(load, &probe->report);
 	dl_parse_rate_limit(dialect, head, &probe->rate_limit);
+	probe->warmup_told = probe->of_target &&
+			     dl_parse_warmup(dialect, head, &probe->warmup);
 	probe->pause_wanted =
 		probe->of_target && dl_parse_pause(head, &probe->pause);
 }
--- a/gateway/reach.c
+++ b/gateway/reach.c
@@ -88,7 +88,7 @@
 		const struct core_server *server =
 			core_server(&gateway->core, id);
 
-		if (server->in_conf && !core_is_leaving(server) &&
+		if (server->in_conf && !core_is_withdrawn(server) &&
 		    !core_is_paused(&gateway->core, server))
 			return g_ptr_array_index(gateway->servers, id);
 	}
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -36,6 +36,9 @@
 	char *probe_path; /* NULL: that of the dialect */
 	bool rate_limited; /* by its latest answer */
 	uint32_t rate_limit_milli; /* requests in 1000 s, of all hosts */
+	uint32_t warmup_milli_per_s; /* of its service; 0: none is stated */
+	uint64_t warm_at_us; /* by the latest entry that the core has */
+	uint64_t cold_until_us; /* as known so far; 0: it was warm */
 	struct hc_pool pool;
 	uint64_t start_hash; /* differs for each start of the server */
 	struct gw_crash_check *crash_check; /* in progress; NULL: none */
@@ -139,6 +142,10 @@
  * that are posted while the core handles one are queued. Source: gateway/gateway.c
  *
  * gw_post_rate_limit - pass a RATE_LIMIT event on if it states a change.
+ * gw_note_cold - count and log that a server is cold, by its entry or a probe, if that
+ * is new.
+ * gw_post_warmup - pass a WARMUP event on if the server has a warm-up rate, and was
+ * cold or is.
  * gw_post_pause - count, log and pass on that a server asked for a pause.
  * gw_handle_call - admit a request, FROM_HOST or from a caller, that came at
  * ARRIVED_US.
@@ -146,6 +153,8 @@
  */
 void gw_post_event(struct gw_gateway *gateway, struct core_event *event);
 void gw_post_rate_limit(struct gw_gateway *gateway, struct core_event *event);
+void gw_note_cold(struct gw_server *server, uint64_t left_us, bool by_probe);
+void gw_post_warmup(struct gw_gateway *gateway, struct core_event *event);
 void gw_post_pause(struct gw_gateway *gateway, struct core_event *event);
 void gw_handle_call(struct gw_gateway *gateway, h2o_req_t *req, bool from_host,
 		    uint64_t arrived_us);
@@ -310,6 +319,8 @@
  * gw_log_call_end - a call has its result; also updates the latency histogram.
  * gw_log_stall - the event loop was blocked for STALL_US.
  * gw_log_rate_limit - a server's limit began, changed or ended.
+ * gw_log_cold - a server is cold, by its entry or an answer (BY_PROBE).
+ * gw_log_warm - a server that was cold says that it is warm.
  * gw_log_pause - a server asked for a pause; EVENT is a PAUSE event.
  * gw_log_crash - a server crashed while it ran CALLS calls of this host.
  * gw_log_cut - no server is reached, by what failed last; gw_log_reached - one is.
@@ -329,6 +340,9 @@
 void gw_log_stall(const struct gw_gateway *gateway, uint64_t stall_us);
 void gw_log_rate_limit(const struct gw_server *server,
 		       enum core_report_source source);
+void gw_log_cold(const struct gw_server *server, uint64_t left_us,
+		 bool by_probe);
+void gw_log_warm(const struct gw_server *server);
 void gw_log_pause(const struct gw_gateway *gateway,
 		  const struct core_event *event);
 void gw_log_crash(const struct gw_server *server, uint32_t calls);
