Evacuated zones: docs, and no evidence of a cut from their servers

Cause: requests in flight that fail in an evacuated zone, and a document without any server in use, made a host believe that it was cut off from the servers. Change: failures of evacuated servers, and failures without servers in use, are no evidence.

--- a/core/reach.c
+++ b/core/reach.c
@@ -35,7 +35,7 @@
 static bool rc_shows_cut(const struct rc_failures *failures, uint32_t servers,
 			 uint64_t now_us)
 {
-	return failures->count &&
+	return servers && failures->count &&
 	       failures->count >= MIN(servers, RC_FAILED_SERVERS) &&
 	       now_us >= failures->first_us + RC_MIN_SILENCE_US;
 }
--- a/gateway/conf.c
+++ b/gateway/conf.c
@@ -75,6 +75,13 @@
 	return (uint32_t)MIN(left_us / GW_US_PER_MS + 1, UINT32_MAX);
 }
 
+bool gw_is_evacuated(const struct gw_gateway *gateway,
+		     const struct gw_server *server)
+{
+	return server->id < gateway->core.servers->len &&
+	       core_server(&gateway->core, server->id)->evacuated;
+}
+
 static bool gw_is_zone_evacuated(const struct gw_gateway *gateway,
 				 uint32_t zone)
 {
--- a/gateway/crash.c
+++ b/gateway/crash.c
@@ -289,12 +289,6 @@
 	.done = gw_on_check_done,
 };
 
-static bool gw_is_evacuated(const struct gw_gateway *gateway,
-			    const struct gw_server *server)
-{
-	return core_server(&gateway->core, server->id)->evacuated;
-}
-
 static void gw_start_check(struct gw_crash_check *check)
 {
 	if (gw_is_evacuated(check->gateway, check->server)) {
--- a/gateway/reach.c
+++ b/gateway/reach.c
@@ -48,6 +48,9 @@
 {
 	struct gw_gateway *gateway = ctx;
 
+	/* The zone may be evacuated because its servers fail. */
+	if (gw_is_evacuated(gateway, gw_server_of_pool(pool)))
+		return;
 	rc_on_failed(&gateway->reach.evidence, gw_server_of_pool(pool)->id,
 		     new_connection, tm_now_us());
 	gw_is_cut_off(gateway);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -379,12 +379,15 @@
  * conf.c
  *
  * gw_configure_core - pass the document and the host list to the core.
+ * gw_is_evacuated - whether nothing may be sent to the server.
  * gw_hosts_new - empty list of entry hosts.
  * gw_update_hosts - replace the list of live entry hosts.
  * gw_update_server_state - pass to the core a notice from the platform or a
  * peer that a server is leaving, or that the last such notice has expired.
  */
 void gw_configure_core(struct gw_gateway *gateway);
+bool gw_is_evacuated(const struct gw_gateway *gateway,
+		     const struct gw_server *server);
 GArray *gw_hosts_new(void);
 uint64_t gw_hash_name(const char *name);
 void gw_update_hosts(struct gw_gateway *gateway, const struct pr_hosts *hosts);
