--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -405,27 +405,43 @@
 }
 END_TEST
 
-/*
- * Guards against a server that turns cold under load and keeps its share; at busy
- * hosts, because the reports on its answers take the place of probes.
- */
+/* Guards against a server that turns cold under load and keeps its share. */
 START_TEST(server_turns_cold_under_load)
 {
 	uint64_t cold_us;
 
-	start_hosts(_i ? 8 : 115);
+	start_hosts(_i ? ZONES : 115);
 	run_load(700, now_us + 2 * S);
 	cold_us = now_us;
 	cold_until_us[5] = now_us + WARMUP_MS * MS;
 	run_load(700, cold_until_us[5]);
-	ck_assert_uint_le(busiest_second(5, cold_us + CORE_WARMUP_CHECK_US,
-					 cold_until_us[5]),
-			  MOST_COLD);
+	ck_assert_uint_le(
+		busiest_second(5, cold_us + 50 * MS, cold_until_us[5]),
+		MOST_COLD);
 	run_load(700, now_us + 2 * S);
 	ck_assert_uint_ge(count_sends(5, cold_until_us[5] + S, now_us), 40);
 }
 END_TEST
 
+/*
+ * Guards against busy hosts that never learn that a server is cold, because the
+ * reports on its answers take the place of probes.
+ */
+START_TEST(reports_on_answers_do_not_replace_probes)
+{
+	const struct core_server *server;
+
+	start_hosts(1);
+	server = core_server(&cores[0], 0);
+	report_load(0, 0, CORE_FROM_PROBE);
+	now_us += 51 * MS;
+	report_load(0, 0, CORE_FROM_ANSWER);
+	ck_assert(!core_report_is_fresh(&cores[0], server));
+	report_load(0, 0, CORE_FROM_PROBE);
+	ck_assert(core_report_is_fresh(&cores[0], server));
+}
+END_TEST
+
 /* Which hosts a host knows. */
 static bool know_halves(uint32_t host, uint32_t other)
 {
@@ -490,6 +506,11 @@
 		ck_assert_uint_ge(count_sends(i, begin_us, begin_us + 2 * S),
 				  1);
 	}
+	/* Slow start would hold them back for ten seconds. */
+	for (uint32_t i = SERVERS - ZONES; i < SERVERS; i++)
+		ck_assert_uint_eq(core_slow_start_share_q8(
+					  &cores[0], core_server(&cores[0], i)),
+				  CORE_Q8);
 }
 END_TEST
 
@@ -651,6 +672,7 @@
 	tcase_add_loop_test(tests, zone_comes_back_cold, 0,
 			    G_N_ELEMENTS(returns));
 	tcase_add_loop_test(tests, server_turns_cold_under_load, 0, 2);
+	tcase_add_test(tests, reports_on_answers_do_not_replace_probes);
 	tcase_add_loop_test(tests, servers_join_while_lists_differ, 0,
 			    G_N_ELEMENTS(lists));
 	tcase_add_test(tests, hosts_start_among_cold_servers);
