ask: prefer cold servers only within their share

Change: the preference ends with the cold state. A report of a server that had nothing yet is still waited for.

--- a/core/ask.c
+++ b/core/ask.c
@@ -26,8 +26,8 @@
 	/* The transfer of a large answer between zones is rarely worthwhile. */
 	CORE_BULKY_ZONE_COST_US = 300 * CORE_US_PER_MS,
 	/*
-	 * A cold server always costs more than a warm one, and one that has sent no
-	 * reports is asked too late, so it would get no call while others have room.
+	 * Of the first request of a host to a cold server, which always costs more
+	 * than a warm one, and would get nothing while others have room.
 	 */
 	CORE_UNTRIED_COST_DIVISOR = 2,
 	/* Cost at an error rate of 1, as a multiple of the work. */
@@ -56,7 +56,8 @@
 	uint64_t threshold_us =
 		3 * (uint64_t)core_base_latency_us(service, server->zone);
 
-	if (core_rate_is_untried(core, server))
+	/* Only a few hosts may send then, so that it does not get too much. */
+	if (core_is_cold(core, server) && core_rate_is_untried(core, server))
 		return work_us / CORE_UNTRIED_COST_DIVISOR;
 	if (server->zone != core->zone)
 		cost_us += work_us * CORE_ZONE_COST_PERCENT / 100;
@@ -389,6 +390,7 @@
 			       CORE_PACE_NORMAL_MAX_PERCENT;
 }
 
+/* Servers whose reports are fresh would always go before one that has none yet. */
 static bool core_ask_has_untried(const struct core *core,
 				 const struct core_call *call)
 {
