ask: probe servers with a warm-up rate only for calls that choose them

Cause: a call that waits got the slot of one that had ended only if the server had been probed within 50 ms, which the measuring budget may not allow under overload. Change: the check of the warm-up applies where a call chooses servers to ask.

--- a/core/ask.c
+++ b/core/ask.c
@@ -160,8 +160,7 @@
 static bool core_has_answered_ask(const struct core_call *call,
 				  const struct core_server *server)
 {
-	if (server->warmup_milli_per_s &&
-	    server->probe_us + CORE_WARMUP_CHECK_US < call->ask_begin_us)
+	if (!core_warmup_is_known(server, call->ask_begin_us))
 		return false;
 	return server->report_us + CORE_REPORT_FRESH_US >= call->ask_begin_us &&
 	       server->report_us;
@@ -474,7 +473,8 @@
 			core_server(core, candidates[i].id);
 
 		if (!server->probe_pending &&
-		    !core_report_is_fresh(core, server))
+		    !(core_report_is_fresh(core, server) &&
+		      core_warmup_is_known(server, core->now_us)))
 			server->probe_pending =
 				core_send_probe(core, candidates[i].id);
 	}
--- a/core/rate.c
+++ b/core/rate.c
@@ -91,6 +91,12 @@
 	       attempt->begin_us < server->warmup_until_us;
 }
 
+bool core_warmup_is_known(const struct core_server *server, uint64_t at_us)
+{
+	return !server->warmup_milli_per_s ||
+	       at_us <= server->probe_us + CORE_WARMUP_CHECK_US;
+}
+
 bool core_rate_is_limited(const struct core *core,
 			  const struct core_server *server)
 {
--- a/core/state.h
+++ b/core/state.h
@@ -399,6 +399,7 @@
  * core_rate_refresh - give the server its share as a warm one if it was cold.
  * core_is_cold - whether the server is cold and states what it bears then.
  * core_began_cold - whether the attempt began while it was.
+ * core_warmup_is_known - whether a probe has told lately, by AT_US, if it is.
  * core_rate_is_limited - whether any such limit applies now.
  * core_rate_is_untried - whether the server has had no request of this host since it
  * was found cold, and may get one.
@@ -417,6 +418,7 @@
 bool core_is_cold(const struct core *core, const struct core_server *server);
 bool core_began_cold(const struct core_server *server,
 		     const struct core_attempt *attempt);
+bool core_warmup_is_known(const struct core_server *server, uint64_t at_us);
 bool core_rate_is_limited(const struct core *core,
 			  const struct core_server *server);
 bool core_rate_is_untried(const struct core *core,
--- a/core/work.c
+++ b/core/work.c
@@ -172,9 +172,6 @@
 bool core_report_is_fresh(const struct core *core,
 			  const struct core_server *server)
 {
-	if (server->warmup_milli_per_s &&
-	    core->now_us > server->probe_us + CORE_WARMUP_CHECK_US)
-		return false;
 	return core_report_age_us(core, server) <= CORE_REPORT_FRESH_US;
 }
 
