--- a/gateway/crash.c
+++ b/gateway/crash.c
@@ -291,6 +291,10 @@
 
 static void gw_start_check(struct gw_crash_check *check)
 {
+	if (gw_is_evacuated(check->gateway, check->server)) {
+		gw_finish_check(check);
+		return;
+	}
 	check->checks++;
 	check->running = true;
 	tm_subscribe(check->gateway->timers, &check->timer,
