--- a/base/counter.h
+++ b/base/counter.h
@@ -68,6 +68,16 @@
 	X(LOG_DROPPED, "log_lines_dropped_total", "Lines of the log dropped") \
 	X(MANIFEST, "manifest_changes_total",                                 \
 	  "Versions of routes and servers taken")                             \
+	X(QUOTA_ADMITTED, "quota_admitted_total",                             \
+	  "Requests of customers that were within the quota")                 \
+	X(QUOTA_REFUSED, "quota_refused_total",                               \
+	  "Requests of customers that were over the quota")                   \
+	X(QUOTA_SENT, "quota_messages_sent_total",                            \
+	  "Messages about quotas sent to other hosts")                        \
+	X(QUOTA_ANSWERED, "quota_messages_answered_total",                    \
+	  "Messages about quotas that were answered")                         \
+	X(QUOTA_LOST, "quota_messages_lost_total",                            \
+	  "Messages about quotas without an answer")                          \
 	X(ORDERS, "orders_claimed_total", "Orders claimed by their key")      \
 	X(ORDER_REPLAYS, "orders_replayed_total", "Kept answers replayed")    \
 	X(ORDER_READS, "order_platform_reads_total",                          \
--- a/base/settings.c
+++ b/base/settings.c
@@ -20,6 +20,13 @@
 	SE_DEFAULT_PROBES_PER_SERVER_S = 50,
 	SE_MAX_PROBES_PER_SERVER_S = 10000
 };
+enum {
+	SE_DEFAULT_QUOTA_WINDOW_S = 5,
+	SE_MAX_QUOTA_WINDOW_S = 60,
+	SE_DEFAULT_QUOTA_SLACK = 20,
+	SE_MAX_QUOTA_SLACK = 100000,
+	SE_PERCENT = 100
+};
 enum { SE_MIN_SECRET_CHARS = 16, SE_MAX_STOP_GRACE_MS = 60000 };
 enum { SE_MAX_STOP_LIMIT_S = 3600, SE_MS_PER_S = 1000 };
 /*
@@ -235,6 +242,21 @@
 	g_free(address);
 }
 
+static void se_read_quota(struct ym_node *map, struct se_settings *settings,
+			  struct ym_errors *errors)
+{
+	settings->quota_window_s =
+		ym_uint(map, "quota_window_s", 1, SE_MAX_QUOTA_WINDOW_S,
+			SE_DEFAULT_QUOTA_WINDOW_S, errors);
+	settings->quota_over_percent =
+		(uint64_t)(SE_PERCENT * se_read_decimal(map, "quota_over", 1,
+							errors) +
+			   0.5);
+	settings->quota_slack =
+		ym_uint(map, "quota_slack", 0, SE_MAX_QUOTA_SLACK,
+			SE_DEFAULT_QUOTA_SLACK, errors);
+}
+
 static void se_read_platform(struct ym_node *root, struct se_settings *settings,
 			     struct ym_errors *errors)
 {
@@ -267,6 +289,7 @@
 	settings->probes_per_server_s = ym_uint(
 		map, "probes_per_server_s", 0, SE_MAX_PROBES_PER_SERVER_S,
 		SE_DEFAULT_PROBES_PER_SERVER_S, errors);
+	se_read_quota(map, settings, errors);
 	if (!settings->platform_tls.plaintext)
 		se_read_string(map, "ca", settings->platform_tls.ca,
 			       SE_PATH_BYTES, NULL, errors);
--- a/base/settings.h
+++ b/base/settings.h
@@ -65,6 +65,13 @@
 	uint64_t retry_percent;
 	uint64_t retry_slack;
 	uint64_t probes_per_server_s;
+	/*
+	 * Quotas of customers: the window in which they are judged, and by what
+	 * part and number of requests it may be exceeded over all hosts.
+	 */
+	uint64_t quota_window_s;
+	uint64_t quota_over_percent;
+	uint64_t quota_slack;
 	struct nt_address operators;
 	struct se_tls operators_tls;
 	struct nt_address peers;
--- a/cli/serve.c
+++ b/cli/serve.c
@@ -18,6 +18,7 @@
 #include "peer/task.h"
 #include "platform/dialect.h"
 #include "platform/follow.h"
+#include "platform/quota_link.h"
 #include "platform/store.h"
 #include "base/settings.h"
 #include "base/timer.h"
@@ -49,6 +50,7 @@
 	SSL_CTX *platform_tls;
 	struct pr_peer peer;
 	struct fo_follower follower;
+	struct ql_link quotas; /* of a host that follows the platform */
 	struct hd_server health;
 	struct hd_server metrics;
 	uv_signal_t signals[3];
@@ -328,8 +330,15 @@
 
 	if (kind != ST_OK)
 		return kind;
+	kind = ql_init(&host->quotas, &host->kernel, &host->timers,
+		       &host->settings, status);
+	if (kind != ST_OK)
+		return kind;
+	host->gateway.admit_customer = ql_admit;
+	host->gateway.admit_ctx = &host->quotas;
 	kind = fo_init(&host->follower, &host->kernel, &host->timers,
 		       &host->platform, &host->settings, status);
+	host->follower.relay.quotas = &host->quotas;
 	host->follower.relay.is_call = gw_is_forwarded;
 	host->follower.relay.handle_call = gw_on_forwarded;
 	host->follower.relay.call_ctx = &host->gateway;
@@ -400,10 +409,12 @@
 		sv_close_server(&host->health);
 	if (host->settings.has_metrics)
 		sv_close_server(&host->metrics);
-	if (following)
+	if (following) {
 		fo_close(&host->follower);
-	else
+		ql_close(&host->quotas);
+	} else {
 		sv_close_document_mode(host);
+	}
 	pf_free(&host->platform);
 	if (!following) {
 		od_free(&host->orders);
@@ -433,6 +444,7 @@
 		hd_free(&host->metrics);
 	if (host->settings.follow_platform) {
 		fo_free(&host->follower);
+		ql_free(&host->quotas);
 	} else {
 		tl_free(&host->operators_tls);
 		ad_free(&host->admin);
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -38,7 +38,8 @@
 	char text[GW_DIGITS];
 	int bytes;
 
-	if (st_http_status(kind) != 503 || !st_not_run(kind))
+	if (kind != ST_OVER_QUOTA &&
+	    (st_http_status(kind) != 503 || !st_not_run(kind)))
 		return;
 	if (dialect->retry_after_fractions)
 		bytes = g_snprintf(
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -512,6 +512,30 @@
 		gw_submit_call(call);
 }
 
+/* A call that another host has passed on was counted there. */
+static bool gw_is_over_quota(struct gw_call *call)
+{
+	const struct gw_gateway *gateway = call->gateway;
+	uint64_t retry_us = 0;
+
+	if (call->from_host || !call->customer || !gateway->admit_customer ||
+	    gateway->admit_customer(gateway->admit_ctx, call->customer,
+				    &retry_us))
+		return false;
+	call->retry_at_us = tm_now_us() + retry_us;
+	return true;
+}
+
+static void gw_refuse_over_quota(struct gw_call *call)
+{
+	struct od_claim_result refused = {
+		.kind = ST_OVER_QUOTA,
+		.msg = "the customer is over its quota",
+	};
+
+	gw_end_unsubmitted(call, &refused);
+}
+
 /* Admits a call on a named route of the document. */
 void gw_admit_route_call(struct gw_call *call, const struct doc_route *route)
 {
@@ -543,6 +567,8 @@
 		gw_refuse_at_stop(call);
 	else if (gw_is_blocked(call))
 		gw_refuse_blocked(call);
+	else if (gw_is_over_quota(call))
+		gw_refuse_over_quota(call);
 	else
 		gw_submit_call(call);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -56,6 +56,11 @@
 	/* Set after gw_init, before calls arrive; NULL: idempotency keys are
 	   ignored. */
 	struct od_orders *orders;
+	/* Whether a request of CUSTOMER is within its quota, and else after which
+	   time it may be; set like ORDERS. NULL: there are no quotas. */
+	bool (*admit_customer)(void *ctx, const char *customer,
+			       uint64_t *retry_us);
+	void *admit_ctx;
 	char id_prefix[GW_ID_PREFIX_BYTES]; /* of request ids */
 	GArray *events; /* struct core_event, queued for the core */
 	bool handling_events;
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -205,8 +205,8 @@
  * gw_resume_answer - read on the answer, of which enough has been sent.
  * gw_flush_answer - pass unsent bytes to the listener, and the end of the
  * answer once the call is finished.
- * gw_add_retry_after - add Retry-After if KIND is answered with status 503 and
- * guarantees that the request was not run. A server may take it after AFTER_US; 0:
+ * gw_add_retry_after - add Retry-After if KIND is that of a call over its quota, or is
+ * answered with status 503 and guarantees that the request was not run. A server may take it after AFTER_US; 0:
  * not known, it may be soon.
  * gw_add_challenge - add the header that an answer of status 401 must have.
  * gw_is_hop_header - whether the header is hop-by-hop or set by this program.
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -112,6 +112,9 @@
 	  first_start: ${first_start:-false}
 	  change_limit_s: "${change_limit_s:-0}"
 	  leaving_limit_s: "${change_limit_s:-0}"
+	  quota_window_s: 5
+	  quota_over: "0.1"
+	  quota_slack: 20
 	  key_limit_s: "${key_limit_s:-0}"
 	END
 	start_process "entry$1" "$BIN/jackdawworks" serve "$WORK/entry$1.yaml"
