--- a/core/quota.c
+++ b/core/quota.c
@@ -12,6 +12,13 @@
 	/* A report is sent for so many requests, or when one is that old. */
 	QT_REPORT_REQUESTS = 4,
 	QT_REPORT_US = QT_CHECK_US / 2,
+	/*
+	 * While the part is below 1. Without it the coordinator of a customer at six
+	 * times its usual rate would be called hundreds of times a second.
+	 */
+	QT_LIMITED_REPORT_US = QT_REPORT_US,
+	/* One lost message may be due to a host that is busy for a moment. */
+	QT_MAX_LOSSES = 2,
 	/* A part is named again within QT_NAME_US as long as it is not 1. */
 	QT_PART_US = 2500 * 1000,
 	/* A request counts as 1000 / 2 in 1000 s when it is admitted. */
@@ -27,8 +34,10 @@
 	QT_MAX_PING_US = 5000 * 1000,
 	/* Within this time the next coordinator learns who takes it for that. */
 	QT_REPLACED_US = 2000 * 1000,
-	QT_MIN_RETRY_US = 1000 * 1000,
-	QT_MAX_RETRY_US = 10 * 1000 * 1000,
+	/* If all requests are admitted again. */
+	QT_MIN_RETRY_US = 100 * 1000,
+	QT_MAX_RETRY_US = 2 * 1000 * 1000,
+	QT_RETRY_SPREAD_US = 200 * 1000,
 	QT_HASH_DIGITS = 16
 };
 
@@ -139,6 +148,7 @@
 
 static void qt_on_heard(struct qt_quotas *quotas, struct qt_peer *peer)
 {
+	peer->losses = 0;
 	qt_set_suspect(quotas, peer, false);
 	qt_set_down(quotas, peer, false);
 }
@@ -147,6 +157,11 @@
 static void qt_on_silent(struct qt_quotas *quotas, struct qt_peer *peer,
 			 uint64_t now_us)
 {
+	if (!peer->down && ++peer->losses < QT_MAX_LOSSES) {
+		/* The next message asks it for a sign of life. */
+		qt_set_suspect(quotas, peer, true);
+		return;
+	}
 	if (!peer->down)
 		peer->down_us = now_us;
 	peer->ping_us = now_us + CLAMP(now_us - peer->down_us, QT_MIN_PING_US,
@@ -316,8 +331,7 @@
 	uint32_t milli = MIN(customer->usual_milli, customer->answered_milli);
 	int64_t most = MAX((int64_t)milli * QT_MILLI, QT_TOKEN);
 
-	if (customer->tokens_us <
-	    customer->replaced_until_us - QT_REPLACED_US) {
+	if (now_us >= customer->tokens_us + QT_USUAL_US) {
 		customer->tokens = qt_random(quotas, QT_TOKEN);
 		customer->tokens_us = now_us;
 	}
@@ -368,6 +382,13 @@
 	g_queue_unlink(&quotas->pending, &customer->link);
 }
 
+/* Whether the coordinator admits a part of the requests only. */
+static bool qt_is_limited(const struct qt_customer *customer, uint64_t now_us)
+{
+	return now_us < customer->part_until_us &&
+	       customer->part_milli < QT_MILLI;
+}
+
 static bool qt_has_enough(const struct qt_customer *customer)
 {
 	return customer->admitted + customer->refused >= QT_REPORT_REQUESTS;
@@ -386,13 +407,15 @@
 	customer->admitted += admitted;
 	customer->refused += !admitted;
 	qt_put_pending(quotas, customer, now_us);
-	quotas->due |= qt_has_enough(customer) && !peer->busy;
+	quotas->due |= qt_has_enough(customer) && !peer->busy &&
+		       !qt_is_limited(customer, now_us);
 }
 
 /* A random time, longer the fewer requests are admitted, so that returns spread. */
 static uint64_t qt_retry_us(const struct qt_quotas *quotas, uint32_t part_milli)
 {
-	uint64_t spread_us = QT_US_PER_S * QT_MILLI / MAX(part_milli, 1);
+	uint64_t spread_us =
+		(uint64_t)QT_RETRY_SPREAD_US * QT_MILLI / MAX(part_milli, 1);
 
 	spread_us = MIN(spread_us, QT_MAX_RETRY_US - QT_MIN_RETRY_US);
 	return QT_MIN_RETRY_US + qt_random(quotas, (uint32_t)spread_us);
@@ -420,7 +443,7 @@
 		return true;
 	peer = qt_find_coordinator(quotas, customer);
 	part_milli = qt_part(quotas, customer, peer, now_us);
-	if (now_us < customer->replaced_until_us)
+	if (now_us < customer->replaced_until_us || (peer && peer->losses))
 		admitted = qt_usual_allows(quotas, customer, now_us);
 	else
 		admitted = qt_part_allows(customer, part_milli) &&
@@ -446,6 +469,8 @@
 
 static bool qt_must_report(const struct qt_customer *customer, uint64_t now_us)
 {
+	if (qt_is_limited(customer, now_us))
+		return now_us >= customer->oldest_us + QT_LIMITED_REPORT_US;
 	return qt_has_enough(customer) ||
 	       now_us >= customer->oldest_us + QT_REPORT_US;
 }
@@ -528,11 +553,25 @@
 	return message;
 }
 
-static void qt_add_parts(struct qt_message *message, const GPtrArray *named)
+/* Whether the host does not know one of the parts yet. */
+static bool qt_lacks_part(const struct qt_peer *peer, const GPtrArray *named,
+			  uint64_t now_us)
+{
+	for (guint i = 0; i < named->len; i++)
+		if (!qt_count_knows(g_ptr_array_index(named, i), peer->hash,
+				    now_us))
+			return true;
+	return false;
+}
+
+static void qt_add_parts(struct qt_message *message, const GPtrArray *named,
+			 uint64_t now_us)
 {
 	for (guint i = 0; i < named->len; i++) {
 		const struct qt_count *count = g_ptr_array_index(named, i);
 
+		if (qt_count_knows(count, message->host, now_us))
+			continue;
 		qt_add_entry(message->parts, count->customer->name)
 			->part_milli = count->part_milli;
 	}
@@ -551,9 +590,11 @@
 	for (guint i = 0; i < quotas->peers->len; i++) {
 		struct qt_peer *peer = g_ptr_array_index(quotas->peers, i);
 
-		if (!peer->busy && (peer->due || (named->len && !peer->down)))
+		if (!peer->busy &&
+		    (peer->due ||
+		     (!peer->down && qt_lacks_part(peer, named, now_us))))
 			qt_add_parts(qt_begin_message(by_peer, peer, out),
-				     named);
+				     named, now_us);
 	}
 	for (GList *l = quotas->pending.head; l; l = next) {
 		struct qt_customer *customer = l->data;
@@ -606,7 +647,8 @@
 			customer->refused += entry->refused;
 			qt_put_pending(quotas, customer, now_us);
 		}
-		quotas->due |= !lost && qt_has_enough(customer);
+		quotas->due |= !lost && qt_has_enough(customer) &&
+			       !qt_is_limited(customer, now_us);
 	}
 }
 
@@ -676,6 +718,7 @@
 	part_milli = qt_count_offer(quotas, customer, entry->admitted,
 				    entry->refused, now_us);
 	qt_count_set_state(quotas, customer->count, from, true);
+	qt_count_told(customer->count, from, now_us);
 	qt_add_entry(answer->parts, customer->name)->part_milli = part_milli;
 }
 
--- a/core/quota_count.c
+++ b/core/quota_count.c
@@ -24,8 +24,6 @@
 	QT_PERCENT = 100
 };
 
-enum { QT_NOT_MINE = 1, QT_MINE };
-
 /*
  * The part of AMOUNT for the hosts that take this one for their coordinator. The first
  * host by the list counts those that have not been asked, a substitute does not: there
@@ -171,8 +169,8 @@
 	count->refilled_us = now_us;
 	count->start_us = now_us;
 	count->last_bin = now_us / QT_BIN_US;
-	count->states = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					      g_free, NULL);
+	count->states = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      g_free);
 	count->part_milli = QT_MILLI;
 	count->named_milli = QT_MILLI;
 	qt_count_clear_states(quotas, count);
@@ -213,22 +211,43 @@
 		count->level -= burst / ((int64_t)quotas->peers->len + 1);
 }
 
+static struct qt_state *qt_get_state(struct qt_count *count, uint64_t host)
+{
+	struct qt_state *state = g_hash_table_lookup(count->states, &host);
+
+	if (state)
+		return state;
+	state = g_new0(struct qt_state, 1);
+	state->host = host;
+	g_hash_table_insert(count->states, &state->host, state);
+	return state;
+}
+
 void qt_count_set_state(const struct qt_quotas *quotas, struct qt_count *count,
 			uint64_t host, bool mine)
 {
-	guint old = GPOINTER_TO_UINT(g_hash_table_lookup(count->states, &host));
-	guint state = mine ? QT_MINE : QT_NOT_MINE;
+	struct qt_state *state = qt_get_state(count, host);
 
-	if (old == state)
+	if (state->known && state->mine == mine)
 		return;
 	if (!mine)
 		qt_give_burst(quotas, count);
 	count->mine += mine;
-	count->mine -= old == QT_MINE;
 	count->not_mine += !mine;
-	count->not_mine -= old == QT_NOT_MINE;
-	g_hash_table_replace(count->states, g_memdup2(&host, sizeof(host)),
-			     GUINT_TO_POINTER(state));
+	if (state->known) {
+		count->mine -= !mine;
+		count->not_mine -= mine;
+	}
+	state->known = true;
+	state->mine = mine;
+}
+
+void qt_count_told(struct qt_count *count, uint64_t host, uint64_t now_us)
+{
+	struct qt_state *state = qt_get_state(count, host);
+
+	state->told_us = now_us;
+	state->told_milli = count->part_milli;
 }
 
 static bool qt_is_first(const struct qt_quotas *quotas, uint64_t customer_hash)
@@ -286,6 +305,17 @@
 		qt_differs(count->part_milli, count->named_milli));
 }
 
+bool qt_count_knows(const struct qt_count *count, uint64_t host,
+		    uint64_t now_us)
+{
+	const struct qt_state *state =
+		g_hash_table_lookup(count->states, &host);
+
+	return state && state->known && state->mine && state->told_us &&
+	       now_us < state->told_us + QT_NAME_US - QT_CHECK_US &&
+	       !qt_differs(state->told_milli, count->part_milli);
+}
+
 void qt_count_named(struct qt_count *count, uint64_t now_us)
 {
 	count->named = true;
--- a/core/quota_state.h
+++ b/core/quota_state.h
@@ -23,6 +23,16 @@
 	uint64_t ping_us; /* next try of one that is down */
 	bool due; /* while messages are chosen: it gets one */
 	bool listed; /* while the list is replaced */
+	uint32_t losses; /* messages without an answer, in a row */
+};
+
+/* What the coordinator of a customer knows of another host. */
+struct qt_state {
+	uint64_t host; /* hash of its name; key of the table */
+	bool known; /* MINE is */
+	bool mine; /* it takes this host for the coordinator */
+	uint64_t told_us; /* the latest answer to one of its reports */
+	uint32_t told_milli; /* the part in it */
 };
 
 /* A customer for which this host is the coordinator. */
@@ -35,8 +45,7 @@
 		offered[QT_BINS]; /* requests in each of the latest QT_BIN_US */
 	uint64_t last_bin; /* number of the latest of them */
 	bool first; /* by the list of this host, whether or not all answer */
-	/* By hash: whether a host takes this one for the coordinator. */
-	GHashTable *states;
+	GHashTable *states; /* struct qt_state by host */
 	uint32_t mine;
 	uint32_t not_mine;
 	uint32_t part_milli;
@@ -86,6 +95,8 @@
  *
  * qt_count_offer - requests of a host; returns the part to be admitted.
  * qt_count_set_state - a host takes this one for the coordinator, or does not.
+ * qt_count_told - a report of the host is answered with the part.
+ * qt_count_knows - whether the host has the part already, from such an answer.
  * qt_count_clear_states - it is not known any more which hosts do.
  * qt_count_clamp - the quota has changed.
  * qt_count_names - whether the hosts are to be told the part now.
@@ -96,6 +107,9 @@
 			uint32_t admitted, uint32_t refused, uint64_t now_us);
 void qt_count_set_state(const struct qt_quotas *quotas, struct qt_count *count,
 			uint64_t host, bool mine);
+void qt_count_told(struct qt_count *count, uint64_t host, uint64_t now_us);
+bool qt_count_knows(const struct qt_count *count, uint64_t host,
+		    uint64_t now_us);
 void qt_count_clear_states(struct qt_quotas *quotas, struct qt_count *count);
 void qt_count_clamp(struct qt_quotas *quotas, struct qt_count *count,
 		    uint64_t now_us);
