quota: fewer messages to the coordinator of a limited customer

Cause: reports of a customer at six times its usual rate went out with every four requests, refused ones included: with returning callers some 600 a second to one host with a tenth of a core, beside 460 parts that it told. Its answers took over 300 ms, so hosts took it for lost, with all its customers, and the substitutes admitted nothing ("0 of 1000") for seconds.

--- a/core/quota.c
+++ b/core/quota.c
@@ -12,13 +12,6 @@
 	/* A report is sent for so many requests, or when one is that old. */
 	QT_REPORT_REQUESTS = 4,
 	QT_REPORT_US = QT_CHECK_US / 2,
-	/*
-	 * While the part is below 1. Without it the coordinator of a customer at six
-	 * times its usual rate would be called hundreds of times a second.
-	 */
-	QT_LIMITED_REPORT_US = QT_REPORT_US,
-	/* One lost message may be due to a host that is busy for a moment. */
-	QT_MAX_LOSSES = 2,
 	/* A part is named again within QT_NAME_US as long as it is not 1. */
 	QT_PART_US = 2500 * 1000,
 	/* A request counts as 1000 / 2 in 1000 s when it is admitted. */
@@ -34,7 +27,10 @@
 	QT_MAX_PING_US = 5000 * 1000,
 	/* Within this time the next coordinator learns who takes it for that. */
 	QT_REPLACED_US = 2000 * 1000,
-	/* If all requests are admitted again. */
+	/*
+	 * A caller that returns soon may be admitted and still be answered in time. The
+	 * spread is that of a customer of which nearly all requests are admitted.
+	 */
 	QT_MIN_RETRY_US = 100 * 1000,
 	QT_MAX_RETRY_US = 2 * 1000 * 1000,
 	QT_RETRY_SPREAD_US = 200 * 1000,
@@ -148,7 +144,6 @@
 
 static void qt_on_heard(struct qt_quotas *quotas, struct qt_peer *peer)
 {
-	peer->losses = 0;
 	qt_set_suspect(quotas, peer, false);
 	qt_set_down(quotas, peer, false);
 }
@@ -157,11 +152,6 @@
 static void qt_on_silent(struct qt_quotas *quotas, struct qt_peer *peer,
 			 uint64_t now_us)
 {
-	if (!peer->down && ++peer->losses < QT_MAX_LOSSES) {
-		/* The next message asks it for a sign of life. */
-		qt_set_suspect(quotas, peer, true);
-		return;
-	}
 	if (!peer->down)
 		peer->down_us = now_us;
 	peer->ping_us = now_us + CLAMP(now_us - peer->down_us, QT_MIN_PING_US,
@@ -331,7 +321,8 @@
 	uint32_t milli = MIN(customer->usual_milli, customer->answered_milli);
 	int64_t most = MAX((int64_t)milli * QT_MILLI, QT_TOKEN);
 
-	if (now_us >= customer->tokens_us + QT_USUAL_US) {
+	if (customer->tokens_us <
+	    customer->replaced_until_us - QT_REPLACED_US) {
 		customer->tokens = qt_random(quotas, QT_TOKEN);
 		customer->tokens_us = now_us;
 	}
@@ -389,9 +380,14 @@
 	       customer->part_milli < QT_MILLI;
 }
 
-static bool qt_has_enough(const struct qt_customer *customer)
+/*
+ * Whether a report is sent without waiting for the next check. Not of a customer that
+ * is limited: its coordinator would get hundreds of reports a second, and answer late.
+ */
+static bool qt_has_enough(const struct qt_customer *customer, uint64_t now_us)
 {
-	return customer->admitted + customer->refused >= QT_REPORT_REQUESTS;
+	return customer->admitted + customer->refused >= QT_REPORT_REQUESTS &&
+	       !qt_is_limited(customer, now_us);
 }
 
 static void qt_count_request(struct qt_quotas *quotas,
@@ -407,8 +403,7 @@
 	customer->admitted += admitted;
 	customer->refused += !admitted;
 	qt_put_pending(quotas, customer, now_us);
-	quotas->due |= qt_has_enough(customer) && !peer->busy &&
-		       !qt_is_limited(customer, now_us);
+	quotas->due |= qt_has_enough(customer, now_us) && !peer->busy;
 }
 
 /* A random time, longer the fewer requests are admitted, so that returns spread. */
@@ -443,7 +438,7 @@
 		return true;
 	peer = qt_find_coordinator(quotas, customer);
 	part_milli = qt_part(quotas, customer, peer, now_us);
-	if (now_us < customer->replaced_until_us || (peer && peer->losses))
+	if (now_us < customer->replaced_until_us)
 		admitted = qt_usual_allows(quotas, customer, now_us);
 	else
 		admitted = qt_part_allows(customer, part_milli) &&
@@ -469,9 +464,7 @@
 
 static bool qt_must_report(const struct qt_customer *customer, uint64_t now_us)
 {
-	if (qt_is_limited(customer, now_us))
-		return now_us >= customer->oldest_us + QT_LIMITED_REPORT_US;
-	return qt_has_enough(customer) ||
+	return qt_has_enough(customer, now_us) ||
 	       now_us >= customer->oldest_us + QT_REPORT_US;
 }
 
@@ -647,8 +640,7 @@
 			customer->refused += entry->refused;
 			qt_put_pending(quotas, customer, now_us);
 		}
-		quotas->due |= !lost && qt_has_enough(customer) &&
-			       !qt_is_limited(customer, now_us);
+		quotas->due |= !lost && qt_has_enough(customer, now_us);
 	}
 }
 
--- a/core/quota_count.c
+++ b/core/quota_count.c
@@ -312,7 +312,7 @@
 		g_hash_table_lookup(count->states, &host);
 
 	return state && state->known && state->mine && state->told_us &&
-	       now_us < state->told_us + QT_NAME_US - QT_CHECK_US &&
+	       now_us < state->told_us + QT_NAME_US / 2 &&
 	       !qt_differs(state->told_milli, count->part_milli);
 }
 
--- a/core/quota_state.h
+++ b/core/quota_state.h
@@ -23,7 +23,6 @@
 	uint64_t ping_us; /* next try of one that is down */
 	bool due; /* while messages are chosen: it gets one */
 	bool listed; /* while the list is replaced */
-	uint32_t losses; /* messages without an answer, in a row */
 };
 
 /* What the coordinator of a customer knows of another host. */
