Take only status codes from 200 to 599 as an answer

The HTTP client took any number that http-parser reads, so 600 and 999 reached callers, and codes below 100 counted as interim answers.

hc_classify_status decides now, in the one place where every answer is parsed: calls, retries, hedged requests, calls between hosts, probes and the store all use this client. Any other code ends the request like one that got no answer.

--- a/http/httpc.c
+++ b/http/httpc.c
@@ -211,6 +211,13 @@
 	return hc_append_head_text(conn, at, len);
 }
 
+enum hc_status_class hc_classify_status(unsigned status)
+{
+	if (status < 100 || status > 599)
+		return HC_STATUS_INVALID;
+	return status < 200 ? HC_STATUS_INTERIM : HC_STATUS_FINAL;
+}
+
 /* Whatever its head says of a length: that is of another answer, or wrong. */
 static bool hc_has_no_body(const http_parser *parser, bool head_method)
 {
@@ -269,8 +276,14 @@
 
 	if (!request || parser->upgrade)
 		return -1;
-	if (parser->status_code < 200)
+	switch (hc_classify_status(parser->status_code)) {
+	case HC_STATUS_INVALID:
+		return -1;
+	case HC_STATUS_INTERIM:
 		return HC_SKIP_BODY;
+	case HC_STATUS_FINAL:
+		break;
+	}
 	if (!hc_has_length(parser, request->head_method) &&
 	    !request->may_end_with_close)
 		return -1;
--- a/http/httpc.h
+++ b/http/httpc.h
@@ -44,6 +44,8 @@
 	HC_BROKEN /* after its head the answer broke off or was malformed */
 };
 
+enum hc_status_class { HC_STATUS_INVALID, HC_STATUS_INTERIM, HC_STATUS_FINAL };
+
 struct hc_header {
 	const char *name;
 	const char *value;
@@ -202,6 +204,12 @@
 		 const char *value, size_t value_bytes);
 void hc_head_end(GString *out, const char *body, size_t body_bytes);
 
+/*
+ * hc_classify_status - what a status code of an answer is worth: 100 to 199 precede
+ * the answer, 200 to 599 are answers. With any other the request gets no answer.
+ */
+enum hc_status_class hc_classify_status(unsigned status);
+
 /* hc_value_is - whether the value of a header is VALUE; case matters. */
 bool hc_value_is(const struct hc_header *header, const char *value);
 
