Limit callers' requests while they arrive, and hold bodies once

Cause: h2o buffers a whole request before a handler sees it, doubling its buffer, and without a limit over all connections; the gateway copied the body once more and again for each attempt. Every body above 4 MB was refused, and refusals were reset while the caller still sent. Bodies and heads that stopped short ended without an answer.

Change: http/intake.c takes over the reads of the listeners for callers and for other hosts. It counts what each connection holds against a budget from platform.memory_mb, refuses with 413, 503 (Retry-After), 408 or 400, and drops what still comes so that the answer can be read. Limits of head, body and time come from the platform's manifest. The head and the body of a call are sent as two buffers; the body stays in h2o's buffer, which grows with realloc and changes hands if the caller leaves.

Seen on the way and mended: over TLS, h2o itself refused a body above the limit and reset the connection (about 1 in 3 requests), because it parses a head at the end of the handshake too; run_gateway found a negative content-length answered with 413 and 200 headers with 413 in place of 400.

--- a/base/counter.h
+++ b/base/counter.h
@@ -56,6 +56,16 @@
 	  "Failed platform requests")                                         \
 	X(RESTORES, "store_restores_total",                                   \
 	  "Times a table was found restored from a copy")                     \
+	X(BODY_BYTES, "request_bytes_held",                                   \
+	  "Bytes of callers' requests in memory, now")                        \
+	X(HEADS_TOO_LARGE, "request_heads_too_large_total",                   \
+	  "Requests refused for the size of their head")                      \
+	X(BODIES_TOO_LARGE, "request_bodies_too_large_total",                 \
+	  "Requests refused for the size of their body")                      \
+	X(BODIES_NO_ROOM, "request_bodies_no_room_total",                     \
+	  "Requests refused because the memory for bodies was used up")       \
+	X(TOO_SLOW, "requests_too_slow_total",                                \
+	  "Requests refused because they did not arrive in time")             \
 	X(LOG_DROPPED, "log_lines_dropped_total", "Lines of the log dropped") \
 	X(MANIFEST, "manifest_changes_total",                                 \
 	  "Versions of routes and servers taken")                             \
--- a/base/settings.c
+++ b/base/settings.c
@@ -12,7 +12,7 @@
 	SE_MAX_LIMIT_S = 3600,
 	SE_MAX_FRESH_MS = 60000
 };
-enum { SE_MAX_PROCESSOR_SHARE = 1024 };
+enum { SE_MAX_PROCESSOR_SHARE = 1024, SE_MAX_MEMORY_MB = 1024 * 1024 };
 enum {
 	SE_DEFAULT_RETRY_PERCENT = 17,
 	SE_DEFAULT_RETRY_SLACK = 60,
@@ -252,6 +252,8 @@
 	settings->first_start = ym_bool(map, "first_start", false, errors);
 	settings->processor_share = se_read_decimal(
 		map, "processor_share", SE_MAX_PROCESSOR_SHARE, errors);
+	settings->memory_mb =
+		se_read_decimal(map, "memory_mb", SE_MAX_MEMORY_MB, errors);
 	settings->fresh_ms =
 		ym_uint(map, "fresh_ms", SE_MIN_FRESH_MS, SE_MAX_FRESH_MS,
 			se_default_fresh_ms(map, errors), errors);
--- a/base/settings.h
+++ b/base/settings.h
@@ -51,6 +51,7 @@
 	uint64_t fresh_ms;
 	bool first_start; /* no host of the system has run before */
 	double processor_share; /* processors of this host; 0: unknown */
+	double memory_mb; /* of this host; 0: unknown */
 	/*
 	 * Of services from the platform's store: retries in percent of the
 	 * calls, retries on top of that in the sliding window of the retry
--- a/cli/serve.c
+++ b/cli/serve.c
@@ -1,6 +1,7 @@
 #include <argp.h>
 #include <signal.h>
 #include <stdio.h>
+#include <malloc.h>
 #include <string.h>
 
 #include <glib.h>
@@ -26,6 +27,7 @@
 enum {
 	SV_IDLE_POLL_US = 20 * 1000,
 	SV_US_PER_MS = 1000,
+	SV_LARGE_BYTES = 128 * 1024,
 	SV_SETTINGS_POLL_US = 10 * 1000 * 1000,
 	/* HTTP/2 connections close after two GOAWAY frames, 1 s apart. */
 	SV_LINGER_US = 2000 * 1000,
@@ -333,13 +335,26 @@
 	host->follower.relay.is_call = gw_is_forwarded;
 	host->follower.relay.handle_call = gw_on_forwarded;
 	host->follower.relay.call_ctx = &host->gateway;
+	if (kind == ST_OK)
+		gw_limit_hosts(&host->gateway, &host->follower.relay.http);
 	return kind;
 }
 
+/*
+ * Large buffers are returned to the system when they are freed. By default the
+ * library raises this limit with the first one, and keeps the memory of the others.
+ */
+static void sv_set_allocator(void)
+{
+	mallopt(M_MMAP_THRESHOLD, SV_LARGE_BYTES);
+	mallopt(M_TRIM_THRESHOLD, SV_LARGE_BYTES);
+}
+
 static enum st_kind sv_start(struct sv_host *host, struct st_status *status)
 {
 	enum st_kind kind;
 
+	sv_set_allocator();
 	kn_init(&host->kernel, &host->loop);
 	tm_init(&host->timers, &host->loop);
 	pf_init(&host->platform, &host->loop, &host->timers,
--- a/document/document.h
+++ b/document/document.h
@@ -145,7 +145,11 @@
 	struct doc_customers *customers; /* NULL: calls need no key */
 	struct doc_route *routes;
 	uint32_t route_count;
-	uint32_t idle_timeout_ms; /* of callers' connections; 0: not set */
+	/* Of callers' connections and requests; 0: the defaults of http/httpd.h. */
+	uint32_t idle_timeout_ms;
+	uint32_t head_timeout_ms;
+	uint64_t max_head_bytes;
+	uint64_t max_body_bytes;
 };
 
 /*
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -507,10 +507,8 @@
 	uint64_t now_us = tm_now_us();
 	uint64_t left_ms = 1;
 	char text[GW_DIGITS];
-	GString *out = g_string_sized_new(
-		call->request_head->len +
-		(call->request_body ? call->request_body->len : 0) +
-		GW_ATTEMPT_HEAD_BYTES);
+	GString *out = g_string_sized_new(call->request_head->len +
+					  GW_ATTEMPT_HEAD_BYTES);
 
 	if (call->deadline_us > now_us + GW_US_PER_MS)
 		left_ms = (call->deadline_us - now_us) / GW_US_PER_MS;
@@ -525,8 +523,8 @@
 		      strlen(server->name));
 	if (report)
 		gw_add_header(out, dialect->report_wanted, "1", 1);
-	hc_head_end(out, call->request_body ? call->request_body->str : NULL,
-		    call->request_body ? call->request_body->len : 0);
+	hc_head_end_apart(out, call->request_body.base,
+			  call->request_body.bytes);
 	return out;
 }
 
@@ -553,6 +551,8 @@
 	attempt->server = action->server;
 	attempt->http.handler = &gw_http_handler;
 	attempt->http.head_method = call->head_method;
+	attempt->http.body = call->request_body.base;
+	attempt->http.body_bytes = call->request_body.bytes;
 	attempt->http.max_read_bytes = gw_buffer_bytes(gateway);
 	attempt->http.may_end_with_close = gateway->dialect->signature != NULL;
 	/*
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -26,8 +26,7 @@
 	for (uint32_t i = 0; i < CORE_MAX_ATTEMPTS; i++)
 		gw_free_buffered(&call->attempts[i]);
 	g_string_free(call->request_head, TRUE);
-	if (call->request_body)
-		g_string_free(call->request_body, TRUE);
+	hd_body_free(&call->request_body);
 	g_string_free(call->unsent, TRUE);
 	g_string_free(call->sending, TRUE);
 	if (call->stored_body)
@@ -183,6 +182,8 @@
 	struct gw_req_link *link = ptr;
 	struct gw_call *call = link->call;
 
+	if (!call->finished)
+		hd_body_keep(&call->request_body, call->req);
 	call->req = NULL;
 	/* The rest of the answer is discarded; let the attempt complete. */
 	if (call->read_paused)
@@ -289,9 +290,7 @@
 		     req->path.base, req->path.len);
 	call->unsent = g_string_new(NULL);
 	call->sending = g_string_new(NULL);
-	if (req->entity.base)
-		call->request_body = g_string_new_len(req->entity.base,
-						      (gssize)req->entity.len);
+	hd_body_init(&call->request_body, req);
 	gw_save_headers(call, req);
 	call->timer.fire = gw_on_call_timer;
 	call->timer.ctx = call;
@@ -460,8 +459,8 @@
 		.key_bytes = key.len,
 		.method = method,
 		.path = path,
-		.body = call->request_body ? call->request_body->str : "",
-		.body_bytes = call->request_body ? call->request_body->len : 0,
+		.body = call->request_body.base ? call->request_body.base : "",
+		.body_bytes = call->request_body.bytes,
 		.deadline_us = call->deadline_us,
 	};
 	struct st_status status;
--- a/gateway/conf.c
+++ b/gateway/conf.c
@@ -106,6 +106,31 @@
 	return hosts;
 }
 
+/* For the headers that a host adds to a call that it passes on. */
+enum { GW_FORWARD_HEAD_BYTES = 4096 };
+
+/* Other hosts pass on what their limits let through, with the head of a call added. */
+static void gw_set_limits(struct gw_gateway *gateway,
+			  const struct doc_document *document)
+{
+	struct hd_limits limits = HD_DEFAULT_LIMITS;
+
+	if (document->idle_timeout_ms)
+		limits.idle_timeout_ms = document->idle_timeout_ms;
+	if (document->head_timeout_ms)
+		limits.head_timeout_ms = document->head_timeout_ms;
+	if (document->max_head_bytes)
+		limits.head_bytes = document->max_head_bytes;
+	if (document->max_body_bytes)
+		limits.body_bytes = document->max_body_bytes;
+	hd_set_limits(&gateway->http, &limits);
+	if (!gateway->hosts_http)
+		return;
+	limits.head_bytes += GW_FORWARD_HEAD_BYTES;
+	limits.idle_timeout_ms = gateway->hosts_http->limits.idle_timeout_ms;
+	hd_set_limits(gateway->hosts_http, &limits);
+}
+
 void gw_configure_core(struct gw_gateway *gateway)
 {
 	struct doc_document *document = gateway->document;
@@ -128,8 +153,7 @@
 	};
 	struct core_event event = { .kind = CORE_EV_CONF };
 
-	if (document->idle_timeout_ms)
-		hd_set_idle_timeout(&gateway->http, document->idle_timeout_ms);
+	gw_set_limits(gateway, document);
 	g_free(gateway->service_ids);
 	gateway->service_ids = g_new0(uint32_t, document->service_count);
 	gateway->servers_in_use = 0;
--- a/gateway/crash.c
+++ b/gateway/crash.c
@@ -81,9 +81,9 @@
 	/* Without the caller's Host header, the path says which service it is. */
 	if (host)
 		gw_hash_text(hash, host + 1, strcspn(host + 1, "\r"));
-	if (call->request_body)
-		gw_hash_text(hash, call->request_body->str,
-			     call->request_body->len);
+	if (call->request_body.base)
+		gw_hash_text(hash, call->request_body.base,
+			     call->request_body.bytes);
 }
 
 /*
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -49,7 +49,6 @@
 	uint64_t now_us = tm_now_us();
 	uint64_t end_us = call->deadline_us - GW_FORWARD_MARGIN_US;
 	uint64_t waited_us = call->waited_us + now_us - call->begin_us;
-	const GString *body = call->request_body;
 	GString *out = g_string_new_len(call->request_head->str,
 					(gssize)call->request_head->len);
 
@@ -60,7 +59,8 @@
 	gw_add_number(out, GW_WAITED, waited_us / GW_US_PER_MS);
 	gw_add_number(out, GW_ATTEMPTS, call->max_attempts - granted);
 	gw_add_revision(out, &call->revision);
-	hc_head_end(out, body ? body->str : NULL, body ? body->len : 0);
+	hc_head_end_apart(out, call->request_body.base,
+			  call->request_body.bytes);
 	return out;
 }
 
@@ -277,6 +277,8 @@
 	forward->call = call;
 	forward->http.handler = &gw_forward_handler;
 	forward->http.head_method = call->head_method;
+	forward->http.body = call->request_body.base;
+	forward->http.body_bytes = call->request_body.bytes;
 	forward->http.max_read_bytes = gw_buffer_bytes(gateway);
 	forward->http.max_idle_us =
 		call->idempotent ? 0 : GW_NON_IDEMPOTENT_IDLE_US;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -7,6 +7,10 @@
 enum {
 	GW_CALLER_CHECK_US = 100 * 1000,
 	GW_STALL_US = 200 * 1000,
+	GW_ASSUMED_MEMORY_MB = 256,
+	GW_BYTES_PER_MB = 1024 * 1024,
+	/* Of the smallest host, 112 MB, a body of 64 MB still fits. */
+	GW_BODY_PERCENT = 60,
 	GW_ASSUMED_HOSTS = 8 /* until the platform's host list arrives */
 };
 
@@ -268,6 +272,15 @@
 			g_rand_new();
 }
 
+/* The rest is for the program, its tables, and answers. */
+static size_t gw_body_budget(const struct se_settings *settings)
+{
+	double mb = settings->memory_mb ? settings->memory_mb :
+					  GW_ASSUMED_MEMORY_MB;
+
+	return (size_t)(mb * GW_BYTES_PER_MB * GW_BODY_PERCENT / 100);
+}
+
 enum st_kind gw_init(struct gw_gateway *gateway, struct kn_kernel *kernel,
 		     struct tm_service *timers,
 		     const struct se_settings *settings,
@@ -310,8 +323,18 @@
 		return kind;
 	gateway->caller_check.at_us = tm_now_us();
 	gw_on_caller_check(gateway);
-	return hd_init(&gateway->http, kernel->loop, &settings->callers,
+	kind = hd_init(&gateway->http, kernel->loop, &settings->callers,
 		       gw_on_request, gateway, status);
+	gateway->body_budget.limit_bytes = gw_body_budget(settings);
+	if (kind == ST_OK)
+		hd_use_limits(&gateway->http, &gateway->body_budget);
+	return kind;
+}
+
+void gw_limit_hosts(struct gw_gateway *gateway, struct hd_server *http)
+{
+	gateway->hosts_http = http;
+	hd_use_limits(http, &gateway->body_budget);
 }
 
 /* What still runs gets an answer rather than a connection that breaks. */
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -41,6 +41,8 @@
 	const struct dl_dialect *dialect;
 	struct kn_task task;
 	struct hd_server http;
+	struct hd_server *hosts_http; /* of calls from other hosts, or NULL */
+	struct hd_budget body_budget; /* of both listeners */
 	struct core core;
 	GRand *random;
 	struct doc_document *document;
@@ -91,6 +93,12 @@
 		     struct st_status *status);
 void gw_free(struct gw_gateway *gateway);
 
+/*
+ * gw_limit_hosts - the listener for other hosts keeps the limits and the budget of
+ * callers' bodies as well. HTTP must outlive the gateway's documents.
+ */
+void gw_limit_hosts(struct gw_gateway *gateway, struct hd_server *http);
+
 /*
  * gw_announce_stop - fail health checks and close each connection with its next
  * answer. The process will be killed at KILL_US; 0: not known. Calls that must
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -84,7 +84,7 @@
 	h2o_req_t *req; /* NULL once the listener has dropped it */
 	bool head_method;
 	GString *request_head; /* without the headers of a single attempt */
-	GString *request_body;
+	struct hd_body request_body;
 	const char *call_id; /* id that the caller sent; NULL: none */
 	char *route; /* NULL: no named route */
 	uint64_t generation; /* of the document when the call arrived */
--- a/http/httpc.c
+++ b/http/httpc.c
@@ -561,7 +561,10 @@
 static bool hc_conn_encrypt(struct hc_conn *conn)
 {
 	GString *plain = conn->out;
-	bool ok = ts_write(&conn->tls, plain->str, plain->len);
+	const struct hc_request *request = conn->request;
+	bool ok = ts_write(&conn->tls, plain->str, plain->len) &&
+		  (!request->body_bytes ||
+		   ts_write(&conn->tls, request->body, request->body_bytes));
 
 	conn->out = ok ? ts_take_output(&conn->tls) : NULL;
 	if (!conn->out) {
@@ -579,20 +582,26 @@
 static bool hc_conn_send(struct hc_conn *conn)
 {
 	struct hc_request *request = conn->request;
-	uv_buf_t buf;
+	uv_buf_t bufs[2];
+	unsigned count = 1;
 
 	if (conn->connect_timer.slot)
 		tm_cancel(conn->pool->timers, &conn->connect_timer);
 	if (conn->tls.ssl && !hc_conn_encrypt(conn))
 		return false;
-	buf = uv_buf_init(conn->out->str, (unsigned)conn->out->len);
+	bufs[0] = uv_buf_init(conn->out->str, (unsigned)conn->out->len);
+	if (request->body_bytes && !conn->tls.ssl) {
+		bufs[1].base = (char *)request->body;
+		bufs[1].len = request->body_bytes;
+		count = 2;
+	}
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	conn->complete = false;
 	conn->skipping = false;
 	conn->skipped_bytes = 0;
 	conn->write.data = conn;
-	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
+	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, bufs, count,
 		     hc_conn_written))
 		return false;
 	conn->writing = true;
@@ -846,86 +855,3 @@
 	if (request->conn)
 		hc_conn_start_reading(request->conn);
 }
-
-void hc_head_line(GString *out, const char *method, size_t method_bytes,
-		  const char *path, size_t path_bytes)
-{
-	g_string_append_len(out, method, (gssize)method_bytes);
-	g_string_append_c(out, ' ');
-	g_string_append_len(out, path, (gssize)path_bytes);
-	g_string_append(out, " HTTP/1.1\r\n");
-}
-
-GString *hc_head_begin(const char *method, size_t method_bytes,
-		       const char *path, size_t path_bytes, const char *host)
-{
-	GString *out = g_string_sized_new(512);
-
-	hc_head_line(out, method, method_bytes, path, path_bytes);
-	hc_head_add(out, "host", strlen("host"), host, strlen(host));
-	return out;
-}
-
-/*
- * Whether TEXT is a token (RFC 9110). A receiver could read a name with other
- * characters as a different header.
- */
-static bool hc_is_token(const char *text, size_t bytes)
-{
-	for (size_t i = 0; i < bytes; i++)
-		if (!g_ascii_isalnum(text[i]) && text[i] != '-' &&
-		    (!text[i] || !strchr("!#$%&'*+.^_`|~", text[i])))
-			return false;
-	return bytes > 0;
-}
-
-static bool hc_is_field_value(const char *text, size_t bytes)
-{
-	for (size_t i = 0; i < bytes; i++)
-		if ((unsigned char)text[i] < ' ' && text[i] != '\t')
-			return false;
-	return true;
-}
-
-void hc_head_add(GString *out, const char *name, size_t name_bytes,
-		 const char *value, size_t value_bytes)
-{
-	if (!hc_is_token(name, name_bytes) ||
-	    !hc_is_field_value(value, value_bytes))
-		return;
-	g_string_append_len(out, name, (gssize)name_bytes);
-	g_string_append(out, ": ");
-	g_string_append_len(out, value, (gssize)value_bytes);
-	g_string_append(out, "\r\n");
-}
-
-void hc_head_end(GString *out, const char *body, size_t body_bytes)
-{
-	if (body)
-		g_string_append_printf(out, "content-length: %zu\r\n",
-				       body_bytes);
-	g_string_append(out, "\r\n");
-	if (body_bytes)
-		g_string_append_len(out, body, (gssize)body_bytes);
-}
-
-const struct hc_header *hc_find_header(const struct hc_head *head,
-				       const char *name)
-{
-	size_t len = strlen(name);
-
-	for (uint32_t i = 0; i < head->header_count; i++) {
-		const struct hc_header *h = &head->headers[i];
-
-		if (h->name_bytes == len &&
-		    !g_ascii_strncasecmp(h->name, name, len))
-			return h;
-	}
-	return NULL;
-}
-
-bool hc_value_is(const struct hc_header *header, const char *value)
-{
-	return header->value_bytes == strlen(value) &&
-	       !memcmp(header->value, value, header->value_bytes);
-}
--- a/http/httpc.h
+++ b/http/httpc.h
@@ -95,6 +95,8 @@
 	bool may_end_with_close; /* EOF may end an answer without a length */
 	bool close_after; /* do not reuse the connection; may be set in HEAD */
 	uint64_t max_idle_us; /* of a reused connection; 0: the pool's limit */
+	const char *body; /* sent after the head; not copied; NULL: none */
+	size_t body_bytes;
 	uint32_t max_read_bytes; /* of a read; 0: HC_READ_BYTES. May change */
 	/* The fields below belong to the client. */
 	enum hc_state state;
@@ -169,7 +171,8 @@
 void hc_pool_set_limit(struct hc_pool *pool, uint32_t max_connections);
 
 /*
- * hc_start - send a request. OUT holds head and body; the client frees it.
+ * hc_start - send a request. OUT holds the head, and the body unless the request has it
+ * apart; the client frees OUT. A body apart must stay valid until DONE or hc_cancel.
  * Returns false, without any callback, when the pool is closing or at its limit
  * or when the connect or the write cannot be started.
  */
@@ -195,6 +198,7 @@
  *	its value has control characters other than a tab.
  * hc_head_end - finish the head and append the body, with its content-length
  *	unless BODY is NULL.
+ * hc_head_end_apart - the same without the body itself.
  */
 GString *hc_head_begin(const char *method, size_t method_bytes,
 		       const char *path, size_t path_bytes, const char *host);
@@ -202,6 +206,7 @@
 		  const char *path, size_t path_bytes);
 void hc_head_add(GString *out, const char *name, size_t name_bytes,
 		 const char *value, size_t value_bytes);
+void hc_head_end_apart(GString *out, const char *body, size_t body_bytes);
 void hc_head_end(GString *out, const char *body, size_t body_bytes);
 
 /*
--- a/http/httpd.c
+++ b/http/httpd.c
@@ -1,4 +1,4 @@
-#include "http/httpd.h"
+#include "http/httpd_conn.h"
 
 #include <string.h>
 
@@ -21,27 +21,14 @@
 	struct hd_server *server;
 };
 
-/* A connection accepted by the listener. */
-struct hd_conn {
-	uv_tcp_t tcp; /* first member: hd_conn_closed casts from it */
-	struct hd_server *server;
-	struct hd_conn *next;
-	struct hd_conn **prev_next;
-	h2o_socket_t *sock; /* NULL once h2o has closed it */
-	/* Reference: h2o takes its own only when the first bytes arrive. */
-	SSL_CTX *tls; /* NULL: plaintext */
-	bool http2;
-	bool read_shut; /* the socket is shut down for reading */
-};
-
-static struct hd_conn *hd_conn_of(h2o_req_t *req)
+struct hd_conn *hd_conn_of(const h2o_req_t *req)
 {
 	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
 
 	return sock->on_close.data;
 }
 
-static bool hd_is_field(const char *line, size_t bytes, const char *name)
+bool hd_is_field(const char *line, size_t bytes, const char *name)
 {
 	size_t len = strlen(name);
 
@@ -55,7 +42,7 @@
  * and see a different request. h2o keeps the head at the start of the input
  * buffer until the request is over.
  */
-static enum st_kind hd_check_http1(const h2o_socket_t *sock)
+static enum st_kind hd_check_http1(const h2o_socket_t *sock, size_t max_bytes)
 {
 	const char *line = sock->input->bytes;
 	const char *end = line + sock->input->size;
@@ -77,19 +64,19 @@
 	}
 	if (lengths > 1)
 		return ST_INVALID;
-	if (line - sock->input->bytes > HD_MAX_HEAD_BYTES)
+	if ((size_t)(line - sock->input->bytes) > max_bytes)
 		return ST_TOO_LARGE;
 	return ST_OK;
 }
 
-static enum st_kind hd_check_http2(const h2o_req_t *req)
+static enum st_kind hd_check_http2(const h2o_req_t *req, size_t max_bytes)
 {
 	size_t bytes = req->path.len;
 
 	for (size_t i = 0; i < req->headers.size; i++)
 		bytes += req->headers.entries[i].name->len +
 			 req->headers.entries[i].value.len;
-	return bytes > HD_MAX_HEAD_BYTES ? ST_TOO_LARGE : ST_OK;
+	return bytes > max_bytes ? ST_TOO_LARGE : ST_OK;
 }
 
 /* HTTP/2 allows arbitrary bytes in the method and the path. */
@@ -103,25 +90,32 @@
 
 static enum st_kind hd_check_request(struct hd_conn *conn, const h2o_req_t *req)
 {
+	const struct hd_limits *limits = &conn->server->limits;
+
 	if (!hd_is_visible(req->method) || !hd_is_visible(req->path))
 		return ST_INVALID;
+	if (req->entity.len > limits->body_bytes)
+		return ST_TOO_LARGE;
 	conn->http2 = hd_is_http2(req);
-	return conn->http2 ? hd_check_http2(req) : hd_check_http1(conn->sock);
+	return conn->http2 ? hd_check_http2(req, limits->head_bytes) :
+			     hd_check_http1(conn->sock, limits->head_bytes);
 }
 
 static int hd_on_req(h2o_handler_t *self, h2o_req_t *req)
 {
 	struct hd_server *server = ((struct hd_handler *)self)->server;
-	enum st_kind kind = hd_check_request(hd_conn_of(req), req);
+	struct hd_conn *conn = hd_conn_of(req);
+	enum st_kind kind = hd_check_request(conn, req);
 	struct st_status status;
 
+	hd_request_begun(conn);
 	if (kind == ST_OK) {
 		server->handle(server->ctx, req);
 		return 0;
 	}
 	st_set(&status, kind, "%s",
 	       kind == ST_TOO_LARGE ?
-		       "the head of the request is too large" :
+		       "the head or body of the request is too large" :
 		       "the length, method or path of the request is ambiguous");
 	req->http1_is_persistent = 0;
 	hd_add_header(req, "x-request-outcome", "not-run", strlen("not-run"));
@@ -137,6 +131,7 @@
 	if (conn->next)
 		conn->next->prev_next = conn->prev_next;
 	conn->server->connections--;
+	hd_conn_ended(conn);
 	SSL_CTX_free(conn->tls);
 	g_free(conn);
 }
@@ -184,6 +179,7 @@
 	conn->tls = server->accept.ssl_ctx;
 	if (conn->tls)
 		SSL_CTX_up_ref(conn->tls);
+	hd_accepted(conn);
 	h2o_accept(&server->accept, conn->sock);
 }
 
@@ -236,6 +232,7 @@
 	server->handle = handle;
 	server->ctx = ctx;
 	server->max_connections = HD_MAX_CONNECTIONS;
+	server->limits = (struct hd_limits)HD_DEFAULT_LIMITS;
 	hd_configure(server);
 	h2o_context_init(&server->context, loop, &server->conf);
 	server->accept.ctx = &server->context;
@@ -254,11 +251,6 @@
 	return ST_OK;
 }
 
-void hd_set_idle_timeout(struct hd_server *server, uint64_t timeout_ms)
-{
-	server->context.http1.req_timeout.timeout = timeout_ms;
-}
-
 void hd_announce_stop(struct hd_server *server)
 {
 	h2o_context_request_shutdown(&server->context);
@@ -297,6 +289,7 @@
 
 void hd_free(struct hd_server *server)
 {
+	hd_intake_close(server);
 	/* h2o sends HTTP/2 callers a second GOAWAY later; it may be pending. */
 	h2o_timeout_unlink(&server->context.http2._graceful_shutdown_timeout);
 	h2o_context_dispose(&server->context);
--- a/http/httpd.h
+++ b/http/httpd.h
@@ -16,9 +16,31 @@
 enum {
 	HD_MAX_BODY_BYTES = 4 << 20,
 	HD_MAX_HEAD_BYTES = 32 * 1024,
-	HD_MAX_CONNECTIONS = 4096
+	HD_MAX_CONNECTIONS = 4096,
+	HD_DEFAULT_TIMEOUT_MS = 10 * 1000
 };
 
+/* Of one request. HTTP/1 callers that exceed one get 413 or 408. */
+struct hd_limits {
+	size_t head_bytes;
+	size_t body_bytes;
+	uint64_t
+		head_timeout_ms; /* from the first byte to the end of the head */
+	uint64_t idle_timeout_ms; /* between two bytes, or two requests */
+};
+
+/* Memory for requests that are being read or answered, of any number of listeners. */
+struct hd_budget {
+	size_t limit_bytes;
+	size_t held_bytes;
+};
+
+#define HD_DEFAULT_LIMITS                                                    \
+	{                                                                    \
+		HD_MAX_HEAD_BYTES, HD_MAX_BODY_BYTES, HD_DEFAULT_TIMEOUT_MS, \
+			HD_DEFAULT_TIMEOUT_MS                                \
+	}
+
 struct hd_server {
 	h2o_globalconf_t conf;
 	h2o_context_t context;
@@ -29,6 +51,16 @@
 	uint32_t connections;
 	uint32_t max_connections;
 	bool listening;
+	bool has_limits; /* hd_use_limits was called */
+	struct hd_limits limits;
+	struct hd_budget *budget; /* not owned; set with has_limits */
+	struct hd_conn *unwatched; /* connections, see http/intake.c */
+	uint32_t refused; /* since the last line of the log about it */
+	const char *last_refusal;
+	uint64_t next_log_ms;
+	uv_prepare_t prepare;
+	uv_timer_t sweep;
+	uint64_t last_sweep_ms;
 	void (*handle)(void *ctx, h2o_req_t *req);
 	void *ctx;
 };
@@ -43,10 +75,14 @@
 		     struct st_status *status);
 
 /*
- * hd_set_idle_timeout - close HTTP/1 connections on which no complete request
- * arrives for TIMEOUT_MS.
+ * hd_use_limits - enforce limits while requests arrive, before the first connection:
+ *	those of hd_set_limits (HD_DEFAULT_LIMITS), and BUDGET for all requests. When
+ *	it is used up, the caller gives way that holds most for the longest
+ *	time without progress: 503 over HTTP/1, a closed connection over HTTP/2.
+ * hd_set_limits - from now on. Source: http/intake.c
  */
-void hd_set_idle_timeout(struct hd_server *server, uint64_t timeout_ms);
+void hd_use_limits(struct hd_server *server, struct hd_budget *budget);
+void hd_set_limits(struct hd_server *server, const struct hd_limits *limits);
 
 /*
  * hd_stop_listening - accept no more connections and call hd_announce_stop.
@@ -93,6 +129,27 @@
 struct hd_request_ref *hd_request_ref_new(h2o_req_t *req);
 void hd_request_ref_release(struct hd_request_ref *ref);
 
+/*
+ * The body of a request, held once: by the listener as long as it has the request, then
+ * here.
+ */
+struct hd_body {
+	const char *base; /* NULL: none */
+	size_t bytes;
+	struct hd_server *server;
+	h2o_buffer_t *owned; /* NULL: the listener has it */
+};
+
+/*
+ * hd_body_init - refer to the body of REQ.
+ * hd_body_keep - REQ is being dropped and the body is still needed; to be called by
+ *	a destructor in the pool of REQ.
+ * hd_body_free - may be called without hd_body_init on zeroed memory.
+ */
+void hd_body_init(struct hd_body *body, h2o_req_t *req);
+void hd_body_keep(struct hd_body *body, h2o_req_t *req);
+void hd_body_free(struct hd_body *body);
+
 /*
  * hd_peer_closed - whether the other side of an HTTP/1 request closed or reset
  * its connection. h2o does not read from the socket while a request is
--- a/http/stream.c
+++ b/http/stream.c
@@ -1,4 +1,4 @@
-#include "http/httpd.h"
+#include "http/httpd_conn.h"
 
 /*
  * The library's public functions cannot end a stream while its caller takes no bytes.
@@ -24,3 +24,13 @@
 	}
 	h2o_http2_stream_reset(conn, stream);
 }
+
+h2o_buffer_t *hd_http2_take_body(h2o_req_t *req)
+{
+	h2o_http2_stream_t *stream =
+		H2O_STRUCT_FROM_MEMBER(h2o_http2_stream_t, req, req);
+	h2o_buffer_t *body = stream->_req_body;
+
+	stream->_req_body = NULL;
+	return body;
+}
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -38,7 +38,7 @@
 		{"name":"desk","health-check-path":"/health",
 		"max-connections":'"${max_connections:-200}"'},{"name":"other",
 		"health-check-path":"/health","max-connections":200}],
-		"limits":{"idle-timeout-s":15}}'
+		"limits":{"idle-timeout-s":15'"${limits:+,$limits}"'}}'
 }
 start_upstream() { # I WORK-MS
 	start_process "server$1" "$BIN/tool_upstream" \
@@ -113,6 +113,8 @@
 	  change_limit_s: "${change_limit_s:-0}"
 	  leaving_limit_s: "${change_limit_s:-0}"
 	END
+	test -z "${memory_mb:-}" ||
+		say "  memory_mb: \"$memory_mb\"" >>"$WORK/entry$1.yaml"
 	start_process "entry$1" "$BIN/jackdawworks" serve "$WORK/entry$1.yaml"
 }
 # wait_ready I: waits until the health check of host I is answered with 200.
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -19,9 +19,10 @@
 #define ROUTE_START                                                  \
 	"{\"name\":\"r\",\"host\":\"x.example\",\"prefix\":\"/p/\"," \
 	"\"route-kind\":\"unsafe\",\"timeout-s\":1.2,\"max-attempts\":2,"
-#define MANIFEST(routes)                                       \
-	"{\"version\":7," SERVICES ",\"routes\":[" routes "]," \
-	"\"limits\":{\"idle-timeout-s\":15}}"
+#define MANIFEST(routes)                                              \
+	"{\"version\":7," SERVICES ",\"routes\":[" routes "],"        \
+	"\"limits\":{\"idle-timeout-s\":15,\"header-timeout-s\":2.5," \
+	"\"max-header-bytes\":65536,\"max-body-bytes\":67108864}}"
 
 static struct doc_document *decode_manifest(const char *text)
 {
@@ -41,6 +42,9 @@
 	ck_assert_ptr_nonnull(document);
 	ck_assert_uint_eq(document->generation, 7);
 	ck_assert_uint_eq(document->idle_timeout_ms, 15000);
+	ck_assert_uint_eq(document->head_timeout_ms, 2500);
+	ck_assert_uint_eq(document->max_head_bytes, 65536);
+	ck_assert_uint_eq(document->max_body_bytes, 67108864);
 	ck_assert_uint_eq(document->route_count, 2);
 	ck_assert_uint_eq(document->routes[0].timeout_ms, 1200);
 	ck_assert(!document->routes[0].idempotent);
@@ -153,6 +157,7 @@
 	ck_assert_uint_eq(document->generation, 9);
 	ck_assert_uint_eq(document->services[0].connections, UINT32_MAX);
 	ck_assert_uint_eq(document->idle_timeout_ms, UINT32_MAX);
+	ck_assert_uint_eq(document->max_body_bytes, 0);
 	ck_assert_uint_eq(document->routes[0].timeout_ms, 1);
 	ck_assert_uint_eq(document->routes[1].timeout_ms, UINT32_MAX);
 	ck_assert_uint_eq(document->caller_count, 12);
