--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -49,7 +49,6 @@
 	uint64_t now_us = tm_now_us();
 	uint64_t end_us = call->deadline_us - GW_FORWARD_MARGIN_US;
 	uint64_t waited_us = call->waited_us + now_us - call->begin_us;
-	const GString *body = call->request_body;
 	GString *out = g_string_new_len(call->request_head->str,
 					(gssize)call->request_head->len);
 
@@ -63,7 +62,8 @@
 	if (call->customer)
 		hc_head_add(out, GW_CUSTOMER, strlen(GW_CUSTOMER),
 			    call->customer, strlen(call->customer));
-	hc_head_end(out, body ? body->str : NULL, body ? body->len : 0);
+	hc_head_end_apart(out, call->request_body.base,
+			  call->request_body.bytes);
 	return out;
 }
 
@@ -282,6 +282,8 @@
 	forward->call = call;
 	forward->http.handler = &gw_forward_handler;
 	forward->http.head_method = call->head_method;
+	forward->http.body = call->request_body.base;
+	forward->http.body_bytes = call->request_body.bytes;
 	forward->http.max_read_bytes = gw_buffer_bytes(gateway);
 	forward->http.max_idle_us =
 		call->idempotent ? 0 : GW_NON_IDEMPOTENT_IDLE_US;
--- a/tests/lib_platform.sh
+++ b/tests/lib_platform.sh
@@ -40,7 +40,7 @@
 		{"name":"desk","health-check-path":"/health",'"${desk_fields:-}"'
 		"max-connections":'"${max_connections:-200}"'},{"name":"other",
 		"health-check-path":"/health","max-connections":200}],
-		"limits":{"idle-timeout-s":15}}'
+		"limits":{"idle-timeout-s":15'"${limits:+,$limits}"'}}'
 }
 start_upstream() { # I WORK-MS
 	start_process "server$1" "$BIN/tool_upstream" \
@@ -126,6 +126,8 @@
 	  key_limit_s: "${key_limit_s:-0}"
 	${more_settings:-}
 	END
+	test -z "${memory_mb:-}" ||
+		say "  memory_mb: \"$memory_mb\"" >>"$WORK/entry$1.yaml"
 	start_process "entry$1" "$BIN/jackdawworks" serve "$WORK/entry$1.yaml"
 }
 # wait_ready I: waits until the health check of host I is answered with 200.
