Read customers, public services and evacuated zones from documents

Only hosts that follow the platform could have customers: the YAML document had no fields for them.

Add "customers" with keys and quotas, "evacuated_zones", and "public" and "warmup_per_s" of a service, with checks that never print a key. A difference shows keys by count and short digest. Calls of services are checked by key; with a customer, its name takes the place of x-caller in the weight of a call and in the scope of its idempotency key, since a caller chooses x-caller.

--- a/base/yaml_tree.c
+++ b/base/yaml_tree.c
@@ -8,6 +8,8 @@
 
 #include <yaml.h>
 
+enum { YM_MILLI = 1000 };
+
 struct ym_reader {
 	yaml_parser_t parser;
 	struct ym_errors *errors;
@@ -355,6 +357,47 @@
 	return ym_uint(map, key, min, max, min, errors);
 }
 
+/* Reads "12", "12.5" or "0.125" as thousandths. */
+static bool ym_parse_milli(const char *text, uint64_t *out)
+{
+	uint32_t unit = YM_MILLI;
+	char *end;
+
+	if (!g_ascii_isdigit(*text))
+		return false;
+	errno = 0;
+	*out = strtoull(text, &end, 10);
+	if (errno || *out > UINT32_MAX)
+		return false;
+	*out *= YM_MILLI;
+	if (*end == '.' && !end[1])
+		return false;
+	if (*end == '.')
+		end++;
+	for (; g_ascii_isdigit(*end) && unit > 1; end++) {
+		unit /= 10;
+		*out += (uint64_t)(*end - '0') * unit;
+	}
+	return !*end;
+}
+
+uint32_t ym_milli(struct ym_node *map, const char *key, uint32_t min,
+		  uint32_t max, uint32_t fallback, struct ym_errors *errors)
+{
+	struct ym_node *node = ym_optional(map, key, YM_SCALAR, errors);
+	uint64_t value;
+
+	if (!node)
+		return fallback;
+	if (ym_parse_milli(node->value, &value) && value >= min && value <= max)
+		return (uint32_t)value;
+	ym_error(errors, node, key,
+		 "\"%.40s\" is not a number from %.10g to %.10g with at most 3 "
+		 "decimals",
+		 node->value, (double)min / YM_MILLI, (double)max / YM_MILLI);
+	return fallback;
+}
+
 bool ym_bool(struct ym_node *map, const char *key, bool fallback,
 	     struct ym_errors *errors)
 {
--- a/base/yaml_tree.h
+++ b/base/yaml_tree.h
@@ -73,6 +73,8 @@
  * missing or of another type.
  * ym_uint, ym_bool - an optional field; FALLBACK when missing or wrong.
  * ym_need_uint - a required field; MIN when missing or wrong.
+ * ym_milli - an optional field, a decimal number of at most 3 decimals, in
+ * thousandths, like its bounds and FALLBACK.
  */
 struct ym_node *ym_get(struct ym_node *map, const char *key);
 struct ym_node *ym_need(struct ym_node *map, const char *key, enum ym_type type,
@@ -83,6 +85,8 @@
 		 uint64_t max, uint64_t fallback, struct ym_errors *errors);
 uint64_t ym_need_uint(struct ym_node *map, const char *key, uint64_t min,
 		      uint64_t max, struct ym_errors *errors);
+uint32_t ym_milli(struct ym_node *map, const char *key, uint32_t min,
+		  uint32_t max, uint32_t fallback, struct ym_errors *errors);
 bool ym_bool(struct ym_node *map, const char *key, bool fallback,
 	     struct ym_errors *errors);
 /*
--- a/document/customer.c
+++ b/document/customer.c
@@ -30,6 +30,14 @@
 	return true;
 }
 
+void doc_key_digest(const char *key, char digest[DOC_KEY_DIGEST_BYTES])
+{
+	char whole[DOC_DIGEST_BYTES];
+
+	doc_digest(key, strlen(key), whole);
+	g_strlcpy(digest, whole, DOC_KEY_DIGEST_BYTES);
+}
+
 struct doc_customers *doc_customers_ref(struct doc_customers *customers)
 {
 	if (customers)
--- a/document/customer.h
+++ b/document/customer.h
@@ -37,8 +37,13 @@
  * doc_customers_find - index of the customer that holds the key, or DOC_NO_INDEX.
  * doc_customers_find_name - index of the customer of that name, or DOC_NO_INDEX.
  *	Takes time by the number of customers.
+ * doc_key_digest - a short digest, which stands for a key where it must not be
+ *	shown.
  * Source: document/customer.c
  */
+enum { DOC_KEY_DIGEST_BYTES = 13 };
+
+void doc_key_digest(const char *key, char digest[DOC_KEY_DIGEST_BYTES]);
 struct doc_customers *doc_customers_new(uint32_t count);
 bool doc_customers_add_key(struct doc_customers *customers, uint32_t index,
 			   const char *key);
--- a/document/diff.c
+++ b/document/diff.c
@@ -11,6 +11,8 @@
 struct dd_field {
 	const char *name;
 	char *value;
+	bool listed_only; /* not compared, see dd_compare_keys */
+	bool compared_only; /* not listed: the feature is not used */
 };
 
 struct dd_object {
@@ -24,6 +26,11 @@
 	GHashTable *by_path;
 };
 
+#define DD_MILLI 1000.0
+
+/* Keys of a change that are listed by digest; more of them are counted only. */
+enum { DD_MAX_KEYS = 8 };
+
 /* Numeric fields: member of the struct, name in the document. */
 #define DD_SERVICE_FIELDS(X)                                    \
 	X(deadline_ms, "deadline_ms")                           \
@@ -74,7 +81,7 @@
 static void dd_add_text(struct dd_object *object, const char *name,
 			const char *value)
 {
-	struct dd_field field = { name, g_strdup(value) };
+	struct dd_field field = { name, g_strdup(value), false, false };
 
 	g_array_append_val(object->fields, field);
 }
@@ -82,7 +89,8 @@
 static void dd_add_number(struct dd_object *object, const char *name,
 			  uint32_t value)
 {
-	struct dd_field field = { name, g_strdup_printf("%u", value) };
+	struct dd_field field = { name, g_strdup_printf("%u", value), false,
+				  false };
 
 	g_array_append_val(object->fields, field);
 }
@@ -92,6 +100,25 @@
 	dd_add_text(object, name, value ? "true" : "false");
 }
 
+/* VALUE in thousandths; 0 prints as ABSENT. */
+static void dd_add_milli(struct dd_object *object, const char *name,
+			 uint32_t value, const char *absent)
+{
+	struct dd_field field = { name,
+				  value ? g_strdup_printf("%.10g",
+							  value / DD_MILLI) :
+					  g_strdup(absent),
+				  false, !value };
+
+	g_array_append_val(object->fields, field);
+}
+
+static struct dd_field *dd_last_field(const struct dd_object *object)
+{
+	return &g_array_index(object->fields, struct dd_field,
+			      object->fields->len - 1);
+}
+
 static void dd_add_server(struct dd_list *list, const struct dd_object *parent,
 			  const struct doc_document *document,
 			  const struct doc_server *server)
@@ -124,21 +151,44 @@
 	g_free(name);
 }
 
-static void dd_add_remote_zones(struct dd_object *object,
-				const struct doc_document *document,
-				uint32_t remote_zones)
+/* Bit I of ZONES is zone I. */
+static void dd_add_zones(struct dd_object *object, const char *name,
+			 const struct doc_document *document, uint32_t zones)
 {
 	GString *names = g_string_new(NULL);
 
 	for (uint32_t i = 0; i < document->zone_count; i++)
-		if (remote_zones & (UINT32_C(1) << i))
+		if (zones & (UINT32_C(1) << i))
 			g_string_append_printf(names, "%s%s",
 					       names->len ? " " : "",
 					       document->zones[i]);
-	dd_add_text(object, "remote_zones", names->len ? names->str : "none");
+	dd_add_text(object, name, names->len ? names->str : "none");
 	g_string_free(names, TRUE);
 }
 
+static uint32_t dd_evacuated_zones(const struct doc_document *document)
+{
+	uint32_t zones = 0;
+
+	for (uint32_t i = 0; i < document->zone_count; i++)
+		if (document->zone_evacuated && document->zone_evacuated[i])
+			zones |= UINT32_C(1) << i;
+	return zones;
+}
+
+static void dd_add_customer(struct dd_list *list,
+			    const struct doc_customer *customer)
+{
+	struct dd_object *object =
+		dd_add_object(list, NULL, "customer", customer->name);
+
+	dd_add_number(object, "keys", customer->key_count);
+	dd_last_field(object)->listed_only = true;
+	dd_add_milli(object, "quota.requests_per_s", customer->rate_milli,
+		     "none");
+	dd_add_milli(object, "quota.burst", customer->burst_milli, "none");
+}
+
 static void dd_add_service(struct dd_list *list,
 			   const struct doc_document *document,
 			   const struct doc_service *service)
@@ -151,7 +201,11 @@
 #define X(member, name) dd_add_number(object, name, service->member);
 	DD_SERVICE_FIELDS(X)
 #undef X
-	dd_add_remote_zones(object, document, service->remote_zones);
+	dd_add_zones(object, "remote_zones", document, service->remote_zones);
+	dd_add_bool(object, "public", service->is_public);
+	dd_last_field(object)->compared_only = !service->is_public;
+	dd_add_milli(object, "warmup_per_s", service->warmup_milli_per_s,
+		     "none");
 	for (uint32_t i = 0; i < service->server_count; i++)
 		dd_add_server(list, object, document, &service->servers[i]);
 	for (uint32_t i = 0; i < service->rule_count; i++)
@@ -171,8 +225,14 @@
 	dd_add_text(top, "deployment", document->deployment);
 	dd_add_number(top, "latency_weight_percent",
 		      document->latency_weight_percent);
+	dd_add_zones(top, "evacuated_zones", document,
+		     dd_evacuated_zones(document));
+	dd_last_field(top)->compared_only = !dd_evacuated_zones(document);
 	for (uint32_t i = 0; i < document->zone_count; i++)
 		dd_add_object(list, NULL, "zone", document->zones[i]);
+	for (uint32_t i = 0;
+	     document->customers && i < document->customers->count; i++)
+		dd_add_customer(list, &document->customers->rows[i]);
 	for (uint32_t i = 0; i < document->caller_count; i++) {
 		const struct doc_caller *caller = &document->callers[i];
 
@@ -222,8 +282,10 @@
 		const struct dd_field *field =
 			&g_array_index(object->fields, struct dd_field, i);
 
-		g_string_append_printf(out, "%s%s %s", i ? ", " : "",
-				       field->name, field->value);
+		if (!field->compared_only)
+			g_string_append_printf(out, "%s%s %s",
+					       out->len ? ", " : "",
+					       field->name, field->value);
 	}
 	return g_string_free(out, FALSE);
 }
@@ -238,7 +300,7 @@
 		const struct dd_field *to =
 			&g_array_index(new->fields, struct dd_field, i);
 
-		if (strcmp(from->value, to->value))
+		if (!to->listed_only && strcmp(from->value, to->value))
 			dd_add_change(changes, DOC_CHANGED, new->path, to->name,
 				      from->value, to->value);
 	}
@@ -356,6 +418,95 @@
 	g_hash_table_destroy(services);
 }
 
+static bool dd_has_key(const struct doc_customers *customers, uint32_t index,
+		       const char *key)
+{
+	return doc_customers_find(customers, key, strlen(key)) == index;
+}
+
+/* Appends how many keys the customer at INDEX has that OTHER lacks. */
+static uint32_t dd_append_keys(GString *out, const char *change,
+			       const struct doc_customers *customers,
+			       uint32_t index,
+			       const struct doc_customers *other,
+			       uint32_t other_index)
+{
+	const struct doc_customer *customer = &customers->rows[index];
+	GString *digests = g_string_new(NULL);
+	char digest[DOC_KEY_DIGEST_BYTES];
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < customer->key_count; i++) {
+		if (dd_has_key(other, other_index, customer->keys[i]))
+			continue;
+		doc_key_digest(customer->keys[i], digest);
+		if (count++ < DD_MAX_KEYS)
+			g_string_append_printf(digests, " #%s", digest);
+	}
+	if (count)
+		g_string_append_printf(out, ", %u %s:%s%s", count, change,
+				       digests->str,
+				       count > DD_MAX_KEYS ? " ..." : "");
+	g_string_free(digests, TRUE);
+	return count;
+}
+
+/* Keys are compared by value and shown by digest. */
+static void dd_compare_keys(GPtrArray *changes, const struct doc_customers *old,
+			    uint32_t old_index, const struct doc_customers *new,
+			    uint32_t new_index)
+{
+	const struct doc_customer *customer = &new->rows[new_index];
+	char *path = g_strconcat("customer ", customer->name, NULL);
+	char *from = g_strdup_printf("%u", old->rows[old_index].key_count);
+	GString *to = g_string_new(NULL);
+	uint32_t count;
+
+	g_string_append_printf(to, "%u", customer->key_count);
+	count = dd_append_keys(to, "added", new, new_index, old, old_index);
+	count += dd_append_keys(to, "removed", old, old_index, new, new_index);
+	if (count)
+		dd_add_change(changes, DOC_CHANGED, path, "keys", from,
+			      to->str);
+	g_string_free(to, TRUE);
+	g_free(from);
+	g_free(path);
+}
+
+static void dd_compare_customers(GPtrArray *changes,
+				 const struct doc_customers *old,
+				 const struct doc_customers *new)
+{
+	GHashTable *names;
+
+	if (!old || !new)
+		return;
+	names = g_hash_table_new(g_str_hash, g_str_equal);
+	for (uint32_t i = 0; i < old->count; i++)
+		g_hash_table_insert(names, old->rows[i].name,
+				    GUINT_TO_POINTER(i + 1));
+	for (uint32_t i = 0; i < new->count; i++) {
+		guint before = GPOINTER_TO_UINT(
+			g_hash_table_lookup(names, new->rows[i].name));
+
+		if (before)
+			dd_compare_keys(changes, old, before - 1, new, i);
+	}
+	g_hash_table_destroy(names);
+}
+
+/* The first list of customers closes every service, the last one opens them. */
+static void dd_compare_need_of_keys(GPtrArray *changes,
+				    const struct doc_document *old,
+				    const struct doc_document *new)
+{
+	if (!old->customers == !new->customers)
+		return;
+	dd_add_change(changes, DOC_CHANGED, "document", "calls need keys",
+		      old->customers ? "true" : "false",
+		      new->customers ? "true" : "false");
+}
+
 GPtrArray *doc_diff(const struct doc_document *old,
 		    const struct doc_document *new)
 {
@@ -367,8 +518,11 @@
 	dd_list_init(&after, new);
 	dd_find_removed(changes, &before, &after);
 	dd_find_added_and_changed(changes, &before, &after);
-	if (old && new)
+	if (old && new) {
 		dd_compare_rule_orders(changes, old, new);
+		dd_compare_need_of_keys(changes, old, new);
+		dd_compare_customers(changes, old->customers, new->customers);
+	}
 	dd_list_free(&before);
 	dd_list_free(&after);
 	return changes;
--- a/document/document.c
+++ b/document/document.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "document/reader.h"
+
 enum {
 	DOC_MAX_DEADLINE_MS = 600000,
 	DOC_MAX_SLOTS = 4096,
@@ -22,91 +24,6 @@
 	"GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS",
 };
 
-static bool doc_is_name_char(char c)
-{
-	return g_ascii_isalnum(c) || c == '-' || c == '_' || c == '.';
-}
-
-static void doc_check_name(struct ym_errors *errors, const struct ym_node *at,
-			   const char *field, const char *name)
-{
-	if (strlen(name) >= DOC_NAME_BYTES)
-		ym_error(errors, at, field, "longer than %d characters",
-			 DOC_NAME_BYTES - 1);
-	for (const char *p = name; *p; p++) {
-		if (doc_is_name_char(*p))
-			continue;
-		ym_error(
-			errors, at, field,
-			"\"%.40s\" may only have letters, digits, '-', '_' and '.'",
-			name);
-		return;
-	}
-}
-
-static void doc_read_name(struct ym_node *map, const char *field, char *out,
-			  struct ym_errors *errors)
-{
-	const char *name = ym_string(map, field, NULL, errors);
-
-	doc_check_name(errors, ym_get(map, field), field, name);
-	g_strlcpy(out, name, DOC_NAME_BYTES);
-}
-
-/* The same for a name of base/text.h. */
-static void doc_read_text(struct ym_node *map, const char *field, char **out,
-			  struct ym_errors *errors)
-{
-	char name[DOC_NAME_BYTES];
-
-	doc_read_name(map, field, name, errors);
-	tx_set(out, name);
-}
-
-/* SEEN holds the names of the entries of the same kind read so far. */
-static void doc_check_unique(GHashTable *seen, const char *name,
-			     struct ym_node *map, const char *field,
-			     struct ym_errors *errors)
-{
-	if (*name && !g_hash_table_add(seen, g_strdup(name)))
-		ym_error(errors, ym_get(map, field), field,
-			 "\"%s\" is used twice", name);
-}
-
-static GHashTable *doc_new_name_set(void)
-{
-	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-}
-
-static bool doc_check_mapping(struct ym_node *node, const char *field,
-			      struct ym_errors *errors)
-{
-	if (node->type == YM_MAPPING)
-		return true;
-	ym_error(errors, node, field, "every entry must be a mapping");
-	return false;
-}
-
-static struct ym_node *doc_get_list(struct ym_node *map, const char *field,
-				    bool required, uint32_t max,
-				    struct ym_errors *errors)
-{
-	struct ym_node *list;
-
-	if (required)
-		list = ym_need(map, field, YM_SEQUENCE, errors);
-	else
-		list = ym_optional(map, field, YM_SEQUENCE, errors);
-	if (!list)
-		return NULL;
-	if (required && !list->children->len)
-		ym_error(errors, list, field, "must not be empty");
-	if (list->children->len <= max)
-		return list;
-	ym_error(errors, list, field, "more than %u entries", max);
-	return NULL;
-}
-
 static void doc_read_zones(struct ym_node *root, struct doc_document *document,
 			   struct ym_errors *errors)
 {
@@ -130,6 +47,31 @@
 	}
 }
 
+static void doc_read_evacuated_zones(struct ym_node *root,
+				     struct doc_document *document,
+				     struct ym_errors *errors)
+{
+	struct ym_node *list = doc_get_list(root, "evacuated_zones", false,
+					    DOC_MAX_ZONES, errors);
+
+	if (list && list->children->len)
+		document->zone_evacuated = g_new0(bool, DOC_MAX_ZONES);
+	for (guint i = 0; list && i < list->children->len; i++) {
+		struct ym_node *item = g_ptr_array_index(list->children, i);
+		const char *name = item->value ? item->value : "";
+		uint32_t zone = doc_find_zone(document, name);
+
+		if (zone == DOC_NO_INDEX)
+			ym_error(errors, item, "evacuated_zones",
+				 "zone \"%.60s\" does not exist", name);
+		else if (document->zone_evacuated[zone])
+			ym_error(errors, item, "evacuated_zones",
+				 "\"%s\" is used twice", name);
+		else
+			document->zone_evacuated[zone] = true;
+	}
+}
+
 static void doc_read_callers(struct ym_node *root,
 			     struct doc_document *document,
 			     struct ym_errors *errors)
@@ -472,6 +414,9 @@
 	service->retry_percent =
 		(uint32_t)ym_uint(map, "retry_percent", 0, 100,
 				  DOC_DEFAULT_RETRY_PERCENT, errors);
+	service->is_public = ym_bool(map, "public", false, errors);
+	service->warmup_milli_per_s =
+		ym_milli(map, "warmup_per_s", 1, DOC_MAX_MILLI, 0, errors);
 	doc_read_policy(map, service, errors);
 	doc_read_measuring_budget(map, &service->measuring, errors);
 	doc_check_probe_policy(map, service, errors);
@@ -596,7 +541,9 @@
 		(uint32_t)ym_uint(root, "latency_weight_percent", 0, 100,
 				  DOC_DEFAULT_LATENCY_WEIGHT, errors);
 	doc_read_zones(root, document, errors);
+	doc_read_evacuated_zones(root, document, errors);
 	doc_read_callers(root, document, errors);
+	doc_read_customers(root, document, errors);
 	doc_read_services(root, document, errors);
 	ym_check_unused(root, errors);
 }
--- a/document/document.h
+++ b/document/document.h
@@ -35,6 +35,9 @@
 	DOC_MAX_SERVERS = 16384,
 	DOC_MAX_CALLERS = 4096,
 	DOC_MAX_RULES = 64,
+	DOC_MAX_CUSTOMERS = 10000,
+	DOC_MAX_CUSTOMER_KEYS = 64, /* of one customer */
+	DOC_KEY_BYTES = 256,
 	DOC_NO_INDEX = UINT32_MAX
 };
 
@@ -96,6 +99,7 @@
 struct doc_service {
 	char *name;
 	char route[DOC_ROUTE_BYTES];
+	bool is_public; /* calls by its own route need no key of a customer */
 	uint32_t deadline_ms;
 	uint32_t longest_deadline_ms;
 	uint32_t queue_limit; /* calls waiting, per entry host */
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -453,15 +453,16 @@
 			   h2o_iovec_t key)
 {
 	const h2o_req_t *req = call->req;
-	h2o_iovec_t caller = hd_header(call->req, "x-caller");
+	h2o_iovec_t caller = gw_caller_name(call);
 	g_autofree char *method = g_strndup(req->method.base, req->method.len);
 	g_autofree char *path = g_strndup(req->path.base, req->path.len);
 	struct od_callback callback = { gw_on_claim, call };
 	struct od_claim_result refused = { .kind = ST_INTERNAL };
 	struct od_request request = {
 		.id = call->request_id,
-		.caller = caller.base ? caller.base : "",
+		.caller = caller.base,
 		.caller_bytes = caller.len,
+		.is_customer = call->customer != NULL,
 		.service = service,
 		.key = key.base,
 		.key_bytes = key.len,
@@ -491,13 +492,13 @@
 			      req->path.base, req->path.len);
 	uint32_t timeout_ms = rule ? rule->deadline_ms : service->deadline_ms;
 	h2o_iovec_t key = hd_header(req, "idempotency-key");
-	h2o_iovec_t caller = hd_header(req, "x-caller");
+	h2o_iovec_t caller = gw_caller_name(call);
 
 	timeout_ms = gw_timeout_ms(gw_caller_timeout_ms(gateway->dialect, req),
 				   service->longest_deadline_ms, timeout_ms);
 	call->deadline_us = tm_now_us() + (uint64_t)timeout_ms * GW_US_PER_MS;
-	call->caller_index = doc_find_caller(
-		gateway->document, caller.base ? caller.base : "", caller.len);
+	call->caller_index =
+		doc_find_caller(gateway->document, caller.base, caller.len);
 	call->service = gateway->service_ids[index];
 	call->idempotent = rule ? rule->idempotent : gw_is_safe_method(req);
 	if (gw_may_be_cut_off(call))
--- a/gateway/customer.c
+++ b/gateway/customer.c
@@ -144,14 +144,14 @@
 }
 
 bool gw_identify_customer(struct gw_gateway *gateway, h2o_req_t *req,
-			  const struct doc_route *route, bool from_host,
+			  bool is_public, bool from_host,
 			  struct gw_identity *identity)
 {
 	enum gw_key_fault fault;
 
 	memset(identity, 0, sizeof(*identity));
 	identity->index = DOC_NO_INDEX;
-	if (!gateway->document->customers || (route && route->is_public))
+	if (!gateway->document->customers || is_public)
 		return true;
 	fault = gw_find_customer(gateway, req, from_host, identity);
 	if (!fault)
@@ -208,6 +208,16 @@
 	call->work_class = route->priority + 1;
 }
 
+h2o_iovec_t gw_caller_name(const struct gw_call *call)
+{
+	h2o_iovec_t given;
+
+	if (call->customer)
+		return h2o_iovec_init(call->customer, strlen(call->customer));
+	given = hd_header(call->req, "x-caller");
+	return given.base ? given : h2o_iovec_init("", 0);
+}
+
 bool gw_has_lost_key(struct gw_call *call)
 {
 	const struct doc_customers *customers =
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -152,6 +152,7 @@
 	struct gw_identity identity;
 	struct gw_call *call;
 	uint32_t index;
+	bool is_public;
 
 	ct_add(CT_CALLS, 1);
 	if (!document) {
@@ -171,7 +172,10 @@
 				  "no service has this route");
 		return;
 	}
-	if (!gw_identify_customer(gateway, req, route, from_host, &identity))
+	is_public =
+		route ? route->is_public : document->services[index].is_public;
+	if (!gw_identify_customer(gateway, req, is_public, from_host,
+				  &identity))
 		return;
 	call = gw_call_new(gateway, req, arrived_us);
 	call->from_host = from_host;
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -228,10 +228,12 @@
 /*
  * customer.c
  *
- * gw_identify_customer - find the customer of a request to ROUTE, or to no named
- * route (NULL). False: it has none and needs one, and was refused.
+ * gw_identify_customer - find the customer of a request, whose route or service may
+ * be public. False: it has none and needs one, and was refused.
  * gw_set_customer, gw_clear_customer - of a new call; of one that ends.
  * gw_set_priority - that of its customer or else of its route.
+ * gw_caller_name - by which a call without a named route is weighted and its
+ * idempotency key is scoped: its customer, or else what the caller calls itself.
  * gw_is_customer_header - whether the header of a caller is not passed on because
  * it holds a key, or may be taken for the customer's name.
  * gw_has_lost_key - whether the document in force has removed the key of the call;
@@ -239,11 +241,12 @@
  * gw_end_revoked_calls - end those of them that wait for a server.
  */
 bool gw_identify_customer(struct gw_gateway *gateway, h2o_req_t *req,
-			  const struct doc_route *route, bool from_host,
+			  bool is_public, bool from_host,
 			  struct gw_identity *identity);
 void gw_set_customer(struct gw_call *call, const struct gw_identity *identity);
 void gw_clear_customer(struct gw_call *call);
 void gw_set_priority(struct gw_call *call, const struct doc_route *route);
+h2o_iovec_t gw_caller_name(const struct gw_call *call);
 bool gw_is_customer_header(const struct gw_gateway *gateway, const char *name,
 			   size_t bytes);
 bool gw_has_lost_key(struct gw_call *call);
--- a/orders/order.c
+++ b/orders/order.c
@@ -609,6 +609,8 @@
 
 /* Claims */
 
+#define OD_CUSTOMER_SCOPE "customer"
+
 static bool od_is_valid_key(const char *key, size_t bytes)
 {
 	for (size_t i = 0; i < bytes; i++)
@@ -642,6 +644,9 @@
 	od_hash_part(key, request->caller, request->caller_bytes);
 	od_hash_part(key, request->service, strlen(request->service));
 	od_hash_part(key, request->key, request->key_bytes);
+	/* A caller that calls itself like a customer has other keys. */
+	if (request->is_customer)
+		od_hash_part(key, OD_CUSTOMER_SCOPE, strlen(OD_CUSTOMER_SCOPE));
 	od_hash_end(key, claim->row_key);
 	od_hash_part(digest, request->method, strlen(request->method));
 	od_hash_part(digest, request->path, strlen(request->path));
--- a/orders/order.h
+++ b/orders/order.h
@@ -67,6 +67,7 @@
 	const char *id; /* unique per call over all hosts and restarts */
 	const char *caller;
 	size_t caller_bytes;
+	bool is_customer; /* CALLER was found by its key, not claimed */
 	const char *service;
 	const char *key;
 	size_t key_bytes;
--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -71,6 +71,9 @@
 	"    measuring: {requests_per_s: " r ", bytes_per_s: " b ", " \
 	"cross_zone_bytes_per_s: " c "}"
 
+#define CUSTOMER(name, keys) "customers: [{name: " name ", keys: [" keys "]}]"
+#define QUOTA(fields)	     "customers: [{name: x, quota: {" fields "}}]"
+
 struct bad_case {
 	size_t line; /* number of the replaced line */
 	const char *text; /* replacement */
@@ -151,6 +154,43 @@
 	{ 20, "    queue_limit: 5", 22, "servers", "not in remote_zones" },
 	{ 22, "    servers: []\n    rules:", 22, "servers",
 	  "must not be empty" },
+	{ 3, "zones: [a, b]\nevacuated_zones: [c]", 4, "evacuated_zones",
+	  "does not exist" },
+	{ 3, "zones: [a, b]\nevacuated_zones: [a, a]", 4, "evacuated_zones",
+	  "used twice" },
+	{ 20, "    remote_zones: [b]\n    public: maybe", 21, "public",
+	  "true or false" },
+	{ 10, "    warmup_per_s: 0", 10, "warmup_per_s", "from 0.001 to" },
+	{ 10, "    warmup_per_s: 4.3001", 10, "warmup_per_s", "3 decimals" },
+	{ 10, "    warmup_per_s: 4.", 10, "warmup_per_s", "not a number" },
+	{ 10, "    warmup_per_s: 4000000.001", 10, "warmup_per_s",
+	  "to 4000000 " },
+	{ 10, "    warmup_per_s: 99999999999999999999", 10, "warmup_per_s",
+	  "not a number" },
+	{ 4, "customers: []", 4, "customers", "must not be empty" },
+	{ 4, "customers: [x]", 4, "customers", "must be a mapping" },
+	{ 4, CUSTOMER("a b", "k"), 4, "name", "may only have" },
+	{ 4, "customers: [{keys: [k]}]", 4, "name", "missing" },
+	{ 4, "customers: [{name: x}, {name: x}]", 4, "name", "used twice" },
+	{ 4, CUSTOMER("x", "k], priority: [0"), 4, "priority",
+	  "unknown field" },
+	{ 4, CUSTOMER("x", "\"\""), 4, "keys", "must not be empty" },
+	{ 4, CUSTOMER("x", "[k]"), 4, "keys", "must not be empty" },
+	{ 4, CUSTOMER("x", "\"k k\""), 4, "keys", "may only have" },
+	{ 4, CUSTOMER("x", "\"#123456789abc\""), 4, "keys", "may only have" },
+	{ 4, CUSTOMER("x", "=="), 4, "keys", "may only have" },
+	{ 4, CUSTOMER("x", "k, k"), 4, "keys", "listed twice" },
+	{ 4,
+	  "customers:\n  - {name: x, keys: [k]}\n  - {name: y, keys: [j,\n"
+	  "    k]}",
+	  7, "keys", "customer \"x\" holds a key" },
+	{ 4, QUOTA("burst: 5"), 4, "requests_per_s", "missing" },
+	{ 4, QUOTA("requests_per_s: 0"), 4, "requests_per_s", "from 0.001" },
+	{ 4, QUOTA("requests_per_s: -1"), 4, "requests_per_s", "not a number" },
+	{ 4, QUOTA("requests_per_s: 1, burst: 0.5"), 4, "burst", "from 1 to" },
+	{ 4, QUOTA("requests_per_s: 1, rate: 1"), 4, "rate", "unknown field" },
+	{ 4, "customers: [{name: x, quota: 5}]", 4, "quota",
+	  "must be a mapping" },
 };
 
 /*
@@ -257,6 +297,15 @@
 	  "127.0.0.1:9009\n" },
 	{ 18, "  - name: sheets",
 	  "service files: removed (route /files/, policy shares, " },
+	{ 3, "zones: [a, b]\nevacuated_zones: [b]",
+	  "document: evacuated_zones: none -> b\n" },
+	{ 20, "    remote_zones: [b]\n    public: true\n    warmup_per_s: 4.30",
+	  "service files: public: false -> true\n"
+	  "service files: warmup_per_s: none -> 4.3\n" },
+	{ 3, "zones: [a, b]\n" QUOTA("requests_per_s: 0.4"),
+	  "customer x: added (keys 0, quota.requests_per_s 0.4, "
+	  "quota.burst 1)\n"
+	  "document: calls need keys: false -> true\n" },
 };
 
 /*
@@ -294,6 +343,113 @@
 }
 END_TEST
 
+static const char two_customers[] =
+	"customers: [{name: acme, keys: [key-1, key-2], quota: "
+	"{requests_per_s: 292.5, burst: 300}}, {name: beta, keys: [key-3]}]";
+
+START_TEST(customers_are_read)
+{
+	char *text = make_text(4, two_customers);
+	struct ym_errors errors;
+	struct doc_document *document = parse(text, &errors);
+	const struct doc_customers *customers;
+
+	ck_assert_ptr_nonnull(document);
+	customers = document->customers;
+	ck_assert_uint_eq(customers->count, 2);
+	ck_assert_uint_eq(customers->rows[0].rate_milli, 292500);
+	ck_assert_uint_eq(customers->rows[0].burst_milli, 300000);
+	ck_assert_uint_eq(customers->rows[1].rate_milli, 0);
+	ck_assert(!customers->rows[0].has_priority);
+	ck_assert_uint_eq(doc_customers_find(customers, "key-2", 5), 0);
+	ck_assert_uint_eq(doc_customers_find(customers, "key-3", 5), 1);
+	ck_assert_uint_eq(doc_customers_find(customers, "key-4", 5),
+			  DOC_NO_INDEX);
+	doc_unref(document);
+	ym_errors_free(&errors);
+	g_free(text);
+}
+END_TEST
+
+/*
+ * Guards against a key in the audit trail, which holds differences, and against a
+ * key that moves or is removed without a line.
+ */
+START_TEST(diff_shows_no_key)
+{
+	char *old = make_text(4, two_customers);
+	char *new = make_text(4, "customers: [{name: acme, keys: [key-2]}, "
+				 "{name: beta, keys: [key-1, key-3]}]");
+	char *text = diff_text(old, new);
+	char digest[DOC_KEY_DIGEST_BYTES];
+	char *moved;
+
+	doc_key_digest("key-1", digest);
+	moved = g_strdup_printf("customer acme: keys: 2 -> 1, 1 removed: #%s\n"
+				"customer beta: keys: 1 -> 2, 1 added: #%s\n",
+				digest, digest);
+	ck_assert_msg(strstr(text, moved) != NULL, "got \"%s\"", text);
+	ck_assert_ptr_null(strstr(text, "key-"));
+	g_free(moved);
+	g_free(text);
+	g_free(old);
+	g_free(new);
+}
+END_TEST
+
+/* Guards against a key in an error, which is logged and shown to others. */
+START_TEST(errors_show_no_key)
+{
+	static const char *const keys[] = { "secret1, secret1", "\"secret 1\"",
+					    "[secret1]", "{secret1: 1}",
+					    "secret1], keys: [secret1" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		char *list = g_strdup_printf(
+			"customers: [{name: x, keys: [%s]}]", keys[i]);
+		char *text = make_text(4, list);
+		struct ym_errors errors;
+		GString *out = g_string_new(NULL);
+
+		ck_assert_ptr_null(parse(text, &errors));
+		ym_errors_print(&errors, out);
+		ck_assert_msg(!strstr(out->str, "secret"), "got %s", out->str);
+		g_string_free(out, TRUE);
+		ym_errors_free(&errors);
+		g_free(text);
+		g_free(list);
+	}
+}
+END_TEST
+
+/* Guards against lists that make a host slow or large to read. */
+START_TEST(customers_and_keys_are_limited)
+{
+	GString *list = g_string_new("customers: [");
+	struct ym_errors errors;
+	char *text;
+
+	for (int i = 0; i <= DOC_MAX_CUSTOMERS; i++)
+		g_string_append_printf(list, "{name: c%d, keys: [k%d]},", i, i);
+	g_string_append_c(list, ']');
+	text = make_text(4, list->str);
+	ck_assert_ptr_null(parse(text, &errors));
+	ck_assert_str_eq(errors.rows[0].msg, "more than 10000 entries");
+	ym_errors_free(&errors);
+	g_free(text);
+	g_string_assign(list, "customers: [{name: x, keys: [");
+	for (int i = 0; i <= DOC_MAX_CUSTOMER_KEYS; i++)
+		g_string_append_printf(list, "k%d,", i);
+	g_string_append(list, "]}]");
+	text = make_text(4, list->str);
+	ck_assert_ptr_null(parse(text, &errors));
+	ck_assert_str_eq(errors.rows[0].msg, "more than 64 entries");
+	ym_errors_free(&errors);
+	g_free(text);
+	g_string_free(list, TRUE);
+}
+END_TEST
+
 struct sample {
 	const char *path;
 	/* Of each server of the second service. */
@@ -428,6 +584,10 @@
 	tcase_add_test(tcase, totals_over_all_entries_are_limited);
 	tcase_add_loop_test(tcase, diff_names_object_and_field, 0,
 			    G_N_ELEMENTS(diff_cases));
+	tcase_add_test(tcase, customers_are_read);
+	tcase_add_test(tcase, diff_shows_no_key);
+	tcase_add_test(tcase, errors_show_no_key);
+	tcase_add_test(tcase, customers_and_keys_are_limited);
 	tcase_add_loop_test(tcase, sample_documents_are_accepted, 0,
 			    G_N_ELEMENTS(samples));
 	tcase_add_test(tcase, mutated_documents_are_rejected_or_parsed);
