Show customers in the forms of the console

The console could not show a document with customers, public services or evacuated zones. Add fields for them.

--- a/admin/console.c
+++ b/admin/console.c
@@ -264,6 +264,14 @@
 	return document ? document->generation : 0;
 }
 
+static const struct doc_customers *
+cs_customers_in_force(const struct cs_console *console)
+{
+	const struct doc_document *document = console->control->document;
+
+	return document ? document->customers : NULL;
+}
+
 static void cs_show_form(struct cs_console *console, h2o_req_t *req,
 			 struct fm_node *form, const struct cs_form_view *view)
 {
@@ -282,6 +290,7 @@
 	cs_add_hidden_field(page, "form_token", token);
 	cs_add_hidden_field(page, "base", base);
 	cs_add_toolbar(page, view, cs_generation_in_force(console));
+	fm_hide_keys(form, cs_customers_in_force(console));
 	fm_to_html(form, page);
 	g_string_append(page, "</form>");
 	cs_end_page(page);
@@ -532,6 +541,7 @@
 		g_strlcpy(author, cs_get_param(params, "author"),
 			  sizeof(author));
 		view.author = author;
+		fm_show_keys(form, cs_customers_in_force(console));
 		view.base_generation = g_ascii_strtoull(
 			cs_get_param(params, "base"), NULL, 10);
 		cs_run_action(console, req, form, &view,
--- a/admin/form.c
+++ b/admin/form.c
@@ -26,12 +26,14 @@
 static const struct fm_field fm_service_fields[] = {
 	{ "name", "Name", FM_TEXT },
 	{ "route", "Route", FM_TEXT },
+	{ "public", "Public, without keys", FM_FLAG },
 	{ "remote_zones", "Zones without own servers", FM_NAMES },
 	{ "policy", "Policy", FM_POLICY },
 	{ "deadline_ms", "Deadline, ms", FM_NUMBER },
 	{ "longest_deadline_ms", "Longest deadline, ms", FM_NUMBER },
 	{ "queue_limit", "Queue limit per host", FM_NUMBER },
 	{ "retry_percent", "Retries, % of calls", FM_NUMBER },
+	{ "warmup_per_s", "Requests/s of a cold server", FM_DECIMAL },
 	{ "measuring.requests_per_s", "Measuring, requests/s", FM_NUMBER },
 	{ "measuring.bytes_per_s", "Measuring, bytes/s", FM_NUMBER },
 	{ "measuring.cross_zone_bytes_per_s", "Measuring, cross-zone bytes/s",
@@ -43,10 +45,18 @@
 	{ "weight", "Weight", FM_NUMBER },
 };
 
+static const struct fm_field fm_customer_fields[] = {
+	{ "name", "Name", FM_TEXT },
+	{ "keys", "Keys (#... is one in force)", FM_KEYS },
+	{ "quota.requests_per_s", "Quota, requests/s", FM_DECIMAL },
+	{ "quota.burst", "Burst, requests", FM_DECIMAL },
+};
+
 static const struct fm_field fm_root_fields[] = {
 	{ "deployment", "Deployment", FM_TEXT },
 	{ "latency_weight_percent", "Weight of tail latency, %", FM_NUMBER },
 	{ "zones", "Zones", FM_NAMES },
+	{ "evacuated_zones", "Evacuated zones", FM_NAMES },
 };
 
 static const struct fm_node_type fm_rule_type = {
@@ -63,6 +73,15 @@
 	NULL,	   0
 };
 
+static const struct fm_node_type fm_customer_type = {
+	"customers",
+	"Customers",
+	fm_customer_fields,
+	FM_COUNT(fm_customer_fields),
+	NULL,
+	0
+};
+
 static const struct fm_node_type *const fm_service_children[] = {
 	&fm_rule_type,
 	&fm_server_type,
@@ -76,6 +95,7 @@
 
 static const struct fm_node_type *const fm_root_children[] = {
 	&fm_caller_type,
+	&fm_customer_type,
 	&fm_service_type,
 };
 
@@ -129,6 +149,11 @@
 	g_free(node);
 }
 
+static bool fm_is_list(const struct fm_field *field)
+{
+	return field->kind == FM_NAMES || field->kind == FM_KEYS;
+}
+
 static void fm_set_value(struct fm_node *node, uint32_t field,
 			 const char *value)
 {
@@ -192,7 +217,7 @@
 	for (uint32_t i = 0; i < type->field_count; i++) {
 		struct ym_node *found = fm_find_yaml(map, type->fields[i].key);
 
-		if (found && type->fields[i].kind == FM_NAMES)
+		if (found && fm_is_list(&type->fields[i]))
 			fm_read_yaml_names(node, i, found);
 		else if (found && found->value)
 			fm_set_value(node, i, found->value);
@@ -376,7 +401,7 @@
 			   uint32_t field, const char *key)
 {
 	g_string_append_printf(writer->out, "%s: ", key);
-	if (node->type->fields[field].kind == FM_NAMES)
+	if (fm_is_list(&node->type->fields[field]))
 		fm_write_names(writer, node->values[field]);
 	else
 		fm_write_scalar(writer, node->values[field]);
@@ -614,6 +639,13 @@
 	g_string_append(out, "</select>");
 }
 
+static const char *fm_input_mode(enum fm_field_kind kind)
+{
+	if (kind == FM_NUMBER)
+		return " inputmode=\"numeric\"";
+	return kind == FM_DECIMAL ? " inputmode=\"decimal\"" : "";
+}
+
 static void fm_html_field(GString *out, const struct fm_node *node,
 			  uint32_t field, const char *prefix)
 {
@@ -626,9 +658,7 @@
 		g_string_append_printf(out, "<input name=\"%s\" value=\"",
 				       name);
 		fm_append_escaped(out, node->values[field]);
-		g_string_append_printf(
-			out, "\"%s>",
-			f->kind == FM_NUMBER ? " inputmode=\"numeric\"" : "");
+		g_string_append_printf(out, "\"%s>", fm_input_mode(f->kind));
 	}
 	if (node->errors[field]) {
 		g_string_append(out, "<span class=\"error\">");
--- a/admin/form.h
+++ b/admin/form.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "base/yaml_tree.h"
+#include "document/customer.h"
 
 /*
  * The document as a form: a tree of nodes with text fields. It can be read
@@ -17,10 +18,18 @@
 enum { FM_MAX_NODES = 50000 };
 
 /*
- * FM_FLAG is true or false, FM_NAMES a comma-separated list of names and
- * FM_POLICY the name of a policy, see core_policy_name.
+ * FM_FLAG is true or false, FM_NAMES a comma-separated list of names, FM_KEYS
+ * such a list of keys and FM_POLICY the name of a policy, see core_policy_name.
  */
-enum fm_field_kind { FM_TEXT, FM_NUMBER, FM_FLAG, FM_NAMES, FM_POLICY };
+enum fm_field_kind {
+	FM_TEXT,
+	FM_NUMBER,
+	FM_DECIMAL,
+	FM_FLAG,
+	FM_NAMES,
+	FM_KEYS,
+	FM_POLICY
+};
 
 /*
  * KEY is the field's key in the YAML text. "group.name" stands for the key NAME
@@ -93,6 +102,14 @@
 bool fm_add_node(struct fm_node *root, const char *path);
 bool fm_remove_node(struct fm_node *root, const char *path);
 
+/*
+ * fm_hide_keys - replace each key that is in CUSTOMERS by '#' and its digest.
+ * fm_show_keys - the inverse. A digest of no key stays, and doc_parse refuses it.
+ * CUSTOMERS may be NULL. Source: admin/form_keys.c
+ */
+void fm_hide_keys(struct fm_node *root, const struct doc_customers *customers);
+void fm_show_keys(struct fm_node *root, const struct doc_customers *customers);
+
 /* fm_to_html - input fields and buttons, without the form element. */
 void fm_to_html(struct fm_node *root, GString *out);
 
--- a/tests/run_console.sh
+++ b/tests/run_console.sh
@@ -101,6 +101,29 @@
 grep -q "$TOKEN" "$page" "$WORK/entry0.log" &&
 	fail "the operators' token is in a page or in the log"
 
+# A key is stored but never shown, and a form that shows its digest keeps it.
+fields+=(author=nia base=2 customers.0._= customers.0.name=acme
+	customers.0.quota.requests_per_s=2.5)
+post_form 422 check "${fields[@]}" customers.0.keys=key-acme,key-acme
+page_has 'value="key-acme,key-acme"><span class="error">a key is listed twice'
+post_form 200 accept "${fields[@]}" customers.0.keys=key-acme
+page_has 'Accepted as generation 3.'
+fetch 200 "$url"
+page_has 'name="customers.0.quota.requests_per_s" value="2.5"'
+hidden=$(sed -n 's/.*name="customers.0.keys" value="\(#[0-9a-f]*\)".*/\1/p' "$page")
+test ${#hidden} = 13 || fail "the key has no digest: $hidden"
+grep -q key-acme "$page" && fail "the key is shown"
+post_form 200 check "${fields[@]}" "customers.0.keys=$hidden, key-2" base=3
+page_has 'keys: 1 -&gt; 2, 1 added: #'
+grep -q key-acme "$page" && fail "the key is shown after a check"
+post_form 200 accept "${fields[@]}" "customers.0.keys=$hidden, key-2" base=3
+operator_cli 0 show | grep -q 'keys: \[key-acme, key-2\]' || fail "the key is lost"
+post_form 422 check "${fields[@]}" "customers.0.keys=#0123456789ab"
+page_has 'value="#0123456789ab"><span class="error">a key may only'
+fetch 200 "$url/history"
+grep -qE 'key-(acme|2)' "$page" "$WORK/entry0.log" &&
+	fail "a key is in the audit trail or in the log"
+
 # Malformed input must not end the process.
 fetch 400 -d 'a=%zz' "$url/document"
 head -c 200000 /dev/urandom >"$WORK/random"
