--- a/tests/run_document_customers.sh
+++ b/tests/run_document_customers.sh
@@ -18,7 +18,7 @@
 	    longest_deadline_ms: 8000
 	    measuring: {requests_per_s: 0, bytes_per_s: 0, cross_zone_bytes_per_s: 0}
 	    rules: [{method: GET, path: /$1/, idempotent: true}]
-	    servers: [{name: $1-1, address: "127.0.0.1:$((servers_port + $2))", zone: a, slots: 2, connections: 8}]
+	    servers: [{name: $1-1, address: "127.0.0.1:$((servers_port + $2))", zone: a, slots: 2, connections: 4}]
 	END
 }
 # apply GENERATION TOP-LINES: puts a document with these lines in force at both hosts.
@@ -38,19 +38,12 @@
 	test "$(curl -s -o /dev/null -D "$WORK/answer" -w '%{http_code}' "${@:4}" \
 		"127.0.0.1:$((callers_port + $2))$3")" = "$1"
 }
-runs() { curl -s "127.0.0.1:$servers_port/runs" | grep -c .; }
+runs() { curl -s "127.0.0.1:$servers_port/stats" | sed 's/.*"runs":\([0-9]*\).*/\1/'; }
 # sees HEADER: how often the servers got it.
-sees() {
-	for s in 0 1; do curl -s "127.0.0.1:$((servers_port + s))/heads"; done |
-		grep -ic "^[^ ]* $1"
-}
+sees() { curl -s "127.0.0.1:$servers_port/heads" | grep -ic "^$1"; }
 
 start_platform || exit 1
-for s in 0 1; do
-	start_process "server$s" "$BIN/tool_upstream" "127.0.0.1:$((servers_port + s))" "s$s" 5
-	wait_http "127.0.0.1:$((servers_port + s))" /health || exit 1
-	curl -s -o /dev/null -X PUT -d on "127.0.0.1:$((servers_port + s))/heads"
-done
+start_servers desks 0 2 2 a 2000 || exit 1
 for i in 0 1; do start_host "$i" a 2; done
 wait_http "127.0.0.1:$operators_port" /health || exit 1
 
@@ -88,16 +81,18 @@
 check "another customer has orders of its own" test "$(runs)" = $((before + 2))
 
 # Calls that wait as their key is removed, and new ones.
-for i in 1 2; do
-	curl -s -o /dev/null -H "$BEARER $OTHER" -H "x-work: 4000" \
-		"127.0.0.1:$callers_port/desk/held$i" &
+server_control 0 '{"factor": 1000000}'
+for i in 1 2 3 4 5; do
+	answers 504 0 /desk/held -H "$BEARER $OTHER" -H "x-timeout-ms: 4000" &
 done
-within 3 test "$(runs)" -ge $((before + 3)) || sleep 0.5
-answers 401 0 /desk/waits -H "$BEARER $KEY" &
+sleep 0.5
+answers 401 0 /desk/waits -H "$BEARER $KEY" -H "x-timeout-ms: 3000" &
 waiting=$!
 sleep 0.3
 apply 3 "customers: [{name: acme}, {name: beta, keys: [$OTHER, $MOVED]}]"
 check "a call that waits ends with its key" wait $waiting
+server_control 0 '{"factor": 1}'
+sleep 4 # until the calls that fill the server have ended
 for i in 0 1; do
 	check "removed key" answers 401 "$i" /desk/a -H "$BEARER $KEY"
 	check "moved key" answers 200 "$i" /desk/a -H "$BEARER $MOVED"
--- a/tests/tool_server.c
+++ b/tests/tool_server.c
@@ -19,6 +19,7 @@
  *	refuse_every	refuse the request without running it
  *	break_every	run it, then close the connection without an answer
  *	cut_every	run it, then break off the answer
+ * GET /heads lists the first headers that requests had, one a line.
  */
 #include <math.h>
 #include <signal.h>
@@ -39,6 +40,7 @@
 	PROBE_DELAY_US = 6000, /* until a probe is answered */
 	SWEEP_INTERVAL_US = 20 * 1000, /* of checks for closed connections */
 	MAX_SERVERS = 64,
+	MAX_HEADS_BYTES = 100000,
 	COLD_START_FACTOR = 4 /* initial multiplier of the service time */
 };
 
@@ -89,6 +91,7 @@
 static struct tm_sub sweep;
 static struct server servers[MAX_SERVERS];
 static uint32_t server_count;
+static GString *heads; /* of requests, see keep_head */
 static GQueue jobs; /* of all servers, in every state */
 static GRand *rng;
 static double mean_service_us;
@@ -315,6 +318,20 @@
 	tm_subscribe(&timers, &sweep, tm_now_us() + SWEEP_INTERVAL_US);
 }
 
+/* Keeps the headers of a request while there is room. */
+static void keep_head(const h2o_req_t *req)
+{
+	for (size_t i = 0; i < req->headers.size; i++) {
+		const h2o_header_t *h = &req->headers.entries[i];
+
+		if (heads->len < MAX_HEADS_BYTES)
+			g_string_append_printf(heads, "%.*s: %.*s\n",
+					       (int)h->name->len, h->name->base,
+					       (int)h->value.len,
+					       h->value.base);
+	}
+}
+
 static void on_work(struct server *server, h2o_req_t *req)
 {
 	struct job *job = g_new0(struct job, 1);
@@ -322,6 +339,7 @@
 	h2o_iovec_t zone = hd_header(req, "x-entry-zone");
 	char *bytes = hd_query(req, "bytes");
 
+	keep_head(req);
 	job->server = server;
 	job->request_ref = hd_request_ref_new(req);
 	job->order = hd_method_is(req, "POST") ? ++server->orders : 0;
@@ -418,6 +436,8 @@
 		on_control(server, req);
 	else if (hd_path_is(req, "/stats"))
 		on_stats(server, req);
+	else if (hd_path_is(req, "/heads"))
+		hd_reply(req, 200, "text/plain", heads->str, heads->len);
 	else
 		on_work(server, req);
 }
@@ -464,6 +484,7 @@
 	if (argc > 6)
 		run_log = fopen(argv[6], "a");
 	rng = g_rand_new_with_seed(1);
+	heads = g_string_new(NULL);
 	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&loop);
 	tm_init(&timers, &loop);
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -16,7 +16,7 @@
  * ends that. PUT /stale with a text as the body makes each answer to a call follow
  * a second copy of a refused health check on the same connection; an empty body ends
  * that. After PUT /heads with a text as the body, GET /heads lists the headers of all
- * runs, one a line after the attempt id, or without one the x-request-id. Each request that a leaving or pausing server gets, health checks
+ * runs, one a line after the attempt id. Each request that a leaving or pausing server gets, health checks
  * included, prints a line with "notice", the attempt id or "-", and the time. A
  * request whose path ends with "deadly" ends the process after its work, without an
  * answer. One that ends with "deadly-held" does the same where a supervisor keeps the
@@ -211,8 +211,6 @@
 	printf("%.*s %s %" G_GUINT64_FORMAT "\n", (int)id.len,
 	       id.base ? id.base : "", upstream.id, tm_now_us() / US_PER_MS);
 	fflush(stdout);
-	if (!id.base)
-		id = hd_header(req, "x-request-id");
 	if (*upstream.heads_wanted && id.base)
 		keep_head(req, &id);
 	if (*upstream.stale)
