Warn of likely mistakes in documents

A customer without a key, a quota below one request in 5 s, callers that no customer is named after, a service with all servers in evacuated zones and "public" without customers are allowed, but seldom meant. check, POST /v1/check and the console list them with line and field; the exit status stays 0.

--- a/admin/admin.c
+++ b/admin/admin.c
@@ -221,10 +221,12 @@
 	const char *text = req->entity.base ? req->entity.base : "";
 	struct doc_document *document;
 	struct ym_errors errors;
+	struct ym_errors warnings;
 	GString *detail = g_string_new(NULL);
 	json_t *changes = NULL;
 
 	ym_errors_init(&errors);
+	ym_errors_init(&warnings);
 	document = doc_parse(text, req->entity.len, &errors);
 	ym_errors_print(&errors, detail);
 	if (document) {
@@ -232,13 +234,16 @@
 
 		changes = doc_diff_json(list);
 		g_ptr_array_unref(list);
+		doc_find_warnings(document, &warnings);
 	}
 	ad_reply_json(req, document ? 200 : st_http_status(ST_INVALID),
-		      json_pack("{s:s, s:o, s:o}", "result",
+		      json_pack("{s:s, s:o, s:o, s:o}", "result",
 				st_name(document ? ST_OK : ST_INVALID),
 				"detail", jt_string(detail->str), "changes",
-				changes ? changes : json_array()));
+				changes ? changes : json_array(), "warnings",
+				ym_errors_json(&warnings)));
 	g_string_free(detail, TRUE);
+	ym_errors_free(&warnings);
 	ym_errors_free(&errors);
 	doc_unref(document);
 }
--- a/admin/console.c
+++ b/admin/console.c
@@ -401,8 +401,8 @@
 }
 
 /*
- * Checks TEXT, the document of FORM, and places the errors beside the fields.
- * NOTICE receives the errors that belong to no field. DIFFERENCE receives the
+ * Checks TEXT, the document of FORM, and places the errors, or else the
+ * warnings, beside the fields. NOTICE receives the errors that belong to no field. DIFFERENCE receives the
  * changes against the document in force. Returns whether the document is valid.
  */
 static bool cs_check_form(struct cs_console *console, struct fm_node *form,
@@ -419,8 +419,11 @@
 	if (errors.count)
 		g_string_prepend(notice, "The document has errors.\n");
 	valid = document;
-	if (document)
+	if (document) {
 		cs_append_difference(console, document, difference);
+		doc_find_warnings(document, &errors);
+		fm_place_errors(form, &errors, notice);
+	}
 	doc_unref(document);
 	ym_errors_free(&errors);
 	return valid;
@@ -449,7 +452,7 @@
 		cs_submit_form(console, req, form, view, text);
 		form = NULL;
 	} else if (valid) {
-		g_string_assign(notice, "The document is valid.");
+		g_string_prepend(notice, "The document is valid.\n");
 	}
 	view->notice = notice->str;
 	if (form)
--- a/base/yaml_tree.c
+++ b/base/yaml_tree.c
@@ -8,6 +8,8 @@
 
 #include <yaml.h>
 
+#include "base/json_text.h"
+
 enum { YM_MILLI = 1000 };
 
 struct ym_reader {
@@ -69,6 +71,22 @@
 				       errors->count - shown);
 }
 
+json_t *ym_errors_json(const struct ym_errors *errors)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < MIN(errors->count, YM_MAX_ERRORS); i++) {
+		const struct ym_error *error = &errors->rows[i];
+
+		json_array_append_new(list, json_pack("{s:i, s:o, s:o}", "line",
+						      (int)error->line, "field",
+						      jt_string(error->field),
+						      "message",
+						      jt_string(error->msg)));
+	}
+	return list;
+}
+
 static void ym_parser_error(struct ym_reader *reader, uint32_t line,
 			    const char *msg)
 {
--- a/base/yaml_tree.h
+++ b/base/yaml_tree.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <glib.h>
+#include <jansson.h>
 
 #include "base/status.h"
 
@@ -60,6 +61,9 @@
 	      const char *field, const char *fmt, ...)
 	__attribute__((format(printf, 4, 5)));
 
+/* ym_errors_json - return an array of {"line","field","message"}. */
+json_t *ym_errors_json(const struct ym_errors *errors);
+
 /* ym_errors_print - append "line N: field: message" lines to OUT. */
 void ym_errors_print(const struct ym_errors *errors, GString *out);
 
--- a/cli/operator.c
+++ b/cli/operator.c
@@ -8,7 +8,8 @@
 static const struct co_command co_check = {
 	.args_doc = "FILE",
 	.doc = "Checks a document as a whole without contacting a host.\v"
-	       "Every error is printed with its line and field. \"-\" reads "
+	       "Every error is printed with its line and field, or else every "
+	       "warning, which does not change the exit status. \"-\" reads "
 	       "the standard input.\n\nExample:\n"
 	       "  jackdawworks check tri-parish.yaml",
 	.options = CO_BIT(JSON),
@@ -16,10 +17,36 @@
 	.max_files = 1,
 };
 
+static void co_print_checked(const struct co_options *options,
+			     const struct doc_document *document,
+			     const struct ym_errors *warnings)
+{
+	GString *out = g_string_new(NULL);
+	json_t *list = ym_errors_json(warnings);
+	char *json = jt_dump(list);
+
+	ym_errors_print(warnings, out);
+	if (warnings->count && !options->values[CO_JSON]) {
+		fprintf(stderr, "%s, warnings:\n", options->files[0]);
+		co_print_text(stderr, out->str);
+	}
+	if (options->values[CO_JSON])
+		printf("{\"result\":\"ok\",\"services\":%u,"
+		       "\"digest\":\"%s\",\"warnings\":%s}\n",
+		       document->service_count, document->digest, json);
+	else
+		printf("%s: %u services, digest %s\n", options->files[0],
+		       document->service_count, document->digest);
+	free(json);
+	json_decref(list);
+	g_string_free(out, TRUE);
+}
+
 int cmd_check(int argc, char **argv)
 {
 	struct co_options options;
 	struct doc_document *document;
+	struct ym_errors warnings;
 	int code;
 
 	if (!co_parse_options(argc, argv, &co_check, &options))
@@ -33,13 +60,10 @@
 					       ST_IO));
 		return code;
 	}
-	if (options.values[CO_JSON])
-		printf("{\"result\":\"ok\",\"services\":%u,"
-		       "\"digest\":\"%s\"}\n",
-		       document->service_count, document->digest);
-	else
-		printf("%s: %u services, digest %s\n", options.files[0],
-		       document->service_count, document->digest);
+	ym_errors_init(&warnings);
+	doc_find_warnings(document, &warnings);
+	co_print_checked(&options, document, &warnings);
+	ym_errors_free(&warnings);
 	doc_unref(document);
 	return 0;
 }
--- a/document/document.h
+++ b/document/document.h
@@ -161,6 +161,14 @@
  */
 struct doc_document *doc_parse(const char *text, size_t text_bytes,
 			       struct ym_errors *errors);
+
+/*
+ * doc_find_warnings - add what is allowed in a document that doc_parse returned,
+ * but is likely to be a mistake, with line and field. Source: document/warning.c
+ */
+void doc_find_warnings(const struct doc_document *document,
+		       struct ym_errors *warnings);
+
 struct doc_document *doc_ref(struct doc_document *document);
 void doc_unref(struct doc_document *document);
 
--- a/tests/document_cases.sh
+++ b/tests/document_cases.sh
@@ -290,6 +290,36 @@
 	say "started with 3 of 3 seed peers, not with 1 of 3"
 }
 
+# Guards against keys in what operators read about a change, and against warnings that
+# refuse a document.
+customer_documents() {
+	for keys in "" key-1 "key-1, key-2"; do
+		{
+			say "customers: [{name: acme, keys: [$keys]}]"
+			print_document 1
+		} >"$WORK/customers-${#keys}"
+	done
+	none=$WORK/customers-0 one=$WORK/customers-5 two=$WORK/customers-12
+	expect_exit 0 "$BIN/jackdawworks" check "$none"
+	grep -q 'line 1: keys: customer "acme" has no key' "$WORK/out" ||
+		fail "no warning: $(cat "$WORK/out")"
+	expect_exit 0 "$BIN/jackdawworks" check --json "$none"
+	grep -q '"warnings":\[{"line":1,"field":"keys"' "$WORK/out" ||
+		fail "no warning: $(cat "$WORK/out")"
+	expect_exit 0 operator_cli 0 apply --base 1 "$one"
+	wait_generation 2 || fail "generation 2 is not in force"
+	expect_exit 4 operator_cli 1 apply --base 1 "$two"
+	grep -q 'customer acme: added (keys 1)' "$WORK/out" || fail "$(cat "$WORK/out")"
+	cp "$WORK/out" "$WORK/conflict"
+	expect_exit 0 operator_cli 1 diff "$two"
+	grep -q 'customer acme: keys: 1 -> 2, 1 added: #' "$WORK/out" ||
+		fail "$(cat "$WORK/out")"
+	operator_cli 0 history >"$WORK/history"
+	grep -l 'key-[12]' "$WORK/out" "$WORK/conflict" "$WORK/history" \
+		"$WORK"/entry?.log && fail "a key is shown"
+	operator_cli 1 show | grep -q 'keys: \[key-1\]' || fail "the key is lost"
+}
+
 # Guards against malformed input that is accepted as a document or ends the
 # process of a host.
 bad_input() {
--- a/tests/run_documents.sh
+++ b/tests/run_documents.sh
@@ -8,7 +8,8 @@
 failed=0
 for case in document_in_force conditional_accept read_back generation_order \
 	digest_check platform_down down_after_accept slow_platform refused_rows \
-	repeated_submission show_and_apply fresh_host bad_input; do
+	repeated_submission show_and_apply fresh_host \
+	customer_documents bad_input; do
 	"$(dirname "$0")/document_cases.sh" "$BIN" $case || {
 		printf 'FAILED %s\n' $case
 		failed=1
--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -347,6 +347,58 @@
 	"customers: [{name: acme, keys: [key-1, key-2], quota: "
 	"{requests_per_s: 292.5, burst: 300}}, {name: beta, keys: [key-3]}]";
 
+struct warning_case {
+	uint32_t line; /* replaced, as in bad_case */
+	const char *text;
+	uint32_t warning_line; /* 0: none */
+	const char *field;
+	const char *message; /* part of the expected message */
+};
+
+static const struct warning_case warning_cases[] = {
+	{ 0, "", 0, "", "" },
+	{ 4, two_customers, 0, "", "" },
+	{ 4, QUOTA("requests_per_s: 0.2"), 4, "keys", "\"x\" has no key" },
+	{ 4,
+	  "customers:\n  - name: x\n    keys: [k]\n"
+	  "    quota:\n      requests_per_s: 0.199",
+	  8, "requests_per_s", "less than one request in 5 s" },
+	{ 3, "zones: [a, b]\nevacuated_zones: [a]", 23, "servers",
+	  "\"files\" has no server" },
+	{ 20, "    remote_zones: [b]\n    public: true", 21, "public",
+	  "no effect" },
+	{ 3, "zones: [a, b]\n" CUSTOMER("batch", "k"), 5, "name",
+	  "no customer is named \"clerk\"" },
+};
+
+/* Guards against a warning that is missing, or at a line that does not help. */
+START_TEST(likely_mistakes_are_warned_of)
+{
+	const struct warning_case *expected = &warning_cases[_i];
+	char *text = make_text(expected->line, expected->text);
+	struct ym_errors errors;
+	struct ym_errors warnings;
+	struct doc_document *document = parse(text, &errors);
+	json_t *list;
+
+	ck_assert_ptr_nonnull(document);
+	ym_errors_init(&warnings);
+	doc_find_warnings(document, &warnings);
+	ck_assert_uint_eq(warnings.count, expected->warning_line ? 1 : 0);
+	ck_assert_uint_eq(warnings.rows[0].line, expected->warning_line);
+	ck_assert_str_eq(warnings.rows[0].field, expected->field);
+	ck_assert_msg(strstr(warnings.rows[0].msg, expected->message) != NULL,
+		      "got %s", warnings.rows[0].msg);
+	list = ym_errors_json(&warnings);
+	ck_assert_uint_eq(json_array_size(list), warnings.count);
+	json_decref(list);
+	ym_errors_free(&warnings);
+	ym_errors_free(&errors);
+	doc_unref(document);
+	g_free(text);
+}
+END_TEST
+
 START_TEST(customers_are_read)
 {
 	char *text = make_text(4, two_customers);
@@ -502,6 +554,29 @@
 }
 END_TEST
 
+static const char *const fuzzed_samples[] = {
+	"examples/tri-parish.yaml",
+	"examples/customers.yaml",
+};
+
+/* Guards against a sample that an operator can't take over as it is. */
+START_TEST(sample_with_customers_is_accepted)
+{
+	struct doc_document *document = read_sample(fuzzed_samples[1]);
+	struct ym_errors warnings;
+
+	ck_assert_ptr_nonnull(document);
+	ym_errors_init(&warnings);
+	doc_find_warnings(document, &warnings);
+	ck_assert_uint_eq(warnings.count, 0);
+	ck_assert_uint_eq(document->customers->rows[1].burst_milli, 1600);
+	ck_assert(document->services[1].is_public);
+	ck_assert_ptr_null(document->zone_evacuated);
+	ym_errors_free(&warnings);
+	doc_unref(document);
+}
+END_TEST
+
 static void mutate(GRand *random, GString *text)
 {
 	static const char *const pieces[] = { "\n",   "- ",  ": ", "{",
@@ -542,7 +617,7 @@
 	int accepted = 0;
 	char *good;
 
-	ck_assert(g_file_get_contents(samples[0].path, &good, NULL, NULL));
+	ck_assert(g_file_get_contents(fuzzed_samples[_i], &good, NULL, NULL));
 
 	for (int i = 0; i < MUTATIONS; i++) {
 		GString *text = g_string_new(good);
@@ -559,6 +634,7 @@
 			GPtrArray *changes = doc_diff(document, document);
 
 			accepted++;
+			doc_find_warnings(document, &errors);
 			ck_assert_uint_eq(changes->len, 0);
 			g_ptr_array_unref(changes);
 		}
@@ -584,12 +660,16 @@
 	tcase_add_test(tcase, totals_over_all_entries_are_limited);
 	tcase_add_loop_test(tcase, diff_names_object_and_field, 0,
 			    G_N_ELEMENTS(diff_cases));
+	tcase_add_loop_test(tcase, likely_mistakes_are_warned_of, 0,
+			    G_N_ELEMENTS(warning_cases));
 	tcase_add_test(tcase, customers_are_read);
 	tcase_add_test(tcase, diff_shows_no_key);
 	tcase_add_test(tcase, errors_show_no_key);
 	tcase_add_test(tcase, customers_and_keys_are_limited);
 	tcase_add_loop_test(tcase, sample_documents_are_accepted, 0,
 			    G_N_ELEMENTS(samples));
-	tcase_add_test(tcase, mutated_documents_are_rejected_or_parsed);
+	tcase_add_test(tcase, sample_with_customers_is_accepted);
+	tcase_add_loop_test(tcase, mutated_documents_are_rejected_or_parsed, 0,
+			    G_N_ELEMENTS(fuzzed_samples));
 	return suite_run_case("document", tcase, CK_FORK_GETENV);
 }
