Keep orders of a customer apart from a caller of its name

The scope of a customer's idempotency key was tested with hosts only, for a caller that calls itself like another customer, not for a call without one.

--- a/document/document.c
+++ b/document/document.c
@@ -86,7 +86,7 @@
 		document->callers =
 			g_new0(struct doc_caller, list->children->len);
 	}
-	for (guint i = 0; i < document->caller_count; i++) {
+	for (guint i = 0; list && i < document->caller_count; i++) {
 		struct ym_node *map = g_ptr_array_index(list->children, i);
 		struct doc_caller *caller = &document->callers[i];
 
@@ -515,7 +515,7 @@
 		document->services =
 			g_new0(struct doc_service, list->children->len);
 	}
-	for (guint i = 0; i < document->service_count; i++) {
+	for (guint i = 0; list && i < document->service_count; i++) {
 		struct ym_node *map = g_ptr_array_index(list->children, i);
 		struct doc_service *service = &document->services[i];
 
--- a/document/warning.c
+++ b/document/warning.c
@@ -64,13 +64,13 @@
 			 "has no effect without customers");
 }
 
-/* Whether the weight of a caller may count by what it calls itself. */
-static bool doc_has_unnamed_calls(const struct doc_document *document)
+/* Whether calls of some service have no customer, but what they call themselves. */
+static bool doc_has_public_service(const struct doc_document *document)
 {
 	for (uint32_t i = 0; i < document->service_count; i++)
 		if (document->services[i].is_public)
 			return true;
-	return !document->customers;
+	return false;
 }
 
 static void doc_warn_callers(const struct doc_warner *warner)
@@ -78,7 +78,7 @@
 	const struct doc_document *document = warner->document;
 	GHashTable *names;
 
-	if (doc_has_unnamed_calls(document))
+	if (!document->customers || doc_has_public_service(document))
 		return;
 	names = g_hash_table_new(g_str_hash, g_str_equal);
 	for (uint32_t i = 0; i < document->customers->count; i++)
--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -349,25 +349,25 @@
 
 struct warning_case {
 	uint32_t line; /* replaced, as in bad_case */
-	const char *text;
 	uint32_t warning_line; /* 0: none */
+	const char *text;
 	const char *field;
 	const char *message; /* part of the expected message */
 };
 
 static const struct warning_case warning_cases[] = {
-	{ 0, "", 0, "", "" },
-	{ 4, two_customers, 0, "", "" },
-	{ 4, QUOTA("requests_per_s: 0.2"), 4, "keys", "\"x\" has no key" },
-	{ 4,
+	{ 0, 0, "", "", "" },
+	{ 4, 0, two_customers, "", "" },
+	{ 4, 4, QUOTA("requests_per_s: 0.2"), "keys", "\"x\" has no key" },
+	{ 4, 8,
 	  "customers:\n  - name: x\n    keys: [k]\n"
 	  "    quota:\n      requests_per_s: 0.199",
-	  8, "requests_per_s", "less than one request in 5 s" },
-	{ 3, "zones: [a, b]\nevacuated_zones: [a]", 23, "servers",
+	  "requests_per_s", "less than one request in 5 s" },
+	{ 3, 23, "zones: [a, b]\nevacuated_zones: [a]", "servers",
 	  "\"files\" has no server" },
-	{ 20, "    remote_zones: [b]\n    public: true", 21, "public",
+	{ 20, 21, "    remote_zones: [b]\n    public: true", "public",
 	  "no effect" },
-	{ 3, "zones: [a, b]\n" CUSTOMER("batch", "k"), 5, "name",
+	{ 3, 5, "zones: [a, b]\n" CUSTOMER("batch", "k"), "name",
 	  "no customer is named \"clerk\"" },
 };
 
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -293,6 +293,8 @@
 			  MIN(sizeof(outcome->body), result->body_bytes + 1));
 }
 
+static bool callers_are_customers;
+
 /* Claims a key at a host; the result goes to outcomes[I]. */
 static enum st_kind claim_key(int host, int i, const char *key,
 			      const char *caller, const char *body)
@@ -303,6 +305,7 @@
 		.id = id,
 		.caller = caller,
 		.caller_bytes = strlen(caller),
+		.is_customer = callers_are_customers,
 		.service = "ordering",
 		.key = key,
 		.key_bytes = strlen(key),
@@ -366,6 +369,17 @@
 }
 END_TEST
 
+/* Guards against a caller that gets the orders of a customer by using its name. */
+START_TEST(customer_is_not_a_caller_of_its_name)
+{
+	callers_are_customers = false;
+	ck_claimed(claim_key_and_wait(0, 0, "k", "acme", "2 mantles"));
+	callers_are_customers = true;
+	ck_claimed(claim_key_and_wait(1, 1, "k", "acme", "2 mantles"));
+	callers_are_customers = false;
+}
+END_TEST
+
 /*
  * Guards against filling the table with bodies beyond OD_MAX_BODY_BYTES, and
  * against counting an order with such an answer as unknown.
@@ -749,6 +763,7 @@
 	tcase_add_checked_fixture(tcase, setup, NULL);
 	tcase_set_timeout(tcase, TIMEOUT_S);
 	tcase_add_test(tcase, stored_answer_is_replayed);
+	tcase_add_test(tcase, customer_is_not_a_caller_of_its_name);
 	tcase_add_test(tcase, large_answer_is_stored_without_body);
 	tcase_add_test(tcase, key_is_free_only_after_not_run);
 	tcase_add_test(tcase, second_call_waits_for_first_answer);
