--- a/admin/admin.c
+++ b/admin/admin.c
@@ -281,11 +281,10 @@
 	const struct doc_document *document = admin->control->document;
 	json_t *counters = json_object();
 
-#define X(id, name, help)                   \
-	json_object_set_new(counters, name, \
-			    json_integer((json_int_t)ct_get(CT_##id)));
-	CT_LIST(X)
-#undef X
+	for (int i = 0; i < CT_COUNT; i++)
+		json_object_set_new(
+			counters, ct_name((enum ct_id)i),
+			json_integer((json_int_t)ct_get((enum ct_id)i)));
 	ad_reply_json(
 		req, 200,
 		json_pack("{s:o, s:o, s:I, s:s, s:b, s:I, s:b, s:o}", "host",
--- a/admin/console.c
+++ b/admin/console.c
@@ -690,12 +690,11 @@
 static void cs_add_counters(GString *page)
 {
 	g_string_append(page, "<h2>Counters since the start</h2><table>");
-#define X(id, name, help)                                                   \
-	g_string_append_printf(                                             \
-		page, "<tr><td>%s</td><td>%" G_GUINT64_FORMAT "</td></tr>", \
-		help, ct_get(CT_##id));
-	CT_LIST(X)
-#undef X
+	for (int i = 0; i < CT_COUNT; i++)
+		g_string_append_printf(
+			page,
+			"<tr><td>%s</td><td>%" G_GUINT64_FORMAT "</td></tr>",
+			ct_help((enum ct_id)i), ct_get((enum ct_id)i));
 	g_string_append(page, "</table>");
 }
 
--- a/base/counter.c
+++ b/base/counter.c
@@ -24,6 +24,16 @@
 	return ct_values[id];
 }
 
+const char *ct_name(enum ct_id id)
+{
+	return ct_rows[id].name;
+}
+
+const char *ct_help(enum ct_id id)
+{
+	return ct_rows[id].help;
+}
+
 void ct_add_result(enum st_kind kind)
 {
 	ct_results[kind]++;
--- a/base/counter.h
+++ b/base/counter.h
@@ -118,8 +118,10 @@
 /* ct_add - add N to a counter. Source: base/counter.c */
 void ct_add(enum ct_id id, uint64_t n);
 
-/* ct_get - current value. */
+/* ct_get - current value. ct_name, ct_help - columns of CT_LIST. */
 uint64_t ct_get(enum ct_id id);
+const char *ct_name(enum ct_id id);
+const char *ct_help(enum ct_id id);
 
 /*
  * ct_add_result - count a call that ended with KIND.
