Mend what the review of quotas and of request limits found

Requests in service over HTTP/2 counted as bytes held, connections that h2o is closing could be chosen again, and the body of a request that upgraded to HTTP/2 was taken from the connection, which h2o then frees: it is copied.

--- a/core/probe.c
+++ b/core/probe.c
@@ -147,8 +147,9 @@
 	for (guint i = 0; i < core->servers->len; i++) {
 		struct core_server *server = core_server(core, i);
 
-		if (!server->in_conf || (!server->answer_leaving &&
-					 !core_rate_is_limited(core, server)))
+		if (!server->in_conf || server->evacuated ||
+		    (!server->answer_leaving &&
+		     !core_rate_is_limited(core, server)))
 			continue;
 		core_rate_refresh(core, server);
 		more = true;
--- a/core/quota.c
+++ b/core/quota.c
@@ -116,8 +116,7 @@
 		customer->coordinator = peer;
 	}
 	if (old && old->down)
-		customer->replaced_until_us =
-			quotas->replaced_us + QT_REPLACED_US;
+		customer->replaced_until_us = old->down_us + QT_REPLACED_US;
 	return customer->coordinator;
 }
 
@@ -158,7 +157,6 @@
 				       QT_MAX_PING_US);
 	qt_set_suspect(quotas, peer, false);
 	qt_set_down(quotas, peer, true);
-	quotas->replaced_us = now_us;
 	quotas->due = true;
 }
 
@@ -221,6 +219,7 @@
 {
 	uint32_t generation = quotas->generation;
 
+	quotas->hosts_known = true;
 	for (guint i = 0; i < quotas->peers->len; i++)
 		((struct qt_peer *)g_ptr_array_index(quotas->peers, i))
 			->listed = false;
@@ -256,7 +255,8 @@
 	struct qt_customer *customer =
 		g_hash_table_lookup(quotas->customers, conf->name);
 
-	if (!conf->rate_milli)
+	/* Of customers of the same name, the first one has a quota. */
+	if (!conf->rate_milli || g_hash_table_contains(kept, conf->name))
 		return;
 	if (customer) {
 		g_hash_table_steal(quotas->customers, conf->name);
@@ -299,6 +299,11 @@
 	quotas->customers = kept;
 }
 
+bool qt_has_customers(const struct qt_quotas *quotas)
+{
+	return g_hash_table_size(quotas->customers) > 0;
+}
+
 /* Admission */
 
 /* Requests of this host in 1000 s, on average over about QT_USUAL_US. */
--- a/core/quota.h
+++ b/core/quota.h
@@ -54,8 +54,8 @@
 	GHashTable *customers; /* struct qt_customer with a quota, by name */
 	GPtrArray *peers; /* struct qt_peer, all other hosts */
 	GHashTable *peer_ids; /* the same by hash */
+	bool hosts_known; /* qt_set_hosts has been called */
 	uint32_t peers_down;
-	uint64_t replaced_us; /* a silent coordinator was replaced last */
 	uint32_t suspects; /* coordinators that another host replaces */
 	uint32_t generation; /* of coordinators: the list or a state changed */
 	GQueue pending; /* struct qt_customer with unreported requests */
@@ -69,6 +69,7 @@
  * qt_set_customers - take over the quotas; NULL: there are none. Customers whose
  *	quota stays keep their state.
  * qt_set_hosts - take over the other hosts, by the hashes of their names.
+ * qt_has_customers - whether any customer has a quota.
  * qt_admit - whether a request of CUSTOMER, a name of base/text.h, may run. If not,
  *	RETRY_US is set to a random time after which the caller may return.
  */
@@ -79,6 +80,7 @@
 		      const struct doc_customers *customers, uint64_t now_us);
 void qt_set_hosts(struct qt_quotas *quotas, const uint64_t *hashes,
 		  uint32_t count);
+bool qt_has_customers(const struct qt_quotas *quotas);
 bool qt_admit(struct qt_quotas *quotas, const char *customer, uint64_t now_us,
 	      uint64_t *retry_us);
 
--- a/core/quota_count.c
+++ b/core/quota_count.c
@@ -21,7 +21,8 @@
 	/* So many requests tell the rate within half a second. */
 	QT_ENOUGH_REQUESTS = 100,
 	QT_SPEND_PER_S = 2,
-	QT_PERCENT = 100
+	QT_PERCENT = 100,
+	QT_ASSUMED_HOSTS = 8 /* until the list of hosts arrives */
 };
 
 /*
@@ -33,7 +34,11 @@
 			 const struct qt_count *count, uint64_t amount)
 {
 	uint64_t all = (uint64_t)quotas->peers->len + 1;
-	uint64_t own = count->first ? all - count->not_mine : count->mine + 1;
+	uint64_t own;
+
+	if (!quotas->hosts_known)
+		return amount / QT_ASSUMED_HOSTS;
+	own = count->first ? all - count->not_mine : count->mine + 1;
 
 	return amount * MIN(own, all) / all;
 }
--- a/http/body.c
+++ b/http/body.c
@@ -1,5 +1,7 @@
 #include "http/httpd_conn.h"
 
+#include <string.h>
+
 #include "base/counter.h"
 
 /* Of HTTP/2: the largest frame that h2o takes, and what precedes its data. */
@@ -18,9 +20,23 @@
 	ct_add(CT_BODY_BYTES, body->bytes);
 }
 
+/* The body of a request that upgraded its connection belongs to the connection. */
+static h2o_buffer_t *hd_copy_body(struct hd_body *body)
+{
+	h2o_buffer_t *copy;
+
+	h2o_buffer_init(&copy, &h2o_socket_buffer_prototype);
+	h2o_buffer_reserve(&copy, body->bytes);
+	memcpy(copy->bytes, body->base, body->bytes);
+	copy->size = body->bytes;
+	body->base = copy->bytes;
+	return copy;
+}
+
 void hd_body_init(struct hd_body *body, h2o_req_t *req)
 {
 	struct hd_conn *conn = hd_conn_of(req);
+	h2o_buffer_t *taken;
 
 	body->base = req->entity.base;
 	body->bytes = req->entity.len;
@@ -32,7 +48,8 @@
 		MIN(conn->received_bytes,
 		    body->bytes + HD_FRAME_HEAD_BYTES *
 					  (body->bytes / HD_FRAME_BYTES + 1));
-	hd_body_own(body, hd_http2_take_body(req));
+	taken = hd_http2_take_body(req);
+	hd_body_own(body, taken ? taken : hd_copy_body(body));
 }
 
 /* Over HTTP/1 the request is dropped early only when its connection closes. */
--- a/http/intake.c
+++ b/http/intake.c
@@ -287,7 +287,9 @@
 	uint64_t now_ms = uv_now(conn->server->loop);
 
 	if (!conn->sock || conn->unwatched || conn->in_service ||
-	    conn->draining || conn->paused)
+	    conn->draining || conn->paused ||
+	    /* h2o is closing it, and waits for a write. */
+	    !uv_is_active((const uv_handle_t *)&conn->tcp))
 		return 0;
 	return conn->counted_bytes *
 	       (now_ms - conn->progress_ms + HD_LEAST_WEIGHT_MS);
@@ -394,7 +396,9 @@
 {
 	const h2o_http2_conn_t *http2 = conn->sock->data;
 
-	if (!http2->num_streams.pull.open && !http2->_headers_unparsed)
+	if (http2->num_streams.pull.open ==
+		    http2->num_streams.pull.half_closed &&
+	    !http2->_headers_unparsed)
 		conn->received_bytes = 0;
 	hd_count(conn, conn->received_bytes);
 }
@@ -454,6 +458,7 @@
 {
 	if (conn->http2 && hd_is_http2_head_large(conn)) {
 		hd_note_refusal(conn->server, HD_HEAD_LARGE);
+		hd_count(conn, 0);
 		hd_end_conn(conn);
 		return;
 	}
@@ -601,6 +606,7 @@
 	if (now_ms - conn->last_byte_ms > server->limits.idle_timeout_ms &&
 	    conn->counted_bytes && hd_is_idle_http2(conn)) {
 		hd_note_refusal(conn->server, HD_SLOW);
+		hd_count(conn, 0);
 		hd_end_conn(conn);
 		return;
 	}
