core: share slots by class and customer under overload (in progress)

A call waited at most an eighth of its target for a slot, so the kind with the shortest target gave up first, and no slot was kept for another host's urgent call. core/share.c measures the pressure of a service and keeps room for the highest class.

--- a/core/ask.c
+++ b/core/ask.c
@@ -23,6 +23,7 @@
 	CORE_ZONE_COST_PERCENT = 10,
 	CORE_ASK_WAIT_DIVISOR = 8, /* longest wait as part of the target */
 	CORE_ASK_PAUSE_US = 20 * CORE_US_PER_MS,
+	CORE_ASK_PAUSES = 8,
 	/* The transfer of a large answer between zones is rarely worthwhile. */
 	CORE_BULKY_ZONE_COST_US = 300 * CORE_US_PER_MS,
 	/* Cost at an error rate of 1, as a multiple of the work. */
@@ -138,7 +139,7 @@
 uint64_t core_ask_timer_us(const struct core_call *call)
 {
 	return call->ask_begin_us +
-	       (call->ask_paused ? CORE_ASK_PAUSE_US : CORE_ASK_TIMEOUT_US);
+	       (call->ask_paused ? call->ask_pause_us : CORE_ASK_TIMEOUT_US);
 }
 
 void core_ask_end(struct core *core, struct core_call *call)
@@ -188,6 +189,8 @@
 
 	if (need == CORE_NEED_NOTHING)
 		return true;
+	if (!core_share_leaves_room(core, service, server, call))
+		return false;
 	target_us = core_target_us(core, service, call);
 	end_us = core->now_us +
 		 core_expected_latency_us(core, service, server, call);
@@ -238,6 +241,12 @@
 	return best;
 }
 
+static void core_ask_refuse_full(struct core *core, struct core_call *call)
+{
+	core_share_on_refused(core, call);
+	core_finish_call(core, call, ST_QUEUE_FULL);
+}
+
 /* No server for the attempt: drops a hedge, refuses any other call. */
 static void core_ask_give_up(struct core *core, struct core_call *call,
 			     enum st_kind kind)
@@ -245,6 +254,8 @@
 	core_ask_end(core, call);
 	if (call->ask_hedge)
 		core_set_call_timer(core, call);
+	else if (kind == ST_QUEUE_FULL)
+		core_ask_refuse_full(core, call);
 	else
 		core_finish_call(core, call, kind);
 }
@@ -291,10 +302,28 @@
 			CORE_ASK_WAIT_DIVISOR;
 }
 
+/*
+ * A call that may wait longer than an eighth of its target asks less often, so
+ * that the probes of a call do not grow with the time that it waits.
+ */
+static uint64_t core_ask_pause_us(const struct core *core,
+				  const struct core_call *call)
+{
+	const struct core_service *service = core_service(core, call->service);
+	uint64_t wait_us =
+		core_share_wait_until_us(core, service, call) - call->begin_us;
+
+	if (!core_share_is_active(service))
+		return CORE_ASK_PAUSE_US;
+	return MAX(wait_us / CORE_ASK_PAUSES, (uint64_t)CORE_ASK_PAUSE_US);
+}
+
 /* Asks again after a pause, in which a slot may become free. */
 static void core_ask_pause(struct core *core, struct core_call *call)
 {
+	call->ask_pause_us = core_ask_pause_us(core, call);
 	call->ask_paused = true;
+	call->share_waited = true;
 	call->ask_count = 0;
 	call->ask_rounds = 0;
 	call->ask_begin_us = core->now_us;
@@ -309,10 +338,11 @@
 			       const struct core_call *call)
 {
 	const struct core_service *service = core_service(core, call->service);
+	uint64_t until_us = core_share_wait_until_us(core, service, call);
 
 	return !call->ask_hedge &&
-	       core->now_us + CORE_ASK_PAUSE_US <= call->wait_until_us &&
-	       core_opens_us(core, service) <= call->wait_until_us;
+	       core->now_us + core_ask_pause_us(core, call) <= until_us &&
+	       core_opens_us(core, service) <= until_us;
 }
 
 /* No server can be asked: waits if only limits or pauses are in the way. */
@@ -441,6 +471,8 @@
 		count = MIN(count, CORE_ASK_FANOUT - 1);
 		candidates[count++].id = best;
 	}
+	core_share_update(core, service);
+	core_share_draw(core, service, call);
 	call->ask_paused = false;
 	call->ask_rounds++;
 	call->ask_count = count;
@@ -474,7 +506,10 @@
 		call->ask_link.data = call;
 		g_queue_push_tail_link(&core->asking, &call->ask_link);
 	}
-	if (!core_ask_next_round(core, call))
+	if (!hedge && core_share_is_hopeless(
+			      core, core_service(core, call->service), call))
+		core_ask_give_up(core, call, ST_DEADLINE_NOT_RUN);
+	else if (!core_ask_next_round(core, call))
 		core_ask_no_server(core, call);
 }
 
@@ -490,14 +525,17 @@
 static enum core_slot_need core_ask_waiting_need(const struct core *core,
 						 const struct core_call *call)
 {
-	uint64_t half_us = (call->begin_us + call->wait_until_us) / 2;
+	const struct core_service *service = core_service(core, call->service);
+	uint64_t until_us = core_share_wait_until_us(core, service, call);
+	uint64_t half_us = (call->begin_us + until_us) / 2;
 
 	return core->now_us < half_us ? CORE_NEED_UNCONTENDED : CORE_NEED_SLOT;
 }
 
 /*
  * The waiting call that should get a slot of SERVER, or NULL: the one whose
- * caller has the highest weight, then the one that began to ask first.
+ * caller has the highest weight, then by core_share_goes_first, then the one that
+ * began to ask first.
  */
 static struct core_call *core_ask_next_waiting(const struct core *core,
 					       const struct core_server *server)
@@ -515,7 +553,7 @@
 		    !core_meets_need(core, service, server, call,
 				     core_ask_waiting_need(core, call)))
 			continue;
-		if (!first || call->flow->weight > first->flow->weight)
+		if (!first || core_share_goes_first(core, service, call, first))
 			first = call;
 	}
 	return first;
@@ -541,6 +579,11 @@
 	struct core_server *from = core_server(core, server);
 
 	from->probe_pending = false;
+	if (ok && from->in_conf)
+		core_share_on_asked(core, core_service(core, from->service),
+				    from);
+	else
+		from->full_us = 0;
 	if (!ok && !core_is_paused(core, from) &&
 	    core_service(core, from->service)->policy == CORE_POLICY_ASK)
 		core_record_error(core, from);
--- a/core/conf.c
+++ b/core/conf.c
@@ -31,6 +31,8 @@
 		service->zone_latency_us =
 			g_array_new(FALSE, TRUE, sizeof(uint32_t));
 		service->work_us = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+		service->classes =
+			g_array_new(FALSE, TRUE, sizeof(struct core_class));
 		g_queue_init(&service->active_flows);
 		g_ptr_array_add(core->services, service);
 	}
@@ -208,6 +210,34 @@
 	g_ptr_array_set_size(service->flows, 0);
 }
 
+static bool core_customers_changed(const struct core *core,
+				   const struct core_conf *conf)
+{
+	if (core->customer_weights->len != conf->customer_count)
+		return true;
+	for (uint32_t i = 0; i < conf->customer_count; i++)
+		if (core_get_by_index(core->customer_weights, i) !=
+		    conf->customers[i].weight)
+			return true;
+	return false;
+}
+
+/* Most configurations leave them as they are, and so what they use. */
+static void core_configure_customers(struct core *core,
+				     const struct core_conf *conf)
+{
+	if (!core_customers_changed(core, conf))
+		return;
+	for (guint i = 0; i < core->services->len; i++)
+		if (core_service(core, i)->customer_flows)
+			g_hash_table_remove_all(
+				core_service(core, i)->customer_flows);
+	g_array_set_size(core->customer_weights, 0);
+	for (uint32_t i = 0; i < conf->customer_count; i++)
+		g_array_append_val(core->customer_weights,
+				   conf->customers[i].weight);
+}
+
 static void core_configure_callers(struct core *core,
 				   const struct core_conf *conf)
 {
@@ -216,10 +246,7 @@
 		g_array_append_val(core->weights, conf->callers[i].weight);
 	for (guint i = 0; i < core->services->len; i++)
 		core_drop_flows(core_service(core, i));
-	g_array_set_size(core->customer_weights, 0);
-	for (uint32_t i = 0; i < conf->customer_count; i++)
-		g_array_append_val(core->customer_weights,
-				   conf->customers[i].weight);
+	core_configure_customers(core, conf);
 }
 
 static uint32_t core_non_draining_hosts(const struct core_conf *conf)
--- a/core/core.c
+++ b/core/core.c
@@ -91,6 +91,8 @@
 	struct core_call *call = ptr;
 
 	core_flow_unref(call->flow);
+	if (call->customer_flow)
+		core_flow_unref(call->customer_flow);
 	g_free(call);
 }
 
@@ -102,8 +104,11 @@
 		if (g_ptr_array_index(service->flows, i))
 			core_flow_unref(g_ptr_array_index(service->flows, i));
 	g_ptr_array_free(service->flows, TRUE);
+	if (service->customer_flows)
+		g_hash_table_destroy(service->customer_flows);
 	g_array_free(service->zone_latency_us, TRUE);
 	g_array_free(service->work_us, TRUE);
+	g_array_free(service->classes, TRUE);
 	g_free(service->servers);
 	g_free(service);
 }
@@ -217,7 +222,10 @@
 	server->in_flight--;
 	service->in_flight--;
 	call->flow->in_flight--;
+	if (call->customer_flow)
+		call->customer_flow->in_flight--;
 	core_update_end_gap(core, service);
+	core_share_on_end(core, service);
 }
 
 static void core_cancel_attempt(struct core *core, struct core_call *call,
@@ -240,12 +248,14 @@
 }
 
 /* When the caller of a refused call may come back; 0: not known. */
-static uint64_t core_retry_at_us(const struct core *core,
+static uint64_t core_retry_at_us(struct core *core,
 				 const struct core_call *call,
 				 enum st_kind result)
 {
 	uint64_t opens_us;
 
+	if (result == ST_QUEUE_FULL)
+		return core_share_retry_at_us(core, call);
 	if (result != ST_PAUSED)
 		return 0;
 	opens_us = core_opens_us(core, core_service(core, call->service));
@@ -351,6 +361,9 @@
 	s->last_send_us = core->now_us;
 	core_service(core, call->service)->in_flight++;
 	call->flow->in_flight++;
+	if (call->customer_flow)
+		call->customer_flow->in_flight++;
+	core_share_on_sent(core, core_service(core, call->service), call);
 	core_plan_hedge(core, call);
 	action.report = core_take_report_budget(
 		core, core_service(core, call->service), s);
@@ -433,6 +446,9 @@
 	call->bulky = event->u.call.bulky;
 	call->idempotent = event->u.call.idempotent;
 	call->flow = core_flow_ref(core, service, event->u.call.caller);
+	call->customer_flow =
+		core_customer_flow_ref(core, service, call->customer);
+	core_share_on_call(core, service, call, event->u.call.caller);
 	g_hash_table_insert(core->calls, &call->id, call);
 	core_earn_retry_credit(core, service);
 	core_send_call_probes(core, service);
@@ -508,6 +524,15 @@
 		break;
 	case CORE_END_CANCELLED:
 		break;
+	case CORE_END_NOT_SENT:
+	case CORE_END_NO_ANSWER:
+		if (core_share_explains_reset(core, server)) {
+			core_record_refusal(core, server);
+			server->running = MAX(server->running, server->slots);
+		} else {
+			core_record_error(core, server);
+		}
+		break;
 	default:
 		core_record_error(core, server);
 	}
--- a/core/queue.c
+++ b/core/queue.c
@@ -25,6 +25,17 @@
 		g_free(flow);
 }
 
+static struct core_flow *core_flow_new(uint32_t weight)
+{
+	struct core_flow *flow = g_new0(struct core_flow, 1);
+
+	flow->refs = 1;
+	flow->weight = MAX(weight, 1);
+	g_queue_init(&flow->queue);
+	flow->active_link.data = flow;
+	return flow;
+}
+
 struct core_flow *core_flow_ref(struct core *core, struct core_service *service,
 				uint32_t caller)
 {
@@ -36,21 +47,42 @@
 		g_ptr_array_set_size(service->flows, (gint)at + 1);
 	flow = g_ptr_array_index(service->flows, at);
 	if (!flow) {
-		flow = g_new0(struct core_flow, 1);
-		flow->refs = 1;
-		flow->weight = 1;
-		if (named)
-			flow->weight = MAX(
-				g_array_index(core->weights, uint32_t, caller),
+		flow = core_flow_new(
+			named ? g_array_index(core->weights, uint32_t, caller) :
 				1);
-		g_queue_init(&flow->queue);
-		flow->active_link.data = flow;
 		g_ptr_array_index(service->flows, at) = flow;
 	}
 	flow->refs++;
 	return flow;
 }
 
+static void core_flow_destroy(void *ptr)
+{
+	core_flow_unref(ptr);
+}
+
+struct core_flow *core_customer_flow_ref(struct core *core,
+					 struct core_service *service,
+					 uint32_t customer)
+{
+	void *key = GUINT_TO_POINTER(customer);
+	struct core_flow *flow;
+
+	if (!customer || customer > core->customer_weights->len)
+		return NULL;
+	if (!service->customer_flows)
+		service->customer_flows = g_hash_table_new_full(
+			NULL, NULL, NULL, core_flow_destroy);
+	flow = g_hash_table_lookup(service->customer_flows, key);
+	if (!flow) {
+		flow = core_flow_new(g_array_index(core->customer_weights,
+						   uint32_t, customer - 1));
+		g_hash_table_insert(service->customer_flows, key, flow);
+	}
+	flow->refs++;
+	return flow;
+}
+
 /* Whether A holds less than B, each relative to its weight. */
 static bool core_has_smaller_share(uint64_t a_held, uint32_t a_weight,
 				   uint64_t b_held, uint32_t b_weight)
@@ -99,6 +131,23 @@
 	flow->is_active = false;
 }
 
+/*
+ * Of the calls of FLOW, the first one of the customer that holds least of the
+ * service; without customers, the first one.
+ */
+static struct core_call *core_next_of_flow(const struct core *core,
+					   struct core_flow *flow)
+{
+	struct core_call *first = g_queue_peek_head(&flow->queue);
+
+	if (!core->customer_weights->len)
+		return first;
+	for (GList *l = flow->queue.head; l; l = l->next)
+		if (core_share_compare_customers(core, l->data, first) < 0)
+			first = l->data;
+	return first;
+}
+
 struct core_call *core_next_queued(struct core *core,
 				   struct core_service *service)
 {
@@ -127,7 +176,7 @@
 	/* Callers with equal shares take turns. */
 	g_queue_unlink(&service->active_flows, &best->active_link);
 	g_queue_push_tail_link(&service->active_flows, &best->active_link);
-	return g_queue_peek_head(&best->queue);
+	return core_next_of_flow(core, best);
 }
 
 void core_update_end_gap(struct core *core, struct core_service *service)
--- a/core/state.h
+++ b/core/state.h
@@ -23,7 +23,8 @@
 	 * not wait for a better one.
 	 */
 	CORE_PACE_NORMAL_MAX_PERCENT = 125,
-	CORE_LOAD_HISTORY_SIZE = 64
+	CORE_LOAD_HISTORY_SIZE = 64,
+	CORE_ZONE_RTT_US = 8 * CORE_US_PER_MS
 };
 
 /* Which estimate of the service the duration of an attempt updates. */
@@ -75,6 +76,7 @@
 	uint32_t waiting;
 	uint32_t pace_percent; /* 0: unknown */
 	uint32_t sent_since_report; /* attempts of this host */
+	uint64_t full_us; /* its latest report, if that showed it full; or 0 */
 	bool probe_pending; /* a probe of policy "ask" is unanswered */
 	uint64_t warmup_until_us; /* expected end of the server's warm-up */
 	/* Adaptive concurrency limit for the attempts of this host. */
@@ -97,9 +99,17 @@
 	uint64_t next_recheck_us;
 };
 
+/* Part of recent events that count, with older ones decayed (share.c). */
+struct core_ratio {
+	uint32_t hits;
+	uint32_t total;
+	uint64_t at_us;
+};
+
 /*
- * Fair-queueing flow: the calls of one caller to one service. Each call and the
- * table core_service.flows hold a reference.
+ * Fair-queueing flow: the calls of one caller, or of one customer, to one
+ * service. Each call and the table core_service.flows or customer_flows hold a
+ * reference. The flow of a customer has no queue of its own.
  */
 struct core_flow {
 	uint32_t refs;
@@ -108,6 +118,9 @@
 	GQueue queue; /* of struct core_call, earliest deadline first */
 	GList active_link; /* in core_service.active_flows */
 	bool is_active;
+	/* Of a customer: work of its attempts, decayed. */
+	uint64_t use_us;
+	uint64_t use_at_us;
 };
 
 /* A probe response in the pool of policy "probes". */
@@ -126,6 +139,33 @@
 	uint32_t extra_attempts;
 };
 
+/* The calls of one caller to one service, see share.c. */
+struct core_class {
+	uint32_t weight;
+	uint64_t seen_us; /* latest call; 0: none */
+	struct core_ratio served; /* calls that got an attempt */
+	struct core_ratio shortage; /* calls that waited or were refused */
+};
+
+/* Overload of a service, see share.c. */
+struct core_share {
+	struct core_ratio reports; /* servers without an uncontended slot */
+	uint64_t last_end_us; /* of an attempt; 0: none yet */
+	uint32_t mean_end_gap_us; /* moving average */
+	/* Sums as of UPDATED_US. */
+	uint64_t updated_us;
+	uint32_t full_q8; /* pressure by reports */
+	uint32_t short_q8; /* pressure by calls, of the class that has most */
+	uint32_t top_short_q8; /* of the highest class */
+	uint32_t top_weight; /* highest class present */
+	uint32_t low_weight; /* lowest class present */
+	uint32_t served_q8; /* mean of all classes */
+	uint64_t customers_us; /* when the rest was summed up */
+	uint32_t customers;
+	uint64_t customer_weights;
+	uint64_t customer_use_us;
+};
+
 struct core_service {
 	bool in_conf;
 	uint32_t id;
@@ -138,7 +178,11 @@
 	uint32_t in_flight;
 	/* Queue. */
 	GPtrArray *flows; /* struct core_flow or NULL, by caller index + 1 */
+	GHashTable *customer_flows; /* by core_call.customer; NULL: none yet */
 	GQueue active_flows; /* with queued calls; the head wins ties */
+	struct core_share share;
+	/* By caller index + 1; kept when the configuration changes. */
+	GArray *classes; /* struct core_class */
 	uint32_t queued; /* calls */
 	uint64_t last_end_us; /* of an attempt, while calls are queued */
 	/* Moving average of the time between ends while calls are queued. */
@@ -186,6 +230,8 @@
 	uint32_t service;
 	struct core_flow *flow;
 	uint32_t customer; /* index + 1; 0: none */
+	struct core_flow *customer_flow; /* NULL: no customer */
+	uint32_t class_index; /* in core_service.classes */
 	uint64_t deadline_us;
 	uint64_t hedge_at_us; /* 0: no hedge planned */
 	uint64_t begin_us; /* arrival of the call */
@@ -205,6 +251,9 @@
 	bool ask_hedge; /* the attempt is a hedge */
 	bool ask_paused; /* waits for the timer or for a free slot */
 	uint32_t ask_rounds;
+	uint64_t ask_pause_us;
+	bool share_waited;
+	uint32_t share_draw; /* 1 up to CORE_Q8; 0: not drawn yet */
 	uint32_t ask_count;
 	uint32_t ask_servers[CORE_ASK_FANOUT];
 	uint64_t ask_begin_us;
@@ -303,6 +352,7 @@
  * core_has_slot - whether a slot is free.
  * core_has_uncontended_slot - whether a slot is free in which the call neither
  * suffers nor causes contention.
+ * core_has_uncontended_slots - the same for COUNT slots.
  * core_has_spare_slot - whether a slot is free that calls which can still meet
  * their target do not need.
  */
@@ -325,9 +375,74 @@
 bool core_has_slot(const struct core_server *server);
 bool core_has_uncontended_slot(const struct core_service *service,
 			       const struct core_server *server);
+bool core_has_uncontended_slots(const struct core_service *service,
+				const struct core_server *server,
+				uint32_t count);
 bool core_has_spare_slot(const struct core_service *service,
 			 const struct core_server *server);
 
+/*
+ * share.c: overload of a service with policy "ask".
+ *
+ * core_share_update - sum up the classes and customers, if that is due.
+ * core_share_on_call, core_share_on_asked, core_share_on_sent,
+ * core_share_on_refused, core_share_on_end - record that a call came, a server
+ * that was asked has answered, an attempt was sent, a call was refused for want
+ * of room, an attempt ended.
+ * core_share_pressure_q8 - lack of room lately; 0 in calm, at most CORE_Q8.
+ * core_share_is_active - there is pressure, and there are several classes or
+ * customers; else all decisions are as without this module.
+ * core_share_draw - draw, once for a call, from which pressure on it must leave
+ * a slot for others.
+ * core_share_leaves_room - whether SERVER would still have the room that a call
+ * of this class and customer must leave for others.
+ * core_share_wait_until_us - until when a call may wait for a slot.
+ * core_share_is_hopeless - the call cannot end before its deadline any more.
+ * core_share_compare_customers - below 0 if the customer of A holds less of the
+ * service, relative to its weight, than that of B.
+ * core_share_goes_first - whether A gets a slot before B, of two waiting calls;
+ * false if neither comes first.
+ * core_share_retry_at_us - when the caller of a refused call may come back; 0:
+ * nothing is known.
+ * core_share_explains_reset - whether a connection that SERVER refused or reset
+ * shows that it is full, and not that it has failed.
+ */
+void core_share_update(const struct core *core, struct core_service *service);
+void core_share_on_call(struct core *core, struct core_service *service,
+			struct core_call *call, uint32_t caller);
+void core_share_on_asked(const struct core *core, struct core_service *service,
+			 const struct core_server *server);
+void core_share_on_sent(const struct core *core,
+			const struct core_service *service,
+			struct core_call *call);
+void core_share_on_refused(const struct core *core, struct core_call *call);
+void core_share_on_end(const struct core *core, struct core_service *service);
+uint32_t core_share_pressure_q8(const struct core_service *service);
+bool core_share_is_active(const struct core_service *service);
+void core_share_draw(struct core *core, const struct core_service *service,
+		     struct core_call *call);
+bool core_share_leaves_room(const struct core *core,
+			    const struct core_service *service,
+			    const struct core_server *server,
+			    const struct core_call *call);
+uint64_t core_share_wait_until_us(const struct core *core,
+				  const struct core_service *service,
+				  const struct core_call *call);
+bool core_share_is_hopeless(const struct core *core,
+			    const struct core_service *service,
+			    const struct core_call *call);
+int core_share_compare_customers(const struct core *core,
+				 const struct core_call *a,
+				 const struct core_call *b);
+bool core_share_goes_first(const struct core *core,
+			   const struct core_service *service,
+			   const struct core_call *a,
+			   const struct core_call *b);
+uint64_t core_share_retry_at_us(struct core *core,
+				const struct core_call *call);
+bool core_share_explains_reset(const struct core *core,
+			       const struct core_server *server);
+
 /*
  * pick.c: choice of a server.
  *
@@ -441,8 +556,8 @@
 /*
  * queue.c: admission and queue.
  *
- * core_flow_ref, core_flow_unref - get the flow of a caller with a new
- * reference; release it.
+ * core_flow_ref, core_customer_flow_ref, core_flow_unref - get the flow of a
+ * caller or customer with a new reference; release it. Customer 0 has none (NULL).
  * core_update_end_gap - record the end of an attempt for the wait estimate.
  * core_admit_call - send, queue or refuse a call.
  * core_next_queued - the queued call that is next by fair queueing, or NULL.
@@ -450,6 +565,9 @@
  */
 struct core_flow *core_flow_ref(struct core *core, struct core_service *service,
 				uint32_t caller);
+struct core_flow *core_customer_flow_ref(struct core *core,
+					 struct core_service *service,
+					 uint32_t customer);
 void core_flow_unref(struct core_flow *flow);
 void core_update_end_gap(struct core *core, struct core_service *service);
 void core_admit_call(struct core *core, struct core_call *call);
