--- a/base/counter.h
+++ b/base/counter.h
@@ -14,6 +14,8 @@
 	X(CALLS, "calls_total", "Calls that arrived")                         \
 	X(COMPLETED, "calls_completed_total", "Calls answered by a server")   \
 	X(REFUSED, "calls_refused_total", "Calls refused, not run")           \
+	X(OVERLOAD_REFUSED, "overload_refused_total",                         \
+	  "Calls refused by the rules for overload")                          \
 	X(UNKNOWN, "calls_unknown_total", "Calls ended, outcome unknown")     \
 	X(BROKEN, "calls_broken_total", "Answers broken off")                 \
 	X(CALLERS_LEFT, "calls_gone_total",                                   \
--- a/core/conf.c
+++ b/core/conf.c
@@ -233,9 +233,12 @@
 			g_hash_table_remove_all(
 				core_service(core, i)->customer_flows);
 	g_array_set_size(core->customer_weights, 0);
-	for (uint32_t i = 0; i < conf->customer_count; i++)
+	core->customer_weight_sum = 0;
+	for (uint32_t i = 0; i < conf->customer_count; i++) {
 		g_array_append_val(core->customer_weights,
 				   conf->customers[i].weight);
+		core->customer_weight_sum += conf->customers[i].weight;
+	}
 }
 
 static void core_configure_callers(struct core *core,
--- a/core/core.c
+++ b/core/core.c
@@ -262,6 +262,15 @@
 	return opens_us == UINT64_MAX ? 0 : opens_us;
 }
 
+static void core_fill_service_inputs(const struct core *core,
+				     struct core_call *call)
+{
+	const struct core_service *service = core_service(core, call->service);
+
+	call->inputs.retry_credit = core_retry_credit(core, service);
+	call->inputs.pressure_percent = core_share_active_percent(service);
+}
+
 void core_finish_call(struct core *core, struct core_call *call,
 		      enum st_kind result)
 {
@@ -276,8 +285,7 @@
 							 ST_UNKNOWN;
 	action.result = result;
 	action.at_us = core_retry_at_us(core, call, result);
-	call->inputs.retry_credit =
-		core_retry_credit(core, core_service(core, call->service));
+	core_fill_service_inputs(core, call);
 	action.inputs = call->inputs;
 	core_unqueue_call(core, call);
 	core_ask_end(core, call);
@@ -346,8 +354,7 @@
 				      .hedge = hedge };
 
 	core_fill_inputs(core, s, &call->inputs);
-	call->inputs.retry_credit =
-		core_retry_credit(core, core_service(core, call->service));
+	core_fill_service_inputs(core, call);
 	action.inputs = call->inputs;
 	a->open = true;
 	a->server = server;
--- a/core/core.h
+++ b/core/core.h
@@ -303,6 +303,7 @@
 	uint32_t expected_ms; /* estimated time to answer; 0: no estimate */
 	uint32_t asked; /* servers asked for their load */
 	uint32_t retry_credit; /* in hundredths of an attempt */
+	uint32_t pressure_percent; /* of the service, if it changes decisions */
 };
 
 /*
--- a/core/share.c
+++ b/core/share.c
@@ -16,6 +16,9 @@
 	CORE_PRESSURE_HALF_US = 500 * CORE_US_PER_MS,
 	CORE_SERVED_HALF_US = 4 * CORE_US_PER_S,
 	CORE_USE_HALF_US = 2 * CORE_US_PER_S,
+	CORE_USUAL_HALF_US = 30 * CORE_US_PER_S,
+	/* Time that CORE_USE_HALF_US stands for: that by ln 2. */
+	CORE_USE_SPAN_US = 2885 * CORE_US_PER_MS,
 	CORE_CLASS_PRESENT_US = 10 * CORE_US_PER_S,
 	CORE_SHARE_UPDATE_US = 10 * CORE_US_PER_MS,
 	CORE_CUSTOMERS_UPDATE_US = 200 * CORE_US_PER_MS,
@@ -30,9 +33,12 @@
 	CORE_MIN_SERVED_CALLS = 4,
 	CORE_WAITED_Q8 = CORE_Q8 / 2, /* 0: sent at once, CORE_Q8: refused */
 	/* A class is protected below this share of the mean; callers need 1/4. */
-	CORE_STARVED_DIVISOR = 2,
-	/* A customer yields above this multiple of its fair share. */
+	CORE_STARVED_DIVISOR = 3,
+	/* Of its usual use and of the mean use; see core_share_is_over. */
 	CORE_OVER_SHARE_FACTOR = 2,
+	/* Such a customer yields before the lower classes of others do. */
+	CORE_OVER_STRICTNESS = 4,
+	CORE_ROOM_PERCENT = 80, /* of the slots, up to the knee */
 	CORE_MAX_USE_US = 1 << 30,
 	CORE_GAP_SAMPLES = 16,
 	CORE_MIN_RETRY_US = 20 * CORE_US_PER_MS,
@@ -101,6 +107,17 @@
 			    CORE_USE_HALF_US);
 }
 
+/* Work that the service can have within CORE_USE_SPAN_US, without contention. */
+static uint64_t core_share_room_us(const struct core *core,
+				   const struct core_service *service)
+{
+	uint64_t slots = 0;
+
+	for (uint32_t i = 0; i < service->server_count; i++)
+		slots += core_server(core, service->servers[i])->slots;
+	return slots * CORE_USE_SPAN_US / 100 * CORE_ROOM_PERCENT;
+}
+
 /* Sums up the customers of the service, and drops those without recent use. */
 static void core_share_update_customers(const struct core *core,
 					struct core_service *service)
@@ -116,6 +133,7 @@
 	share->customers = 0;
 	share->customer_weights = 0;
 	share->customer_use_us = 0;
+	share->room_us = core_share_room_us(core, service);
 	g_hash_table_iter_init(&iter, service->customer_flows);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct core_flow *flow = value;
@@ -210,7 +228,14 @@
 	const struct core_share *share = &service->share;
 
 	return core_share_pressure_q8(service) &&
-	       (share->low_weight < share->top_weight || share->customers > 1);
+	       (share->low_weight < share->top_weight || share->customers);
+}
+
+uint32_t core_share_active_percent(const struct core_service *service)
+{
+	if (!core_share_is_active(service))
+		return 0;
+	return MAX(core_share_pressure_q8(service) * 100 / CORE_Q8, 1);
 }
 
 void core_share_on_call(struct core *core, struct core_service *service,
@@ -219,6 +244,7 @@
 {
 	struct core_class *class;
 
+	core_share_update(core, service);
 	if (service->policy != CORE_POLICY_ASK)
 		return;
 	call->class_index = caller < core->weights->len ? caller + 1 : 0;
@@ -227,7 +253,6 @@
 	class = core_class_at(service, call->class_index);
 	class->weight = call->flow->weight;
 	class->seen_us = core->now_us;
-	core_share_update(core, service);
 }
 
 void core_share_on_asked(const struct core *core, struct core_service *service,
@@ -254,23 +279,34 @@
 		       short_q8);
 }
 
+static void core_share_add_use(const struct core *core, struct core_flow *flow,
+			       uint64_t work_us)
+{
+	uint64_t usual_us =
+		core_decayed(flow->usual_us, core->now_us - flow->use_at_us,
+			     CORE_USUAL_HALF_US);
+
+	flow->use_us = MIN(core_flow_use_us(core, flow) + work_us,
+			   (uint64_t)CORE_MAX_USE_US);
+	flow->usual_us = MIN(usual_us + work_us,
+			     (uint64_t)CORE_MAX_USE_US *
+				     (CORE_USUAL_HALF_US / CORE_USE_HALF_US));
+	flow->use_at_us = core->now_us;
+}
+
 void core_share_on_sent(const struct core *core,
 			const struct core_service *service,
 			struct core_call *call)
 {
 	struct core_flow *customer = call->customer_flow;
 
-	if (service->policy != CORE_POLICY_ASK)
-		return;
-	if (call->attempt_count == 1)
+	if (service->policy == CORE_POLICY_ASK && call->attempt_count == 1)
+
 		core_share_count(core, service, call, true,
 				 call->share_waited ? CORE_WAITED_Q8 : 0);
 	if (!customer)
 		return;
-	customer->use_us = MIN(core_flow_use_us(core, customer) +
-				       core_work_us(core, service, call),
-			       (uint64_t)CORE_MAX_USE_US);
-	customer->use_at_us = core->now_us;
+	core_share_add_use(core, customer, core_work_us(core, service, call));
 }
 
 void core_share_on_refused(const struct core *core, struct core_call *call)
@@ -323,7 +359,13 @@
 	       !core_share_is_starved(service, call);
 }
 
-/* Whether the customer holds more of the service than its weight stands for. */
+/*
+ * Whether the customer holds more of the service than its weight stands for. At
+ * one host alone that is sure if it exceeds its share of all servers. Below that,
+ * callers are spread over the hosts unevenly, so it must exceed both what others
+ * hold here and what it usually has here.
+ */
+
 static bool core_share_is_over(const struct core *core,
 			       const struct core_service *service,
 			       const struct core_call *call)
@@ -331,10 +373,21 @@
 	const struct core_share *share = &service->share;
 	const struct core_flow *flow = call->customer_flow;
 
-	if (!flow || share->customers < 2)
+	uint64_t usual_us;
+	uint64_t use_us;
+
+	if (!flow)
 		return false;
-	return core_flow_use_us(core, flow) * share->customer_weights >
-	       share->customer_use_us * flow->weight * CORE_OVER_SHARE_FACTOR;
+	use_us = core_flow_use_us(core, flow);
+	if (use_us * core->customer_weight_sum > share->room_us * flow->weight)
+		return true;
+	usual_us = core_decayed(flow->usual_us, core->now_us - flow->use_at_us,
+				CORE_USUAL_HALF_US) /
+		   (CORE_USUAL_HALF_US / CORE_USE_HALF_US);
+	return use_us > CORE_OVER_SHARE_FACTOR * usual_us &&
+	       use_us * share->customer_weights >
+		       share->customer_use_us * flow->weight *
+			       CORE_OVER_SHARE_FACTOR;
 }
 
 bool core_share_leaves_room(const struct core *core,
@@ -353,7 +406,8 @@
 		return core_has_uncontended_slots(service, server, 1 + reserve);
 	lower = core_share_is_lower(service, call);
 	if (core_share_is_over(core, service, call))
-		strict_q8 = core_share_pressure_q8(service);
+		strict_q8 =
+			CORE_OVER_STRICTNESS * core_share_pressure_q8(service);
 	else if (!lower)
 		return true;
 	if (call->share_draw && call->share_draw <= strict_q8)
--- a/core/state.h
+++ b/core/state.h
@@ -120,6 +120,7 @@
 	bool is_active;
 	/* Of a customer: work of its attempts, decayed. */
 	uint64_t use_us;
+	uint64_t usual_us; /* the same over a longer time */
 	uint64_t use_at_us;
 };
 
@@ -164,6 +165,7 @@
 	uint32_t customers;
 	uint64_t customer_weights;
 	uint64_t customer_use_us;
+	uint64_t room_us; /* work that all servers can have */
 };
 
 struct core_service {
@@ -271,6 +273,7 @@
 	GHashTable *calls; /* by id; looked up, never iterated */
 	GArray *weights; /* uint32_t by caller */
 	GArray *customer_weights; /* uint32_t by customer */
+	uint64_t customer_weight_sum;
 	uint64_t now_us;
 	uint32_t zone;
 	uint32_t host_count; /* entry hosts that are not draining, at least 1 */
@@ -392,6 +395,7 @@
  * core_share_pressure_q8 - lack of room lately; 0 in calm, at most CORE_Q8.
  * core_share_is_active - there is pressure, and there are several classes or
  * customers; else all decisions are as without this module.
+  * core_share_active_percent - the pressure in percent, or 0 if it is not active.
  * core_share_draw - draw, once for a call, from which pressure on it must leave
  * a slot for others.
  * core_share_leaves_room - whether SERVER would still have the room that a call
@@ -419,6 +423,7 @@
 void core_share_on_end(const struct core *core, struct core_service *service);
 uint32_t core_share_pressure_q8(const struct core_service *service);
 bool core_share_is_active(const struct core_service *service);
+uint32_t core_share_active_percent(const struct core_service *service);
 void core_share_draw(struct core *core, const struct core_service *service,
 		     struct core_call *call);
 bool core_share_leaves_room(const struct core *core,
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -153,6 +153,8 @@
 	call->inputs = action->inputs;
 	if (action->at_us)
 		call->retry_at_us = action->at_us;
+	ct_add(CT_OVERLOAD_REFUSED, action->result == ST_QUEUE_FULL &&
+					    action->inputs.pressure_percent);
 	g_hash_table_remove(gateway->calls, &call->id);
 	if (!gw_forward_refused(call, action->result))
 		gw_complete_call(call, gw_final_result(call, action->result));
--- a/gateway/log.c
+++ b/gateway/log.c
@@ -46,6 +46,9 @@
 		gw_set_number(line, "asked", inputs->asked);
 	gw_set_number(line, "own_in_flight", inputs->in_flight);
 	gw_set_number(line, "retry_credit", inputs->retry_credit);
+	if (inputs->pressure_percent)
+		gw_set_number(line, "pressure_percent",
+			      inputs->pressure_percent);
 }
 
 static const struct gw_server *gw_server_of(const struct gw_attempt *attempt)
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -2,6 +2,7 @@
  * Tests of overload (core/share.c): many hosts, each with a core of its own, in
  * front of servers that are a table of counters.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "core/state.h"
@@ -13,10 +14,12 @@
 	HOSTS = 24,
 	SERVERS = 24,
 	SLOTS = 3,
-	WARM_US = 3 * 1000 * MS,
+	WARM_US = 8 * 1000 * MS,
+	BOOST_US = 7 * 1000 * MS,
+	CRASH_US = 10 * 1000 * MS,
 	END_US = 15 * 1000 * MS,
 	KINDS = 2,
-	CUSTOMERS = 8
+	CUSTOMERS = 16
 };
 
 struct kind {
@@ -71,9 +74,15 @@
 static uint64_t longest_wait_us;
 static uint64_t retries_after[2]; /* earliest and latest, of refused calls */
 /* The load under test. */
-static uint32_t (*host_of_call)(void);
+static uint32_t (*host_of_call)(uint32_t customer);
 static uint32_t (*slowness)(uint32_t server); /* factor */
-static uint32_t (*boost)(uint32_t customer); /* factor of the usual rate */
+static enum core_policy policy;
+static bool resets_when_full;
+static bool crashed_answers_probes;
+static uint32_t attempts_at_crashed; /* from half a second on */
+static uint32_t ejections_of_crashed;
+static uint32_t ejections_of_others;
+static uint32_t boost; /* rate of customer 0, as a multiple of the usual */
 
 static uint32_t draw(void *ctx)
 {
@@ -104,11 +113,23 @@
 				 compare_steps, NULL);
 }
 
-static uint32_t any_host(void)
+static uint32_t any_host(uint32_t customer)
 {
 	return draw_below(HOSTS);
 }
 
+/* Each customer has three callers, each at one host. */
+static uint32_t host_by_hash(uint32_t customer)
+{
+	return (customer * 7 + draw_below(3) * 5) % HOSTS;
+}
+
+/* Server 0 crashes at CRASH_US if servers reset connections. */
+static bool has_crashed(uint32_t server)
+{
+	return resets_when_full && !server && now_us >= CRASH_US;
+}
+
 static uint32_t always_one(uint32_t unused)
 {
 	return 1;
@@ -119,6 +140,14 @@
 	return (host % ZONES == server % ZONES ? 1 : 4) * MS;
 }
 
+static void on_health(void *ctx, const struct core_health_change *change)
+{
+	if (change->ejected && has_crashed(change->server))
+		ejections_of_crashed++;
+	else if (change->ejected)
+		ejections_of_others++;
+}
+
 static void on_finish(const struct core_action *action)
 {
 	struct call *call = g_hash_table_lookup(calls, &action->call);
@@ -172,12 +201,13 @@
 		return;
 	case CORE_ACT_PROBE:
 		step.event.kind = CORE_EV_REPORT;
+		step.event.u.report.source = CORE_FROM_PROBE;
 		add_step(step, now_us + 2 * way);
 		return;
 	case CORE_ACT_TIMER:
 		step.event.kind = CORE_EV_TIMER;
 		step.event.u.call_ref.call = action->call;
-		add_step(step, action->at_us);
+		add_step(step, MAX(action->at_us, now_us + 1));
 		return;
 	default:
 		return; /* a cancelled attempt runs to its end */
@@ -192,7 +222,9 @@
 	step->event.kind = CORE_EV_REPORT;
 	step->event.u.report.server = step->server;
 	step->event.u.report.source = source;
-	step->event.u.report.ok = true;
+	step->event.u.report.ok = source == CORE_FROM_ANSWER ||
+				  crashed_answers_probes ||
+				  !has_crashed(step->server);
 	step->event.u.report.in_flight = server->running;
 	step->event.u.report.queued = server->waiting.length;
 	step->event.u.report.slots = SLOTS;
@@ -227,15 +259,22 @@
 	core_handle_event(&cores[host], &event);
 }
 
+static uint32_t boost_now(void)
+{
+	return now_us >= BOOST_US ? boost : 1;
+}
+
 static void start_call(struct step step)
 {
 	const struct kind *kind = &kinds[step.kind];
+	uint32_t any = draw_below(CUSTOMERS - 1 + boost_now());
 	struct call call = { .kind = step.kind,
-			     .customer = draw_below(CUSTOMERS),
+			     .customer = any < CUSTOMERS - 1 ? any + 1 : 0,
 			     .begin_us = now_us };
+
 	uint64_t id = ++last_call;
 
-	step.host = host_of_call();
+	step.host = host_of_call(call.customer);
 	step.event.kind = CORE_EV_CALL;
 	step.event.u.call.call = id;
 	step.event.u.call.caller = kind->caller;
@@ -252,7 +291,8 @@
 
 static void on_arrival(struct step step)
 {
-	uint32_t gap_us = 1000 * MS / kinds[step.kind].per_s;
+	uint32_t gap_us = 1000 * MS / kinds[step.kind].per_s * CUSTOMERS /
+			  (CUSTOMERS - 1 + boost_now());
 
 	add_step(step, now_us + draw_below(2 * gap_us));
 	start_call(step);
@@ -278,6 +318,16 @@
 	add_step(step, now_us + way_us(step.host, step.server));
 }
 
+static void reset_attempt(struct step step)
+{
+	if (has_crashed(step.server) && now_us > CRASH_US + 500 * MS)
+		attempts_at_crashed++;
+	step.starts = false;
+	step.event.kind = CORE_EV_ENDED;
+	step.event.u.ended.end = CORE_END_NO_ANSWER;
+	add_step(step, now_us + way_us(step.host, step.server));
+}
+
 static void take_step(struct step step)
 {
 	struct server *server = &servers[step.server];
@@ -285,17 +335,23 @@
 	now_us = step.at_us;
 	if (step.arrival)
 		on_arrival(step);
+	else if (step.starts && has_crashed(step.server))
+		reset_attempt(step);
 	else if (step.starts && server->running < SLOTS)
 		run_at_server(step);
+	else if (step.starts && resets_when_full)
+		reset_attempt(step);
 	else if (step.starts)
+
 		g_queue_push_tail(&server->waiting,
 				  g_memdup2(&step, sizeof(step)));
 	else if (step.ends)
 		on_work_done(step);
 	else {
 		if (step.event.kind == CORE_EV_REPORT &&
-		    !step.event.u.report.ok)
+		    step.event.u.report.source == CORE_FROM_PROBE)
 			fill_report(&step, CORE_FROM_PROBE);
+
 		handle_event(step.host, step.event);
 	}
 }
@@ -307,7 +363,7 @@
 	struct core_caller_conf callers[] = { { 4 }, { 2 }, { 1 } };
 	struct core_customer_conf customers[CUSTOMERS];
 	struct core_service_conf service = {
-		.policy = CORE_POLICY_ASK,
+		.policy = policy,
 		.queue_limit = 100,
 		.retry_percent = 10,
 		.probe_requests_per_s = 1000 * 1000,
@@ -368,7 +424,11 @@
 	off = false;
 	host_of_call = any_host;
 	slowness = always_one;
-	boost = NULL;
+	boost = 1;
+	policy = CORE_POLICY_ASK;
+	resets_when_full = false;
+	crashed_answers_probes = false;
+	attempts_at_crashed = ejections_of_crashed = ejections_of_others = 0;
 	set_kinds(70, 70);
 }
 
@@ -396,7 +456,7 @@
 	now_us = 1;
 	for (uint32_t i = 0; i < HOSTS; i++) {
 		struct core_driver driver = { on_action, draw,
-					      GUINT_TO_POINTER(i), NULL };
+					      GUINT_TO_POINTER(i), on_health };
 
 		core_init(&cores[i], &driver);
 		apply_conf(i, customer_count);
@@ -412,29 +472,210 @@
 		g_queue_clear_full(&servers[i].waiting, g_free);
 	g_sequence_free(steps);
 	g_hash_table_destroy(calls);
-	for (uint32_t i = 0; i < KINDS; i++)
-		if (getenv("SHOW"))
-			printf("%s kind %u: offered %u in time %.3f refused %.3f wait %llu ms retry %llu-%llu\n",
-			       off ? "off" : "on ", i, kinds[i].offered,
-			       kinds[i].in_time / (double)MAX(kinds[i].offered, 1),
-			       kinds[i].refused / (double)MAX(kinds[i].offered, 1),
-			       (unsigned long long)longest_wait_us / MS,
-			       (unsigned long long)retries_after[0] / MS,
-			       (unsigned long long)retries_after[1] / MS);
-}
-
-START_TEST(trial)
-{
-	static const uint32_t loads[][2] = { { 70, 70 }, { 40, 100 }, { 100, 40 }, { 120, 40 }, { 40, 200 }, {30,50}, {45,45}, {50,50}, {60,60}, { 0, 140 }, { 140, 0 } };
-
-	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
-		printf("load %u %u\n", loads[i][0], loads[i][1]);
-		for (int o = 1; o >= 0; o--) {
-			off = o;
-			set_kinds(loads[i][0], loads[i][1]);
-			run_load(0);
-		}
+}
+
+/* Share of the calls of a kind that were answered within their target. */
+static double in_time(uint32_t kind)
+{
+	return kinds[kind].in_time / (double)MAX(kinds[kind].offered, 1);
+}
+
+static double mean_in_time(void)
+{
+	uint32_t offered = kinds[0].offered + kinds[1].offered;
+
+	return (kinds[0].in_time + kinds[1].in_time) / (double)MAX(offered, 1);
+}
+
+/* The same of the customers but the first. */
+static double others_in_time(uint32_t kind)
+{
+	uint32_t offered = 0;
+	uint32_t served = 0;
+
+	for (uint32_t i = 1; i < CUSTOMERS; i++) {
+		offered += kinds[kind].customer_offered[i];
+		served += kinds[kind].customer_in_time[i];
 	}
+	return served / (double)MAX(offered, 1);
+}
+
+static void show(const char *load)
+{
+	if (getenv("SHARE_FIGURES"))
+		printf("%s, %s: urgent %.3f of %u, report %.3f of %u, longest wait %u ms\n",
+		       load, off ? "off" : "on", in_time(0), kinds[0].offered,
+		       in_time(1), kinds[1].offered,
+		       (uint32_t)(longest_wait_us / MS));
+}
+
+/*
+ * Guards against the kind with the shortest target giving up first when two
+ * kinds ask for 1.4 times the room, against starving the other one, against
+ * holding callers for most of their time, and against retries that all come at
+ * one time or too late.
+ */
+START_TEST(urgent_kind_goes_first)
+{
+	for (uint32_t urgent = 40; urgent <= 100; urgent += 30) {
+		set_kinds(urgent, 140 - urgent);
+		run_load(0);
+		show("two kinds");
+		ck_assert(in_time(0) > in_time(1));
+		ck_assert(in_time(1) > mean_in_time() / 4);
+		ck_assert_uint_lt(longest_wait_us, kinds[1].target_us / 2);
+		ck_assert_uint_ge(retries_after[0], 20 * MS);
+		ck_assert_uint_gt(retries_after[1], 5 * retries_after[0]);
+		ck_assert_uint_le(retries_after[1], kinds[1].target_us / 3);
+	}
+}
+END_TEST
+
+/* Three of four calls come in one zone, another one each second. */
+static uint32_t host_in_wave(uint32_t customer)
+{
+	uint32_t zone = (uint32_t)(now_us / (1000 * MS)) % ZONES;
+	uint32_t host = draw_below(HOSTS);
+
+	return draw_below(4) ? host / ZONES * ZONES + zone : host;
+}
+
+/* Runs the load without and with the module; returns the former share in time. */
+static double run_both(const char *load)
+{
+	double without;
+
+	off = true;
+	set_kinds(55, 55);
+	run_load(0);
+	show(load);
+	without = in_time(0);
+	off = false;
+	set_kinds(55, 55);
+	run_load(0);
+	show(load);
+	return without;
+}
+
+/*
+ * Guards against a peak that moves through the zones: the few hosts that have
+ * the calls must leave room for the urgent ones just as many hosts do.
+ */
+START_TEST(peak_in_one_zone)
+{
+	double without;
+
+	host_of_call = host_in_wave;
+	without = run_both("wave");
+	ck_assert(in_time(0) > MAX(without, 0.85));
+	ck_assert(in_time(1) > mean_in_time() / 4);
+}
+END_TEST
+
+/* A sixth of the servers is four times slower, for 300 ms each. */
+static uint32_t slow_by_turns(uint32_t server)
+{
+	return server % 6 == now_us / (300 * MS) % 6 ? 4 : 1;
+}
+
+/* Guards against urgent calls that end late as some servers are slow. */
+START_TEST(slow_servers)
+{
+	double without;
+
+	slowness = slow_by_turns;
+	without = run_both("slow servers");
+	ck_assert(in_time(0) > MAX(without, 0.8));
+	ck_assert(in_time(1) > mean_in_time() / 4);
+}
+END_TEST
+
+/*
+ * Guards against a customer at eight times its usual rate that takes from the
+ * others what they had before, whether its calls come to all hosts or to a few.
+ */
+START_TEST(greedy_customer)
+{
+	double before;
+
+	host_of_call = _i ? host_by_hash : any_host;
+	set_kinds(45, 45);
+	run_load(CUSTOMERS);
+	show("customers");
+	before = others_in_time(0);
+	boost = 8;
+	set_kinds(45, 45);
+	run_load(CUSTOMERS);
+	show("greedy customer");
+	ck_assert(others_in_time(0) > before - 0.03);
+	ck_assert(others_in_time(1) > 0.6);
+	ck_assert(kinds[0].customer_in_time[0] >
+		  kinds[0].customer_offered[0] * mean_in_time() / 4);
+}
+END_TEST
+
+/*
+ * Guards against a greedy customer that fills the queues of hosts which do not ask
+ * servers for their load.
+ */
+START_TEST(greedy_customer_in_queues)
+{
+	double before;
+
+	policy = CORE_POLICY_REPORTS;
+	boost = 8;
+	set_kinds(90, 0);
+	run_load(0);
+	show("queues without customers");
+	before = others_in_time(0);
+	set_kinds(90, 0);
+	run_load(CUSTOMERS);
+	show("queues");
+	printf("%f %f\n", before, others_in_time(0));
+	ck_assert(others_in_time(0) > before + 0.2);
+}
+END_TEST
+
+/*
+ * Guards against any other decision than before where a service gets one class
+ * of calls and there are no customers, however overloaded it is.
+ */
+START_TEST(one_class_is_as_before)
+{
+	uint64_t before;
+
+	off = true;
+	set_kinds(_i ? 140 : 0, _i ? 0 : 140);
+	run_load(0);
+	before = decisions;
+	off = false;
+	run_load(0);
+	ck_assert_uint_gt(kinds[_i ? 0 : 1].refused, 0);
+	ck_assert_uint_eq(decisions, before);
+}
+END_TEST
+
+/*
+ * Guards against ejecting servers that reset connections because they are full,
+ * and against keeping one in use that has crashed while it was full.
+ */
+START_TEST(resets_of_full_servers)
+{
+	resets_when_full = true;
+	off = true;
+	run_load(0);
+	ck_assert_uint_gt(ejections_of_others, 0);
+	off = false;
+	ejections_of_others = attempts_at_crashed = 0;
+	run_load(0);
+	ck_assert_uint_eq(ejections_of_others, 0);
+	ck_assert_uint_lt(attempts_at_crashed, HOSTS);
+	attempts_at_crashed = 0;
+	crashed_answers_probes = true;
+	run_load(0);
+	ck_assert_uint_eq(ejections_of_others, 0);
+	ck_assert_uint_gt(ejections_of_crashed, 0);
+	ck_assert_uint_lt(attempts_at_crashed, HOSTS);
 }
 END_TEST
 
@@ -444,6 +685,12 @@
 
 	tcase_add_checked_fixture(tests, setup, NULL);
 	tcase_set_timeout(tests, 120);
-	tcase_add_test(tests, trial);
+	tcase_add_test(tests, urgent_kind_goes_first);
+	tcase_add_test(tests, peak_in_one_zone);
+	tcase_add_test(tests, slow_servers);
+	tcase_add_loop_test(tests, greedy_customer, 0, 2);
+	tcase_add_test(tests, greedy_customer_in_queues);
+	tcase_add_loop_test(tests, one_class_is_as_before, 0, 2);
+	tcase_add_test(tests, resets_of_full_servers);
 	return suite_run_case("share", tests, CK_FORK_GETENV);
 }
