--- a/core/share.c
+++ b/core/share.c
@@ -14,7 +14,7 @@
  */
 enum {
 	CORE_PRESSURE_HALF_US = 500 * CORE_US_PER_MS,
-	CORE_SERVED_HALF_US = 4 * CORE_US_PER_S,
+	CORE_SERVED_HALF_US = 8 * CORE_US_PER_S,
 	CORE_USE_HALF_US = 2 * CORE_US_PER_S,
 	CORE_USUAL_HALF_US = 30 * CORE_US_PER_S,
 	/* Time that CORE_USE_HALF_US stands for: that by ln 2. */
@@ -30,7 +30,7 @@
 	CORE_SHORT_MIN_Q8 = CORE_Q8 / 8,
 	CORE_MIN_REPORTS = 4,
 	CORE_MIN_CALLS = 2,
-	CORE_MIN_SERVED_CALLS = 4,
+	CORE_MIN_SERVED_CALLS = 1,
 	CORE_WAITED_Q8 = CORE_Q8 / 2, /* 0: sent at once, CORE_Q8: refused */
 	/* A class is protected below this share of the mean; callers need 1/4. */
 	CORE_STARVED_DIVISOR = 3,
