core: compare the use of customers in milliseconds

Products of use, room and weights could exceed 64 bits with thousands of customers of large weights.

--- a/core/share.c
+++ b/core/share.c
@@ -373,20 +373,22 @@
 	const struct core_share *share = &service->share;
 	const struct core_flow *flow = call->customer_flow;
 
-	uint64_t usual_us;
-	uint64_t use_us;
+	/* In ms, as products of times and weights may exceed 64 bits in us. */
+	uint64_t usual_ms;
+	uint64_t use_ms;
 
 	if (!flow)
 		return false;
-	use_us = core_flow_use_us(core, flow);
-	if (use_us * core->customer_weight_sum > share->room_us * flow->weight)
+	use_ms = core_flow_use_us(core, flow) / CORE_US_PER_MS;
+	if (use_ms * core->customer_weight_sum >
+	    share->room_us / CORE_US_PER_MS * flow->weight)
 		return true;
-	usual_us = core_decayed(flow->usual_us, core->now_us - flow->use_at_us,
+	usual_ms = core_decayed(flow->usual_us, core->now_us - flow->use_at_us,
 				CORE_USUAL_HALF_US) /
-		   (CORE_USUAL_HALF_US / CORE_USE_HALF_US);
-	return use_us > CORE_OVER_SHARE_FACTOR * usual_us &&
-	       use_us * share->customer_weights >
-		       share->customer_use_us * flow->weight *
+		   (CORE_USUAL_HALF_US / CORE_USE_HALF_US) / CORE_US_PER_MS;
+	return use_ms > CORE_OVER_SHARE_FACTOR * usual_ms &&
+	       use_ms * share->customer_weights >
+		       share->customer_use_us / CORE_US_PER_MS * flow->weight *
 			       CORE_OVER_SHARE_FACTOR;
 }
 
