--- a/admin/console.c
+++ b/admin/console.c
@@ -264,6 +264,14 @@
 	return document ? document->generation : 0;
 }
 
+static const struct doc_customers *
+cs_customers_in_force(const struct cs_console *console)
+{
+	const struct doc_document *document = console->control->document;
+
+	return document ? document->customers : NULL;
+}
+
 static void cs_show_form(struct cs_console *console, h2o_req_t *req,
 			 struct fm_node *form, const struct cs_form_view *view)
 {
@@ -282,6 +290,7 @@
 	cs_add_hidden_field(page, "form_token", token);
 	cs_add_hidden_field(page, "base", base);
 	cs_add_toolbar(page, view, cs_generation_in_force(console));
+	fm_hide_keys(form, cs_customers_in_force(console));
 	fm_to_html(form, page);
 	g_string_append(page, "</form>");
 	cs_end_page(page);
@@ -392,8 +401,8 @@
 }
 
 /*
- * Checks TEXT, the document of FORM, and places the errors beside the fields.
- * NOTICE receives the errors that belong to no field. DIFFERENCE receives the
+ * Checks TEXT, the document of FORM, and places the errors, or else the
+ * warnings, beside the fields. NOTICE receives the errors that belong to no field. DIFFERENCE receives the
  * changes against the document in force. Returns whether the document is valid.
  */
 static bool cs_check_form(struct cs_console *console, struct fm_node *form,
@@ -410,8 +419,11 @@
 	if (errors.count)
 		g_string_prepend(notice, "The document has errors.\n");
 	valid = document;
-	if (document)
+	if (document) {
 		cs_append_difference(console, document, difference);
+		doc_find_warnings(document, &errors);
+		fm_place_errors(form, &errors, notice);
+	}
 	doc_unref(document);
 	ym_errors_free(&errors);
 	return valid;
@@ -440,7 +452,7 @@
 		cs_submit_form(console, req, form, view, text);
 		form = NULL;
 	} else if (valid) {
-		g_string_assign(notice, "The document is valid.");
+		g_string_prepend(notice, "The document is valid.\n");
 	}
 	view->notice = notice->str;
 	if (form)
@@ -532,6 +544,7 @@
 		g_strlcpy(author, cs_get_param(params, "author"),
 			  sizeof(author));
 		view.author = author;
+		fm_show_keys(form, cs_customers_in_force(console));
 		view.base_generation = g_ascii_strtoull(
 			cs_get_param(params, "base"), NULL, 10);
 		cs_run_action(console, req, form, &view,
--- a/base/counter.h
+++ b/base/counter.h
@@ -16,6 +16,15 @@
 	X(REFUSED, "calls_refused_total", "Calls refused, not run")           \
 	X(OVERLOAD_REFUSED, "overload_refused_total",                         \
 	  "Calls refused by the rules for overload")                          \
+	X(KEY_MISSING, "key_missing_total", "Calls refused without a key")    \
+	X(KEY_MALFORMED, "key_malformed_total",                               \
+	  "Calls refused for a malformed or repeated key")                    \
+	X(KEY_UNKNOWN, "key_unknown_total",                                   \
+	  "Calls refused for a key of no customer")                           \
+	X(KEY_REMOVED, "key_removed_total",                                   \
+	  "Waiting calls refused because their key was removed")              \
+	X(KEY_UNCONFIRMED, "key_unconfirmed_total",                           \
+	  "Calls refused because the keys were not confirmed lately")         \
 	X(UNKNOWN, "calls_unknown_total", "Calls ended, outcome unknown")     \
 	X(BROKEN, "calls_broken_total", "Answers broken off")                 \
 	X(CALLERS_LEFT, "calls_gone_total",                                   \
@@ -31,6 +40,11 @@
 	  "Times a server began to limit its requests a second")              \
 	X(LIMITED_ATTEMPTS, "limited_attempts_total",                         \
 	  "Attempts sent to servers with such a limit")                       \
+	X(COLD, "cold_servers_total", "Times a server was found cold")        \
+	X(COLD_ATTEMPTS, "cold_attempts_total",                               \
+	  "Attempts sent to cold servers")                                    \
+	X(EVACUATIONS, "zone_evacuations_total",                              \
+	  "Times a zone was found evacuated")                                 \
 	X(PAUSES, "server_pauses_total",                                      \
 	  "Times a server refused a request and asked for a pause")           \
 	X(CUTS, "server_cuts_total", "Times that no server was reached")      \
@@ -58,9 +72,29 @@
 	  "Failed platform requests")                                         \
 	X(RESTORES, "store_restores_total",                                   \
 	  "Times a table was found restored from a copy")                     \
+	X(BODY_BYTES, "request_bytes_held",                                   \
+	  "Bytes of callers' requests in memory, now")                        \
+	X(HEADS_TOO_LARGE, "request_heads_too_large_total",                   \
+	  "Requests refused for the size of their head")                      \
+	X(BODIES_TOO_LARGE, "request_bodies_too_large_total",                 \
+	  "Requests refused for the size of their body")                      \
+	X(BODIES_NO_ROOM, "request_bodies_no_room_total",                     \
+	  "Requests refused because the memory for bodies was used up")       \
+	X(TOO_SLOW, "requests_too_slow_total",                                \
+	  "Requests refused because they did not arrive in time")             \
 	X(LOG_DROPPED, "log_lines_dropped_total", "Lines of the log dropped") \
 	X(MANIFEST, "manifest_changes_total",                                 \
 	  "Versions of routes and servers taken")                             \
+	X(QUOTA_ADMITTED, "quota_admitted_total",                             \
+	  "Requests of customers that were within the quota")                 \
+	X(QUOTA_REFUSED, "quota_refused_total",                               \
+	  "Requests of customers that were over the quota")                   \
+	X(QUOTA_SENT, "quota_messages_sent_total",                            \
+	  "Messages about quotas sent to other hosts")                        \
+	X(QUOTA_ANSWERED, "quota_messages_answered_total",                    \
+	  "Messages about quotas that were answered")                         \
+	X(QUOTA_LOST, "quota_messages_lost_total",                            \
+	  "Messages about quotas without an answer")                          \
 	X(ORDERS, "orders_claimed_total", "Orders claimed by their key")      \
 	X(ORDER_REPLAYS, "orders_replayed_total", "Kept answers replayed")    \
 	X(ORDER_READS, "order_platform_reads_total",                          \
--- a/base/settings.h
+++ b/base/settings.h
@@ -49,8 +49,14 @@
 	struct nt_address server_source;
 	/* Maximum staleness of the data from the platform's store. */
 	uint64_t fresh_ms;
+	/*
+	 * Calls that need a key are refused when the data was not confirmed for
+	 * so long; 0: they never are.
+	 */
+	uint64_t key_limit_ms;
 	bool first_start; /* no host of the system has run before */
 	double processor_share; /* processors of this host; 0: unknown */
+	double memory_mb; /* of this host; 0: unknown */
 	/*
 	 * Of services from the platform's store: retries in percent of the
 	 * calls, retries on top of that in the sliding window of the retry
@@ -60,6 +66,13 @@
 	uint64_t retry_percent;
 	uint64_t retry_slack;
 	uint64_t probes_per_server_s;
+	/*
+	 * Quotas of customers: the window in which they are judged, and by what
+	 * part and number of requests it may be exceeded over all hosts.
+	 */
+	uint64_t quota_window_s;
+	uint64_t quota_over_percent;
+	uint64_t quota_slack;
 	struct nt_address operators;
 	struct se_tls operators_tls;
 	struct nt_address peers;
--- a/base/yaml_tree.c
+++ b/base/yaml_tree.c
@@ -8,6 +8,10 @@
 
 #include <yaml.h>
 
+#include "base/json_text.h"
+
+enum { YM_MILLI = 1000 };
+
 struct ym_reader {
 	yaml_parser_t parser;
 	struct ym_errors *errors;
@@ -67,6 +71,22 @@
 				       errors->count - shown);
 }
 
+json_t *ym_errors_json(const struct ym_errors *errors)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < MIN(errors->count, YM_MAX_ERRORS); i++) {
+		const struct ym_error *error = &errors->rows[i];
+
+		json_array_append_new(list, json_pack("{s:i, s:o, s:o}", "line",
+						      (int)error->line, "field",
+						      jt_string(error->field),
+						      "message",
+						      jt_string(error->msg)));
+	}
+	return list;
+}
+
 static void ym_parser_error(struct ym_reader *reader, uint32_t line,
 			    const char *msg)
 {
@@ -355,6 +375,47 @@
 	return ym_uint(map, key, min, max, min, errors);
 }
 
+/* Reads "12", "12.5" or "0.125" as thousandths. */
+static bool ym_parse_milli(const char *text, uint64_t *out)
+{
+	uint32_t unit = YM_MILLI;
+	char *end;
+
+	if (!g_ascii_isdigit(*text))
+		return false;
+	errno = 0;
+	*out = strtoull(text, &end, 10);
+	if (errno || *out > UINT32_MAX)
+		return false;
+	*out *= YM_MILLI;
+	if (*end == '.' && !end[1])
+		return false;
+	if (*end == '.')
+		end++;
+	for (; g_ascii_isdigit(*end) && unit > 1; end++) {
+		unit /= 10;
+		*out += (uint64_t)(*end - '0') * unit;
+	}
+	return !*end;
+}
+
+uint32_t ym_milli(struct ym_node *map, const char *key, uint32_t min,
+		  uint32_t max, uint32_t fallback, struct ym_errors *errors)
+{
+	struct ym_node *node = ym_optional(map, key, YM_SCALAR, errors);
+	uint64_t value;
+
+	if (!node)
+		return fallback;
+	if (ym_parse_milli(node->value, &value) && value >= min && value <= max)
+		return (uint32_t)value;
+	ym_error(errors, node, key,
+		 "\"%.40s\" is not a number from %.10g to %.10g with at most 3 "
+		 "decimals",
+		 node->value, (double)min / YM_MILLI, (double)max / YM_MILLI);
+	return fallback;
+}
+
 bool ym_bool(struct ym_node *map, const char *key, bool fallback,
 	     struct ym_errors *errors)
 {
--- a/cli/serve.c
+++ b/cli/serve.c
@@ -1,6 +1,7 @@
 #include <argp.h>
 #include <signal.h>
 #include <stdio.h>
+#include <malloc.h>
 #include <string.h>
 
 #include <glib.h>
@@ -18,6 +19,7 @@
 #include "peer/task.h"
 #include "platform/dialect.h"
 #include "platform/follow.h"
+#include "platform/quota_link.h"
 #include "platform/store.h"
 #include "base/settings.h"
 #include "base/timer.h"
@@ -26,6 +28,7 @@
 enum {
 	SV_IDLE_POLL_US = 20 * 1000,
 	SV_US_PER_MS = 1000,
+	SV_LARGE_BYTES = 128 * 1024,
 	SV_SETTINGS_POLL_US = 10 * 1000 * 1000,
 	/* HTTP/2 connections close after two GOAWAY frames, 1 s apart. */
 	SV_LINGER_US = 2000 * 1000,
@@ -49,6 +52,7 @@
 	SSL_CTX *platform_tls;
 	struct pr_peer peer;
 	struct fo_follower follower;
+	struct ql_link quotas; /* of a host that follows the platform */
 	struct hd_server health;
 	struct hd_server metrics;
 	uv_signal_t signals[3];
@@ -328,18 +332,40 @@
 
 	if (kind != ST_OK)
 		return kind;
+	kind = ql_init(&host->quotas, &host->kernel, &host->timers,
+		       &host->settings, status);
+	if (kind != ST_OK)
+		return kind;
+	host->gateway.admit_customer = ql_admit;
+	host->gateway.admit_ctx = &host->quotas;
 	kind = fo_init(&host->follower, &host->kernel, &host->timers,
 		       &host->platform, &host->settings, status);
+	host->follower.relay.quotas = &host->quotas;
 	host->follower.relay.is_call = gw_is_forwarded;
 	host->follower.relay.handle_call = gw_on_forwarded;
 	host->follower.relay.call_ctx = &host->gateway;
+	host->gateway.get_confirmed_us = fo_confirmed_us;
+	host->gateway.confirmed_ctx = &host->follower;
+	if (kind == ST_OK)
+		gw_limit_hosts(&host->gateway, &host->follower.relay.http);
 	return kind;
 }
 
+/*
+ * Large buffers are returned to the system when they are freed. By default the
+ * library raises this limit with the first one, and keeps the memory of the others.
+ */
+static void sv_set_allocator(void)
+{
+	mallopt(M_MMAP_THRESHOLD, SV_LARGE_BYTES);
+	mallopt(M_TRIM_THRESHOLD, SV_LARGE_BYTES);
+}
+
 static enum st_kind sv_start(struct sv_host *host, struct st_status *status)
 {
 	enum st_kind kind;
 
+	sv_set_allocator();
 	kn_init(&host->kernel, &host->loop);
 	tm_init(&host->timers, &host->loop);
 	pf_init(&host->platform, &host->loop, &host->timers,
@@ -398,10 +424,12 @@
 		sv_close_server(&host->health);
 	if (host->settings.has_metrics)
 		sv_close_server(&host->metrics);
-	if (following)
+	if (following) {
 		fo_close(&host->follower);
-	else
+		ql_close(&host->quotas);
+	} else {
 		sv_close_document_mode(host);
+	}
 	pf_free(&host->platform);
 	if (!following) {
 		od_free(&host->orders);
@@ -431,6 +459,7 @@
 		hd_free(&host->metrics);
 	if (host->settings.follow_platform) {
 		fo_free(&host->follower);
+		ql_free(&host->quotas);
 	} else {
 		tl_free(&host->operators_tls);
 		ad_free(&host->admin);
--- a/core/ask.c
+++ b/core/ask.c
@@ -26,6 +26,11 @@
 	CORE_ASK_PAUSES = 8,
 	/* The transfer of a large answer between zones is rarely worthwhile. */
 	CORE_BULKY_ZONE_COST_US = 300 * CORE_US_PER_MS,
+	/*
+	 * Of the first request of a host to a cold server, which always costs more
+	 * than a warm one, and would get nothing while others have room.
+	 */
+	CORE_UNTRIED_COST_DIVISOR = 2,
 	/* Cost at an error rate of 1, as a multiple of the work. */
 	CORE_ERROR_COST_FACTOR = 4,
 	CORE_NO_SERVER = UINT32_MAX
@@ -52,6 +57,9 @@
 	uint64_t threshold_us =
 		3 * (uint64_t)core_base_latency_us(service, server->zone);
 
+	/* Only a few hosts may send then, so that it does not get too much. */
+	if (core_is_cold(core, server) && core_rate_is_untried(core, server))
+		return work_us / CORE_UNTRIED_COST_DIVISOR;
 	if (server->zone != core->zone)
 		cost_us += work_us * CORE_ZONE_COST_PERCENT / 100;
 	if (server->zone != core->zone && call->bulky)
@@ -153,6 +161,8 @@
 static bool core_has_answered_ask(const struct core_call *call,
 				  const struct core_server *server)
 {
+	if (!core_warmup_is_known(server, call->ask_begin_us))
+		return false;
 	return server->report_us + CORE_REPORT_FRESH_US >= call->ask_begin_us &&
 	       server->report_us;
 }
@@ -225,7 +235,7 @@
 		const struct core_server *server = core_server(core, id);
 		uint64_t cost_us;
 
-		if (!server->in_conf || core_is_leaving(server) ||
+		if (!server->in_conf || core_is_withdrawn(server) ||
 		    core_is_paused(core, server) ||
 		    core_is_ejected(core, server) ||
 		    !core_rate_allows(core, server, call->ask_hedge) ||
@@ -409,6 +419,17 @@
 			       CORE_PACE_NORMAL_MAX_PERCENT;
 }
 
+/* Servers whose reports are fresh would always go before one that has none yet. */
+static bool core_ask_has_untried(const struct core *core,
+				 const struct core_call *call)
+{
+	for (uint32_t i = 0; i < call->ask_count; i++)
+		if (core_rate_is_untried(
+			    core, core_server(core, call->ask_servers[i])))
+			return true;
+	return false;
+}
+
 /*
  * Decides by the reports received so far. With FINAL no further report is
  * awaited: the call asks more servers, is sent, is paused or is refused.
@@ -422,7 +443,7 @@
 	uint32_t best = core_ask_best(core, service, call, false, need);
 	bool good_enough = core_ask_is_good_enough(core, service, call, best);
 
-	if (!good_enough && !final)
+	if (!final && (!good_enough || core_ask_has_untried(core, call)))
 		return;
 	if (!good_enough && call->ask_rounds < CORE_ASK_ROUNDS &&
 	    core->now_us + work_us < call->deadline_us &&
@@ -484,7 +505,8 @@
 			core_server(core, candidates[i].id);
 
 		if (!server->probe_pending &&
-		    !core_report_is_fresh(core, server))
+		    !(core_report_is_fresh(core, server) &&
+		      core_warmup_is_known(server, core->now_us)))
 			server->probe_pending =
 				core_send_probe(core, candidates[i].id);
 	}
--- a/document/customer.c
+++ b/document/customer.c
@@ -1,5 +1,7 @@
 #include "document/document.h"
 
+#include <string.h>
+
 struct doc_customers *doc_customers_new(uint32_t count)
 {
 	struct doc_customers *customers = g_new0(struct doc_customers, 1);
@@ -28,6 +30,14 @@
 	return true;
 }
 
+void doc_key_digest(const char *key, char digest[DOC_KEY_DIGEST_BYTES])
+{
+	char whole[DOC_DIGEST_BYTES];
+
+	doc_digest(key, strlen(key), whole);
+	g_strlcpy(digest, whole, DOC_KEY_DIGEST_BYTES);
+}
+
 struct doc_customers *doc_customers_ref(struct doc_customers *customers)
 {
 	if (customers)
@@ -64,3 +74,15 @@
 	g_free(text);
 	return at ? at - 1 : DOC_NO_INDEX;
 }
+
+uint32_t doc_customers_find_name(const struct doc_customers *customers,
+				 const char *name, size_t name_bytes)
+{
+	for (uint32_t i = 0; i < customers->count; i++) {
+		const char *row = customers->rows[i].name;
+
+		if (strlen(row) == name_bytes && !memcmp(row, name, name_bytes))
+			return i;
+	}
+	return DOC_NO_INDEX;
+}
--- a/document/document.h
+++ b/document/document.h
@@ -35,6 +35,9 @@
 	DOC_MAX_SERVERS = 16384,
 	DOC_MAX_CALLERS = 4096,
 	DOC_MAX_RULES = 64,
+	DOC_MAX_CUSTOMERS = 10000,
+	DOC_MAX_CUSTOMER_KEYS = 64, /* of one customer */
+	DOC_KEY_BYTES = 256,
 	DOC_NO_INDEX = UINT32_MAX
 };
 
@@ -44,7 +47,7 @@
 	uint32_t zone;
 	uint32_t slots;
 	uint32_t connections; /* over all entry hosts */
-	uint32_t warmup_left_ms; /* remaining warm-up time after its start */
+	uint64_t warm_at_us; /* end of its warm-up, by tm_now_us; 0: not cold */
 	uint64_t incarnation; /* changes with each start; 0: not known */
 	bool leaving; /* is being taken out of service */
 };
@@ -96,6 +99,7 @@
 struct doc_service {
 	char *name;
 	char route[DOC_ROUTE_BYTES];
+	bool is_public; /* calls by its own route need no key of a customer */
 	uint32_t deadline_ms;
 	uint32_t longest_deadline_ms;
 	uint32_t queue_limit; /* calls waiting, per entry host */
@@ -145,7 +149,11 @@
 	struct doc_customers *customers; /* NULL: calls need no key */
 	struct doc_route *routes;
 	uint32_t route_count;
-	uint32_t idle_timeout_ms; /* of callers' connections; 0: not set */
+	/* Of callers' connections and requests; 0: the defaults of http/httpd.h. */
+	uint32_t idle_timeout_ms;
+	uint32_t head_timeout_ms;
+	uint64_t max_head_bytes;
+	uint64_t max_body_bytes;
 };
 
 /*
@@ -157,6 +165,14 @@
  */
 struct doc_document *doc_parse(const char *text, size_t text_bytes,
 			       struct ym_errors *errors);
+
+/*
+ * doc_find_warnings - add what is allowed in a document that doc_parse returned,
+ * but is likely to be a mistake, with line and field. Source: document/warning.c
+ */
+void doc_find_warnings(const struct doc_document *document,
+		       struct ym_errors *warnings);
+
 struct doc_document *doc_ref(struct doc_document *document);
 void doc_unref(struct doc_document *document);
 
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -441,6 +441,17 @@
 	gw_expire_call(call);
 }
 
+/* Ends the call unless another attempt runs, which may still be answered. */
+static void gw_give_up_revoked(const struct gw_attempt *attempt)
+{
+	struct gw_call *call = attempt->call;
+
+	for (uint32_t i = 0; i < call->attempt_count; i++)
+		if (i != attempt->index && !call->attempts[i].end_us)
+			return;
+	gw_expire_call(call);
+}
+
 /*
  * Last check before sending; things may have changed since the admission. While
  * the host was slow or stopped, a request may have been read, or a connection
@@ -458,6 +469,10 @@
 		gw_post_blocked(call);
 		return false;
 	}
+	if (gw_has_lost_key(call)) {
+		gw_give_up_revoked((struct gw_attempt *)request);
+		return false;
+	}
 	if (gw_is_blind(call)) {
 		gw_give_up_unsent(call);
 		return false;
@@ -507,10 +522,8 @@
 	uint64_t now_us = tm_now_us();
 	uint64_t left_ms = 1;
 	char text[GW_DIGITS];
-	GString *out = g_string_sized_new(
-		call->request_head->len +
-		(call->request_body ? call->request_body->len : 0) +
-		GW_ATTEMPT_HEAD_BYTES);
+	GString *out = g_string_sized_new(call->request_head->len +
+					  GW_ATTEMPT_HEAD_BYTES);
 
 	if (call->deadline_us > now_us + GW_US_PER_MS)
 		left_ms = (call->deadline_us - now_us) / GW_US_PER_MS;
@@ -523,10 +536,13 @@
 		      gw_format_decimal(left_ms, text));
 	gw_add_header(out, dialect->expect_server, server->name,
 		      strlen(server->name));
+	if (call->customer)
+		gw_add_header(out, dialect->customer, call->customer,
+			      strlen(call->customer));
 	if (report)
 		gw_add_header(out, dialect->report_wanted, "1", 1);
-	hc_head_end(out, call->request_body ? call->request_body->str : NULL,
-		    call->request_body ? call->request_body->len : 0);
+	hc_head_end_apart(out, call->request_body.base,
+			  call->request_body.bytes);
 	return out;
 }
 
@@ -553,6 +569,8 @@
 	attempt->server = action->server;
 	attempt->http.handler = &gw_http_handler;
 	attempt->http.head_method = call->head_method;
+	attempt->http.body = call->request_body.base;
+	attempt->http.body_bytes = call->request_body.bytes;
 	attempt->http.max_read_bytes = gw_buffer_bytes(gateway);
 	attempt->http.may_end_with_close = gateway->dialect->signature != NULL;
 	/*
@@ -571,6 +589,9 @@
 	ct_add(CT_RETRIES, action->attempt > 0 && !action->hedge);
 	ct_add(CT_HEDGES, action->hedge);
 	ct_add(CT_LIMITED_ATTEMPTS, server->rate_limited);
+	ct_add(CT_COLD_ATTEMPTS,
+	       core_is_cold(&gateway->core,
+			    core_server(&gateway->core, server->id)));
 	gw_log_attempt_start(attempt, action->hedge);
 	if (!hc_start(&server->pool, &attempt->http,
 		      gw_format_request(call, server, action->report)))
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -26,8 +26,7 @@
 	for (uint32_t i = 0; i < CORE_MAX_ATTEMPTS; i++)
 		gw_free_buffered(&call->attempts[i]);
 	g_string_free(call->request_head, TRUE);
-	if (call->request_body)
-		g_string_free(call->request_body, TRUE);
+	hd_body_free(&call->request_body);
 	g_string_free(call->unsent, TRUE);
 	g_string_free(call->sending, TRUE);
 	if (call->stored_body)
@@ -36,7 +35,7 @@
 	g_free(call->request_id);
 	tx_unref(call->route);
 	tx_unref(call->forwarded_to);
-	tx_unref(call->customer);
+	gw_clear_customer(call);
 	g_free(call);
 }
 
@@ -141,6 +140,8 @@
 {
 	if (call->forward_refused && result == ST_DEADLINE_NOT_RUN)
 		result = ST_NO_SERVER;
+	if (call->key_removed && result == ST_DEADLINE_NOT_RUN)
+		result = ST_UNAUTHORIZED;
 	return at_caller_result(result, call->may_have_run);
 }
 
@@ -185,6 +186,8 @@
 	struct gw_req_link *link = ptr;
 	struct gw_call *call = link->call;
 
+	if (!call->finished)
+		hd_body_keep(&call->request_body, call->req);
 	call->req = NULL;
 	/* The rest of the answer is discarded; let the attempt complete. */
 	if (call->read_paused)
@@ -240,7 +243,9 @@
 	for (size_t i = 0; i < req->headers.size; i++) {
 		h2o_header_t *h = &req->headers.entries[i];
 
-		if (!gw_is_hop_header(dialect, h->name->base, h->name->len))
+		if (!gw_is_hop_header(dialect, h->name->base, h->name->len) &&
+		    !gw_is_customer_header(call->gateway, h->name->base,
+					   h->name->len))
 			hc_head_add(call->request_head, h->name->base,
 				    h->name->len, h->value.base, h->value.len);
 	}
@@ -291,9 +296,7 @@
 		     req->path.base, req->path.len);
 	call->unsent = g_string_new(NULL);
 	call->sending = g_string_new(NULL);
-	if (req->entity.base)
-		call->request_body = g_string_new_len(req->entity.base,
-						      (gssize)req->entity.len);
+	hd_body_init(&call->request_body, req);
 	gw_save_headers(call, req);
 	call->timer.fire = gw_on_call_timer;
 	call->timer.ctx = call;
@@ -339,6 +342,9 @@
 	event.u.call.call = call->id;
 	event.u.call.service = call->service;
 	event.u.call.caller = call->caller_index;
+	event.u.call.work_class = call->work_class;
+	if (call->customer)
+		event.u.call.customer = call->customer_index + 1;
 	event.u.call.deadline_us = call->deadline_us;
 	event.u.call.target_us = call->target_us;
 	event.u.call.waited_us = call->waited_us;
@@ -448,22 +454,23 @@
 			   h2o_iovec_t key)
 {
 	const h2o_req_t *req = call->req;
-	h2o_iovec_t caller = hd_header(call->req, "x-caller");
+	h2o_iovec_t caller = gw_caller_name(call);
 	g_autofree char *method = g_strndup(req->method.base, req->method.len);
 	g_autofree char *path = g_strndup(req->path.base, req->path.len);
 	struct od_callback callback = { gw_on_claim, call };
 	struct od_claim_result refused = { .kind = ST_INTERNAL };
 	struct od_request request = {
 		.id = call->request_id,
-		.caller = caller.base ? caller.base : "",
+		.caller = caller.base,
 		.caller_bytes = caller.len,
+		.is_customer = call->customer != NULL,
 		.service = service,
 		.key = key.base,
 		.key_bytes = key.len,
 		.method = method,
 		.path = path,
-		.body = call->request_body ? call->request_body->str : "",
-		.body_bytes = call->request_body ? call->request_body->len : 0,
+		.body = call->request_body.base ? call->request_body.base : "",
+		.body_bytes = call->request_body.bytes,
 		.deadline_us = call->deadline_us,
 	};
 	struct st_status status;
@@ -486,13 +493,13 @@
 			      req->path.base, req->path.len);
 	uint32_t timeout_ms = rule ? rule->deadline_ms : service->deadline_ms;
 	h2o_iovec_t key = hd_header(req, "idempotency-key");
-	h2o_iovec_t caller = hd_header(req, "x-caller");
+	h2o_iovec_t caller = gw_caller_name(call);
 
 	timeout_ms = gw_timeout_ms(gw_caller_timeout_ms(gateway->dialect, req),
 				   service->longest_deadline_ms, timeout_ms);
 	call->deadline_us = tm_now_us() + (uint64_t)timeout_ms * GW_US_PER_MS;
-	call->caller_index = doc_find_caller(
-		gateway->document, caller.base ? caller.base : "", caller.len);
+	call->caller_index =
+		doc_find_caller(gateway->document, caller.base, caller.len);
 	call->service = gateway->service_ids[index];
 	call->idempotent = rule ? rule->idempotent : gw_is_safe_method(req);
 	if (gw_may_be_cut_off(call))
@@ -507,6 +514,30 @@
 		gw_submit_call(call);
 }
 
+/* A call that another host has passed on was counted there. */
+static bool gw_is_over_quota(struct gw_call *call)
+{
+	const struct gw_gateway *gateway = call->gateway;
+	uint64_t retry_us = 0;
+
+	if (call->from_host || !call->customer || !gateway->admit_customer ||
+	    gateway->admit_customer(gateway->admit_ctx, call->customer,
+				    &retry_us))
+		return false;
+	call->retry_at_us = tm_now_us() + retry_us;
+	return true;
+}
+
+static void gw_refuse_over_quota(struct gw_call *call)
+{
+	struct od_claim_result refused = {
+		.kind = ST_OVER_QUOTA,
+		.msg = "the customer is over its quota",
+	};
+
+	gw_end_unsubmitted(call, &refused);
+}
+
 /* Admits a call on a named route of the document. */
 void gw_admit_route_call(struct gw_call *call, const struct doc_route *route)
 {
@@ -533,11 +564,13 @@
 	call->route = tx_ref(route->name);
 	call->idempotent = route->idempotent;
 	call->bulky = route->bulky;
-	call->caller_index = route->priority;
+	gw_set_priority(call, route);
 	if (gw_may_be_cut_off(call))
 		gw_refuse_at_stop(call);
 	else if (gw_is_blocked(call))
 		gw_refuse_blocked(call);
+	else if (gw_is_over_quota(call))
+		gw_refuse_over_quota(call);
 	else
 		gw_submit_call(call);
 }
--- a/gateway/conf.c
+++ b/gateway/conf.c
@@ -8,6 +8,8 @@
 /* Below the one second after which a lost first packet is sent again. */
 enum { GW_CONNECT_TIMEOUT_US = 200 * 1000 };
 
+enum { GW_MILLI = 1000 };
+
 /* This host's share of the connections that a server allows. */
 static uint32_t gw_connection_share(const struct gw_gateway *gateway,
 				    uint32_t of_server)
@@ -54,6 +56,43 @@
 	return server;
 }
 
+/*
+ * Time that the server is cold yet, if its entry is one that the core does not have
+ * yet: health check responses say later what holds.
+ */
+static uint32_t gw_new_warmup_ms(struct gw_server *server,
+				 const struct doc_server *from)
+{
+	uint64_t now_us = tm_now_us();
+	uint64_t left_us;
+
+	if (from->warm_at_us == server->warm_at_us)
+		return 0;
+	server->warm_at_us = from->warm_at_us;
+	if (from->warm_at_us <= now_us)
+		return 0;
+	left_us = from->warm_at_us - now_us;
+	if (server->warmup_milli_per_s)
+		gw_note_cold(server, left_us, false);
+	return (uint32_t)MIN(left_us / GW_US_PER_MS + 1, UINT32_MAX);
+}
+
+bool gw_is_evacuated(const struct gw_gateway *gateway,
+		     const struct gw_server *server)
+{
+	return server->id < gateway->core.servers->len &&
+	       core_server(&gateway->core, server->id)->evacuated;
+}
+
+static bool gw_is_zone_evacuated(const struct gw_gateway *gateway,
+				 uint32_t zone)
+{
+	const struct doc_document *document = gateway->document;
+
+	return document->zone_evacuated && zone < document->zone_count &&
+	       document->zone_evacuated[zone];
+}
+
 static void gw_build_service_conf(struct gw_gateway *gateway,
 				  const struct doc_service *service,
 				  struct core_service_conf *conf)
@@ -82,7 +121,13 @@
 		servers[i].slots = from->slots;
 		servers[i].max_connections = from->connections;
 		servers[i].leaving = from->leaving;
-		servers[i].warmup_ms = from->warmup_left_ms;
+		server->warmup_milli_per_s = service->warmup_milli_per_s;
+		servers[i].warmup_milli_per_s = service->warmup_milli_per_s;
+		servers[i].warmup_ms = gw_new_warmup_ms(server, from);
+		servers[i].evacuated =
+			gw_is_zone_evacuated(gateway, from->zone);
+		/* Those that get no requests show nothing of the path to them. */
+		gateway->servers_in_use += !servers[i].evacuated;
 		tx_unref(server->probe_path);
 		server->probe_path = tx_ref(service->probe_path);
 		servers[i].hash = gw_hash_name(from->name);
@@ -106,6 +151,44 @@
 	return hosts;
 }
 
+/* The quota in requests per second is the customer's weight. */
+static struct core_customer_conf *
+gw_build_customer_confs(const struct doc_customers *customers)
+{
+	struct core_customer_conf *confs =
+		g_new0(struct core_customer_conf, customers->count);
+
+	for (uint32_t i = 0; i < customers->count; i++)
+		confs[i].weight =
+			MAX(customers->rows[i].rate_milli / GW_MILLI, 1);
+	return confs;
+}
+
+/* For the headers that a host adds to a call that it passes on. */
+enum { GW_FORWARD_HEAD_BYTES = 4096 };
+
+/* Other hosts pass on what their limits let through, with the head of a call added. */
+static void gw_set_limits(struct gw_gateway *gateway,
+			  const struct doc_document *document)
+{
+	struct hd_limits limits = HD_DEFAULT_LIMITS;
+
+	if (document->idle_timeout_ms)
+		limits.idle_timeout_ms = document->idle_timeout_ms;
+	if (document->head_timeout_ms)
+		limits.head_timeout_ms = document->head_timeout_ms;
+	if (document->max_head_bytes)
+		limits.head_bytes = document->max_head_bytes;
+	if (document->max_body_bytes)
+		limits.body_bytes = document->max_body_bytes;
+	hd_set_limits(&gateway->http, &limits);
+	if (!gateway->hosts_http)
+		return;
+	limits.head_bytes += GW_FORWARD_HEAD_BYTES;
+	limits.idle_timeout_ms = gateway->hosts_http->limits.idle_timeout_ms;
+	hd_set_limits(gateway->hosts_http, &limits);
+}
+
 void gw_configure_core(struct gw_gateway *gateway)
 {
 	struct doc_document *document = gateway->document;
@@ -128,8 +211,7 @@
 	};
 	struct core_event event = { .kind = CORE_EV_CONF };
 
-	if (document->idle_timeout_ms)
-		hd_set_idle_timeout(&gateway->http, document->idle_timeout_ms);
+	gw_set_limits(gateway, document);
 	g_free(gateway->service_ids);
 	gateway->service_ids = g_new0(uint32_t, document->service_count);
 	gateway->servers_in_use = 0;
@@ -137,10 +219,13 @@
 		gw_build_service_conf(gateway, &document->services[i],
 				      &services[i]);
 		gateway->service_ids[i] = services[i].id;
-		gateway->servers_in_use += services[i].server_count;
 	}
 	for (uint32_t i = 0; i < document->caller_count; i++)
 		callers[i].weight = document->callers[i].weight;
+	if (document->customers) {
+		conf.customers = gw_build_customer_confs(document->customers);
+		conf.customer_count = document->customers->count;
+	}
 	event.u.conf = &conf;
 	gw_post_event(gateway, &event);
 	for (uint32_t i = 0; i < document->service_count; i++)
@@ -148,6 +233,7 @@
 	g_free(services);
 	g_free(hosts);
 	g_free(callers);
+	g_free((void *)conf.customers);
 }
 
 static bool gw_same_hosts(const GArray *a, const GArray *b)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -7,6 +7,10 @@
 enum {
 	GW_CALLER_CHECK_US = 100 * 1000,
 	GW_STALL_US = 200 * 1000,
+	GW_ASSUMED_MEMORY_MB = 256,
+	GW_BYTES_PER_MB = 1024 * 1024,
+	/* Of the smallest host, 112 MB, a body of 64 MB still fits. */
+	GW_BODY_PERCENT = 60,
 	GW_ASSUMED_HOSTS = 8 /* until the platform's host list arrives */
 };
 
@@ -67,6 +71,35 @@
 	gw_post_event(gateway, event);
 }
 
+void gw_note_cold(struct gw_server *server, uint64_t left_us, bool by_probe)
+{
+	uint64_t now_us = tm_now_us();
+
+	if (now_us >= server->cold_until_us) {
+		ct_add(CT_COLD, 1);
+		gw_log_cold(server, left_us, by_probe);
+	}
+	server->cold_until_us = now_us + left_us;
+}
+
+/* Most servers are warm; the core is told nothing of these. */
+void gw_post_warmup(struct gw_gateway *gateway, struct core_event *event)
+{
+	struct gw_server *server =
+		g_ptr_array_index(gateway->servers, event->u.warmup.server);
+	uint64_t left_us = event->u.warmup.left_us;
+
+	if (!server->warmup_milli_per_s || (!left_us && !server->cold_until_us))
+		return;
+	if (!left_us) {
+		gw_log_warm(server);
+		server->cold_until_us = 0;
+	} else {
+		gw_note_cold(server, left_us, true);
+	}
+	gw_post_event(gateway, event);
+}
+
 void gw_post_pause(struct gw_gateway *gateway, struct core_event *event)
 {
 	ct_add(CT_PAUSES, 1);
@@ -78,6 +111,8 @@
 {
 	if (event->kind == CORE_EV_RATE_LIMIT)
 		gw_post_rate_limit(ctx, event);
+	else if (event->kind == CORE_EV_WARMUP)
+		gw_post_warmup(ctx, event);
 	else if (event->kind == CORE_EV_PAUSE)
 		gw_post_pause(ctx, event);
 	else
@@ -128,6 +163,7 @@
 	if (gateway->dialect->outcome)
 		hd_add_header(req, gateway->dialect->outcome, "not-run",
 			      strlen("not-run"));
+	gw_add_challenge(req, kind);
 	gw_add_retry_after(gateway->dialect, req, kind, 0);
 	hd_reply_status(req, &status);
 }
@@ -148,8 +184,10 @@
 {
 	const struct doc_document *document = gateway->document;
 	const struct doc_route *route;
+	struct gw_identity identity;
 	struct gw_call *call;
 	uint32_t index;
+	bool is_public;
 
 	ct_add(CT_CALLS, 1);
 	if (!document) {
@@ -169,8 +207,14 @@
 				  "no service has this route");
 		return;
 	}
+	is_public =
+		route ? route->is_public : document->services[index].is_public;
+	if (!gw_identify_customer(gateway, req, is_public, from_host,
+				  &identity))
+		return;
 	call = gw_call_new(gateway, req, arrived_us);
 	call->from_host = from_host;
+	gw_set_customer(call, &identity);
 	if (route)
 		gw_admit_route_call(call, route);
 	else
@@ -230,6 +274,7 @@
 	case KN_DOCUMENT:
 		doc_unref(gateway->document);
 		gateway->document = doc_ref(document->document);
+		gw_end_revoked_calls(gateway);
 		gw_configure_core(gateway);
 		gw_take_early_calls(gateway);
 		break;
@@ -268,6 +313,15 @@
 			g_rand_new();
 }
 
+/* The rest is for the program, its tables, and answers. */
+static size_t gw_body_budget(const struct se_settings *settings)
+{
+	double mb = settings->memory_mb ? settings->memory_mb :
+					  GW_ASSUMED_MEMORY_MB;
+
+	return (size_t)(mb * GW_BYTES_PER_MB * GW_BODY_PERCENT / 100);
+}
+
 enum st_kind gw_init(struct gw_gateway *gateway, struct kn_kernel *kernel,
 		     struct tm_service *timers,
 		     const struct se_settings *settings,
@@ -310,8 +364,18 @@
 		return kind;
 	gateway->caller_check.at_us = tm_now_us();
 	gw_on_caller_check(gateway);
-	return hd_init(&gateway->http, kernel->loop, &settings->callers,
+	kind = hd_init(&gateway->http, kernel->loop, &settings->callers,
 		       gw_on_request, gateway, status);
+	gateway->body_budget.limit_bytes = gw_body_budget(settings);
+	if (kind == ST_OK)
+		hd_use_limits(&gateway->http, &gateway->body_budget);
+	return kind;
+}
+
+void gw_limit_hosts(struct gw_gateway *gateway, struct hd_server *http)
+{
+	gateway->hosts_http = http;
+	hd_use_limits(http, &gateway->body_budget);
 }
 
 /* What still runs gets an answer rather than a connection that breaks. */
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -41,6 +41,8 @@
 	const struct dl_dialect *dialect;
 	struct kn_task task;
 	struct hd_server http;
+	struct hd_server *hosts_http; /* of calls from other hosts, or NULL */
+	struct hd_budget body_budget; /* of both listeners */
 	struct core core;
 	GRand *random;
 	struct doc_document *document;
@@ -56,6 +58,11 @@
 	/* Set after gw_init, before calls arrive; NULL: idempotency keys are
 	   ignored. */
 	struct od_orders *orders;
+	/* Whether a request of CUSTOMER is within its quota, and else after which
+	   time it may be; set like ORDERS. NULL: there are no quotas. */
+	bool (*admit_customer)(void *ctx, const char *customer,
+			       uint64_t *retry_us);
+	void *admit_ctx;
 	char id_prefix[GW_ID_PREFIX_BYTES]; /* of request ids */
 	GArray *events; /* struct core_event, queued for the core */
 	bool handling_events;
@@ -69,6 +76,9 @@
 	struct tm_sub peer_timer; /* next check of the hosts that have them */
 	GQueue early_calls; /* of other hosts, which wait for a document */
 	struct tm_sub early_timer;
+	/* When the document was last confirmed; NULL: not known, always. */
+	uint64_t (*get_confirmed_us)(void *ctx);
+	void *confirmed_ctx;
 	uint32_t servers_in_use; /* of the document */
 	struct tm_sub core_timer;
 	struct tm_sub caller_check;
@@ -91,6 +101,12 @@
 		     struct st_status *status);
 void gw_free(struct gw_gateway *gateway);
 
+/*
+ * gw_limit_hosts - the listener for other hosts keeps the limits and the budget of
+ * callers' bodies as well. HTTP must outlive the gateway's documents.
+ */
+void gw_limit_hosts(struct gw_gateway *gateway, struct hd_server *http);
+
 /*
  * gw_announce_stop - fail health checks and close each connection with its next
  * answer. The process will be killed at KILL_US; 0: not known. Calls that must
--- a/gateway/log.c
+++ b/gateway/log.c
@@ -68,6 +68,8 @@
 	if (call->service < tx_list_count(&gateway->services))
 		gw_set_text(line, "service",
 			    tx_list_name(&gateway->services, call->service));
+	if (call->customer)
+		gw_set_text(line, "customer", call->customer);
 	gw_set_number(line, "generation", call->generation);
 	if (call->waited_us)
 		gw_set_number(line, "waited_ms",
@@ -253,6 +255,32 @@
 	lg_write(LG_EV_LIMIT, line);
 }
 
+void gw_log_cold(const struct gw_server *server, uint64_t left_us,
+		 bool by_probe)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_COLD))
+		return;
+	line = json_object();
+	gw_set_text(line, "server", server->name);
+	gw_set_number(line, "left_ms", left_us / GW_US_PER_MS);
+	gw_set_number(line, "milli_per_s", server->warmup_milli_per_s);
+	gw_set_text(line, "said_by", by_probe ? "probe" : "entry");
+	lg_write(LG_EV_COLD, line);
+}
+
+void gw_log_warm(const struct gw_server *server)
+{
+	json_t *line;
+
+	if (!lg_should_write(LG_EV_WARM))
+		return;
+	line = json_object();
+	gw_set_text(line, "server", server->name);
+	lg_write(LG_EV_WARM, line);
+}
+
 void gw_log_pause(const struct gw_gateway *gateway,
 		  const struct core_event *event)
 {
--- a/gateway/reach.c
+++ b/gateway/reach.c
@@ -48,6 +48,9 @@
 {
 	struct gw_gateway *gateway = ctx;
 
+	/* The zone may be evacuated because its servers fail. */
+	if (gw_is_evacuated(gateway, gw_server_of_pool(pool)))
+		return;
 	rc_on_failed(&gateway->reach.evidence, gw_server_of_pool(pool)->id,
 		     new_connection, tm_now_us());
 	gw_is_cut_off(gateway);
@@ -88,7 +91,7 @@
 		const struct core_server *server =
 			core_server(&gateway->core, id);
 
-		if (server->in_conf && !core_is_leaving(server) &&
+		if (server->in_conf && !core_is_withdrawn(server) &&
 		    !core_is_paused(&gateway->core, server))
 			return g_ptr_array_index(gateway->servers, id);
 	}
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -17,6 +17,7 @@
  * forward.h: calls that are passed from host to host.
  * conf.c: configuration from the document and the host list.
  * route.c: state that routes keep between calls.
+ * customer.c: customers of calls, by their keys.
  * log.c: log lines about calls.
  */
 enum {
@@ -36,6 +37,9 @@
 	char *probe_path; /* NULL: that of the dialect */
 	bool rate_limited; /* by its latest answer */
 	uint32_t rate_limit_milli; /* requests in 1000 s, of all hosts */
+	uint32_t warmup_milli_per_s; /* of its service; 0: none is stated */
+	uint64_t warm_at_us; /* by the latest entry that the core has */
+	uint64_t cold_until_us; /* as known so far; 0: it was warm */
 	struct hc_pool pool;
 	uint64_t start_hash; /* differs for each start of the server */
 	struct gw_crash_check *crash_check; /* in progress; NULL: none */
@@ -84,7 +88,7 @@
 	h2o_req_t *req; /* NULL once the listener has dropped it */
 	bool head_method;
 	GString *request_head; /* without the headers of a single attempt */
-	GString *request_body;
+	struct hd_body request_body;
 	const char *call_id; /* id that the caller sent; NULL: none */
 	char *route; /* NULL: no named route */
 	uint64_t generation; /* of the document when the call arrived */
@@ -98,7 +102,12 @@
 	uint32_t service; /* core id */
 	uint32_t caller_index; /* of the core's callers, or CORE_NO_CALLER */
 	char *customer; /* name, of base/text.h; NULL: none */
-	uint32_t customer_index; /* in the document, or DOC_NO_INDEX */
+	uint32_t customer_index; /* in CUSTOMERS, or DOC_NO_INDEX */
+	struct doc_customers
+		*customers; /* that its key was last looked up in */
+	char *api_key; /* NULL: none, or another host has checked it */
+	bool key_removed; /* by a later document */
+	uint32_t work_class; /* of the core's callers, + 1; 0: CALLER_INDEX */
 	uint32_t max_attempts; /* of the route; 0: the core's limit only */
 	bool bulky; /* the route has large answers */
 	bool idempotent;
@@ -134,11 +143,21 @@
 		retry_at_us; /* for the caller of a refused call; 0: not known */
 };
 
+/* The customer of a request. */
+struct gw_identity {
+	uint32_t index; /* in the document; DOC_NO_INDEX: none */
+	h2o_iovec_t key; /* empty if another host has checked it */
+};
+
 /*
  * gw_post_event - set the time of EVENT to now and pass it to the core. Events
  * that are posted while the core handles one are queued. Source: gateway/gateway.c
  *
  * gw_post_rate_limit - pass a RATE_LIMIT event on if it states a change.
+ * gw_note_cold - count and log that a server is cold, by its entry or a probe, if that
+ * is new.
+ * gw_post_warmup - pass a WARMUP event on if the server has a warm-up rate, and was
+ * cold or is.
  * gw_post_pause - count, log and pass on that a server asked for a pause.
  * gw_handle_call - admit a request, FROM_HOST or from a caller, that came at
  * ARRIVED_US.
@@ -146,6 +165,8 @@
  */
 void gw_post_event(struct gw_gateway *gateway, struct core_event *event);
 void gw_post_rate_limit(struct gw_gateway *gateway, struct core_event *event);
+void gw_note_cold(struct gw_server *server, uint64_t left_us, bool by_probe);
+void gw_post_warmup(struct gw_gateway *gateway, struct core_event *event);
 void gw_post_pause(struct gw_gateway *gateway, struct core_event *event);
 void gw_handle_call(struct gw_gateway *gateway, h2o_req_t *req, bool from_host,
 		    uint64_t arrived_us);
@@ -193,9 +214,10 @@
  * gw_resume_answer - read on the answer, of which enough has been sent.
  * gw_flush_answer - pass unsent bytes to the listener, and the end of the
  * answer once the call is finished.
- * gw_add_retry_after - add Retry-After if KIND is answered with status 503 and
- * guarantees that the request was not run. A server may take it after AFTER_US; 0:
+ * gw_add_retry_after - add Retry-After if KIND is that of a call over its quota, or is
+ * answered with status 503 and guarantees that the request was not run. A server may take it after AFTER_US; 0:
  * not known, it may be soon.
+ * gw_add_challenge - add the header that an answer of status 401 must have.
  * gw_is_hop_header - whether the header is hop-by-hop or set by this program.
  */
 void gw_add_outcome(struct gw_call *call, enum st_kind kind);
@@ -210,6 +232,34 @@
 		      size_t bytes);
 void gw_add_retry_after(const struct dl_dialect *dialect, h2o_req_t *req,
 			enum st_kind kind, uint64_t after_us);
+void gw_add_challenge(h2o_req_t *req, enum st_kind kind);
+
+/*
+ * customer.c
+ *
+ * gw_identify_customer - find the customer of a request, whose route or service may
+ * be public. False: it has none and needs one, and was refused.
+ * gw_set_customer, gw_clear_customer - of a new call; of one that ends.
+ * gw_set_priority - that of its customer or else of its route.
+ * gw_caller_name - by which a call without a named route is weighted and its
+ * idempotency key is scoped: its customer, or else what the caller calls itself.
+ * gw_is_customer_header - whether the header of a caller is not passed on because
+ * it holds a key, or may be taken for the customer's name.
+ * gw_has_lost_key - whether the document in force has removed the key of the call;
+ * if another customer has got it, so has the call.
+ * gw_end_revoked_calls - end those of them that wait for a server.
+ */
+bool gw_identify_customer(struct gw_gateway *gateway, h2o_req_t *req,
+			  bool is_public, bool from_host,
+			  struct gw_identity *identity);
+void gw_set_customer(struct gw_call *call, const struct gw_identity *identity);
+void gw_clear_customer(struct gw_call *call);
+void gw_set_priority(struct gw_call *call, const struct doc_route *route);
+h2o_iovec_t gw_caller_name(const struct gw_call *call);
+bool gw_is_customer_header(const struct gw_gateway *gateway, const char *name,
+			   size_t bytes);
+bool gw_has_lost_key(struct gw_call *call);
+void gw_end_revoked_calls(struct gw_gateway *gateway);
 
 /*
  * attempt.c: actions of the core.
@@ -310,6 +360,8 @@
  * gw_log_call_end - a call has its result; also updates the latency histogram.
  * gw_log_stall - the event loop was blocked for STALL_US.
  * gw_log_rate_limit - a server's limit began, changed or ended.
+ * gw_log_cold - a server is cold, by its entry or an answer (BY_PROBE).
+ * gw_log_warm - a server that was cold says that it is warm.
  * gw_log_pause - a server asked for a pause; EVENT is a PAUSE event.
  * gw_log_crash - a server crashed while it ran CALLS calls of this host.
  * gw_log_cut - no server is reached, by what failed last; gw_log_reached - one is.
@@ -329,6 +381,9 @@
 void gw_log_stall(const struct gw_gateway *gateway, uint64_t stall_us);
 void gw_log_rate_limit(const struct gw_server *server,
 		       enum core_report_source source);
+void gw_log_cold(const struct gw_server *server, uint64_t left_us,
+		 bool by_probe);
+void gw_log_warm(const struct gw_server *server);
 void gw_log_pause(const struct gw_gateway *gateway,
 		  const struct core_event *event);
 void gw_log_crash(const struct gw_server *server, uint32_t calls);
@@ -365,12 +420,15 @@
  * conf.c
  *
  * gw_configure_core - pass the document and the host list to the core.
+ * gw_is_evacuated - whether nothing may be sent to the server.
  * gw_hosts_new - empty list of entry hosts.
  * gw_update_hosts - replace the list of live entry hosts.
  * gw_update_server_state - pass to the core a notice from the platform or a
  * peer that a server is leaving, or that the last such notice has expired.
  */
 void gw_configure_core(struct gw_gateway *gateway);
+bool gw_is_evacuated(const struct gw_gateway *gateway,
+		     const struct gw_server *server);
 GArray *gw_hosts_new(void);
 uint64_t gw_hash_name(const char *name);
 void gw_update_hosts(struct gw_gateway *gateway, const struct pr_hosts *hosts);
--- a/tests/tool_upstream.c
+++ b/tests/tool_upstream.c
@@ -15,7 +15,10 @@
  * the body makes the server refuse everything with that Retry-After; an empty body
  * ends that. PUT /stale with a text as the body makes each answer to a call follow
  * a second copy of a refused health check on the same connection; an empty body ends
- * that. Each request that a leaving or pausing server gets, health checks
+ * that. After PUT /heads with a text as the body, GET /heads lists the headers of all
+ * runs, one a line after the attempt id. PUT /cold with a number of milliseconds makes
+ * the server cold for so long, as health checks say. Each request that a leaving or
+ * pausing server gets, health checks
  * included, prints a line with "notice", the attempt id or "-", and the time. A
  * request whose path ends with "deadly" ends the process after its work, without an
  * answer. One that ends with "deadly-held" does the same where a supervisor keeps the
@@ -55,10 +58,13 @@
 	char leaving[32]; /* empty: it stays */
 	char pause[64]; /* value of Retry-After; empty: no pause */
 	char stale[32]; /* empty: answers are sent once */
+	uint64_t warm_at_us;
 	char framing[32]; /* "chunks", "close"; empty: by a length */
 	char cut[64]; /* empty: all sources reach it */
 	struct timeval cut_at;
 	GString *run_ids; /* attempt id of every run, one a line */
+	char heads_wanted[32]; /* empty: heads are not kept */
+	GString *heads; /* of runs */
 } upstream;
 
 /* A request that is being run. */
@@ -184,6 +190,19 @@
 	return own.base ? strtoull(own.base, NULL, 10) : upstream.work_ms;
 }
 
+/* Keeps the headers of a run, one a line, after its attempt id. */
+static void keep_head(const h2o_req_t *req, const h2o_iovec_t *call_id)
+{
+	for (size_t i = 0; i < req->headers.size; i++) {
+		const h2o_header_t *h = &req->headers.entries[i];
+
+		g_string_append_printf(upstream.heads, "%.*s %.*s: %.*s\n",
+				       (int)call_id->len, call_id->base,
+				       (int)h->name->len, h->name->base,
+				       (int)h->value.len, h->value.base);
+	}
+}
+
 static void run_request(h2o_req_t *req)
 {
 	struct job *job = g_new0(struct job, 1);
@@ -195,6 +214,8 @@
 	printf("%.*s %s %" G_GUINT64_FORMAT "\n", (int)id.len,
 	       id.base ? id.base : "", upstream.id, tm_now_us() / US_PER_MS);
 	fflush(stdout);
+	if (*upstream.heads_wanted && id.base)
+		keep_head(req, &id);
 	if (*upstream.stale)
 		send_stale_answer(req);
 	upstream.running++;
@@ -205,6 +226,18 @@
 		     tm_now_us() + get_work_ms(req) * US_PER_MS);
 }
 
+static void add_warmup_header(h2o_req_t *req)
+{
+	uint64_t now_us = tm_now_us();
+	char text[32];
+
+	if (upstream.warm_at_us <= now_us)
+		return;
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT,
+		   (upstream.warm_at_us - now_us) / US_PER_MS);
+	add_header(req, "Warmup-Ms", text);
+}
+
 /* Stores the body of a request that sets a behaviour of the server. */
 static void set_text(h2o_req_t *req, char *text, size_t text_bytes)
 {
@@ -219,6 +252,12 @@
 	if (hd_path_is(req, "/runs"))
 		hd_reply(req, 200, "text/plain", upstream.run_ids->str,
 			 upstream.run_ids->len);
+	else if (hd_path_is(req, "/heads") && hd_method_is(req, "GET"))
+		hd_reply(req, 200, "text/plain", upstream.heads->str,
+			 upstream.heads->len);
+	else if (hd_path_is(req, "/heads"))
+		set_text(req, upstream.heads_wanted,
+			 sizeof(upstream.heads_wanted));
 	else if (hd_path_is(req, "/limit"))
 		set_text(req, upstream.limit, sizeof(upstream.limit));
 	else if (hd_path_is(req, "/leaving"))
@@ -227,7 +266,12 @@
 		set_text(req, upstream.stale, sizeof(upstream.stale));
 	else if (hd_path_is(req, "/framing"))
 		set_text(req, upstream.framing, sizeof(upstream.framing));
-	else if (hd_path_is(req, "/cut")) {
+	else if (hd_path_is(req, "/cold")) {
+		upstream.warm_at_us =
+			tm_now_us() +
+			strtoull(req->entity.base, NULL, 10) * US_PER_MS;
+		hd_reply(req, 200, "text/plain", "ok", strlen("ok"));
+	} else if (hd_path_is(req, "/cut")) {
 		gettimeofday(&upstream.cut_at, NULL);
 		set_text(req, upstream.cut, sizeof(upstream.cut));
 	} else if (hd_path_is(req, "/pause"))
@@ -312,6 +356,7 @@
 	} else if (*upstream.pause) {
 		refuse(req);
 	} else if (is_health_check(req)) {
+		add_warmup_header(req);
 		reply(req, is_healthy() ? 200 : 503, "ok");
 	} else if (expected.len != strlen(upstream.id) ||
 		   memcmp(expected.base, upstream.id, expected.len) != 0) {
@@ -335,6 +380,7 @@
 	g_strlcpy(upstream.id, argv[2], sizeof(upstream.id));
 	upstream.work_ms = strtoull(argv[3], NULL, 10);
 	upstream.run_ids = g_string_new(NULL);
+	upstream.heads = g_string_new(NULL);
 	uv_loop_init(&upstream.loop);
 	tm_init(&upstream.timers, &upstream.loop);
 	if (hd_init(&upstream.http, &upstream.loop, &address, on_request, NULL,
