core: a reset by a contended server counts as a refusal

Cause: several hosts may send to the one contended slot that a server's report showed. Those that come too late are reset although no host has a report of a full server, and each reset counted as an error. That was rare only while calls of lower classes left contended slots alone.

Change: under overload, a reset counts as a refusal if the latest report, of the last 0.5 s, shows no uncontended slot. A failed probe ends that as before.

--- a/core/ask.c
+++ b/core/ask.c
@@ -605,7 +605,7 @@
 		core_share_on_asked(core, core_service(core, from->service),
 				    from);
 	else
-		from->full_us = 0;
+		from->contended_us = 0;
 	if (!ok && !core_is_paused(core, from) &&
 	    core_service(core, from->service)->policy == CORE_POLICY_ASK)
 		core_record_error(core, from);
--- a/core/probe.c
+++ b/core/probe.c
@@ -327,10 +327,9 @@
 		server->running--;
 	server->waiting = MIN(event->u.report.queued, CORE_MAX_LOAD);
 	server->sent_since_report = 0;
-	server->full_us =
-		(uint64_t)server->running + server->waiting >= server->slots ?
-			server->report_us :
-			0;
+	server->contended_us = core_has_uncontended_slot(service, server) ?
+				       0 :
+				       server->report_us;
 	server->pace_percent = pace;
 	if (!pace)
 		return;
--- a/core/share.c
+++ b/core/share.c
@@ -50,7 +50,7 @@
 	 * and both leave time for the work.
 	 */
 	CORE_WAIT_SLACK_DIVISOR = 2,
-	CORE_FULL_FRESH_US = 500 * CORE_US_PER_MS
+	CORE_CONTENDED_FRESH_US = 500 * CORE_US_PER_MS
 };
 
 /* VALUE after AGE_US, if it halves in each HALF_US. */
@@ -520,6 +520,6 @@
 			       const struct core_server *server)
 {
 	return core_share_is_active(core_service(core, server->service)) &&
-	       server->full_us &&
-	       core->now_us <= server->full_us + CORE_FULL_FRESH_US;
+	       server->contended_us &&
+	       core->now_us <= server->contended_us + CORE_CONTENDED_FRESH_US;
 }
--- a/core/state.h
+++ b/core/state.h
@@ -83,7 +83,8 @@
 	uint32_t waiting;
 	uint32_t pace_percent; /* 0: unknown */
 	uint32_t sent_since_report; /* attempts of this host */
-	uint64_t full_us; /* its latest report, if that showed it full; or 0 */
+	/* Latest report, if that showed no uncontended slot; else 0. */
+	uint64_t contended_us;
 	bool probe_pending; /* a probe of policy "ask" is unanswered */
 	uint64_t warmup_until_us; /* expected end of the server's warm-up */
 	uint64_t cold_since_us; /* start of the latest one, if it has a rate */
