core: restrict lower classes by the shortage of the highest class

Change: a call of a lower class takes no contended slot with a probability equal to the shortage of the highest class; a call of a customer beyond its share with four times the pressure; a hedge never does. Retry-After under pressure is 20 ms and up to 40 ms, drawn.

--- a/core/ask.c
+++ b/core/ask.c
@@ -23,7 +23,6 @@
 	CORE_ZONE_COST_PERCENT = 10,
 	CORE_ASK_WAIT_DIVISOR = 8, /* longest wait as part of the target */
 	CORE_ASK_PAUSE_US = 20 * CORE_US_PER_MS,
-	CORE_ASK_PAUSES = 8,
 	/* The transfer of a large answer between zones is rarely worthwhile. */
 	CORE_BULKY_ZONE_COST_US = 300 * CORE_US_PER_MS,
 	/*
@@ -147,7 +146,7 @@
 uint64_t core_ask_timer_us(const struct core_call *call)
 {
 	return call->ask_begin_us +
-	       (call->ask_paused ? call->ask_pause_us : CORE_ASK_TIMEOUT_US);
+	       (call->ask_paused ? CORE_ASK_PAUSE_US : CORE_ASK_TIMEOUT_US);
 }
 
 void core_ask_end(struct core *core, struct core_call *call)
@@ -312,26 +311,9 @@
 			CORE_ASK_WAIT_DIVISOR;
 }
 
-/*
- * A call that may wait longer than an eighth of its target asks less often, so
- * that the probes of a call do not grow with the time that it waits.
- */
-static uint64_t core_ask_pause_us(const struct core *core,
-				  const struct core_call *call)
-{
-	const struct core_service *service = core_service(core, call->service);
-	uint64_t wait_us =
-		core_share_wait_until_us(core, service, call) - call->begin_us;
-
-	if (!core_share_is_active(service))
-		return CORE_ASK_PAUSE_US;
-	return MAX(wait_us / CORE_ASK_PAUSES, (uint64_t)CORE_ASK_PAUSE_US);
-}
-
 /* Asks again after a pause, in which a slot may become free. */
 static void core_ask_pause(struct core *core, struct core_call *call)
 {
-	call->ask_pause_us = core_ask_pause_us(core, call);
 	call->ask_paused = true;
 	call->share_waited = true;
 	call->ask_count = 0;
@@ -348,11 +330,10 @@
 			       const struct core_call *call)
 {
 	const struct core_service *service = core_service(core, call->service);
-	uint64_t until_us = core_share_wait_until_us(core, service, call);
 
 	return !call->ask_hedge &&
-	       core->now_us + core_ask_pause_us(core, call) <= until_us &&
-	       core_opens_us(core, service) <= until_us;
+	       core->now_us + CORE_ASK_PAUSE_US <= call->wait_until_us &&
+	       core_opens_us(core, service) <= call->wait_until_us;
 }
 
 /* No server can be asked: waits if only limits or pauses are in the way. */
@@ -547,9 +528,7 @@
 static enum core_slot_need core_ask_waiting_need(const struct core *core,
 						 const struct core_call *call)
 {
-	const struct core_service *service = core_service(core, call->service);
-	uint64_t until_us = core_share_wait_until_us(core, service, call);
-	uint64_t half_us = (call->begin_us + until_us) / 2;
+	uint64_t half_us = (call->begin_us + call->wait_until_us) / 2;
 
 	return core->now_us < half_us ? CORE_NEED_UNCONTENDED : CORE_NEED_SLOT;
 }
--- a/core/core.c
+++ b/core/core.c
@@ -222,10 +222,7 @@
 	server->in_flight--;
 	service->in_flight--;
 	call->flow->in_flight--;
-	if (call->customer_flow)
-		call->customer_flow->in_flight--;
 	core_update_end_gap(core, service);
-	core_share_on_end(core, service);
 }
 
 static void core_cancel_attempt(struct core *core, struct core_call *call,
@@ -255,7 +252,8 @@
 	uint64_t opens_us;
 
 	if (result == ST_QUEUE_FULL)
-		return core_share_retry_at_us(core, call);
+		return core_share_retry_at_us(
+			core, core_service(core, call->service));
 	if (result != ST_PAUSED)
 		return 0;
 	opens_us = core_opens_us(core, core_service(core, call->service));
@@ -368,8 +366,6 @@
 	s->last_send_us = core->now_us;
 	core_service(core, call->service)->in_flight++;
 	call->flow->in_flight++;
-	if (call->customer_flow)
-		call->customer_flow->in_flight++;
 	core_share_on_sent(core, core_service(core, call->service), call);
 	core_plan_hedge(core, call);
 	action.report = core_take_report_budget(
--- a/core/core.h
+++ b/core/core.h
@@ -325,7 +325,7 @@
  * CANCEL: abort an attempt; no ENDED event follows for it.
  * FINISH: the call is over with RESULT; ST_OK if the answer was passed on. If
  * AT_US is not 0, a server may take the call then; with ST_PAUSED none does
- * before, with ST_QUEUE_FULL it is an estimate.
+ * before, with ST_QUEUE_FULL it spreads the retries.
  * PROBE: request a load report from SERVER; the driver answers with exactly one
  * REPORT event from a probe.
  * TIMER: post a TIMER event for CALL at AT_US; replaces its earlier timer.
--- a/core/share.c
+++ b/core/share.c
@@ -4,10 +4,9 @@
  * Overload of a service: who gets the slots when there are not enough.
  *
  * Hosts exchange nothing for this. Each one sees the same servers, whose reports
- * include the calls of all hosts, so their decisions add up: the pressure follows
- * from how many of the servers asked have an uncontended slot, and a call of a
- * lower class is sent only where it leaves room for a call of the highest class,
- * whichever host that comes from.
+ * include the calls of all hosts, so their decisions add up: calls of lower classes
+ * leave contended slots to the highest class with a probability equal to the
+ * shortage of that class, whichever host its calls come from.
  *
  * Nothing of this applies without pressure, or as long as a service gets the
  * calls of one class and of one customer.
@@ -36,20 +35,12 @@
 	CORE_STARVED_DIVISOR = 3,
 	/* Of its usual use and of the mean use; see core_share_is_over. */
 	CORE_OVER_SHARE_FACTOR = 2,
-	/* Such a customer yields before the lower classes of others do. */
+	/* A customer beyond its share yields before lower classes of others do. */
 	CORE_OVER_STRICTNESS = 4,
 	CORE_ROOM_PERCENT = 80, /* of the slots, up to the knee */
 	CORE_MAX_USE_US = 1 << 30,
-	CORE_GAP_SAMPLES = 16,
-	CORE_MIN_RETRY_US = 20 * CORE_US_PER_MS,
-	CORE_RETRY_PRESSURE_FACTOR = 3,
-	/* The delay is between one and two times this part of the time left. */
-	CORE_RETRY_LEFT_DIVISOR = 6,
-	/*
-	 * A second try of a caller has as much time to wait as the first one had,
-	 * and both leave time for the work.
-	 */
-	CORE_WAIT_SLACK_DIVISOR = 2,
+	CORE_RETRY_MIN_US = 20 * CORE_US_PER_MS,
+	CORE_RETRY_SPREAD_US = 40 * CORE_US_PER_MS,
 	CORE_CONTENDED_FRESH_US = 500 * CORE_US_PER_MS
 };
 
@@ -239,7 +230,6 @@
 }
 
 void core_share_on_call(struct core *core, struct core_service *service,
-
 			struct core_call *call, uint32_t caller)
 {
 	struct core_class *class;
@@ -301,7 +291,6 @@
 	struct core_flow *customer = call->customer_flow;
 
 	if (service->policy == CORE_POLICY_ASK && call->attempt_count == 1)
-
 		core_share_count(core, service, call, true,
 				 call->share_waited ? CORE_WAITED_Q8 : 0);
 	if (!customer)
@@ -316,22 +305,6 @@
 				 false, CORE_Q8);
 }
 
-void core_share_on_end(const struct core *core, struct core_service *service)
-{
-	struct core_share *share = &service->share;
-	uint64_t gap_us = MIN(core->now_us - share->last_end_us, CORE_US_PER_S);
-
-	if (service->policy != CORE_POLICY_ASK)
-		return;
-	if (share->last_end_us)
-		share->mean_end_gap_us =
-			(uint32_t)((share->mean_end_gap_us *
-					    (uint64_t)(CORE_GAP_SAMPLES - 1) +
-				    gap_us) /
-				   CORE_GAP_SAMPLES);
-	share->last_end_us = core->now_us;
-}
-
 void core_share_draw(struct core *core, const struct core_service *service,
 		     struct core_call *call)
 {
@@ -365,14 +338,12 @@
  * callers are spread over the hosts unevenly, so it must exceed both what others
  * hold here and what it usually has here.
  */
-
 static bool core_share_is_over(const struct core *core,
 			       const struct core_service *service,
 			       const struct core_call *call)
 {
 	const struct core_share *share = &service->share;
 	const struct core_flow *flow = call->customer_flow;
-
 	/* In ms, as products of times and weights may exceed 64 bits in us. */
 	uint64_t usual_ms;
 	uint64_t use_ms;
@@ -397,39 +368,19 @@
 			    const struct core_server *server,
 			    const struct core_call *call)
 {
-	const struct core_share *share = &service->share;
-	uint32_t reserve = MAX(server->slots / 4, 1);
-	uint32_t strict_q8 = MAX(share->full_q8, share->top_short_q8);
-	bool lower;
+	uint32_t strict_q8 = 0;
 
-	if (!core_share_is_active(service))
+	if (!core_share_is_active(service) ||
+	    core_has_uncontended_slot(service, server))
 		return true;
 	if (call->ask_hedge)
-		return core_has_uncontended_slots(service, server, 1 + reserve);
-	lower = core_share_is_lower(service, call);
+		return false;
 	if (core_share_is_over(core, service, call))
 		strict_q8 =
 			CORE_OVER_STRICTNESS * core_share_pressure_q8(service);
-	else if (!lower)
-		return true;
-	if (call->share_draw && call->share_draw <= strict_q8)
-		return core_has_uncontended_slots(service, server, 1 + reserve);
-	return !lower || core_has_uncontended_slots(service, server, 1);
-}
-
-uint64_t core_share_wait_until_us(const struct core *core,
-				  const struct core_service *service,
-				  const struct core_call *call)
-{
-	uint64_t target_us = core_target_us(core, service, call);
-	uint64_t need_us = core_work_us(core, service, call) + CORE_ZONE_RTT_US;
-
-	if (!core_share_is_active(service))
-		return call->wait_until_us;
-	if (call->begin_us + need_us >= target_us)
-		return call->begin_us;
-	return call->begin_us +
-	       (target_us - need_us - call->begin_us) / CORE_WAIT_SLACK_DIVISOR;
+	else if (core_share_is_lower(service, call))
+		strict_q8 = service->share.top_short_q8;
+	return !call->share_draw || call->share_draw > strict_q8;
 }
 
 bool core_share_is_hopeless(const struct core *core,
@@ -479,41 +430,16 @@
 	if (order)
 		return order < 0;
 	return core_share_is_active(service) &&
-	       core_share_wait_until_us(core, service, a) <
-		       core_share_wait_until_us(core, service, b);
+	       a->wait_until_us < b->wait_until_us;
 }
 
-/* Calls of the service that wait for a slot. */
-static uint32_t core_share_waiting(const struct core *core, uint32_t service)
+uint64_t core_share_retry_at_us(struct core *core,
+				const struct core_service *service)
 {
-	uint32_t waiting = 0;
-
-	for (const GList *l = core->asking.head; l; l = l->next) {
-		const struct core_call *call = l->data;
-
-		waiting += call->ask_paused && call->service == service;
-	}
-	return waiting;
-}
-
-uint64_t core_share_retry_at_us(struct core *core, const struct core_call *call)
-{
-	const struct core_service *service = core_service(core, call->service);
-	uint64_t pressure_q8 = core_share_pressure_q8(service);
-	uint64_t end_us = MAX(call->target_us, core->now_us) > core->now_us ?
-				  call->target_us :
-				  MAX(call->deadline_us, core->now_us);
-	uint64_t delay_us = (core_share_waiting(core, call->service) + 1) *
-			    (uint64_t)service->share.mean_end_gap_us;
-
 	if (!core_share_is_active(service))
 		return 0;
-	delay_us = MAX(delay_us, (uint64_t)CORE_MIN_RETRY_US);
-	delay_us +=
-		delay_us * CORE_RETRY_PRESSURE_FACTOR * pressure_q8 / CORE_Q8;
-	delay_us = MIN(delay_us,
-		       (end_us - core->now_us) / CORE_RETRY_LEFT_DIVISOR);
-	return core->now_us + delay_us + core_random(core, (uint32_t)delay_us);
+	return core->now_us + CORE_RETRY_MIN_US +
+	       core_random(core, CORE_RETRY_SPREAD_US);
 }
 
 bool core_share_explains_reset(const struct core *core,
--- a/core/state.h
+++ b/core/state.h
@@ -28,8 +28,7 @@
 	 * not wait for a better one.
 	 */
 	CORE_PACE_NORMAL_MAX_PERCENT = 125,
-	CORE_LOAD_HISTORY_SIZE = 64,
-	CORE_ZONE_RTT_US = 8 * CORE_US_PER_MS
+	CORE_LOAD_HISTORY_SIZE = 64
 };
 
 /* Which estimate of the service the duration of an attempt updates. */
@@ -162,8 +161,6 @@
 /* Overload of a service, see share.c. */
 struct core_share {
 	struct core_ratio reports; /* servers without an uncontended slot */
-	uint64_t last_end_us; /* of an attempt; 0: none yet */
-	uint32_t mean_end_gap_us; /* moving average */
 	/* Sums as of UPDATED_US. */
 	uint64_t updated_us;
 	uint32_t full_q8; /* pressure by reports */
@@ -264,7 +261,6 @@
 	bool ask_hedge; /* the attempt is a hedge */
 	bool ask_paused; /* waits for the timer or for a free slot */
 	uint32_t ask_rounds;
-	uint64_t ask_pause_us;
 	bool share_waited;
 	uint32_t share_draw; /* 1 up to CORE_Q8; 0: not drawn yet */
 	uint32_t ask_count;
@@ -366,7 +362,6 @@
  * core_has_slot - whether a slot is free.
  * core_has_uncontended_slot - whether a slot is free in which the call neither
  * suffers nor causes contention.
- * core_has_uncontended_slots - the same for COUNT slots.
  * core_has_spare_slot - whether a slot is free that calls which can still meet
  * their target do not need.
  */
@@ -389,9 +384,6 @@
 bool core_has_slot(const struct core_server *server);
 bool core_has_uncontended_slot(const struct core_service *service,
 			       const struct core_server *server);
-bool core_has_uncontended_slots(const struct core_service *service,
-				const struct core_server *server,
-				uint32_t count);
 bool core_has_spare_slot(const struct core_service *service,
 			 const struct core_server *server);
 
@@ -400,25 +392,23 @@
  *
  * core_share_update - sum up the classes and customers, if that is due.
  * core_share_on_call, core_share_on_asked, core_share_on_sent,
- * core_share_on_refused, core_share_on_end - record that a call came, a server
- * that was asked has answered, an attempt was sent, a call was refused for want
- * of room, an attempt ended.
+ * core_share_on_refused - record that a call came, a server that was asked has
+ * answered, an attempt was sent, a call was refused for want of room.
  * core_share_pressure_q8 - lack of room lately; 0 in calm, at most CORE_Q8.
  * core_share_is_active - there is pressure, and there are several classes or
  * customers; else all decisions are as without this module.
-  * core_share_active_percent - the pressure in percent, or 0 if it is not active.
- * core_share_draw - draw, once for a call, from which pressure on it must leave
- * a slot for others.
- * core_share_leaves_room - whether SERVER would still have the room that a call
- * of this class and customer must leave for others.
- * core_share_wait_until_us - until when a call may wait for a slot.
+ * core_share_active_percent - the pressure in percent, or 0 if it is not active.
+ * core_share_draw - draw, once for a call, from which shortage on it is
+ * restricted.
+ * core_share_leaves_room - whether the call may take a slot of SERVER; a
+ * restricted call takes no contended one.
  * core_share_is_hopeless - the call cannot end before its deadline any more.
  * core_share_compare_customers - below 0 if the customer of A holds less of the
  * service, relative to its weight, than that of B.
  * core_share_goes_first - whether A gets a slot before B, of two waiting calls;
  * false if neither comes first.
- * core_share_retry_at_us - when the caller of a refused call may come back; 0:
- * nothing is known.
+ * core_share_retry_at_us - when the caller of a refused call should come back;
+ * 0: the module is not active.
  * core_share_explains_reset - whether a connection that SERVER refused or reset
  * shows that it is full, and not that it has failed.
  */
@@ -431,7 +421,6 @@
 			const struct core_service *service,
 			struct core_call *call);
 void core_share_on_refused(const struct core *core, struct core_call *call);
-void core_share_on_end(const struct core *core, struct core_service *service);
 uint32_t core_share_pressure_q8(const struct core_service *service);
 bool core_share_is_active(const struct core_service *service);
 uint32_t core_share_active_percent(const struct core_service *service);
@@ -441,9 +430,6 @@
 			    const struct core_service *service,
 			    const struct core_server *server,
 			    const struct core_call *call);
-uint64_t core_share_wait_until_us(const struct core *core,
-				  const struct core_service *service,
-				  const struct core_call *call);
 bool core_share_is_hopeless(const struct core *core,
 			    const struct core_service *service,
 			    const struct core_call *call);
@@ -455,7 +441,7 @@
 			   const struct core_call *a,
 			   const struct core_call *b);
 uint64_t core_share_retry_at_us(struct core *core,
-				const struct core_call *call);
+				const struct core_service *service);
 bool core_share_explains_reset(const struct core *core,
 			       const struct core_server *server);
 
--- a/core/work.c
+++ b/core/work.c
@@ -23,6 +23,7 @@
 	CORE_CONTENTION_MAX_PERCENT = 400,
 	CORE_CONTENTION_MIN_PERCENT = 120,
 	CORE_WARMUP_COST_PERCENT = 200,
+	CORE_ZONE_RTT_US = 8 * CORE_US_PER_MS,
 	/* Work of an unknown class, as part of the latency target. */
 	CORE_DEFAULT_WORK_PERCENT = 40,
 	CORE_WORK_SAMPLES = 16, /* in the moving averages */
@@ -186,17 +187,10 @@
 bool core_has_uncontended_slot(const struct core_service *service,
 			       const struct core_server *server)
 {
-	return core_has_uncontended_slots(service, server, 1);
-}
-
-bool core_has_uncontended_slots(const struct core_service *service,
-				const struct core_server *server,
-				uint32_t count)
-{
-	uint64_t busy = core_requests_at_server(server) + count;
-
-	return busy <= server->slots && (!core_is_past_knee(server, busy) ||
-					 !core_has_contention(service));
+	return core_has_slot(server) &&
+	       (!core_is_past_knee(server,
+				   core_requests_at_server(server) + 1) ||
+		!core_has_contention(service));
 }
 
 /*
