--- a/base/counter.h
+++ b/base/counter.h
@@ -14,6 +14,8 @@
 	X(CALLS, "calls_total", "Calls that arrived")                         \
 	X(COMPLETED, "calls_completed_total", "Calls answered by a server")   \
 	X(REFUSED, "calls_refused_total", "Calls refused, not run")           \
+	X(OVERLOAD_REFUSED, "overload_refused_total",                         \
+	  "Calls refused by the rules for overload")                          \
 	X(KEY_MISSING, "key_missing_total", "Calls refused without a key")    \
 	X(KEY_MALFORMED, "key_malformed_total",                               \
 	  "Calls refused for a malformed or repeated key")                    \
--- a/core/ask.c
+++ b/core/ask.c
@@ -198,6 +198,8 @@
 
 	if (need == CORE_NEED_NOTHING)
 		return true;
+	if (!core_share_leaves_room(core, service, server, call))
+		return false;
 	target_us = core_target_us(core, service, call);
 	end_us = core->now_us +
 		 core_expected_latency_us(core, service, server, call);
@@ -248,6 +250,12 @@
 	return best;
 }
 
+static void core_ask_refuse_full(struct core *core, struct core_call *call)
+{
+	core_share_on_refused(core, call);
+	core_finish_call(core, call, ST_QUEUE_FULL);
+}
+
 /* No server for the attempt: drops a hedge, refuses any other call. */
 static void core_ask_give_up(struct core *core, struct core_call *call,
 			     enum st_kind kind)
@@ -255,6 +263,8 @@
 	core_ask_end(core, call);
 	if (call->ask_hedge)
 		core_set_call_timer(core, call);
+	else if (kind == ST_QUEUE_FULL)
+		core_ask_refuse_full(core, call);
 	else
 		core_finish_call(core, call, kind);
 }
@@ -305,6 +315,7 @@
 static void core_ask_pause(struct core *core, struct core_call *call)
 {
 	call->ask_paused = true;
+	call->share_waited = true;
 	call->ask_count = 0;
 	call->ask_rounds = 0;
 	call->ask_begin_us = core->now_us;
@@ -462,6 +473,8 @@
 		count = MIN(count, CORE_ASK_FANOUT - 1);
 		candidates[count++].id = best;
 	}
+	core_share_update(core, service);
+	core_share_draw(core, service, call);
 	call->ask_paused = false;
 	call->ask_rounds++;
 	call->ask_count = count;
@@ -496,7 +509,10 @@
 		call->ask_link.data = call;
 		g_queue_push_tail_link(&core->asking, &call->ask_link);
 	}
-	if (!core_ask_next_round(core, call))
+	if (!hedge && core_share_is_hopeless(
+			      core, core_service(core, call->service), call))
+		core_ask_give_up(core, call, ST_DEADLINE_NOT_RUN);
+	else if (!core_ask_next_round(core, call))
 		core_ask_no_server(core, call);
 }
 
@@ -519,7 +535,8 @@
 
 /*
  * The waiting call that should get a slot of SERVER, or NULL: the one whose
- * caller has the highest weight, then the one that began to ask first.
+ * caller has the highest weight, then by core_share_goes_first, then the one that
+ * began to ask first.
  */
 static struct core_call *core_ask_next_waiting(const struct core *core,
 					       const struct core_server *server)
@@ -537,7 +554,7 @@
 		    !core_meets_need(core, service, server, call,
 				     core_ask_waiting_need(core, call)))
 			continue;
-		if (!first || call->flow->weight > first->flow->weight)
+		if (!first || core_share_goes_first(core, service, call, first))
 			first = call;
 	}
 	return first;
@@ -563,6 +580,11 @@
 	struct core_server *from = core_server(core, server);
 
 	from->probe_pending = false;
+	if (ok && from->in_conf)
+		core_share_on_asked(core, core_service(core, from->service),
+				    from);
+	else
+		from->contended_us = 0;
 	if (!ok && !core_is_paused(core, from) &&
 	    core_service(core, from->service)->policy == CORE_POLICY_ASK)
 		core_record_error(core, from);
