soak: evacuate a zone

Each fourth host and server is in a second zone, in seeds that are not a multiple of three. That zone is evacuated at times, also while the store comes back from a copy. Its servers may run nothing from 5 s after the row on, and are used again afterwards.

--- a/tests/lib_soak.sh
+++ b/tests/lib_soak.sh
@@ -1,24 +1,34 @@
 #!/bin/bash
-# Customers in the soak. Sourced by soak.sh, which runs faults meanwhile. The runs that
-# servers print are compared with what the keys and quotas allow:
+# Customers and evacuations in the soak. Sourced by soak.sh, which injects faults.
+# The runs that servers print are compared with what keys, quotas and evacuations
+# allow:
 #   - a run has the name of the customer that its caller's key belongs to, although
 #     callers forge another one, and no header with a key
 #   - no call with a removed key runs KEY_OFF_MS after the store took the manifest
 #     without it, or after the end of a fault of the store that came before that
 #   - in any 5 s no more requests of a customer run than its quota allows
 #   - in calm, of customers within their quotas fewer than 1 call in 500 gets 429
+#   - nothing runs at a server of a zone EVACUATED_MS after its row was written, or
+#     after the end of such a fault, until the evacuation ends; then all its servers
+#     are used again
 # Without customers in every fourth seed, so that calls without keys are covered too.
-CUSTOMERS=$((SEED % 4))
+# Each fourth host and server is in another zone than the rest, which is evacuated at
+# times, except in every third seed. Half of the servers could not serve all callers
+# while some of them are limited or drain.
+CUSTOMERS=$((SEED % 4)) ZONES=$((SERVERS >= 4 ? SEED % 3 : 0)) OTHER_ZONE=gs-b
 # 2.5 s, in which a manifest has to be in force, and as much for what a fault delays;
 # manifest_in_force allows the same 5 s.
 KEY_OFF_MS=5000
 # How long a key is held, and removed after the time in which it has to be off.
 KEY_HELD_MS=2000 KEY_CHECKED_MS=2000
+# EVACUATED_MS is the time in which an evacuation has to be in force.
+EVACUATED_MS=5000 EVACUATION_CHECKED_MS=2000 ZONE_USED_MS=2000
 QUOTA_WINDOW_MS=5000 CALM_S=3
 # Customer "over" calls over a quota of 20/s with about eight times that; "small" has
 # one caller, of less than 5/s. "steady" has all other callers.
 OVER_RATE=20 SMALL_RATE=8 STEADY_RATE=$((300 * HOSTS)) OVER_HOSTS=4
 auth=() key_held=1 key_since=0 key_due_ms=0
+evacuated=0 zone_since=0 zone_due_ms=0
 
 bearer() { printf 'Authorization: Bearer key-of-%s-1' "$1"; }
 print_customer() { # NAME KEYS [RATE]
@@ -55,6 +65,7 @@
 # be in force when it began.
 note_store_fault() {
 	test "$1" -ge $key_due_ms || key_due_ms=$(($(now_ms) + KEY_OFF_MS))
+	test "$1" -ge $zone_due_ms || zone_due_ms=$(($(now_ms) + EVACUATED_MS))
 }
 # turn_key HELD: removes the key of "moving" (0), or gives it back (1).
 turn_key() {
@@ -75,6 +86,45 @@
 		test $(($(now_ms) - key_due_ms)) -lt $KEY_CHECKED_MS || turn_key 1
 	fi
 }
+zone_of() { # I
+	test $ZONES != 0 -a $(($1 % 4)) = $((SEED % 4)) && echo $OTHER_ZONE || echo gs-a
+}
+write_evacuation() {
+	local row=evacuate/$OTHER_ZONE
+	test $ZONES != 0 || return 0
+	if test $evacuated = 1; then
+		put_row op $row '{}' || put_row op $row '{}'
+	else
+		drop_row op $row || drop_row op $row
+	fi || fail "the store does not take $row"
+}
+# evacuate ON: evacuates the other zone (1), or ends that (0). A line "from to" in
+# "evacuations" says when its servers may get nothing.
+evacuate() {
+	say "$(date +%T) evacuated: $1" >>"$WORK/faults"
+	test $evacuated = 0 || say "$zone_due_ms $(now_ms)" >>"$WORK/evacuations"
+	evacuated=$1
+	write_evacuation
+	zone_since=$(now_ms)
+	zone_due_ms=$((zone_since + EVACUATED_MS))
+}
+# evacuation_faults: begins or ends an evacuation when it is time. Takes no random number.
+evacuation_faults() {
+	test $ZONES != 0 || return 0
+	if test $evacuated = 1; then
+		test $(($(now_ms) - zone_due_ms)) -lt $EVACUATION_CHECKED_MS || evacuate 0
+	else
+		test $(($(now_ms) - zone_since)) -lt $ZONE_USED_MS || evacuate 1
+	fi
+}
+# servers_used: whether all servers have run something since the last change of zones.
+servers_used() {
+	local s
+	for s in $(seq 0 $((SERVERS - 1))); do
+		awk -v from=$zone_since '$1 != "notice" && $3 >= from { n++ } END { exit !n }' \
+			"$WORK/upstream${s}_${server_id[$s]##*-}.out" || return
+	done
+}
 # start_customer NAME HOST [PAUSE-MS]: a caller that keeps its connection.
 start_customer() {
 	start_process "customer_$1$2" "$BIN/tool_caller" "127.0.0.1:$((callers_port + $2))" \
@@ -90,19 +140,29 @@
 	done
 	start_customer small 0 200
 }
-# calm_down: after the last fault. The key is given back and removed; then nothing
-# happens for a while.
-calm_down() {
-	test $CUSTOMERS != 0 || return 0
+fail_seed() { cat "$WORK/faults"; fail "seed $SEED: $*"; }
+# turn_last_keys: the key is given back and removed.
+turn_last_keys() {
 	turn_key 1
-	within 5 keys_in_force || { cat "$WORK/faults"; fail "seed $SEED: a returned key is refused"; }
+	within 5 keys_in_force || fail_seed "a returned key is refused"
 	turn_key 0
-	within 5 keys_in_force || { cat "$WORK/faults"; fail "seed $SEED: a removed key is accepted"; }
+	within 5 keys_in_force || fail_seed "a removed key is accepted"
+}
+# calm_down: after the last fault. Ends an evacuation and begins another one, turns the
+# key, and lets nothing happen for a while.
+calm_down() {
+	test $ZONES = 0 || {
+		evacuate 0
+		within 5 servers_used || fail_seed "a server is not used after an evacuation"
+		evacuate 1
+	}
+	test $CUSTOMERS = 0 || turn_last_keys
 	sleep $((KEY_OFF_MS / 1000))
 	calm_from=$(now_ms)
 	sleep $CALM_S
 	calm_to=$(now_ms)
 	end_removal
+	test $ZONES = 0 || evacuate 0
 }
 check_keys() {
 	awk 'FILENAME == ARGV[1] { n++; from[n] = $1; to[n] = $2; bound += $2 > $1; next }
@@ -141,11 +201,26 @@
 			exit bad > 0 || !calls["k"] || !calls["small"] || !over }' \
 		"$WORK"/caller*.out "$WORK"/customer_*.out
 }
+# check_evacuations: of each run by its time, and its server's zone by its number.
+check_evacuations() {
+	test $ZONES != 0 || return 0
+	awk -v other=$((SEED % 4)) '
+		FILENAME == ARGV[1] { n++; from[n] = $1; to[n] = $2; bound += $2 > $1; next }
+		$1 == "notice" { next }
+		{ server = $2; sub(/^s/, "", server)
+		  if (server % 4 != other) next
+		  runs++
+		  for (i = 1; i <= n; i++) if ($3 >= from[i] && $3 < to[i]) {
+			print "in an evacuated zone", $0, "from", from[i], "to", to[i]; bad++ } }
+		END { printf "%d evacuations that bound, %d of %d runs in that zone meanwhile\n", bound, bad, runs
+			exit bad > 0 || !bound || !runs }' "$WORK/evacuations" "$WORK/runs" ||
+		fail_seed "a server of an evacuated zone got calls"
+}
 # check_customers: compares what ran with what customers may have.
 check_customers() {
 	test $CUSTOMERS != 0 || return 0
-	check_keys || { cat "$WORK/faults"; fail "seed $SEED: keys or names of customers"; }
+	check_keys || fail_seed "keys or names of customers"
 	check_quota over $OVER_RATE && check_quota small $SMALL_RATE ||
-		{ cat "$WORK/faults"; fail "seed $SEED: a customer got more than its quota"; }
-	check_calm || { cat "$WORK/faults"; fail "seed $SEED: a customer within its quota was refused"; }
+		fail_seed "a customer got more than its quota"
+	check_calm || fail_seed "a customer within its quota was refused"
 }
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -21,7 +21,7 @@
 #     three more in retries; no other request is refused for crashes
 #   - within 5 s of the last fault, and of each time when the store came back from
 #     a copy, every host has the newest manifest in force and serves a call by it
-#   - what lib_soak.sh says of customers, their keys and quotas
+#   - what lib_soak.sh says of customers, their keys and quotas, and of evacuations
 # At least half of the calls must be answered 200.
 # Each host has a caller that keeps its connection until the host is gone, and the
 # first four hosts have one that opens a connection for each call. Faults come one
@@ -77,12 +77,12 @@
 put_server_state() {
 	server_state[$1]=$2
 	sequence=$((sequence + 1))
-	put_row servers "${server_id[$1]}" '{"service":"desk","address":"127.0.0.1:'$((servers_port + $1))'","zone":"gs-a","version":"v1","slots":6,"state":"'"$2"'","warmup-left-s":0,"sequence":'$sequence'}'
+	put_row servers "${server_id[$1]}" '{"service":"desk","address":"127.0.0.1:'$((servers_port + $1))'","zone":"'"$(zone_of $1)"'","version":"v1","slots":6,"state":"'"$2"'","warmup-left-s":0,"sequence":'$sequence'}'
 }
 start_entry() { # I
 	# The log of an earlier start would be overwritten.
 	test ! -e "$WORK/entry$1.log" || cat "$WORK/entry$1.log" >>"$WORK/entries.log"
-	platform_address=127.0.0.1:$store_port start_follower "$1"
+	host_zone=$(zone_of $1) platform_address=127.0.0.1:$store_port start_follower "$1"
 	host_pid[$1]=$PID
 }
 # run_caller I: sends calls to host I one after the other until the end of the
@@ -144,6 +144,7 @@
 	sleep 0.$((RANDOM % 9))
 	local written=1
 	put_next_manifest || written=0
+	write_evacuation
 	for id in "${ended_ids[@]}"; do drop_row servers "$id"; done
 	for s in $(seq 0 $((SERVERS - 1))); do
 		put_server_state $s "${server_state[$s]}"
@@ -309,6 +310,7 @@
 	inject_fault
 	injected=$((injected + 1))
 	customer_faults
+	evacuation_faults
 	test $((injected % 5)) != 0 ||
 		overlap_faults $((injected / 5 % HOSTS)) $((injected % SERVERS))
 	test $((injected % 7)) != 0 || notice_faults $((injected % SERVERS))
@@ -347,6 +349,7 @@
 	}
 
 check_customers
+check_evacuations
 
 # Joins the runs, the planned stops (caller from to) and what the callers that keep
 # their connections got (kind id body reused time status).
