soak: cold servers

A server that is renewed is cold for 3 s and says so in its row and its health check responses. It may run no more in any second than its service states.

--- a/tests/lib_soak.sh
+++ b/tests/lib_soak.sh
@@ -11,6 +11,8 @@
 #   - nothing runs at a server of a zone EVACUATED_MS after its row was written, or
 #     after the end of such a fault, until the evacuation ends; then all its servers
 #     are used again
+#   - a server that was renewed is cold for COLD_MS, and runs in any second no more
+#     than its service states for cold servers
 # Without customers in every fourth seed, so that calls without keys are covered too.
 # Each fourth host and server is in another zone than the rest, which is evacuated at
 # times, except in every third seed. Half of the servers could not serve all callers
@@ -23,11 +25,14 @@
 KEY_HELD_MS=2000 KEY_CHECKED_MS=2000
 # EVACUATED_MS is the time in which an evacuation has to be in force.
 EVACUATED_MS=5000 EVACUATION_CHECKED_MS=2000 ZONE_USED_MS=2000
+# 1.5 times the rate that the service states for cold servers, and 8 more.
+COLD_MS=3000 COLD_PER_S=4.3 COLD_ALLOWED=14
 QUOTA_WINDOW_MS=5000 CALM_S=3
 # Customer "over" calls over a quota of 20/s with about eight times that; "small" has
 # one caller, of less than 5/s. "steady" has all other callers.
 OVER_RATE=20 SMALL_RATE=8 STEADY_RATE=$((300 * HOSTS)) OVER_HOSTS=4
 auth=() key_held=1 key_since=0 key_due_ms=0
+declare -a warm_ms
 evacuated=0 zone_since=0 zone_due_ms=0
 
 bearer() { printf 'Authorization: Bearer key-of-%s-1' "$1"; }
@@ -117,6 +122,23 @@
 		test $(($(now_ms) - zone_since)) -lt $ZONE_USED_MS || evacuate 1
 	fi
 }
+# start_cold I: server I, which has just started, is cold. A line "server from to" in
+# "colds" says how long.
+start_cold() {
+	local from
+	from=$(now_ms)
+	set_cold $((50 + $1)) $COLD_MS
+	warm_ms[$1]=$((from + COLD_MS))
+	say "${server_id[$1]} $from ${warm_ms[$1]}" >>"$WORK/colds"
+}
+# warmup_left_s I: prints how long server I is cold, as its row says.
+warmup_left_s() {
+	local left=$((${warm_ms[$1]:-0} - $(now_ms)))
+	test $left -le 0 && echo 0 || printf '%d.%03d' $((left / 1000)) $((left % 1000))
+}
+# end_cold_check I: what is held up before the server now comes all at once, which is
+# no fault of hosts.
+end_cold_check() { say "${server_id[$1]} 0 $(now_ms)" >>"$WORK/colds"; }
 # servers_used: whether all servers have run something since the last change of zones.
 servers_used() {
 	local s
@@ -216,6 +238,20 @@
 			exit bad > 0 || !bound || !runs }' "$WORK/evacuations" "$WORK/runs" ||
 		fail_seed "a server of an evacuated zone got calls"
 }
+check_cold_servers() {
+	touch "$WORK/colds"
+	awk -v allowed=$COLD_ALLOWED '
+		FILENAME == ARGV[1] { if ($2) { from[$1] = $2; to[$1] = $3; n++ }
+			else if ($3 < to[$1]) to[$1] = $3
+			next }
+		$3 < from[$2] || $3 >= to[$2] { next }
+		{ runs++; at[$2, ++last[$2]] = $3
+		  while ($3 - at[$2, first[$2] + 1] >= 1000) first[$2]++
+		  if (last[$2] - first[$2] > most) { most = last[$2] - first[$2]; busiest = $2 } }
+		END { printf "%d cold servers, %d runs, at most %d of %d in a second %s\n", n, runs, most, allowed, busiest
+			exit most > allowed }' "$WORK/colds" <(grep -v ^notice "$WORK/runs" | sort -k3n) ||
+		fail_seed "a cold server got too many calls"
+}
 # check_customers: compares what ran with what customers may have.
 check_customers() {
 	test $CUSTOMERS != 0 || return 0
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -21,7 +21,8 @@
 #     three more in retries; no other request is refused for crashes
 #   - within 5 s of the last fault, and of each time when the store came back from
 #     a copy, every host has the newest manifest in force and serves a call by it
-#   - what lib_soak.sh says of customers, their keys and quotas, and of evacuations
+#   - what lib_soak.sh says of customers, their keys and quotas, of evacuations and of
+#     cold servers
 # At least half of the calls must be answered 200.
 # Each host has a caller that keeps its connection until the host is gone, and the
 # first four hosts have one that opens a connection for each call. Faults come one
@@ -77,7 +78,7 @@
 put_server_state() {
 	server_state[$1]=$2
 	sequence=$((sequence + 1))
-	put_row servers "${server_id[$1]}" '{"service":"desk","address":"127.0.0.1:'$((servers_port + $1))'","zone":"'"$(zone_of $1)"'","version":"v1","slots":6,"state":"'"$2"'","warmup-left-s":0,"sequence":'$sequence'}'
+	put_row servers "${server_id[$1]}" '{"service":"desk","address":"127.0.0.1:'$((servers_port + $1))'","zone":"'"$(zone_of $1)"'","version":"v1","slots":6,"state":"'"$2"'","warmup-left-s":'"$(warmup_left_s $1)"',"sequence":'$sequence'}'
 }
 start_entry() { # I
 	# The log of an earlier start would be overwritten.
@@ -128,7 +129,8 @@
 put_next_manifest() {
 	version=$((version + 1))
 	set_customers
-	put_manifest $version "$(print_route safe /safe/ safe desk),$(print_route order \
+	desk_fields='"warmup-per-s":'$COLD_PER_S',"warmup-s":'$((COLD_MS / 1000)), \
+		put_manifest $version "$(print_route safe /safe/ safe desk),$(print_route order \
 		/order/ unsafe desk),$(print_route "v$version" "/v$version/" safe desk)"
 }
 # The store is away for half a second and comes back from its copy, which lacks the
@@ -176,7 +178,7 @@
 	3) kill -HUP "${host_pid[$host]}" ;;
 	4) echo "$mode" >"$WORK/store.mode"; sleep 1.5
 		echo pass >"$WORK/store.mode" ;;
-	5) echo "$mode" >"$WORK/server$server.mode"; sleep 1.5
+	5) end_cold_check $server; echo "$mode" >"$WORK/server$server.mode"; sleep 1.5
 		echo "${forwarding[$((server % 4))]}" >"$WORK/server$server.mode" ;;
 	6) renew_server $server ;;
 	7) put_server_state $server draining; sleep 2.2; put_server_state $server ready ;;
@@ -185,7 +187,7 @@
 	9) platform_fault '{"forget":true}' ;;
 	10) put_next_manifest ;;
 	11) platform_fault '{"late_txns":1,"late_ms":700}' ;;
-	12) kill -STOP "${server_pid[$server]}"; sleep 1
+	12) end_cold_check $server; kill -STOP "${server_pid[$server]}"; sleep 1
 		kill -CONT "${server_pid[$server]}" ;;
 	13) begin_limit $server; sleep 1 ;;
 	14) end_limit $server ;;
@@ -218,14 +220,16 @@
 renew_server() {
 	end_limit $1
 	kill -9 "${server_pid[$1]}"
-	replace_server $1
+	replace_server $1 cold
 }
-# replace_server SERVER: starts it anew after its end.
+# replace_server SERVER [cold]: starts it anew after its end.
 replace_server() {
 	ended_ids+=("${server_id[$1]}")
 	drop_row servers "${server_id[$1]}"
 	incarnation=$((incarnation + 1)); sleep 0.3
-	start_server $1 $incarnation; put_server_state $1 ready
+	start_server $1 $incarnation
+	test -z "${2:-}" || start_cold $1
+	put_server_state $1 ready
 }
 # replace_crashed: starts the servers anew that have crashed.
 replace_crashed() {
@@ -350,6 +354,7 @@
 
 check_customers
 check_evacuations
+check_cold_servers
 
 # Joins the runs, the planned stops (caller from to) and what the callers that keep
 # their connections got (kind id body reused time status).
