--- a/tests/lib_soak.sh
+++ b/tests/lib_soak.sh
@@ -154,6 +154,7 @@
 	kept_pids="$kept_pids $PID"
 }
 start_customers() {
+	zone_since=$(now_ms)
 	test $CUSTOMERS != 0 || return 0
 	local i
 	for i in $(seq 0 $((HOSTS < OVER_HOSTS ? HOSTS - 1 : OVER_HOSTS - 1))); do
