--- a/core/share.c
+++ b/core/share.c
@@ -348,7 +348,8 @@
 	uint64_t usual_ms;
 	uint64_t use_ms;
 
-	if (!flow)
+	/* A customer that is alone takes nothing from others. */
+	if (!flow || share->customers < 2)
 		return false;
 	use_ms = core_flow_use_us(core, flow) / CORE_US_PER_MS;
 	if (use_ms * core->customer_weight_sum >
