--- a/core/quota.c
+++ b/core/quota.c
@@ -33,8 +33,7 @@
 	 */
 	QT_MIN_RETRY_US = 100 * 1000,
 	QT_MAX_RETRY_US = 2 * 1000 * 1000,
-	QT_RETRY_SPREAD_US = 200 * 1000,
-	QT_HASH_DIGITS = 16
+	QT_RETRY_SPREAD_US = 200 * 1000
 };
 
 static uint32_t qt_random(const struct qt_quotas *quotas, uint32_t below)
@@ -42,15 +41,6 @@
 	return quotas->driver.random(quotas->driver.ctx) % below;
 }
 
-static uint64_t qt_hash_name(const char *name)
-{
-	char digest[DOC_DIGEST_BYTES];
-
-	doc_digest(name, strlen(name), digest);
-	digest[QT_HASH_DIGITS] = '\0';
-	return g_ascii_strtoull(digest, NULL, 16);
-}
-
 /* Messages */
 
 struct qt_message *qt_message_new(uint64_t host)
@@ -263,7 +253,7 @@
 	} else {
 		customer = g_new0(struct qt_customer, 1);
 		customer->name = tx_ref(conf->name);
-		customer->hash = qt_hash_name(conf->name);
+		customer->hash = doc_hash_name(conf->name);
 		customer->generation = quotas->generation - 1;
 		customer->credit_milli = qt_random(quotas, QT_MILLI);
 	}
--- a/core/share.c
+++ b/core/share.c
@@ -209,12 +209,13 @@
 		CORE_FULL_MIN_Q8);
 }
 
-uint32_t core_share_pressure_q8(const struct core_service *service)
+/* Lack of room lately; 0 in calm, at most CORE_Q8. */
+static uint32_t core_share_pressure_q8(const struct core_service *service)
 {
 	return MAX(service->share.full_q8, service->share.short_q8);
 }
 
-bool core_share_is_active(const struct core_service *service)
+static bool core_share_is_active(const struct core_service *service)
 {
 	const struct core_share *share = &service->share;
 
--- a/core/state.h
+++ b/core/state.h
@@ -394,10 +394,9 @@
  * core_share_on_call, core_share_on_asked, core_share_on_sent,
  * core_share_on_refused - record that a call came, a server that was asked has
  * answered, an attempt was sent, a call was refused for want of room.
- * core_share_pressure_q8 - lack of room lately; 0 in calm, at most CORE_Q8.
- * core_share_is_active - there is pressure, and there are several classes or
- * customers; else all decisions are as without this module.
- * core_share_active_percent - the pressure in percent, or 0 if it is not active.
+ * core_share_active_percent - the pressure in percent; 0: there is none, or the
+ * service has one class and no customers. All decisions are then as without this
+ * module.
  * core_share_draw - draw, once for a call, from which shortage on it is
  * restricted.
  * core_share_leaves_room - whether the call may take a slot of SERVER; a
@@ -421,8 +420,6 @@
 			const struct core_service *service,
 			struct core_call *call);
 void core_share_on_refused(const struct core *core, struct core_call *call);
-uint32_t core_share_pressure_q8(const struct core_service *service);
-bool core_share_is_active(const struct core_service *service);
 uint32_t core_share_active_percent(const struct core_service *service);
 void core_share_draw(struct core *core, const struct core_service *service,
 		     struct core_call *call);
--- a/document/document.c
+++ b/document/document.c
@@ -647,6 +647,15 @@
 	g_free(hex);
 }
 
+uint64_t doc_hash_name(const char *name)
+{
+	char digest[DOC_DIGEST_BYTES];
+
+	doc_digest(name, strlen(name), digest);
+	digest[DOC_HASH_DIGITS] = '\0';
+	return g_ascii_strtoull(digest, NULL, 16);
+}
+
 static bool doc_has_prefix(const char *prefix, const char *path,
 			   size_t path_bytes)
 {
--- a/document/document.h
+++ b/document/document.h
@@ -30,6 +30,7 @@
 	DOC_NAME_BYTES = 64,
 	DOC_ROUTE_BYTES = 128,
 	DOC_DIGEST_BYTES = 65,
+	DOC_HASH_DIGITS = 16, /* of a digest: 64 bits */
 	DOC_MAX_ZONES = 32,
 	DOC_MAX_SERVICES = 2048,
 	DOC_MAX_SERVERS = 16384,
@@ -208,9 +209,13 @@
 void doc_diff_print(const GPtrArray *changes, uint32_t max_lines, GString *out);
 json_t *doc_diff_json(const GPtrArray *changes);
 
-/* doc_digest - compute the SHA-256 of a text as lower-case hexadecimal. */
+/*
+ * doc_digest - compute the SHA-256 of a text as lower-case hexadecimal.
+ * doc_hash_name - the first 64 bits of it; the same on all hosts.
+ */
 void doc_digest(const char *text, size_t text_bytes,
 		char digest[DOC_DIGEST_BYTES]);
+uint64_t doc_hash_name(const char *name);
 
 /*
  * doc_find_service - index of the service whose route is the longest prefix of
--- a/gateway/conf.c
+++ b/gateway/conf.c
@@ -17,15 +17,6 @@
 	return MAX(of_server / gateway->host_count, 1);
 }
 
-uint64_t gw_hash_name(const char *name)
-{
-	char digest[DOC_DIGEST_BYTES];
-
-	doc_digest(name, strlen(name), digest);
-	digest[16] = '\0';
-	return g_ascii_strtoull(digest, NULL, 16);
-}
-
 static struct gw_server *gw_get_server(struct gw_gateway *gateway,
 				       const struct doc_server *conf)
 {
@@ -42,7 +33,7 @@
 	}
 	server = g_new0(struct gw_server, 1);
 	server->id = gateway->servers->len;
-	server->start_hash = gw_hash_name(key);
+	server->start_hash = doc_hash_name(key);
 	server->name = tx_ref(conf->name);
 	hc_pool_init(&server->pool, gateway->kernel->loop, &conf->address,
 		     connections);
@@ -130,7 +121,7 @@
 		gateway->servers_in_use += !servers[i].evacuated;
 		tx_unref(server->probe_path);
 		server->probe_path = tx_ref(service->probe_path);
-		servers[i].hash = gw_hash_name(from->name);
+		servers[i].hash = doc_hash_name(from->name);
 	}
 }
 
@@ -198,7 +189,7 @@
 	struct core_caller_conf *callers =
 		g_new0(struct core_caller_conf, document->caller_count);
 	struct core_conf conf = {
-		.host_hash = gw_hash_name(gateway->settings->host),
+		.host_hash = doc_hash_name(gateway->settings->host),
 		.zone = doc_find_zone(document, gateway->settings->zone),
 		.latency_weight_percent = document->latency_weight_percent,
 		.services = services,
@@ -276,7 +267,7 @@
 	for (uint32_t i = 0; i < hosts->count; i++) {
 		struct gw_host *row = &g_array_index(rows, struct gw_host, i);
 
-		row->hash = gw_hash_name(hosts->rows[i].name);
+		row->hash = doc_hash_name(hosts->rows[i].name);
 		row->draining = hosts->rows[i].draining;
 		row->zone = tx_new(hosts->rows[i].zone);
 	}
--- a/gateway/dialect.c
+++ b/gateway/dialect.c
@@ -57,22 +57,29 @@
 	return name ? hc_find_header(head, name) : NULL;
 }
 
+/* A number from 0 on, possibly infinite; false: the header holds none. */
+static bool dl_parse_number(const struct hc_header *h, double *number)
+{
+	char text[DL_NUMBER_BYTES];
+	char *end;
+
+	if (!h->value_bytes || h->value_bytes >= sizeof(text))
+		return false;
+	g_strlcpy(text, h->value, h->value_bytes + 1);
+	*number = g_ascii_strtod(text, &end);
+	return end != text && !*end && *number >= 0;
+}
+
 void dl_parse_rate_limit(const struct dl_dialect *dialect,
 			 const struct hc_head *head, struct core_event *event)
 {
 	const struct hc_header *h = dl_find_header(head, dialect->rate_limit);
-	char text[DL_NUMBER_BYTES];
-	char *end;
 	double per_s;
 
 	event->kind = CORE_EV_RATE_LIMIT;
 	event->u.rate_limit.limited = false;
 	event->u.rate_limit.milli_per_s = 0;
-	if (!h || !h->value_bytes || h->value_bytes >= sizeof(text))
-		return;
-	g_strlcpy(text, h->value, h->value_bytes + 1);
-	per_s = g_ascii_strtod(text, &end);
-	if (*end || !isfinite(per_s) || per_s < 0)
+	if (!h || !dl_parse_number(h, &per_s) || isinf(per_s))
 		return;
 	event->u.rate_limit.limited = true;
 	event->u.rate_limit.milli_per_s =
@@ -83,22 +90,16 @@
 		     const struct hc_head *head, struct core_event *event)
 {
 	const struct hc_header *h = dl_find_header(head, dialect->warmup_ms);
-	char text[DL_NUMBER_BYTES];
-	char *end;
-	double left_us;
+	double left_ms;
 
 	event->kind = CORE_EV_WARMUP;
 	event->u.warmup.left_us = 0;
 	if (!h)
 		return true;
-	if (!h->value_bytes || h->value_bytes >= sizeof(text))
-		return false;
-	g_strlcpy(text, h->value, h->value_bytes + 1);
-	left_us = g_ascii_strtod(text, &end) * DL_US_PER_MS;
-	if (end == text || *end || isnan(left_us) || left_us < 0)
+	if (!dl_parse_number(h, &left_ms))
 		return false;
 	event->u.warmup.left_us =
-		(uint64_t)MIN(left_us, (double)DL_MAX_WARMUP_US);
+		(uint64_t)MIN(left_ms * DL_US_PER_MS, (double)DL_MAX_WARMUP_US);
 	return true;
 }
 
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -68,7 +68,7 @@
 		g_strconcat(gateway->settings->host, " ", host->name, NULL);
 
 	peer->name = tx_new(host->name);
-	peer->order = gw_hash_name(names);
+	peer->order = doc_hash_name(names);
 	g_free(names);
 	hc_pool_init(&peer->pool, gateway->kernel->loop, address,
 		     GW_PEER_CONNECTIONS);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -430,7 +430,6 @@
 bool gw_is_evacuated(const struct gw_gateway *gateway,
 		     const struct gw_server *server);
 GArray *gw_hosts_new(void);
-uint64_t gw_hash_name(const char *name);
 void gw_update_hosts(struct gw_gateway *gateway, const struct pr_hosts *hosts);
 void gw_update_server_state(struct gw_gateway *gateway,
 			    const struct kn_msg_server_state *state);
