--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/.."
 tools="tool_platform tool_upstream tool_caller"
 make -j6 VARIANT=release $(printf 'build/release/%s ' $tools)
-mkdir -p target/review
-cc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -o target/review/wire review/wire.c
+mkdir -p build/review
+cc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -pthread -o build/review/server review/server.c
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -4,7 +4,6 @@
 cd "$here/../.."
 PROGRAM=target/jackdawworks
 TOOLS=build/release
-WIRE=target/review/wire
 TROUBLE=${TROUBLE:-1}
 WORK=$(mktemp -d)
 PIDS=
@@ -21,7 +20,7 @@
 	say "cannot run: $*"
 	exit 2
 }
-for program in $PROGRAM $TOOLS/tool_platform $TOOLS/tool_upstream $WIRE; do
+for program in $PROGRAM $TOOLS/tool_platform $TOOLS/tool_upstream; do
 	test -x "$program" || cannot_run "$program is missing, see review/build-2.sh"
 done
 now_ms() { awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime; }
--- a/review/wire.c
+++ /dev/null
@@ -1,1 +0,0 @@
-int main(void){return 0;}
