review: case 7, an order that its server failed is told done

A late second answer that is broken off within its first line and the answer that is due are read as one: the requester gets the status of the former with the signature and body of the latter (MIXED).

At fault: http/httpc.c, which takes whatever the parser lets through in the first line.

--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -31,7 +31,7 @@
 	for try in $(seq 50); do
 		PORT_BASE=$((18000 + RANDOM % 60 * 200))
 		for port in 0 1 2 3 20 21 22 23 40 41 42 43 60 61 62 63 80 81 82 83 \
-			100 101 102 103; do
+			100 101 102 103 24 25 26; do
 			is_free $((PORT_BASE + port)) || continue 2
 		done
 		return
--- a/review/server.c
+++ b/review/server.c
@@ -2,12 +2,15 @@
  * Stand-in for a server. It runs one request at a time on a connection and answers with
  * a text from a file; what the text says is up to the script that starts it.
  *
- * usage: server PORT WORK-MS ID-FIELD HEALTH-PATH HEALTH-FILE ANSWER-FILE [FAULT-FILE PERCENT]
+ * usage: server PORT WORK-MS ID-FIELD HEALTH-PATH HEALTH-FILE ANSWER-FILE FAULT-FILE PERCENT
+ *               [EXTRA-BYTES PERCENT]
  * A request for HEALTH-PATH gets the text of HEALTH-FILE at once. Any other one is run
  * for WORK-MS and gets the text of ANSWER-FILE, or of FAULT-FILE for PERCENT of the runs.
  * In both, %ID% stands for the value of the request's field ID-FIELD. Lines of the files
- * end with \n, which is sent as \r\n; a blank line ends the head. Prints a line
- * "run ID MS FILE" when a run begins.
+ * end with \n, which is sent as \r\n; a blank line ends the head. With EXTRA-BYTES, the
+ * latest answer to a run on the connection is sent once more for PERCENT of the runs, and
+ * is broken off after so many bytes; it comes late, right before the next answer there.
+ * Prints a line "run ID MS FILE EXTRA" when a run begins.
  */
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -23,6 +26,8 @@
 #include <unistd.h>
 
 enum { HEAD_BYTES = 32768, TEXT_BYTES = 8192, ID_BYTES = 128, BACKLOG = 256 };
+/* So that not the same runs get the fault and an extra answer. */
+enum { EXTRA_OFFSET = 7 };
 
 static const char *id_field;
 static const char *health_path;
@@ -30,6 +35,8 @@
 static char answer[TEXT_BYTES];
 static char fault[TEXT_BYTES];
 static unsigned fault_percent;
+static size_t extra_bytes;
+static unsigned extra_percent;
 static unsigned work_ms;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static unsigned runs;
@@ -75,51 +82,73 @@
 	return false;
 }
 
-static bool send_text(int fd, const char *text, const char *id)
+static bool send_bytes(int fd, const char *data, size_t bytes)
+{
+	return send(fd, data, bytes, MSG_NOSIGNAL) == (ssize_t)bytes;
+}
+
+static void fill_in(const char *text, const char *id, char *out)
 {
-	char out[TEXT_BYTES + ID_BYTES];
 	const char *at = strstr(text, "%ID%");
 
 	if (at)
-		snprintf(out, sizeof(out), "%.*s%s%s", (int)(at - text), text,
+		snprintf(out, TEXT_BYTES, "%.*s%s%s", (int)(at - text), text,
 			 id, at + strlen("%ID%"));
 	else
-		snprintf(out, sizeof(out), "%s", text);
-	return send(fd, out, strlen(out), MSG_NOSIGNAL) == (ssize_t)strlen(out);
+		snprintf(out, TEXT_BYTES, "%s", text);
 }
 
-/* The text that a run gets; every so many get the fault. */
-static const char *begin_run(const char *id)
+/* Whether run N is one of PERCENT, which are spread evenly. */
+static bool is_chosen(unsigned n, unsigned percent)
 {
+	return (n + 1) * percent / 100 > n * percent / 100;
+}
+
+struct run {
+	const char *text;
+	bool extra;
+};
+
+static struct run begin_run(const char *id, bool has_latest)
+{
+	struct run run;
 	bool faulty;
 
 	pthread_mutex_lock(&lock);
-	faulty = (runs + 1) * fault_percent / 100 > runs * fault_percent / 100;
+	faulty = is_chosen(runs, fault_percent);
+	run.text = faulty ? fault : answer;
+	run.extra = has_latest && is_chosen(runs + EXTRA_OFFSET, extra_percent);
 	runs++;
-	printf("run %s %ld %s\n", id, now_ms(), faulty ? "fault" : "answer");
+	printf("run %s %ld %s %s\n", id, now_ms(), faulty ? "fault" : "answer",
+	       run.extra ? "extra" : "-");
 	fflush(stdout);
 	pthread_mutex_unlock(&lock);
-	return faulty ? fault : answer;
+	return run;
 }
 
-static bool answer_request(int fd, const char *head)
+/* LATEST is the latest answer to a run on the connection. */
+static bool answer_request(int fd, const char *head, char *latest)
 {
 	const char *path = strchr(head, ' ');
 	char id[ID_BYTES] = "-";
-	const char *text;
+	struct run run;
 
 	if (path && !strncmp(path + 1, health_path, strlen(health_path)))
-		return send_text(fd, health, id);
+		return send_bytes(fd, health, strlen(health));
 	get_field(head, id_field, id);
-	text = begin_run(id);
+	run = begin_run(id, *latest);
 	usleep(work_ms * 1000);
-	return send_text(fd, text, id);
+	if (run.extra && !send_bytes(fd, latest, extra_bytes))
+		return false;
+	fill_in(run.text, id, latest);
+	return send_bytes(fd, latest, strlen(latest));
 }
 
 static void *serve(void *arg)
 {
 	int fd = (int)(intptr_t)arg;
 	char *head = calloc(1, HEAD_BYTES + 1);
+	char latest[TEXT_BYTES] = "";
 	size_t bytes = 0;
 	ssize_t got;
 
@@ -138,7 +167,7 @@
 		all = (size_t)(end + 4 - head) + strtoul(length, NULL, 10);
 		if (bytes < all)
 			continue;
-		if (!answer_request(fd, head))
+		if (!answer_request(fd, head, latest))
 			break;
 		memmove(head, head + all, bytes - all + 1);
 		bytes -= all;
@@ -154,9 +183,10 @@
 	int listener = socket(AF_INET, SOCK_STREAM, 0);
 	int on = 1;
 
-	if (argc != 7 && argc != 9) {
+	if (argc != 9 && argc != 11) {
 		fprintf(stderr, "usage: server PORT WORK-MS ID-FIELD HEALTH-PATH "
-				"HEALTH-FILE ANSWER-FILE [FAULT-FILE PERCENT]\n");
+				"HEALTH-FILE ANSWER-FILE FAULT-FILE PERCENT "
+				"[EXTRA-BYTES PERCENT]\n");
 		return 2;
 	}
 	work_ms = (unsigned)atoi(argv[2]);
@@ -164,9 +194,11 @@
 	health_path = argv[4];
 	read_file(argv[5], health);
 	read_file(argv[6], answer);
-	if (argc == 9) {
-		read_file(argv[7], fault);
-		fault_percent = (unsigned)atoi(argv[8]);
+	read_file(argv[7], fault);
+	fault_percent = (unsigned)atoi(argv[8]);
+	if (argc == 11) {
+		extra_bytes = strtoul(argv[9], NULL, 10);
+		extra_percent = (unsigned)atoi(argv[10]);
 	}
 	address.sin_port = htons((uint16_t)atoi(argv[1]));
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
