--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -8,6 +8,7 @@
 cd "$CASE/../.." || exit 2
 TROUBLE=${TROUBLE:-1}
 RECORD=$CASE/record.txt
+test -x build/review/stand-3 || review/build-3.sh >/dev/null 2>&1
 for program in target/jackdawworks build/release/tool_platform \
 	build/release/tool_upstream build/release/tool_caller \
 	build/review/stand-3; do
@@ -99,7 +100,7 @@
 # Names of headers for stand-3.
 export H_ID=Attempt-Id H_EXPECT=Expect-Instance H_NOT_RUN=Not-Executed \
 	H_SIGN=Response-Signature H_INSTANCE=Instance-Id H_LOAD=Server-Load \
-	H_LEFT=Deadline-Ms H_WARMUP=Warmup-Ms
+	H_LEFT=Deadline-Ms H_WARMUP=Warmup-Ms H_ERA=Store-Era
 # start_stand_server I WORK-MS FAIL-PERCENT: with its row in the store.
 start_stand_server() {
 	start_process "server$1" build/review/stand-3 server 127.0.0.1 \
--- a/review/stand-3.c
+++ b/review/stand-3.c
@@ -1,7 +1,7 @@
 /*
  * Stand-ins of the cases from review/11 on: a server and a requester, over HTTP/1.1.
  * The names of headers come from the environment, since they are the platform's:
- * H_ID, H_EXPECT, H_NOT_RUN, H_SIGN, H_INSTANCE, H_LOAD, H_LEFT, H_WARMUP.
+ * H_ID, H_EXPECT, H_NOT_RUN, H_SIGN, H_INSTANCE, H_LOAD, H_LEFT, H_WARMUP, H_ERA.
  *
  * usage: stand-3 server ADDRESS PORT ID WORK-MS FAIL-PERCENT
  * Between SIGUSR1 and SIGUSR2 it answers so many of 100 requests with status 500 after
@@ -14,6 +14,10 @@
  * Sends a request every PERIOD-MS, each on a new connection and with its own id, whether
  * or not earlier ones are answered, until SIGTERM. Prints "sent MS ID" and
  * "answered MS ID STATUS" (0: no answer).
+ *
+ * usage: stand-3 era ADDRESS PORT TO-PORT
+ * Passes connections on to TO-PORT, and lowers by one the number that the header H_ERA
+ * has in answers: the store's count of restores then begins at 0.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -209,7 +213,7 @@
 
 	pthread_attr_init(&attr);
 	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
-	pthread_attr_setstacksize(&attr, 256 * 1024);
+	pthread_attr_setstacksize(&attr, 512 * 1024);
 	pthread_create(&thread, &attr, work, ctx);
 	pthread_attr_destroy(&attr);
 }
@@ -275,10 +279,107 @@
 	return 0;
 }
 
+/* Lowers the digit behind each "NAME: " in the bytes; FOUND spans two reads. */
+static void lower_era(char *bytes, size_t count, size_t *found)
+{
+	char wanted[NAME_BYTES];
+	size_t all;
+
+	snprintf(wanted, sizeof(wanted), "%s: ", name("H_ERA"));
+	all = strlen(wanted);
+	for (size_t i = 0; i < count; i++) {
+		if (*found == all) {
+			bytes[i]--;
+			*found = 0;
+		} else if (strncasecmp(&bytes[i], &wanted[*found], 1) == 0) {
+			(*found)++;
+		} else {
+			*found = strncasecmp(&bytes[i], wanted, 1) == 0;
+		}
+	}
+}
+
+struct direction {
+	int from;
+	int to;
+	bool answers;
+};
+
+static void *pass_on(void *ctx)
+{
+	struct direction *way = ctx;
+	char bytes[HEAD_BYTES];
+	size_t found = 0;
+	ssize_t n;
+
+	while ((n = recv(way->from, bytes, sizeof(bytes), 0)) > 0) {
+		ssize_t sent = 0;
+
+		if (way->answers)
+			lower_era(bytes, (size_t)n, &found);
+		while (sent < n) {
+			ssize_t m = send(way->to, bytes + sent,
+					 (size_t)(n - sent), MSG_NOSIGNAL);
+
+			if (m <= 0)
+				break;
+			sent += m;
+		}
+	}
+	shutdown(way->from, SHUT_RDWR);
+	shutdown(way->to, SHUT_RDWR);
+	free(way);
+	return NULL;
+}
+
+static void start_direction(int from, int to, bool answers)
+{
+	struct direction *way = malloc(sizeof(*way));
+
+	*way = (struct direction){ from, to, answers };
+	start_thread(pass_on, way);
+}
+
+static int be_era_proxy(uint16_t to_port)
+{
+	struct sockaddr_in target = address;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int one = 1;
+
+	target.sin_port = htons(to_port);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
+	    listen(fd, 1024)) {
+		perror("listen");
+		return 1;
+	}
+	for (;;) {
+		int got = accept(fd, NULL, NULL);
+		int to = socket(AF_INET, SOCK_STREAM, 0);
+
+		if (connect(to, (struct sockaddr *)&target, sizeof(target))) {
+			close(got);
+			close(to);
+			continue;
+		}
+		setsockopt(got, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+		setsockopt(to, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+		start_direction(got, to, false);
+		start_direction(to, got, true);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	bool server = argc == 7 && !strcmp(argv[1], "server");
 
+	if (argc == 5 && !strcmp(argv[1], "era")) {
+		address.sin_family = AF_INET;
+		address.sin_port = htons((uint16_t)atoi(argv[3]));
+		inet_pton(AF_INET, argv[2], &address.sin_addr);
+		signal(SIGPIPE, SIG_IGN);
+		return be_era_proxy((uint16_t)atoi(argv[4]));
+	}
 	if (!server && (argc != 8 || strcmp(argv[1], "requester") != 0)) {
 		fprintf(stderr, "see the head of stand-3.c\n");
 		return 2;
