Review case 11: a manifest after the first restore of a store whose eras begin with 0

The stand-in is a server and a proxy of the store.

An era of 0 counts as not stated (base/position.h), so the step to era 1 is no restore (platform/feed.c, fd_enter_era), and the host that reads the store passes no row on that is below the version of before (platform/relay_wire.c, rw_append_rows).

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 make -j6 release
 mkdir -p build/review
-${CC:-cc} -O2 -g -Wall -Wextra -pthread -o build/review/stand-3 review/stand-3.c
+${CC:-cc} -O2 -g -Wall -Wextra -D_GNU_SOURCE -pthread -o build/review/stand-3 review/stand-3.c
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -10,7 +10,6 @@
 RECORD=$CASE/record.txt
 test -x build/review/stand-3 || review/build-3.sh >/dev/null 2>&1
 for program in target/jackdawworks build/release/tool_platform \
-	build/release/tool_upstream build/release/tool_caller \
 	build/review/stand-3; do
 	test -x $program || { echo "not built: $program" >&2; exit 2; }
 done
@@ -31,13 +30,6 @@
 set -- build/release
 . tests/lib_platform.sh
 fail() { say "cannot run: $*"; exit 2; }
-# Stopped processes are not among the running jobs that stop_all ends.
-end_case() {
-	local pid
-	for pid in $PIDS; do kill -CONT "$pid" 2>/dev/null; done
-	stop_all
-}
-trap end_case EXIT
 : >"$RECORD"
 note() { say "$*" | tee -a "$RECORD"; }
 
@@ -95,21 +87,29 @@
 	for i in $(seq 0 $(($1 - 1))); do wait_ready "$i" || fail "host $i is not ready"; done
 }
 pid_of() { eval "say \$pid_$1"; }
-# milliseconds of the clock that the stand-ins print
-clock_ms() { now_ms; }
 # Names of headers for stand-3.
 export H_ID=Attempt-Id H_EXPECT=Expect-Instance H_NOT_RUN=Not-Executed \
-	H_SIGN=Response-Signature H_INSTANCE=Instance-Id H_LOAD=Server-Load \
-	H_LEFT=Deadline-Ms H_WARMUP=Warmup-Ms H_ERA=Store-Era
-# start_stand_server I WORK-MS FAIL-PERCENT: with its row in the store.
+	H_SIGN=Response-Signature H_INSTANCE=Instance-Id H_LOAD=Server-Load
+# start_stand_server I WORK-MS [ID]: without a row in the store.
 start_stand_server() {
 	start_process "server$1" build/review/stand-3 server 127.0.0.1 \
-		$((servers_port + $1)) "s$1" "$2" "$3"
+		$((servers_port + $1)) "${3:-s$1}" "$2"
 	wait_http "127.0.0.1:$((servers_port + $1))" /health || fail "server $1"
-	put_server "$1" ready || fail "the row of server $1"
 }
-# start_requester I PERIOD-MS: open loop, at host I.
-start_requester() {
-	start_process "requester$1" build/review/stand-3 requester 127.0.0.1 \
-		$((callers_port + $1)) x.example /desk/a "r$1" "$2"
+# start_server I WORK-MS [SERVICE]: with its row.
+start_server() {
+	start_stand_server "$1" "$2"
+	put_server "$1" ready "${3:-desk}" || fail "the row of server $1"
+}
+# start_store_proxy VARIABLE=VALUE: between the hosts and the store; sets store_of_hosts.
+start_store_proxy() {
+	store_of_hosts=127.0.0.1:$((PORT_BASE + 1))
+	start_process proxy env "$1" build/review/stand-3 store-proxy 127.0.0.1 \
+		$((PORT_BASE + 1)) "$PORT_BASE"
+	within 5 wait_http "$store_of_hosts" /stats || fail "the proxy of the store"
+}
+# start_fronts_by ADDRESS COUNT: the same as start_fronts, with the store at ADDRESS.
+start_fronts_by() {
+	local platform_address=$1
+	start_fronts "$2"
 }
--- a/review/stand-3.c
+++ b/review/stand-3.c
@@ -1,23 +1,17 @@
 /*
- * Stand-ins of the cases from review/11 on: a server and a requester, over HTTP/1.1.
- * The names of headers come from the environment, since they are the platform's:
- * H_ID, H_EXPECT, H_NOT_RUN, H_SIGN, H_INSTANCE, H_LOAD, H_LEFT, H_WARMUP, H_ERA.
+ * Stand-ins of the cases from review/11 on, over HTTP/1.1. The names of headers come from
+ * the environment, since they are the platform's.
  *
- * usage: stand-3 server ADDRESS PORT ID WORK-MS FAIL-PERCENT
- * Between SIGUSR1 and SIGUSR2 it answers so many of 100 requests with status 500 after
- * the same work; which ones, is drawn for each arrival. Health requests are answered at
- * once, with status 200. Prints "arrived MS ID SERVER" for each request that it runs. It
- * rejects what comes while all of its SLOTS (6) are in use ("rejected MS ID SERVER").
- * From SIGHUP on it is cold for COLD_MS (5000), as its health answers say (H_WARMUP).
+ * usage: stand-3 server ADDRESS PORT ID WORK-MS
+ * A server with SLOTS slots (6): prints "arrived MS ID SERVER" for each request that it
+ * runs, and rejects what comes while all slots are in use or what is meant for another
+ * server. Headers: H_ID, H_EXPECT, H_NOT_RUN, H_SIGN, H_INSTANCE, H_LOAD.
  *
- * usage: stand-3 requester ADDRESS PORT HOST PATH PREFIX PERIOD-MS
- * Sends a request every PERIOD-MS, each on a new connection and with its own id, whether
- * or not earlier ones are answered, until SIGTERM. Prints "sent MS ID" and
- * "answered MS ID STATUS" (0: no answer).
- *
- * usage: stand-3 era ADDRESS PORT TO-PORT
- * Passes connections on to TO-PORT, and lowers by one the number that the header H_ERA
- * has in answers: the store's count of restores then begins at 0.
+ * usage: stand-3 store-proxy ADDRESS PORT TO-PORT
+ * Passes connections on to the stand-in of the store at TO-PORT and changes its answers:
+ * with H_ERA, the number in that header is one lower, so that the count of restores begins
+ * at 0; with PART, a row whose key begins with that word is one of the part of that name,
+ * and the rest is its key.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -31,26 +25,17 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
-#include <sys/time.h>
 #include <time.h>
 #include <unistd.h>
 
-enum { HEAD_BYTES = 65536, NAME_BYTES = 128, TIMEOUT_MS = 2000 };
+enum { HEAD_BYTES = 65536, NAME_BYTES = 128 };
 
-static volatile sig_atomic_t failing;
-static volatile sig_atomic_t stopping;
 static const char *server_id;
 static unsigned work_ms;
-static unsigned fail_percent;
 static int running;
-static int slots = 6; /* SLOTS */
-static uint64_t cold_ms = 5000; /* COLD_MS */
-static volatile uint64_t warm_at_ms;
+static int slots = 6;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static unsigned seed;
 static struct sockaddr_in address;
-static const char *host;
-static const char *path;
 
 static uint64_t now_ms(void)
 {
@@ -67,16 +52,6 @@
 	return value ? value : "x-none";
 }
 
-static void on_signal(int signum)
-{
-	if (signum == SIGTERM)
-		stopping = 1;
-	else if (signum == SIGHUP)
-		warm_at_ms = now_ms() + cold_ms;
-	else
-		failing = signum == SIGUSR1;
-}
-
 /* Copies the value of a header of HEAD to OUT; empty if there is none. */
 static void get_header(const char *head, const char *field, char *out)
 {
@@ -95,16 +70,14 @@
 	}
 }
 
-static bool send_all(int fd, const char *text)
+static bool send_all(int fd, const char *bytes, size_t left)
 {
-	size_t left = strlen(text);
-
 	while (left) {
-		ssize_t n = send(fd, text, left, MSG_NOSIGNAL);
+		ssize_t n = send(fd, bytes, left, MSG_NOSIGNAL);
 
 		if (n <= 0)
 			return false;
-		text += n;
+		bytes += n;
 		left -= (size_t)n;
 	}
 	return true;
@@ -128,57 +101,54 @@
 	return false;
 }
 
-static bool answer(int fd, int status, const char *id, const char *more)
+static bool skip_body(int fd, const char *head)
 {
-	char text[1024];
+	char length[NAME_BYTES];
+	char byte;
 
-	snprintf(text, sizeof(text),
-		 "HTTP/1.1 %d X\r\n%s: %s\r\n%s: %d,0,%d,100\r\n%s%s%s%s%s"
-		 "Content-Length: 3\r\n\r\nok\n",
-		 status, name("H_INSTANCE"), server_id, name("H_LOAD"), running,
-		 slots,
-		 *id ? name("H_ID") : "", *id ? ": " : "", id,
-		 *id ? "\r\n" : "", more);
-	return send_all(fd, text);
+	get_header(head, "content-length", length);
+	for (unsigned long left = strtoul(length, NULL, 10); left; left--)
+		if (recv(fd, &byte, 1, 0) <= 0)
+			return false;
+	return true;
 }
 
-static bool answer_health(int fd)
+static bool answer(int fd, int status, const char *id, const char *more)
 {
-	uint64_t at_ms = now_ms();
-	uint64_t until_ms = warm_at_ms;
-	char more[NAME_BYTES] = "";
-
-	if (until_ms > at_ms)
-		snprintf(more, sizeof(more), "%s: %llu\r\n", name("H_WARMUP"),
-			 (unsigned long long)(until_ms - at_ms));
-	return answer(fd, 200, "", more);
+	char text[1024];
+	int bytes;
+
+	bytes = snprintf(text, sizeof(text),
+			 "HTTP/1.1 %d X\r\n%s: %s\r\n%s: %d,0,%d,100\r\n"
+			 "%s%s%s%s%sContent-Length: 3\r\n\r\nok\n",
+			 status, name("H_INSTANCE"), server_id, name("H_LOAD"),
+			 running, slots, *id ? name("H_ID") : "",
+			 *id ? ": " : "", id, *id ? "\r\n" : "", more);
+	return send_all(fd, text, (size_t)bytes);
 }
 
-static bool run(int fd, const char *id)
+static bool run(int fd, const char *id, const char *rejected)
 {
 	char more[NAME_BYTES];
-	bool fails;
+	bool full;
 
 	pthread_mutex_lock(&lock);
-	if (running >= slots) {
-		printf("rejected %llu %s %s\n", (unsigned long long)now_ms(),
-		       id, server_id);
-		pthread_mutex_unlock(&lock);
-		snprintf(more, sizeof(more), "%s: 1\r\n", name("H_NOT_RUN"));
-		return answer(fd, 503, id, more);
+	full = running >= slots;
+	if (!full) {
+		running++;
+		printf("arrived %llu %s %s\n", (unsigned long long)now_ms(), id,
+		       server_id);
+		fflush(stdout);
 	}
-	running++;
-	fails = failing && (unsigned)rand_r(&seed) % 100 < fail_percent;
-	printf("arrived %llu %s %s\n", (unsigned long long)now_ms(), id,
-	       server_id);
-	fflush(stdout);
 	pthread_mutex_unlock(&lock);
+	if (full)
+		return answer(fd, 503, id, rejected);
 	usleep(work_ms * 1000);
 	pthread_mutex_lock(&lock);
 	running--;
 	pthread_mutex_unlock(&lock);
 	snprintf(more, sizeof(more), "%s: s\r\n", name("H_SIGN"));
-	return answer(fd, fails ? 500 : 200, id, more);
+	return answer(fd, 200, id, more);
 }
 
 static void *serve(void *ctx)
@@ -187,19 +157,19 @@
 	char *head = malloc(HEAD_BYTES);
 	char id[NAME_BYTES];
 	char expected[NAME_BYTES];
-	char more[NAME_BYTES];
+	char rejected[NAME_BYTES];
 	bool ok = true;
 
-	while (ok && read_head(fd, head)) {
+	snprintf(rejected, sizeof(rejected), "%s: 1\r\n", name("H_NOT_RUN"));
+	while (ok && read_head(fd, head) && skip_body(fd, head)) {
 		get_header(head, name("H_ID"), id);
 		get_header(head, name("H_EXPECT"), expected);
-		snprintf(more, sizeof(more), "%s: 1\r\n", name("H_NOT_RUN"));
 		if (!strncmp(head, "GET /health", 11))
-			ok = answer_health(fd);
+			ok = answer(fd, 200, "", "");
 		else if (*expected && strcmp(expected, server_id) != 0)
-			ok = answer(fd, 421, id, more);
+			ok = answer(fd, 421, id, rejected);
 		else
-			ok = run(fd, id);
+			ok = run(fd, id, rejected);
 	}
 	free(head);
 	close(fd);
@@ -208,17 +178,13 @@
 
 static void start_thread(void *(*work)(void *), void *ctx)
 {
-	pthread_attr_t attr;
 	pthread_t thread;
 
-	pthread_attr_init(&attr);
-	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
-	pthread_attr_setstacksize(&attr, 512 * 1024);
-	pthread_create(&thread, &attr, work, ctx);
-	pthread_attr_destroy(&attr);
+	if (!pthread_create(&thread, NULL, work, ctx))
+		pthread_detach(thread);
 }
 
-static int be_server(void)
+static int listen_at_address(void)
 {
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	int one = 1;
@@ -227,183 +193,149 @@
 	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
 	    listen(fd, 1024)) {
 		perror("listen");
-		return 1;
-	}
-	for (;;) {
-		int got = accept(fd, NULL, NULL);
-
-		if (got < 0)
-			continue;
-		setsockopt(got, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-		start_thread(serve, (void *)(intptr_t)got);
+		exit(1);
 	}
+	return fd;
 }
 
-static void *request(void *ctx)
+static int accept_from(int listener)
 {
-	char *id = ctx;
-	char text[1024];
-	char *head = malloc(HEAD_BYTES);
-	struct timeval timeout = { TIMEOUT_MS / 1000, 0 };
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	int status = 0;
-
-	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-	snprintf(text, sizeof(text),
-		 "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n"
-		 "Connection: close\r\n\r\n",
-		 path, host, name("H_ID"), id, name("H_LEFT"), TIMEOUT_MS);
-	printf("sent %llu %s\n", (unsigned long long)now_ms(), id);
-	if (!connect(fd, (struct sockaddr *)&address, sizeof(address)) &&
-	    send_all(fd, text) && read_head(fd, head))
-		status = atoi(head + strlen("HTTP/1.1 "));
-	printf("answered %llu %s %d\n", (unsigned long long)now_ms(), id,
-	       status);
-	fflush(stdout);
-	close(fd);
-	free(head);
-	free(id);
-	return NULL;
+	int one = 1;
+	int fd;
+
+	do
+		fd = accept(listener, NULL, NULL);
+	while (fd < 0);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	return fd;
 }
 
-static int be_requester(const char *prefix, unsigned period_ms)
-{
-	for (unsigned n = 1; !stopping; n++) {
-		char *id = malloc(NAME_BYTES);
+/* The proxy */
 
-		snprintf(id, NAME_BYTES, "%s-%u", prefix, n);
-		start_thread(request, id);
-		usleep(period_ms * 1000);
-	}
-	usleep((TIMEOUT_MS + 100) * 1000);
-	return 0;
-}
+/* One way of a connection. */
+struct way {
+	int from;
+	int to;
+	bool answers;
+	size_t era_found; /* bytes of the header's name, which two reads may share */
+	size_t row_found;
+};
 
-/* Lowers the digit behind each "NAME: " in the bytes; FOUND spans two reads. */
-static void lower_era(char *bytes, size_t count, size_t *found)
+/* Lowers the digit behind each "H_ERA: ". */
+static void lower_era(struct way *way, char *bytes, size_t count)
 {
 	char wanted[NAME_BYTES];
-	size_t all;
+	size_t all = (size_t)snprintf(wanted, sizeof(wanted), "%s: ",
+				      name("H_ERA"));
 
-	snprintf(wanted, sizeof(wanted), "%s: ", name("H_ERA"));
-	all = strlen(wanted);
 	for (size_t i = 0; i < count; i++) {
-		if (*found == all) {
+		if (way->era_found == all) {
 			bytes[i]--;
-			*found = 0;
-		} else if (strncasecmp(&bytes[i], &wanted[*found], 1) == 0) {
-			(*found)++;
+			way->era_found = 0;
+		} else if (!strncasecmp(&bytes[i], &wanted[way->era_found],
+					1)) {
+			way->era_found++;
 		} else {
-			*found = strncasecmp(&bytes[i], wanted, 1) == 0;
+			way->era_found = !strncasecmp(&bytes[i], wanted, 1);
 		}
 	}
 }
 
-struct direction {
-	int from;
-	int to;
-	bool answers;
-};
+/*
+ * Moves the word at the start of a key to the row's part, which takes as many bytes. Rows
+ * that two reads share stay as they are; the stand-in sends an answer in one piece.
+ */
+static void move_to_part(char *bytes, size_t count)
+{
+	char from[NAME_BYTES];
+	char to[NAME_BYTES];
+	size_t all = (size_t)snprintf(from, sizeof(from),
+				      "\"part\":\"\",\"key\":\"%s",
+				      name("PART"));
+	char *at = bytes;
+
+	snprintf(to, sizeof(to), "\"part\":\"%s\",\"key\":\"", name("PART"));
+	while ((at = memmem(at, count - (size_t)(at - bytes), from, all)))
+		memcpy(at, to, all);
+}
 
 static void *pass_on(void *ctx)
 {
-	struct direction *way = ctx;
-	char bytes[HEAD_BYTES];
-	size_t found = 0;
+	struct way *way = ctx;
+	char *bytes = malloc(HEAD_BYTES);
 	ssize_t n;
 
-	while ((n = recv(way->from, bytes, sizeof(bytes), 0)) > 0) {
-		ssize_t sent = 0;
-
-		if (way->answers)
-			lower_era(bytes, (size_t)n, &found);
-		while (sent < n) {
-			ssize_t m = send(way->to, bytes + sent,
-					 (size_t)(n - sent), MSG_NOSIGNAL);
-
-			if (m <= 0)
-				break;
-			sent += m;
-		}
+	while ((n = recv(way->from, bytes, HEAD_BYTES, 0)) > 0) {
+		if (way->answers && getenv("H_ERA"))
+			lower_era(way, bytes, (size_t)n);
+		if (way->answers && getenv("PART"))
+			move_to_part(bytes, (size_t)n);
+		if (!send_all(way->to, bytes, (size_t)n))
+			break;
 	}
 	shutdown(way->from, SHUT_RDWR);
 	shutdown(way->to, SHUT_RDWR);
+	free(bytes);
 	free(way);
 	return NULL;
 }
 
-static void start_direction(int from, int to, bool answers)
+static void start_way(int from, int to, bool answers)
 {
-	struct direction *way = malloc(sizeof(*way));
+	struct way *way = calloc(1, sizeof(*way));
 
-	*way = (struct direction){ from, to, answers };
+	way->from = from;
+	way->to = to;
+	way->answers = answers;
 	start_thread(pass_on, way);
 }
 
-static int be_era_proxy(uint16_t to_port)
+static void be_proxy(uint16_t to_port)
 {
 	struct sockaddr_in target = address;
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	int one = 1;
+	int listener = listen_at_address();
 
 	target.sin_port = htons(to_port);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
-	    listen(fd, 1024)) {
-		perror("listen");
-		return 1;
-	}
 	for (;;) {
-		int got = accept(fd, NULL, NULL);
+		int from = accept_from(listener);
 		int to = socket(AF_INET, SOCK_STREAM, 0);
 
 		if (connect(to, (struct sockaddr *)&target, sizeof(target))) {
-			close(got);
+			close(from);
 			close(to);
 			continue;
 		}
-		setsockopt(got, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-		setsockopt(to, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-		start_direction(got, to, false);
-		start_direction(to, got, true);
+		start_way(from, to, false);
+		start_way(to, from, true);
 	}
 }
 
+static void be_server(void)
+{
+	int listener = listen_at_address();
+
+	for (;;)
+		start_thread(serve, (void *)(intptr_t)accept_from(listener));
+}
+
 int main(int argc, char **argv)
 {
-	bool server = argc == 7 && !strcmp(argv[1], "server");
-
-	if (argc == 5 && !strcmp(argv[1], "era")) {
-		address.sin_family = AF_INET;
-		address.sin_port = htons((uint16_t)atoi(argv[3]));
-		inet_pton(AF_INET, argv[2], &address.sin_addr);
-		signal(SIGPIPE, SIG_IGN);
-		return be_era_proxy((uint16_t)atoi(argv[4]));
-	}
-	if (!server && (argc != 8 || strcmp(argv[1], "requester") != 0)) {
+	bool server = argc == 6 && !strcmp(argv[1], "server");
+
+	if (!server && (argc != 5 || strcmp(argv[1], "store-proxy") != 0)) {
 		fprintf(stderr, "see the head of stand-3.c\n");
 		return 2;
 	}
+	signal(SIGPIPE, SIG_IGN);
 	address.sin_family = AF_INET;
 	address.sin_port = htons((uint16_t)atoi(argv[3]));
 	inet_pton(AF_INET, argv[2], &address.sin_addr);
-	signal(SIGTERM, server ? SIG_DFL : on_signal);
-	signal(SIGUSR1, on_signal);
-	signal(SIGUSR2, on_signal);
-	signal(SIGHUP, on_signal);
-	signal(SIGPIPE, SIG_IGN);
+	if (!server)
+		be_proxy((uint16_t)atoi(argv[4]));
+	server_id = argv[4];
+	work_ms = (unsigned)atoi(argv[5]);
 	if (getenv("SLOTS"))
 		slots = atoi(getenv("SLOTS"));
-	if (getenv("COLD_MS"))
-		cold_ms = strtoull(getenv("COLD_MS"), NULL, 10);
-	if (server) {
-		server_id = argv[4];
-		work_ms = (unsigned)atoi(argv[5]);
-		fail_percent = (unsigned)atoi(argv[6]);
-		seed = (unsigned)getpid();
-		return be_server();
-	}
-	host = argv[4];
-	path = argv[5];
-	return be_requester(argv[6], (unsigned)atoi(argv[7]));
+	be_server();
+	return 0;
 }
