--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -1,17 +1,16 @@
-# Functions of the cases from review/11 on. Sourced by run.sh of a case, in its folder.
+# Functions of review/10. Sourced by its run.sh.
 #
 # Starts hosts with target/jackdawworks, as deploy/system.toml names it, and with settings
-# that are rendered from deploy/settings.yaml. The store, the servers and the requesters
-# are the stand-ins of tests/, as review/build-3.sh builds them. All on loopback.
+# that are rendered from deploy/settings.yaml. The store and the servers are the stand-ins
+# of tests/, as review/build-2.sh builds them, and requesters are curl. All on loopback.
 set -u
 CASE=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 cd "$CASE/../.." || exit 2
 TROUBLE=${TROUBLE:-1}
 RECORD=$CASE/record.txt
-test -x build/review/stand-3 || review/build-3.sh >/dev/null 2>&1
 for program in target/jackdawworks build/release/tool_platform \
-	build/review/stand-3; do
-	test -x $program || { echo "not built: $program" >&2; exit 2; }
+	build/release/tool_upstream; do
+	test -x $program || { echo "not built, see review/build-2.sh: $program" >&2; exit 2; }
 done
 # A base whose ports nobody listens on.
 pick_ports() {
@@ -86,30 +85,8 @@
 	for i in $(seq 0 $(($1 - 1))); do start_front "$i" true; done
 	for i in $(seq 0 $(($1 - 1))); do wait_ready "$i" || fail "host $i is not ready"; done
 }
-pid_of() { eval "say \$pid_$1"; }
-# Names of headers for stand-3.
-export H_ID=Attempt-Id H_EXPECT=Expect-Instance H_NOT_RUN=Not-Executed \
-	H_SIGN=Response-Signature H_INSTANCE=Instance-Id H_LOAD=Server-Load
-# start_stand_server I WORK-MS [ID]: without a row in the store.
-start_stand_server() {
-	start_process "server$1" build/review/stand-3 server 127.0.0.1 \
-		$((servers_port + $1)) "${3:-s$1}" "$2"
-	wait_http "127.0.0.1:$((servers_port + $1))" /health || fail "server $1"
-}
-# start_server I WORK-MS [SERVICE]: with its row.
+# start_server I WORK-MS [SERVICE]: with its row in the store.
 start_server() {
-	start_stand_server "$1" "$2"
+	start_upstream "$1" "$2" || fail "server $1"
 	put_server "$1" ready "${3:-desk}" || fail "the row of server $1"
 }
-# start_store_proxy VARIABLE=VALUE: between the hosts and the store; sets store_of_hosts.
-start_store_proxy() {
-	store_of_hosts=127.0.0.1:$((PORT_BASE + 1))
-	start_process proxy env "$1" build/review/stand-3 store-proxy 127.0.0.1 \
-		$((PORT_BASE + 1)) "$PORT_BASE"
-	within 5 wait_http "$store_of_hosts" /stats || fail "the proxy of the store"
-}
-# start_fronts_by ADDRESS COUNT: the same as start_fronts, with the store at ADDRESS.
-start_fronts_by() {
-	local platform_address=$1
-	start_fronts "$2"
-}
