Break an answer whose connection a write found reset

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got that part as a whole answer.

Cause: the system tells one call on a socket of a reset, and reports EOF to those after it. The client asked the socket for a pending error at EOF, so it knew of a reset that reading or nobody had been told of, but not of one that the write of the request had been told of. A trace of test_answer on the code before:

epoll_wait -> EPOLLIN|EPOLLOUT read(13) = 23 "HTTP/1.1 200 OK\r\n\r\npart" write(13) = -1 ECONNRESET the reset came after the read epoll_wait -> EPOLLIN|EPOLLHUP read(13) = 0 getsockopt(13, SO_ERROR) = 0 taken for an orderly end

Why the fix works: a failed write of the request now counts as a reset, so whichever call was told, EOF no longer completes the answer. An answer whose connection ends in order amid the upload stays whole; both tests check that.

--- a/http/httpc.c
+++ b/http/httpc.c
@@ -38,6 +38,7 @@
 	bool in_value; /* the parser is in a header value */
 	bool connected;
 	bool writing;
+	bool write_failed; /* the write has taken the error from the socket */
 	bool complete; /* the answer was read to its end */
 	bool skipping; /* the answer being read belongs to another request */
 	uint64_t skipped_bytes; /* read before the head of the answer */
@@ -493,8 +494,9 @@
 }
 
 /*
- * When a reset follows an orderly close, reading still reports EOF; the reset
- * shows only as a pending error of the socket.
+ * Whether the connection was reset before reading reported EOF. The system tells one
+ * call of a reset and reports EOF from then on: a write that failed has been told, or
+ * the error is still pending on the socket.
  */
 static bool hc_was_reset(struct hc_conn *conn)
 {
@@ -502,7 +504,8 @@
 	int error = 0;
 	socklen_t bytes = sizeof(error);
 
-	return uv_fileno((uv_handle_t *)&conn->tcp, &fd) ||
+	return conn->write_failed ||
+	       uv_fileno((uv_handle_t *)&conn->tcp, &fd) ||
 	       getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &bytes) || error;
 }
 
@@ -553,6 +556,7 @@
 	 * With a request the connection stays open after an error: an answer
 	 * may still be readable, and the read callback reports the failure.
 	 */
+	conn->write_failed = error != 0;
 	if (error && !conn->request)
 		hc_conn_close(conn);
 }
--- /dev/null
+++ b/tests/test_answer.c
@@ -0,0 +1,235 @@
+/*
+ * Tests of how the HTTP client takes the end of an answer while it writes its request.
+ * Guards against a part of an answer that is taken for a whole one: of a reset, the
+ * system tells only the next call on the socket, which may be a write.
+ */
+#include <check.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/httpc.h"
+#include "tests/suite.h"
+
+enum { UPLOAD_BYTES = 8 << 20, READ_BYTES = 64 * 1024, WAIT_MS = 5000 };
+
+#define UNFRAMED "HTTP/1.1 200 OK\r\n\r\n"
+
+/* A request with a long body, and the server's side of its connection. */
+struct upload {
+	struct hc_request request; /* first: callbacks cast back */
+	uv_loop_t loop;
+	struct hc_pool pool;
+	char *request_body;
+	int listener;
+	int server_fd;
+	int client_fd; /* owned by the client */
+	bool reset_in_body; /* reset the connection as the body is passed on */
+	bool sent;
+	bool done;
+	enum hc_end end;
+	GString *body;
+};
+
+static void on_sent(struct hc_request *request)
+{
+	((struct upload *)request)->sent = true;
+}
+
+/* Waits until the socket has all of EVENTS; takes no error from it. */
+static void wait_for(int fd, short events)
+{
+	struct pollfd poll_fd = { .fd = fd, .events = events };
+
+	for (uint32_t i = 0; i < WAIT_MS; i++) {
+		ck_assert_int_ge(poll(&poll_fd, 1, 0), 0);
+		if ((poll_fd.revents & events) == events)
+			return;
+		g_usleep(1000);
+	}
+	ck_abort_msg("the socket has events %d, not %d", poll_fd.revents,
+		     events);
+}
+
+static void reset_connection(struct upload *upload)
+{
+	struct linger linger = { .l_onoff = 1 };
+
+	setsockopt(upload->server_fd, SOL_SOCKET, SO_LINGER, &linger,
+		   sizeof(linger));
+	close(upload->server_fd);
+	upload->server_fd = -1;
+	wait_for(upload->client_fd, POLLERR | POLLHUP);
+}
+
+/* The write of the same turn of the loop comes after this. */
+static void on_body(struct hc_request *request, const char *data,
+		    size_t data_bytes)
+{
+	struct upload *upload = (struct upload *)request;
+
+	g_string_append_len(upload->body, data, (gssize)data_bytes);
+	if (upload->reset_in_body)
+		reset_connection(upload);
+}
+
+static void on_done(struct hc_request *request, enum hc_end end,
+		    const char *msg)
+{
+	((struct upload *)request)->done = true;
+	((struct upload *)request)->end = end;
+}
+
+static const struct hc_handler handler = {
+	.sent = on_sent,
+	.body = on_body,
+	.done = on_done,
+};
+
+static int listen_on_free_port(struct nt_address *address)
+{
+	struct sockaddr_in bound = { 0 };
+	socklen_t bytes = sizeof(bound);
+	char text[NT_TEXT_BYTES];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	bound.sin_family = AF_INET;
+	bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&bound, bytes), 0);
+	ck_assert_int_eq(listen(fd, 1), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&bound, &bytes), 0);
+	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(bound.sin_port));
+	ck_assert(nt_parse(text, address));
+	return fd;
+}
+
+static void find_socket(uv_handle_t *handle, void *ctx)
+{
+	uv_os_fd_t fd;
+
+	if (handle->type == UV_TCP && !uv_fileno(handle, &fd))
+		*(int *)ctx = fd;
+}
+
+static void init_upload(struct upload *upload)
+{
+	struct nt_address address;
+	GString *out = hc_head_begin("PUT", 3, "/", 1, "x");
+
+	memset(upload, 0, sizeof(*upload));
+	upload->listener = listen_on_free_port(&address);
+	uv_loop_init(&upload->loop);
+	hc_pool_init(&upload->pool, &upload->loop, &address, 1);
+	upload->body = g_string_new(NULL);
+	upload->request_body = g_malloc0(UPLOAD_BYTES);
+	upload->request.handler = &handler;
+	upload->request.may_end_with_close = true;
+	upload->request.body = upload->request_body;
+	upload->request.body_bytes = UPLOAD_BYTES;
+	hc_head_end_apart(out, upload->request_body, UPLOAD_BYTES);
+	ck_assert(hc_start(&upload->pool, &upload->request, out));
+	upload->server_fd = accept(upload->listener, NULL, NULL);
+	while (!upload->sent)
+		uv_run(&upload->loop, UV_RUN_ONCE);
+	uv_walk(&upload->loop, find_socket, &upload->client_fd);
+}
+
+static void finish_upload(struct upload *upload)
+{
+	if (upload->server_fd >= 0)
+		close(upload->server_fd);
+	close(upload->listener);
+	hc_pool_close(&upload->pool, NULL, NULL);
+	uv_run(&upload->loop, UV_RUN_DEFAULT);
+	ck_assert_int_eq(uv_loop_close(&upload->loop), 0);
+	g_string_free(upload->body, TRUE);
+	g_free(upload->request_body);
+}
+
+/* Reads until the client can write on, and leaves most of the request unread. */
+static void read_some(struct upload *upload)
+{
+	struct pollfd poll_fd = { .fd = upload->client_fd, .events = POLLOUT };
+	char data[READ_BYTES];
+
+	while (poll(&poll_fd, 1, 0) == 0)
+		(void)recv(upload->server_fd, data, sizeof(data), MSG_DONTWAIT);
+}
+
+static void send_part(struct upload *upload, const char *part)
+{
+	ck_assert_int_eq((int)write(upload->server_fd, part, strlen(part)),
+			 (int)strlen(part));
+	wait_for(upload->client_fd, POLLIN | POLLOUT);
+}
+
+static void run_to_end(struct upload *upload)
+{
+	while (!upload->done)
+		uv_run(&upload->loop, UV_RUN_ONCE);
+}
+
+/*
+ * The server answers while it reads the request, and resets the connection between the
+ * read of its answer and the next write of the request: the write learns of the reset,
+ * and the next read says that the connection has ended in order.
+ */
+START_TEST(reset_that_a_write_learns_of_breaks_the_answer)
+{
+	struct upload upload;
+
+	init_upload(&upload);
+	upload.reset_in_body = true;
+	read_some(&upload);
+	send_part(&upload, UNFRAMED "part");
+	run_to_end(&upload);
+	ck_assert_str_eq(upload.body->str, "part");
+	ck_assert_int_eq(upload.end, HC_BROKEN);
+	finish_upload(&upload);
+}
+END_TEST
+
+/* The same with a reset that the read itself learns of. */
+START_TEST(reset_that_a_read_learns_of_breaks_the_answer)
+{
+	struct upload upload;
+
+	init_upload(&upload);
+	read_some(&upload);
+	send_part(&upload, UNFRAMED "part");
+	uv_run(&upload.loop, UV_RUN_ONCE);
+	reset_connection(&upload);
+	run_to_end(&upload);
+	ck_assert_str_eq(upload.body->str, "part");
+	ck_assert_int_eq(upload.end, HC_BROKEN);
+	finish_upload(&upload);
+}
+END_TEST
+
+/* Guards against a sound server that answers early and is not believed. */
+START_TEST(orderly_end_amid_the_request_completes_the_answer)
+{
+	struct upload upload;
+
+	init_upload(&upload);
+	read_some(&upload);
+	send_part(&upload, UNFRAMED "whole");
+	shutdown(upload.server_fd, SHUT_WR);
+	run_to_end(&upload);
+	ck_assert_str_eq(upload.body->str, "whole");
+	ck_assert_int_eq(upload.end, HC_COMPLETE);
+	finish_upload(&upload);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("answer");
+
+	tcase_add_test(tcase, reset_that_a_write_learns_of_breaks_the_answer);
+	tcase_add_test(tcase, reset_that_a_read_learns_of_breaks_the_answer);
+	tcase_add_test(tcase,
+		       orderly_end_amid_the_request_completes_the_answer);
+	return suite_run_case("answer", tcase, CK_FORK);
+}
--- a/tests/tool_answers.c
+++ b/tests/tool_answers.c
@@ -22,6 +22,10 @@
  *	extra		the whole answer, and bytes that are no answer
  *	lateextra	the same, PIECE_MS apart
  *	early		whole, before the body of the request is read
+ *	earlyrst	the first half, before the body of the request is read; the
+ *			connection is reset as some of that is read
+ *	earlyfin	whole, before the body of the request is read; the connection
+ *			is closed in order as some of that is read, then reads on
  * Each call prints its id. Connections from the
  * IP address SOURCE get no answer.
  */
@@ -41,6 +45,9 @@
 enum { PIECE_MS = 100, BREAK_MS = 300, STALL_MS = 2500 };
 enum { US_PER_MS = 1000, BACKLOG = 128 };
 enum { MAX_HEAD_BYTES = 8192, LATE_MS = 600, DEFAULT_STATUS = 200 };
+/* How much of a request's body is read, and how long, before the end amid it. */
+enum { AMID_BYTES = 1 << 20, MAX_AMID_US = 8 * 1000 };
+enum { AMID_PERIOD_US = 500 * 1000 };
 /* The first half is more than a host buffers. */
 enum { BIG_HALF_BYTES = 300000 };
 
@@ -221,6 +228,28 @@
 	return false;
 }
 
+/*
+ * Waits for the next period, in which all calls are read on at the same time. Their
+ * sender, which is busy writing to all of them, then learns of most ends by a write.
+ */
+static void read_amid_body(int fd, struct request *request)
+{
+	char data[64 * 1024];
+	size_t left = MIN(request->body_bytes, AMID_BYTES);
+	gint64 end_us;
+
+	g_usleep(AMID_PERIOD_US - g_get_monotonic_time() % AMID_PERIOD_US);
+	end_us = g_get_monotonic_time() + g_random_int_range(0, MAX_AMID_US);
+	while (left && g_get_monotonic_time() < end_us) {
+		ssize_t n = recv(fd, data, MIN(sizeof(data), left), 0);
+
+		if (n <= 0)
+			return;
+		left -= (size_t)n;
+		request->body_bytes -= (size_t)n;
+	}
+}
+
 static bool is_way(const struct plan *plan, const char *way)
 {
 	return !strcmp(plan->way, way);
@@ -316,10 +345,33 @@
 	return n;
 }
 
+/* The connection is closed then. */
+static void answer_amid_body(int fd, struct request *request,
+			     const struct plan *plan)
+{
+	bool reset = is_way(plan, "earlyrst");
+
+	if (!send_head(fd, request, plan) || !send_half(fd, plan, 0) ||
+	    (!reset && !send_rest(fd, plan)))
+		return;
+	g_usleep(PIECE_MS * US_PER_MS);
+	read_amid_body(fd, request);
+	if (reset) {
+		reset_on_close(fd);
+		return;
+	}
+	shutdown(fd, SHUT_WR);
+	skip_body(fd, request);
+}
+
 static bool answer_as(int fd, struct request *request, const struct plan *plan)
 {
 	bool early = is_way(plan, "early");
 
+	if (is_way(plan, "earlyrst") || is_way(plan, "earlyfin")) {
+		answer_amid_body(fd, request, plan);
+		return false;
+	}
 	if (!early && !skip_body(fd, request))
 		return false;
 	return send_answer(fd, request, plan) &&
