--- a/tests/lib_wire.sh
+++ b/tests/lib_wire.sh
@@ -119,7 +119,7 @@
 start_answers() {
 	local s
 	start_platform || exit 1
-	start_process servers "$BIN/tool_answers" "127.0.0.1:$servers_port" \
+	start_process servers "$BIN/${ANSWERS_TOOL:-tool_answers}" "127.0.0.1:$servers_port" \
 		$SERVERS $CUT_SOURCE
 	for s in $(seq 0 $((SERVERS - 1))); do
 		put_row servers "s$s" '{"service":"desk","address":"127.0.0.1:'$((servers_port + s))'","zone":"gs-a","version":"v1","slots":'"${SLOTS:-200}"',"state":"ready","warmup-left-s":0,"sequence":1}' ||
