Read answers by RFC 9110 and 9112, not by a library's leniency

What callers saw: an answer in whose head the name of a field held a blank reached the caller, with that line, or with a body that was not the server's. "Content Length: 5" gave a body to the end of the connection; over HTTP/2 the blank broke the caller's stream. The same for other bytes: two transfer codings, a chunk that does not end at its size, trailers that are no fields, HTTP/2.0 in a status line, status 0200.

Cause: http-parser decided what an answer is. Debian builds it without its strict mode: a blank counts as a letter of a name, and the ends of lines and chunks are skipped unread.

Why the fix works: http/answer.c reads answers, for all that use the client (servers, probes, other hosts, the store), and alone decides what one is. Names are tokens, a status has three digits, a chunk ends at its size, framing that can be read in two ways fails. A blank before the colon is removed and a folded line joined, as RFC 9112 (5.1, 5.2) has it for proxies, and equal lengths are one (6.3). http-parser is no longer a dependency.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # Debian packages in PACKAGES.
 
 PACKAGES = build-essential pkg-config clang-format clang-tidy \
-	libuv1-dev libh2o-dev libhttp-parser-dev libglib2.0-dev libyaml-dev \
+	libuv1-dev libh2o-dev libglib2.0-dev libyaml-dev \
 	libjansson-dev libssl-dev libtirpc-dev rpcsvc-proto check \
 	curl openssl
 
@@ -15,7 +15,7 @@
 # types.
 BASE_CFLAGS = -std=gnu11 -D_GNU_SOURCE -fno-strict-aliasing $(WARN) -I. -Igen -Ihttp/khash \
 	$(shell pkg-config --cflags $(LIBS) | sed 's/-I/-isystem /g')
-LDLIBS = $(shell pkg-config --libs $(LIBS)) -lhttp_parser -lm
+LDLIBS = $(shell pkg-config --libs $(LIBS)) -lm
 CHECK_LIBS = $(shell pkg-config --libs check)
 
 # build/release is the product. build/test has the sanitizers and the switches
--- a/http/httpc.c
+++ b/http/httpc.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include <http_parser.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -11,15 +10,6 @@
 #include "http/tls_stream.h"
 
 enum { HC_DEFAULT_IDLE_US = 20 * 1000 * 1000 };
-enum { HC_READ_BODY, HC_SKIP_BODY }; /* what http-parser does after a head */
-
-/* A header in head_text, as offsets because that buffer may be reallocated. */
-struct hc_span {
-	uint32_t name_at;
-	uint32_t name_bytes;
-	uint32_t value_at;
-	uint32_t value_bytes;
-};
 
 struct hc_conn {
 	struct hc_pool *pool;
@@ -31,15 +21,10 @@
 	uv_connect_t connect;
 	uv_write_t write;
 	GString *out;
-	http_parser parser;
-	GString *head_text;
-	struct hc_span spans[HC_MAX_HEADERS];
-	uint32_t span_count;
-	bool in_value; /* the parser is in a header value */
+	struct hc_reader reader;
 	bool connected;
 	bool writing;
 	bool write_failed; /* the write has taken the error from the socket */
-	bool complete; /* the answer was read to its end */
 	bool skipping; /* the answer being read belongs to another request */
 	uint64_t skipped_bytes; /* read before the head of the answer */
 	bool closing;
@@ -92,7 +77,7 @@
 		conn->next->prev_next = conn->prev_next;
 	if (conn->out)
 		g_string_free(conn->out, TRUE);
-	g_string_free(conn->head_text, TRUE);
+	hc_reader_finish(&conn->reader);
 	ts_free(&conn->tls);
 	g_free(conn);
 	hc_pool_check_closed(pool);
@@ -164,186 +149,51 @@
 	request->handler->done(request, end, msg);
 }
 
-static int hc_on_begin(http_parser *parser)
-{
-	struct hc_conn *conn = parser->data;
-
-	conn->span_count = 0;
-	conn->in_value = false;
-	g_string_truncate(conn->head_text, 0);
-	return conn->request ? 0 : -1;
-}
-
-static int hc_append_head_text(struct hc_conn *conn, const char *at, size_t len)
-{
-	if (conn->head_text->len + len > HC_MAX_HEAD_BYTES)
-		return -1;
-	g_string_append_len(conn->head_text, at, (gssize)len);
-	return 0;
-}
-
-static int hc_on_field(http_parser *parser, const char *at, size_t len)
-{
-	struct hc_conn *conn = parser->data;
-	struct hc_span *span;
-
-	if (conn->in_value || !conn->span_count) {
-		if (conn->span_count == HC_MAX_HEADERS)
-			return -1;
-		span = &conn->spans[conn->span_count++];
-		memset(span, 0, sizeof(*span));
-		span->name_at = (uint32_t)conn->head_text->len;
-		conn->in_value = false;
-	}
-	conn->spans[conn->span_count - 1].name_bytes += (uint32_t)len;
-	return hc_append_head_text(conn, at, len);
-}
-
-static int hc_on_value(http_parser *parser, const char *at, size_t len)
-{
-	struct hc_conn *conn = parser->data;
-	struct hc_span *span = &conn->spans[conn->span_count - 1];
-
-	if (!conn->in_value) {
-		span->value_at = (uint32_t)conn->head_text->len;
-		conn->in_value = true;
-	}
-	span->value_bytes += (uint32_t)len;
-	return hc_append_head_text(conn, at, len);
-}
-
-enum hc_status_class hc_classify_status(unsigned status)
-{
-	if (status < 100 || status > 599)
-		return HC_STATUS_INVALID;
-	return status < 200 ? HC_STATUS_INTERIM : HC_STATUS_FINAL;
-}
-
-/* Whatever its head says of a length: that is of another answer, or wrong. */
-static bool hc_has_no_body(const http_parser *parser, bool head_method)
-{
-	return head_method || parser->status_code < 200 ||
-	       parser->status_code == 204 || parser->status_code == 304;
-}
-
-static bool hc_has_length(const http_parser *parser, bool head_method)
-{
-	if (hc_has_no_body(parser, head_method))
-		return true;
-	if (parser->flags & F_CHUNKED)
-		return true;
-	return parser->content_length != ULLONG_MAX;
-}
-
-/*
- * Bodies in other transfer codings than chunked are not decoded, and they would
- * reach the caller without the header that names the coding.
- */
-static bool hc_coding_supported(const struct hc_head *head)
-{
-	const struct hc_header *h = hc_find_header(head, "transfer-encoding");
-
-	return !h ||
-	       (h->value_bytes == strlen("chunked") &&
-		!g_ascii_strncasecmp(h->value, "chunked", h->value_bytes));
-}
-
-static void hc_fill_head(struct hc_conn *conn, struct hc_header *headers,
-			 struct hc_head *head)
+/* Whether the request was not ended by its callback. */
+static bool hc_runs(const struct hc_conn *conn)
 {
-	for (uint32_t i = 0; i < conn->span_count; i++) {
-		const struct hc_span *span = &conn->spans[i];
-
-		headers[i].name = conn->head_text->str + span->name_at;
-		headers[i].name_bytes = span->name_bytes;
-		headers[i].value = conn->head_text->str + span->value_at;
-		headers[i].value_bytes = span->value_bytes;
-	}
-	head->status = (int)conn->parser.status_code;
-	head->headers = headers;
-	head->header_count = conn->span_count;
-	head->content_length = conn->parser.flags & F_CHUNKED ?
-				       UINT64_MAX :
-				       conn->parser.content_length;
+	return conn->request != NULL;
 }
 
-static int hc_on_headers(http_parser *parser)
+static bool hc_on_head(void *ctx, const struct hc_head *head)
 {
-	struct hc_conn *conn = parser->data;
+	struct hc_conn *conn = ctx;
 	struct hc_request *request = conn->request;
-	struct hc_header headers[HC_MAX_HEADERS];
-	struct hc_head head;
-	bool no_body;
-
-	if (!request || parser->upgrade)
-		return -1;
-	switch (hc_classify_status(parser->status_code)) {
-	case HC_STATUS_INVALID:
-		return -1;
-	case HC_STATUS_INTERIM:
-		return HC_SKIP_BODY;
-	case HC_STATUS_FINAL:
-		break;
-	}
-	if (!hc_has_length(parser, request->head_method) &&
-	    !request->may_end_with_close)
-		return -1;
-	no_body = hc_has_no_body(parser, request->head_method);
-	hc_fill_head(conn, headers, &head);
-	if (!hc_coding_supported(&head))
-		return -1;
+
 	if (request->handler->accept &&
-	    !request->handler->accept(request, &head)) {
+	    !request->handler->accept(request, head)) {
 		ct_add(CT_LATE, 1);
 		conn->skipping = true;
-		return no_body ? HC_SKIP_BODY : HC_READ_BODY;
+		return true;
 	}
 	request->state = HC_ANSWER_BEGUN;
 	if (request->handler->head)
-		request->handler->head(request, &head);
-	if (!conn->request)
-		return -1;
-	return no_body ? HC_SKIP_BODY : HC_READ_BODY;
+		request->handler->head(request, head);
+	return hc_runs(conn);
 }
 
-static int hc_on_body(http_parser *parser, const char *at, size_t len)
+static bool hc_on_body(void *ctx, const char *data, size_t data_bytes)
 {
-	struct hc_conn *conn = parser->data;
+	struct hc_conn *conn = ctx;
 	struct hc_request *request = conn->request;
 
-	if (!request)
-		return -1;
-	if (conn->skipping)
-		return 0;
-	if (request->handler->body)
-		request->handler->body(request, at, len);
-	return conn->request ? 0 : -1;
+	if (!conn->skipping && request->handler->body)
+		request->handler->body(request, data, data_bytes);
+	return hc_runs(conn);
 }
 
-static int hc_on_complete(http_parser *parser)
-{
-	struct hc_conn *conn = parser->data;
-
-	if (parser->status_code < 200)
-		return 0;
-	if (conn->skipping) {
-		conn->skipping = false;
-		return 0;
-	}
-	conn->complete = true;
-	http_parser_pause(parser, 1);
-	return 0;
-}
-
-static const http_parser_settings hc_settings = {
-	.on_message_begin = hc_on_begin,
-	.on_header_field = hc_on_field,
-	.on_header_value = hc_on_value,
-	.on_headers_complete = hc_on_headers,
-	.on_body = hc_on_body,
-	.on_message_complete = hc_on_complete,
+static const struct hc_reader_handler hc_reader_handler = {
+	.head = hc_on_head,
+	.body = hc_on_body,
 };
 
+static void hc_conn_begin_answer(struct hc_conn *conn)
+{
+	conn->skipping = false;
+	hc_reader_begin(&conn->reader, conn->request->head_method,
+			conn->request->may_end_with_close);
+}
+
 static void hc_conn_start_reading(struct hc_conn *conn)
 {
 	if (!conn->reading)
@@ -368,21 +218,11 @@
 	hc_conn_start_reading(conn);
 }
 
-/* A 204 that names a body may be followed by it. */
-static bool hc_is_bad_204(const http_parser *parser)
-{
-	bool named = parser->content_length != 0 &&
-		     parser->content_length != ULLONG_MAX;
-
-	return parser->status_code == 204 &&
-	       (named || (parser->flags & F_CHUNKED));
-}
-
 static void hc_conn_complete(struct hc_conn *conn, bool unparsed_data)
 {
 	struct hc_request *request = conn->request;
-	bool keep = http_should_keep_alive(&conn->parser) &&
-		    !request->close_after && !hc_is_bad_204(&conn->parser);
+	bool keep = hc_reader_keeps_connection(&conn->reader) &&
+		    !request->close_after;
 
 	request->state = HC_DONE;
 	hc_conn_release(conn, keep && !unparsed_data && !conn->writing);
@@ -402,16 +242,20 @@
 
 static void hc_conn_parse(struct hc_conn *conn, const char *data, size_t len)
 {
-	size_t used =
-		http_parser_execute(&conn->parser, &hc_settings, data, len);
+	struct hc_reader *reader = &conn->reader;
+	size_t used = hc_reader_feed(reader, data, len);
 
+	while (!conn->closing && conn->skipping &&
+	       reader->state == HC_READ_COMPLETE) {
+		hc_conn_begin_answer(conn);
+		used += hc_reader_feed(reader, data + used, len - used);
+	}
 	if (conn->closing)
 		return;
-	if (conn->complete)
+	if (reader->state == HC_READ_COMPLETE)
 		hc_conn_complete(conn, used < len);
-	else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
-		hc_conn_fail(conn, http_errno_description(
-					   HTTP_PARSER_ERRNO(&conn->parser)));
+	else if (reader->state == HC_READ_FAILED)
+		hc_conn_fail(conn, reader->error);
 	else if (!hc_count_skipped(conn, len))
 		hc_conn_fail(conn, "too many bytes before the answer");
 	else if (conn->request->handler->read_end)
@@ -494,19 +338,19 @@
 }
 
 /*
- * Whether the connection was reset before reading reported EOF. The system tells one
- * call of a reset and reports EOF from then on: a write that failed has been told, or
- * the error is still pending on the socket.
+ * Whether the connection that reading reports EOF for was closed, and not reset. The
+ * system tells one call of a reset and reports EOF from then on: a write that failed has
+ * been told, or the error is still pending on the socket.
  */
-static bool hc_was_reset(struct hc_conn *conn)
+static bool hc_ended_in_order(struct hc_conn *conn)
 {
 	uv_os_fd_t fd;
 	int error = 0;
 	socklen_t bytes = sizeof(error);
 
-	return conn->write_failed ||
-	       uv_fileno((uv_handle_t *)&conn->tcp, &fd) ||
-	       getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &bytes) || error;
+	return !conn->write_failed &&
+	       !uv_fileno((uv_handle_t *)&conn->tcp, &fd) &&
+	       !getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &bytes) && !error;
 }
 
 static void hc_conn_read(uv_stream_t *stream, ssize_t nread,
@@ -533,9 +377,9 @@
 		return;
 	}
 	if (nread == UV_EOF && conn->request->state == HC_ANSWER_BEGUN &&
-	    !hc_was_reset(conn))
-		http_parser_execute(&conn->parser, &hc_settings, NULL, 0);
-	if (conn->complete)
+	    hc_ended_in_order(conn))
+		hc_reader_end(&conn->reader);
+	if (conn->reader.state == HC_READ_COMPLETE)
 		hc_conn_complete(conn, true);
 	else if (nread < 0)
 		hc_conn_fail(conn, uv_strerror((int)nread));
@@ -599,10 +443,7 @@
 		bufs[1].len = request->body_bytes;
 		count = 2;
 	}
-	http_parser_init(&conn->parser, HTTP_RESPONSE);
-	conn->parser.data = conn;
-	conn->complete = false;
-	conn->skipping = false;
+	hc_conn_begin_answer(conn);
 	conn->skipped_bytes = 0;
 	conn->write.data = conn;
 	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, bufs, count,
@@ -658,7 +499,7 @@
 	struct hc_conn *conn = g_new0(struct hc_conn, 1);
 
 	conn->pool = pool;
-	conn->head_text = g_string_sized_new(512);
+	hc_reader_init(&conn->reader, &hc_reader_handler, conn);
 	uv_tcp_init(pool->loop, &conn->tcp);
 	conn->tcp.data = conn;
 	conn->connect.data = conn;
--- a/http/httpc.h
+++ b/http/httpc.h
@@ -10,6 +10,7 @@
 
 #include "base/net.h"
 #include "base/timer.h"
+#include "http/answer.h"
 
 /*
  * HTTP/1.1 client on libuv.
@@ -24,8 +25,6 @@
  */
 
 enum {
-	HC_MAX_HEAD_BYTES = 32 * 1024,
-	HC_MAX_HEADERS = 100,
 	/*
 	 * Bytes that a server may send before the head of the answer ends:
 	 * interim answers, and late answers to earlier requests.
@@ -44,23 +43,6 @@
 	HC_BROKEN /* after its head the answer broke off or was malformed */
 };
 
-enum hc_status_class { HC_STATUS_INVALID, HC_STATUS_INTERIM, HC_STATUS_FINAL };
-
-struct hc_header {
-	const char *name;
-	const char *value;
-	size_t name_bytes;
-	size_t value_bytes;
-};
-
-/* Head of an answer; valid during the callback only. */
-struct hc_head {
-	int status;
-	const struct hc_header *headers;
-	uint32_t header_count;
-	uint64_t content_length; /* UINT64_MAX: chunked or not given */
-};
-
 struct hc_request;
 
 /* Callbacks of a request; all but DONE may be NULL. */
@@ -209,17 +191,4 @@
 void hc_head_end_apart(GString *out, const char *body, size_t body_bytes);
 void hc_head_end(GString *out, const char *body, size_t body_bytes);
 
-/*
- * hc_classify_status - what a status code of an answer is worth: 100 to 199 precede
- * the answer, 200 to 599 are answers. With any other the request gets no answer.
- */
-enum hc_status_class hc_classify_status(unsigned status);
-
-/* hc_value_is - whether the value of a header is VALUE; case matters. */
-bool hc_value_is(const struct hc_header *header, const char *value);
-
-/* hc_find_header - the first header with that name in an answer, or NULL. */
-const struct hc_header *hc_find_header(const struct hc_head *head,
-				       const char *name);
-
 #endif
--- a/tests/run_odd_answers.sh
+++ b/tests/run_odd_answers.sh
@@ -109,6 +109,9 @@
 	$how "order" 0
 	compare_all
 done
+check_field folded x-odd: "x-odd: a b"
+check_field colon-blank x-odd "x-odd: a b"
+check_field value-blanks x-odd: "x-odd: 1"
 check_field value-empty x-odd: "x-odd: "
 check_field value-obs x-odd: "$(printf 'x-odd: \303\204 \t"a\\"')"
 check_field name-token "09az:" "!#\$%&'*+-.^_\`|09az: 1"
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -643,6 +643,52 @@
 }
 END_TEST
 
+static const struct {
+	const char *answer;
+	enum st_kind kind;
+} odd_store_answers[] = {
+#define ROWS "Content-Length: 19\r\n\r\n{\"ver\":1,\"rows\":[]}"
+	{ "HTTP/1.1 200\r\nStore-Era : 0\r\nX: a\r\n b\r\n" ROWS, ST_OK },
+	{ "HTTP/1.1 000 Status\r\n" ROWS, ST_PLATFORM },
+	{ "HTTP/1.1 0200 OK\r\n" ROWS, ST_PLATFORM },
+	{ "HTTP/1.1 200 OK\r\nStore Era: 1\r\n" ROWS, ST_PLATFORM },
+	{ "HTTP/1.1 200 OK\r\nStore\001Era: 1\r\n" ROWS, ST_PLATFORM },
+	{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "13\r\n{\"ver\":1,\"rows\":[]}xx0\r\n\r\n",
+	  ST_PLATFORM },
+#undef ROWS
+};
+
+/* Guards against rows from bytes that are no answer of the store. */
+START_TEST(odd_answers_of_the_store_are_told_apart)
+{
+	const char *text = odd_store_answers[_i].answer;
+	struct slow_answer answer = { .done = false };
+	struct pf_callback callback = { on_slow_result, &answer };
+	struct tm_service timers;
+	struct nt_address address;
+	struct pf_client client;
+	uv_loop_t loop;
+	int listener = listen_on_free_port(&address);
+
+	uv_loop_init(&loop);
+	tm_init(&timers, &loop);
+	pf_init(&client, &loop, &timers, &address);
+	pf_read_rows(&client, "op", "", &callback);
+	answer.fd = accept(listener, NULL, NULL);
+	send(answer.fd, text, strlen(text), MSG_NOSIGNAL);
+	while (!answer.done)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(answer.kind, odd_store_answers[_i].kind);
+	close(answer.fd);
+	close(listener);
+	pf_free(&client);
+	tm_free(&timers);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+}
+END_TEST
+
 /* A store that takes calls and answers none, as the hosts call it. */
 enum {
 	SILENT_TIMEOUT_US = 1000 * 1000,
@@ -925,6 +971,8 @@
 			    0, 2);
 	tcase_add_loop_test(tests, answer_that_is_arriving_may_take_longer, 0,
 			    G_N_ELEMENTS(slow_answers));
+	tcase_add_loop_test(tests, odd_answers_of_the_store_are_told_apart, 0,
+			    G_N_ELEMENTS(odd_store_answers));
 	tcase_add_test(tests, unanswered_call_counts_as_waiting);
 	tcase_add_test(tests, relayed_rows_count_only_in_a_relayed_table);
 	tcase_add_test(tests, later_era_goes_before_higher_version);
