Take the end of an answer over TLS from TLS

What callers saw: nothing yet, since servers are called without TLS. Found by checking the other places that read answers.

Cause: an answer without a length that came over TLS was whole when the connection under it was closed, which anybody on the way can do, and broken when TLS told its end, as a sound server does. The client took any end of TLS for a failure.

Why the fix works: a stream says whether the other side has told its end. That completes the answer (RFC 9112, 9.8); the end of the connection no longer does over TLS.

--- a/http/httpc.c
+++ b/http/httpc.c
@@ -310,6 +310,18 @@
 		hc_conn_send_first(conn);
 }
 
+/* The end that TLS tells may be that of the answer. */
+static void hc_conn_end_tls(struct hc_conn *conn)
+{
+	if (conn->tls.ended && conn->request &&
+	    conn->request->state == HC_ANSWER_BEGUN)
+		hc_reader_end(&conn->reader);
+	if (conn->request && conn->reader.state == HC_READ_COMPLETE)
+		hc_conn_complete(conn, true);
+	else
+		hc_conn_fail(conn, "TLS connection was closed or failed");
+}
+
 static void hc_conn_decrypt(struct hc_conn *conn)
 {
 	static char plain[HC_READ_BYTES];
@@ -318,8 +330,7 @@
 	while (!conn->closing &&
 	       (got = ts_read(&conn->tls, plain, sizeof(plain))) != 0) {
 		if (got < 0 || !conn->request) {
-			hc_conn_fail(conn,
-				     "TLS connection was closed or failed");
+			hc_conn_end_tls(conn);
 			return;
 		}
 		hc_conn_parse(conn, plain, (size_t)got);
@@ -340,7 +351,7 @@
 /*
  * Whether the connection that reading reports EOF for was closed, and not reset. The
  * system tells one call of a reset and reports EOF from then on: a write that failed has
- * been told, or the error is still pending on the socket.
+ * been told, or the error is still pending on the socket. TLS tells its end itself.
  */
 static bool hc_ended_in_order(struct hc_conn *conn)
 {
@@ -348,7 +359,7 @@
 	int error = 0;
 	socklen_t bytes = sizeof(error);
 
-	return !conn->write_failed &&
+	return !conn->tls.ssl && !conn->write_failed &&
 	       !uv_fileno((uv_handle_t *)&conn->tcp, &fd) &&
 	       !getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &bytes) && !error;
 }
--- a/http/tls_stream.c
+++ b/http/tls_stream.c
@@ -21,6 +21,7 @@
 	X509_VERIFY_PARAM *param;
 
 	stream->established = false;
+	stream->ended = false;
 	stream->ssl = SSL_new(ctx);
 	if (!stream->ssl)
 		return false;
@@ -66,6 +67,7 @@
 	if (got > 0)
 		return got;
 	error = SSL_get_error(stream->ssl, got);
+	stream->ended = error == SSL_ERROR_ZERO_RETURN;
 	ERR_clear_error();
 	return error == SSL_ERROR_WANT_READ ? 0 : -1;
 }
--- a/http/tls_stream.h
+++ b/http/tls_stream.h
@@ -15,6 +15,7 @@
 	BIO *from_network;
 	BIO *to_network;
 	bool established; /* the handshake is complete */
+	bool ended; /* the other side has said that it sends no more */
 };
 
 /*
@@ -36,7 +37,7 @@
 
 /*
  * ts_read - decrypt received bytes into DATA. Returns their number, 0 when more
- * must be received first, -1 when the stream ended or failed.
+ * must be received first, -1 when the stream has ended (see ENDED) or failed.
  */
 int ts_read(struct ts_stream *stream, char *data, size_t data_bytes);
 
--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -1,7 +1,8 @@
 /*
- * Tests of how the HTTP client takes the end of an answer while it writes its request.
- * Guards against a part of an answer that is taken for a whole one: of a reset, the
- * system tells only the next call on the socket, which may be a write.
+ * Tests of how the HTTP client takes the end of an answer that has no length, while it
+ * writes its request and over TLS. Guards against a part of an answer that is taken for a
+ * whole one: of a reset, the system tells only the next call on the socket, which may be
+ * a write.
  */
 #include <check.h>
 #include <poll.h>
@@ -9,6 +10,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <openssl/evp.h>
+#include <openssl/x509v3.h>
+
 #include "http/httpc.h"
 #include "tests/suite.h"
 
@@ -223,6 +227,106 @@
 }
 END_TEST
 
+/* A server over TLS, in a thread of its own. */
+struct tls_server {
+	int listener;
+	SSL_CTX *ctx;
+	bool tell_end; /* TLS tells the end before the connection is closed */
+};
+
+/* A certificate for 127.0.0.1, signed with its own key. */
+static X509 *make_certificate(EVP_PKEY *key)
+{
+	enum { VERSION_3 = 2, VALID_S = 3600 };
+	X509 *cert = X509_new();
+	X509_NAME *name = X509_get_subject_name(cert);
+	X509_EXTENSION *names = X509V3_EXT_conf_nid(
+		NULL, NULL, NID_subject_alt_name, "IP:127.0.0.1");
+
+	X509_set_version(cert, VERSION_3);
+	ASN1_INTEGER_set(X509_get_serialNumber(cert), 1);
+	X509_gmtime_adj(X509_getm_notBefore(cert), -VALID_S);
+	X509_gmtime_adj(X509_getm_notAfter(cert), VALID_S);
+	X509_NAME_add_entry_by_txt(name, "CN", MBSTRING_ASC,
+				   (const unsigned char *)"x", -1, -1, 0);
+	X509_set_issuer_name(cert, name);
+	X509_set_pubkey(cert, key);
+	X509_add_ext(cert, names, -1);
+	X509_EXTENSION_free(names);
+	ck_assert_int_gt(X509_sign(cert, key, EVP_sha256()), 0);
+	return cert;
+}
+
+static void *serve_over_tls(void *ctx)
+{
+	static const char text[] = UNFRAMED "whole";
+	struct tls_server *server = ctx;
+	int fd = accept(server->listener, NULL, NULL);
+	SSL *ssl = SSL_new(server->ctx);
+	char request[READ_BYTES];
+
+	SSL_set_fd(ssl, fd);
+	if (SSL_accept(ssl) == 1 &&
+	    SSL_read(ssl, request, sizeof(request)) > 0) {
+		SSL_write(ssl, text, (int)strlen(text));
+		if (server->tell_end)
+			SSL_shutdown(ssl);
+		shutdown(fd, SHUT_WR);
+		while (read(fd, request, sizeof(request)) > 0)
+			;
+	}
+	SSL_free(ssl);
+	close(fd);
+	return NULL;
+}
+
+/*
+ * Guards against a part of an answer that is taken for a whole one because the connection
+ * under TLS was closed, as anybody on the way can do, and against a whole answer that is
+ * not taken.
+ */
+START_TEST(end_of_tls_completes_the_answer)
+{
+	bool tell_end = _i;
+	struct upload exchange = { .request.handler = &handler,
+				   .request.may_end_with_close = true };
+	struct tls_server server = { .tell_end = tell_end };
+	struct nt_address address;
+	SSL_CTX *client = SSL_CTX_new(TLS_client_method());
+	EVP_PKEY *key = EVP_EC_gen("P-256");
+	X509 *cert = make_certificate(key);
+	GString *out = hc_head_begin("GET", 3, "/", 1, "x");
+	GThread *thread;
+
+	hc_head_end(out, NULL, 0);
+	server.ctx = SSL_CTX_new(TLS_server_method());
+	SSL_CTX_use_certificate(server.ctx, cert);
+	SSL_CTX_use_PrivateKey(server.ctx, key);
+	X509_STORE_add_cert(SSL_CTX_get_cert_store(client), cert);
+	SSL_CTX_set_verify(client, SSL_VERIFY_PEER, NULL);
+	server.listener = listen_on_free_port(&address);
+	thread = g_thread_new("server", serve_over_tls, &server);
+	uv_loop_init(&exchange.loop);
+	hc_pool_init(&exchange.pool, &exchange.loop, &address, 1);
+	hc_pool_set_tls(&exchange.pool, client);
+	exchange.body = g_string_new(NULL);
+	ck_assert(hc_start(&exchange.pool, &exchange.request, out));
+	run_to_end(&exchange);
+	ck_assert_str_eq(exchange.body->str, "whole");
+	ck_assert_int_eq(exchange.end, tell_end ? HC_COMPLETE : HC_BROKEN);
+	hc_pool_close(&exchange.pool, NULL, NULL);
+	uv_run(&exchange.loop, UV_RUN_DEFAULT);
+	ck_assert_int_eq(uv_loop_close(&exchange.loop), 0);
+	g_thread_join(thread);
+	close(server.listener);
+	g_string_free(exchange.body, TRUE);
+	SSL_CTX_free(server.ctx);
+	SSL_CTX_free(client);
+	X509_free(cert);
+	EVP_PKEY_free(key);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("answer");
@@ -231,5 +335,6 @@
 	tcase_add_test(tcase, reset_that_a_read_learns_of_breaks_the_answer);
 	tcase_add_test(tcase,
 		       orderly_end_amid_the_request_completes_the_answer);
+	tcase_add_loop_test(tcase, end_of_tls_completes_the_answer, 0, 2);
 	return suite_run_case("answer", tcase, CK_FORK);
 }
