Share what the tests of answers had twice

tool_answers and tool_odd_answers counted attempts by the same lines, test_answer and test_platform listened on a free port by nearly the same: both are in headers now.

--- a/tests/raw_io.h
+++ b/tests/raw_io.h
@@ -5,6 +5,7 @@
 #include <pthread.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -145,4 +146,22 @@
 	close(fd);
 }
 
+/* count_attempt - how often it was asked for CALL_ID before, in all threads. */
+static inline uint32_t count_attempt(const char *call_id)
+{
+	static GMutex lock;
+	static GHashTable *counts;
+	uint32_t n;
+
+	g_mutex_lock(&lock);
+	if (!counts)
+		counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL);
+	n = GPOINTER_TO_UINT(g_hash_table_lookup(counts, call_id));
+	g_hash_table_replace(counts, g_strdup(call_id),
+			     GUINT_TO_POINTER(n + 1));
+	g_mutex_unlock(&lock);
+	return n;
+}
+
 #endif
--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -14,6 +14,7 @@
 #include <openssl/x509v3.h>
 
 #include "http/httpc.h"
+#include "tests/free_port.h"
 #include "tests/suite.h"
 
 enum { UPLOAD_BYTES = 8 << 20, READ_BYTES = 64 * 1024, WAIT_MS = 5000 };
@@ -91,23 +92,6 @@
 	.done = on_done,
 };
 
-static int listen_on_free_port(struct nt_address *address)
-{
-	struct sockaddr_in bound = { 0 };
-	socklen_t bytes = sizeof(bound);
-	char text[NT_TEXT_BYTES];
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	bound.sin_family = AF_INET;
-	bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&bound, bytes), 0);
-	ck_assert_int_eq(listen(fd, 1), 0);
-	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&bound, &bytes), 0);
-	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(bound.sin_port));
-	ck_assert(nt_parse(text, address));
-	return fd;
-}
-
 static void find_socket(uv_handle_t *handle, void *ctx)
 {
 	uv_os_fd_t fd;
@@ -175,35 +159,24 @@
 }
 
 /*
- * The server answers while it reads the request, and resets the connection between the
- * read of its answer and the next write of the request: the write learns of the reset,
- * and the next read says that the connection has ended in order.
+ * The server answers while it reads the request, and resets the connection. In the first
+ * case it does so between the read of its answer and the next write of the request: the
+ * write learns of the reset, and the next read says that the connection has ended in
+ * order. In the second one the read itself learns of it.
  */
-START_TEST(reset_that_a_write_learns_of_breaks_the_answer)
+START_TEST(reset_amid_the_request_breaks_the_answer)
 {
+	bool write_learns = !_i;
 	struct upload upload;
 
 	init_upload(&upload);
-	upload.reset_in_body = true;
+	upload.reset_in_body = write_learns;
 	read_some(&upload);
 	send_part(&upload, UNFRAMED "part");
-	run_to_end(&upload);
-	ck_assert_str_eq(upload.body->str, "part");
-	ck_assert_int_eq(upload.end, HC_BROKEN);
-	finish_upload(&upload);
-}
-END_TEST
-
-/* The same with a reset that the read itself learns of. */
-START_TEST(reset_that_a_read_learns_of_breaks_the_answer)
-{
-	struct upload upload;
-
-	init_upload(&upload);
-	read_some(&upload);
-	send_part(&upload, UNFRAMED "part");
-	uv_run(&upload.loop, UV_RUN_ONCE);
-	reset_connection(&upload);
+	if (!write_learns) {
+		uv_run(&upload.loop, UV_RUN_ONCE);
+		reset_connection(&upload);
+	}
 	run_to_end(&upload);
 	ck_assert_str_eq(upload.body->str, "part");
 	ck_assert_int_eq(upload.end, HC_BROKEN);
@@ -331,8 +304,8 @@
 {
 	TCase *tcase = tcase_create("answer");
 
-	tcase_add_test(tcase, reset_that_a_write_learns_of_breaks_the_answer);
-	tcase_add_test(tcase, reset_that_a_read_learns_of_breaks_the_answer);
+	tcase_add_loop_test(tcase, reset_amid_the_request_breaks_the_answer, 0,
+			    2);
 	tcase_add_test(tcase,
 		       orderly_end_amid_the_request_completes_the_answer);
 	tcase_add_loop_test(tcase, end_of_tls_completes_the_answer, 0, 2);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -11,6 +11,7 @@
 #include "platform/dialect.h"
 #include "platform/feed.h"
 #include "platform/manifest.h"
+#include "tests/free_port.h"
 #include "tests/suite.h"
 
 #define SERVICES                                                      \
@@ -417,26 +418,6 @@
 	  HC_NO_ANSWER, "" },
 };
 
-static int listen_on_free_port(struct nt_address *address)
-{
-	struct sockaddr_in bound = { 0 };
-	socklen_t bytes = sizeof(bound);
-	char text[NT_TEXT_BYTES];
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	ck_assert_int_ge(fd, 0);
-	ck_assert(nt_parse("127.0.0.1:1", address));
-	((struct sockaddr_in *)&address->addr)->sin_port = 0;
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address->addr,
-			      nt_sockaddr_size(address)),
-			 0);
-	ck_assert_int_eq(listen(fd, 8), 0);
-	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&bound, &bytes), 0);
-	g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(bound.sin_port));
-	ck_assert(nt_parse(text, address));
-	return fd;
-}
-
 static void send_answer(int fd, const char *answer, enum close_mode close_mode)
 {
 	size_t bytes = strlen(answer);
--- a/tests/tool_answers.c
+++ b/tests/tool_answers.c
@@ -74,9 +74,6 @@
 
 static char big_halves[2][BIG_HALF_BYTES + 1];
 
-static GMutex attempts_lock;
-static GHashTable *attempts; /* number of attempts by call id */
-
 static const char *cut_source; /* NULL: none */
 
 struct server {
@@ -332,19 +329,6 @@
 	return false;
 }
 
-/* Counts from 0. */
-static uint32_t count_attempt(const char *call_id)
-{
-	uint32_t n;
-
-	g_mutex_lock(&attempts_lock);
-	n = GPOINTER_TO_UINT(g_hash_table_lookup(attempts, call_id));
-	g_hash_table_replace(attempts, g_strdup(call_id),
-			     GUINT_TO_POINTER(n + 1));
-	g_mutex_unlock(&attempts_lock);
-	return n;
-}
-
 /* The connection is closed then. */
 static void answer_amid_body(int fd, struct request *request,
 			     const struct plan *plan)
@@ -467,7 +451,6 @@
 	}
 	cut_source = argc > 3 ? argv[3] : NULL;
 	setvbuf(stdout, NULL, _IOLBF, 0);
-	attempts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	memset(big_halves[0], 'x', BIG_HALF_BYTES);
 	memset(big_halves[1], 'y', BIG_HALF_BYTES);
 	for (uint32_t i = 0; i < (uint32_t)atoi(argv[2]); i++)
--- a/tests/tool_odd_answers.c
+++ b/tests/tool_odd_answers.c
@@ -171,22 +171,6 @@
 
 static const char *cut_source; /* NULL: none */
 
-static GMutex attempts_lock;
-static GHashTable *attempts; /* number of attempts by call id */
-
-/* Counts from 0. */
-static uint32_t count_attempt(const char *call_id)
-{
-	uint32_t n;
-
-	g_mutex_lock(&attempts_lock);
-	n = GPOINTER_TO_UINT(g_hash_table_lookup(attempts, call_id));
-	g_hash_table_replace(attempts, g_strdup(call_id),
-			     GUINT_TO_POINTER(n + 1));
-	g_mutex_unlock(&attempts_lock);
-	return n;
-}
-
 /* Sends TEXT with the call's id. */
 static bool send_text(int fd, const char *text, const char *call_id)
 {
@@ -298,7 +282,6 @@
 	}
 	cut_source = argc > 3 ? argv[3] : NULL;
 	setvbuf(stdout, NULL, _IOLBF, 0);
-	attempts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (uint32_t i = 0; i < (uint32_t)atoi(argv[2]); i++)
 		start_server(&first, i);
 	for (;;)
