--- a/tests/run_odd_answers.sh
+++ b/tests/run_odd_answers.sh
@@ -53,7 +53,6 @@
 }
 # check_orders: each order was sent once, in these bytes.
 check_orders() {
-	local id
 	grep -a '^[a-z]*POST /order/' "$WORK/servers.out" |
 		sed 's/^abc//' >"$WORK/orders"
 	sed 's/.*|attempt-id: \([^|]*\)|.*/\1/' "$WORK/orders" | sort | uniq -d >"$WORK/twice"
@@ -81,8 +80,8 @@
 		tr -d '\r' | grep -a -i "$2")
 	check "$1: field \"$came\", expected \"$3\"" test "$came" = "$3"
 }
-# check_callers WHAT URL EXITS OPTION...: the same for callers that use curl; EXITS are its
-# right exit statuses for a part of an answer.
+# check_callers WHAT URL EXITS OPTION...: all answers, as curl with these options gets them.
+# EXITS are its right exit statuses for a part of an answer.
 check_callers() {
 	local kind name came wanted who=$1 url=$2 exits=$3
 	shift 3
--- a/tests/test_answer.c
+++ b/tests/test_answer.c
@@ -2,7 +2,7 @@
  * Tests of how the HTTP client takes the end of an answer that has no length, while it
  * writes its request and over TLS. Guards against a part of an answer that is taken for a
  * whole one: of a reset, the system tells only the next call on the socket, which may be
- * a write.
+ * a write. Tests as well what probes take for an answer.
  */
 #include <check.h>
 #include <poll.h>
@@ -13,7 +13,9 @@
 #include <openssl/evp.h>
 #include <openssl/x509v3.h>
 
+#include "gateway/probe.h"
 #include "http/httpc.h"
+#include "platform/dialect.h"
 #include "tests/free_port.h"
 #include "tests/suite.h"
 
@@ -300,6 +302,73 @@
 }
 END_TEST
 
+static const struct {
+	const char *answer;
+	bool ok;
+} probe_answers[] = {
+#define LOAD "Server-Load: 1,0,8\r\nContent-Length: 0\r\n\r\n"
+	{ "HTTP/1.1 200\r\nX : a\r\n b\r\n" LOAD, true },
+	{ "HTTP/1.1 000 Status\r\n" LOAD, false },
+	{ "HTTP/1.1 0200 OK\r\n" LOAD, false },
+	{ "HTTP/1.1 200 OK\r\nX Odd: 1\r\n" LOAD, false },
+	{ "HTTP/1.1 200 OK\r\nX\001Odd: 1\r\n" LOAD, false },
+	{ "HTTP/1.1 200 OK\r\nServer-Load: 1,0,8\r\n"
+	  "Transfer-Encoding: chunked\r\n\r\n1\r\nxyz0\r\n\r\n",
+	  false },
+#undef LOAD
+};
+
+/* What the prober says of the server. */
+struct probe_result {
+	bool done;
+	bool ok;
+};
+
+static void note_report(void *ctx, struct core_event *event)
+{
+	struct probe_result *result = ctx;
+
+	if (event->kind != CORE_EV_REPORT)
+		return;
+	result->done = true;
+	result->ok = event->u.report.ok;
+}
+
+/* Guards against a server that is taken for sound by bytes that are no answer. */
+START_TEST(odd_answers_to_probes_are_told_apart)
+{
+	const char *text = probe_answers[_i].answer;
+	struct probe_result result = { .done = false };
+	struct pb_target target = { .expected_id = "s0", .path = "/health" };
+	struct pb_prober prober;
+	struct tm_service timers;
+	struct nt_address address;
+	struct hc_pool pool;
+	uv_loop_t loop;
+	int listener = listen_on_free_port(&address);
+	int fd;
+
+	uv_loop_init(&loop);
+	tm_init(&timers, &loop);
+	hc_pool_init(&pool, &loop, &address, 1);
+	pb_init(&prober, &timers, &pd_dialect, note_report, &result);
+	target.pool = &pool;
+	pb_send_probe(&prober, &target);
+	fd = accept(listener, NULL, NULL);
+	send(fd, text, strlen(text), MSG_NOSIGNAL);
+	while (!result.done)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(result.ok, probe_answers[_i].ok);
+	close(fd);
+	close(listener);
+	pb_free(&prober);
+	hc_pool_close(&pool, NULL, NULL);
+	tm_free(&timers);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	ck_assert_int_eq(uv_loop_close(&loop), 0);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("answer");
@@ -309,5 +378,7 @@
 	tcase_add_test(tcase,
 		       orderly_end_amid_the_request_completes_the_answer);
 	tcase_add_loop_test(tcase, end_of_tls_completes_the_answer, 0, 2);
+	tcase_add_loop_test(tcase, odd_answers_to_probes_are_told_apart, 0,
+			    G_N_ELEMENTS(probe_answers));
 	return suite_run_case("answer", tcase, CK_FORK);
 }
