--- a/base/mechanism.h
+++ b/base/mechanism.h
@@ -22,6 +22,7 @@
 	X(GENERATION_ORDER, "generation-order")     \
 	X(ROW_READING, "row-reading")               \
 	X(ALL_ROWS, "all-rows")                     \
+	X(CALL_MESSAGE, "call-message")             \
 	X(GENERATION_GOSSIP, "generation-gossip")   \
 	X(CONDITIONAL_ACCEPT, "conditional-accept") \
 	X(READ_BACK, "read-back")                   \
--- a/base/status.c
+++ b/base/status.c
@@ -2,6 +2,7 @@
 
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 
 struct st_row {
 	const char *name;
@@ -36,6 +37,17 @@
 	return st_rows[kind].name;
 }
 
+bool st_find(const char *name, enum st_kind *kind)
+{
+	for (uint32_t i = 0; i < ST_KIND_COUNT; i++) {
+		if (strcmp(st_rows[i].name, name) != 0)
+			continue;
+		*kind = (enum st_kind)i;
+		return true;
+	}
+	return false;
+}
+
 int st_http_status(enum st_kind kind)
 {
 	return st_rows[kind].http;
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "gateway/attempt_state.h"
+#include "peer/host_message.h"
 
 enum {
 	/* Of an answer, and of all together when there are many calls. */
@@ -79,6 +80,7 @@
 			   gw_retry_after_us(call));
 	if (call->from_host && st_not_run(kind) && gw_is_cut_off(call->gateway))
 		gw_add_unable(call->req);
+	hm_mark_answer(call->req, st_name(kind));
 	call->final_sent = true;
 	hd_reply_status(call->req, &status);
 }
@@ -100,13 +102,6 @@
 	X("x-request-id")      \
 	X("x-request-outcome") \
 	X("x-timeout-ms")      \
-	X("x-entry-zone")      \
-	X("x-entry-host")      \
-	X("x-entry-waited-ms") \
-	X("x-entry-attempts")  \
-	X("x-entry-revision")  \
-	X("x-entry-unable")    \
-	X("x-entry-customer")  \
 	X("host")              \
 	X("expect")
 
@@ -133,7 +128,8 @@
 		if (rows[i].bytes == bytes &&
 		    !g_ascii_strncasecmp(rows[i].name, name, bytes))
 			return true;
-	return gw_is_header_name(dialect->time_left_ms, name, bytes) ||
+	return hm_is_own_header(name, bytes) ||
+	       gw_is_header_name(dialect->time_left_ms, name, bytes) ||
 	       gw_is_header_name(dialect->expect_server, name, bytes);
 }
 
@@ -304,6 +300,7 @@
 		call->req->res.content_length = (size_t)head->content_length;
 	gw_copy_headers(call, head);
 	gw_add_outcome(call, ST_OK);
+	hm_mark_answer(call->req, HM_SERVER);
 }
 
 void gw_drop_head(struct gw_call *call)
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -198,24 +198,6 @@
 		head->content_length <= gw_buffer_bytes(call->gateway));
 }
 
-/*
- * Whether nothing shows that the answer is a server's to this call: a success
- * without the signature, or an answer with neither signature nor the call's id,
- * such as the second copy of an answer to a probe. It proves nothing, in
- * particular not that the call was not run.
- */
-static bool gw_is_unattributed(const struct gw_attempt *attempt,
-			       const struct hc_head *head)
-{
-	const struct gw_call *call = attempt->call;
-	const struct dl_dialect *dialect = call->gateway->dialect;
-
-	if (!dialect->signature || hc_find_header(head, dialect->signature))
-		return false;
-	return head->status < 300 ||
-	       (call->call_id && !dl_find_header(head, dialect->call_id));
-}
-
 static void gw_store_type(struct gw_call *call, const struct hc_head *head)
 {
 	const struct hc_header *type = hc_find_header(head, "content-type");
@@ -280,7 +262,7 @@
 	struct gw_gateway *gateway = call->gateway;
 
 	attempt->status = head->status;
-	if (gw_is_unattributed(attempt, head)) {
+	if (!dl_is_of_server(gateway->dialect, head, call->call_id)) {
 		gw_discard_answer(attempt, HC_SENT, CORE_END_NO_ANSWER,
 				  gw_discarded_msg);
 		return;
--- a/gateway/dialect.c
+++ b/gateway/dialect.c
@@ -154,6 +154,15 @@
 					  CORE_LEAVING_IN_ANSWER;
 }
 
+bool dl_is_of_server(const struct dl_dialect *dialect,
+		     const struct hc_head *head, const char *call_id)
+{
+	if (!dialect->signature || hc_find_header(head, dialect->signature))
+		return true;
+	return head->status >= 300 &&
+	       (!call_id || dl_find_header(head, dialect->call_id));
+}
+
 bool dl_is_not_run(const struct dl_dialect *dialect, const struct hc_head *head)
 {
 	const struct hc_header *h = dl_find_header(head, dialect->not_run);
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -91,6 +91,15 @@
  */
 enum core_leaving_source dl_leaving_source(const struct dl_dialect *dialect);
 
+/*
+ * dl_is_of_server - whether HEAD shows that a server made the answer to the call with
+ * CALL_ID, which may be NULL. A success needs the signature; any other answer needs the
+ * signature or the call's id. An answer that has neither, such as the second copy of an
+ * answer to a probe, proves nothing, in particular not that the call was not run.
+ */
+bool dl_is_of_server(const struct dl_dialect *dialect,
+		     const struct hc_head *head, const char *call_id);
+
 /* dl_is_not_run - the answer proves that the server did not run the call. */
 bool dl_is_not_run(const struct dl_dialect *dialect,
 		   const struct hc_head *head);
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -4,6 +4,7 @@
 
 #include "gateway/attempt_state.h"
 #include "base/counter.h"
+#include "base/mechanism.h"
 
 enum {
 	/* Hosts that are tried for a call, and of these that cannot be reached. */
@@ -22,46 +23,81 @@
 	uint32_t lost; /* of these, hosts that could not be reached */
 	uint32_t granted; /* servers that the other host may send it to */
 	uint32_t used; /* those that lost hosts may have sent it to */
-	bool unable; /* says the answer */
+	bool misread; /* by earlier builds, as a message */
+	bool wrapped; /* as it was sent */
+	struct gw_host_answer answer;
+	bool answered; /* ANSWER is set */
 	GList link; /* in gw_gateway.forwards */
 };
 
-static void gw_add_number(GString *out, const char *name, uint64_t value)
+static void gw_add_field(const struct gw_forward *forward, GString *out,
+			 const char *name, const char *value,
+			 size_t value_bytes)
+{
+	if (forward->wrapped)
+		hm_add_field(out, name, value, value_bytes);
+	else
+		hc_head_add(out, name, strlen(name), value, value_bytes);
+}
+
+static void gw_add_number(const struct gw_forward *forward, GString *out,
+			  const char *name, uint64_t value)
 {
 	char text[GW_DIGITS];
 
-	hc_head_add(out, name, strlen(name), text,
-		    gw_format_decimal(value, text));
+	gw_add_field(forward, out, name, text, gw_format_decimal(value, text));
 }
 
-static void gw_add_revision(GString *out, const struct ps_position *revision)
+static void gw_add_revision(const struct gw_forward *forward, GString *out)
 {
+	const struct ps_position *revision = &forward->call->revision;
 	char *text = g_strdup_printf("%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
 				     revision->era, revision->version);
 
-	hc_head_add(out, GW_REVISION, strlen(GW_REVISION), text, strlen(text));
+	gw_add_field(forward, out, GW_REVISION, text, strlen(text));
 	g_free(text);
 }
 
-static GString *gw_format_forward(const struct gw_call *call, uint32_t granted)
+/* The head of the call, with the time that the other host has for it. */
+static GString *gw_copy_call_head(const struct gw_call *call, uint64_t now_us)
 {
-	const struct gw_gateway *gateway = call->gateway;
-	uint64_t now_us = tm_now_us();
 	uint64_t end_us = call->deadline_us - GW_FORWARD_MARGIN_US;
+	uint64_t left_ms = (end_us - MIN(end_us, now_us)) / GW_US_PER_MS;
+	const char *name = call->gateway->dialect->time_left_ms;
+	GString *head = g_string_new_len(call->request_head->str,
+					 (gssize)call->request_head->len);
+	char text[GW_DIGITS];
+
+	hc_head_add(head, name, strlen(name), text,
+		    gw_format_decimal(MAX(left_ms, 1), text));
+	return head;
+}
+
+/* NULL: the call cannot be passed on, its head has too many lines. */
+static GString *gw_format_forward(const struct gw_forward *forward)
+{
+	const struct gw_call *call = forward->call;
+	const char *host = call->gateway->settings->host;
+	uint64_t now_us = tm_now_us();
 	uint64_t waited_us = call->waited_us + now_us - call->begin_us;
-	GString *out = g_string_new_len(call->request_head->str,
-					(gssize)call->request_head->len);
-
-	gw_add_number(out, gateway->dialect->time_left_ms,
-		      MAX((end_us - MIN(end_us, now_us)) / GW_US_PER_MS, 1));
-	hc_head_add(out, GW_FROM_HOST, strlen(GW_FROM_HOST),
-		    gateway->settings->host, strlen(gateway->settings->host));
-	gw_add_number(out, GW_WAITED, waited_us / GW_US_PER_MS);
-	gw_add_number(out, GW_ATTEMPTS, call->max_attempts - granted);
-	gw_add_revision(out, &call->revision);
+	GString *out = gw_copy_call_head(call, now_us);
+
+	if (forward->wrapped) {
+		GString *head = out;
+
+		out = hm_wrap_call(head, forward->peer->pool.address.text);
+		g_string_free(head, TRUE);
+		if (!out)
+			return NULL;
+	}
+	gw_add_field(forward, out, HM_FROM_HOST, host, strlen(host));
+	gw_add_number(forward, out, GW_WAITED, waited_us / GW_US_PER_MS);
+	gw_add_number(forward, out, GW_ATTEMPTS,
+		      call->max_attempts - forward->granted);
+	gw_add_revision(forward, out);
 	if (call->customer)
-		hc_head_add(out, GW_CUSTOMER, strlen(GW_CUSTOMER),
-			    call->customer, strlen(call->customer));
+		gw_add_field(forward, out, GW_CUSTOMER, call->customer,
+			     strlen(call->customer));
 	hc_head_end_apart(out, call->request_body.base,
 			  call->request_body.bytes);
 	return out;
@@ -96,7 +132,8 @@
 static bool gw_start_forward(struct gw_forward *forward)
 {
 	struct gw_call *call = forward->call;
-	struct gw_peer *peer = gw_pick_peer(call->gateway);
+	struct gw_peer *peer = gw_pick_peer(call->gateway, !forward->misread);
+	GString *out;
 
 	gw_watch_peers(call->gateway);
 	forward->granted = gw_next_grant(forward);
@@ -104,13 +141,16 @@
 	    forward->lost == GW_MAX_LOST || !forward->granted)
 		return false;
 	forward->tries++;
-	forward->unable = false;
+	forward->answered = false;
 	forward->peer = peer;
+	forward->wrapped = !peer->earlier;
+	out = gw_format_forward(forward);
+	if (!out)
+		return false;
 	tx_unref(call->forwarded_to);
 	call->forwarded_to = tx_ref(peer->name);
 	gw_log_forward(call, forward->tries);
-	if (!hc_start(&peer->pool, &forward->http,
-		      gw_format_forward(call, forward->granted))) {
+	if (!hc_start(&peer->pool, &forward->http, out)) {
 		forward->lost++;
 		gw_peer_was_lost(peer);
 		return gw_start_forward(forward);
@@ -150,8 +190,10 @@
 	struct gw_forward *forward = (struct gw_forward *)request;
 	struct gw_call *call = forward->call;
 
-	forward->unable = hc_find_header(head, GW_UNABLE) != NULL;
-	if (forward->unable)
+	forward->answer = gw_read_host_answer(call->gateway->dialect, head,
+					      call->call_id, forward->wrapped);
+	forward->answered = true;
+	if (forward->answer.source != GW_BY_SERVER)
 		return;
 	call->answer_status = head->status;
 	gw_copy_head(call, head);
@@ -163,7 +205,7 @@
 	struct gw_forward *forward = (struct gw_forward *)request;
 	struct gw_call *call = forward->call;
 
-	if (!forward->unable && call->req)
+	if (forward->answer.source == GW_BY_SERVER && call->req)
 		g_string_append_len(call->unsent, data, (gssize)data_bytes);
 }
 
@@ -172,6 +214,58 @@
 	gw_flush_read(((struct gw_forward *)request)->call, request);
 }
 
+/* Whether servers have run the call is not known. */
+static void gw_forward_was_lost(struct gw_forward *forward)
+{
+	struct gw_call *call = forward->call;
+
+	call->may_have_run = true;
+	forward->used += forward->granted;
+	if (call->idempotent)
+		gw_forward_to_next(forward);
+	else
+		gw_end_forward(forward, ST_UNKNOWN);
+}
+
+static void gw_end_refused(struct gw_forward *forward)
+{
+	const struct gw_host_answer *answer = &forward->answer;
+
+	if (answer->retry_us)
+		forward->call->retry_at_us = tm_now_us() + answer->retry_us;
+	gw_end_forward(forward, answer->kind);
+}
+
+/* The head of an answer has come, and its body as far as END tells. */
+static void gw_on_host_answer(struct gw_forward *forward, enum hc_end end)
+{
+	struct gw_peer *peer = forward->peer;
+
+	switch (forward->answer.source) {
+	case GW_BY_SERVER:
+		gw_peer_took(peer);
+		gw_end_forward(forward, end == HC_COMPLETE ? ST_OK : ST_BROKEN);
+		break;
+	case GW_BY_HOST:
+		gw_peer_took(peer);
+		gw_end_refused(forward);
+		break;
+	case GW_BY_UNABLE:
+		gw_peer_was_unable(peer);
+		gw_forward_to_next(forward);
+		break;
+	case GW_BY_EARLIER:
+		gw_peer_is_earlier(peer);
+		forward->tries--;
+		gw_forward_to_next(forward);
+		break;
+	case GW_BY_STRANGER:
+		gw_peer_is_stranger(peer);
+		gw_forward_was_lost(forward);
+		break;
+	}
+}
+
 static void gw_on_forward_done(struct hc_request *request, enum hc_end end,
 			       const char *msg)
 {
@@ -179,28 +273,20 @@
 	struct gw_call *call = forward->call;
 
 	forward->peer->in_flight--;
-	if (end == HC_NOT_SENT && gw_is_wanted(call)) {
-		forward->lost++;
-		gw_peer_was_lost(forward->peer);
-	} else if (end == HC_NO_ANSWER) {
-		gw_peer_broke_off(forward->peer);
-	} else if (forward->unable) {
-		gw_peer_was_unable(forward->peer);
-	} else if (end != HC_NOT_SENT) {
-		gw_peer_took(forward->peer);
-	}
-	if (end == HC_NO_ANSWER) {
-		call->may_have_run = true;
-		forward->used += forward->granted;
+	if (forward->answered) {
+		gw_on_host_answer(forward, end);
+		return;
 	}
-	if (end == HC_NOT_SENT || forward->unable ||
-	    (end == HC_NO_ANSWER && call->idempotent))
+	if (end == HC_NOT_SENT) {
+		if (gw_is_wanted(call)) {
+			forward->lost++;
+			gw_peer_was_lost(forward->peer);
+		}
 		gw_forward_to_next(forward);
-	else if (end == HC_COMPLETE)
-		gw_end_forward(forward, ST_OK);
-	else
-		gw_end_forward(forward,
-			       end == HC_BROKEN ? ST_BROKEN : ST_UNKNOWN);
+		return;
+	}
+	gw_peer_broke_off(forward->peer);
+	gw_forward_was_lost(forward);
 }
 
 static const struct hc_handler gw_forward_handler = {
@@ -280,6 +366,9 @@
 		return false;
 	forward = g_new0(struct gw_forward, 1);
 	forward->call = call;
+	forward->misread = me_on(ME_CALL_MESSAGE) &&
+			   hm_is_message_of_earlier(call->req->path.base,
+						    call->req->path.len);
 	forward->http.handler = &gw_forward_handler;
 	forward->http.head_method = call->head_method;
 	forward->http.body = call->request_body.base;
--- /dev/null
+++ b/gateway/forward_answer.c
@@ -0,0 +1,107 @@
+#include "gateway/forward.h"
+
+#include <string.h>
+
+enum { GW_EARLIER_ANSWER_BYTES = sizeof(HM_EARLIER_ANSWER) - 1 };
+
+/* What an answer of a host says by its status alone. */
+static enum st_kind gw_kind_of_status(int status)
+{
+	static const enum st_kind kinds[] = {
+		ST_INVALID,   ST_UNAUTHORIZED,	   ST_NOT_FOUND,
+		ST_TOO_LARGE, ST_OVER_QUOTA,	   ST_NO_SERVER,
+		ST_CONFLICT,  ST_DEADLINE_UNKNOWN,
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		if (st_http_status(kinds[i]) == status)
+			return kinds[i];
+	return ST_UNKNOWN;
+}
+
+static uint64_t gw_read_retry_us(const struct hc_head *head)
+{
+	const struct hc_header *h = hc_find_header(head, "retry-after");
+	char text[GW_DIGITS];
+	double seconds;
+
+	if (!h || h->value_bytes >= sizeof(text))
+		return 0;
+	g_strlcpy(text, h->value, h->value_bytes + 1);
+	seconds = g_ascii_strtod(text, NULL);
+	return seconds > 0 && seconds < UINT32_MAX / GW_US_PER_S ?
+		       (uint64_t)(seconds * GW_US_PER_S) :
+		       0;
+}
+
+/* Of the host itself. KIND may be a name that this build does not know. */
+static struct gw_host_answer gw_read_refusal(const struct hc_head *head,
+					     const char *kind)
+{
+	struct gw_host_answer answer = {
+		.source = GW_BY_HOST,
+		.kind = gw_kind_of_status(head->status),
+		.retry_us = gw_read_retry_us(head),
+	};
+
+	if (kind)
+		st_find(kind, &answer.kind);
+	return answer;
+}
+
+/*
+ * Earlier builds pass on what a server answered, and refuse calls by themselves, without
+ * a mark. They do not answer calls with a success.
+ */
+static struct gw_host_answer gw_read_earlier(const struct dl_dialect *dialect,
+					     const struct hc_head *head,
+					     const char *call_id)
+{
+	struct gw_host_answer answer = { .source = GW_BY_SERVER };
+
+	if (dl_is_of_server(dialect, head, call_id))
+		return answer;
+	if (head->status >= 400)
+		return gw_read_refusal(head, NULL);
+	answer.source = GW_BY_STRANGER;
+	return answer;
+}
+
+/* Without a mark: by a host of an earlier build, or by the library before it was read. */
+static struct gw_host_answer gw_read_unmarked(const struct hc_head *head)
+{
+	struct gw_host_answer answer = { .source = GW_BY_STRANGER };
+
+	if (head->status == 200 &&
+	    head->content_length == GW_EARLIER_ANSWER_BYTES)
+		answer.source = GW_BY_EARLIER;
+	else if (head->status >= 400)
+		return gw_read_refusal(head, NULL);
+	return answer;
+}
+
+struct gw_host_answer gw_read_host_answer(const struct dl_dialect *dialect,
+					  const struct hc_head *head,
+					  const char *call_id, bool wrapped)
+{
+	const struct hc_header *mark = hc_find_header(head, HM_ANSWER);
+	struct gw_host_answer answer = { .source = GW_BY_UNABLE };
+	char *kind;
+
+	if (hc_find_header(head, GW_UNABLE))
+		return answer;
+	if (!wrapped)
+		return gw_read_earlier(dialect, head, call_id);
+	if (!mark)
+		return gw_read_unmarked(head);
+	if (hc_value_is(mark, HM_SERVER)) {
+		answer.source = dl_is_of_server(dialect, head, call_id) ?
+					GW_BY_SERVER :
+					GW_BY_STRANGER;
+		return answer;
+	}
+	kind = g_strndup(mark->value, mark->value_bytes);
+	answer = gw_read_refusal(head, kind);
+	g_free(kind);
+	return answer;
+}
--- a/gateway/forwarded.c
+++ b/gateway/forwarded.c
@@ -21,11 +21,6 @@
 	GList link; /* in gw_gateway.early_calls, the earliest first */
 };
 
-bool gw_is_forwarded(h2o_req_t *req)
-{
-	return hd_header(req, GW_FROM_HOST).base != NULL;
-}
-
 static uint64_t gw_header_number(h2o_req_t *req, const char *name)
 {
 	h2o_iovec_t header = hd_header(req, name);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "peer/host_message.h"
 
 enum {
 	GW_CALLER_CHECK_US = 100 * 1000,
@@ -165,6 +166,7 @@
 			      strlen("not-run"));
 	gw_add_challenge(req, kind);
 	gw_add_retry_after(gateway->dialect, req, kind, 0);
+	hm_mark_answer(req, st_name(kind));
 	hd_reply_status(req, &status);
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -125,10 +125,9 @@
 /* gw_is_idle - no call is in flight, and od_is_idle holds for the orders. */
 bool gw_is_idle(const struct gw_gateway *gateway);
 /*
- * gw_is_forwarded - whether another host passes the call on; gw_on_forwarded - takes
- * it, CTX is the gateway. Only for requests on the listener for other hosts.
+ * gw_on_forwarded - take a call that another host passes on, from the listener for other
+ * hosts; CTX is the gateway.
  */
-bool gw_is_forwarded(h2o_req_t *req);
 void gw_on_forwarded(void *ctx, h2o_req_t *req);
 /*
  * gw_close - close all connections of callers and the idle ones to servers, and
--- a/gateway/peer.c
+++ b/gateway/peer.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/mechanism.h"
 
 enum {
 	GW_PEERS_IN_USE = 8, /* connections must not grow with the hosts */
@@ -27,7 +28,7 @@
 };
 
 /* Every build answers this with a few bytes. */
-#define GW_PING_PATH "/alert"
+#define GW_PING_PATH HM_ALERT_PATH
 
 static void gw_free_peer(void *ptr)
 {
@@ -55,7 +56,18 @@
 static void gw_on_ping_done(struct hc_request *request, enum hc_end end,
 			    const char *msg);
 
+/* A host of an earlier build may have been replaced. */
+static void gw_on_ping_head(struct hc_request *request,
+			    const struct hc_head *head)
+{
+	struct gw_peer *peer = request->ctx;
+
+	if (hc_find_header(head, HM_ANSWER))
+		peer->earlier = !me_on(ME_CALL_MESSAGE);
+}
+
 static const struct hc_handler gw_ping_handler = {
+	.head = gw_on_ping_head,
 	.done = gw_on_ping_done,
 };
 
@@ -76,6 +88,7 @@
 				    GW_PEER_CONNECT_TIMEOUT_US);
 	peer->pool.max_idle_us = GW_PEER_IDLE_US;
 	peer->gateway = gateway;
+	peer->earlier = !me_on(ME_CALL_MESSAGE);
 	peer->ping.handler = &gw_ping_handler;
 	peer->ping.ctx = peer;
 	return peer;
@@ -132,7 +145,7 @@
 }
 
 /* Fewest calls first; of equal ones those of this zone, then a random one. */
-struct gw_peer *gw_pick_peer(struct gw_gateway *gateway)
+struct gw_peer *gw_pick_peer(struct gw_gateway *gateway, bool earlier_too)
 {
 	struct gw_peer *best = NULL;
 	uint64_t best_cost = UINT64_MAX;
@@ -145,7 +158,8 @@
 		uint64_t cost;
 
 		if (!peer->listed || peer->silent_pings ||
-		    now_us < peer->backoff_until_us)
+		    now_us < peer->backoff_until_us ||
+		    (peer->earlier && !earlier_too))
 			continue;
 		used++;
 		cost = ((uint64_t)peer->in_flight * 2 + !peer->same_zone) *
@@ -193,6 +207,20 @@
 	peer->failures = 0;
 }
 
+void gw_peer_is_earlier(struct gw_peer *peer)
+{
+	peer->earlier = true;
+	lg_info("forwarding", "%s is of an earlier build", peer->name);
+}
+
+void gw_peer_is_stranger(struct gw_peer *peer)
+{
+	lg_warn("forwarding",
+		"what answers for %s is neither a host nor a server",
+		peer->name);
+	gw_peer_was_lost(peer);
+}
+
 /* Pings */
 
 static void gw_peer_is_silent(struct gw_peer *peer)
