--- a/core/quota.c
+++ b/core/quota.c
@@ -23,6 +23,8 @@
 	 */
 	QT_UNANSWERED_REQUESTS = 8,
 	QT_UNANSWERED_DIVISOR = 10,
+	/* Hosts that are asked at a check whether they list this one. */
+	QT_MAX_ASKED = 64,
 	QT_MIN_PING_US = 500 * 1000,
 	QT_MAX_PING_US = 5000 * 1000,
 	/* Within this time the next coordinator learns who takes it for that. */
@@ -78,12 +80,6 @@
 
 /* Hosts */
 
-static struct qt_peer *qt_find_peer(const struct qt_quotas *quotas,
-				    uint64_t hash)
-{
-	return g_hash_table_lookup(quotas->peer_ids, &hash);
-}
-
 struct qt_peer *qt_find_coordinator(struct qt_quotas *quotas,
 				    struct qt_customer *customer)
 {
@@ -92,7 +88,9 @@
 
 	if (customer->generation == quotas->generation)
 		return customer->coordinator;
-	best = core_host_score(customer->hash, quotas->host_hash);
+	best = quotas->joining ?
+		       0 :
+		       core_host_score(customer->hash, quotas->host_hash);
 	old = customer->coordinator;
 	customer->generation = quotas->generation;
 	customer->coordinator = NULL;
@@ -100,7 +98,7 @@
 		struct qt_peer *peer = g_ptr_array_index(quotas->peers, i);
 		uint64_t score = core_host_score(customer->hash, peer->hash);
 
-		if (peer->down || score <= best)
+		if (peer->down || peer->joins || score <= best)
 			continue;
 		best = score;
 		customer->coordinator = peer;
@@ -110,17 +108,6 @@
 	return customer->coordinator;
 }
 
-static void qt_set_down(struct qt_quotas *quotas, struct qt_peer *peer,
-			bool down)
-{
-	if (peer->down == down)
-		return;
-	peer->down = down;
-	quotas->peers_down += down;
-	quotas->peers_down -= !down;
-	quotas->generation++;
-}
-
 /* It is asked for a sign of life before the next report to it. */
 static void qt_set_suspect(struct qt_quotas *quotas, struct qt_peer *peer,
 			   bool suspect)
@@ -134,7 +121,7 @@
 static void qt_on_heard(struct qt_quotas *quotas, struct qt_peer *peer)
 {
 	qt_set_suspect(quotas, peer, false);
-	qt_set_down(quotas, peer, false);
+	qt_set_peer(quotas, peer, QT_DOWN | QT_GONE, false);
 }
 
 /* The next host coordinates at once; it asks the others whether they agree. */
@@ -146,88 +133,19 @@
 	peer->ping_us = now_us + CLAMP(now_us - peer->down_us, QT_MIN_PING_US,
 				       QT_MAX_PING_US);
 	qt_set_suspect(quotas, peer, false);
-	qt_set_down(quotas, peer, true);
+	qt_set_peer(quotas, peer, QT_DOWN, true);
 	quotas->due = true;
 }
 
-static void qt_remove_peer(struct qt_quotas *quotas, struct qt_peer *peer)
-{
-	qt_set_suspect(quotas, peer, false);
-	qt_set_down(quotas, peer, false);
-	g_hash_table_remove(quotas->peer_ids, &peer->hash);
-	g_ptr_array_remove_fast(quotas->peers, peer);
-	quotas->generation++;
-}
-
-static void qt_add_peer(struct qt_quotas *quotas, uint64_t hash)
-{
-	struct qt_peer *peer = qt_find_peer(quotas, hash);
-
-	if (hash == quotas->host_hash)
-		return;
-	if (!peer) {
-		peer = g_new0(struct qt_peer, 1);
-		peer->hash = hash;
-		g_ptr_array_add(quotas->peers, peer);
-		g_hash_table_insert(quotas->peer_ids, &peer->hash, peer);
-		quotas->generation++;
-	}
-	peer->listed = true;
-}
-
-/* Hosts that are gone from the list coordinate nothing. */
-static void qt_leave_unlisted(struct qt_quotas *quotas)
-{
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, quotas->customers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct qt_customer *customer = value;
-
-		if (customer->coordinator && !customer->coordinator->listed)
-			customer->coordinator = NULL;
-	}
-}
-
-static void qt_clear_states(struct qt_quotas *quotas)
-{
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, quotas->customers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct qt_customer *customer = value;
-
-		if (customer->count)
-			qt_count_clear_states(quotas, customer->count);
-	}
-}
-
-void qt_set_hosts(struct qt_quotas *quotas, const uint64_t *hashes,
-		  uint32_t count)
+/* Its process has ended. When it starts again, it asks before it has a share. */
+static void qt_on_gone(struct qt_quotas *quotas, struct qt_peer *peer,
+		       uint64_t now_us)
 {
-	uint32_t generation = quotas->generation;
-
-	quotas->hosts_known = true;
-	for (guint i = 0; i < quotas->peers->len; i++)
-		((struct qt_peer *)g_ptr_array_index(quotas->peers, i))
-			->listed = false;
-	for (uint32_t i = 0; i < count; i++)
-		qt_add_peer(quotas, hashes[i]);
-	qt_leave_unlisted(quotas);
-	for (guint i = quotas->peers->len; i--;) {
-		struct qt_peer *peer = g_ptr_array_index(quotas->peers, i);
-
-		if (!peer->listed)
-			qt_remove_peer(quotas, peer);
-	}
-	if (generation != quotas->generation)
-		qt_clear_states(quotas);
+	qt_set_peer(quotas, peer, QT_GONE, true);
+	qt_set_peer(quotas, peer, QT_LISTS, false);
+	qt_on_silent(quotas, peer, now_us);
 }
 
-/* Customers */
-
 static void qt_free_customer(struct qt_quotas *quotas,
 			     struct qt_customer *customer)
 {
@@ -431,6 +349,7 @@
 
 	if (!customer)
 		return true;
+	qt_note_time(quotas, now_us);
 	peer = qt_find_coordinator(quotas, customer);
 	part_milli = qt_part(quotas, customer, peer, now_us);
 	if (now_us < customer->replaced_until_us)
@@ -449,7 +368,9 @@
 bool qt_has_work(const struct qt_quotas *quotas)
 {
 	return quotas->pending.length || quotas->naming.length ||
-	       quotas->suspects;
+	       quotas->suspects ||
+	       (qt_has_customers(quotas) &&
+		(quotas->joining || quotas->unsettled));
 }
 
 bool qt_is_due(const struct qt_quotas *quotas)
@@ -474,14 +395,37 @@
 	qt_drop_pending(quotas, customer);
 }
 
+/* Reports at once to those that coordinate customers in the place of this host. */
+static void qt_report_handovers(struct qt_quotas *quotas, uint64_t now_us)
+{
+	GHashTableIter iter;
+	void *value;
+
+	if (quotas->handed_over == quotas->generation)
+		return;
+	quotas->handed_over = quotas->generation;
+	g_hash_table_iter_init(&iter, quotas->customers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct qt_customer *customer = value;
+
+		if (customer->count && qt_find_coordinator(quotas, customer))
+			qt_put_pending(quotas, customer, now_us - QT_REPORT_US);
+	}
+}
+
 static void qt_mark_receivers(struct qt_quotas *quotas, uint64_t now_us)
 {
+	uint32_t asked = 0;
 	GList *next;
 
+	quotas->unsettled = 0;
 	for (guint i = 0; i < quotas->peers->len; i++) {
 		struct qt_peer *peer = g_ptr_array_index(quotas->peers, i);
 
-		peer->due = peer->suspect ||
+		peer->asked = asked < QT_MAX_ASKED &&
+			      qt_must_ask(quotas, peer, now_us);
+		asked += peer->asked;
+		peer->due = peer->asked || peer->suspect ||
 			    (peer->down && now_us >= peer->ping_us);
 	}
 	for (GList *l = quotas->pending.head; l; l = next) {
@@ -497,7 +441,7 @@
 }
 
 static void qt_add_report(struct qt_quotas *quotas, struct qt_message *message,
-			  struct qt_customer *customer)
+			  struct qt_customer *customer, uint64_t now_us)
 {
 	struct qt_entry *entry = qt_add_entry(message->reports, customer->name);
 
@@ -507,6 +451,8 @@
 	customer->admitted = 0;
 	customer->refused = 0;
 	qt_drop_pending(quotas, customer);
+	if (customer->count && !customer->coordinator->earlier)
+		qt_count_hand_over(customer->count, entry, now_us);
 }
 
 /* The counts whose parts are told now, as struct qt_count. */
@@ -527,7 +473,8 @@
 	return named;
 }
 
-static struct qt_message *qt_begin_message(GHashTable *by_peer,
+static struct qt_message *qt_begin_message(const struct qt_quotas *quotas,
+					   GHashTable *by_peer,
 					   struct qt_peer *peer, GPtrArray *out)
 {
 	struct qt_message *message = g_hash_table_lookup(by_peer, peer);
@@ -535,6 +482,9 @@
 	if (message)
 		return message;
 	message = qt_message_new(peer->hash);
+	message->asks = peer->asked || peer->down;
+	message->joins = quotas->joining;
+	message->join = quotas->join_count;
 	peer->busy = true;
 	g_hash_table_insert(by_peer, peer, message);
 	g_ptr_array_add(out, message);
@@ -572,7 +522,9 @@
 	GPtrArray *named;
 	GList *next;
 
+	qt_note_time(quotas, now_us);
 	quotas->due = false;
+	qt_report_handovers(quotas, now_us);
 	qt_mark_receivers(quotas, now_us);
 	named = qt_take_named(quotas, now_us);
 	for (guint i = 0; i < quotas->peers->len; i++) {
@@ -581,8 +533,9 @@
 		if (!peer->busy &&
 		    (peer->due ||
 		     (!peer->down && qt_lacks_part(peer, named, now_us))))
-			qt_add_parts(qt_begin_message(by_peer, peer, out),
-				     named, now_us);
+			qt_add_parts(
+				qt_begin_message(quotas, by_peer, peer, out),
+				named, now_us);
 	}
 	for (GList *l = quotas->pending.head; l; l = next) {
 		struct qt_customer *customer = l->data;
@@ -591,7 +544,7 @@
 
 		next = l->next;
 		if (message)
-			qt_add_report(quotas, message, customer);
+			qt_add_report(quotas, message, customer, now_us);
 	}
 	g_ptr_array_free(named, TRUE);
 	g_hash_table_destroy(by_peer);
@@ -630,6 +583,9 @@
 		if (!customer)
 			continue;
 		customer->sent -= MIN(customer->sent, entry->admitted);
+		if (lost && entry->hands_over && customer->count)
+			qt_count_take_over(quotas, customer->count, entry,
+					   now_us);
 		if (lost) {
 			customer->admitted += entry->admitted;
 			customer->refused += entry->refused;
@@ -653,11 +609,24 @@
 	}
 }
 
+/* The receiver has said whether it lists this host, and knows whether this one joins. */
+static void qt_on_asked(struct qt_quotas *quotas, struct qt_peer *peer,
+			const struct qt_message *message,
+			const struct qt_message *answer)
+{
+	bool lists = answer->lists || answer->earlier;
+
+	if (lists || !quotas->joining)
+		qt_set_peer(quotas, peer, QT_LISTS, true);
+	peer->told |= !message->joins;
+}
+
 void qt_on_answer(struct qt_quotas *quotas, struct qt_message *message,
 		  const struct qt_message *answer, uint64_t now_us)
 {
 	struct qt_peer *peer = qt_find_peer(quotas, message->host);
 
+	qt_note_time(quotas, now_us);
 	qt_end_reports(quotas, message, false, now_us);
 	for (guint i = 0; peer && i < answer->parts->len; i++) {
 		const struct qt_entry *entry =
@@ -670,24 +639,34 @@
 	if (peer) {
 		peer->busy = false;
 		qt_on_heard(quotas, peer);
+		qt_take_flags(quotas, peer, answer, now_us);
+		/* What was asked before a pause may not hold any more. */
+		if (message->join == quotas->join_count)
+			qt_on_asked(quotas, peer, message, answer);
 		qt_set_states(quotas, peer->hash, answer->reports, true);
 	}
+	qt_update_join(quotas, now_us);
 	qt_message_free(message);
 }
 
 void qt_on_lost(struct qt_quotas *quotas, struct qt_message *message,
-		uint64_t now_us)
+		bool refused, uint64_t now_us)
 {
 	struct qt_peer *peer = qt_find_peer(quotas, message->host);
 
+	qt_note_time(quotas, now_us);
 	qt_end_reports(quotas, message, true, now_us);
 	if (peer) {
 		peer->busy = false;
 		qt_set_states(quotas, peer->hash, message->parts, false);
 		/* What is only told must not end what this host is admitted. */
-		if (message->reports->len || peer->down || peer->suspect)
+		if (refused)
+			qt_on_gone(quotas, peer, now_us);
+		else if (message->reports->len || message->asks || peer->down ||
+			 peer->suspect)
 			qt_on_silent(quotas, peer, now_us);
 	}
+	qt_update_join(quotas, now_us);
 	qt_message_free(message);
 }
 
@@ -702,6 +681,10 @@
 
 	if (!customer)
 		return;
+	if (entry->hands_over) {
+		qt_count_offer(quotas, customer, 0, 0, now_us);
+		qt_count_take_over(quotas, customer->count, entry, now_us);
+	}
 	part_milli = qt_count_offer(quotas, customer, entry->admitted,
 				    entry->refused, now_us);
 	qt_count_set_state(quotas, customer->count, from, true);
@@ -726,10 +709,31 @@
 	qt_add_entry(answer->reports, entry->customer)->mine = mine;
 }
 
+/* It lists this host: it has its address. */
+static void qt_on_peer_message(struct qt_quotas *quotas, struct qt_peer *peer,
+			       const struct qt_message *message,
+			       struct qt_message *answer, uint64_t now_us)
+{
+	if (message->asks || message->reports->len)
+		qt_on_heard(quotas, peer);
+	qt_take_flags(quotas, peer, message, now_us);
+	if (!quotas->joining) {
+		qt_set_peer(quotas, peer, QT_LISTS, true);
+		peer->told |= message->asks;
+	}
+	answer->lists = true;
+	answer->joins = quotas->joining;
+}
+
 void qt_on_message(struct qt_quotas *quotas, uint64_t from,
 		   const struct qt_message *message, struct qt_message *answer,
 		   uint64_t now_us)
 {
+	struct qt_peer *peer = qt_find_peer(quotas, from);
+
+	qt_note_time(quotas, now_us);
+	if (peer)
+		qt_on_peer_message(quotas, peer, message, answer, now_us);
 	for (guint i = 0; i < message->reports->len; i++)
 		qt_answer_report(
 			quotas, from,
--- a/core/quota.h
+++ b/core/quota.h
@@ -17,6 +17,11 @@
  * refills the bucket with the share of the rate that the hosts have that take it for
  * their coordinator, so that several coordinators of one customer, each for some of
  * the hosts, together refill with no more than the rate.
+ *
+ * A host that starts, or goes on after a pause, joins: it coordinates nothing and has no
+ * share until each other host has said that it lists this one. So the list of every host
+ * with a share holds all hosts with a share, whatever else the lists differ in. A
+ * coordinator that another one follows hands its bucket over.
  */
 enum { QT_MILLI = 1000 };
 
@@ -35,6 +40,9 @@
 	uint32_t refused;
 	uint32_t part_milli; /* of a part: admitted in 1000 requests */
 	bool mine; /* of an answer to a part: the sender is the coordinator */
+	bool hands_over; /* of a report: the sender was the coordinator */
+	int32_t level_milli; /* its bucket, in thousandths of a request */
+	uint32_t offered; /* requests a second that it has seen */
 };
 
 /*
@@ -45,6 +53,17 @@
 	uint64_t host; /* receiver; hash of its name */
 	GArray *reports; /* struct qt_entry, to the coordinator */
 	GArray *parts; /* struct qt_entry, from the coordinator */
+	bool asks; /* whether the receiver lists the sender */
+	bool lists; /* of an answer: it does */
+	bool joins; /* the sender has no share yet */
+	bool earlier; /* of an earlier build, which says none of these */
+	uint32_t join; /* qt_quotas.join_count when it was sent */
+};
+
+/* How a host that joins came to be on the list of hosts. */
+enum qt_join {
+	QT_JOIN_AGAIN, /* it was there before: others list it, also silent ones */
+	QT_JOIN_NEW /* others may not know it */
 };
 
 struct qt_quotas {
@@ -55,9 +74,19 @@
 	GPtrArray *peers; /* struct qt_peer, all other hosts */
 	GHashTable *peer_ids; /* the same by hash */
 	bool hosts_known; /* qt_set_hosts has been called */
+	bool joining; /* this host has no share */
+	bool joins_new; /* see enum qt_join */
+	uint32_t join_count;
+	uint64_t join_us; /* when the latest join began */
+	uint64_t tick_us; /* of the latest qt_tick; 0: none */
+	uint32_t sharing; /* peers that have a share and list this host */
+	uint32_t gone; /* peers whose process has ended */
+	uint32_t
+		unsettled; /* peers to be asked, or told of the end of a join */
 	uint32_t peers_down;
 	uint32_t suspects; /* coordinators that another host replaces */
 	uint32_t generation; /* of coordinators: the list or a state changed */
+	uint32_t handed_over; /* generation for which that was done */
 	GQueue pending; /* struct qt_customer with unreported requests */
 	GQueue naming; /* struct qt_count whose part the hosts are told */
 	bool due; /* a message is to be sent before the next check */
@@ -68,7 +97,11 @@
  *
  * qt_set_customers - take over the quotas; NULL: there are none. Customers whose
  *	quota stays keep their state.
- * qt_set_hosts - take over the other hosts, by the hashes of their names.
+ * qt_set_hosts - take over the other hosts, by the hashes of their names. All of the first
+ *	list have a share, until qt_join.
+ * qt_join - this host joins.
+ * qt_tick - to be called every QT_TICK_US at least, from the first call on. After a pause
+ *	of QT_PAUSE_US this host joins.
  * qt_has_customers - whether any customer has a quota.
  * qt_admit - whether a request of CUSTOMER, a name of base/text.h, may run. If not,
  *	RETRY_US is set to a random time after which the caller may return.
@@ -80,6 +113,9 @@
 		      const struct doc_customers *customers, uint64_t now_us);
 void qt_set_hosts(struct qt_quotas *quotas, const uint64_t *hashes,
 		  uint32_t count);
+enum { QT_TICK_US = 500 * 1000, QT_PAUSE_US = 2000 * 1000 };
+void qt_join(struct qt_quotas *quotas, enum qt_join how, uint64_t now_us);
+void qt_tick(struct qt_quotas *quotas, uint64_t now_us);
 bool qt_has_customers(const struct qt_quotas *quotas);
 bool qt_admit(struct qt_quotas *quotas, const char *customer, uint64_t now_us,
 	      uint64_t *retry_us);
@@ -92,7 +128,7 @@
  *	qt_on_lost, which release it.
  * qt_on_answer - the receiver answered MESSAGE: parts for the reports, and whether
  *	it takes this host for the coordinator for each of the parts.
- * qt_on_lost - it did not answer, or not as expected.
+ * qt_on_lost - it did not answer, or not as expected. REFUSED: its process has ended.
  * qt_on_message - the host with hash FROM sent MESSAGE; fills ANSWER, which must be
  *	empty.
  * qt_message_new, qt_message_free - an empty one for HOST.
@@ -104,7 +140,7 @@
 void qt_on_answer(struct qt_quotas *quotas, struct qt_message *message,
 		  const struct qt_message *answer, uint64_t now_us);
 void qt_on_lost(struct qt_quotas *quotas, struct qt_message *message,
-		uint64_t now_us);
+		bool refused, uint64_t now_us);
 void qt_on_message(struct qt_quotas *quotas, uint64_t from,
 		   const struct qt_message *message, struct qt_message *answer,
 		   uint64_t now_us);
--- a/core/quota_count.c
+++ b/core/quota_count.c
@@ -26,30 +26,40 @@
 };
 
 /*
- * The part of AMOUNT for the hosts that take this one for their coordinator. The first
- * host by the list counts those that have not been asked, a substitute does not: there
- * the first host may still serve them.
+ * The part of AMOUNT for the hosts that take this one for their coordinator, of those
+ * that have a share. The first host by the list counts those that have not been asked, a
+ * substitute does not: there the first host may still serve them. A host that is gone has
+ * no share, and one that is silent keeps its own.
  */
-static uint64_t qt_share(const struct qt_quotas *quotas,
-			 const struct qt_count *count, uint64_t amount)
+static uint64_t qt_share(struct qt_quotas *quotas, const struct qt_count *count,
+			 uint64_t amount)
 {
-	uint64_t all = (uint64_t)quotas->peers->len + 1;
-	uint64_t own;
+	uint64_t all = (uint64_t)quotas->peers->len + 1 - quotas->gone;
+	uint64_t own = !quotas->joining &&
+		       !qt_find_coordinator(quotas, count->customer);
 
 	if (!quotas->hosts_known)
-		return amount / QT_ASSUMED_HOSTS;
-	own = count->first ? all - count->not_mine : count->mine + 1;
+		return quotas->joining ? 0 : amount / QT_ASSUMED_HOSTS;
+	own += count->first ? quotas->sharing - count->not_mine : count->mine;
 
 	return amount * MIN(own, all) / all;
 }
 
-static uint64_t qt_rate_milli(const struct qt_quotas *quotas,
+static uint64_t qt_rate_milli(struct qt_quotas *quotas,
 			      const struct qt_count *count)
 {
 	return qt_share(quotas, count, count->customer->rate_milli);
 }
 
-static int64_t qt_capacity(const struct qt_quotas *quotas,
+/* Of the bucket of a first host that has all shares. */
+static int64_t qt_full_capacity(const struct qt_quotas *quotas,
+				const struct qt_count *count)
+{
+	return (int64_t)count->customer->burst_milli * (QT_TOKEN / QT_MILLI) +
+	       (int64_t)quotas->slack * QT_TOKEN / QT_FULL_DIVISOR;
+}
+
+static int64_t qt_capacity(struct qt_quotas *quotas,
 			   const struct qt_count *count)
 {
 	uint64_t burst =
@@ -62,14 +72,17 @@
 	return (int64_t)qt_share(quotas, count, burst + slack);
 }
 
-static void qt_refill(const struct qt_quotas *quotas, struct qt_count *count,
+/* While hosts join, the share falls for a moment: what is there already stays. */
+static void qt_refill(struct qt_quotas *quotas, struct qt_count *count,
 		      uint64_t now_us)
 {
 	uint64_t age_us = MIN(now_us - count->refilled_us, QT_MAX_REFILL_US);
 	int64_t gain =
 		(int64_t)(qt_rate_milli(quotas, count) * age_us / QT_MILLI);
 
-	count->level = MIN(count->level + gain, qt_capacity(quotas, count));
+	if (count->level < qt_capacity(quotas, count))
+		count->level =
+			MIN(count->level + gain, qt_capacity(quotas, count));
 	count->refilled_us = now_us;
 }
 
@@ -160,7 +173,10 @@
 static void qt_begin_first(const struct qt_quotas *quotas,
 			   struct qt_count *count, uint64_t now_us)
 {
-	count->level = (int64_t)quotas->slack * QT_TOKEN / QT_START_DIVISOR;
+	if (!quotas->joining)
+		count->level =
+			(int64_t)quotas->slack * QT_TOKEN / QT_START_DIVISOR;
+	count->start_level = count->level;
 	count->name_us = now_us + QT_MIN_AGE_US;
 }
 
@@ -231,8 +247,12 @@
 void qt_count_set_state(const struct qt_quotas *quotas, struct qt_count *count,
 			uint64_t host, bool mine)
 {
-	struct qt_state *state = qt_get_state(count, host);
+	const struct qt_peer *peer = qt_find_peer(quotas, host);
+	struct qt_state *state;
 
+	if (!peer || !qt_shares(peer))
+		return;
+	state = qt_get_state(count, host);
 	if (state->known && state->mine == mine)
 		return;
 	if (!mine)
@@ -247,6 +267,22 @@
 	state->mine = mine;
 }
 
+void qt_count_forget(const struct qt_quotas *quotas, struct qt_count *count,
+		     uint64_t host, bool keeps_burst)
+{
+	const struct qt_state *state =
+		g_hash_table_lookup(count->states, &host);
+	bool known = state && state->known;
+
+	if (keeps_burst && (!known || state->mine))
+		qt_give_burst(quotas, count);
+	if (known) {
+		count->mine -= state->mine;
+		count->not_mine -= !state->mine;
+	}
+	g_hash_table_remove(count->states, &host);
+}
+
 void qt_count_told(struct qt_count *count, uint64_t host, uint64_t now_us)
 {
 	struct qt_state *state = qt_get_state(count, host);
@@ -263,7 +299,8 @@
 		const struct qt_peer *peer =
 			g_ptr_array_index(quotas->peers, i);
 
-		if (core_host_score(customer_hash, peer->hash) > own)
+		if (!peer->gone && !peer->joins &&
+		    core_host_score(customer_hash, peer->hash) > own)
 			return false;
 	}
 	return true;
@@ -279,9 +316,49 @@
 	count->first = qt_is_first(quotas, count->customer->hash);
 }
 
+void qt_count_hand_over(struct qt_count *count, struct qt_entry *entry,
+			uint64_t now_us)
+{
+	entry->hands_over = true;
+	entry->level_milli = (int32_t)CLAMP(
+		count->level / (QT_TOKEN / QT_MILLI), INT32_MIN, INT32_MAX);
+	entry->offered = qt_offered(count, now_us);
+	/* The other one may not get it, and must not spend it as well. */
+	count->level = MIN(count->level, 0);
+	memset(count->offered, 0, sizeof(count->offered));
+}
+
+/* What was offered to the other one goes on. */
+static void qt_take_offered(struct qt_count *count, uint32_t offered,
+			    uint64_t now_us)
+{
+	for (uint32_t i = 0; i < QT_BINS; i++)
+		count->offered[i] += offered / QT_BINS;
+	count->start_us = MIN(count->start_us, now_us - QT_US_PER_S);
+}
+
+void qt_count_take_over(struct qt_quotas *quotas, struct qt_count *count,
+			const struct qt_entry *entry, uint64_t now_us)
+{
+	int64_t level = (int64_t)entry->level_milli * (QT_TOKEN / QT_MILLI);
+
+	qt_refill(quotas, count, now_us);
+	count->level += level - count->start_level;
+	count->level = MIN(count->level, qt_full_capacity(quotas, count));
+	count->start_level = 0;
+	qt_add_offered(count, 0, now_us);
+	qt_take_offered(count, entry->offered, now_us);
+	qt_set_part(quotas, count, now_us);
+	/* Hosts may have a part that the other one has named as shares changed. */
+	count->named = false;
+	count->name_us = now_us;
+	quotas->due = true;
+}
+
 void qt_count_clamp(struct qt_quotas *quotas, struct qt_count *count,
 		    uint64_t now_us)
 {
+	count->level = MIN(count->level, qt_full_capacity(quotas, count));
 	qt_refill(quotas, count, now_us);
 	qt_set_part(quotas, count, now_us);
 }
--- a/core/quota_state.h
+++ b/core/quota_state.h
@@ -16,12 +16,19 @@
 /* Another host. */
 struct qt_peer {
 	uint64_t hash; /* of its name */
+	bool lists; /* this host; it has said so since this one joined */
+	bool joins; /* it has no share and coordinates nothing */
+	bool gone; /* its process has ended */
+	bool earlier; /* of an earlier build */
+	bool told; /* that this host has a share */
+	uint64_t ask_us; /* when it is asked, or told, again */
 	bool down; /* it does not count as a host that may coordinate */
 	bool suspect; /* another host coordinates in its place */
 	bool busy; /* a message to it has no answer yet */
 	uint64_t down_us; /* since when */
 	uint64_t ping_us; /* next try of one that is down */
 	bool due; /* while messages are chosen: it gets one */
+	bool asked; /* the same: it is asked whether it lists this host */
 	bool listed; /* while the list is replaced */
 };
 
@@ -40,6 +47,7 @@
 	int64_t level; /* of the bucket; below 0: a debt */
 	uint64_t refilled_us;
 	uint64_t start_us;
+	int64_t start_level; /* at its start; 0 once another one was added */
 	uint32_t
 		offered[QT_BINS]; /* requests in each of the latest QT_BIN_US */
 	uint64_t last_bin; /* number of the latest of them */
@@ -82,6 +90,36 @@
 	GList link; /* in qt_quotas.pending; data NULL: not there */
 };
 
+/* quota_hosts.c: who else has a share. */
+
+/*
+ * qt_shares - whether the peer has a share that coordinators may count.
+ * qt_find_peer - NULL: the host is not on the list.
+ * qt_set_peer - change the state of the peer by the mask SET of enum qt_peer_state to
+ *	VALUE, with what depends on it.
+ * qt_take_flags - take over what the peer says of itself, in a message or an answer.
+ * qt_note_time - notice a pause. To be called before anything else with the time.
+ * qt_update_join - end the join of this host once no other host is left to agree.
+ * qt_must_ask - whether the peer is to be asked, or told, now. Counts it in unsettled if
+ * it is to be at some time.
+ */
+enum qt_peer_state {
+	QT_LISTS = 1 << 0,
+	QT_JOINS = 1 << 1,
+	QT_GONE = 1 << 2,
+	QT_DOWN = 1 << 3
+};
+bool qt_shares(const struct qt_peer *peer);
+struct qt_peer *qt_find_peer(const struct qt_quotas *quotas, uint64_t hash);
+void qt_set_peer(struct qt_quotas *quotas, struct qt_peer *peer, uint32_t set,
+		 bool value);
+void qt_take_flags(struct qt_quotas *quotas, struct qt_peer *peer,
+		   const struct qt_message *message, uint64_t now_us);
+void qt_note_time(struct qt_quotas *quotas, uint64_t now_us);
+void qt_update_join(struct qt_quotas *quotas, uint64_t now_us);
+bool qt_must_ask(struct qt_quotas *quotas, struct qt_peer *peer,
+		 uint64_t now_us);
+
 /*
  * qt_find_coordinator - the host that coordinates the customer; NULL: this one.
  * Source: core/quota.c
@@ -94,8 +132,13 @@
  *
  * qt_count_offer - requests of a host; returns the part to be admitted.
  * qt_count_set_state - a host takes this one for the coordinator, or does not.
+ * qt_count_forget - a host has no share any more, or none that this one may count.
+ *	KEEPS_BURST: it may use its part of the burst elsewhere.
  * qt_count_told - a report of the host is answered with the part.
  * qt_count_knows - whether the host has the part already, from such an answer.
+ * qt_count_hand_over - put the level, and what is offered, into the report to the host
+ *	that coordinates the customer now.
+ * qt_count_take_over - add those of a report.
  * qt_count_clear_states - it is not known any more which hosts do.
  * qt_count_clamp - the quota has changed.
  * qt_count_names - whether the hosts are to be told the part now.
@@ -106,9 +149,15 @@
 			uint32_t admitted, uint32_t refused, uint64_t now_us);
 void qt_count_set_state(const struct qt_quotas *quotas, struct qt_count *count,
 			uint64_t host, bool mine);
+void qt_count_forget(const struct qt_quotas *quotas, struct qt_count *count,
+		     uint64_t host, bool keeps_burst);
 void qt_count_told(struct qt_count *count, uint64_t host, uint64_t now_us);
 bool qt_count_knows(const struct qt_count *count, uint64_t host,
 		    uint64_t now_us);
+void qt_count_hand_over(struct qt_count *count, struct qt_entry *entry,
+			uint64_t now_us);
+void qt_count_take_over(struct qt_quotas *quotas, struct qt_count *count,
+			const struct qt_entry *entry, uint64_t now_us);
 void qt_count_clear_states(struct qt_quotas *quotas, struct qt_count *count);
 void qt_count_clamp(struct qt_quotas *quotas, struct qt_count *count,
 		    uint64_t now_us);
--- a/peer/host_message.c
+++ b/peer/host_message.c
@@ -58,6 +58,8 @@
 		return HM_CALL;
 	if (post && hm_text_is(req->input.path, HM_QUOTA_PATH))
 		return HM_QUOTA;
+	if (post && hm_text_is(req->input.path, HM_HOSTS_PATH))
+		return HM_HOSTS;
 	if (get && hm_has_path(req, HM_ALERT_PATH))
 		return HM_ALERT;
 	if (get && hm_has_path(req, HM_POLL_PATH))
--- a/peer/host_message.h
+++ b/peer/host_message.h
@@ -26,6 +26,7 @@
 #define HM_ALERT_PATH "/alert"
 #define HM_POLL_PATH  "/changes"
 #define HM_QUOTA_PATH "/quota"
+#define HM_HOSTS_PATH "/hosts"
 #define HM_CALL_TARGET \
 	HM_ALERT_PATH "?call=1" /* answered with few bytes by all */
 
@@ -43,6 +44,7 @@
 	HM_POLL,
 	HM_ALERT,
 	HM_QUOTA,
+	HM_HOSTS,
 	HM_CALL,
 	HM_EARLIER_CALL /* as hosts of earlier builds pass it on */
 };
--- a/tests/test_host_message.c
+++ b/tests/test_host_message.c
@@ -182,6 +182,8 @@
 	{ "GET /alert", HM_ALERT },
 	{ "GET /alert?blocks=1", HM_ALERT },
 	{ "POST /quota", HM_QUOTA },
+	{ "POST /hosts", HM_HOSTS },
+	{ "GET /hosts", HM_NONE },
 	{ "POST /alert?call=1", HM_CALL },
 	/* Spellings that a message never has */
 	{ "POST /changes", HM_NONE },
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -224,7 +224,7 @@
 	else if (flight->answer && can_pass(flight))
 		qt_on_answer(quotas, flight->message, flight->answer, now_us);
 	else
-		qt_on_lost(quotas, flight->message, now_us);
+		qt_on_lost(quotas, flight->message, false, now_us);
 	end_flight(flight);
 }
 
