--- a/core/quota.c
+++ b/core/quota.c
@@ -609,6 +609,19 @@
 	}
 }
 
+/* It has started anew and knows no hosts yet. It asks before it has a share. */
+static bool qt_has_no_share(const struct qt_message *answer)
+{
+	return answer->joins && !answer->lists;
+}
+
+static void qt_on_without_share(struct qt_quotas *quotas, struct qt_peer *peer)
+{
+	qt_set_suspect(quotas, peer, false);
+	qt_set_peer(quotas, peer, QT_DOWN | QT_LISTS, false);
+	qt_set_peer(quotas, peer, QT_GONE, true);
+}
+
 /* The receiver has said whether it lists this host, and knows whether this one joins. */
 static void qt_on_asked(struct qt_quotas *quotas, struct qt_peer *peer,
 			const struct qt_message *message,
@@ -616,7 +629,7 @@
 {
 	bool lists = answer->lists || answer->earlier;
 
-	if (lists || !quotas->joining)
+	if (lists)
 		qt_set_peer(quotas, peer, QT_LISTS, true);
 	peer->told |= !message->joins;
 }
@@ -638,7 +651,10 @@
 	}
 	if (peer) {
 		peer->busy = false;
-		qt_on_heard(quotas, peer);
+		if (qt_has_no_share(answer))
+			qt_on_without_share(quotas, peer);
+		else
+			qt_on_heard(quotas, peer);
 		qt_take_flags(quotas, peer, answer, now_us);
 		/* What was asked before a pause may not hold any more. */
 		if (message->join == quotas->join_count)
@@ -712,7 +728,7 @@
 /* It lists this host: it has its address. */
 static void qt_on_peer_message(struct qt_quotas *quotas, struct qt_peer *peer,
 			       const struct qt_message *message,
-			       struct qt_message *answer, uint64_t now_us)
+			       uint64_t now_us)
 {
 	if (message->asks || message->reports->len)
 		qt_on_heard(quotas, peer);
@@ -721,8 +737,6 @@
 		qt_set_peer(quotas, peer, QT_LISTS, true);
 		peer->told |= message->asks;
 	}
-	answer->lists = true;
-	answer->joins = quotas->joining;
 }
 
 void qt_on_message(struct qt_quotas *quotas, uint64_t from,
@@ -733,7 +747,9 @@
 
 	qt_note_time(quotas, now_us);
 	if (peer)
-		qt_on_peer_message(quotas, peer, message, answer, now_us);
+		qt_on_peer_message(quotas, peer, message, now_us);
+	answer->lists = peer != NULL;
+	answer->joins = quotas->joining;
 	for (guint i = 0; i < message->reports->len; i++)
 		qt_answer_report(
 			quotas, from,
--- a/tests/test_quota_hosts.c
+++ b/tests/test_quota_hosts.c
@@ -38,6 +38,7 @@
 	bool lists[MAX_NODES];
 	bool runs;
 	bool cut; /* no message passes */
+	bool serves_none; /* it is not ready: no caller comes */
 	uint64_t sleeps_until_us;
 	uint64_t next_check_us;
 	uint64_t next_tick_us;
@@ -210,7 +211,8 @@
 		flight->at_us += (uint64_t)TIMEOUT_MS * MS;
 		return;
 	}
-	if (flight->message->asks && !to->lists[flight->from]) {
+	if (flight->message->asks && !to->serves_none &&
+	    !to->lists[flight->from]) {
 		to->lists[flight->from] = true;
 		use_list(to);
 	}
@@ -274,7 +276,7 @@
 	uint32_t i = random_u32(NULL) % MAX_NODES;
 	uint64_t retry_us;
 
-	while (!is_awake(&nodes[i]))
+	while (!is_awake(&nodes[i]) || nodes[i].serves_none)
 		i = (i + 1) % MAX_NODES;
 	sent++;
 	if (qt_admit(&nodes[i].quotas, names[c], now_us, &retry_us))
@@ -514,6 +516,39 @@
 }
 END_TEST
 
+/*
+ * Hosts that have started anew and cannot read the list of hosts hold no shares, and answer
+ * so: the others have the whole quota meanwhile.
+ */
+START_TEST(hosts_without_a_list_hold_no_shares)
+{
+	uint32_t n = sizes[_i].hosts + sizes[_i].joining;
+	bool none[MAX_NODES] = { false };
+
+	start_nodes(n);
+	run_for(3000);
+	for (uint32_t i = 0; i < n / 2; i++) {
+		stop_node(i);
+		start_node(i, false);
+		qt_free(&nodes[i].quotas);
+		memcpy(nodes[i].lists, none, sizeof(none));
+		qt_init(&nodes[i].quotas,
+			&(struct qt_driver){ random_u32, NULL, NULL },
+			hashes[i], SLACK);
+		qt_join(&nodes[i].quotas, QT_JOIN_AGAIN, now_us);
+		nodes[i].serves_none = true;
+	}
+	load = HOT;
+	run_for(3000);
+	load = USUAL;
+	run_for(3000);
+	forget_refusals();
+	run_for(5000);
+	check_nothing_is_lost();
+	check_upper_bound();
+}
+END_TEST
+
 /* Debts that are handed over from host to host must not grow on the way. */
 START_TEST(usual_load_loses_nothing_after_all_start_again)
 {
@@ -608,6 +643,8 @@
 	tcase_add_loop_test(tests,
 			    usual_load_loses_nothing_after_all_start_again, 0,
 			    count);
+	tcase_add_loop_test(tests, hosts_without_a_list_hold_no_shares, 0,
+			    count);
 	tcase_add_loop_test(tests, host_is_cut_off_while_another_joins, 0,
 			    count);
 	tcase_add_test(tests, first_quotas_find_hosts_with_shares);
