--- a/http/httpd_conn.h
+++ b/http/httpd_conn.h
@@ -7,6 +7,8 @@
 
 struct hd_conn {
 	uv_tcp_t tcp; /* first member: callbacks cast from it */
+	uv_alloc_cb library_alloc; /* of h2o, while it is watched */
+	uv_read_cb library_read;
 	struct hd_server *server;
 	struct hd_conn *next;
 	struct hd_conn **prev_next;
--- a/http/intake.c
+++ b/http/intake.c
@@ -71,9 +71,8 @@
 		      "the request did not arrive in time", CT_TOO_SLOW },
 };
 
-/* The functions with which h2o reads; the same for all connections. */
-static uv_alloc_cb hd_library_alloc;
-static uv_read_cb hd_library_read;
+/* Whether a connection has been watched. */
+static bool hd_any_watched;
 
 static bool hd_is_used_up(const struct hd_budget *budget)
 {
@@ -105,7 +104,7 @@
 
 	conn->paused = false;
 	if (conn->sock)
-		hd_library_read((uv_stream_t *)&conn->tcp, UV_EOF, &none);
+		conn->library_read((uv_stream_t *)&conn->tcp, UV_EOF, &none);
 }
 
 static void hd_reset_request(struct hd_conn *conn)
@@ -179,7 +178,7 @@
 	}
 	if (!conn->http2)
 		hd_make_room(conn);
-	hd_library_alloc(handle, suggested, buf);
+	conn->library_alloc(handle, suggested, buf);
 	buf->len = MIN(buf->len, HD_READ_BYTES);
 }
 
@@ -507,7 +506,7 @@
 	if (conn->http2)
 		server->conf.max_request_entity_size =
 			server->limits.body_bytes;
-	hd_library_read(stream, nread, buf);
+	conn->library_read(stream, nread, buf);
 	server->conf.max_request_entity_size = HD_NO_LIMIT;
 	if (!conn->sock || nread <= 0)
 		return;
@@ -527,8 +526,10 @@
 	if (!conn->server->has_limits || !uv_is_active((uv_handle_t *)tcp) ||
 	    !tcp->read_cb || tcp->read_cb == hd_on_read)
 		return;
-	hd_library_alloc = tcp->alloc_cb;
-	hd_library_read = tcp->read_cb;
+	/* The library has others for TLS. */
+	conn->library_alloc = tcp->alloc_cb;
+	conn->library_read = tcp->read_cb;
+	hd_any_watched = true;
 	tcp->alloc_cb = hd_on_alloc;
 	tcp->read_cb = hd_on_read;
 }
@@ -641,7 +642,7 @@
 
 	server->last_sweep_ms = now_ms;
 	/* After the loop was blocked, what came meanwhile is read first. */
-	if (!hd_library_read || late_ms > HD_LATE_SWEEP_MS)
+	if (!hd_any_watched || late_ms > HD_LATE_SWEEP_MS)
 		return;
 	/* h2o frees a connection later, so the list stays as it is. */
 	for (struct hd_conn *c = server->conns; c; c = c->next)
