--- a/http/httpd_conn.h
+++ b/http/httpd_conn.h
@@ -7,8 +7,6 @@
 
 struct hd_conn {
 	uv_tcp_t tcp; /* first member: callbacks cast from it */
-	uv_alloc_cb library_alloc; /* of h2o, while it is watched */
-	uv_read_cb library_read;
 	struct hd_server *server;
 	struct hd_conn *next;
 	struct hd_conn **prev_next;
@@ -18,6 +16,8 @@
 	bool http2;
 	bool read_shut; /* the socket is shut down for reading */
 	/* The fields below belong to http/intake.c. */
+	uv_alloc_cb library_alloc; /* those of h2o; others over TLS */
+	uv_read_cb library_read; /* NULL: it has not been watched yet */
 	struct hd_conn *next_unwatched;
 	bool unwatched; /* h2o reads, or will read, without hd_on_read */
 	bool in_service; /* the handler has the HTTP/1 request */
--- a/http/intake.c
+++ b/http/intake.c
@@ -71,9 +71,6 @@
 		      "the request did not arrive in time", CT_TOO_SLOW },
 };
 
-/* Whether a connection has been watched. */
-static bool hd_any_watched;
-
 static bool hd_is_used_up(const struct hd_budget *budget)
 {
 	return budget->held_bytes > budget->limit_bytes;
@@ -529,7 +526,6 @@
 	/* The library has others for TLS. */
 	conn->library_alloc = tcp->alloc_cb;
 	conn->library_read = tcp->read_cb;
-	hd_any_watched = true;
 	tcp->alloc_cb = hd_on_alloc;
 	tcp->read_cb = hd_on_read;
 }
@@ -642,11 +638,12 @@
 
 	server->last_sweep_ms = now_ms;
 	/* After the loop was blocked, what came meanwhile is read first. */
-	if (!hd_any_watched || late_ms > HD_LATE_SWEEP_MS)
+	if (late_ms > HD_LATE_SWEEP_MS)
 		return;
 	/* h2o frees a connection later, so the list stays as it is. */
 	for (struct hd_conn *c = server->conns; c; c = c->next)
-		if (c->sock && !c->unwatched && !c->in_service) {
+		if (c->sock && c->library_read && !c->unwatched &&
+		    !c->in_service) {
 			/* At the end of a handshake, h2o may read anew. */
 			hd_watch(c);
 			hd_sweep_conn(c, now_ms);
