--- a/base/status.h
+++ b/base/status.h
@@ -74,7 +74,7 @@
 int st_exit_code(enum st_kind kind);
 bool st_not_run(enum st_kind kind);
 
-/* st_find - the kind with that name. False: there is none. */
+/* st_find - the kind with that name. False, and KIND is left: there is none. */
 bool st_find(const char *name, enum st_kind *kind);
 
 #endif
--- a/cli/operator_client.c
+++ b/cli/operator_client.c
@@ -264,13 +264,12 @@
 static int co_exit_code(const json_t *object)
 {
 	const char *name = jt_get_string(object, "result");
+	enum st_kind kind = ST_INTERNAL;
 
 	if (!*name)
 		name = jt_get_string(object, "error");
-	for (int i = 0; i < ST_KIND_COUNT; i++)
-		if (!strcmp(name, st_name((enum st_kind)i)))
-			return st_exit_code((enum st_kind)i);
-	return st_exit_code(ST_INTERNAL);
+	st_find(name, &kind);
+	return st_exit_code(kind);
 }
 
 int co_print_failure(const struct co_exchange *exchange, const json_t *object)
--- a/gateway/dialect.c
+++ b/gateway/dialect.c
@@ -116,7 +116,8 @@
 }
 
 /* The clock of this host may be wrong, so a date counts from the answer's. */
-static double dl_pause_s(const struct hc_head *head, const struct hc_header *h)
+static double dl_retry_after_s(const struct hc_head *head,
+			       const struct hc_header *h)
 {
 	char text[DL_NUMBER_BYTES];
 	int64_t until;
@@ -135,16 +136,23 @@
 	return end == text || *end || isnan(seconds) ? 0 : seconds;
 }
 
-bool dl_parse_pause(const struct hc_head *head, struct core_event *event)
+uint64_t dl_retry_after_us(const struct hc_head *head)
 {
 	const struct hc_header *h = hc_find_header(head, "retry-after");
 	double max_s = (double)DL_MAX_PAUSE_US / DL_US_PER_S;
 
-	if (head->status != 503 || !h)
+	if (!h)
+		return 0;
+	return (uint64_t)(CLAMP(dl_retry_after_s(head, h), 0, max_s) *
+			  DL_US_PER_S);
+}
+
+bool dl_parse_pause(const struct hc_head *head, struct core_event *event)
+{
+	if (head->status != 503 || !hc_find_header(head, "retry-after"))
 		return false;
 	event->kind = CORE_EV_PAUSE;
-	event->u.pause.duration_us =
-		(uint64_t)(CLAMP(dl_pause_s(head, h), 0, max_s) * DL_US_PER_S);
+	event->u.pause.duration_us = dl_retry_after_us(head);
 	return true;
 }
 
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -80,12 +80,17 @@
 
 /*
  * dl_parse_pause - set the kind of EVENT to CORE_EV_PAUSE, and how long a server
- * that refuses a request with HEAD wants nothing more. False: it does not say so.
- * The duration is 0 if what it says is no time, or a date without the server's own
- * to compare it with, and DL_MAX_PAUSE_US if it is longer.
+ * that refuses a request with HEAD wants nothing more, as dl_retry_after_us. False: it
+ * does not say so.
  */
 bool dl_parse_pause(const struct hc_head *head, struct core_event *event);
 
+/*
+ * dl_retry_after_us - the time that Retry-After of an answer names, at most
+ *	DL_MAX_PAUSE_US; 0: none, or no time, or a date without the server's own.
+ */
+uint64_t dl_retry_after_us(const struct hc_head *head);
+
 /*
  * dl_leaving_source - source of a notice in an answer that its server leaves.
  */
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -4,7 +4,6 @@
 
 #include "gateway/attempt_state.h"
 #include "base/counter.h"
-#include "base/mechanism.h"
 
 enum {
 	/* Hosts that are tried for a call, and of these that cannot be reached. */
@@ -26,7 +25,6 @@
 	bool misread; /* by earlier builds, as a message */
 	bool wrapped; /* as it was sent */
 	struct gw_host_answer answer;
-	bool answered; /* ANSWER is set */
 	GList link; /* in gw_gateway.forwards */
 };
 
@@ -141,7 +139,7 @@
 	    forward->lost == GW_MAX_LOST || !forward->granted)
 		return false;
 	forward->tries++;
-	forward->answered = false;
+	forward->answer.source = GW_UNANSWERED;
 	forward->peer = peer;
 	forward->wrapped = !peer->earlier;
 	out = gw_format_forward(forward);
@@ -192,7 +190,6 @@
 
 	forward->answer = gw_read_host_answer(call->gateway->dialect, head,
 					      call->call_id, forward->wrapped);
-	forward->answered = true;
 	if (forward->answer.source != GW_BY_SERVER)
 		return;
 	call->answer_status = head->status;
@@ -236,12 +233,16 @@
 	gw_end_forward(forward, answer->kind);
 }
 
-/* The head of an answer has come, and its body as far as END tells. */
+/* The call was sent. What came back, if anything did, ended as END tells. */
 static void gw_on_host_answer(struct gw_forward *forward, enum hc_end end)
 {
 	struct gw_peer *peer = forward->peer;
 
 	switch (forward->answer.source) {
+	case GW_UNANSWERED:
+		gw_peer_broke_off(peer);
+		gw_forward_was_lost(forward);
+		break;
 	case GW_BY_SERVER:
 		gw_peer_took(peer);
 		gw_end_forward(forward, end == HC_COMPLETE ? ST_OK : ST_BROKEN);
@@ -273,20 +274,15 @@
 	struct gw_call *call = forward->call;
 
 	forward->peer->in_flight--;
-	if (forward->answered) {
+	if (end != HC_NOT_SENT) {
 		gw_on_host_answer(forward, end);
 		return;
 	}
-	if (end == HC_NOT_SENT) {
-		if (gw_is_wanted(call)) {
-			forward->lost++;
-			gw_peer_was_lost(forward->peer);
-		}
-		gw_forward_to_next(forward);
-		return;
+	if (gw_is_wanted(call)) {
+		forward->lost++;
+		gw_peer_was_lost(forward->peer);
 	}
-	gw_peer_broke_off(forward->peer);
-	gw_forward_was_lost(forward);
+	gw_forward_to_next(forward);
 }
 
 static const struct hc_handler gw_forward_handler = {
@@ -366,8 +362,7 @@
 		return false;
 	forward = g_new0(struct gw_forward, 1);
 	forward->call = call;
-	forward->misread = me_on(ME_CALL_MESSAGE) &&
-			   hm_is_message_of_earlier(call->req->path.base,
+	forward->misread = hm_is_message_of_earlier(call->req->path.base,
 						    call->req->path.len);
 	forward->http.handler = &gw_forward_handler;
 	forward->http.head_method = call->head_method;
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -82,6 +82,7 @@
 void gw_leave_silent_peer(struct gw_peer *peer, bool end);
 
 enum gw_answer_source {
+	GW_UNANSWERED,
 	GW_BY_SERVER, /* it is passed on */
 	GW_BY_HOST, /* the host has refused or ended the call */
 	GW_BY_UNABLE, /* the host can do nothing for the call */
--- a/gateway/forward_answer.c
+++ b/gateway/forward_answer.c
@@ -19,21 +19,6 @@
 	return ST_UNKNOWN;
 }
 
-static uint64_t gw_read_retry_us(const struct hc_head *head)
-{
-	const struct hc_header *h = hc_find_header(head, "retry-after");
-	char text[GW_DIGITS];
-	double seconds;
-
-	if (!h || h->value_bytes >= sizeof(text))
-		return 0;
-	g_strlcpy(text, h->value, h->value_bytes + 1);
-	seconds = g_ascii_strtod(text, NULL);
-	return seconds > 0 && seconds < UINT32_MAX / GW_US_PER_S ?
-		       (uint64_t)(seconds * GW_US_PER_S) :
-		       0;
-}
-
 /* Of the host itself. KIND may be a name that this build does not know. */
 static struct gw_host_answer gw_read_refusal(const struct hc_head *head,
 					     const char *kind)
@@ -41,7 +26,7 @@
 	struct gw_host_answer answer = {
 		.source = GW_BY_HOST,
 		.kind = gw_kind_of_status(head->status),
-		.retry_us = gw_read_retry_us(head),
+		.retry_us = dl_retry_after_us(head),
 	};
 
 	if (kind)
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -22,7 +22,6 @@
  */
 enum {
 	GW_US_PER_MS = 1000,
-	GW_US_PER_S = 1000 * GW_US_PER_MS,
 	GW_DIGITS = 20,
 	/* Of a connection that is used again for a call that may run only once. */
 	GW_NON_IDEMPOTENT_IDLE_US = 1000 * 1000,
--- a/peer/host_message.c
+++ b/peer/host_message.c
@@ -87,7 +87,8 @@
 	is_message = hm_text_is(path, HM_ALERT_PATH) ||
 		     hm_text_is(path, HM_QUOTA_PATH);
 	h2o_mem_clear_pool(&pool);
-	return is_message;
+	/* An earlier build does not know that others would misread it. */
+	return is_message && me_on(ME_CALL_MESSAGE);
 }
 
 bool hm_is_own_header(const char *name, size_t bytes)
