--- a/core/quota.c
+++ b/core/quota.c
@@ -146,6 +146,8 @@
 	qt_on_silent(quotas, peer, now_us);
 }
 
+/* Customers */
+
 static void qt_free_customer(struct qt_quotas *quotas,
 			     struct qt_customer *customer)
 {
@@ -395,22 +397,22 @@
 	qt_drop_pending(quotas, customer);
 }
 
+static void qt_report_handover(struct qt_quotas *quotas, struct qt_count *count,
+			       void *ctx)
+{
+	const uint64_t *now_us = ctx;
+
+	if (qt_find_coordinator(quotas, count->customer))
+		qt_put_pending(quotas, count->customer, *now_us - QT_REPORT_US);
+}
+
 /* Reports at once to those that coordinate customers in the place of this host. */
 static void qt_report_handovers(struct qt_quotas *quotas, uint64_t now_us)
 {
-	GHashTableIter iter;
-	void *value;
-
 	if (quotas->handed_over == quotas->generation)
 		return;
 	quotas->handed_over = quotas->generation;
-	g_hash_table_iter_init(&iter, quotas->customers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct qt_customer *customer = value;
-
-		if (customer->count && qt_find_coordinator(quotas, customer))
-			qt_put_pending(quotas, customer, now_us - QT_REPORT_US);
-	}
+	qt_for_each_count(quotas, qt_report_handover, &now_us);
 }
 
 static void qt_mark_receivers(struct qt_quotas *quotas, uint64_t now_us)
@@ -418,7 +420,7 @@
 	uint32_t asked = 0;
 	GList *next;
 
-	quotas->unsettled = 0;
+	quotas->unsettled = false;
 	for (guint i = 0; i < quotas->peers->len; i++) {
 		struct qt_peer *peer = g_ptr_array_index(quotas->peers, i);
 
--- a/core/quota.h
+++ b/core/quota.h
@@ -81,9 +81,7 @@
 	uint64_t tick_us; /* of the latest qt_tick; 0: none */
 	uint32_t sharing; /* peers that have a share and list this host */
 	uint32_t gone; /* peers whose process has ended */
-	uint32_t
-		unsettled; /* peers to be asked, or told of the end of a join */
-	uint32_t peers_down;
+	bool unsettled; /* peers may have to be asked, or told of a join's end */
 	uint32_t suspects; /* coordinators that another host replaces */
 	uint32_t generation; /* of coordinators: the list or a state changed */
 	uint32_t handed_over; /* generation for which that was done */
--- a/core/quota_count.c
+++ b/core/quota_count.c
@@ -35,12 +35,13 @@
 			 uint64_t amount)
 {
 	uint64_t all = (uint64_t)quotas->peers->len + 1 - quotas->gone;
-	uint64_t own = !quotas->joining &&
-		       !qt_find_coordinator(quotas, count->customer);
+	uint64_t own;
 
 	if (!quotas->hosts_known)
 		return quotas->joining ? 0 : amount / QT_ASSUMED_HOSTS;
-	own += count->first ? quotas->sharing - count->not_mine : count->mine;
+	own = count->first ? quotas->sharing - count->not_mine : count->mine;
+	own += !quotas->joining &&
+	       !qt_find_coordinator(quotas, count->customer);
 
 	return amount * MIN(own, all) / all;
 }
@@ -79,10 +80,10 @@
 	uint64_t age_us = MIN(now_us - count->refilled_us, QT_MAX_REFILL_US);
 	int64_t gain =
 		(int64_t)(qt_rate_milli(quotas, count) * age_us / QT_MILLI);
+	int64_t capacity = qt_capacity(quotas, count);
 
-	if (count->level < qt_capacity(quotas, count))
-		count->level =
-			MIN(count->level + gain, qt_capacity(quotas, count));
+	if (count->level < capacity)
+		count->level = MIN(count->level + gain, capacity);
 	count->refilled_us = now_us;
 }
 
--- a/core/quota_hosts.c
+++ b/core/quota_hosts.c
@@ -28,11 +28,10 @@
 	return peer->lists && !peer->joins && !peer->down;
 }
 
-/* Calls FN for each customer that this host has counted requests of. */
-static void qt_for_each_count(struct qt_quotas *quotas,
-			      void (*fn)(struct qt_quotas *quotas,
-					 struct qt_count *count, void *ctx),
-			      void *ctx)
+void qt_for_each_count(struct qt_quotas *quotas,
+		       void (*fn)(struct qt_quotas *quotas,
+				  struct qt_count *count, void *ctx),
+		       void *ctx)
 {
 	GHashTableIter iter;
 	void *value;
@@ -77,8 +76,6 @@
 	quotas->sharing -= qt_shares(&old);
 	quotas->gone += peer->gone;
 	quotas->gone -= old.gone;
-	quotas->peers_down += peer->down;
-	quotas->peers_down -= old.down;
 	if (qt_shares(&old) && !qt_shares(peer))
 		qt_for_each_count(quotas, qt_forget_in_count, peer);
 	if (peer->down != old.down || peer->joins != old.joins)
@@ -94,7 +91,7 @@
 	qt_set_peer(quotas, peer, QT_JOINS, message->joins);
 	if (message->joins && !quotas->joining)
 		peer->ask_us = now_us + QT_LISTED_ASK_US;
-	quotas->unsettled += message->joins;
+	quotas->unsettled |= message->joins;
 }
 
 /* The list */
@@ -126,7 +123,7 @@
 		g_ptr_array_add(quotas->peers, peer);
 		g_hash_table_insert(quotas->peer_ids, &peer->hash, peer);
 		quotas->generation++;
-		quotas->unsettled += !settled;
+		quotas->unsettled |= !settled;
 		qt_set_peer(quotas, peer, QT_LISTS, settled);
 	}
 	peer->listed = true;
@@ -168,24 +165,17 @@
 	}
 	if (generation != quotas->generation)
 		qt_for_each_count(quotas, qt_clear_count, NULL);
-	quotas->due |= quotas->unsettled > 0;
+	quotas->due |= quotas->unsettled;
 }
 
 /* Joining */
 
 /* What it has counted is old, and its customers may have spent it elsewhere. */
-static void qt_drop_counts(struct qt_quotas *quotas)
+static void qt_drop_count(struct qt_quotas *quotas, struct qt_count *count,
+			  void *ctx)
 {
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, quotas->customers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct qt_customer *customer = value;
-
-		qt_count_free(quotas, customer->count);
-		customer->count = NULL;
-	}
+	count->customer->count = NULL;
+	qt_count_free(quotas, count);
 }
 
 /* All other hosts are asked, or told, now. */
@@ -197,7 +187,7 @@
 		peer->told = false;
 		peer->ask_us = 0;
 	}
-	quotas->unsettled = quotas->peers->len;
+	quotas->unsettled = true;
 	quotas->generation++;
 	quotas->due = true;
 }
@@ -208,7 +198,7 @@
 	quotas->joins_new = how == QT_JOIN_NEW;
 	quotas->join_count++;
 	quotas->join_us = now_us;
-	qt_drop_counts(quotas);
+	qt_for_each_count(quotas, qt_drop_count, NULL);
 	for (guint i = 0; i < quotas->peers->len; i++)
 		qt_set_peer(quotas, g_ptr_array_index(quotas->peers, i),
 			    QT_LISTS, false);
@@ -272,7 +262,7 @@
 {
 	if (peer->down || qt_is_settled(quotas, peer))
 		return false;
-	quotas->unsettled++;
+	quotas->unsettled = true;
 	if (peer->busy || now_us < peer->ask_us)
 		return false;
 	peer->ask_us = now_us + QT_ASK_US;
--- a/core/quota_state.h
+++ b/core/quota_state.h
@@ -100,8 +100,9 @@
  * qt_take_flags - take over what the peer says of itself, in a message or an answer.
  * qt_note_time - notice a pause. To be called before anything else with the time.
  * qt_update_join - end the join of this host once no other host is left to agree.
- * qt_must_ask - whether the peer is to be asked, or told, now. Counts it in unsettled if
- * it is to be at some time.
+ * qt_must_ask - whether the peer is to be asked, or told, now. Sets UNSETTLED if it is to
+ * be at some time.
+ * qt_for_each_count - call FN for each customer that this host has counted requests of.
  */
 enum qt_peer_state {
 	QT_LISTS = 1 << 0,
@@ -119,6 +120,10 @@
 void qt_update_join(struct qt_quotas *quotas, uint64_t now_us);
 bool qt_must_ask(struct qt_quotas *quotas, struct qt_peer *peer,
 		 uint64_t now_us);
+void qt_for_each_count(struct qt_quotas *quotas,
+		       void (*fn)(struct qt_quotas *quotas,
+				  struct qt_count *count, void *ctx),
+		       void *ctx);
 
 /*
  * qt_find_coordinator - the host that coordinates the customer; NULL: this one.
