--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -10,20 +10,14 @@
 #include "core/quota.h"
 #include "base/text.h"
 #include "document/document.h"
+#include "tests/quota_sim.h"
 #include "tests/suite.h"
 
 enum {
-	MS = 1000,
-	S = 1000 * MS,
 	HOSTS = 115,
 	MAX_HOSTS = 116,
-	STEP_MS = 5,
-	DELAY_MS = 10,
 	TIMEOUT_MS = 300,
-	WINDOW_S = 5,
 	MAX_S = 4000,
-	STEPS_PER_S = 1000 / STEP_MS,
-	SLACK = 20,
 	CUSTOMERS = 5
 };
 
@@ -39,21 +33,7 @@
 	bool runs;
 };
 
-struct flight {
-	uint64_t at_us;
-	uint32_t from;
-	uint32_t to;
-	bool arrived; /* ANSWER is on its way back */
-	struct qt_message *message;
-	struct qt_message *answer;
-};
-
 static struct node nodes[MAX_HOSTS];
-static uint64_t hashes[MAX_HOSTS];
-static GPtrArray *flights; /* struct flight */
-static uint64_t now_us;
-static uint64_t begin_us;
-static uint32_t messages;
 static char *names[CUSTOMERS];
 static uint32_t quota_milli[CUSTOMERS];
 static uint32_t admitted[CUSTOMERS][MAX_S * STEPS_PER_S];
@@ -65,14 +45,6 @@
 static uint32_t spread;
 static uint32_t spread_from;
 
-static uint64_t random_state;
-
-static uint32_t random_u32(void *ctx)
-{
-	random_state = random_state * 6364136223846793005 + 1442695040888963407;
-	return (uint32_t)(random_state >> 33);
-}
-
 static double random_part(void)
 {
 	return random_u32(NULL) / 2147483648.0;
@@ -114,39 +86,24 @@
 
 static void setup(void)
 {
-	now_us = begin_us = 1000 * (uint64_t)S;
 	const char *seed = g_getenv("QUOTA_SEED");
 
-	random_state = seed ? g_ascii_strtoull(seed, NULL, 10) : 1;
-	messages = 0;
+	sim_begin(seed ? g_ascii_strtoull(seed, NULL, 10) : 1, names,
+		  CUSTOMERS);
 	spread = 0;
 	spread_from = 0;
 	memset(nodes, 0, sizeof(nodes));
 	memset(admitted, 0, sizeof(admitted));
 	memset(refused, 0, sizeof(refused));
 	memset(sent, 0, sizeof(sent));
-	flights = g_ptr_array_new();
 	for (uint32_t c = 0; c < CUSTOMERS; c++) {
-		char text[32];
-
-		g_snprintf(text, sizeof(text), "customer-%u", c);
-		names[c] = tx_new(text);
 		quota_milli[c] = usual_milli[c] * 8 / 5;
 		load[c] = 1;
 	}
-	for (uint32_t i = 0; i < MAX_HOSTS; i++)
-		hashes[i] = 0xd1b54a32d192ed03 * (i + 1);
 	for (uint32_t i = 0; i < HOSTS; i++)
 		start_node(i, HOSTS);
 }
 
-static void end_flight(struct flight *flight)
-{
-	if (flight->answer)
-		qt_message_free(flight->answer);
-	g_free(flight);
-}
-
 static void teardown(void)
 {
 	for (guint i = 0; i < flights->len; i++) {
@@ -168,32 +125,6 @@
 	return node->runs && now_us >= node->paused_until_us;
 }
 
-static uint32_t find_node(uint64_t hash)
-{
-	uint32_t i = 0;
-
-	while (hashes[i] != hash)
-		i++;
-	return i;
-}
-
-static void send_messages(uint32_t from)
-{
-	GPtrArray *list = qt_take_messages(&nodes[from].quotas, now_us);
-
-	for (guint i = 0; i < list->len; i++) {
-		struct flight *flight = g_new0(struct flight, 1);
-
-		flight->message = g_ptr_array_index(list, i);
-		flight->from = from;
-		flight->to = find_node(flight->message->host);
-		flight->at_us = now_us + (uint64_t)DELAY_MS * MS;
-		g_ptr_array_add(flights, flight);
-		messages++;
-	}
-	g_ptr_array_free(list, TRUE);
-}
-
 static bool can_pass(const struct flight *flight)
 {
 	return nodes[flight->from].side == nodes[flight->to].side;
@@ -289,7 +220,7 @@
 
 static void run_calls(void)
 {
-	uint32_t step = (uint32_t)((now_us - begin_us) / MS / STEP_MS);
+	uint32_t step = current_step();
 
 	for (uint32_t c = 0; c < CUSTOMERS; c++) {
 		uint32_t count = random_arrivals(load[c] * usual_milli[c] /
@@ -316,7 +247,7 @@
 					now_us + QT_CHECK_US -
 					random_u32(NULL) % (5 * MS);
 			if (qt_has_work(&node->quotas))
-				send_messages(i);
+				sim_send(&node->quotas, i, 0);
 		}
 		now_us += (uint64_t)STEP_MS * MS;
 	}
@@ -325,24 +256,9 @@
 /* Most requests that ran in a window, less what the quota QUOTA_MILLI allows. */
 static double worst_excess(uint32_t c, uint32_t milli, uint32_t from_step)
 {
-	uint32_t steps = (uint32_t)((now_us - begin_us) / MS / STEP_MS);
-	uint32_t width = WINDOW_S * STEPS_PER_S;
 	double allowed = (milli / 1000.0 * (WINDOW_S + 1)) * 1.1 + SLACK;
-	uint32_t sum = 0;
-	uint32_t most = 0;
-
-	for (uint32_t i = from_step; i < steps; i++) {
-		sum += admitted[c][i];
-		if (i >= from_step + width)
-			sum -= admitted[c][i - width];
-		most = MAX(most, sum);
-	}
-	return most - allowed;
-}
 
-static uint32_t current_step(void)
-{
-	return (uint32_t)((now_us - begin_us) / MS / STEP_MS);
+	return sim_most_in_window(admitted[c], from_step) - allowed;
 }
 
 static void set_load(double times)
--- a/tests/test_quota_hosts.c
+++ b/tests/test_quota_hosts.c
@@ -8,24 +8,18 @@
 
 #include "core/quota.h"
 #include "base/text.h"
+#include "tests/quota_sim.h"
 #include "tests/suite.h"
 
 enum {
-	MS = 1000,
-	S = 1000 * MS,
 	MAX_NODES = 16,
-	STEP_MS = 5,
-	DELAY_MS = 10,
 	TIMEOUT_MS = 800,
 	TICK_MS = 500,
-	WINDOW_S = 5,
 	MAX_S = 60,
-	STEPS_PER_S = 1000 / STEP_MS,
 	/* With 12 names, each of a few hosts is the first of some. */
 	CUSTOMERS = 12,
 	RATE = 150,
 	BURST = 30,
-	SLACK = 20,
 	/* Requests a second, within the quota and far above it. */
 	USUAL = 94,
 	HOT = 700,
@@ -44,37 +38,15 @@
 	uint64_t next_tick_us;
 };
 
-struct flight {
-	uint64_t at_us;
-	uint32_t from;
-	uint32_t to;
-	uint32_t start; /* of the sender */
-	bool arrived;
-	bool refused;
-	bool lists[MAX_NODES]; /* of the receiver, as it answered */
-	struct qt_message *message;
-	struct qt_message *answer;
-};
-
 static struct node nodes[MAX_NODES];
 static uint32_t starts[MAX_NODES];
-static uint64_t hashes[MAX_NODES];
 static bool stored[MAX_NODES]; /* rows of the table */
-static GPtrArray *flights;
 static char *names[CUSTOMERS];
 static uint32_t admitted[CUSTOMERS][MAX_S * STEPS_PER_S];
 static uint32_t sent, refused;
 static bool quotas_later; /* hosts start without quotas */
 static double load; /* requests a second of each customer */
 static double due[CUSTOMERS];
-static uint64_t now_us, begin_us, random_state;
-
-static uint32_t random_u32(void *ctx)
-{
-	random_state = random_state * 6364136223846793005 + 1442695040888963407;
-	return (uint32_t)(random_state >> 33);
-}
-
 static void set_customers(struct node *node)
 {
 	struct doc_customers *customers = doc_customers_new(CUSTOMERS);
@@ -150,18 +122,8 @@
 
 static void setup(void)
 {
-	now_us = begin_us = 1000 * (uint64_t)S;
-	random_state = 1;
+	sim_begin(1, names, CUSTOMERS);
 	load = USUAL;
-	flights = g_ptr_array_new();
-	for (uint32_t c = 0; c < CUSTOMERS; c++) {
-		char text[32];
-
-		g_snprintf(text, sizeof(text), "customer-%u", c);
-		names[c] = tx_new(text);
-	}
-	for (uint32_t i = 0; i < MAX_NODES; i++)
-		hashes[i] = 0xd1b54a32d192ed03 * (i + 1);
 }
 
 static bool is_awake(const struct node *node)
@@ -169,32 +131,6 @@
 	return node->runs && now_us >= node->sleeps_until_us;
 }
 
-static uint32_t find_node(uint64_t hash)
-{
-	uint32_t i = 0;
-
-	while (hashes[i] != hash)
-		i++;
-	return i;
-}
-
-static void send_messages(uint32_t from)
-{
-	GPtrArray *list = qt_take_messages(&nodes[from].quotas, now_us);
-
-	for (guint i = 0; i < list->len; i++) {
-		struct flight *flight = g_new0(struct flight, 1);
-
-		flight->message = g_ptr_array_index(list, i);
-		flight->from = from;
-		flight->to = find_node(flight->message->host);
-		flight->start = starts[from];
-		flight->at_us = now_us + (uint64_t)DELAY_MS * MS;
-		g_ptr_array_add(flights, flight);
-	}
-	g_ptr_array_free(list, TRUE);
-}
-
 static void deliver(struct flight *flight)
 {
 	struct node *to = &nodes[flight->to];
@@ -237,9 +173,7 @@
 		qt_on_lost(&from->quotas, flight->message, flight->refused,
 			   now_us);
 	}
-	if (flight->answer)
-		qt_message_free(flight->answer);
-	g_free(flight);
+	end_flight(flight);
 }
 
 static bool is_overdue(const struct flight *flight)
@@ -266,11 +200,6 @@
 	}
 }
 
-static uint32_t current_step(void)
-{
-	return (uint32_t)((now_us - begin_us) / MS / STEP_MS);
-}
-
 static void call(uint32_t c)
 {
 	uint32_t i = random_u32(NULL) % MAX_NODES;
@@ -305,7 +234,7 @@
 	if (now_us >= node->next_check_us)
 		node->next_check_us = now_us + QT_CHECK_US;
 	if (qt_has_work(&node->quotas))
-		send_messages(i);
+		sim_send(&node->quotas, i, starts[i]);
 }
 
 static void run_for(uint32_t ms)
@@ -322,18 +251,9 @@
 
 static void check_upper_bound(void)
 {
-	uint32_t width = WINDOW_S * STEPS_PER_S;
-
 	for (uint32_t c = 0; c < CUSTOMERS; c++) {
-		uint32_t most = 0;
-		uint32_t sum = 0;
-
-		for (uint32_t i = 0; i < current_step(); i++) {
-			sum += admitted[c][i];
-			if (i >= width)
-				sum -= admitted[c][i - width];
-			most = MAX(most, sum);
-		}
+		uint32_t most = sim_most_in_window(admitted[c], 0);
+
 		ck_assert_msg(most <= MOST, "%s: %u of %u", names[c], most,
 			      MOST);
 	}
