Tell no caller of an order "not run" by a server's unproven status

Cause, by the log of one of these orders on: its only attempt ends with "done-error", status 503, and the call with result "ok", outcome "completed". The answer was read rightly and passed on; what its status tells the caller was asked only for results of the host itself (at_caller_result, and once more in the core).

Change: core/outcome has one table of what callers are told, which takes the place of both. It is asked for each answer of a server when its head has come, for answers that another host passes on, for kept answers, and for the result of each call. An order whose answer would be an unproven promise ends with 502, refusal-unproven, without the signature. What the answer tells of pause, load, limit and leaving counts as before, and so does its success or error.

A 502 of this kind is found by its id: result and unproven_status in the "fail" line, the server in the "attempt" line; answers_unproven_total counts them.

--- a/base/counter.h
+++ b/base/counter.h
@@ -26,6 +26,8 @@
 	X(KEY_UNCONFIRMED, "key_unconfirmed_total",                           \
 	  "Calls refused because the keys were not confirmed lately")         \
 	X(UNKNOWN, "calls_unknown_total", "Calls ended, outcome unknown")     \
+	X(UNPROVEN, "answers_unproven_total",                                 \
+	  "Answers not passed on: unproven that the call was not run")        \
 	X(BROKEN, "calls_broken_total", "Answers broken off")                 \
 	X(CALLERS_LEFT, "calls_gone_total",                                   \
 	  "Callers that left before the answer")                              \
--- a/base/mechanism.h
+++ b/base/mechanism.h
@@ -15,6 +15,7 @@
 	X(MEASURING_BUDGET, "measuring-budget")     \
 	X(CLOSE_LATE, "close-late-connections")     \
 	X(NOT_RUN_TABLE, "not-run-table")           \
+	X(ANSWER_TABLE, "answer-table")             \
 	X(SEND_ONCE, "send-once")                   \
 	X(ORDER_CLAIM, "order-claim")               \
 	X(LEAVING, "leaving-signs")                 \
--- a/base/status.h
+++ b/base/status.h
@@ -38,6 +38,7 @@
 	X(FENCED, "lease-lost", 503, 1, true)                         \
 	X(DEADLINE_UNKNOWN, "deadline-unknown", 504, 1, false)        \
 	X(UNKNOWN, "outcome-unknown", 502, 1, false)                  \
+	X(UNPROVEN, "refusal-unproven", 502, 1, false)                \
 	X(BROKEN, "answer-broken", 502, 1, false)                     \
 	X(CALLER_LEFT, "caller-gone", 499, 1, false)                  \
 	X(REPLAY, "replay-differs", 500, 6, false)                    \
--- a/core/core.c
+++ b/core/core.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/mechanism.h"
+#include "core/outcome.h"
 
 /* Calls, their attempts, and the processing of events. */
 
@@ -276,11 +277,7 @@
 				      .call = call->id,
 				      .service = call->service };
 
-	/* "Not run" may be reported only if no attempt can have run. */
-	if (st_not_run(result) && core_may_have_run(call) &&
-	    me_on(ME_NOT_RUN_TABLE))
-		result = result == ST_DEADLINE_NOT_RUN ? ST_DEADLINE_UNKNOWN :
-							 ST_UNKNOWN;
+	result = oc_result(result, core_may_have_run(call));
 	action.result = result;
 	action.at_us = core_retry_at_us(core, call, result);
 	core_fill_service_inputs(core, call);
--- a/gateway/answer.c
+++ b/gateway/answer.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "gateway/attempt_state.h"
+#include "core/outcome.h"
 #include "peer/host_message.h"
 
 enum {
@@ -20,7 +20,7 @@
 
 void gw_add_outcome(struct gw_call *call, enum st_kind kind)
 {
-	const char *outcome = at_outcome_name(kind);
+	const char *outcome = oc_outcome_name(kind);
 	const struct dl_dialect *dialect = call->gateway->dialect;
 
 	if (dialect->entry_id)
@@ -66,14 +66,21 @@
 	return call->retry_at_us - MIN(now_us, call->retry_at_us);
 }
 
+static const char *gw_default_msg(enum st_kind kind)
+{
+	if (kind == ST_UNPROVEN)
+		return "a server refused it, but did not state that it has not "
+		       "run it";
+	return st_not_run(kind) ? "the request was not run" :
+				  "the request may have run";
+}
+
 void gw_reply_error(struct gw_call *call, enum st_kind kind, const char *msg)
 {
 	struct st_status status;
 
-	if (!msg)
-		msg = st_not_run(kind) ? "the request was not run" :
-					 "the request may have run";
-	st_set(&status, kind, "request %s: %s", call->request_id, msg);
+	st_set(&status, kind, "request %s: %s", call->request_id,
+	       msg ? msg : gw_default_msg(kind));
 	gw_add_outcome(call, kind);
 	gw_add_challenge(call->req, kind);
 	gw_add_retry_after(call->gateway->dialect, call->req, kind,
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "base/mechanism.h"
+#include "core/outcome.h"
 
 enum {
 	GW_ATTEMPT_HEAD_BYTES = 160,
@@ -254,12 +255,32 @@
 
 static const char gw_discarded_msg[] =
 	"answer discarded: unsigned, or an error to be retried";
+static const char gw_unproven_msg[] =
+	"answer not passed on: its status would tell the caller that the call "
+	"was not run, which the server did not state";
+
+static enum core_end gw_end_of_answer(int status)
+{
+	return status >= 500 ? CORE_END_DONE_ERROR : CORE_END_DONE;
+}
+
+/* The core learns of the server's answer, and the caller gets an error instead. */
+static void gw_withhold_answer(struct gw_attempt *attempt)
+{
+	enum core_end end = gw_end_of_answer(attempt->status);
+
+	gw_note_unproven(attempt->call, attempt->status);
+	if (end == CORE_END_DONE)
+		gw_on_good_answer(attempt->call);
+	gw_discard_answer(attempt, HC_SENT, end, gw_unproven_msg);
+}
 
 static void gw_on_head(struct hc_request *request, const struct hc_head *head)
 {
 	struct gw_attempt *attempt = (struct gw_attempt *)request;
 	struct gw_call *call = attempt->call;
 	struct gw_gateway *gateway = call->gateway;
+	enum oc_verdict verdict;
 
 	attempt->status = head->status;
 	if (!dl_is_of_server(gateway->dialect, head, call->call_id)) {
@@ -275,9 +296,14 @@
 		gw_post_server_replaced(attempt);
 	else
 		gw_read_notices(attempt, head);
-	if (attempt->refused)
+	verdict = oc_judge_answer(head->status, attempt->refused,
+				  call->idempotent);
+	if (verdict == OC_REFUSED)
 		return;
-	if (head->status >= 500 && core_can_retry(&gateway->core, call->id))
+	if (verdict == OC_UNPROVEN)
+		gw_withhold_answer(attempt);
+	else if (head->status >= 500 &&
+		 core_can_retry(&gateway->core, call->id))
 		gw_discard_answer(attempt, HC_SENT, CORE_END_FAILED,
 				  gw_discarded_msg);
 	else if (gw_may_buffer(attempt, head))
@@ -350,9 +376,8 @@
 	const struct at_row *row =
 		at_find_row(at_end_state(end), attempt->refused);
 
-	if (row->end == CORE_END_DONE && attempt->status >= 500)
-		return CORE_END_DONE_ERROR;
-	return row->end;
+	return row->end == CORE_END_DONE ? gw_end_of_answer(attempt->status) :
+					   row->end;
 }
 
 /* Records whether the call may have run. Does not post the end to the core. */
--- a/gateway/attempt_state.c
+++ b/gateway/attempt_state.c
@@ -46,20 +46,3 @@
 		return true;
 	return idempotent || !may_have_run;
 }
-
-enum st_kind at_caller_result(enum st_kind result, bool may_have_run)
-{
-	if (!me_on(ME_NOT_RUN_TABLE))
-		return result;
-	return may_have_run && st_not_run(result) ? ST_UNKNOWN : result;
-}
-
-const char *at_outcome_name(enum st_kind result)
-{
-	if (result == ST_OK)
-		return "completed";
-	/* With the mechanism switched off, every error counts as not run. */
-	if (!me_on(ME_NOT_RUN_TABLE))
-		return "not-run";
-	return st_not_run(result) ? "not-run" : "unknown";
-}
--- a/gateway/attempt_state.h
+++ b/gateway/attempt_state.h
@@ -60,13 +60,4 @@
  */
 bool at_may_send(bool idempotent, bool may_have_run);
 
-/*
- * at_caller_result - result for the caller. A RESULT that means "not run"
- * becomes ST_UNKNOWN when an attempt may have run.
- */
-enum st_kind at_caller_result(enum st_kind result, bool may_have_run);
-
-/* at_outcome_name - value of x-request-outcome. */
-const char *at_outcome_name(enum st_kind result);
-
 #endif
--- a/gateway/call.c
+++ b/gateway/call.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "gateway/attempt_state.h"
+#include "core/outcome.h"
 #include "base/counter.h"
 #include "base/mechanism.h"
 
@@ -120,10 +120,22 @@
 		       NULL);
 }
 
+void gw_note_unproven(struct gw_call *call, int status)
+{
+	ct_add(CT_UNPROVEN, 1);
+	call->unproven_status = status;
+}
+
+/* Sets what the caller is told and what is logged, which is the same. */
+static void gw_set_result(struct gw_call *call, enum st_kind result)
+{
+	call->result = oc_result(result, call->may_have_run);
+	gw_count_result(call->result);
+}
+
 void gw_complete_call(struct gw_call *call, enum st_kind result)
 {
-	call->result = result;
-	gw_count_result(result);
+	gw_set_result(call, result);
 	gw_log_call_end(call);
 	tm_cancel(call->gateway->timers, &call->timer);
 	call->finished = true;
@@ -142,7 +154,9 @@
 		result = ST_NO_SERVER;
 	if (call->key_removed && result == ST_DEADLINE_NOT_RUN)
 		result = ST_UNAUTHORIZED;
-	return at_caller_result(result, call->may_have_run);
+	if (call->unproven_status && result == ST_OK)
+		result = ST_UNPROVEN;
+	return result;
 }
 
 void gw_finish_call(struct gw_gateway *gateway,
@@ -371,14 +385,13 @@
 static void gw_end_unsubmitted(struct gw_call *call,
 			       const struct od_claim_result *result)
 {
-	gw_count_result(result->kind);
+	gw_set_result(call, result->kind);
 	call->finished = true;
-	call->result = result->kind;
 	gw_log_call_end(call);
-	if (call->req && result->kind == ST_OK)
+	if (call->req && call->result == ST_OK)
 		gw_replay_answer(call, result);
 	else if (call->req)
-		gw_reply_error(call, result->kind, result->msg);
+		gw_reply_error(call, call->result, result->msg);
 	gw_start_read_timeout(call);
 	gw_call_unref(call);
 }
@@ -429,12 +442,25 @@
 	gw_end_unsubmitted(call, &refused);
 }
 
+/* Earlier builds keep answers that would not be passed on now. */
+static bool gw_is_kept_unproven(const struct gw_call *call,
+				const struct od_claim_result *result)
+{
+	return !result->claim && result->kind == ST_OK &&
+	       oc_judge_answer(result->http_status, false, call->idempotent) ==
+		       OC_UNPROVEN;
+}
+
 static void gw_on_claim(void *ctx, const struct od_claim_result *result)
 {
 	struct gw_call *call = ctx;
 	struct od_claim_result left = { .kind = ST_CALLER_LEFT };
+	struct od_claim_result unproven = { .kind = ST_UNPROVEN };
 
-	if (!result->claim) {
+	if (gw_is_kept_unproven(call, result)) {
+		gw_note_unproven(call, result->http_status);
+		gw_end_unsubmitted(call, &unproven);
+	} else if (!result->claim) {
 		gw_end_unsubmitted(call, result);
 	} else if (!call->req) {
 		od_release_claim(result->claim);
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#include "gateway/attempt_state.h"
 #include "base/counter.h"
+#include "core/outcome.h"
 
 enum {
 	/* Hosts that are tried for a call, and of these that cannot be reached. */
@@ -109,7 +109,7 @@
 	g_queue_unlink(&call->gateway->forwards, &forward->link);
 	call->forward = NULL;
 	g_free(forward);
-	gw_complete_call(call, at_caller_result(result, call->may_have_run));
+	gw_complete_call(call, result);
 }
 
 /*
@@ -167,8 +167,7 @@
 		gw_end_forward(forward, ST_UNAUTHORIZED);
 	else if (tm_now_us() + GW_FORWARD_MARGIN_US >= call->deadline_us ||
 		 !gw_start_forward(forward))
-		gw_end_forward(forward,
-			       call->may_have_run ? ST_UNKNOWN : ST_NO_SERVER);
+		gw_end_forward(forward, ST_NO_SERVER);
 }
 
 /* Asked again once there is a connection. */
@@ -182,6 +181,16 @@
 	return gw_is_wanted(((struct gw_forward *)request)->call);
 }
 
+static void gw_stop_forward(struct gw_forward *forward, enum st_kind result);
+
+/* A host of an earlier build passes on what this one does not. */
+static void gw_withhold_forwarded(struct gw_forward *forward, int status)
+{
+	gw_note_unproven(forward->call, status);
+	gw_peer_took(forward->peer);
+	gw_stop_forward(forward, ST_UNPROVEN);
+}
+
 static void gw_on_forward_head(struct hc_request *request,
 			       const struct hc_head *head)
 {
@@ -192,6 +201,11 @@
 					      call->call_id, forward->wrapped);
 	if (forward->answer.source != GW_BY_SERVER)
 		return;
+	if (oc_judge_answer(head->status, false, call->idempotent) ==
+	    OC_UNPROVEN) {
+		gw_withhold_forwarded(forward, head->status);
+		return;
+	}
 	call->answer_status = head->status;
 	gw_copy_head(call, head);
 }
@@ -335,10 +349,8 @@
 
 void gw_expire_forward(struct gw_call *call)
 {
-	gw_stop_forward(call->forward, call->head_copied ? ST_BROKEN :
-				       call->forward->http.state >= HC_SENT ?
-							   ST_DEADLINE_UNKNOWN :
-							   ST_DEADLINE_NOT_RUN);
+	gw_stop_forward(call->forward,
+			call->head_copied ? ST_BROKEN : ST_DEADLINE_NOT_RUN);
 }
 
 static void gw_on_forward_deadline(void *ctx)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "core/outcome.h"
 #include "peer/host_message.h"
 
 enum {
@@ -162,8 +163,9 @@
 	gw_log_refusal(gateway, req, kind);
 	st_set(&status, kind, "%s", msg);
 	if (gateway->dialect->outcome)
-		hd_add_header(req, gateway->dialect->outcome, "not-run",
-			      strlen("not-run"));
+		hd_add_header(req, gateway->dialect->outcome,
+			      oc_outcome_name(kind),
+			      strlen(oc_outcome_name(kind)));
 	gw_add_challenge(req, kind);
 	gw_add_retry_after(gateway->dialect, req, kind, 0);
 	hm_mark_answer(req, st_name(kind));
--- a/gateway/log.c
+++ b/gateway/log.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "gateway/attempt_state.h"
+#include "core/outcome.h"
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "base/log.h"
@@ -194,9 +194,12 @@
 		return;
 	line = gw_call_line(call);
 	gw_set_text(line, "result", st_name(call->result));
-	gw_set_text(line, "outcome", at_outcome_name(call->result));
+	gw_set_text(line, "outcome", oc_outcome_name(call->result));
 	if (call->answer_status)
 		gw_set_number(line, "status", (uint64_t)call->answer_status);
+	if (call->unproven_status)
+		gw_set_number(line, "unproven_status",
+			      (uint64_t)call->unproven_status);
 	if (call->forwarded_to)
 		gw_set_text(line, "forwarded_to", call->forwarded_to);
 	gw_set_number(line, "took_ms", took_us / GW_US_PER_MS);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -123,6 +123,7 @@
 	struct gw_attempt attempts[CORE_MAX_ATTEMPTS];
 	struct gw_attempt *answer_attempt;
 	int answer_status; /* of the answer that is passed on; 0: none yet */
+	int unproven_status; /* of a server's answer that is not; 0: none */
 	bool from_host; /* another host passed it on; it stays here */
 	bool forward_refused; /* once the core has given it up */
 	struct gw_forward *forward; /* to another host; NULL: none */
@@ -183,6 +184,8 @@
  * gw_finish_call - action of the core: the call has its result.
  * gw_complete_call - end a call that the core does not have (any more).
  * gw_expire_call - end the call now, as at its deadline.
+ * gw_note_unproven - an answer with STATUS is not passed on to the caller; see
+ * OC_UNPROVEN.
  * gw_caller_left - whether the caller has closed its connection or its stream.
  * gw_post_gone - tell the core, once, that the caller has left.
  */
@@ -194,6 +197,7 @@
 		    const struct core_action *action);
 void gw_complete_call(struct gw_call *call, enum st_kind result);
 void gw_expire_call(struct gw_call *call);
+void gw_note_unproven(struct gw_call *call, int status);
 bool gw_caller_left(const struct gw_call *call);
 void gw_post_gone(struct gw_call *call);
 
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -6,6 +6,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "core/outcome.h"
 #include "gateway/attempt_state.h"
 #include "orders/order.h"
 #include "tests/suite.h"
@@ -751,8 +752,8 @@
 	ck_assert(at_may_have_run(at_find_row(HC_SENT, false)));
 	ck_assert(!at_may_have_run(at_find_row(HC_ANSWER_BEGUN, true)));
 	ck_assert(!at_may_send(false, true));
-	ck_assert_int_eq(at_caller_result(ST_QUEUE_FULL, true), ST_UNKNOWN);
-	ck_assert_int_eq(at_caller_result(ST_QUEUE_FULL, false), ST_QUEUE_FULL);
+	ck_assert_int_eq(oc_result(ST_QUEUE_FULL, true), ST_UNKNOWN);
+	ck_assert_int_eq(oc_result(ST_QUEUE_FULL, false), ST_QUEUE_FULL);
 }
 END_TEST
 
--- a/tests/tool_odd_answers.c
+++ b/tests/tool_odd_answers.c
@@ -17,10 +17,17 @@
 
 enum { BACKLOG = 128, PAUSE_MS = 150, US_PER_MS = 1000 };
 
-/* "@" stands for the id of the call, PAUSE for PAUSE_MS without bytes. */
+/*
+ * "@" stands for the id of the call, SELF for the server that it is meant for, PAUSE for
+ * PAUSE_MS without bytes.
+ */
+#define SELF	"\002"
 #define OK_LINE "HTTP/1.1 200 OK\r\n"
-#define FIELDS	"Attempt-Id: @\r\nResponse-Signature: s.@\r\n"
-#define REST	FIELDS "Content-Length: 10\r\n\r\n1234567890"
+#define ID	"Attempt-Id: @\r\n"
+#define FIELDS	ID "Response-Signature: s.@\r\n"
+#define BODY	"Content-Length: 10\r\n\r\n1234567890"
+#define REST	FIELDS BODY
+#define REFUSED ID "Not-Executed: 1\r\n"
 #define HEAD	OK_LINE FIELDS
 #define CHUNKED HEAD "Transfer-Encoding: chunked\r\n\r\n"
 #define PAUSE	"~"
@@ -28,8 +35,9 @@
 #define CHUNKS	CHUNK "5\r\n67890\r\n"
 
 static const struct {
-	const char *
-		kind; /* "good", "head" for no answer, "body" for a broken one */
+	const char
+		*kind; /* "good", "head" for no answer, "body" for a broken one;
+			 the others are explained where they begin */
 	const char *name;
 	const char *text;
 } answers[] = {
@@ -61,6 +69,54 @@
 	{ "good", "trailer",
 	  CHUNKED CHUNKS "0\r\nX-Odd: 1\r\n folded\r\nX-Odd : 2\r\n\r\n" },
 
+	/* Of a call that has run, with a status that promises the opposite */
+	{ "unproven", "503-signed", "HTTP/1.1 503 No\r\n" REST },
+	{ "unproven", "503-id", "HTTP/1.1 503 No\r\n" ID BODY },
+	{ "unproven", "503-retry",
+	  "HTTP/1.1 503 No\r\nRetry-After: 1\r\nServer-Load: 1,0,200,100\r\n" REST },
+	{ "unproven", "503-chunks",
+	  "HTTP/1.1 503 No\r\n" FIELDS
+	  "Transfer-Encoding: chunked\r\n\r\n" CHUNKS "0\r\n\r\n" },
+	{ "unproven", "503-late",
+	  "HTTP/1.1 503 No\r\n" FIELDS "Content-Length: 10\r\n\r\n12345" PAUSE
+	  "67890" },
+	{ "unproven", "503-broken",
+	  "HTTP/1.1 503 No\r\n" FIELDS
+	  "Transfer-Encoding: chunked\r\n\r\n" CHUNK PAUSE "5 \r\n67890" },
+	{ "unproven", "503-short",
+	  "HTTP/1.1 503 No\r\n" FIELDS "Content-Length: 20\r\n\r\n1234567890" },
+	{ "unproven", "503-old", "HTTP/1.0 503 No\r\n" REST },
+	{ "unproven", "503-interim",
+	  "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 503 No\r\n" REST },
+	{ "unproven", "429-signed", "HTTP/1.1 429 No\r\n" REST },
+	{ "unproven", "429-id", "HTTP/1.1 429 No\r\n" ID BODY },
+	{ "unproven", "408-signed", "HTTP/1.1 408 No\r\n" REST },
+	{ "unproven", "408-id", "HTTP/1.1 408 No\r\n" ID BODY },
+	{ "unproven", "mark-0", "HTTP/1.1 503 No\r\nNot-Executed: 0\r\n" REST },
+	{ "unproven", "mark-empty",
+	  "HTTP/1.1 503 No\r\nNot-Executed:\r\n" REST },
+	{ "unproven", "mark-list",
+	  "HTTP/1.1 503 No\r\nNot-Executed: 1, 0\r\n" REST },
+	{ "unproven", "mark-false",
+	  "HTTP/1.1 429 No\r\nNot-Executed: false\r\n" REST },
+	{ "unproven", "mark-x", "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\n" REST },
+
+	/* Of a call that has not run, as the server states */
+	{ "refusal", "refused-503", "HTTP/1.1 503 No\r\n" REFUSED BODY },
+	{ "refusal", "refused-429", "HTTP/1.1 429 No\r\n" REFUSED BODY },
+	{ "refusal", "refused-408", "HTTP/1.1 408 No\r\n" REFUSED BODY },
+	{ "refusal", "refused-400", "HTTP/1.1 400 No\r\n" REFUSED BODY },
+	{ "refusal", "refused-500", "HTTP/1.1 500 No\r\n" REFUSED BODY },
+	{ "refusal", "refused-signed",
+	  "HTTP/1.1 503 No\r\nNot-Executed: 1\r\n" REST },
+
+	/* Of a call that may have run, with a status that promises nothing */
+	{ "failure", "500-signed", "HTTP/1.1 500 No\r\n" REST },
+	{ "failure", "502-signed", "HTTP/1.1 502 No\r\n" REST },
+	{ "failure", "504-signed", "HTTP/1.1 504 No\r\n" REST },
+	{ "failure", "404-signed", "HTTP/1.1 404 No\r\n" REST },
+	{ "failure", "409-signed", "HTTP/1.1 409 No\r\n" REST },
+
 	{ "second", "second", HEAD "Content-Length: 6\r\n\r\nsecond" },
 
 	{ "head", "status-000", "HTTP/1.1 000 Status\r\n" REST },
@@ -171,11 +227,22 @@
 
 static const char *cut_source; /* NULL: none */
 
-/* Sends TEXT with the call's id. */
-static bool send_text(int fd, const char *text, const char *call_id)
+static char *replace(const char *text, const char *mark, const char *value)
 {
-	char **parts = g_strsplit(text, "@", 0);
-	char *all = g_strjoinv(call_id, parts);
+	char **parts = g_strsplit(text, mark, 0);
+	char *all = g_strjoinv(value, parts);
+
+	g_strfreev(parts);
+	return all;
+}
+
+/* Sends TEXT as the answer to the request. */
+static bool send_text(int fd, const char *text, const char *request)
+{
+	char *call_id = find_field(request, "attempt-id");
+	char *server = find_field(request, "expect-instance");
+	char *with_id = replace(text, "@", call_id);
+	char *all = replace(with_id, SELF, server);
 	char **pieces = g_strsplit(all, PAUSE, 0);
 	bool ok = write_text(fd, pieces[0]);
 
@@ -184,16 +251,18 @@
 		ok = write_text(fd, pieces[1]);
 	}
 	g_strfreev(pieces);
-	g_strfreev(parts);
 	g_free(all);
+	g_free(with_id);
+	g_free(server);
+	g_free(call_id);
 	return ok;
 }
 
-static bool send_named(int fd, const char *name, const char *call_id)
+static bool send_named(int fd, const char *name, const char *request)
 {
 	for (uint32_t i = 0; i < G_N_ELEMENTS(answers); i++)
 		if (!strcmp(answers[i].name, name))
-			return send_text(fd, answers[i].text, call_id);
+			return send_text(fd, answers[i].text, request);
 	return false;
 }
 
@@ -230,7 +299,7 @@
 	names = g_strsplit(strrchr(path, '/') + 1, "+", 0);
 	attempt = count_attempt(call_id);
 	ok = send_named(fd, names[MIN(attempt, g_strv_length(names) - 1)],
-			call_id);
+			request);
 	g_strfreev(names);
 	g_free(call_id);
 	return ok;
--- a/tests/tool_raw.c
+++ b/tests/tool_raw.c
@@ -46,6 +46,9 @@
 #define OK_HEAD "HTTP/1.1 200 OK\r\n"
 #define REFUSAL "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
 
+#define FAILED(status, fields) \
+	"HTTP/1.1 " status "\r\n" fields "content-length: 6\r\n\r\nfailed"
+
 /* Answers after which the connection is closed. */
 static const struct {
 	const char *name;
@@ -86,6 +89,16 @@
 	{ "dated", OK_HEAD "date: then\r\nServer: other\r\n"
 			   "content-length: 5\r\n\r\nwhole" },
 	{ "head-only", OK_HEAD "content-length: 1000\r\n\r\n" },
+	/* The call has run, unless the server says that it has not. */
+	{ "failed-408", FAILED("408 Late", "") },
+	{ "failed-421", FAILED("421 Other", "") },
+	{ "failed-429", FAILED("429 Many", "") },
+	{ "failed-503", FAILED("503 Busy", "retry-after: 1\r\n") },
+	{ "failed-500", FAILED("500 Error", "") },
+	{ "mark-0", FAILED("503 Busy", "x-not-run: 0\r\n") },
+	{ "refused-408", FAILED("408 Late", "x-not-run: 1\r\n") },
+	{ "refused-429", FAILED("429 Many", "x-not-run: 1\r\n") },
+	{ "refused-503", FAILED("503 Busy", "x-not-run: 1\r\n") },
 	{ "extra", OK_HEAD "content-length: 5\r\n\r\nwhole" OK_HEAD
 			   "content-length: 6\r\n\r\nstolen" },
 };
