Take an answer for a refusal only if nothing in it says otherwise

What callers saw: an order that had run at one server was sent to a second one, and ran there too, or its caller was told "not run" (503). The first server had answered 421 with its signature, or 421 by its own id as the expected server, or with two Not-Executed headers, 1 and 0.

Cause: any 421 on the platform proved that the order was not run, and of several headers only the first was read. Without a platform the reverse: x-not-run with 408 or 429 was not taken for a refusal.

Change: dl_is_not_run takes a 421 without the header only from an answer that is unsigned and does not name the expected server as its own; that is the form in which a server answers that has taken over an address. Several headers count only if all are 1. Without a platform the header counts with each status that promises "not run". Only a misdirected call marks a server as replaced.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -280,6 +280,8 @@
 	struct gw_attempt *attempt = (struct gw_attempt *)request;
 	struct gw_call *call = attempt->call;
 	struct gw_gateway *gateway = call->gateway;
+	const struct gw_server *server =
+		g_ptr_array_index(gateway->servers, attempt->server);
 	enum oc_verdict verdict;
 
 	attempt->status = head->status;
@@ -288,11 +290,11 @@
 				  gw_discarded_msg);
 		return;
 	}
-	attempt->refused = dl_is_not_run(gateway->dialect, head);
+	attempt->refused = dl_is_not_run(gateway->dialect, head, server->name);
 	/* If it were sent once more, it would look like the next answer. */
 	request->close_after = attempt->refused;
 	gw_post_report(attempt, head);
-	if (head->status == DL_MISDIRECTED && attempt->refused)
+	if (dl_is_misdirected(gateway->dialect, head, server->name))
 		gw_post_server_replaced(attempt);
 	else
 		gw_read_notices(attempt, head);
--- a/gateway/dialect.c
+++ b/gateway/dialect.c
@@ -6,6 +6,8 @@
 
 #include <h2o.h>
 
+#include "core/outcome.h"
+
 enum {
 	DL_MILLI = 1000,
 	DL_US_PER_S = 1000 * 1000,
@@ -171,15 +173,46 @@
 	       (!call_id || dl_find_header(head, dialect->call_id));
 }
 
-bool dl_is_not_run(const struct dl_dialect *dialect, const struct hc_head *head)
+/* Several headers that contradict each other state nothing. */
+static bool dl_has_not_run_header(const struct dl_dialect *dialect,
+				  const struct hc_head *head)
 {
-	const struct hc_header *h = dl_find_header(head, dialect->not_run);
+	size_t bytes = strlen(dialect->not_run);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < head->header_count; i++) {
+		const struct hc_header *h = &head->headers[i];
+
+		if (h->name_bytes != bytes ||
+		    g_ascii_strncasecmp(h->name, dialect->not_run, bytes) != 0)
+			continue;
+		if (h->value_bytes != 1 || *h->value != '1')
+			return false;
+		count++;
+	}
+	return count > 0;
+}
 
-	if (dialect->expect_server && head->status == DL_MISDIRECTED)
-		return true;
-	if (head->status < 400)
+bool dl_is_misdirected(const struct dl_dialect *dialect,
+		       const struct hc_head *head, const char *server_id)
+{
+	const struct hc_header *id = dl_find_header(head, dialect->server_id);
+
+	if (!dialect->expect_server || head->status != DL_MISDIRECTED)
 		return false;
-	if (!dialect->expect_server && head->status != 503)
+	if (dl_has_not_run_header(dialect, head))
+		return true;
+	return !dl_find_header(head, dialect->signature) &&
+	       !(server_id && id && hc_value_is(id, server_id));
+}
+
+bool dl_is_not_run(const struct dl_dialect *dialect, const struct hc_head *head,
+		   const char *server_id)
+{
+	if (dl_is_misdirected(dialect, head, server_id))
+		return true;
+	if (dialect->expect_server ? head->status < 400 :
+				     !oc_promises_not_run(head->status))
 		return false;
-	return h && h->value_bytes == 1 && *h->value == '1';
+	return dl_has_not_run_header(dialect, head);
 }
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -105,8 +105,17 @@
 bool dl_is_of_server(const struct dl_dialect *dialect,
 		     const struct hc_head *head, const char *call_id);
 
-/* dl_is_not_run - the answer proves that the server did not run the call. */
-bool dl_is_not_run(const struct dl_dialect *dialect,
-		   const struct hc_head *head);
+/*
+ * dl_is_not_run - HEAD proves that the server with SERVER_ID, which may be NULL, did not
+ * run the call. Without a platform the header NOT_RUN counts only with a status that
+ * promises so (core/outcome.h).
+ * dl_is_misdirected - it proves so because another server than that one made it. Status
+ * 421 does, unless it is signed like the answer to a call that has run, or names that
+ * server as its own.
+ */
+bool dl_is_not_run(const struct dl_dialect *dialect, const struct hc_head *head,
+		   const char *server_id);
+bool dl_is_misdirected(const struct dl_dialect *dialect,
+		       const struct hc_head *head, const char *server_id);
 
 #endif
--- a/gateway/probe.c
+++ b/gateway/probe.c
@@ -128,7 +128,8 @@
 	probe->of_target = !id || hc_value_is(id, probe->target.expected_id);
 	probe->ok = head->status == 200 && load && probe->of_target;
 	/* If it were sent once more, it would look like the next answer. */
-	request->close_after = dl_is_not_run(dialect, head);
+	request->close_after =
+		dl_is_not_run(dialect, head, probe->target.expected_id);
 	probe->draining =
 		probe->of_target && dl_find_header(head, dialect->draining);
 	if (load)
--- a/tests/run_unproven_answers.sh
+++ b/tests/run_unproven_answers.sh
@@ -35,7 +35,7 @@
 # expect_idempotent WHAT HOST: the server's answer, after a retry or without one.
 expect_idempotent() {
 	local name
-	for name in 503-signed 503-retry 429-signed 408-signed mark-0 500-signed; do
+	for name in 503-signed 503-retry 429-signed 408-signed 421-signed mark-0 mark-two 500-signed; do
 		expect "$1" "[$(status_of $name)] 1234567890 $NEXT end=timeout" "$2" 1.1 "$name"
 	done
 	expect "$1" "[503] whole-chunks $NEXT end=timeout" "$2" 1.1 503-chunks
--- a/tests/run_unproven_orders.sh
+++ b/tests/run_unproven_orders.sh
@@ -48,7 +48,7 @@
 	for name in failed-408 failed-421 failed-429 failed-503 mark-0; do
 		expect "502 unknown error" 0 POST $name ${key:+$key-$name}
 	done
-	for name in refused-503; do
+	for name in refused-408 refused-429 refused-503; do
 		expect "503 not-run error" 0 POST $name ${key:+$key-$name}
 	done
 	expect "500 completed failed" 0 POST failed-500 ${key:+$key-failed-500}
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -210,7 +210,7 @@
 	dl_parse_rate_limit(&pd_dialect, &head, &event);
 	if (dl_parse_pause(&head, &event))
 		ck_assert_uint_le(event.u.pause.duration_us, DL_MAX_PAUSE_US);
-	dl_is_not_run(&pd_dialect, &head);
+	dl_is_not_run(&pd_dialect, &head, "s0");
 }
 
 static void read_address(const GString *text)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -316,18 +316,60 @@
 	struct hc_header not_run = header("Not-Executed", "1");
 	struct hc_head head = { .status = 503 };
 
-	ck_assert(!dl_is_not_run(&pd_dialect, &head));
+	ck_assert(!dl_is_not_run(&pd_dialect, &head, NULL));
 	head.headers = &not_run;
 	head.header_count = 1;
-	ck_assert(dl_is_not_run(&pd_dialect, &head));
+	ck_assert(dl_is_not_run(&pd_dialect, &head, NULL));
 	head.status = 429;
-	ck_assert(dl_is_not_run(&pd_dialect, &head));
+	ck_assert(dl_is_not_run(&pd_dialect, &head, NULL));
 	head.status = 200;
-	ck_assert(!dl_is_not_run(&pd_dialect, &head));
+	ck_assert(!dl_is_not_run(&pd_dialect, &head, NULL));
 	head.status = DL_MISDIRECTED;
 	head.header_count = 0;
-	ck_assert(dl_is_not_run(&pd_dialect, &head));
-	ck_assert(!dl_is_not_run(&dl_default, &head));
+	ck_assert(dl_is_not_run(&pd_dialect, &head, NULL));
+	ck_assert(!dl_is_not_run(&dl_default, &head, NULL));
+}
+END_TEST
+
+/* Guards against a call that is sent again because of an answer that proves nothing. */
+static const struct {
+	int status;
+	const char *values[2]; /* of Not-Executed */
+	const char *server_id;
+	bool is_signed;
+	bool not_run;
+} refusals[] = {
+	{ 503, { "1", "1" }, "s1", true, true },
+	{ 503, { "1", "0" }, "s1", true, false },
+	{ 503, { "0", "1" }, "s1", true, false },
+	{ 503, { "true" }, "s1", false, false },
+	{ 503, { "" }, "s1", false, false },
+	{ 421, { NULL }, "s2", false, true },
+	{ 421, { NULL }, NULL, false, true },
+	{ 421, { NULL }, "s1", false, false },
+	{ 421, { NULL }, "s2", true, false },
+	{ 421, { "1" }, "s2", true, true },
+	{ 421, { "0" }, "s1", false, false },
+};
+
+START_TEST(refusals_that_prove_nothing_are_told_apart)
+{
+	struct hc_header headers[4];
+	struct hc_head head = { .status = refusals[_i].status,
+				.headers = headers };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(refusals[_i].values); i++)
+		if (refusals[_i].values[i])
+			headers[head.header_count++] =
+				header("Not-Executed", refusals[_i].values[i]);
+	if (refusals[_i].server_id)
+		headers[head.header_count++] =
+			header("Instance-Id", refusals[_i].server_id);
+	if (refusals[_i].is_signed)
+		headers[head.header_count++] =
+			header("Response-Signature", "s");
+	ck_assert_int_eq(dl_is_not_run(&pd_dialect, &head, "s1"),
+			 refusals[_i].not_run);
 }
 END_TEST
 
@@ -946,6 +988,8 @@
 	tcase_add_loop_test(tests, rate_limits_are_decoded, 0,
 			    G_N_ELEMENTS(rate_limits));
 	tcase_add_test(tests, not_run_answers_are_recognized);
+	tcase_add_loop_test(tests, refusals_that_prove_nothing_are_told_apart,
+			    0, G_N_ELEMENTS(refusals));
 	tcase_add_loop_test(tests, answer_ends_are_classified, 0,
 			    G_N_ELEMENTS(exchanges));
 	tcase_add_loop_test(tests, connect_timeout_spares_what_is_established,
