--- a/tests/test_outcome.c
+++ b/tests/test_outcome.c
@@ -77,6 +77,22 @@
 }
 END_TEST
 
+/* Guards against a change that may have been accepted and is answered like a refusal. */
+START_TEST(unknown_outcomes_promise_nothing)
+{
+	static const enum st_kind kinds[] = {
+		ST_UNKNOWN,	     ST_UNPROVEN, ST_DEADLINE_UNKNOWN,
+		ST_PLATFORM_UNKNOWN, ST_BROKEN,	  ST_CALLER_LEFT,
+	};
+
+	for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+		ck_assert_msg(!st_not_run(kinds[i]), "%s", st_name(kinds[i]));
+		ck_assert_msg(!oc_promises_not_run(st_http_status(kinds[i])),
+			      "%s", st_name(kinds[i]));
+	}
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tests = tcase_create("outcome");
@@ -86,5 +102,6 @@
 	tcase_add_test(tests, each_status_of_a_server_is_judged);
 	tcase_add_loop_test(tests, each_kind_promises_what_it_guarantees, 0,
 			    ST_KIND_COUNT);
+	tcase_add_test(tests, unknown_outcomes_promise_nothing);
 	return suite_run_case("outcome", tests, CK_FORK_GETENV);
 }
