Believe no unmarked refusal of a passed-on call that does not state it

If something that is no host answers a passed-on call at a host's address (a server that has got it, say) with 503 or 429, the caller of an order was told "not run", though it is not known what ran there. And a refusal with 408 by the listener of the other host, before it has read the call, became a 502.

Cause: an answer without the mark of a host counted as a refusal of a host by its status alone. Only the listener of a host answers a wrapped call so, and it says "x-request-outcome: not-run".

Change: gw_read_unmarked takes a status that promises "not run" only with that statement; else whatever it is may have run the call, as was the rule for its successes.

Evidence: test_host_message, answer_is_a_servers_only_if_it_shows_so: 7 of the 8 new rows failed before, none now. run_passed_calls, run_forwarded_attempts, run_stranded and run_bodies pass.

--- a/gateway/forward_answer.c
+++ b/gateway/forward_answer.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+#include "core/outcome.h"
+
+/* What the listeners of hosts say, whatever the dialect (http/intake.c). */
+#define GW_INTAKE_OUTCOME "x-request-outcome"
+
 enum { GW_EARLIER_ANSWER_BYTES = sizeof(HM_EARLIER_ANSWER) - 1 };
 
 /* What an answer of a host says by its status alone. */
@@ -52,15 +57,33 @@
 	return answer;
 }
 
-/* Without a mark: by a host of an earlier build, or by the library before it was read. */
+/* Of the listener of a host, which refused the call while it arrived. */
+static struct gw_host_answer gw_read_intake_refusal(const struct hc_head *head)
+{
+	struct gw_host_answer answer = gw_read_refusal(head, NULL);
+
+	/* Which limit of that host was met means nothing to the caller. */
+	if (oc_promises_not_run(head->status))
+		answer.kind = ST_NO_SERVER;
+	return answer;
+}
+
+/*
+ * Without a mark: by a host of an earlier build, by the listener of a host before it was
+ * read, or by something else. That it was not run has to be stated.
+ */
 static struct gw_host_answer gw_read_unmarked(const struct hc_head *head)
 {
 	struct gw_host_answer answer = { .source = GW_BY_STRANGER };
+	const struct hc_header *outcome =
+		hc_find_header(head, GW_INTAKE_OUTCOME);
 
 	if (head->status == 200 &&
 	    head->content_length == GW_EARLIER_ANSWER_BYTES)
 		answer.source = GW_BY_EARLIER;
-	else if (head->status >= 400)
+	else if (outcome && hc_value_is(outcome, "not-run"))
+		return gw_read_intake_refusal(head);
+	else if (head->status >= 400 && !oc_promises_not_run(head->status))
 		return gw_read_refusal(head, NULL);
 	return answer;
 }
--- a/tests/test_host_message.c
+++ b/tests/test_host_message.c
@@ -280,6 +280,19 @@
 	/* By the library, before a host has read the call */
 	{ "400\r\n", true, GW_BY_HOST, ST_INVALID },
 	{ "413\r\n", true, GW_BY_HOST, ST_TOO_LARGE },
+	/* By the listener of a host, before it has read the call */
+	{ "503\r\nx-request-outcome: not-run\r\n", true, GW_BY_HOST,
+	  ST_NO_SERVER },
+	{ "408\r\nx-request-outcome: not-run\r\n", true, GW_BY_HOST,
+	  ST_NO_SERVER },
+	/* By whoever answers there; it may have run something */
+	{ "503\r\n", true, GW_BY_STRANGER, ST_OK },
+	{ "503\r\n" SIGNED OWN_ID, true, GW_BY_STRANGER, ST_OK },
+	{ "503\r\nx-request-outcome: unknown\r\n", true, GW_BY_STRANGER,
+	  ST_OK },
+	{ "429\r\n" OWN_ID, true, GW_BY_STRANGER, ST_OK },
+	{ "408\r\n", true, GW_BY_STRANGER, ST_OK },
+	{ "421\r\n", true, GW_BY_STRANGER, ST_OK },
 	/* Of earlier builds, which mark nothing */
 	{ "200\r\n" SIGNED, false, GW_BY_SERVER, ST_OK },
 	{ "404\r\n" OWN_ID, false, GW_BY_SERVER, ST_OK },
