Tell a store that counts its restores from 0 from one that does not

Cause: era 0 stood for "not stated", in memory and between hosts. The rise to 1 was taken for the first era that is named, not for a restore: positions kept the versions of before the copy, hosts that named 0 got only the changes above those, and no host wrote its row again.

Change: in memory an era is 0 if none is stated, else one more than the number that the store names; it is decoded where the header is read.

--- a/document/document.h
+++ b/document/document.h
@@ -132,7 +132,8 @@
 	uint64_t generation; /* 0 until it is accepted */
 	/*
 	 * Of its manifest, to order documents from the platform, whose generations
-	 * may go back; both 0: not from there.
+	 * may go back; both 0: not from there. The era is the number that the store
+	 * states.
 	 */
 	struct ps_position revision;
 	char digest[DOC_DIGEST_BYTES];
--- a/orders/restored.c
+++ b/orders/restored.c
@@ -64,7 +64,8 @@
 			"orders: era %" G_GUINT64_FORMAT
 			" after %" G_GUINT64_FORMAT
 			"; looking up %u rows written lately",
-			era, orders->era, orders->kept.length);
+			ps_stated_era(era), ps_stated_era(orders->era),
+			orders->kept.length);
 		orders->restored_us = tm_now_us();
 	}
 	orders->era = era;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -874,7 +874,8 @@
 	feed->random = outage->random;
 	feed->interval_ms = 60 * 1000;
 	feed->synced = true;
-	feed->position = (struct ps_position){ .era = 1, .version = 5 };
+	feed->position =
+		(struct ps_position){ .era = ps_era_of(1), .version = 5 };
 	fd_init(feed);
 }
 
--- a/tests/tool_platform.c
+++ b/tests/tool_platform.c
@@ -544,7 +544,8 @@
 
 /*
  * Sets the faults of the request; "forget" purges all changes so far, "copy"
- * copies the store and "restore" brings the copy back.
+ * copies the store and "restore" brings the copy back. "era" is the number of restores
+ * that the store states from now on.
  */
 static void set_faults(h2o_req_t *req)
 {
@@ -564,6 +565,9 @@
 		platform.state.purged_version = platform.state.last_version;
 	if (fault && json_is_true(json_object_get(fault, "copy")))
 		make_copy();
+	if (fault && json_object_get(fault, "era"))
+		platform.era = (uint64_t)json_integer_value(
+			json_object_get(fault, "era"));
 	if (fault && json_is_true(json_object_get(fault, "restore")) &&
 	    platform.copy.rows)
 		restore_copy();
