--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -333,23 +333,23 @@
 
 /* Guards against a call that is sent again because of an answer that proves nothing. */
 static const struct {
-	int status;
 	const char *values[2]; /* of Not-Executed */
 	const char *server_id;
+	int status;
 	bool is_signed;
 	bool not_run;
 } refusals[] = {
-	{ 503, { "1", "1" }, "s1", true, true },
-	{ 503, { "1", "0" }, "s1", true, false },
-	{ 503, { "0", "1" }, "s1", true, false },
-	{ 503, { "true" }, "s1", false, false },
-	{ 503, { "" }, "s1", false, false },
-	{ 421, { NULL }, "s2", false, true },
-	{ 421, { NULL }, NULL, false, true },
-	{ 421, { NULL }, "s1", false, false },
-	{ 421, { NULL }, "s2", true, false },
-	{ 421, { "1" }, "s2", true, true },
-	{ 421, { "0" }, "s1", false, false },
+	{ { "1", "1" }, "s1", 503, true, true },
+	{ { "1", "0" }, "s1", 503, true, false },
+	{ { "0", "1" }, "s1", 503, true, false },
+	{ { "true" }, "s1", 503, false, false },
+	{ { "" }, "s1", 503, false, false },
+	{ { NULL }, "s2", 421, false, true },
+	{ { NULL }, NULL, 421, false, true },
+	{ { NULL }, "s1", 421, false, false },
+	{ { NULL }, "s2", 421, true, false },
+	{ { "1" }, "s2", 421, true, true },
+	{ { "0" }, "s1", 421, false, false },
 };
 
 START_TEST(refusals_that_prove_nothing_are_told_apart)
