Take no 421 with a contradicting Not-Executed for a refusal

A server that answers an order with 421 and "Not-Executed: 0" was taken for another server that did not run it, and the order was sent again.

Cause: dl_is_misdirected fell back on the bare status where the header has a value that proves nothing.

Change: where the header is there, it decides.

--- a/gateway/dialect.c
+++ b/gateway/dialect.c
@@ -200,8 +200,8 @@
 
 	if (!dialect->expect_server || head->status != DL_MISDIRECTED)
 		return false;
-	if (dl_has_not_run_header(dialect, head))
-		return true;
+	if (dl_find_header(head, dialect->not_run))
+		return dl_has_not_run_header(dialect, head);
 	return !dl_find_header(head, dialect->signature) &&
 	       !(server_id && id && hc_value_is(id, server_id));
 }
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -110,8 +110,8 @@
  * run the call. Without a platform the header NOT_RUN counts only with a status that
  * promises so (core/outcome.h).
  * dl_is_misdirected - it proves so because another server than that one made it. Status
- * 421 does, unless it is signed like the answer to a call that has run, or names that
- * server as its own.
+ * 421 does, unless it is signed like the answer to a call that has run, names that
+ * server as its own, or has the header NOT_RUN with another value.
  */
 bool dl_is_not_run(const struct dl_dialect *dialect, const struct hc_head *head,
 		   const char *server_id);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -350,6 +350,7 @@
 	{ { NULL }, "s2", 421, true, false },
 	{ { "1" }, "s2", 421, true, true },
 	{ { "0" }, "s1", 421, false, false },
+	{ { "0" }, "s2", 421, false, false },
 };
 
 START_TEST(refusals_that_prove_nothing_are_told_apart)
@@ -890,10 +891,11 @@
 	close(outage->listener);
 }
 
-/* Answers the next call of the feed. Returns when the call had begun. */
-static uint64_t answer_call(struct outage *outage, int status, int era)
+/* Answers the next call of the feed with ROWS. Returns when the call had begun. */
+static uint64_t answer_with_rows(struct outage *outage, int status, int era,
+				 const char *rows)
 {
-	char answer[160];
+	char answer[512];
 	char request[4096];
 	struct fd_feed *feed = &outage->feed;
 	uint64_t begin_us;
@@ -907,8 +909,9 @@
 		uv_run(&outage->loop, UV_RUN_NOWAIT);
 	g_snprintf(answer, sizeof(answer),
 		   "HTTP/1.1 %d x\r\nstore-era: %d\r\nconnection: close\r\n"
-		   "content-length: 20\r\n\r\n{\"ver\":9,\"rows\":[] }",
-		   status, era);
+		   "content-length: %zu\r\n\r\n{\"ver\":9,\"rows\":[%s]}",
+		   status, era,
+		   strlen("{\"ver\":9,\"rows\":[]}") + strlen(rows), rows);
 	send(fd, answer, strlen(answer), MSG_NOSIGNAL);
 	/* The call ends with the answer, and may be followed by another one. */
 	while (feed->call_pending && feed->call_start_us == begin_us)
@@ -917,6 +920,11 @@
 	return begin_us;
 }
 
+static uint64_t answer_call(struct outage *outage, int status, int era)
+{
+	return answer_with_rows(outage, status, era, "");
+}
+
 /*
  * What another host relays after a call of this host has failed, and what the store
  * answers then. FROM_EARLIER: the other host had read the store before that.
