--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -925,6 +925,41 @@
 	return answer_with_rows(outage, status, era, "");
 }
 
+/* Every change is relevant. */
+static bool take_row(void *ctx, const struct fd_feed *feed,
+		     const struct pf_row *row)
+{
+	return true;
+}
+
+/*
+ * Guards against a server that is in use again although it is known to leave: an answer of
+ * the store arrives after another host has relayed a later state of the row.
+ */
+START_TEST(answer_that_was_overtaken_brings_no_earlier_row_back)
+{
+	static const char earlier[] =
+		"{\"table\":\"servers\",\"part\":\"\",\"key\":\"s1\","
+		"\"ver\":7,\"value\":\"b2xk\"}";
+	struct pf_row later = { .table = "servers",
+				.key = "s1",
+				.position = { ps_era_of(1), 8 },
+				.value = "new",
+				.value_bytes = 3 };
+	const struct fd_row *row;
+	struct outage outage;
+
+	init_outage(&outage);
+	outage.handler.on_row = take_row;
+	fd_apply_relayed(&outage.feed, &later);
+	answer_with_rows(&outage, 200, 1, earlier);
+	row = g_hash_table_lookup(outage.feed.rows, "s1");
+	ck_assert_uint_eq(row->position.version, 8);
+	ck_assert_str_eq(row->value, "new");
+	free_outage(&outage);
+}
+END_TEST
+
 /*
  * What another host relays after a call of this host has failed, and what the store
  * answers then. FROM_EARLIER: the other host had read the store before that.
@@ -1010,6 +1045,8 @@
 	tcase_add_test(tests, unanswered_call_counts_as_waiting);
 	tcase_add_test(tests, relayed_rows_count_only_in_a_relayed_table);
 	tcase_add_test(tests, later_era_goes_before_higher_version);
+	tcase_add_test(tests,
+		       answer_that_was_overtaken_brings_no_earlier_row_back);
 	tcase_add_loop_test(tests,
 			    outage_ends_when_another_host_reads_the_store, 0,
 			    G_N_ELEMENTS(outages));
