--- a/tests/lib_wire.sh
+++ b/tests/lib_wire.sh
@@ -144,3 +144,15 @@
 	check "host 3 passes no call on" within 8 is_passed_on
 	sleep 1
 }
+
+calm_calls=0
+is_calm() {
+	local n
+	for n in $(seq 40); do
+		calm_calls=$((calm_calls + 1))
+		test "$(call_host 0 /order/length-whole calm-$calm_calls -o /dev/null -X POST -d abc)" = " 200" ||
+			return 1
+	done
+}
+# calm_down: until the servers are no longer avoided for their broken answers.
+calm_down() { check "the servers stay avoided" within 20 is_calm; }
--- a/tests/run_odd_answers.sh
+++ b/tests/run_odd_answers.sh
@@ -61,17 +61,6 @@
 		test -z "$(grep -avE "$ORDER" "$WORK/orders")"
 	check "no order" test -s "$WORK/orders"
 }
-calm_calls=0
-is_calm() {
-	local n
-	for n in $(seq 40); do
-		calm_calls=$((calm_calls + 1))
-		test "$(call_host 0 /order/length-whole calm-$calm_calls -o /dev/null -X POST -d abc)" = " 200" ||
-			return 1
-	done
-}
-# calm_down: until the servers are no longer avoided for their broken answers.
-calm_down() { check "the servers stay avoided" within 20 is_calm; }
 # check_field NAME FIELD WANTED: the caller of that answer gets this field, byte for byte.
 check_field() {
 	local came
--- a/tests/run_unproven_answers.sh
+++ b/tests/run_unproven_answers.sh
@@ -70,16 +70,6 @@
 metric() {
 	curl -s "127.0.0.1:$((metrics_port + $1))/metrics" | awk -v n="jackdawworks_$2" '$1 == n { print $2 }'
 }
-calm_calls=0
-is_calm() {
-	local n
-	for n in $(seq 40); do
-		calm_calls=$((calm_calls + 1))
-		test "$(call_host 0 /order/length-whole calm-$calm_calls -o /dev/null -X POST -d abc)" = " 200" ||
-			return 1
-	done
-}
-calm_down() { check "the servers stay avoided" within 20 is_calm; }
 start_earlier_follower() {
 	local program=$BIN
 	test "$EARLIER" && BIN=$WORK/earlier
